--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+SOURCES := src standins bench features scripts
+export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
+
+.PHONY: install format check test demo bench
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet -r requirements.txt
+	$(PYTHON) -m pip install --quiet --no-deps \
+		--no-build-isolation -e .
+	touch $@
+
+format: install
+	$(PYTHON) -m ruff format $(SOURCES)
+
+check: install
+	$(PYTHON) -m ruff format --check --quiet $(SOURCES)
+	$(PYTHON) -m flake8 $(SOURCES)
+	$(PYTHON) -m mypy
+
+test: check
+	$(PYTHON) scripts/run_tests.py
+
+demo: install
+	$(PYTHON) scripts/demo.py
+
+bench: install
+	$(PYTHON) -m bench.main
--- /dev/null
+++ b/src/godwitvalve/settings/load.py
@@ -0,0 +1,83 @@
+"""Reads and checks a settings file in JSON with comments."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import NamedTuple
+
+import orjson
+import pydantic
+import pyjson5
+
+from godwitvalve.settings import model
+
+MIN_KEY_BYTES = 32
+_ADAPTER = pydantic.TypeAdapter(model.EntrySettings)
+
+
+class SettingsError(Exception):
+    """All errors of a settings file.
+
+    :param errors: one line for each error, with the path of its key.
+    """
+
+    def __init__(self, errors: list[str]) -> None:
+        super().__init__('\n'.join(errors))
+        self.errors = errors
+
+
+class LoadedSettings(NamedTuple):
+    """Settings with the contents of their key files."""
+
+    settings: model.EntrySettings
+    peer_key: bytes
+    resume_key: bytes
+
+
+def _path(location: tuple[int | str, ...]) -> str:
+    return '.'.join(str(step) for step in location) or '(file)'
+
+
+def _key_errors(name: str, file_name: object) -> list[str]:
+    if not isinstance(file_name, str):
+        return []
+    try:
+        key = pathlib.Path(file_name).read_bytes().strip()
+    except OSError as error:
+        return [f'{name}: cannot read {file_name}: {error.strerror}']
+    if len(key) < MIN_KEY_BYTES:
+        return [f'{name}: {file_name} holds fewer than {MIN_KEY_BYTES} bytes']
+    return []
+
+
+def load(file_name: str) -> LoadedSettings:
+    """Read settings and key files.
+
+    :param file_name: path of the settings file.
+    :returns: checked settings.
+    :raises SettingsError: with every error that was found.
+    """
+    try:
+        raw = pyjson5.decode(pathlib.Path(file_name).read_text())
+    except OSError as error:
+        raise SettingsError([f'(file): {error.strerror}']) from error
+    except (pyjson5.Json5Exception, UnicodeDecodeError) as error:
+        raise SettingsError([f'(file): not JSON: {error}']) from error
+    errors = []
+    settings = None
+    try:
+        settings = _ADAPTER.validate_json(orjson.dumps(raw))
+    except pydantic.ValidationError as error:
+        errors += [
+            f'{_path(item["loc"])}: {item["msg"]}' for item in error.errors()
+        ]
+    if isinstance(raw, dict):
+        for name in ('peer_key_file', 'resume_key_file'):
+            errors += _key_errors(name, raw.get(name))
+    if errors or settings is None:
+        raise SettingsError(errors)
+    return LoadedSettings(
+        settings,
+        pathlib.Path(settings.peer_key_file).read_bytes().strip(),
+        pathlib.Path(settings.resume_key_file).read_bytes().strip(),
+    )
