--- /dev/null
+++ b/src/godwitvalve/services/headers.py
@@ -0,0 +1,54 @@
+"""Which headers are passed on between callers and plain services."""
+
+from __future__ import annotations
+
+from collections import abc
+
+# RFC 9110, section 7.6.1, and the older Keep-Alive and Proxy-* headers.
+HOP_BY_HOP = frozenset(
+    {
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+# Written anew for each connection from the body and the address.
+_REWRITTEN = frozenset({'content-length', 'host', 'expect'})
+# The caller's credential for this system is of no use to an endpoint.
+_CALLER_ONLY = frozenset({'authorization'})
+
+Headers = tuple[tuple[str, str], ...]
+
+
+def _named_by_connection(headers: abc.Iterable[tuple[str, str]]) -> set[str]:
+    return {
+        name.strip().lower()
+        for key, value in headers
+        if key.lower() == 'connection'
+        for name in value.split(',')
+    }
+
+
+def _without(headers: Headers, dropped: frozenset[str]) -> Headers:
+    named = _named_by_connection(headers)
+    return tuple(
+        (key, value)
+        for key, value in headers
+        if key.lower() not in dropped and key.lower() not in named
+    )
+
+
+def to_endpoint(headers: Headers) -> Headers:
+    """Return the headers of a request that its endpoint gets."""
+    return _without(headers, HOP_BY_HOP | _REWRITTEN | _CALLER_ONLY)
+
+
+def to_caller(headers: Headers) -> Headers:
+    """Return the headers of an answer that its caller gets."""
+    return _without(headers, HOP_BY_HOP | _REWRITTEN)
--- /dev/null
+++ b/src/godwitvalve/services/http.py
@@ -0,0 +1,223 @@
+"""HTTP adapter to plain services."""
+
+from __future__ import annotations
+
+import asyncio
+import types
+from typing import Any
+
+import aiohttp
+import orjson
+import yarl
+
+from godwitvalve import clock as clock_model
+from godwitvalve.engine import port as engine_port
+from godwitvalve.outcomes import codes
+from godwitvalve.outcomes import outcome as outcome_model
+from godwitvalve.routing import endpoint as endpoint_model
+from godwitvalve.services import headers as header_rules
+from godwitvalve.services import port
+
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+MAX_LOAD_BYTES = 64 * 1024
+# A live endpoint accepts within a few ms; a dead failure domain drops SYNs.
+CONNECT_LIMIT_S = 1.0
+LOAD_LIMIT_S = 1.0
+_READ_BYTES = 64 * 1024
+_OWN_HEADERS = ('User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type')
+
+
+class _NotSent(Exception):
+    """Raised between connecting and writing, when nothing has left."""
+
+    def __init__(self, code: codes.ResultCode, detail: str) -> None:
+        super().__init__(detail)
+        self.code = code
+
+
+class _Exchange:
+    """One attempt, given to the hooks that run around its connection."""
+
+    def __init__(
+        self, attempt: outcome_model.SendAttempt, deadline_wall_s: float
+    ) -> None:
+        self.attempt = attempt
+        self.deadline_wall_s = deadline_wall_s
+
+
+class HttpPlainService:
+    """Sends requests with aiohttp.
+
+    Calls that may not be repeated each open their own connection: an idle
+    one may be closed by the endpoint just as the call is written, which
+    would turn a call that never ran into an unknown outcome.
+
+    :param clock: clock for deadlines.
+    """
+
+    def __init__(self, clock: clock_model.Clock) -> None:
+        self._clock = clock
+        self._pooled: aiohttp.ClientSession | None = None
+        self._single: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for session in (self._pooled, self._single):
+            if session is not None:
+                await session.close()
+
+    async def send(
+        self,
+        endpoint: endpoint_model.Endpoint,
+        request: port.PlainRequest,
+        attempt: outcome_model.SendAttempt,
+    ) -> outcome_model.Outcome:
+        """Send a request once.
+
+        :param attempt: marked as sent before the first byte can leave.
+        :returns: the answer, whatever its status, or the failure that
+            ``attempt`` allows.
+        """
+        remaining_s = request.deadline_wall_s - self._clock.wall_s()
+        if remaining_s <= 0:
+            return attempt.fail(
+                codes.ResultCode.DEADLINE_BEFORE_SEND, 'deadline passed'
+            )
+        try:
+            async with asyncio.timeout(remaining_s):
+                return await self._exchange(endpoint, request, attempt)
+        except _NotSent as error:
+            return attempt.fail(error.code, str(error))
+        except TimeoutError:
+            return attempt.fail(
+                codes.ResultCode.DEADLINE_BEFORE_SEND,
+                f'no answer from {endpoint.endpoint_id} before the deadline',
+            )
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            return attempt.fail(
+                codes.ResultCode.CONNECT_FAILED,
+                f'{endpoint.endpoint_id}: {type(error).__name__}: {error}',
+            )
+
+    async def _exchange(
+        self,
+        endpoint: endpoint_model.Endpoint,
+        request: port.PlainRequest,
+        attempt: outcome_model.SendAttempt,
+    ) -> outcome_model.Outcome:
+        url = yarl.URL(
+            f'http://{endpoint.address}{request.target}', encoded=True
+        )
+        async with self._session(request.repeatable).request(
+            request.method,
+            url,
+            headers=header_rules.to_endpoint(request.headers),
+            data=request.body or None,
+            allow_redirects=False,
+            skip_auto_headers=_OWN_HEADERS,
+            trace_request_ctx=_Exchange(attempt, request.deadline_wall_s),
+        ) as answer:
+            body = await _read_bounded(answer, MAX_ANSWER_BYTES)
+            if body is None:
+                return attempt.fail(
+                    codes.ResultCode.CONNECT_FAILED,
+                    f'answer exceeds {MAX_ANSWER_BYTES} bytes',
+                )
+            kept = tuple((k, v) for k, v in answer.headers.items())
+            return attempt.complete(
+                answer.status, header_rules.to_caller(kept), body
+            )
+
+    async def load(
+        self, endpoint: endpoint_model.Endpoint
+    ) -> engine_port.LoadReport:
+        """Read the load report on a fresh connection.
+
+        :raises ServiceUnavailable: if no report came in time.
+        """
+        exchange = _Exchange(
+            outcome_model.SendAttempt(), self._clock.wall_s() + LOAD_LIMIT_S
+        )
+        try:
+            async with (
+                asyncio.timeout(LOAD_LIMIT_S),
+                self._session(False).get(
+                    f'http://{endpoint.address}/load',
+                    trace_request_ctx=exchange,
+                ) as answer,
+            ):
+                body = await _read_bounded(answer, MAX_LOAD_BYTES)
+                return _parse_load(orjson.loads(body or b''))
+        except (
+            _NotSent,
+            aiohttp.ClientError,
+            OSError,
+            TimeoutError,
+            ValueError,
+            KeyError,
+            TypeError,
+        ) as error:
+            raise port.ServiceUnavailable(str(error)) from error
+
+    def _session(self, repeatable: bool) -> aiohttp.ClientSession:
+        if repeatable:
+            if self._pooled is None:
+                self._pooled = self._new_session(force_close=False)
+            return self._pooled
+        if self._single is None:
+            self._single = self._new_session(force_close=True)
+        return self._single
+
+    def _new_session(self, force_close: bool) -> aiohttp.ClientSession:
+        hooks = aiohttp.TraceConfig()
+        hooks.on_connection_create_end.append(self._before_write)
+        hooks.on_connection_reuseconn.append(self._before_write)
+        return aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=force_close),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_LIMIT_S
+            ),
+            auto_decompress=False,
+            trace_configs=[hooks],
+        )
+
+    async def _before_write(
+        self,
+        session: aiohttp.ClientSession,
+        context: types.SimpleNamespace,
+        params: Any,
+    ) -> None:
+        exchange: _Exchange = context.trace_request_ctx
+        if exchange.attempt.is_sent:
+            # aiohttp sends some methods again when a kept connection
+            # closes; one attempt must never be written twice.
+            raise aiohttp.ClientConnectionError('refused to send twice')
+        if self._clock.wall_s() >= exchange.deadline_wall_s:
+            raise _NotSent(
+                codes.ResultCode.DEADLINE_BEFORE_SEND,
+                'deadline passed while connecting',
+            )
+        exchange.attempt.mark_sent()
+
+
+async def _read_bounded(
+    answer: aiohttp.ClientResponse, limit_bytes: int
+) -> bytes | None:
+    chunks = bytearray()
+    async for chunk in answer.content.iter_chunked(_READ_BYTES):
+        chunks += chunk
+        if len(chunks) > limit_bytes:
+            answer.close()
+            return None
+    return bytes(chunks)
+
+
+def _parse_load(raw: dict[str, Any]) -> engine_port.LoadReport:
+    return engine_port.LoadReport(
+        queue_length=int(raw['queue_length']),
+        running=int(raw['running']),
+        state='leaving' if raw['state'] == 'leaving' else 'live',
+        version=str(raw['version']),
+        measured_wall_s=float(raw['measured_wall_s']),
+    )
