--- /dev/null
+++ b/src/godwitvalve/idempotency/claims.py
@@ -0,0 +1,198 @@
+"""Claims of client-chosen keys in the table service."""
+
+from __future__ import annotations
+
+import dataclasses
+import secrets
+from typing import TypeAlias
+
+from godwitvalve import clock as clock_model
+from godwitvalve.idempotency import budget as budget_model
+from godwitvalve.idempotency import claim_record
+from godwitvalve.idempotency import keys
+from godwitvalve.outcomes import codes
+from godwitvalve.outcomes import outcome as outcome_model
+from godwitvalve.platform import port as platform_port
+
+TABLE = 'claims'
+_NONCE_BYTES = 16
+# A conflict may show a row that may be taken; more rounds than this need
+# as many other claimants in the same few milliseconds.
+_MAX_ROUNDS = 3
+
+
+@dataclasses.dataclass(frozen=True)
+class Claimed:
+    """This incarnation owns the key; the row has this version."""
+
+    record: claim_record.ClaimRecord
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimFailed:
+    """This incarnation does not own the key; nothing was sent by it."""
+
+    outcome: outcome_model.NotRun | outcome_model.Unknown
+
+
+ClaimResult: TypeAlias = Claimed | claim_record.Held | ClaimFailed
+
+
+def _not_run(code: codes.ResultCode, detail: str) -> ClaimFailed:
+    return ClaimFailed(outcome_model.NotRun(code, detail))
+
+
+def _claim_unknown(detail: str) -> ClaimFailed:
+    return ClaimFailed(
+        outcome_model.Unknown(codes.ResultCode.CLAIM_UNKNOWN, detail)
+    )
+
+
+class ClaimStore:
+    """Claims keys by one compare-and-set each.
+
+    :param tables: the platform's table service.
+    :param budget: local budget of writes.
+    """
+
+    def __init__(
+        self,
+        tables: platform_port.TableService,
+        budget: budget_model.ClaimBudget,
+        clock: clock_model.Clock,
+    ) -> None:
+        self._tables = tables
+        self._budget = budget
+        self._clock = clock
+
+    async def read(
+        self, scope: keys.KeyScope
+    ) -> tuple[claim_record.ClaimRecord | None, int]:
+        """Return the claim of a key and the row's version.
+
+        :raises PlatformUnavailable: if no answer came in time.
+        """
+        row = await self._tables.read(TABLE, claim_record.row_key(scope))
+        return _parse(row)
+
+    async def claim(
+        self,
+        scope: keys.KeyScope,
+        claimant: claim_record.Claimant,
+        expires_wall_s: float,
+    ) -> ClaimResult:
+        """Claim a key for an incarnation.
+
+        The row is read first, because a repeat must find its first outcome
+        even if no claim may be written now.
+
+        :param expires_wall_s: Unix seconds until which the owner remembers.
+        """
+        try:
+            current, version = await self.read(scope)
+            for _ in range(_MAX_ROUNDS):
+                decision = claim_record.decide_claim(
+                    current, version, claimant
+                )
+                if isinstance(decision, claim_record.Held):
+                    return decision
+                if not self._budget.take(self._clock.monotonic_s()):
+                    return _not_run(
+                        codes.ResultCode.CLAIM_BUDGET_EXHAUSTED, ''
+                    )
+                record = claim_record.ClaimRecord(
+                    claimant.owner_id,
+                    claimant.incarnation,
+                    secrets.token_bytes(_NONCE_BYTES),
+                    claimant.body_digest,
+                    expires_wall_s,
+                    None,
+                )
+                result = await self._write(
+                    scope, decision.expected_version, record
+                )
+                if not isinstance(result, platform_port.Conflict):
+                    return result
+                current, version = _parse(result.current)
+        except platform_port.PlatformUnavailable as error:
+            return _not_run(codes.ResultCode.STORE_UNAVAILABLE, str(error))
+        return _not_run(
+            codes.ResultCode.STORE_UNAVAILABLE, 'the claim row kept changing'
+        )
+
+    async def _write(
+        self,
+        scope: keys.KeyScope,
+        expected_version: int,
+        record: claim_record.ClaimRecord,
+    ) -> Claimed | ClaimFailed | platform_port.Conflict:
+        written = await self._tables.compare_and_set(
+            TABLE,
+            claim_record.row_key(scope),
+            expected_version,
+            claim_record.pack(record),
+        )
+        match written:
+            case platform_port.Written(version):
+                return Claimed(record, version)
+            case platform_port.WriteUnknown(reason):
+                return await self._read_back(
+                    scope, expected_version, record, reason
+                )
+            case platform_port.WriteRefused(reason):
+                return _not_run(codes.ResultCode.STORE_UNAVAILABLE, reason)
+            case platform_port.Conflict():
+                return written
+
+    async def _read_back(
+        self,
+        scope: keys.KeyScope,
+        expected_version: int,
+        record: claim_record.ClaimRecord,
+        reason: str,
+    ) -> Claimed | ClaimFailed | platform_port.Conflict:
+        try:
+            row = await self._tables.read(TABLE, claim_record.row_key(scope))
+            current, version = _parse(row)
+        except platform_port.PlatformUnavailable as error:
+            return _claim_unknown(f'{reason}; {error}')
+        if claim_record.is_own_write(current, record.nonce):
+            return Claimed(record, version)
+        if version != expected_version:
+            return platform_port.Conflict(row)
+        # The write may still arrive. This incarnation remembers that it
+        # sent nothing, so the row it would leave can be claimed again.
+        return _claim_unknown(reason)
+
+    async def record_outcome(
+        self,
+        scope: keys.KeyScope,
+        claimed: Claimed,
+        outcome: outcome_model.Outcome,
+    ) -> bool:
+        """Write an outcome to the claim row, if budget and store permit.
+
+        :returns: whether the row is known to hold the outcome.
+        """
+        record = claimed.record._replace(outcome=outcome)
+        value = claim_record.pack(record)
+        if len(value) > claim_record.MAX_RECORDED_OUTCOME_BYTES:
+            return False
+        if not self._budget.take(self._clock.monotonic_s()):
+            return False
+        written = await self._tables.compare_and_set(
+            TABLE, claim_record.row_key(scope), claimed.version, value
+        )
+        return isinstance(written, platform_port.Written)
+
+
+def _parse(
+    row: platform_port.Row | None,
+) -> tuple[claim_record.ClaimRecord | None, int]:
+    if row is None:
+        return None, 0
+    try:
+        return claim_record.unpack(row.value), row.version
+    except ValueError as error:
+        raise platform_port.PlatformUnavailable(str(error)) from error
--- /dev/null
+++ b/src/godwitvalve/idempotency/executor.py
@@ -0,0 +1,288 @@
+"""Runs, awaits, replays, forwards or refuses calls with a key."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+from typing import Any
+
+from godwitvalve import clock as clock_model
+from godwitvalve.idempotency import claim_record
+from godwitvalve.idempotency import claims as claim_store
+from godwitvalve.idempotency import keys
+from godwitvalve.idempotency import ledger as ledger_model
+from godwitvalve.idempotency import once
+from godwitvalve.logs import setup as logs
+from godwitvalve.outcomes import codes
+from godwitvalve.outcomes import outcome as outcome_model
+from godwitvalve.platform import port as platform_port
+
+_LOG = logs.get('idempotency')
+# The send ends at the same deadline and may then say "not run".
+_ANSWER_GRACE_S = 0.25
+_NO_OWNER = (
+    codes.ResultCode.OWNER_UNREACHABLE,
+    codes.ResultCode.OWNER_GONE,
+)
+
+
+class OnceExecutor:
+    """Owner side and caller side of idempotency keys at one entry.
+
+    :param instance_id: this entry instance.
+    :param incarnation: its incarnation.
+    :param sealing_keys: keys that seal issued keys, the current one first.
+    :param claims: claims of client-chosen keys.
+    :param forwarder: way to the owners of other keys.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        incarnation: int,
+        sealing_keys: abc.Sequence[bytes],
+        claims: claim_store.ClaimStore,
+        forwarder: once.KeyOwnerForwarder,
+        clock: clock_model.Clock,
+        ledger: ledger_model.IdempotencyLedger | None = None,
+    ) -> None:
+        self._self = (instance_id, incarnation)
+        self._sealing_keys = sealing_keys
+        self._claims = claims
+        self._forwarder = forwarder
+        self._clock = clock
+        self._ledger = ledger or ledger_model.IdempotencyLedger()
+        self._flights: dict[keys.KeyScope, asyncio.Task[once.OnceAnswer]] = {}
+        self._background: set[asyncio.Task[None]] = set()
+
+    def issue_key(self, client_account: str) -> str:
+        """Return a new key that this incarnation owns."""
+        return keys.issue(
+            *self._self,
+            client_account,
+            self._clock.wall_s() + keys.ISSUED_VALIDITY_S,
+            self._sealing_keys[0],
+        )
+
+    @property
+    def running(self) -> int:
+        """Return the number of calls in flight."""
+        return len(self._flights)
+
+    async def close(self) -> None:
+        """Wait for calls in flight and for outcomes to be written."""
+        pending: list[asyncio.Task[Any]] = [
+            *self._flights.values(),
+            *self._background,
+        ]
+        while pending:
+            await asyncio.wait(pending)
+            pending = [*self._flights.values(), *self._background]
+
+    async def execute(
+        self,
+        call: once.OnceCall,
+        send: once.SendFunction,
+        forwarded: bool = False,
+    ) -> once.OnceAnswer:
+        """Answer a call, running it at most once over all entries.
+
+        Cancelling this coroutine neither stops the call nor loses its
+        outcome.
+
+        :param send: sends the call; it is awaited at most once for each
+            time that the call may run.
+        :param forwarded: whether another entry took this one for the
+            owner; the call is then not forwarded again.
+        """
+        parsed = keys.parse(call.key, call.client_account, self._sealing_keys)
+        match parsed:
+            case keys.IssuedKey(instance_id, incarnation, expires_wall_s, _):
+                if (instance_id, incarnation) == self._self:
+                    return await self._begin(
+                        call, send, expires_wall_s, False, forwarded
+                    )
+                return await self._pass_on(
+                    call, instance_id, incarnation, forwarded
+                )
+            case keys.ClientKey():
+                expires_wall_s = self._clock.wall_s() + keys.ISSUED_VALIDITY_S
+                return await self._begin(
+                    call, send, expires_wall_s, True, forwarded
+                )
+            case _:
+                return once.refusal(parsed)
+
+    async def _begin(
+        self,
+        call: once.OnceCall,
+        send: once.SendFunction,
+        expires_wall_s: float,
+        must_claim: bool,
+        forwarded: bool,
+    ) -> once.OnceAnswer:
+        decision = self._ledger.begin(
+            call.scope, call.body_digest, expires_wall_s, self._clock.wall_s()
+        )
+        match decision:
+            case ledger_model.Refuse(code):
+                return once.refusal(code)
+            case ledger_model.Replay(outcome):
+                return once.OnceAnswer(outcome, replayed=True)
+            case ledger_model.Wait():
+                answer = await self._await_flight(call)
+                return answer._replace(replayed=True)
+            case ledger_model.Run(again):
+                run = _Run(call, send, expires_wall_s, again, forwarded)
+                flight = asyncio.create_task(self._fly(run, must_claim))
+                self._flights[call.scope] = flight
+                return await self._await_flight(call)
+
+    async def _await_flight(self, call: once.OnceCall) -> once.OnceAnswer:
+        flight = self._flights[call.scope]
+        remaining_s = call.request.deadline_wall_s - self._clock.wall_s()
+        await asyncio.wait(
+            {flight}, timeout=max(0.0, remaining_s) + _ANSWER_GRACE_S
+        )
+        if flight.done():
+            return flight.result()
+        return once.refusal(
+            codes.ResultCode.OUTCOME_UNKNOWN, 'the call is still running'
+        )
+
+    async def _fly(self, run: _Run, must_claim: bool) -> once.OnceAnswer:
+        try:
+            if must_claim:
+                return await self._claim_and_run(run)
+            return once.OnceAnswer(await self._run(run))
+        except Exception:
+            _LOG.exception('Call failed before its send.')
+            self._ledger.reopen(run.call.scope)
+            return once.refusal(codes.ResultCode.CLAIM_UNKNOWN)
+        finally:
+            del self._flights[run.call.scope]
+
+    async def _claim_and_run(self, run: _Run) -> once.OnceAnswer:
+        claimant = claim_record.Claimant(
+            *self._self, run.call.body_digest, run.again
+        )
+        result = await self._claims.claim(
+            run.call.scope, claimant, run.expires_wall_s
+        )
+        match result:
+            case claim_store.ClaimFailed(outcome):
+                self._ledger.reopen(run.call.scope)
+                return once.OnceAnswer(outcome)
+            case claim_record.Held(record):
+                # Repeats wait for this answer until the key is forgotten.
+                answer = await self._ask_holder(run, record)
+                self._ledger.forget(run.call.scope)
+                return answer
+            case claim_store.Claimed():
+                ran = await self._run(run)
+                self._write_back(run.call.scope, result, ran)
+                return once.OnceAnswer(ran)
+
+    async def _run(self, run: _Run) -> outcome_model.Outcome:
+        deadline_wall_s = run.call.request.deadline_wall_s
+        outcome: outcome_model.Outcome
+        if self._clock.wall_s() >= deadline_wall_s:
+            outcome = outcome_model.NotRun(
+                codes.ResultCode.DEADLINE_BEFORE_SEND
+            )
+        else:
+            outcome = await _guarded(run.send)
+        self._ledger.finish(run.call.scope, outcome)
+        return outcome
+
+    def _write_back(
+        self,
+        scope: keys.KeyScope,
+        claimed: claim_store.Claimed,
+        outcome: outcome_model.Outcome,
+    ) -> None:
+        async def write() -> None:
+            try:
+                await self._claims.record_outcome(scope, claimed, outcome)
+            except Exception:
+                _LOG.exception('Outcome was not written to its claim.')
+
+        task = asyncio.create_task(write())
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _ask_holder(
+        self, run: _Run, record: claim_record.ClaimRecord
+    ) -> once.OnceAnswer:
+        if record.body_digest != run.call.body_digest:
+            return once.refusal(codes.ResultCode.KEY_BODY_MISMATCH)
+        if record.outcome is not None:
+            return once.OnceAnswer(record.outcome, replayed=True)
+        if (record.owner_id, record.incarnation) == self._self:
+            return once.refusal(codes.ResultCode.KEY_EXPIRED)
+        answer = await self._pass_on(
+            run.call, record.owner_id, record.incarnation, run.forwarded
+        )
+        match answer.outcome:
+            case outcome_model.Unknown(code) if code in _NO_OWNER:
+                return await self._recorded(run.call, answer)
+        return answer
+
+    async def _recorded(
+        self, call: once.OnceCall, otherwise: once.OnceAnswer
+    ) -> once.OnceAnswer:
+        """Return an outcome written since the claim was read."""
+        try:
+            record, _ = await self._claims.read(call.scope)
+        except platform_port.PlatformUnavailable:
+            return otherwise
+        if record is None or record.outcome is None:
+            return otherwise
+        return once.OnceAnswer(record.outcome, replayed=True)
+
+    async def _pass_on(
+        self,
+        call: once.OnceCall,
+        owner_id: str,
+        incarnation: int,
+        forwarded: bool,
+    ) -> once.OnceAnswer:
+        if owner_id == self._self[0]:
+            return once.refusal(codes.ResultCode.OWNER_GONE)
+        if forwarded:
+            return once.refusal(
+                codes.ResultCode.OWNER_UNREACHABLE, 'the owner has changed'
+            )
+        return await self._forwarder.forward(owner_id, incarnation, call)
+
+
+class _Run:
+    """One permitted run of a call."""
+
+    def __init__(
+        self,
+        call: once.OnceCall,
+        send: once.SendFunction,
+        expires_wall_s: float,
+        again: bool,
+        forwarded: bool,
+    ) -> None:
+        self.call = call
+        self.send = send
+        self.expires_wall_s = expires_wall_s
+        self.again = again
+        self.forwarded = forwarded
+
+
+async def _guarded(send: once.SendFunction) -> outcome_model.Outcome:
+    try:
+        return await send()
+    except Exception as error:
+        _LOG.exception('Send raised an error.')
+        return outcome_model.Unknown(
+            codes.ResultCode.OUTCOME_UNKNOWN, type(error).__name__
+        )
+    except asyncio.CancelledError:
+        return outcome_model.Unknown(
+            codes.ResultCode.OUTCOME_UNKNOWN, 'the send was cancelled'
+        )
--- /dev/null
+++ b/src/godwitvalve/idempotency/ledger.py
@@ -0,0 +1,203 @@
+"""Which keys an owner has seen and what came of each."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import heapq
+from typing import NamedTuple, TypeAlias
+
+from godwitvalve.idempotency import keys
+from godwitvalve.outcomes import codes
+from godwitvalve.outcomes import outcome as outcome_model
+
+MAX_KEYS = 100_000
+# Bodies of remembered answers; an entry instance has 256 MB in all.
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+class KeyState(enum.Enum):
+    """Where the one run of a key stands."""
+
+    RUNNING = 'running'
+    NOT_RUN = 'not_run'
+    FINAL = 'final'
+
+
+class KeyRecord(NamedTuple):
+    """What the owner remembers of a key."""
+
+    body_digest: str
+    expires_wall_s: float
+    state: KeyState
+    outcome: outcome_model.Outcome | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """The caller may run the call now; nobody else may.
+
+    :param again: whether an earlier run of this owner ended as not run.
+    """
+
+    again: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Wait:
+    """The call is running; its outcome is to be awaited."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Replay:
+    """The call is over and this is its outcome."""
+
+    outcome: outcome_model.Outcome
+
+
+@dataclasses.dataclass(frozen=True)
+class Refuse:
+    """The key cannot be used for this request."""
+
+    code: codes.ResultCode
+
+
+Decision: TypeAlias = Run | Wait | Replay | Refuse
+
+
+def begin_record(
+    record: KeyRecord | None,
+    body_digest: str,
+    expires_wall_s: float,
+    now_wall_s: float,
+) -> tuple[KeyRecord | None, Decision]:
+    """Decide about one request with a key.
+
+    :param record: what is remembered, or None for an unseen key.
+    :param expires_wall_s: Unix seconds at which the key expires.
+    :param now_wall_s: Unix seconds that never go back.
+    :returns: the record to keep and the decision.
+    """
+    if record is not None and record.body_digest != body_digest:
+        return record, Refuse(codes.ResultCode.KEY_BODY_MISMATCH)
+    if record is not None and record.state is KeyState.RUNNING:
+        return record, Wait()
+    if record is not None and record.outcome is not None:
+        return record, Replay(record.outcome)
+    if now_wall_s >= expires_wall_s:
+        return record, Refuse(codes.ResultCode.KEY_EXPIRED)
+    running = KeyRecord(body_digest, expires_wall_s, KeyState.RUNNING, None)
+    return running, Run(again=record is not None)
+
+
+def finish_record(
+    record: KeyRecord, outcome: outcome_model.Outcome
+) -> KeyRecord:
+    """Record what came of a run; only "not run" permits another one."""
+    if record.state is not KeyState.RUNNING:
+        return record
+    if isinstance(outcome, outcome_model.NotRun):
+        return record._replace(state=KeyState.NOT_RUN)
+    return record._replace(state=KeyState.FINAL, outcome=outcome)
+
+
+def _body_bytes(outcome: outcome_model.Outcome | None) -> int:
+    if isinstance(outcome, outcome_model.Completed):
+        return len(outcome.body)
+    return 0
+
+
+class IdempotencyLedger:
+    """Keys of one owner. A live key is never evicted.
+
+    The clock that the ledger sees never goes back. Otherwise a key could be
+    forgotten as expired and accepted again after the wall clock is set back.
+    """
+
+    def __init__(
+        self, max_keys: int = MAX_KEYS, max_body_bytes: int = MAX_BODY_BYTES
+    ) -> None:
+        self._max_keys = max_keys
+        self._max_body_bytes = max_body_bytes
+        self._records: dict[keys.KeyScope, KeyRecord] = {}
+        self._expiries: list[tuple[float, keys.KeyScope]] = []
+        self._body_bytes = 0
+        self._latest_wall_s = 0.0
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def begin(
+        self,
+        key: keys.KeyScope,
+        body_digest: str,
+        expires_wall_s: float,
+        now_wall_s: float,
+    ) -> Decision:
+        """Decide about a request with a key.
+
+        :param expires_wall_s: Unix seconds at which the key expires.
+        :param now_wall_s: Unix seconds.
+        """
+        self._expire(now_wall_s)
+        record = self._records.get(key)
+        if record is None and self._is_full():
+            if self._latest_wall_s < expires_wall_s:
+                return Refuse(codes.ResultCode.KEY_BUSY)
+        kept, decision = begin_record(
+            record, body_digest, expires_wall_s, self._latest_wall_s
+        )
+        if kept is not None:
+            if record is None:
+                heapq.heappush(self._expiries, (kept.expires_wall_s, key))
+            self._records[key] = kept
+        return decision
+
+    def peek(self, key: keys.KeyScope) -> KeyRecord | None:
+        """Return what is remembered of a key."""
+        return self._records.get(key)
+
+    def finish(
+        self, key: keys.KeyScope, outcome: outcome_model.Outcome
+    ) -> None:
+        """Record what came of a run that ``begin`` permitted."""
+        record = self._records.get(key)
+        if record is None:
+            return
+        finished = finish_record(record, outcome)
+        if finished is not record:
+            self._body_bytes += _body_bytes(finished.outcome)
+        self._records[key] = finished
+
+    def reopen(self, key: keys.KeyScope) -> None:
+        """Permit another run, because nothing was sent by the last one."""
+        record = self._records.get(key)
+        if record is not None and record.state is KeyState.RUNNING:
+            self._records[key] = record._replace(state=KeyState.NOT_RUN)
+
+    def forget(self, key: keys.KeyScope) -> None:
+        """Drop a key whose claim another owner holds."""
+        record = self._records.get(key)
+        if record is not None and record.state is not KeyState.FINAL:
+            del self._records[key]
+
+    def _is_full(self) -> bool:
+        return (
+            len(self._records) >= self._max_keys
+            or self._body_bytes >= self._max_body_bytes
+        )
+
+    def _expire(self, now_wall_s: float) -> None:
+        self._latest_wall_s = max(self._latest_wall_s, now_wall_s)
+        while self._expiries and self._expiries[0][0] <= self._latest_wall_s:
+            _, key = heapq.heappop(self._expiries)
+            record = self._records.get(key)
+            if record is None or record.expires_wall_s > self._latest_wall_s:
+                continue
+            if record.state is KeyState.RUNNING:
+                # Kept until its outcome is known; looked at again later.
+                later_s = self._latest_wall_s + 1.0
+                heapq.heappush(self._expiries, (later_s, key))
+                break
+            self._body_bytes -= _body_bytes(record.outcome)
+            del self._records[key]
