--- /dev/null
+++ b/src/godwitvalve/idempotency/forwarding.py
@@ -0,0 +1,137 @@
+"""Forwards calls to the owners of their keys over peer links."""
+
+from __future__ import annotations
+
+from collections import abc
+from typing import Any, Protocol
+
+import msgpack
+
+from godwitvalve import clock as clock_model
+from godwitvalve.idempotency import executor as executor_model
+from godwitvalve.idempotency import once
+from godwitvalve.idempotency import outcome_codec
+from godwitvalve.outcomes import codes
+from godwitvalve.peers import calls
+from godwitvalve.peers import membership
+from godwitvalve.peers import messages
+from godwitvalve.services import port as service_port
+
+
+class PeerCaller(Protocol):
+    """The part of a peer node that forwarding uses."""
+
+    def members(self) -> list[membership.Member]:
+        """Return the live and leaving entry instances."""
+
+    async def call(
+        self,
+        instance_id: str,
+        message: messages.Message,
+        deadline_s: float | None = None,
+    ) -> messages.Message:
+        """Send a request and return the answer."""
+
+
+class PeerForwarder:
+    """Asks the owner of a key over a peer link.
+
+    :param peers: peer node of this entry instance.
+    """
+
+    def __init__(self, peers: PeerCaller, clock: clock_model.Clock) -> None:
+        self._peers = peers
+        self._clock = clock
+
+    async def forward(
+        self, owner_id: str, incarnation: int, call: once.OnceCall
+    ) -> once.OnceAnswer:
+        """Return the owner's answer.
+
+        :returns: ``Unknown`` with ``OWNER_UNREACHABLE`` or ``OWNER_GONE``
+            if the owner gave none.
+        """
+        if self._is_replaced(owner_id, incarnation):
+            return once.refusal(codes.ResultCode.OWNER_GONE)
+        remaining_s = call.request.deadline_wall_s - self._clock.wall_s()
+        if remaining_s <= 0:
+            return once.refusal(codes.ResultCode.DEADLINE_BEFORE_SEND)
+        try:
+            answer = await self._peers.call(
+                owner_id,
+                to_message(incarnation, call),
+                self._clock.monotonic_s() + remaining_s,
+            )
+        except (calls.PeerUnreachable, messages.MessageError) as error:
+            return once.refusal(codes.ResultCode.OWNER_UNREACHABLE, str(error))
+        if not isinstance(answer, messages.ForwardAnswer):
+            return once.refusal(codes.ResultCode.OWNER_UNREACHABLE)
+        return _from_answer(answer)
+
+    def _is_replaced(self, owner_id: str, incarnation: int) -> bool:
+        return any(
+            member.instance_id == owner_id and member.incarnation > incarnation
+            for member in self._peers.members()
+        )
+
+
+def to_message(incarnation: int, call: once.OnceCall) -> messages.ForwardCall:
+    """Return the message that carries a call to its key's owner."""
+    request = call.request
+    return messages.ForwardCall(
+        incarnation,
+        call.client_account,
+        call.key,
+        call.service,
+        request.method,
+        request.target,
+        request.headers,
+        request.body,
+        float(request.deadline_wall_s),
+    )
+
+
+def to_call(message: messages.ForwardCall) -> once.OnceCall:
+    """Return the call of a message."""
+    return once.OnceCall(
+        message.client_account,
+        message.key,
+        message.service,
+        service_port.PlainRequest(
+            message.method,
+            message.target,
+            message.headers,
+            message.body,
+            False,
+            message.deadline_wall_s,
+        ),
+    )
+
+
+def _from_answer(answer: messages.ForwardAnswer) -> once.OnceAnswer:
+    try:
+        plain: Any = msgpack.unpackb(answer.outcome)
+        outcome = outcome_codec.from_plain(plain)
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        return once.refusal(codes.ResultCode.OWNER_UNREACHABLE, str(error))
+    return once.OnceAnswer(outcome, answer.replayed)
+
+
+async def answer_forwarded(
+    executor: executor_model.OnceExecutor,
+    incarnation: int,
+    message: messages.ForwardCall,
+    send: abc.Callable[[once.OnceCall], once.SendFunction],
+) -> messages.ForwardAnswer:
+    """Answer a call that another entry forwarded to this one.
+
+    :param incarnation: incarnation of this entry instance.
+    :param send: returns the function that sends a given call.
+    """
+    if message.owner_incarnation != incarnation:
+        answer = once.refusal(codes.ResultCode.OWNER_GONE)
+    else:
+        call = to_call(message)
+        answer = await executor.execute(call, send(call), forwarded=True)
+    packed = msgpack.packb(outcome_codec.to_plain(answer.outcome))
+    return messages.ForwardAnswer(packed, answer.replayed)
--- /dev/null
+++ b/src/godwitvalve/peers/calls.py
@@ -0,0 +1,123 @@
+"""Requests to peers that wait for an answer on the same link."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+
+from godwitvalve import clock as clock_model
+from godwitvalve.logs import setup as logs
+from godwitvalve.peers import envelopes
+from godwitvalve.peers import link as link_model
+from godwitvalve.peers import messages
+
+MAX_SERVED_AT_ONCE = 512
+_LOG = logs.get('peers')
+
+RequestHandler = abc.Callable[
+    [str, messages.Message], abc.Awaitable[messages.Message | None]
+]
+
+
+class PeerUnreachable(Exception):
+    """A peer gave no answer; it may have received the message."""
+
+
+class Calls:
+    """Numbers requests, matches answers and serves requests of peers."""
+
+    def __init__(self, clock: clock_model.Clock) -> None:
+        self._clock = clock
+        self._number = 0
+        self._waiting: dict[
+            int,
+            tuple[
+                link_model.PeerLink, asyncio.Future[messages.Message | None]
+            ],
+        ] = {}
+        self._handlers: dict[type[messages.Message], RequestHandler] = {}
+        self._serving: set[asyncio.Task[None]] = set()
+
+    def on_request(
+        self, kind: type[messages.Message], handler: RequestHandler
+    ) -> None:
+        """Set the handler of a kind of request."""
+        self._handlers[kind] = handler
+
+    def has_pending(self, link: link_model.PeerLink) -> bool:
+        """Tell whether an answer is awaited on a link."""
+        return any(used is link for used, _ in self._waiting.values())
+
+    async def call(
+        self,
+        link: link_model.PeerLink,
+        message: messages.Message,
+        deadline_s: float,
+    ) -> messages.Message:
+        """Send a request and wait for its answer.
+
+        :param deadline_s: monotonic seconds.
+        :raises PeerUnreachable: if no answer came.
+        """
+        self._number += 1
+        number = self._number
+        answered: asyncio.Future[messages.Message | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiting[number] = (link, answered)
+        try:
+            if not link.send(envelopes.Request(number, message)):
+                raise PeerUnreachable('link is closed')
+            link.last_used_s = self._clock.monotonic_s()
+            async with asyncio.timeout(deadline_s - link.last_used_s):
+                answer = await answered
+        except TimeoutError as error:
+            raise PeerUnreachable('no answer in time') from error
+        finally:
+            del self._waiting[number]
+        if answer is None:
+            raise PeerUnreachable('peer has no answer')
+        return answer
+
+    def answer(self, link: link_model.PeerLink, got: envelopes.Answer) -> None:
+        """Take an answer; one that nobody awaits is dropped."""
+        waiting = self._waiting.get(got.number)
+        if waiting is None or waiting[0] is not link or waiting[1].done():
+            return
+        waiting[1].set_result(got.message)
+
+    def link_closed(self, link: link_model.PeerLink) -> None:
+        """Fail the requests that a link can no longer answer."""
+        for used, answered in self._waiting.values():
+            if used is link and not answered.done():
+                answered.set_result(None)
+
+    def serve(
+        self, link: link_model.PeerLink, request: envelopes.Request
+    ) -> None:
+        """Answer a request in a task of its own."""
+        link.last_used_s = self._clock.monotonic_s()
+        handler = self._handlers.get(type(request.message))
+        if handler is None or len(self._serving) >= MAX_SERVED_AT_ONCE:
+            link.send(envelopes.Answer(request.number, None))
+            return
+        task = asyncio.create_task(self._serve(link, request, handler))
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+
+    async def _serve(
+        self,
+        link: link_model.PeerLink,
+        request: envelopes.Request,
+        handler: RequestHandler,
+    ) -> None:
+        answer = None
+        try:
+            answer = await handler(link.peer.instance_id, request.message)
+            link.send(envelopes.Answer(request.number, answer))
+        except messages.MessageError:
+            _LOG.exception('Answer to a peer is too long.')
+            link.send(envelopes.Answer(request.number, None))
+        except Exception:
+            _LOG.exception('Handler of a peer request failed.')
+            link.send(envelopes.Answer(request.number, None))
--- /dev/null
+++ b/src/godwitvalve/peers/connect.py
@@ -0,0 +1,116 @@
+"""Opens and accepts authenticated connections."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from typing import NamedTuple
+
+from godwitvalve.peers import framing
+from godwitvalve.peers import handshake
+from godwitvalve.peers import traffic as traffic_model
+
+# A live peer is a few ms away; one that is frozen accepts and stays silent.
+HANDSHAKE_LIMIT_S = 2.0
+_LENGTH = struct.Struct('>H')
+
+
+class Connection(NamedTuple):
+    """An authenticated connection and the hello of its other end."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    sealer: framing.FrameSealer
+    opener: framing.FrameOpener
+    peer: handshake.Hello
+    is_dialled: bool
+
+
+async def _read_block(reader: asyncio.StreamReader) -> bytes:
+    (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
+    if length > handshake.MAX_HELLO_BYTES:
+        raise handshake.HandshakeError('hello too long')
+    return await reader.readexactly(length)
+
+
+def _write_block(writer: asyncio.StreamWriter, block: bytes) -> None:
+    writer.write(_LENGTH.pack(len(block)) + block)
+
+
+async def dial(
+    address: str,
+    hello: handshake.Hello,
+    key: bytes,
+    traffic: traffic_model.Traffic,
+) -> Connection:
+    """Open a connection.
+
+    :param address: ``host:port`` of the other end.
+    :param key: shared key.
+    :raises OSError: if there is no connection.
+    :raises TimeoutError: if the other end does not answer in time.
+    :raises HandshakeError: if the other end does not know the key.
+    """
+    host, _, port = address.rpartition(':')
+    async with asyncio.timeout(HANDSHAKE_LIMIT_S):
+        reader, writer = await asyncio.open_connection(
+            host.strip('[]'), int(port)
+        )
+        try:
+            _write_block(writer, handshake.pack(hello))
+            called = handshake.unpack(await _read_block(reader))
+            proof = await _read_block(reader)
+            handshake.check_proof(proof, key, False, hello, called)
+            _write_block(writer, handshake.prove(key, True, hello, called))
+        except asyncio.IncompleteReadError as error:
+            writer.close()
+            raise handshake.HandshakeError('closed by peer') from error
+        except BaseException:
+            writer.close()
+            raise
+    traffic.bytes_out += len(handshake.pack(hello)) + len(proof)
+    traffic.bytes_in += len(handshake.pack(called)) + len(proof)
+    session = handshake.session_keys(key, hello, called)
+    return Connection(
+        reader,
+        writer,
+        framing.FrameSealer(session.caller),
+        framing.FrameOpener(session.called),
+        called,
+        True,
+    )
+
+
+async def accept(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    hello: handshake.Hello,
+    key: bytes,
+    traffic: traffic_model.Traffic,
+) -> Connection:
+    """Authenticate a connection that another instance opened.
+
+    :raises TimeoutError: if the other end does not answer in time.
+    :raises HandshakeError: if the other end does not know the key.
+    """
+    async with asyncio.timeout(HANDSHAKE_LIMIT_S):
+        try:
+            caller = handshake.unpack(await _read_block(reader))
+            called = hello._replace(is_overlay=caller.is_overlay)
+            _write_block(writer, handshake.pack(called))
+            _write_block(writer, handshake.prove(key, False, caller, called))
+            proof = await _read_block(reader)
+        except asyncio.IncompleteReadError as error:
+            raise handshake.HandshakeError('closed by peer') from error
+    handshake.check_proof(proof, key, True, caller, called)
+    traffic.bytes_in += len(handshake.pack(caller)) + len(proof)
+    traffic.bytes_out += len(handshake.pack(called)) + len(proof)
+    session = handshake.session_keys(key, caller, called)
+    return Connection(
+        reader,
+        writer,
+        framing.FrameSealer(session.called),
+        framing.FrameOpener(session.caller),
+        caller,
+        False,
+    )
--- /dev/null
+++ b/src/godwitvalve/peers/connector.py
@@ -0,0 +1,230 @@
+"""Keeps a node connected: accepts, dials and serves links."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+
+from godwitvalve import clock as clock_model
+from godwitvalve.logs import setup as logs
+from godwitvalve.peers import calls as calls_model
+from godwitvalve.peers import connect
+from godwitvalve.peers import handshake
+from godwitvalve.peers import link as link_model
+from godwitvalve.peers import links as links_model
+from godwitvalve.peers import membership as membership_model
+from godwitvalve.peers import overlay
+from godwitvalve.peers import reach
+from godwitvalve.peers import traffic as traffic_model
+
+MAX_HANDSHAKES_AT_ONCE = 64
+_MAINTAIN_S = 0.25
+# The instance with the smaller id dials first, the other one if it did not.
+_DIAL_DELAY_S = 1.0
+_LOG = logs.get('peers')
+
+Connected = abc.Callable[[link_model.PeerLink], None]
+
+
+class Connector:
+    """Opens, accepts and closes the links of a node.
+
+    :param key: key shared by all entry instances.
+    :param receive: called with each envelope that a link receives.
+    :param connected: called with each new overlay link.
+    """
+
+    def __init__(
+        self,
+        membership: membership_model.Membership,
+        key: bytes,
+        clock: clock_model.Clock,
+        traffic: traffic_model.Traffic,
+        calls: calls_model.Calls,
+        receive: link_model.Receiver,
+        connected: Connected,
+    ) -> None:
+        self.links = links_model.LinkTable()
+        self._membership = membership
+        self._key = key
+        self._clock = clock
+        self._traffic = traffic
+        self._calls = calls
+        self._receive = receive
+        self._connected = connected
+        self._reach = reach.Reachability()
+        self._wanted_since_s: dict[str, float] = {}
+        self._dialling: dict[
+            tuple[str, bool], asyncio.Task[link_model.PeerLink | None]
+        ] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._accepting = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: str) -> str:
+        """Listen for peers and begin to connect to them.
+
+        :param address: ``host:port`` to listen on; port 0 picks one.
+        :returns: the address with the port that is used.
+        """
+        host, _, port = address.rpartition(':')
+        self._server = await asyncio.start_server(
+            self._accept, host.strip('[]'), int(port)
+        )
+        self._start_task(self._maintain())
+        bound = self._server.sockets[0].getsockname()[1]
+        return f'{host}:{bound}'
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._server is not None:
+            self._server.close()
+        pending = [*self._tasks, *self._dialling.values()]
+        for task in pending:
+            task.cancel()
+        await asyncio.gather(*pending, return_exceptions=True)
+        for link in self.links.all():
+            link.close()
+
+    async def link_to(self, instance_id: str) -> link_model.PeerLink | None:
+        """Return an open link to an instance, dialling if there is none."""
+        link = self.links.find(instance_id)
+        return link or await self._dial_once(instance_id, False)
+
+    @property
+    def _own_id(self) -> str:
+        return self._membership.own.instance_id
+
+    def _hello(self, is_overlay: bool) -> handshake.Hello:
+        own = self._membership.own
+        return handshake.new_hello(
+            own.instance_id, own.incarnation, is_overlay
+        )
+
+    def _start_task(self, work: abc.Coroutine[object, object, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._accepting >= MAX_HANDSHAKES_AT_ONCE:
+            writer.transport.abort()
+            return
+        self._accepting += 1
+        hello = self._hello(True)
+        try:
+            connection = await connect.accept(
+                reader, writer, hello, self._key, self._traffic
+            )
+        except (OSError, TimeoutError, handshake.HandshakeError) as error:
+            self._traffic.rejected_connections += 1
+            writer.transport.abort()
+            _LOG.warning('Connection was rejected. %s', error)
+            return
+        finally:
+            self._accepting -= 1
+        self._adopt(connection)
+
+    async def _dial_once(
+        self, instance_id: str, is_overlay: bool
+    ) -> link_model.PeerLink | None:
+        """Dial a peer, sharing an attempt that is under way."""
+        key = (instance_id, is_overlay)
+        task = self._dialling.get(key)
+        if task is None:
+            task = asyncio.create_task(self._dial(instance_id, is_overlay))
+            self._dialling[key] = task
+            task.add_done_callback(lambda _: self._dialling.pop(key, None))
+        return await asyncio.shield(task)
+
+    async def _dial(
+        self, instance_id: str, is_overlay: bool
+    ) -> link_model.PeerLink | None:
+        for address in self._membership.peer_addresses(instance_id):
+            hello = self._hello(is_overlay)
+            try:
+                connection = await connect.dial(
+                    address, hello, self._key, self._traffic
+                )
+            except (OSError, TimeoutError, handshake.HandshakeError) as error:
+                _LOG.info('Cannot reach %s. %s', instance_id, error)
+                continue
+            if connection.peer.instance_id != instance_id:
+                connection.writer.transport.abort()
+                continue
+            self._reach.succeeded(instance_id)
+            return self._adopt(connection)
+        self._reach.failed(instance_id, self._clock.monotonic_s())
+        return None
+
+    def _adopt(
+        self, connection: connect.Connection
+    ) -> link_model.PeerLink | None:
+        link = link_model.PeerLink(
+            connection, self._clock, self._traffic, self._receive
+        )
+        if link.peer.instance_id == self._own_id:
+            link.close()
+            return None
+        if not self.links.add(link):
+            link.close()
+            return None
+        self._reach.succeeded(link.peer.instance_id)
+        self._start_task(self._serve(link))
+        return link
+
+    async def _serve(self, link: link_model.PeerLink) -> None:
+        peer_id = link.peer.instance_id
+        if link.peer.is_overlay:
+            self._connected(link)
+        try:
+            await link.run()
+        except link_model.LinkClosed as error:
+            _LOG.info('Link to %s closed. %s', peer_id, error)
+        finally:
+            self.links.remove(link)
+            self._calls.link_closed(link)
+
+    async def _maintain(self) -> None:
+        while True:
+            now_s = self._clock.monotonic_s()
+            wanted = overlay.choose_peers(self._own_id, self._reachable(now_s))
+            self._dial_wanted(wanted, now_s)
+            self.links.close_unwanted(wanted, self._calls, now_s)
+            await asyncio.sleep(_MAINTAIN_S)
+
+    def _reachable(self, now_s: float) -> set[str]:
+        others = {
+            each.instance_id
+            for each in self._membership.members(now_s)
+            if each.instance_id != self._own_id
+        }
+        self._reach.keep_only(others)
+        return {
+            each
+            for each in others
+            if not self._reach.is_excluded(each)
+            or self.links.find(each) is not None
+        }
+
+    def _dial_wanted(self, wanted: frozenset[str], now_s: float) -> None:
+        missing = {
+            each for each in wanted if self.links.find_overlay(each) is None
+        }
+        self._wanted_since_s = {
+            each: self._wanted_since_s.get(each, now_s) for each in missing
+        }
+        due = [
+            each
+            for each, since_s in self._wanted_since_s.items()
+            if self._own_id < each or now_s - since_s >= _DIAL_DELAY_S
+        ]
+        for instance_id in [*due, *self._reach.excluded()]:
+            is_idle = (instance_id, True) not in self._dialling
+            if is_idle and self._reach.may_dial(instance_id, now_s):
+                self._start_task(self._dial_quietly(instance_id))
+
+    async def _dial_quietly(self, instance_id: str) -> None:
+        await self._dial_once(instance_id, True)
--- /dev/null
+++ b/src/godwitvalve/peers/envelopes.py
@@ -0,0 +1,103 @@
+"""Envelopes: how a message travels between entry instances."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple, TypeAlias
+
+import msgpack
+
+from godwitvalve.peers import messages
+
+
+class Direct(NamedTuple):
+    """A message for the other end of the link."""
+
+    message: messages.Message
+
+
+class Flooded(NamedTuple):
+    """A message for every entry instance.
+
+    ``age_ms`` bounds from above the time since ``origin`` sent it.
+    """
+
+    origin: str
+    incarnation: int
+    sequence: int
+    age_ms: int
+    message: messages.Message
+
+
+class Request(NamedTuple):
+    """A message that wants an answer on the same link."""
+
+    number: int
+    message: messages.Message
+
+
+class Answer(NamedTuple):
+    """Answer to a request; None if there is none."""
+
+    number: int
+    message: messages.Message | None
+
+
+Envelope: TypeAlias = Direct | Flooded | Request | Answer
+
+# The age grows on the way, and with it the length of its encoding.
+_AGE_BYTES = 8
+_DIRECT, _FLOODED, _REQUEST, _ANSWER = 1, 2, 3, 4
+
+
+def _plain(envelope: Envelope) -> tuple[Any, ...]:
+    body: tuple[Any, ...] | None
+    match envelope:
+        case Direct(message):
+            return (_DIRECT, messages.to_plain(message))
+        case Flooded(origin, incarnation, sequence, age_ms, message):
+            body = messages.to_plain(message)
+            return (_FLOODED, origin, incarnation, sequence, age_ms, body)
+        case Request(number, message):
+            return (_REQUEST, number, messages.to_plain(message))
+        case Answer(number, answer):
+            body = None if answer is None else messages.to_plain(answer)
+            return (_ANSWER, number, body)
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Return the bytes of an envelope.
+
+    :raises MessageError: if the message is longer than its kind may be.
+    """
+    packed: bytes = msgpack.packb(_plain(envelope))
+    limit = messages.MAX_MESSAGE_BYTES
+    if isinstance(envelope, Flooded) and envelope.age_ms == 0:
+        limit = messages.MAX_FLOODED_BYTES
+    if len(packed) > limit:
+        raise messages.MessageError(f'message exceeds {limit} bytes')
+    return packed
+
+
+def decode(data: bytes) -> Envelope:
+    """Return the envelope of some bytes.
+
+    :raises MessageError: if they are no envelope.
+    """
+    match messages.unpack_values(data):
+        case (1, body):
+            return Direct(messages.from_plain(body))
+        case (2, str(origin), int(inc), int(sequence), int(age_ms), body):
+            if len(data) > messages.MAX_FLOODED_BYTES + _AGE_BYTES:
+                raise messages.MessageError('flooded message too long')
+            if age_ms < 0 or sequence < 0:
+                raise messages.MessageError('negative age or sequence')
+            message = messages.from_plain(body)
+            return Flooded(origin, inc, sequence, age_ms, message)
+        case (3, int(number), body):
+            return Request(number, messages.from_plain(body))
+        case (4, int(number), None):
+            return Answer(number, None)
+        case (4, int(number), body):
+            return Answer(number, messages.from_plain(body))
+        case _:
+            raise messages.MessageError('unknown envelope')
--- /dev/null
+++ b/src/godwitvalve/peers/framing.py
@@ -0,0 +1,98 @@
+"""Authenticated frames: length, MAC and payload.
+
+A frame's sequence number is counted by both ends and covered by the MAC,
+so a frame that is repeated, reordered or left out fails its check.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import struct
+
+from godwitvalve.peers import messages
+
+MAC_BYTES = 16
+_HEAD = struct.Struct('>I')
+MAX_FRAME_BYTES = messages.MAX_MESSAGE_BYTES + MAC_BYTES
+_PERSON = b'gw-peer-frame'
+
+
+class FrameError(Exception):
+    """A frame that is too long or does not authenticate."""
+
+
+def _mac(key: bytes, sequence: int, payload: bytes) -> bytes:
+    return hashlib.blake2b(
+        sequence.to_bytes(8, 'big') + payload,
+        key=key,
+        digest_size=MAC_BYTES,
+        person=_PERSON,
+    ).digest()
+
+
+class FrameSealer:
+    """Seals the frames of one direction of a connection.
+
+    :param key: key of this connection and direction.
+    """
+
+    def __init__(self, key: bytes) -> None:
+        self._key = key
+        self._sequence = 0
+
+    def seal(self, payload: bytes) -> bytes:
+        """Return the next frame."""
+        mac = _mac(self._key, self._sequence, payload)
+        self._sequence += 1
+        return _HEAD.pack(len(payload) + MAC_BYTES) + mac + payload
+
+
+class FrameOpener:
+    """Opens the frames of one direction of a connection.
+
+    :param key: key of this connection and direction.
+    :param max_frame_bytes: longest frame that is accepted.
+    """
+
+    def __init__(
+        self, key: bytes, max_frame_bytes: int = MAX_FRAME_BYTES
+    ) -> None:
+        self._key = key
+        self._sequence = 0
+        self._max_frame_bytes = max_frame_bytes
+        self._buffer = bytearray()
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the incomplete frame that is kept."""
+        return len(self._buffer)
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Return the payloads of the frames that are now complete.
+
+        :raises FrameError: if the connection must be closed.
+        """
+        self._buffer += data
+        payloads = []
+        start = 0
+        while len(self._buffer) - start >= _HEAD.size:
+            (length,) = _HEAD.unpack_from(self._buffer, start)
+            if not MAC_BYTES <= length <= self._max_frame_bytes:
+                raise FrameError(f'frame of {length} bytes')
+            end = start + _HEAD.size + length
+            if len(self._buffer) < end:
+                break
+            body = bytes(self._buffer[start + _HEAD.size : end])
+            payloads.append(self._open(body))
+            start = end
+        del self._buffer[:start]
+        return payloads
+
+    def _open(self, body: bytes) -> bytes:
+        mac, payload = body[:MAC_BYTES], body[MAC_BYTES:]
+        expected = _mac(self._key, self._sequence, payload)
+        if not hmac.compare_digest(mac, expected):
+            raise FrameError('MAC does not match')
+        self._sequence += 1
+        return payload
--- /dev/null
+++ b/src/godwitvalve/peers/link.py
@@ -0,0 +1,136 @@
+"""One connection to a peer, served by one task."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+
+from godwitvalve import clock as clock_model
+from godwitvalve.peers import connect
+from godwitvalve.peers import envelopes
+from godwitvalve.peers import framing
+from godwitvalve.peers import messages
+from godwitvalve.peers import traffic as traffic_model
+
+# An echoed stamp bounds the age of messages to about two heartbeats a hop.
+HEARTBEAT_S = 0.5
+SILENCE_LIMIT_S = 3.0
+# A peer that reads slower than this much is behind for seconds.
+MAX_UNSENT_BYTES = 4 * 1024 * 1024
+_READ_BYTES = 64 * 1024
+
+Receiver = abc.Callable[['PeerLink', envelopes.Envelope], None]
+
+
+class LinkClosed(Exception):
+    """The connection ended; its message says why."""
+
+
+class PeerLink:
+    """Sends and receives envelopes over one authenticated connection.
+
+    :param receive: called with each envelope but heartbeats.
+    """
+
+    def __init__(
+        self,
+        connection: connect.Connection,
+        clock: clock_model.Clock,
+        traffic: traffic_model.Traffic,
+        receive: Receiver,
+    ) -> None:
+        self.peer = connection.peer
+        self.is_dialled = connection.is_dialled
+        self.is_open = True
+        self._connection = connection
+        self._clock = clock
+        self._traffic = traffic
+        self._receive = receive
+        now_s = clock.monotonic_s()
+        self.last_used_s = now_s
+        # Everything on this connection is younger than its handshake.
+        self._echo_s = now_s - connect.HANDSHAKE_LIMIT_S
+        self._peer_stamp_s = -1.0
+        self._next_heartbeat_s = now_s
+        self._silent_at_s = now_s + SILENCE_LIMIT_S
+
+    def age_bound_s(self) -> float:
+        """Return seconds that no message received now can be older than.
+
+        The peer sent it after it had received the stamp that it echoed.
+        """
+        return max(0.0, self._clock.monotonic_s() - self._echo_s)
+
+    def send(self, envelope: envelopes.Envelope) -> bool:
+        """Queue an envelope.
+
+        :returns: whether the connection was open.
+        :raises MessageError: if the message is too long.
+        """
+        return self.send_encoded(envelopes.encode(envelope))
+
+    def send_encoded(self, payload: bytes) -> bool:
+        """Queue an envelope that was encoded for several links."""
+        transport = self._connection.writer.transport
+        if not self.is_open or transport.is_closing():
+            return False
+        if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self.close()
+            return False
+        frame = self._connection.sealer.seal(payload)
+        self._connection.writer.write(frame)
+        self._traffic.bytes_out += len(frame)
+        self._traffic.frames_out += 1
+        return True
+
+    def close(self) -> None:
+        """Close the connection without waiting for queued bytes."""
+        self.is_open = False
+        self._connection.writer.transport.abort()
+
+    async def run(self) -> None:
+        """Serve the connection until it ends.
+
+        :raises LinkClosed: always, with the reason.
+        """
+        try:
+            while True:
+                data = await self._read()
+                self._traffic.bytes_in += len(data)
+                for payload in self._connection.opener.feed(data):
+                    self._traffic.frames_in += 1
+                    self._handle(envelopes.decode(payload))
+        except (OSError, framing.FrameError, messages.MessageError) as error:
+            raise LinkClosed(f'{type(error).__name__}: {error}') from error
+        finally:
+            self.close()
+
+    async def _read(self) -> bytes:
+        while True:
+            now_s = self._clock.monotonic_s()
+            if now_s >= self._silent_at_s:
+                self._traffic.silent_connections += 1
+                raise LinkClosed('peer is silent')
+            if now_s >= self._next_heartbeat_s:
+                self._next_heartbeat_s = now_s + HEARTBEAT_S
+                beat = messages.Heartbeat(now_s, self._peer_stamp_s)
+                self.send(envelopes.Direct(beat))
+            wake_s = min(self._next_heartbeat_s, self._silent_at_s)
+            try:
+                async with asyncio.timeout(wake_s - now_s):
+                    data = await self._connection.reader.read(_READ_BYTES)
+            except TimeoutError:
+                continue
+            if not data:
+                raise LinkClosed('closed by peer')
+            self._silent_at_s = self._clock.monotonic_s() + SILENCE_LIMIT_S
+            return data
+
+    def _handle(self, envelope: envelopes.Envelope) -> None:
+        match envelope:
+            case envelopes.Direct(messages.Heartbeat(stamp_s, echo_s)):
+                self._peer_stamp_s = stamp_s
+                if self._echo_s < echo_s <= self._clock.monotonic_s():
+                    self._echo_s = echo_s
+            case _:
+                self._receive(self, envelope)
--- /dev/null
+++ b/src/godwitvalve/peers/membership.py
@@ -0,0 +1,190 @@
+"""Which entry instances there are, from the platform's list and gossip."""
+
+from __future__ import annotations
+
+from collections import abc
+import secrets
+from typing import NamedTuple
+
+from godwitvalve.peers import messages
+from godwitvalve.platform import port as platform_port
+
+LIVE = 'live'
+LEAVING = 'leaving'
+GONE = 'gone'
+_RANK = {LIVE: 0, LEAVING: 1, GONE: 2}
+# The platform's list lags; an instance may be heard before it is listed.
+UNLISTED_GRACE_S = 30.0
+MAX_MEMBERS = 2048
+_RANDOM_BITS = 20
+
+
+def new_incarnation(now_wall_s: float) -> int:
+    """Return a number that grows from one start of an instance to the next.
+
+    :param now_wall_s: start time in Unix seconds.
+    """
+    start_ms = int(now_wall_s * 1000)
+    return start_ms << _RANDOM_BITS | secrets.randbits(_RANDOM_BITS)
+
+
+class Member(NamedTuple):
+    """An entry instance; ``incarnation`` is 0 while it is unknown."""
+
+    instance_id: str
+    incarnation: int
+    state: str
+    address: str
+    peer_address: str
+    failure_domain: str
+
+
+class _Heard(NamedTuple):
+    fact: messages.MemberFact
+    since_s: float
+
+
+class Membership:
+    """Merges the list with gossip; merging is commutative and idempotent.
+
+    :param own: fact about this incarnation.
+    """
+
+    def __init__(self, own: messages.MemberFact) -> None:
+        self.own = own
+        self.is_superseded = False
+        self._heard: dict[str, _Heard] = {}
+        self._listed: dict[str, platform_port.ListedInstance] = {}
+        self._was_listed: set[str] = set()
+        self._listed_as_leaving: dict[str, int] = {}
+
+    def leave(self) -> messages.MemberFact:
+        """Mark this instance as leaving and return the fact to spread."""
+        self.own = self.own._replace(state=LEAVING)
+        return self.own
+
+    def update_listed(
+        self, listed: abc.Iterable[platform_port.ListedInstance]
+    ) -> None:
+        """Take the platform's list as it is now."""
+        self._listed = {
+            each.instance_id: each
+            for each in listed
+            if each.kind == 'entry'
+            and each.instance_id != self.own.instance_id
+        }
+        self._was_listed |= set(self._listed)
+        self._was_listed &= set(self._listed) | set(self._heard)
+        for instance_id, each in self._listed.items():
+            if each.state == LIVE:
+                self._listed_as_leaving.pop(instance_id, None)
+                continue
+            # Bound to the incarnation known now: the list may go on naming
+            # a predecessor as leaving after its replacement has started.
+            self._listed_as_leaving.setdefault(
+                instance_id, self._incarnation(instance_id)
+            )
+
+    def apply(self, fact: messages.MemberFact, now_s: float) -> bool:
+        """Merge a fact.
+
+        :param now_s: monotonic seconds.
+        :returns: whether it was new and should be spread.
+        """
+        if fact.state not in _RANK:
+            return False
+        if fact.instance_id == self.own.instance_id:
+            newer = fact.incarnation > self.own.incarnation
+            is_news = newer and not self.is_superseded
+            self.is_superseded = self.is_superseded or newer
+            return is_news
+        known = self._heard.get(fact.instance_id)
+        if known is None:
+            if len(self._heard) >= MAX_MEMBERS and not self._make_room(now_s):
+                return False
+            self._heard[fact.instance_id] = _Heard(fact, now_s)
+            return True
+        if not _replaces(fact, known.fact):
+            return False
+        is_restart = fact.incarnation > known.fact.incarnation
+        since_s = now_s if is_restart else known.since_s
+        if is_restart and fact.instance_id not in self._listed:
+            self._was_listed.discard(fact.instance_id)
+        self._heard[fact.instance_id] = _Heard(fact, since_s)
+        return True
+
+    def members(self, now_s: float) -> list[Member]:
+        """Return the live and leaving instances, this one included.
+
+        :param now_s: monotonic seconds.
+        """
+        found = [Member(*self.own)]
+        for instance_id in sorted(set(self._listed) | set(self._heard)):
+            member = self._member(instance_id, now_s)
+            if member is not None:
+                found.append(member)
+        return found
+
+    def find(self, instance_id: str, now_s: float) -> Member | None:
+        """Return a live or leaving instance, or None."""
+        if instance_id == self.own.instance_id:
+            return Member(*self.own)
+        return self._member(instance_id, now_s)
+
+    def facts(self) -> list[messages.MemberFact]:
+        """Return what a newly connected peer should hear."""
+        return [self.own, *(each.fact for each in self._heard.values())]
+
+    def peer_addresses(self, instance_id: str) -> list[str]:
+        """Return addresses to dial; gossip and list may disagree."""
+        found = []
+        if instance_id in self._heard:
+            found.append(self._heard[instance_id].fact.peer_address)
+        if instance_id in self._listed:
+            found.append(self._listed[instance_id].peer_address)
+        return list(dict.fromkeys(found))
+
+    def _incarnation(self, instance_id: str) -> int:
+        known = self._heard.get(instance_id)
+        return known.fact.incarnation if known else 0
+
+    def _member(self, instance_id: str, now_s: float) -> Member | None:
+        known = self._heard.get(instance_id)
+        listed = self._listed.get(instance_id)
+        if known is None:
+            return _listed_member(listed) if listed else None
+        if known.fact.state == GONE:
+            return None
+        if listed is None:
+            grace_ends_s = known.since_s + UNLISTED_GRACE_S
+            if instance_id in self._was_listed or now_s >= grace_ends_s:
+                return None
+        member = Member(*known.fact)
+        named = self._listed_as_leaving.get(instance_id)
+        if named is not None and named in (0, known.fact.incarnation):
+            return member._replace(state=LEAVING)
+        return member
+
+    def _make_room(self, now_s: float) -> bool:
+        for instance_id in list(self._heard):
+            if self._member(instance_id, now_s) is None:
+                del self._heard[instance_id]
+                return True
+        return False
+
+
+def _replaces(fact: messages.MemberFact, known: messages.MemberFact) -> bool:
+    if fact.incarnation != known.incarnation:
+        return fact.incarnation > known.incarnation
+    return _RANK[fact.state] > _RANK[known.state]
+
+
+def _listed_member(listed: platform_port.ListedInstance) -> Member:
+    return Member(
+        listed.instance_id,
+        0,
+        listed.state,
+        listed.address,
+        listed.peer_address,
+        listed.failure_domain,
+    )
--- /dev/null
+++ b/src/godwitvalve/peers/node.py
@@ -0,0 +1,242 @@
+"""A node of the peer network: flooding, requests and members."""
+
+from __future__ import annotations
+
+from collections import abc
+
+from godwitvalve import clock as clock_model
+from godwitvalve.logs import setup as logs
+from godwitvalve.peers import calls as calls_model
+from godwitvalve.peers import connector as connector_model
+from godwitvalve.peers import envelopes
+from godwitvalve.peers import flood
+from godwitvalve.peers import link as link_model
+from godwitvalve.peers import membership
+from godwitvalve.peers import messages
+from godwitvalve.peers import traffic as traffic_model
+from godwitvalve.platform import port as platform_port
+
+CALL_LIMIT_S = 5.0
+_MAX_AGE_MS = 24 * 3600 * 1000
+_LOG = logs.get('peers')
+
+Handler = abc.Callable[[str, messages.Message], None]
+ConnectedHandler = abc.Callable[[str], None]
+
+
+class PeerNode:
+    """Connects one entry instance with the others.
+
+    :param peer_address: ``host:port`` to listen on; port 0 picks one.
+    :param key: key shared by all entry instances.
+    :param address: ``host:port`` for callers, spread to the others.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        incarnation: int,
+        failure_domain: str,
+        peer_address: str,
+        key: bytes,
+        clock: clock_model.Clock,
+        address: str = '',
+    ) -> None:
+        self.instance_id = instance_id
+        self.incarnation = incarnation
+        self.peer_address = peer_address
+        self.traffic = traffic_model.Traffic()
+        self._clock = clock
+        self._membership = membership.Membership(
+            messages.MemberFact(
+                instance_id,
+                incarnation,
+                membership.LIVE,
+                address,
+                peer_address,
+                failure_domain,
+            )
+        )
+        self._calls = calls_model.Calls(clock)
+        self._connector = connector_model.Connector(
+            self._membership,
+            key,
+            clock,
+            self.traffic,
+            self._calls,
+            self._receive,
+            self._connected,
+        )
+        self._links = self._connector.links
+        self._filter = flood.FloodFilter()
+        self._sequence = 0
+        self._handlers: dict[type[messages.Message], list[Handler]] = {}
+        self._connected_handlers: list[ConnectedHandler] = []
+
+    async def start(self) -> None:
+        """Listen for peers and begin to connect to them."""
+        self.peer_address = await self._connector.start(self.peer_address)
+        self._membership.own = self._membership.own._replace(
+            peer_address=self.peer_address
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._connector.close()
+
+    def update_members(
+        self, listed: list[platform_port.ListedInstance]
+    ) -> None:
+        """Take the platform's list as it is now."""
+        self._membership.update_listed(listed)
+
+    def members(self) -> list[membership.Member]:
+        """Return the live and leaving entry instances, with this one."""
+        return self._membership.members(self._clock.monotonic_s())
+
+    @property
+    def is_superseded(self) -> bool:
+        """Tell whether a newer incarnation of this instance exists."""
+        return self._membership.is_superseded
+
+    def connected_instances(self) -> list[str]:
+        """Return the instances to which an overlay link is open."""
+        return self._links.overlay_ids()
+
+    def on(self, kind: type[messages.Message], handler: Handler) -> None:
+        """Add a handler of flooded and direct messages of a kind.
+
+        The handler gets the origin's instance id and the message.
+        """
+        self._handlers.setdefault(kind, []).append(handler)
+
+    def on_request(
+        self,
+        kind: type[messages.Message],
+        handler: calls_model.RequestHandler,
+    ) -> None:
+        """Set the handler that answers requests of a kind."""
+        self._calls.on_request(kind, handler)
+
+    def on_connected(self, handler: ConnectedHandler) -> None:
+        """Add a handler that is told of each new overlay link."""
+        self._connected_handlers.append(handler)
+
+    def announce_leaving(self) -> None:
+        """Tell all instances that this one is draining."""
+        self._spread(self._membership.leave(), None)
+
+    def broadcast(self, message: messages.Message) -> None:
+        """Send a message to every instance, with duplicates suppressed.
+
+        :raises MessageError: if the message is too long.
+        """
+        self._sequence += 1
+        flooded = envelopes.Flooded(
+            self.instance_id, self.incarnation, self._sequence, 0, message
+        )
+        self._filter.is_new(*flooded[:3])
+        self._pass_on(flooded, None)
+
+    def send(self, instance_id: str, message: messages.Message) -> bool:
+        """Send a message over an open link.
+
+        :returns: whether there was one.
+        """
+        link = self._links.find(instance_id)
+        return link is not None and link.send(envelopes.Direct(message))
+
+    async def call(
+        self,
+        instance_id: str,
+        message: messages.Message,
+        deadline_s: float | None = None,
+    ) -> messages.Message:
+        """Send a request over a direct link and wait for the answer.
+
+        :param deadline_s: monotonic seconds.
+        :raises PeerUnreachable: if no answer came.
+        :raises MessageError: if the message is too long.
+        """
+        if deadline_s is None:
+            deadline_s = self._clock.monotonic_s() + CALL_LIMIT_S
+        link = await self._connector.link_to(instance_id)
+        if link is None:
+            raise calls_model.PeerUnreachable(f'cannot reach {instance_id}')
+        return await self._calls.call(link, message, deadline_s)
+
+    def _receive(
+        self, link: link_model.PeerLink, envelope: envelopes.Envelope
+    ) -> None:
+        match envelope:
+            case envelopes.Request():
+                self._calls.serve(link, envelope)
+            case envelopes.Answer():
+                self._calls.answer(link, envelope)
+            case envelopes.Direct(message):
+                aged = _add_age(message, link.age_bound_s())
+                self._deliver(link.peer.instance_id, aged, link)
+            case envelopes.Flooded():
+                self._receive_flooded(link, envelope)
+
+    def _receive_flooded(
+        self, link: link_model.PeerLink, flooded: envelopes.Flooded
+    ) -> None:
+        if not self._filter.is_new(*flooded[:3]):
+            return
+        added_ms = int(link.age_bound_s() * 1000) + 1
+        age_ms = min(_MAX_AGE_MS, flooded.age_ms + added_ms)
+        flooded = flooded._replace(age_ms=age_ms)
+        self._pass_on(flooded, link)
+        aged = _add_age(flooded.message, age_ms / 1000)
+        self._deliver(flooded.origin, aged, None)
+
+    def _pass_on(
+        self,
+        flooded: envelopes.Flooded,
+        source: link_model.PeerLink | None,
+    ) -> None:
+        encoded = envelopes.encode(flooded)
+        for link in self._links.overlay():
+            if link is not source:
+                link.send_encoded(encoded)
+
+    def _connected(self, link: link_model.PeerLink) -> None:
+        for fact in self._membership.facts():
+            link.send(envelopes.Direct(fact))
+        for handler in self._connected_handlers:
+            self._guard(handler, link.peer.instance_id)
+
+    def _spread(
+        self, fact: messages.MemberFact, source: link_model.PeerLink | None
+    ) -> None:
+        for link in self._links.overlay():
+            if link is not source:
+                link.send(envelopes.Direct(fact))
+
+    def _deliver(
+        self,
+        origin: str,
+        message: messages.Message,
+        source: link_model.PeerLink | None,
+    ) -> None:
+        if isinstance(message, messages.MemberFact):
+            # Passed on only if it is news here, so each instance sends
+            # each fact at most once over each link.
+            now_s = self._clock.monotonic_s()
+            if self._membership.apply(message, now_s):
+                self._spread(message, source)
+        for handler in self._handlers.get(type(message), ()):
+            self._guard(handler, origin, message)
+
+    def _guard(self, handler: abc.Callable[..., None], *args: object) -> None:
+        try:
+            handler(*args)
+        except Exception:
+            _LOG.exception('Handler of a peer message failed.')
+
+
+def _add_age(message: messages.Message, age_s: float) -> messages.Message:
+    if isinstance(message, messages.Freshness):
+        return message._replace(age_s=message.age_s + age_s)
+    return message
--- /dev/null
+++ b/src/godwitvalve/peers/reach.py
@@ -0,0 +1,52 @@
+"""Which peers answered lately, and when to try the others again."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+# One failure may be a restart; the second one changes the overlay.
+FAILURES_TO_EXCLUDE = 2
+_FIRST_RETRY_S = 0.25
+_LAST_RETRY_S = 8.0
+
+
+class _Failures(NamedTuple):
+    in_a_row: int
+    retry_at_s: float
+
+
+class Reachability:
+    """Backs off from peers that cannot be reached."""
+
+    def __init__(self) -> None:
+        self._failures: dict[str, _Failures] = {}
+
+    def failed(self, instance_id: str, now_s: float) -> None:
+        """Record that a connection could not be opened."""
+        known = self._failures.get(instance_id)
+        count = known.in_a_row + 1 if known else 1
+        delay_s = min(_LAST_RETRY_S, _FIRST_RETRY_S * 2 ** min(count, 10))
+        self._failures[instance_id] = _Failures(count, now_s + delay_s)
+
+    def succeeded(self, instance_id: str) -> None:
+        """Record that a connection was opened."""
+        self._failures.pop(instance_id, None)
+
+    def is_excluded(self, instance_id: str) -> bool:
+        """Tell whether the overlay should do without a peer."""
+        known = self._failures.get(instance_id)
+        return known is not None and known.in_a_row >= FAILURES_TO_EXCLUDE
+
+    def may_dial(self, instance_id: str, now_s: float) -> bool:
+        """Tell whether the time for another attempt has come."""
+        known = self._failures.get(instance_id)
+        return known is None or now_s >= known.retry_at_s
+
+    def excluded(self) -> list[str]:
+        """Return the peers that the overlay does without."""
+        return [each for each in self._failures if self.is_excluded(each)]
+
+    def keep_only(self, instance_ids: set[str]) -> None:
+        """Forget peers that are no longer members."""
+        for each in set(self._failures) - instance_ids:
+            del self._failures[each]
