--- /dev/null
+++ b/features/doubles/aio.py
@@ -0,0 +1,27 @@
+"""One event loop for each scenario, so that tasks outlive a step."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+WAIT_LIMIT_S = 15.0
+
+
+def run(context, work):
+    """Run a coroutine on the scenario's loop."""
+    if not hasattr(context, 'runner'):
+        context.runner = asyncio.Runner()
+        context.cleanups.append(context.runner.close)
+    return context.runner.run(work)
+
+
+async def until(condition, limit_s=WAIT_LIMIT_S):
+    """Wait until a condition holds.
+
+    :raises AssertionError: if it does not in time.
+    """
+    deadline_s = time.monotonic() + limit_s
+    while not condition():
+        assert time.monotonic() < deadline_s, 'condition not met in time'
+        await asyncio.sleep(0.01)
--- a/src/godwitvalve/idempotency/executor.py
+++ b/src/godwitvalve/idempotency/executor.py
@@ -51,7 +51,9 @@
         self._claims = claims
         self._forwarder = forwarder
         self._clock = clock
-        self._ledger = ledger or ledger_model.IdempotencyLedger()
+        if ledger is None:
+            ledger = ledger_model.IdempotencyLedger()
+        self._ledger = ledger
         self._flights: dict[keys.KeyScope, asyncio.Task[once.OnceAnswer]] = {}
         self._background: set[asyncio.Task[None]] = set()
 
@@ -60,7 +62,7 @@
         return keys.issue(
             *self._self,
             client_account,
-            self._clock.wall_s() + keys.ISSUED_VALIDITY_S,
+            self._expiry_wall_s(),
             self._sealing_keys[0],
         )
 
@@ -106,13 +108,18 @@
                     call, instance_id, incarnation, forwarded
                 )
             case keys.ClientKey():
-                expires_wall_s = self._clock.wall_s() + keys.ISSUED_VALIDITY_S
                 return await self._begin(
-                    call, send, expires_wall_s, True, forwarded
+                    call, send, self._expiry_wall_s(), True, forwarded
                 )
             case _:
                 return once.refusal(parsed)
 
+    def _expiry_wall_s(self) -> float:
+        # By the ledger's clock, or keys issued after the wall clock was set
+        # back would be refused as expired.
+        now_wall_s = self._ledger.observe(self._clock.wall_s())
+        return now_wall_s + keys.ISSUED_VALIDITY_S
+
     async def _begin(
         self,
         call: once.OnceCall,
--- a/src/godwitvalve/idempotency/ledger.py
+++ b/src/godwitvalve/idempotency/ledger.py
@@ -78,14 +78,15 @@
     :param now_wall_s: Unix seconds that never go back.
     :returns: the record to keep and the decision.
     """
+    is_running = record is not None and record.state is KeyState.RUNNING
+    if now_wall_s >= expires_wall_s and not is_running:
+        return record, Refuse(codes.ResultCode.KEY_EXPIRED)
     if record is not None and record.body_digest != body_digest:
         return record, Refuse(codes.ResultCode.KEY_BODY_MISMATCH)
-    if record is not None and record.state is KeyState.RUNNING:
+    if is_running:
         return record, Wait()
     if record is not None and record.outcome is not None:
         return record, Replay(record.outcome)
-    if now_wall_s >= expires_wall_s:
-        return record, Refuse(codes.ResultCode.KEY_EXPIRED)
     running = KeyRecord(body_digest, expires_wall_s, KeyState.RUNNING, None)
     return running, Run(again=record is not None)
 
@@ -127,6 +128,14 @@
     def __len__(self) -> int:
         return len(self._records)
 
+    def observe(self, now_wall_s: float) -> float:
+        """Return the newest time that the ledger has seen.
+
+        :param now_wall_s: Unix seconds.
+        """
+        self._latest_wall_s = max(self._latest_wall_s, now_wall_s)
+        return self._latest_wall_s
+
     def begin(
         self,
         key: keys.KeyScope,
@@ -188,7 +197,7 @@
         )
 
     def _expire(self, now_wall_s: float) -> None:
-        self._latest_wall_s = max(self._latest_wall_s, now_wall_s)
+        self.observe(now_wall_s)
         while self._expiries and self._expiries[0][0] <= self._latest_wall_s:
             _, key = heapq.heappop(self._expiries)
             record = self._records.get(key)
@@ -198,6 +207,6 @@
                 # Kept until its outcome is known; looked at again later.
                 later_s = self._latest_wall_s + 1.0
                 heapq.heappush(self._expiries, (later_s, key))
-                break
+                continue
             self._body_bytes -= _body_bytes(record.outcome)
             del self._records[key]
