--- a/features/doubles/aio.py
+++ b/features/doubles/aio.py
@@ -10,9 +10,10 @@
 
 def run(context, work):
     """Run a coroutine on the scenario's loop."""
-    if not hasattr(context, 'runner'):
+    if 'runner' not in context:
         context.runner = asyncio.Runner()
-        context.cleanups.append(context.runner.close)
+        # First in the list, so closed after all that uses the loop.
+        context.cleanups.insert(0, context.runner.close)
     return context.runner.run(work)
 
 
