--- /dev/null
+++ b/features/steps/peers_network_steps.py
@@ -0,0 +1,410 @@
+"""Steps for networks of peer nodes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import behave
+from features.doubles import ageless
+from features.doubles import aio
+from features.doubles import peer_net
+from features.doubles import processes
+from features.doubles import proxy
+from godwitvalve.peers import calls
+from godwitvalve.peers import link
+from godwitvalve.peers import messages
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+CALL = messages.ForwardCall(1, 'acc', 'key', 's', 'POST', '/', (), b'', 1.0)
+
+
+def _new_net(context):
+    context.net = peer_net.PeerNet()
+    context.cleanups.append(lambda: aio.run(context, context.net.close()))
+    return context.net
+
+
+@behave.given('{count:d} connected peer nodes')
+def connected_nodes(context, count):
+    net = _new_net(context)
+
+    async def build():
+        for number in range(count):
+            await net.start(f'n{number}')
+        await net.connect()
+
+    aio.run(context, build())
+
+
+@behave.when('one of them broadcasts a head')
+def broadcast_head(context):
+    async def send():
+        context.net.nodes['n0'].broadcast(messages.HeadAnnounced(7, b'head'))
+
+    aio.run(context, send())
+
+
+@behave.then('each other node hears it exactly once')
+def heard_once(context):
+    expected = [('n0', messages.HeadAnnounced(7, b'head'))]
+
+    async def check():
+        others = [name for name in context.net.nodes if name != 'n0']
+        await aio.until(
+            lambda: all(context.net.heard[name] for name in others)
+        )
+        # Duplicates would come over the longer paths.
+        await asyncio.sleep(0.2)
+        for name in others:
+            assert context.net.heard[name] == expected, name
+
+    aio.run(context, check())
+
+
+@behave.when('one of them announces that it is leaving')
+def announce_leaving(context):
+    async def leave():
+        context.net.nodes['n0'].announce_leaving()
+
+    aio.run(context, leave())
+
+
+@behave.then('all nodes hold it as leaving within {limit_s:g} s')
+def held_as_leaving(context, limit_s):
+    def is_known():
+        return all(
+            member.state == 'leaving'
+            for node in context.net.nodes.values()
+            for member in node.members()
+            if member.instance_id == 'n0'
+        )
+
+    aio.run(context, aio.until(is_known, limit_s))
+
+
+@behave.when('a node sends a forwarded call to another')
+def forward_call(context):
+    async def answer(sender, message):
+        return messages.ForwardAnswer(f'{sender} {message.key}'.encode(), True)
+
+    async def call():
+        target = context.net.nodes['n8']
+        target.on_request(messages.ForwardCall, answer)
+        return await context.net.nodes['n1'].call('n8', CALL)
+
+    context.peer_answer = aio.run(context, call())
+
+
+@behave.then("it gets the other node's answer")
+def got_answer(context):
+    assert context.peer_answer == messages.ForwardAnswer(b'n1 key', True)
+
+
+@behave.when('a node waits for an answer and the other node closes')
+def call_then_close(context):
+    asked = asyncio.Event()
+
+    async def hang(sender, message):
+        asked.set()
+        await asyncio.sleep(60)
+
+    async def call():
+        target = context.net.nodes['n2']
+        target.on_request(messages.ForwardCall, hang)
+        waiting = asyncio.create_task(context.net.nodes['n1'].call('n2', CALL))
+        await asked.wait()
+        closed_s = time.monotonic()
+        await target.close()
+        try:
+            await waiting
+        except calls.PeerUnreachable:
+            return time.monotonic() - closed_s
+        raise AssertionError('a closed node answered')
+
+    context.waited_s = aio.run(context, call())
+
+
+@behave.then('the request fails as unreachable within {limit_s:g} s')
+def failed_in_time(context, limit_s):
+    assert context.waited_s <= limit_s, context.waited_s
+
+
+@behave.when('a node with another key tries to join')
+def stranger_joins(context):
+    async def join():
+        await context.net.start('n9', key=b'x' * 32)
+        context.net.publish()
+        stranger = context.net.nodes['n9']
+        peer = context.net.nodes['n0']
+        await aio.until(
+            lambda: (
+                stranger.traffic.rejected_connections
+                or peer.traffic.rejected_connections
+            )
+        )
+
+    aio.run(context, join())
+
+
+@behave.then('no node is connected with it and a rejection is counted')
+def stranger_refused(context):
+    for name, node in context.net.nodes.items():
+        connected = node.connected_instances()
+        assert 'n9' not in connected, name
+        assert name != 'n9' or not connected, connected
+    rejected = sum(
+        node.traffic.rejected_connections
+        for node in context.net.nodes.values()
+    )
+    assert rejected >= 1
+
+
+@behave.when('strangers send garbage and silence to a node')
+def strangers_send(context):
+    host, _, number = context.net.nodes['n0'].peer_address.rpartition(':')
+    sent = (
+        b'',
+        b'\x00',
+        b'GET / HTTP/1.1\r\n\r\n',
+        b'\xff' * 100_000,
+        b'\x00\x03abc',
+        os.urandom(2000),
+    )
+
+    async def send():
+        context.strangers = []
+        for garbage in sent:
+            reader, writer = await asyncio.open_connection(host, int(number))
+            writer.write(garbage)
+            context.strangers.append((reader, writer))
+
+    aio.run(context, send())
+
+
+@behave.then("each stranger's connection is closed within {limit_s:g} s")
+def strangers_closed(context, limit_s):
+    async def wait():
+        for reader, writer in context.strangers:
+            try:
+                async with asyncio.timeout(limit_s):
+                    while await reader.read(1000):
+                        pass
+            except ConnectionError:
+                pass
+            writer.close()
+
+    aio.run(context, wait())
+
+
+@behave.given('a peer process and 2 connected peer nodes')
+def process_and_nodes(context):
+    paths = os.pathsep.join((str(ROOT / 'src'), str(ROOT)))
+    process = subprocess.Popen(
+        [
+            sys.executable,
+            '-m',
+            'bench.peer_process',
+            '--instance-id=n9',
+            f'--key={peer_net.KEY.decode()}',
+        ],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        text=True,
+        cwd=ROOT,
+        env={**os.environ, 'PYTHONPATH': paths},
+    )
+    context.cleanups.append(lambda: processes.stop(process))
+    context.cleanups.append(process.stdin.close)
+    context.peer_process = process
+    number = process.stdout.readline().split()[-1]
+    net = _new_net(context)
+
+    async def build():
+        for name in ('n0', 'n1'):
+            await net.start(name)
+        net.list_as('n9', 'live', f'127.0.0.1:{number}')
+        net.publish()
+
+    aio.run(context, build())
+    listed = [
+        [each.instance_id, each.peer_address] for each in net.listed.values()
+    ]
+    process.stdin.write(json.dumps({'members': listed}) + '\n')
+    process.stdin.flush()
+    _until_linked(context, 'n9', 15.0, True)
+
+
+def _until_linked(context, name, limit_s, is_linked):
+    def holds():
+        return all(
+            (name in node.connected_instances()) == is_linked
+            for each, node in context.net.nodes.items()
+            if each != name
+        )
+
+    aio.run(context, aio.until(holds, limit_s))
+
+
+@behave.when('the peer process is frozen')
+def freeze_peer(context):
+    context.peer_process.send_signal(signal.SIGSTOP)
+
+
+@behave.when('the peer process is thawed')
+def thaw_peer(context):
+    context.peer_process.send_signal(signal.SIGCONT)
+
+
+@behave.then('no node is connected with the peer process within {limit_s:g} s')
+def process_unlinked(context, limit_s):
+    _until_linked(context, 'n9', limit_s, False)
+
+
+@behave.then(
+    'each node is connected with the peer process within {limit_s:g} s'
+)
+def process_linked(context, limit_s):
+    _until_linked(context, 'n9', limit_s, True)
+
+
+@behave.given('two peer nodes connected through a proxy')
+def nodes_through_proxy(context):
+    net = _new_net(context)
+
+    async def build():
+        # The node with the smaller id dials, so the proxy is before n1.
+        target = await net.start('n1')
+        number = int(target.peer_address.rpartition(':')[2])
+        context.proxy = proxy.HoldingProxy(number)
+        through = f'127.0.0.1:{await context.proxy.start()}'
+        own = target._membership.own
+        target._membership.own = own._replace(peer_address=through)
+        net.list_as('n1', 'live', through)
+        await net.start('n0')
+        await net.connect()
+
+    aio.run(context, build())
+    context.cleanups.append(lambda: aio.run(context, context.proxy.close()))
+
+
+@behave.given('two peer nodes without echoed stamps connected through a proxy')
+def ageless_nodes_through_proxy(context):
+    guarded = link.PeerLink
+    link.PeerLink = ageless.AgelessLink
+    context.cleanups.append(lambda: setattr(link, 'PeerLink', guarded))
+    nodes_through_proxy(context)
+
+
+@behave.when('the proxy goes silent on the open connection')
+def proxy_silent(context):
+    context.opened_before = context.proxy.opened
+    context.proxy.hold()
+    context.proxy.forget_held()
+
+
+@behave.then('the nodes connect anew within {limit_s:g} s')
+def nodes_connect_anew(context, limit_s):
+    net = context.net
+
+    def is_new():
+        silent = sum(n.traffic.silent_connections for n in net.nodes.values())
+        return silent and all(
+            node.connected_instances() for node in net.nodes.values()
+        )
+
+    aio.run(context, aio.until(is_new, limit_s))
+
+
+@behave.then('a broadcast passes between the two nodes')
+def broadcast_passes(context):
+    async def send():
+        context.net.nodes['n0'].broadcast(messages.HeadAnnounced(8, b''))
+        await aio.until(lambda: context.net.heard['n1'], 2.0)
+
+    aio.run(context, send())
+
+
+@behave.when('the proxy delays a freshness message by {delay_s:g} s')
+def delay_freshness(context, delay_s):
+    def is_settled():
+        (open_link,) = context.net.nodes['n0']._links.overlay()
+        return open_link.age_bound_s() < 1.0
+
+    async def send():
+        # The first echo must arrive; before it, ages are bounded by the
+        # handshake's limit, which would hide the delay.
+        await aio.until(is_settled)
+        context.proxy.hold()
+        context.net.nodes['n1'].broadcast(messages.Freshness('n1', 3, 0.0))
+        await asyncio.sleep(delay_s)
+        assert not context.net.heard['n0']
+        context.proxy.release()
+        await aio.until(lambda: context.net.heard['n0'], 2.0)
+
+    aio.run(context, send())
+
+
+@behave.then('the message arrives with an age of at least {age_s:g} s')
+def age_at_least(context, age_s):
+    ((_, message),) = context.net.heard['n0']
+    assert message.age_s >= age_s, message
+
+
+@behave.then('the message arrives with an age below {age_s:g} s')
+def age_below(context, age_s):
+    ((_, message),) = context.net.heard['n0']
+    assert message.age_s < age_s, message
+
+
+@behave.when('one node dies and a replacement with its name starts')
+def node_replaced(context):
+    async def replace():
+        await context.net.nodes['n0'].close()
+        await context.net.start('n0', incarnation=2)
+        context.net.publish()
+
+    aio.run(context, replace())
+
+
+def _hold_newer(context):
+    def holds():
+        return all(
+            member.incarnation == 2
+            for node in context.net.nodes.values()
+            for member in node.members()
+            if member.instance_id == 'n0'
+        )
+
+    aio.run(context, aio.until(holds))
+
+
+@behave.then('the others hold the newer incarnation and are connected with it')
+def newer_held_and_linked(context):
+    _hold_newer(context)
+    _until_linked(context, 'n0', 15.0, True)
+
+
+@behave.when('a replacement of one node starts while the old one goes on')
+def replaced_while_running(context):
+    context.old_node = context.net.nodes['n0']
+    context.cleanups.append(lambda: aio.run(context, context.old_node.close()))
+
+    async def replace():
+        await context.net.start('n0', incarnation=2)
+        context.net.publish()
+
+    aio.run(context, replace())
+
+
+@behave.then('the old one is superseded and the others hold the newer one')
+def old_is_superseded(context):
+    _hold_newer(context)
+    aio.run(context, aio.until(lambda: context.old_node.is_superseded))
--- a/src/godwitvalve/peers/connector.py
+++ b/src/godwitvalve/peers/connector.py
@@ -21,6 +21,7 @@
 _MAINTAIN_S = 0.25
 # The instance with the smaller id dials first, the other one if it did not.
 _DIAL_DELAY_S = 1.0
+_SHORT_LIFE_S = 1.0
 _LOG = logs.get('peers')
 
 Connected = abc.Callable[[link_model.PeerLink], None]
@@ -165,10 +166,11 @@
         link = link_model.PeerLink(
             connection, self._clock, self._traffic, self._receive
         )
-        if link.peer.instance_id == self._own_id:
-            link.close()
+        newer = self._membership.newer_than(link.peer)
+        if newer is not None:
+            link.refuse(newer)
             return None
-        if not self.links.add(link):
+        if link.peer.instance_id == self._own_id or not self.links.add(link):
             link.close()
             return None
         self._reach.succeeded(link.peer.instance_id)
@@ -186,14 +188,20 @@
         finally:
             self.links.remove(link)
             self._calls.link_closed(link)
+            now_s = self._clock.monotonic_s()
+            if link.is_dialled and now_s - link.opened_s < _SHORT_LIFE_S:
+                # Refused by the peer; dialling on at once would not help.
+                self._reach.failed(peer_id, now_s)
 
     async def _maintain(self) -> None:
         while True:
+            await asyncio.sleep(_MAINTAIN_S)
+            if self._membership.is_superseded:
+                continue
             now_s = self._clock.monotonic_s()
             wanted = overlay.choose_peers(self._own_id, self._reachable(now_s))
             self._dial_wanted(wanted, now_s)
             self.links.close_unwanted(wanted, self._calls, now_s)
-            await asyncio.sleep(_MAINTAIN_S)
 
     def _reachable(self, now_s: float) -> set[str]:
         others = {
--- a/src/godwitvalve/peers/link.py
+++ b/src/godwitvalve/peers/link.py
@@ -47,6 +47,7 @@
         self._traffic = traffic
         self._receive = receive
         now_s = clock.monotonic_s()
+        self.opened_s = now_s
         self.last_used_s = now_s
         # Everything on this connection is younger than its handshake.
         self._echo_s = now_s - connect.HANDSHAKE_LIMIT_S
@@ -88,6 +89,12 @@
         self.is_open = False
         self._connection.writer.transport.abort()
 
+    def refuse(self, fact: messages.MemberFact) -> None:
+        """Tell the peer a fact and close the connection."""
+        self.send(envelopes.Direct(fact))
+        self.is_open = False
+        self._connection.writer.close()
+
     async def run(self) -> None:
         """Serve the connection until it ends.
 
--- a/src/godwitvalve/peers/membership.py
+++ b/src/godwitvalve/peers/membership.py
@@ -6,6 +6,7 @@
 import secrets
 from typing import NamedTuple
 
+from godwitvalve.peers import handshake
 from godwitvalve.peers import messages
 from godwitvalve.platform import port as platform_port
 
@@ -131,6 +132,16 @@
             return Member(*self.own)
         return self._member(instance_id, now_s)
 
+    def newer_than(self, hello: handshake.Hello) -> messages.MemberFact | None:
+        """Return the fact of the incarnation that replaced a peer."""
+        known = self._heard.get(hello.instance_id)
+        if hello.instance_id == self.own.instance_id:
+            is_older = hello.incarnation < self.own.incarnation
+            return self.own if is_older else None
+        if known is None or known.fact.incarnation <= hello.incarnation:
+            return None
+        return known.fact
+
     def facts(self) -> list[messages.MemberFact]:
         """Return what a newly connected peer should hear."""
         return [self.own, *(each.fact for each in self._heard.values())]
