--- /dev/null
+++ b/features/models/report_simulation.py
@@ -0,0 +1,81 @@
+"""Reports of one origin over an overlay with random delays."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from typing import NamedTuple
+
+from godwitvalve.peers import overlay
+from godwitvalve.peers import tree
+
+
+class Result(NamedTuple):
+    """What came of one report."""
+
+    missed: frozenset
+    copies: float
+
+
+class Simulation:
+    """Report trees of all instances; a link is known by its far end."""
+
+    def __init__(self, count, seed):
+        self._random = random.Random(seed)
+        self.alive = {f'i{number}' for number in range(count)}
+        self._origin = 'i0'
+        self._trees = {name: tree.ReportTree(name) for name in self.alive}
+        self._choose()
+        self._children = {}
+
+    def _choose(self):
+        self._links = {
+            name: overlay.choose_peers(name, self.alive - {name})
+            for name in self.alive
+        }
+
+    def kill_a_relay(self):
+        """Kill the instance that passed most copies on."""
+        dead = max(
+            sorted(self.alive - {self._origin}),
+            key=lambda name: self._children.get(name, 0),
+        )
+        self.alive.remove(dead)
+        for name in self._links.pop(dead):
+            self._trees[name].link_closed(dead)
+            for peer in self._links[name] - {dead}:
+                self._trees[peer].wanted_by_peer(name)
+        self._choose()
+
+    def send_report(self, number):
+        """Send one report and return what came of it."""
+        is_refresh = number % tree.REFRESH_EVERY == 0
+        queue = []
+        heard = {self._origin}
+        copies = 0
+        self._children = {}
+        self._pass_on(queue, 0.0, self._origin, None, is_refresh)
+        while queue:
+            now_s, _, sender, name = heapq.heappop(queue)
+            copies += 1
+            own = self._trees[name]
+            if name in heard:
+                if own.refuses(sender, self._origin):
+                    self._trees[sender].refused_by_peer(name, self._origin)
+                continue
+            heard.add(name)
+            own.first_copy(sender, self._origin, is_refresh)
+            self._pass_on(queue, now_s, name, sender, is_refresh)
+        others = len(self.alive) - 1
+        return Result(frozenset(self.alive - heard), copies / others)
+
+    def _pass_on(self, queue, now_s, name, source, is_refresh):
+        own = self._trees[name]
+        for peer in sorted(self._links[name]):
+            is_wanted = is_refresh or own.is_wanted(peer, self._origin)
+            if peer == source or not is_wanted:
+                continue
+            self._children[name] = self._children.get(name, 0) + 1
+            at_s = now_s + self._random.uniform(0.5, 1.5)
+            order = self._random.random()
+            heapq.heappush(queue, (at_s, order, name, peer))
--- a/features/peers/network.feature
+++ b/features/peers/network.feature
@@ -82,3 +82,18 @@
     Given 3 connected peer nodes
     When a replacement of one node starts while the old one goes on
     Then the old one is superseded and the others hold the newer one
+
+  Scenario: Periodic reports arrive once and over few links
+    # Guards against a cost of reports that grows with the links.
+    Given 9 connected peer nodes
+    When each node sends 12 reports
+    Then each node has heard each report exactly once
+    And the last 4 reports of each node brought few duplicates
+
+  Scenario: Periodic reports go on when a node dies
+    # Guards against nodes cut off because their path was through it.
+    Given 9 connected peer nodes
+    When each node sends 4 reports
+    And one node dies
+    And each node sends 17 reports
+    Then each node has heard one of the last 16 reports of each other node
--- a/features/peers/overlay.feature
+++ b/features/peers/overlay.feature
@@ -86,3 +86,16 @@
   Scenario: Flooded messages pass once
     # Guards against messages that circulate.
     Then a flood filter agrees with a naive one on random messages
+
+  Scenario Outline: Reports use few links and survive deaths
+    # Guards against duplicates without end and against lost paths.
+    Given a simulated overlay of <count> instances with random delays
+    When 40 reports are sent and an instance dies after the 20th
+    Then settled reports reach all instances with at most <copies> copies each
+    And no instance misses more than 16 reports in a row
+
+    Examples:
+      | count | copies |
+      | 9     | 1.2    |
+      | 60    | 1.2    |
+      | 200   | 1.2    |
--- a/features/steps/peers_frames_steps.py
+++ b/features/steps/peers_frames_steps.py
@@ -54,10 +54,20 @@
         _FLOAT,
     ),
     strategies.builds(messages.ForwardAnswer, _BYTES, strategies.booleans()),
+    strategies.builds(messages.ReportsRefused, _TEXT),
+    strategies.builds(messages.ReportsWanted, strategies.booleans()),
 )
 ENVELOPES = strategies.one_of(
     strategies.builds(envelopes.Direct, SAMPLES),
-    strategies.builds(envelopes.Flooded, _TEXT, _INT, _INT, _INT, SAMPLES),
+    strategies.builds(
+        envelopes.Flooded,
+        _TEXT,
+        _INT,
+        _INT,
+        strategies.sampled_from(envelopes.Spread),
+        _INT,
+        SAMPLES,
+    ),
     strategies.builds(envelopes.Request, _INT, SAMPLES),
     strategies.builds(envelopes.Answer, _INT, SAMPLES | strategies.none()),
 )
@@ -109,7 +119,7 @@
     values = VALUES.map(msgpack.packb)
     tagged = strategies.tuples(
         strategies.integers(0, 5),
-        strategies.integers(0, 12),
+        strategies.integers(0, 14),
         strategies.lists(VALUES, max_size=10),
     ).map(_tagged)
     check = hypothesis.given(raw | values | tagged)(_decode_any)
--- a/features/steps/peers_network_steps.py
+++ b/features/steps/peers_network_steps.py
@@ -408,3 +408,101 @@
 def old_is_superseded(context):
     _hold_newer(context)
     aio.run(context, aio.until(lambda: context.old_node.is_superseded))
+
+
+def _report(node, number):
+    return messages.DemandReport(node.instance_id, 1, number, b'report')
+
+
+@behave.when('each node sends {count:d} reports')
+def send_reports(context, count):
+    net = context.net
+    first = getattr(context, 'reports_sent', 0)
+    context.reports_sent = first + count
+
+    async def send():
+        if not first:
+            context.reports = {name: [] for name in net.nodes}
+            for name, node in net.nodes.items():
+                node.on(
+                    messages.DemandReport,
+                    lambda _, got, name=name: context.reports[name].append(
+                        (got.origin, got.sequence)
+                    ),
+                )
+        for number in range(first, first + count):
+            for node in net.nodes.values():
+                node.broadcast(_report(node, number))
+            # Long enough for a report to pass before the next one.
+            await asyncio.sleep(0.05)
+            if number == context.reports_sent - 5:
+                context.duplicates = _duplicates(net)
+
+    aio.run(context, send())
+
+
+def _duplicates(net):
+    return sum(node.traffic.duplicates_in for node in net.nodes.values())
+
+
+@behave.then('each node has heard each report exactly once')
+def reports_heard_once(context):
+    names = set(context.net.nodes)
+
+    def expected(name):
+        return {
+            (origin, number)
+            for origin in names - {name}
+            for number in range(context.reports_sent)
+        }
+
+    async def check():
+        await aio.until(
+            lambda: all(
+                set(context.reports[name]) == expected(name) for name in names
+            )
+        )
+        for name in names:
+            heard = context.reports[name]
+            assert len(heard) == len(set(heard)), name
+
+    aio.run(context, check())
+
+
+@behave.then('the last 4 reports of each node brought few duplicates')
+def few_duplicates(context):
+    # Flooding over all links would bring about 4 for each of 9 * 8 * 4.
+    found = _duplicates(context.net) - context.duplicates
+    assert found <= 9 * 8 * 4 * 0.2, found
+
+
+@behave.when('one node dies')
+def one_node_dies(context):
+    net = context.net
+
+    async def die():
+        dead = net.nodes.pop('n4')
+        await dead.close()
+        del net.listed['n4']
+        await aio.until(
+            lambda: all(
+                'n4' not in node.connected_instances()
+                for node in net.nodes.values()
+            )
+        )
+
+    aio.run(context, die())
+
+
+@behave.then(
+    'each node has heard one of the last 16 reports of each other node'
+)
+def reports_go_on(context):
+    oldest = context.reports_sent - 16
+    for name in context.net.nodes:
+        recent = {
+            origin
+            for origin, number in context.reports[name]
+            if number >= oldest
+        }
+        assert recent >= set(context.net.nodes) - {name}, (name, recent)
--- a/features/steps/peers_overlay_steps.py
+++ b/features/steps/peers_overlay_steps.py
@@ -6,6 +6,7 @@
 
 import behave
 from features.models import naive_flood
+from features.models import report_simulation
 from godwitvalve.peers import addresses
 from godwitvalve.peers import membership
 from godwitvalve.peers import messages
@@ -206,3 +207,41 @@
 @behave.then('a flood filter agrees with a naive one on random messages')
 def filters_agree(context):
     SETTINGS(hypothesis.given(naive_flood.MESSAGES)(naive_flood.compare))()
+
+
+@behave.given('a simulated overlay of {count:d} instances with random delays')
+def simulated_overlay(context, count):
+    context.simulation = report_simulation.Simulation(count, seed=5)
+
+
+@behave.when('{count:d} reports are sent and an instance dies after the 20th')
+def simulate_reports(context, count):
+    simulation = context.simulation
+    context.results = []
+    for number in range(count):
+        if number == 20:
+            simulation.kill_a_relay()
+        context.results.append(simulation.send_report(number))
+
+
+@behave.then(
+    'settled reports reach all instances with at most {copies:g} copies each'
+)
+def settled_reports(context, copies):
+    for result in context.results[1:16]:
+        assert not result.missed, result
+    settled = context.results[4:16]
+    mean = sum(result.copies for result in settled) / len(settled)
+    print(f'{mean:.3f} copies of a report for each instance')
+    assert mean <= copies, mean
+
+
+@behave.then('no instance misses more than {count:d} reports in a row')
+def few_missed(context, count):
+    in_a_row = collections.Counter()
+    for result in context.results:
+        for name in context.simulation.alive:
+            in_a_row[name] += 1
+            if name not in result.missed:
+                in_a_row[name] = 0
+            assert in_a_row[name] <= count, name
--- a/src/godwitvalve/peers/connector.py
+++ b/src/godwitvalve/peers/connector.py
@@ -24,7 +24,7 @@
 _SHORT_LIFE_S = 1.0
 _LOG = logs.get('peers')
 
-Connected = abc.Callable[[link_model.PeerLink], None]
+LinkHandler = abc.Callable[[link_model.PeerLink], None]
 
 
 class Connector:
@@ -33,6 +33,7 @@
     :param key: key shared by all entry instances.
     :param receive: called with each envelope that a link receives.
     :param connected: called with each new overlay link.
+    :param disconnected: called with each overlay link that has closed.
     """
 
     def __init__(
@@ -43,7 +44,8 @@
         traffic: traffic_model.Traffic,
         calls: calls_model.Calls,
         receive: link_model.Receiver,
-        connected: Connected,
+        connected: LinkHandler,
+        disconnected: LinkHandler,
     ) -> None:
         self.links = links_model.LinkTable()
         self._membership = membership
@@ -53,6 +55,7 @@
         self._calls = calls
         self._receive = receive
         self._connected = connected
+        self._disconnected = disconnected
         self._reach = reach.Reachability()
         self._wanted_since_s: dict[str, float] = {}
         self._dialling: dict[
@@ -188,18 +191,25 @@
         finally:
             self.links.remove(link)
             self._calls.link_closed(link)
+            if link.peer.is_overlay:
+                self._disconnected(link)
             now_s = self._clock.monotonic_s()
             if link.is_dialled and now_s - link.opened_s < _SHORT_LIFE_S:
                 # Refused by the peer; dialling on at once would not help.
                 self._reach.failed(peer_id, now_s)
 
     async def _maintain(self) -> None:
+        chosen_from: set[str] = set()
+        wanted: frozenset[str] = frozenset()
         while True:
             await asyncio.sleep(_MAINTAIN_S)
             if self._membership.is_superseded:
                 continue
             now_s = self._clock.monotonic_s()
-            wanted = overlay.choose_peers(self._own_id, self._reachable(now_s))
+            reachable = self._reachable(now_s)
+            if reachable != chosen_from:
+                chosen_from = reachable
+                wanted = overlay.choose_peers(self._own_id, reachable)
             self._dial_wanted(wanted, now_s)
             self.links.close_unwanted(wanted, self._calls, now_s)
 
--- a/src/godwitvalve/peers/envelopes.py
+++ b/src/godwitvalve/peers/envelopes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import Any, NamedTuple, TypeAlias
 
 import msgpack
@@ -15,6 +16,14 @@
     message: messages.Message
 
 
+class Spread(enum.IntEnum):
+    """Over which links a flooded message is passed on."""
+
+    ALL = 0
+    WANTED = 1
+    REFRESH = 2
+
+
 class Flooded(NamedTuple):
     """A message for every entry instance.
 
@@ -24,6 +33,7 @@
     origin: str
     incarnation: int
     sequence: int
+    spread: Spread
     age_ms: int
     message: messages.Message
 
@@ -54,9 +64,15 @@
     match envelope:
         case Direct(message):
             return (_DIRECT, messages.to_plain(message))
-        case Flooded(origin, incarnation, sequence, age_ms, message):
-            body = messages.to_plain(message)
-            return (_FLOODED, origin, incarnation, sequence, age_ms, body)
+        case Flooded():
+            body = messages.to_plain(envelope.message)
+            return (
+                _FLOODED,
+                *envelope[:3],
+                int(envelope.spread),
+                envelope.age_ms,
+                body,
+            )
         case Request(number, message):
             return (_REQUEST, number, messages.to_plain(message))
         case Answer(number, answer):
@@ -86,13 +102,13 @@
     match messages.unpack_values(data):
         case (1, body):
             return Direct(messages.from_plain(body))
-        case (2, str(origin), int(inc), int(sequence), int(age_ms), body):
+        case (2, str(origin), int(inc), int(number), spread, int(age), body):
             if len(data) > messages.MAX_FLOODED_BYTES + _AGE_BYTES:
                 raise messages.MessageError('flooded message too long')
-            if age_ms < 0 or sequence < 0:
-                raise messages.MessageError('negative age or sequence')
+            if age < 0 or number < 0 or spread not in list(Spread):
+                raise messages.MessageError('malformed flood')
             message = messages.from_plain(body)
-            return Flooded(origin, inc, sequence, age_ms, message)
+            return Flooded(origin, inc, number, Spread(spread), age, message)
         case (3, int(number), body):
             return Request(number, messages.from_plain(body))
         case (4, int(number), None):
--- a/src/godwitvalve/peers/messages.py
+++ b/src/godwitvalve/peers/messages.py
@@ -112,6 +112,18 @@
     replayed: bool
 
 
+class ReportsRefused(NamedTuple):
+    """Request to leave out the periodic reports of an origin."""
+
+    origin: str
+
+
+class ReportsWanted(NamedTuple):
+    """Request for the periodic reports of all origins."""
+
+    wanted: bool = True
+
+
 Message: TypeAlias = (
     Heartbeat
     | HeadAnnounced
@@ -124,6 +136,8 @@
     | Freshness
     | ForwardCall
     | ForwardAnswer
+    | ReportsRefused
+    | ReportsWanted
 )
 
 # Tags are part of the protocol: they are added, never reused.
@@ -139,6 +153,8 @@
     9: Freshness,
     10: ForwardCall,
     11: ForwardAnswer,
+    12: ReportsRefused,
+    13: ReportsWanted,
 }
 _TAG_OF = {kind: tag for tag, kind in TAGS.items()}
 
--- a/src/godwitvalve/peers/node.py
+++ b/src/godwitvalve/peers/node.py
@@ -14,9 +14,12 @@
 from godwitvalve.peers import membership
 from godwitvalve.peers import messages
 from godwitvalve.peers import traffic as traffic_model
+from godwitvalve.peers import tree
 from godwitvalve.platform import port as platform_port
 
 CALL_LIMIT_S = 5.0
+# Sent again and again by every instance; a later one replaces an earlier.
+PERIODIC = (messages.DemandReport, messages.EvidenceReport)
 _MAX_AGE_MS = 24 * 3600 * 1000
 _LOG = logs.get('peers')
 
@@ -66,9 +69,14 @@
             self._calls,
             self._receive,
             self._connected,
+            self._disconnected,
         )
         self._links = self._connector.links
         self._filter = flood.FloodFilter()
+        self._tree: tree.ReportTree[link_model.PeerLink] = tree.ReportTree(
+            instance_id
+        )
+        self._reports = 0
         self._sequence = 0
         self._handlers: dict[type[messages.Message], list[Handler]] = {}
         self._connected_handlers: list[ConnectedHandler] = []
@@ -129,15 +137,31 @@
     def broadcast(self, message: messages.Message) -> None:
         """Send a message to every instance, with duplicates suppressed.
 
+        A periodic report may be missed by some for a few reports after
+        links have changed; other messages are flooded over all links.
+
         :raises MessageError: if the message is too long.
         """
         self._sequence += 1
         flooded = envelopes.Flooded(
-            self.instance_id, self.incarnation, self._sequence, 0, message
+            self.instance_id,
+            self.incarnation,
+            self._sequence,
+            self._choose_spread(message),
+            0,
+            message,
         )
         self._filter.is_new(*flooded[:3])
         self._pass_on(flooded, None)
 
+    def _choose_spread(self, message: messages.Message) -> envelopes.Spread:
+        if not isinstance(message, PERIODIC):
+            return envelopes.Spread.ALL
+        self._reports += 1
+        if self._reports % tree.REFRESH_EVERY == 1:
+            return envelopes.Spread.REFRESH
+        return envelopes.Spread.WANTED
+
     def send(self, instance_id: str, message: messages.Message) -> bool:
         """Send a message over an open link.
 
@@ -173,6 +197,10 @@
                 self._calls.serve(link, envelope)
             case envelopes.Answer():
                 self._calls.answer(link, envelope)
+            case envelopes.Direct(messages.ReportsRefused(origin)):
+                self._tree.refused_by_peer(link, origin)
+            case envelopes.Direct(messages.ReportsWanted()):
+                self._tree.wanted_by_peer(link)
             case envelopes.Direct(message):
                 aged = _add_age(message, link.age_bound_s())
                 self._deliver(link.peer.instance_id, aged, link)
@@ -182,8 +210,16 @@
     def _receive_flooded(
         self, link: link_model.PeerLink, flooded: envelopes.Flooded
     ) -> None:
+        is_report = flooded.spread is not envelopes.Spread.ALL
         if not self._filter.is_new(*flooded[:3]):
+            self.traffic.duplicates_in += 1
+            if is_report and self._tree.refuses(link, flooded.origin):
+                refusal = messages.ReportsRefused(flooded.origin)
+                link.send(envelopes.Direct(refusal))
             return
+        if is_report:
+            is_refresh = flooded.spread is envelopes.Spread.REFRESH
+            self._tree.first_copy(link, flooded.origin, is_refresh)
         added_ms = int(link.age_bound_s() * 1000) + 1
         age_ms = min(_MAX_AGE_MS, flooded.age_ms + added_ms)
         flooded = flooded._replace(age_ms=age_ms)
@@ -197,8 +233,11 @@
         source: link_model.PeerLink | None,
     ) -> None:
         encoded = envelopes.encode(flooded)
+        by_tree = flooded.spread is envelopes.Spread.WANTED
         for link in self._links.overlay():
-            if link is not source:
+            if link is source:
+                continue
+            if not by_tree or self._tree.is_wanted(link, flooded.origin):
                 link.send_encoded(encoded)
 
     def _connected(self, link: link_model.PeerLink) -> None:
@@ -207,6 +246,11 @@
         for handler in self._connected_handlers:
             self._guard(handler, link.peer.instance_id)
 
+    def _disconnected(self, link: link_model.PeerLink) -> None:
+        self._tree.link_closed(link)
+        for other in self._links.overlay():
+            other.send(envelopes.Direct(messages.ReportsWanted()))
+
     def _spread(
         self, fact: messages.MemberFact, source: link_model.PeerLink | None
     ) -> None:
--- a/src/godwitvalve/peers/traffic.py
+++ b/src/godwitvalve/peers/traffic.py
@@ -13,5 +13,6 @@
     bytes_out: int = 0
     frames_in: int = 0
     frames_out: int = 0
+    duplicates_in: int = 0
     rejected_connections: int = 0
     silent_connections: int = 0
