--- a/features/idempotency/keys.feature
+++ b/features/idempotency/keys.feature
@@ -146,3 +146,7 @@
   Scenario: Malformed keys are refused
     # Guards against an error or acceptance of a forged key.
     Then random and altered keys are never accepted
+
+  Scenario: Malformed claim rows and outcomes are refused
+    # Guards against an uncaught error from bytes of store or peers.
+    Then random claim rows and forwarded answers raise no other error
--- a/features/steps/idempotency_steps.py
+++ b/features/steps/idempotency_steps.py
@@ -12,12 +12,16 @@
 from features.doubles import takeover
 from features.models import naive_ledger
 from features.models import once_model
+from godwitvalve.idempotency import claim_record
+from godwitvalve.idempotency import forwarding
 from godwitvalve.idempotency import keys
 from godwitvalve.outcomes import codes
 from godwitvalve.outcomes import outcome
+from godwitvalve.peers import messages
 import hypothesis
 from hypothesis import strategies
 import minicheck
+import msgpack
 
 FEATURE = pathlib.Path(__file__).resolve().parents[1] / 'idempotency'
 MAX_STATES = 400_000
@@ -316,6 +320,53 @@
     SETTINGS(guess)()
 
 
+def _read_row(data):
+    try:
+        record = claim_record.unpack(data)
+    except ValueError:
+        return
+    assert claim_record.unpack(claim_record.pack(record)) == record
+
+
+def _read_answer(data):
+    answer = forwarding.read_answer(messages.ForwardAnswer(data, False))
+    assert isinstance(
+        answer.outcome, (outcome.Completed, outcome.NotRun, outcome.Unknown)
+    )
+
+
+@behave.then('random claim rows and forwarded answers raise no other error')
+def random_rows(context):
+    leaf = strategies.one_of(
+        strategies.none(),
+        strategies.integers(-5, 6000),
+        strategies.text(max_size=5),
+        strategies.binary(max_size=5),
+        strategies.floats(),
+    )
+    values = strategies.recursive(
+        leaf, lambda inner: strategies.lists(inner, max_size=6)
+    )
+    outcomes = strategies.tuples(
+        strategies.integers(0, 4),
+        strategies.sampled_from([2010, 3000, 200]),
+        values,
+        values,
+    )
+    rows = strategies.tuples(
+        strategies.text(max_size=3),
+        strategies.integers(0, 9),
+        strategies.binary(max_size=3),
+        strategies.text(max_size=3),
+        strategies.floats(0, 10),
+        outcomes | values,
+    )
+    raw = strategies.binary(max_size=60)
+    packed = (rows | outcomes | values).map(msgpack.packb)
+    SETTINGS(hypothesis.given(raw | packed)(_read_row))()
+    SETTINGS(hypothesis.given(raw | packed)(_read_answer))()
+
+
 @behave.given(
     'the model of {kind} keys with {requests:d} requests, {losses:d} lost '
     'answers, {deaths:d} deaths, {outages:d} outages'
--- a/src/godwitvalve/idempotency/claim_record.py
+++ b/src/godwitvalve/idempotency/claim_record.py
@@ -100,7 +100,8 @@
     plain = None
     if record.outcome is not None:
         plain = outcome_codec.to_plain(record.outcome)
-    packed: bytes = msgpack.packb((*record[:5], plain))
+    expires_wall_s = float(record.expires_wall_s)
+    packed: bytes = msgpack.packb((*record[:4], expires_wall_s, plain))
     return packed
 
 
@@ -111,15 +112,13 @@
     """
     try:
         fields: Any = msgpack.unpackb(value)
-        owner_id, incarnation, nonce, body_digest, expires, plain = fields
     except (TypeError, msgpack.UnpackException) as error:
         raise ValueError('malformed claim row') from error
-    outcome = None if plain is None else outcome_codec.from_plain(plain)
-    return ClaimRecord(
-        str(owner_id),
-        int(incarnation),
-        bytes(nonce),
-        str(body_digest),
-        float(expires),
-        outcome,
-    )
+    match fields:
+        case [str(owner), int(inc), bytes(nonce), str(digest), at, plain]:
+            outcome = None
+            if plain is not None:
+                outcome = outcome_codec.from_plain(plain)
+            if isinstance(at, float):
+                return ClaimRecord(owner, inc, nonce, digest, at, outcome)
+    raise ValueError('malformed claim row')
--- a/src/godwitvalve/idempotency/forwarding.py
+++ b/src/godwitvalve/idempotency/forwarding.py
@@ -66,7 +66,7 @@
             return once.refusal(codes.ResultCode.OWNER_UNREACHABLE, str(error))
         if not isinstance(answer, messages.ForwardAnswer):
             return once.refusal(codes.ResultCode.OWNER_UNREACHABLE)
-        return _from_answer(answer)
+        return read_answer(answer)
 
     def _is_replaced(self, owner_id: str, incarnation: int) -> bool:
         return any(
@@ -108,7 +108,8 @@
     )
 
 
-def _from_answer(answer: messages.ForwardAnswer) -> once.OnceAnswer:
+def read_answer(answer: messages.ForwardAnswer) -> once.OnceAnswer:
+    """Return the answer of an owner; a malformed one counts as none."""
     try:
         plain: Any = msgpack.unpackb(answer.outcome)
         outcome = outcome_codec.from_plain(plain)
--- a/src/godwitvalve/peers/node.py
+++ b/src/godwitvalve/peers/node.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import abc
+import contextlib
 
 from godwitvalve import clock as clock_model
 from godwitvalve.logs import setup as logs
@@ -182,9 +184,13 @@
         :raises PeerUnreachable: if no answer came.
         :raises MessageError: if the message is too long.
         """
+        now_s = self._clock.monotonic_s()
         if deadline_s is None:
-            deadline_s = self._clock.monotonic_s() + CALL_LIMIT_S
-        link = await self._connector.link_to(instance_id)
+            deadline_s = now_s + CALL_LIMIT_S
+        link = None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(deadline_s - now_s):
+                link = await self._connector.link_to(instance_id)
         if link is None:
             raise calls_model.PeerUnreachable(f'cannot reach {instance_id}')
         return await self._calls.call(link, message, deadline_s)
