--- /dev/null
+++ b/src/godwitvalve/configuration/refresher.py
@@ -0,0 +1,226 @@
+"""Keeps the configuration in force up to date."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+import contextlib
+from typing import Protocol
+
+from godwitvalve import clock as clocks
+from godwitvalve.configuration import in_force
+from godwitvalve.configuration import tracker as trackers
+from godwitvalve.logs import setup
+from godwitvalve.platform import port
+from godwitvalve.text import head as text_head
+from godwitvalve.text import parts
+
+POLL_INTERVAL_S = 2.0
+# A failed fetch is tried again after this; ten tries fit in the 10 s after
+# which an entry without the newest text stops admitting.
+RETRY_INTERVAL_S = 1.0
+# Peers hold the parts in memory, so a slow answer means a lost peer.
+PEER_FETCH_LIMIT_S = 1.0
+# Reads of the object store that one entry has open at once.
+MAX_FETCHES = 8
+
+_LOG = setup.get('configuration')
+
+
+class PeerParts(Protocol):
+    """Fetches parts from other entries."""
+
+    async def fetch_parts(self, hashes: frozenset[str]) -> Mapping[str, bytes]:
+        """Return those parts, by content hash, that a peer could give."""
+
+
+class PartsUnavailable(Exception):
+    """Neither peers nor the object store gave every part."""
+
+
+class Refresher:
+    """Polls the head row, fetches missing parts and installs them.
+
+    :param tracker: revisions known here.
+    :param on_installed: called with each configuration put in force.
+    """
+
+    def __init__(
+        self,
+        tracker: trackers.ConfigurationTracker,
+        table: port.TableService,
+        objects: port.ObjectStore,
+        peers: PeerParts,
+        clock: clocks.Clock,
+        on_installed: Callable[[in_force.InForceConfiguration], None],
+    ) -> None:
+        self.tracker = tracker
+        self._table = table
+        self._objects = objects
+        self._peers = peers
+        self._clock = clock
+        self._on_installed = on_installed
+        self._current: in_force.InForceConfiguration | None = None
+        self._serialized: dict[str, bytes] = {}
+        self._offered = asyncio.Event()
+
+    @property
+    def current(self) -> in_force.InForceConfiguration | None:
+        """Configuration in force."""
+        return self._current
+
+    def part(self, part_hash: str) -> bytes | None:
+        """Return a part in force, for a peer that asks for it."""
+        return self._serialized.get(part_hash)
+
+    async def run(self) -> None:
+        """Poll and install until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._poll())
+            group.create_task(self._install_offers())
+
+    async def _poll(self) -> None:
+        while True:
+            await self.poll_once()
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def poll_once(self) -> bool:
+        """Read the head row.
+
+        :returns: whether the store answered with a valid head or no row.
+        """
+        asked_at_s = self._clock.monotonic_s()
+        try:
+            row = await self._table.read(text_head.TABLE, text_head.KEY)
+            head = None if row is None else text_head.decode(row.value)
+        except port.PlatformUnavailable as error:
+            _LOG.info('The head was not read: %s.', error)
+            return False
+        except text_head.HeadError as error:
+            _LOG.error('The head row is damaged: %s.', error)
+            return False
+        if head is not None:
+            now_s = self._clock.monotonic_s()
+            self.tracker.confirm_by_store(head.revision, asked_at_s, now_s)
+            self._offer(head)
+        return True
+
+    async def offer_from_peer(self, head: text_head.Head) -> bool:
+        """Take a head that a peer announced.
+
+        :returns: whether it is newer than any offered before, so that it
+            should be announced to other peers.
+        """
+        return self._offer(head)
+
+    def _offer(self, head: text_head.Head) -> bool:
+        outcome = self.tracker.offer(head, self._clock.monotonic_s())
+        if isinstance(outcome, trackers.Ignore):
+            return False
+        self._offered.set()
+        return True
+
+    async def _install_offers(self) -> None:
+        while True:
+            await self._offered.wait()
+            self._offered.clear()
+            while self.tracker.wanted and not await self.install_once():
+                with contextlib.suppress(asyncio.TimeoutError):
+                    async with asyncio.timeout(RETRY_INTERVAL_S):
+                        await self._offered.wait()
+                self._offered.clear()
+
+    async def install_once(self) -> bool:
+        """Fetch and install the newest offered head.
+
+        :returns: whether nothing is left to install.
+        """
+        head = self.tracker.wanted
+        if head is None:
+            return True
+        try:
+            bodies, serialized = await self._bodies(head)
+        except (PartsUnavailable, parts.PartError) as error:
+            _LOG.warning('Revision %d waits: %s.', head.revision, error)
+            return False
+        built = in_force.build(head, bodies, self._current)
+        if self.tracker.install(head):
+            self._current = built
+            self._serialized = serialized
+            self._on_installed(built)
+            _LOG.info('Revision %d is in force.', head.revision)
+        return self.tracker.wanted is None
+
+    async def _bodies(
+        self, head: text_head.Head
+    ) -> tuple[dict[str, parts.PartBody], dict[str, bytes]]:
+        """Return parsed and serialized parts by content hash."""
+        known = self._current.bodies if self._current else {}
+        names = {
+            part_hash: name
+            for name, part_hash in head.parts.items()
+            if part_hash not in known
+        }
+        fetched = await self._fetch(names)
+        bodies = {
+            part_hash: known[part_hash]
+            if part_hash in known
+            else parts.parse(name, part_hash, fetched[part_hash])
+            for name, part_hash in head.parts.items()
+        }
+        serialized = {
+            part_hash: fetched.get(part_hash) or self._serialized[part_hash]
+            for part_hash in bodies
+        }
+        return bodies, serialized
+
+    async def _fetch(self, names: Mapping[str, str]) -> dict[str, bytes]:
+        """Return serialized parts by hash: from peers, then the store.
+
+        :param names: name of each part by its hash.
+        :raises PartsUnavailable: if one of them was not found.
+        """
+        if not names:
+            return {}
+        fetched = await self._fetch_from_peers(frozenset(names))
+        missing = [item for item in names if item not in fetched]
+        limit = asyncio.Semaphore(MAX_FETCHES)
+        found = await asyncio.gather(
+            *(self._fetch_from_store(item, limit) for item in missing)
+        )
+        fetched.update(
+            (item, body) for item, body in zip(missing, found) if body
+        )
+        lost = [name for item, name in names.items() if item not in fetched]
+        if lost:
+            raise PartsUnavailable(f'parts not found: {", ".join(lost)}')
+        return fetched
+
+    async def _fetch_from_peers(
+        self, hashes: frozenset[str]
+    ) -> dict[str, bytes]:
+        try:
+            async with asyncio.timeout(PEER_FETCH_LIMIT_S):
+                given = await self._peers.fetch_parts(hashes)
+        except (asyncio.TimeoutError, OSError) as error:
+            _LOG.info('No peer gave parts: %s.', type(error).__name__)
+            return {}
+        return {
+            item: body
+            for item, body in given.items()
+            if item in hashes and parts.content_hash(body) == item
+        }
+
+    async def _fetch_from_store(
+        self, part_hash: str, limit: asyncio.Semaphore
+    ) -> bytes | None:
+        key = parts.object_key(part_hash)
+        try:
+            async with limit:
+                body = await self._objects.get(key)
+        except port.PlatformUnavailable as error:
+            _LOG.info('A part was not read: %s.', error)
+            return None
+        if body is None or parts.content_hash(body) != part_hash:
+            return None
+        return body
--- /dev/null
+++ b/src/godwitvalve/configuration/tracker.py
@@ -0,0 +1,239 @@
+"""Which revision is in force here and how fresh that knowledge is.
+
+An entry knows of revisions in three ways: it reads the head row, a peer
+announces a head, or a peer reports what it knows. Revisions only grow. A
+confirmation says that a revision was the accepted one at some moment; the
+entry may admit work for ``CONFIRM_LIMIT_S`` after the last moment at which
+the revision in force here was confirmed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import dataclasses
+import math
+from typing import NamedTuple, TypeAlias
+
+from godwitvalve.text import head as text_head
+
+# Section 4.9: an entry without confirmation for this long admits nothing.
+CONFIRM_LIMIT_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Ignore:
+    """The head is not newer than what is in force or wanted."""
+
+
+@dataclasses.dataclass(frozen=True)
+class FetchParts:
+    """The head is newer.
+
+    :param hashes: content hashes of parts that are not in force here.
+    """
+
+    head: text_head.Head
+    hashes: frozenset[str]
+
+
+OfferOutcome: TypeAlias = Ignore | FetchParts
+
+
+class PeerFreshness(NamedTuple):
+    """What a peer said about its configuration.
+
+    :param instance_id: the peer.
+    :param revision: revision in force at the peer.
+    :param confirmed_age_s: seconds since the peer's revision was last
+        confirmed by the store, directly or through others; None if never.
+    :param report_age_s: seconds since the peer said so.
+    """
+
+    instance_id: str
+    revision: int
+    confirmed_age_s: float | None
+    report_age_s: float
+
+
+class OwnFreshness(NamedTuple):
+    """What this entry tells its peers."""
+
+    revision: int
+    confirmed_age_s: float | None
+
+
+@dataclasses.dataclass
+class _Heard:
+    """Last report of one peer."""
+
+    revision: int
+    at_s: float
+
+
+class ConfigurationTracker:
+    """Pure state about revisions; every time is monotonic seconds.
+
+    :param instance_id: this entry.
+    :param confirm_limit_s: seconds for which a confirmation lasts.
+    """
+
+    def __init__(
+        self, instance_id: str, confirm_limit_s: float = CONFIRM_LIMIT_S
+    ) -> None:
+        self._instance_id = instance_id
+        self._confirm_limit_s = confirm_limit_s
+        self._in_force: text_head.Head | None = None
+        self._wanted: text_head.Head | None = None
+        self._known_revision = 0
+        self._superseded_at_s = math.inf
+        self._confirmed: dict[int, float] = {}
+        self._heard: dict[str, _Heard] = {}
+        self._listed: frozenset[str] = frozenset()
+
+    @property
+    def revision(self) -> int:
+        """Revision in force here, 0 if none."""
+        return self._in_force.revision if self._in_force else 0
+
+    @property
+    def head(self) -> text_head.Head | None:
+        """Head in force here."""
+        return self._in_force
+
+    @property
+    def wanted(self) -> text_head.Head | None:
+        """Newest head that was offered and is not in force yet."""
+        return self._wanted
+
+    @property
+    def known_revision(self) -> int:
+        """Highest revision that is known to be accepted."""
+        return self._known_revision
+
+    def _learn(self, revision: int, now_s: float) -> None:
+        """Remember that a revision was accepted."""
+        self._known_revision = max(self._known_revision, revision)
+        if self._known_revision > self.revision:
+            self._superseded_at_s = min(self._superseded_at_s, now_s)
+
+    def offer(self, head: text_head.Head, now_s: float) -> OfferOutcome:
+        """Take note of a head from the store or a peer."""
+        self._learn(head.revision, now_s)
+        newest = self._wanted or self._in_force
+        if newest is not None and head.revision <= newest.revision:
+            return Ignore()
+        self._wanted = head
+        return FetchParts(head, self.missing(head))
+
+    def missing(self, head: text_head.Head) -> frozenset[str]:
+        """Return the hashes of a head's parts that are not in force."""
+        held = self._in_force.parts.values() if self._in_force else ()
+        return frozenset(head.parts.values()) - frozenset(held)
+
+    def install(self, head: text_head.Head) -> bool:
+        """Put a head in force whose parts were all fetched and checked.
+
+        :returns: False, with no effect, if it is not newer than the one in
+            force.
+        """
+        if head.revision <= self.revision:
+            return False
+        self._in_force = head
+        self._known_revision = max(self._known_revision, head.revision)
+        if self._wanted and self._wanted.revision <= head.revision:
+            self._wanted = None
+        if self._known_revision == head.revision:
+            self._superseded_at_s = math.inf
+        self._prune()
+        return True
+
+    def _prune(self) -> None:
+        self._confirmed = {
+            revision: at_s
+            for revision, at_s in self._confirmed.items()
+            if revision in (self.revision, self._known_revision)
+        }
+
+    def _confirm(self, revision: int, at_s: float) -> None:
+        if revision < self.revision:
+            return
+        earlier_s = self._confirmed.get(revision, -math.inf)
+        self._confirmed[revision] = max(earlier_s, at_s)
+        self._prune()
+
+    def confirm_by_store(
+        self, revision: int, asked_at_s: float, now_s: float
+    ) -> None:
+        """Record that the store answered with a revision.
+
+        :param asked_at_s: when the read was sent; the row may have changed
+            at any later moment.
+        """
+        self._learn(revision, now_s)
+        self._confirm(revision, asked_at_s)
+
+    def hear_peer(self, report: PeerFreshness, now_s: float) -> None:
+        """Record what a peer said."""
+        at_s = now_s - max(report.report_age_s, 0.0)
+        heard = self._heard.get(report.instance_id)
+        if heard is not None and heard.at_s > at_s:
+            return
+        self._heard[report.instance_id] = _Heard(report.revision, at_s)
+        self._learn(report.revision, now_s)
+        if report.confirmed_age_s is not None:
+            age_s = max(report.confirmed_age_s, 0.0)
+            self._confirm(report.revision, at_s - age_s)
+
+    def set_listed(self, instance_ids: Iterable[str]) -> None:
+        """Replace the ids of the live entries in the platform's list."""
+        self._listed = frozenset(instance_ids)
+        self._heard = {
+            instance_id: heard
+            for instance_id, heard in self._heard.items()
+            if instance_id in self._listed
+        }
+
+    def _majority_at_s(self) -> float:
+        """Return the last moment at which more than half were heard.
+
+        This entry counts as one of them. A peer with a higher revision
+        shows that the one in force here is out of date from then on.
+        """
+        if not self._listed:
+            return -math.inf
+        entries = self._listed | {self._instance_id}
+        times = sorted(
+            (
+                heard.at_s
+                for instance_id, heard in self._heard.items()
+                if instance_id in entries and instance_id != self._instance_id
+            ),
+            reverse=True,
+        )
+        needed = len(entries) // 2
+        if needed == 0 or len(times) < needed:
+            return -math.inf
+        return min(times[needed - 1], self._superseded_at_s)
+
+    def confirmed_at_s(self) -> float:
+        """Return when the revision in force was last confirmed."""
+        return max(
+            self._confirmed.get(self.revision, -math.inf),
+            self._majority_at_s(),
+        )
+
+    def may_admit(self, now_s: float) -> bool:
+        """Tell whether new work may be admitted."""
+        if self._in_force is None:
+            return False
+        return now_s - self.confirmed_at_s() <= self._confirm_limit_s
+
+    def freshness(self, now_s: float) -> OwnFreshness:
+        """Return what to tell peers.
+
+        Only confirmations that go back to the store are passed on: two
+        entries must not confirm each other in a circle.
+        """
+        at_s = self._confirmed.get(self.revision)
+        age_s = None if at_s is None else max(now_s - at_s, 0.0)
+        return OwnFreshness(self.revision, age_s)
--- /dev/null
+++ b/src/godwitvalve/platform/http_adapter.py
@@ -0,0 +1,251 @@
+"""HTTP client of the platform's table, object, weight and list services."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from collections.abc import AsyncIterator, Callable
+from typing import NamedTuple, TypeVar
+from urllib import parse
+
+import aiohttp
+import orjson
+import pydantic
+
+from godwitvalve.platform import port
+
+DEFAULT_TIMEOUT_S = 1.0
+# An answer above this size is treated as damaged rather than read whole.
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+
+_Decoded = TypeVar('_Decoded')
+
+_LISTED = pydantic.TypeAdapter(list[port.ListedInstance])
+# Errors raised before the first byte of a request is written.
+_UNSENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+
+
+class _Answer(NamedTuple):
+    status: int
+    body: bytes
+
+
+async def _once(body: bytes) -> AsyncIterator[bytes]:
+    """Yield a body that the HTTP client cannot send a second time.
+
+    aiohttp repeats a PUT after a lost connection if its body can be read
+    again. The repeat of a write that took effect would be answered with a
+    conflict, which reads as "nothing was written".
+    """
+    yield body
+
+
+def _table_path(table: str, key: str) -> str:
+    return f'/tables/{_quote(table)}/{_quote(key)}'
+
+
+def _quote(text: str) -> str:
+    return parse.quote(text, safe='')
+
+
+def _row(body: bytes) -> port.Row:
+    raw = orjson.loads(body)
+    value = base64.b64decode(raw['value'], validate=True)
+    return port.Row(str(raw['key']), int(raw['version']), value)
+
+
+def _rows(body: bytes) -> list[port.Row]:
+    return [_row(orjson.dumps(raw)) for raw in orjson.loads(body)]
+
+
+def _version(body: bytes) -> int:
+    return int(orjson.loads(body)['version'])
+
+
+def _conflict(body: bytes) -> port.Conflict:
+    raw = orjson.loads(body)
+    current = raw['current']
+    if current is None:
+        return port.Conflict(None)
+    return port.Conflict(_row(orjson.dumps(current)))
+
+
+def _is_not_applied(answer: _Answer) -> bool:
+    """Tell whether a failed write was answered as not applied."""
+    try:
+        raw = orjson.loads(answer.body)
+    except orjson.JSONDecodeError:
+        return False
+    return isinstance(raw, dict) and raw.get('applied') is False
+
+
+class HttpPlatform:
+    """All four platform ports over one base URL.
+
+    Every call opens a connection of its own: a pooled connection may have
+    gone silent, and a fresh one tells "refused" from "lost after sending".
+
+    :param base_url: URL of the platform, such as ``http://127.0.0.1:7002``.
+    :param timeout_s: seconds after which a call is given up.
+    """
+
+    def __init__(
+        self, base_url: str, timeout_s: float = DEFAULT_TIMEOUT_S
+    ) -> None:
+        self._base_url = base_url.rstrip('/')
+        self._timeout_s = timeout_s
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> HttpPlatform:
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(force_close=True),
+                timeout=aiohttp.ClientTimeout(total=self._timeout_s),
+            )
+        return self._session
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> _Answer:
+        async with self._open_session().request(
+            method,
+            self._base_url + path,
+            data=None if body is None else _once(body),
+            headers=headers,
+            allow_redirects=False,
+        ) as answer:
+            content = await answer.content.read(MAX_ANSWER_BYTES + 1)
+            parts = [content]
+            while content and sum(map(len, parts)) <= MAX_ANSWER_BYTES:
+                content = await answer.content.read(MAX_ANSWER_BYTES + 1)
+                parts.append(content)
+            return _Answer(answer.status, b''.join(parts))
+
+    async def _ask(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> _Answer:
+        """Return an answer with status 200 or 404.
+
+        :raises PlatformUnavailable: for any other end of the call.
+        """
+        try:
+            answer = await self._call(method, path, body)
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
+            reason = f'{method} {path}: {type(error).__name__}'
+            raise port.PlatformUnavailable(reason) from error
+        if answer.status not in (200, 404):
+            reason = f'{method} {path}: status {answer.status}'
+            raise port.PlatformUnavailable(reason)
+        return answer
+
+    async def read(self, table: str, key: str) -> port.Row | None:
+        """Return a row or None.
+
+        :raises PlatformUnavailable: if no answer came in time.
+        """
+        answer = await self._ask('GET', _table_path(table, key))
+        if answer.status == 404:
+            return None
+        return _decoded(_row, answer)
+
+    async def scan(self, table: str, prefix: str) -> list[port.Row]:
+        """Return the rows whose key starts with a prefix, by key.
+
+        :raises PlatformUnavailable: if no answer came in time.
+        """
+        path = f'/tables/{_quote(table)}?prefix={_quote(prefix)}'
+        answer = await self._ask('GET', path)
+        if answer.status == 404:
+            return []
+        return _decoded(_rows, answer)
+
+    async def compare_and_set(
+        self, table: str, key: str, expected_version: int, value: bytes
+    ) -> port.WriteOutcome:
+        """Write a row if it still has the expected version.
+
+        :param expected_version: 0 if the row must be absent.
+        """
+        body = orjson.dumps({'value': base64.b64encode(value).decode()})
+        headers = {'If-Match': str(expected_version)}
+        path = _table_path(table, key)
+        try:
+            answer = await self._call('PUT', path, body, headers)
+        except _UNSENT_ERRORS as error:
+            return port.WriteRefused(f'not sent: {type(error).__name__}')
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
+            return port.WriteUnknown(f'no answer: {type(error).__name__}')
+        return _write_outcome(answer)
+
+    async def put(self, key: str, body: bytes) -> None:
+        """Store an object.
+
+        :raises PlatformUnavailable: if the store did not confirm it.
+        """
+        answer = await self._ask('PUT', f'/objects/{_quote(key)}', body)
+        if answer.status != 200:
+            raise port.PlatformUnavailable(f'PUT object: {answer.status}')
+
+    async def get(self, key: str) -> bytes | None:
+        """Return an object or None.
+
+        :raises PlatformUnavailable: if no answer came in time.
+        """
+        answer = await self._ask('GET', f'/objects/{_quote(key)}')
+        return answer.body if answer.status == 200 else None
+
+    async def has(self, weights: str) -> bool:
+        """Tell whether the weights are stored.
+
+        :raises PlatformUnavailable: if no answer came in time.
+        """
+        answer = await self._ask('GET', f'/weights/{_quote(weights)}')
+        return answer.status == 200
+
+    async def instances(self) -> list[port.ListedInstance]:
+        """Return the listed instances.
+
+        :raises PlatformUnavailable: if no answer came in time.
+        """
+        answer = await self._ask('GET', '/instances')
+        return _decoded(_instances, answer)
+
+
+def _instances(body: bytes) -> list[port.ListedInstance]:
+    return _LISTED.validate_json(body)
+
+
+def _decoded(decode: Callable[[bytes], _Decoded], answer: _Answer) -> _Decoded:
+    try:
+        return decode(answer.body)
+    except (ValueError, KeyError, TypeError) as error:
+        raise port.PlatformUnavailable('damaged answer') from error
+
+
+def _write_outcome(answer: _Answer) -> port.WriteOutcome:
+    try:
+        if answer.status == 200:
+            return port.Written(_version(answer.body))
+        if answer.status == 409:
+            return _conflict(answer.body)
+    except (ValueError, KeyError, TypeError):
+        return port.WriteUnknown(f'damaged answer, status {answer.status}')
+    if _is_not_applied(answer):
+        return port.WriteRefused(f'status {answer.status}, not applied')
+    return port.WriteUnknown(f'status {answer.status}')
--- /dev/null
+++ b/src/godwitvalve/text/errors.py
@@ -0,0 +1,24 @@
+"""Errors of a text."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+
+class TextError(NamedTuple):
+    """One error with the path of its key.
+
+    :param path: keys from the top, joined by dots; ``(text)`` for the whole.
+    """
+
+    path: str
+    message: str
+
+    def __str__(self) -> str:
+        return f'{self.path}: {self.message}'
+
+
+def join_path(keys: Iterable[int | str]) -> str:
+    """Return a key path in its printed form."""
+    return '.'.join(str(key) for key in keys) or '(text)'
--- /dev/null
+++ b/src/godwitvalve/text/versions.py
@@ -0,0 +1,56 @@
+"""Order, identity and deadlines of versions."""
+
+from __future__ import annotations
+
+import datetime
+import hashlib
+
+import orjson
+
+from godwitvalve.text import model
+
+DIGEST_BYTES = 16
+
+
+def parse_done_by(done_by: str) -> float:
+    """Return a time in RFC 3339 as Unix seconds.
+
+    :raises ValueError: if it is malformed or has no offset from UTC.
+    """
+    moment = datetime.datetime.fromisoformat(done_by)
+    if moment.tzinfo is None:
+        raise ValueError('no offset from UTC')
+    try:
+        return moment.timestamp()
+    except OverflowError as error:
+        raise ValueError('out of range') from error
+
+
+def done_by_wall_s(version: model.VersionText) -> float | None:
+    """Return the deadline of a checked version in Unix seconds."""
+    if version.done_by is None:
+        return None
+    return parse_done_by(version.done_by)
+
+
+def digest(version: model.VersionText) -> str:
+    """Return the digest that identifies the move to a version.
+
+    It covers what runs and when it must take over. Endpoints, ``discover``,
+    ``checks_fencing`` and ``retire`` are left out: adding a replica to a
+    serving version must not start a move anew.
+    """
+    identity = [version.weights, version.adapter, version.done_by]
+    return hashlib.blake2b(
+        orjson.dumps(identity), digest_size=DIGEST_BYTES
+    ).hexdigest()
+
+
+def ordered(service: model.ServiceText) -> list[str]:
+    """Return version names by ``done_by``, those without one first."""
+
+    def rank(name: str) -> tuple[float, str]:
+        deadline_s = done_by_wall_s(service.versions[name])
+        return (float('-inf') if deadline_s is None else deadline_s, name)
+
+    return sorted(service.versions, key=rank)
