--- a/src/godwitvalve/configuration/refresher.py
+++ b/src/godwitvalve/configuration/refresher.py
@@ -63,6 +63,7 @@
         self._current: in_force.InForceConfiguration | None = None
         self._serialized: dict[str, bytes] = {}
         self._offered = asyncio.Event()
+        self._unusable_revision = 0
 
     @property
     def current(self) -> in_force.InForceConfiguration | None:
@@ -124,12 +125,18 @@
         while True:
             await self._offered.wait()
             self._offered.clear()
-            while self.tracker.wanted and not await self.install_once():
+            while not await self.install_once() and self._may_retry():
                 with contextlib.suppress(asyncio.TimeoutError):
                     async with asyncio.timeout(RETRY_INTERVAL_S):
                         await self._offered.wait()
                 self._offered.clear()
 
+    def _may_retry(self) -> bool:
+        wanted = self.tracker.wanted
+        return (
+            wanted is not None and wanted.revision != self._unusable_revision
+        )
+
     async def install_once(self) -> bool:
         """Fetch and install the newest offered head.
 
@@ -140,9 +147,14 @@
             return True
         try:
             bodies, serialized = await self._bodies(head)
-        except (PartsUnavailable, parts.PartError) as error:
+        except PartsUnavailable as error:
             _LOG.warning('Revision %d waits: %s.', head.revision, error)
             return False
+        except parts.PartError as error:
+            # The hash was right, so fetching again would not help.
+            self._unusable_revision = head.revision
+            _LOG.error('Revision %d is unusable: %s.', head.revision, error)
+            return False
         built = in_force.build(head, bodies, self._current)
         if self.tracker.install(head):
             self._current = built
