--- a/src/godwitvalve/operator_cli/apply.py
+++ b/src/godwitvalve/operator_cli/apply.py
@@ -78,9 +78,8 @@
             case publish.Unknown(revision, reason):
                 message = (
                     f'Unknown: the text may have become revision {revision}: '
-                    f'{reason}. Run `godwitvalve diff {{TEXT}}` when the '
-                    'store answers again: no changes mean that it was '
-                    'accepted.'
+                    f'{reason}. Run `godwitvalve diff` with it when the store '
+                    'answers again: no changes mean that it was accepted.'
                 )
                 options.fail(options.ExitCode.UNKNOWN, message)
 
