--- /dev/null
+++ b/src/godwitvalve/engine/http_adapter.py
@@ -0,0 +1,173 @@
+"""HTTP adapter of the engine port."""
+
+from __future__ import annotations
+
+from collections import abc
+
+import aiohttp
+import orjson
+
+from godwitvalve.engine import port
+from godwitvalve.engine import sse
+from godwitvalve.engine import wire
+from godwitvalve.routing import endpoint as endpoint_model
+
+MAX_EVENT_BYTES = 256 * 1024
+MAX_ANSWER_BYTES = 64 * 1024
+# A connection inside one region opens within a few ms; a dead machine
+# answers nothing, and resume within 3 s leaves no room for a longer wait.
+CONNECT_TIMEOUT_S = 0.5
+ANSWER_TIMEOUT_S = 1.0
+_REFUSALS = frozenset(
+    ('leaving', 'superseded', 'version_mismatch', 'stream_gone')
+)
+_STREAM_TIMEOUT = aiohttp.ClientTimeout(
+    total=None, sock_connect=CONNECT_TIMEOUT_S
+)
+_ANSWER_TIMEOUT = aiohttp.ClientTimeout(
+    total=ANSWER_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+)
+
+
+def new_session() -> aiohttp.ClientSession:
+    """Return a session that opens a new connection for each request.
+
+    A kept connection can have gone silent unnoticed. Opening one costs
+    little beside a generation and tells "not sent" from "sent".
+    """
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+    )
+
+
+async def _refusal_reason(response: aiohttp.ClientResponse) -> str:
+    body = await response.content.read(MAX_ANSWER_BYTES)
+    try:
+        reason = orjson.loads(body)['error']
+    except (orjson.JSONDecodeError, KeyError, TypeError, IndexError):
+        return 'refused'
+    if response.status >= 500 and reason != 'leaving':
+        return 'failed'
+    return reason if reason in _REFUSALS else 'refused'
+
+
+def _decode(blocks: list[bytes]) -> list[port.EngineEvent]:
+    events: list[port.EngineEvent] = []
+    for block in blocks:
+        if block.startswith(b'data: ') and b'\n' not in block:
+            events.append(wire.decode_event(block[6:]))
+            continue
+        data = sse.parse_block(block).data
+        if data:
+            events.append(wire.decode_event(data))
+    return events if len(events) < 2 else wire.merge(events)
+
+
+class HttpEngine:
+    """Model engines over HTTP.
+
+    :param session: session made by :func:`new_session`.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    def generate(
+        self, endpoint: endpoint_model.Endpoint, order: port.GenerationOrder
+    ) -> abc.AsyncGenerator[port.EngineEvent, None]:
+        """Start a stream.
+
+        :raises EngineLost: if it ends without its end mark.
+        """
+        url = f'http://{endpoint.address}/generate'
+        return self._stream(url, wire.order_body(order))
+
+    def resume(
+        self,
+        endpoint: endpoint_model.Endpoint,
+        stream_id: str,
+        order: port.GenerationOrder,
+    ) -> abc.AsyncGenerator[port.EngineEvent, None]:
+        """Continue a stream after the order's prefix.
+
+        Only the length of the prefix is sent.
+
+        :raises EngineLost: if the engine no longer has the stream.
+        """
+        url = f'http://{endpoint.address}/streams/{stream_id}/resume'
+        return self._stream(url, wire.resume_body(order))
+
+    async def _stream(
+        self, url: str, body: bytes
+    ) -> abc.AsyncGenerator[port.EngineEvent, None]:
+        try:
+            async with self._session.post(
+                url, data=body, timeout=_STREAM_TIMEOUT
+            ) as response:
+                if response.status != 200:
+                    reason = await _refusal_reason(response)
+                    raise port.EngineLost(reason, sent=True)
+                splitter = sse.EventSplitter(MAX_EVENT_BYTES)
+                async for chunk in response.content.iter_any():
+                    for event in _decode(splitter.feed(chunk)):
+                        yield event
+                        if type(event) is port.StreamEnded:
+                            return
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            raise port.EngineLost('connect', sent=False) from error
+        except (sse.EventTooLarge, wire.MalformedEvent) as error:
+            raise port.EngineLost('protocol', sent=True) from error
+        except wire.ReportedFailure as error:
+            raise port.EngineLost('failed', sent=True) from error
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise port.EngineLost('connection', sent=True) from error
+        raise port.EngineLost('ended_early', sent=True)
+
+    async def cancel(
+        self, endpoint: endpoint_model.Endpoint, stream_id: str
+    ) -> None:
+        """Cancel a stream; errors are ignored."""
+        url = f'http://{endpoint.address}/streams/{stream_id}'
+        try:
+            async with self._session.delete(url, timeout=_ANSWER_TIMEOUT):
+                return
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return
+
+    async def load(self, endpoint: endpoint_model.Endpoint) -> port.LoadReport:
+        """Read the load report.
+
+        :raises EngineLost: if no report came in time.
+        """
+        url = f'http://{endpoint.address}/load'
+        try:
+            async with self._session.get(
+                url, timeout=_ANSWER_TIMEOUT
+            ) as response:
+                body = await response.content.read(MAX_ANSWER_BYTES)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise port.EngineLost('load', sent=True) from error
+        try:
+            return wire.decode_load(body)
+        except wire.MalformedEvent as error:
+            raise port.EngineLost('protocol', sent=True) from error
+
+    async def order(
+        self, endpoint: endpoint_model.Endpoint, order: port.EndpointOrder
+    ) -> port.OrderOutcome:
+        """Declare the wanted state of an endpoint."""
+        url = f'http://{endpoint.address}/orders'
+        body = orjson.dumps(order._asdict())
+        try:
+            async with self._session.post(
+                url, data=body, timeout=_ANSWER_TIMEOUT
+            ) as response:
+                answer = await response.content.read(MAX_ANSWER_BYTES)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return port.OrderUnknown(type(error).__name__)
+        return wire.decode_order_answer(response.status, answer)
--- /dev/null
+++ b/src/godwitvalve/engine/wire.py
@@ -0,0 +1,182 @@
+"""JSON events of the engine's HTTP interface."""
+
+from __future__ import annotations
+
+from collections import abc
+from typing import Any, cast
+
+import orjson
+
+from godwitvalve.engine import port
+
+MAX_TOKEN_ID = 2**32 - 1
+# An index fits four bytes in a resume id.
+MAX_INDEX = 2**32 - 1
+MAX_TEXT_CHARACTERS = 256
+
+
+class MalformedEvent(Exception):
+    """An event of an engine does not have the agreed form."""
+
+
+class ReportedFailure(Exception):
+    """The engine reported that it failed."""
+
+
+def _object(data: bytes) -> dict[str, Any]:
+    try:
+        body = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise MalformedEvent('json') from error
+    if type(body) is not dict:
+        raise MalformedEvent('json')
+    return body
+
+
+def _integer(body: dict[str, Any], name: str, limit: int = MAX_INDEX) -> int:
+    value = body.get(name)
+    if type(value) is not int or not 0 <= value <= limit:
+        raise MalformedEvent(name)
+    return value
+
+
+def _text(body: dict[str, Any], name: str) -> str:
+    value = body.get(name)
+    if type(value) is not str or len(value) > MAX_TEXT_CHARACTERS:
+        raise MalformedEvent(name)
+    return value
+
+
+def _tokens(body: dict[str, Any]) -> port.Tokens:
+    token_ids = body.get('token_ids')
+    pieces = body.get('pieces')
+    if type(token_ids) is not list or type(pieces) is not list:
+        raise MalformedEvent('token_ids')
+    if not token_ids or len(token_ids) != len(pieces):
+        raise MalformedEvent('token_ids')
+    for token in token_ids:
+        if type(token) is not int or not 0 <= token <= MAX_TOKEN_ID:
+            raise MalformedEvent('token_ids')
+    for piece in pieces:
+        if type(piece) is not str:
+            raise MalformedEvent('pieces')
+    return port.Tokens(
+        _text(body, 'request_id'),
+        _integer(body, 'attempt'),
+        _integer(body, 'first_index'),
+        tuple(token_ids),
+        tuple(pieces),
+    )
+
+
+def _started(body: dict[str, Any]) -> port.StreamStarted:
+    return port.StreamStarted(
+        _text(body, 'request_id'),
+        _integer(body, 'attempt'),
+        _text(body, 'stream_id'),
+        _text(body, 'version'),
+        _text(body, 'adapter'),
+        _integer(body, 'seed', 2**63 - 1),
+        _integer(body, 'first_index'),
+        _integer(body, 'computed_tokens'),
+    )
+
+
+def decode_event(data: bytes) -> port.EngineEvent:
+    """Return the event in a data field.
+
+    :raises MalformedEvent: if it does not have the agreed form.
+    :raises ReportedFailure: if the engine reports a failure.
+    """
+    body = _object(data)
+    match body.get('type'):
+        case 'tokens':
+            return _tokens(body)
+        case 'heartbeat':
+            return port.Heartbeat()
+        case 'started':
+            return _started(body)
+        case 'ended':
+            return port.StreamEnded(
+                _text(body, 'request_id'),
+                _integer(body, 'attempt'),
+                _text(body, 'reason'),
+                _integer(body, 'token_count'),
+            )
+        case 'failed':
+            raise ReportedFailure()
+    raise MalformedEvent('type')
+
+
+def merge(events: abc.Iterable[port.EngineEvent]) -> list[port.EngineEvent]:
+    """Join consecutive token events of one attempt."""
+    merged: list[port.EngineEvent] = []
+    for event in events:
+        last = merged[-1] if merged else None
+        if (
+            type(event) is port.Tokens
+            and type(last) is port.Tokens
+            and last.attempt == event.attempt
+            and last.request_id == event.request_id
+            and last.first_index + len(last.token_ids) == event.first_index
+        ):
+            merged[-1] = port.Tokens(
+                last.request_id,
+                last.attempt,
+                last.first_index,
+                last.token_ids + event.token_ids,
+                last.pieces + event.pieces,
+            )
+        else:
+            merged.append(event)
+    return merged
+
+
+def order_body(order: port.GenerationOrder) -> bytes:
+    """Return the JSON body that starts a stream."""
+    return orjson.dumps(order._asdict())
+
+
+def resume_body(order: port.GenerationOrder) -> bytes:
+    """Return the JSON body that continues a stream."""
+    return orjson.dumps(
+        {
+            'request_id': order.request_id,
+            'attempt': order.attempt,
+            'first_index': len(order.prefix_token_ids),
+        }
+    )
+
+
+def decode_load(data: bytes) -> port.LoadReport:
+    """Return a load report.
+
+    :raises MalformedEvent: if it does not have the agreed form.
+    """
+    body = _object(data)
+    measured_wall_s = body.get('measured_wall_s')
+    if type(measured_wall_s) not in (int, float):
+        raise MalformedEvent('measured_wall_s')
+    state = body.get('state')
+    if state != 'live' and state != 'leaving':
+        raise MalformedEvent('state')
+    return port.LoadReport(
+        _integer(body, 'queue_length'),
+        _integer(body, 'running'),
+        'live' if state == 'live' else 'leaving',
+        _text(body, 'version'),
+        float(cast(float, measured_wall_s)),
+    )
+
+
+def decode_order_answer(status: int, data: bytes) -> port.OrderOutcome:
+    """Return the outcome of an endpoint order."""
+    if status == 200:
+        return port.OrderAccepted()
+    if status == 409:
+        try:
+            newest = _integer(_object(data), 'newest_fencing_number', 2**63)
+        except MalformedEvent:
+            return port.OrderUnknown('protocol')
+        return port.OrderRefused(newest)
+    return port.OrderUnknown(f'status {status}')
--- /dev/null
+++ b/src/godwitvalve/generations/answer.py
@@ -0,0 +1,144 @@
+"""Progress of one answer through its attempts."""
+
+from __future__ import annotations
+
+from godwitvalve import clock as clocks
+from godwitvalve.engine import port
+from godwitvalve.generations import attempts
+from godwitvalve.generations import gaps
+from godwitvalve.generations import limits as relay_limits
+from godwitvalve.generations import plan
+from godwitvalve.generations import results
+from godwitvalve.generations import resume
+from godwitvalve.generations import sequence
+
+# The caller gets a heartbeat comment for each second of silence. A little
+# less, because time is looked at only when an event or a loss comes.
+WAITING_INTERVAL_S = 0.9
+_WAITING = results.Waiting()
+
+
+class Answer:
+    """Turns engine events into results for the caller.
+
+    :ivar loss: why the present attempt is lost, or None.
+    """
+
+    def __init__(
+        self,
+        generation: plan.Generation,
+        planner: attempts.AttemptPlanner,
+        tokens: sequence.GenerationSequence,
+        sealing_key: bytes,
+        clock: clocks.Clock,
+        limits: relay_limits.RelayLimits,
+    ) -> None:
+        self.loss: attempts.Loss | None = None
+        self._generation = generation
+        self._request_digest = generation.request.digest()
+        self._planner = planner
+        self._tokens = tokens
+        self._sealing_key = sealing_key
+        self._clock = clock
+        self._limits = limits
+        self._sealer: resume.Sealer | None = None
+        self._renew_s = 0.0
+        self._has_event = False
+        self._last_output_s = self._last_event_s = clock.monotonic_s()
+        self._deadline_s = (
+            self._last_event_s + generation.deadline_wall_s - clock.wall_s()
+        )
+
+    def begin(self, attempt: attempts.Attempt, book: gaps.GapBook) -> None:
+        """Begin to take the events of an attempt."""
+        self.loss = None
+        self._attempt = attempt
+        self._sealer = None
+        self._gaps = book.tracker(
+            self._generation.service, attempt.visit.identity.version
+        )
+        self._has_event = False
+
+    def limit_s(self) -> float:
+        """Return how long to wait for the next event."""
+        left_s = self._deadline_s - self._last_event_s
+        if self._has_event:
+            return min(left_s, self._gaps.limit_s())
+        if self._attempt.resumes_stream:
+            return min(left_s, self._limits.stream_resume_s)
+        return min(left_s, self._limits.first_event_s)
+
+    def heartbeat_due(self) -> bool:
+        """Tell whether the caller has heard nothing for a while."""
+        now_s = self._clock.monotonic_s()
+        if now_s - self._last_output_s < WAITING_INTERVAL_S:
+            return False
+        self._last_output_s = now_s
+        return True
+
+    def accept(self, event: port.EngineEvent) -> results.RelayResult | None:
+        """Return what the caller gets for an event, if anything."""
+        now_s = self._clock.monotonic_s()
+        if self._has_event:
+            self._gaps.observe(now_s - self._last_event_s)
+        self._has_event = True
+        self._last_event_s = now_s
+        verdict = self._tokens.accept(event)
+        match verdict:
+            case sequence.Deliver():
+                return self._deliver(verdict, now_s)
+            case sequence.Ignored():
+                if type(event) is port.StreamStarted:
+                    self._started(event)
+            case sequence.Finished(reason, token_count, digest):
+                return results.Finished(token_count, digest, reason)
+            case sequence.Lost(reason):
+                self.loss = attempts.Loss(reason, True)
+            case sequence.Inconsistent():
+                self.loss = attempts.Loss('inconsistent', True)
+        return _WAITING if self.heartbeat_due() else None
+
+    def _deliver(
+        self, verdict: sequence.Deliver, now_s: float
+    ) -> results.Delivered:
+        self._last_output_s = now_s
+        first_index, token_ids, pieces = verdict
+        self._attempt.visit.delivered(len(token_ids), now_s)
+        tokens = self._tokens
+        sealer = self._sealer
+        if sealer is None or now_s >= self._renew_s:
+            self._planner.progressed()
+            sealer = self._new_sealer(now_s)
+        resume_id = sealer.seal(tokens.position, tokens.digest)
+        text = pieces[0] if len(pieces) == 1 else ''.join(pieces)
+        return results.Delivered(first_index, token_ids, text, resume_id)
+
+    def _started(self, event: port.StreamStarted) -> None:
+        self._attempt.visit.started(event)
+        self._planner.started()
+        self._sealer = None
+
+    def _new_sealer(self, now_s: float) -> resume.Sealer:
+        # Renewed at half of its life, so that the ids of a long answer are
+        # valid for at least that long.
+        validity_s = self._limits.resume_validity_s
+        self._renew_s = now_s + validity_s / 2
+        visit = self._attempt.visit
+        generation = self._generation
+        state = resume.ResumeState(
+            generation.request_id,
+            generation.client_account,
+            self._request_digest,
+            generation.service,
+            visit.identity.version,
+            visit.identity.adapter,
+            visit.identity.seed,
+            self._tokens.position,
+            self._tokens.digest,
+            self._tokens.resume_epoch,
+            visit.endpoint.endpoint_id,
+            visit.stream_id,
+            self._clock.wall_s() + validity_s,
+        )
+        self._sealer = resume.Sealer(state, self._sealing_key)
+        return self._sealer
--- /dev/null
+++ b/src/godwitvalve/generations/limits.py
@@ -0,0 +1,21 @@
+"""Bounds of the relay."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from godwitvalve.generations import gaps
+
+
+class RelayLimits(NamedTuple):
+    """Bounds of the relay; times in seconds.
+
+    The sum of a silence deadline, a stream resume and a start elsewhere
+    stays below 3 s.
+    """
+
+    gap: gaps.GapLimits = gaps.GapLimits()
+    first_event_s: float = 1.0
+    stream_resume_s: float = 0.5
+    max_attempts: int = 8
+    resume_validity_s: float = 3600.0
--- /dev/null
+++ b/src/godwitvalve/generations/plan.py
@@ -0,0 +1,155 @@
+"""What the relay is asked to deliver, and through which endpoints."""
+
+from __future__ import annotations
+
+from collections import abc
+import secrets
+from typing import NamedTuple, Protocol
+
+from godwitvalve.generations import digest as rolling
+from godwitvalve.generations import requests
+from godwitvalve.generations import resume
+from godwitvalve.outcomes import codes
+from godwitvalve.outcomes import outcome
+from godwitvalve.routing import endpoint as endpoint_model
+
+# Used when the caller names no deadline.
+DEFAULT_DEADLINE_S = 1800.0
+
+
+class AttemptResult(NamedTuple):
+    """How the work at one endpoint ended.
+
+    :param outcome: ``finished``, ``lost`` or ``abandoned`` (the caller
+        left or the endpoint was not used).
+    :param reason: short cause of a loss.
+    :param sent: whether an order may have reached the endpoint.
+    :param first_token_s: seconds to the first token, or None.
+    :param duration_s: seconds from the choice of the endpoint.
+    :param delivered_tokens: tokens that went to the caller.
+    :param prefill_tokens: prompt and prefix tokens that were computed.
+    """
+
+    outcome: str
+    reason: str
+    sent: bool
+    first_token_s: float | None
+    duration_s: float
+    delivered_tokens: int
+    prefill_tokens: int
+
+
+class EndpointPicker(Protocol):
+    """Endpoints for one generation.
+
+    Each endpoint that :meth:`pick` or :meth:`claim` returns is given back
+    by one call of :meth:`finished`.
+    """
+
+    def pick(
+        self, tried: frozenset[str], prefix_hint: str, version: str
+    ) -> endpoint_model.Endpoint | codes.ResultCode:
+        """Choose an endpoint.
+
+        :param tried: ids of endpoints to leave out.
+        :param prefix_hint: equal for prompts that start alike.
+        :param version: the version to use, or empty for a free choice.
+        """
+
+    def claim(self, endpoint_id: str) -> endpoint_model.Endpoint | None:
+        """Take the endpoint of a resumed stream, if it still exists."""
+
+    def adapter(self, version: str) -> str:
+        """Return the adapter that the text gives to a version."""
+
+    def finished(
+        self, endpoint: endpoint_model.Endpoint, result: AttemptResult
+    ) -> None:
+        """Give an endpoint back."""
+
+
+class Generation(NamedTuple):
+    """One answer to deliver."""
+
+    request_id: str
+    client_account: str
+    service: str
+    request: requests.CompletionRequest
+    seed: int
+    deadline_wall_s: float
+    resumed: resume.ResumeState | None
+
+    @property
+    def resume_epoch(self) -> int:
+        """Return the epoch of the attempts made by this entry."""
+        return self.resumed.resume_epoch + 1 if self.resumed else 0
+
+
+def _deadline_wall_s(
+    request: requests.CompletionRequest, now_wall_s: float
+) -> float:
+    latest_wall_s = now_wall_s + DEFAULT_DEADLINE_S
+    return min(request.deadline_wall_s or latest_wall_s, latest_wall_s)
+
+
+def plan_generation(
+    request: requests.CompletionRequest,
+    last_event_id: str | None,
+    client_account: str,
+    keys: abc.Iterable[bytes],
+    now_wall_s: float,
+) -> Generation | outcome.NotRun:
+    """Return what to relay for a request.
+
+    :param last_event_id: value of the header ``Last-Event-ID``, if given.
+    :param keys: sealing keys, the newest first.
+    :param now_wall_s: Unix seconds.
+    """
+    deadline_wall_s = _deadline_wall_s(request, now_wall_s)
+    if last_event_id is None:
+        if request.resume_token_ids is not None:
+            return outcome.NotRun(
+                codes.ResultCode.BAD_REQUEST,
+                'resume_token_ids: needs the header Last-Event-ID',
+            )
+        seed = request.seed
+        return Generation(
+            secrets.token_hex(12),
+            client_account,
+            request.model,
+            request,
+            secrets.randbelow(2**31) if seed is None else seed,
+            deadline_wall_s,
+            None,
+        )
+    state = resume.open_sealed(last_event_id, keys)
+    if isinstance(state, codes.ResultCode):
+        return outcome.NotRun(state)
+    code = resume.check_owner(
+        state, client_account, request.digest(), request.model, now_wall_s
+    )
+    code = code or _check_prefix(request, state)
+    if code is not None:
+        return outcome.NotRun(code)
+    return Generation(
+        state.request_id,
+        client_account,
+        state.service,
+        request,
+        state.seed,
+        deadline_wall_s,
+        state,
+    )
+
+
+def _check_prefix(
+    request: requests.CompletionRequest, state: resume.ResumeState
+) -> codes.ResultCode | None:
+    token_ids = request.resume_token_ids
+    if token_ids is None:
+        return None
+    if len(token_ids) != state.position:
+        return codes.ResultCode.RESUME_PREFIX_MISMATCH
+    if rolling.digest_of(token_ids) != state.prefix_digest:
+        return codes.ResultCode.RESUME_PREFIX_MISMATCH
+    return None
--- /dev/null
+++ b/src/godwitvalve/generations/results.py
@@ -0,0 +1,44 @@
+"""Results that the relay hands to the HTTP handler."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TypeAlias
+
+from godwitvalve.outcomes import codes
+
+
+class Delivered(NamedTuple):
+    """Tokens for the caller.
+
+    :param resume_id: resume id for the position after these tokens.
+    """
+
+    first_index: int
+    token_ids: tuple[int, ...]
+    text: str
+    resume_id: str
+
+
+class Finished(NamedTuple):
+    """The answer is whole.
+
+    :param digest: rolling digest over all tokens.
+    """
+
+    token_count: int
+    digest: bytes
+    finish_reason: str
+
+
+class Failed(NamedTuple):
+    """The answer ends here and is not whole."""
+
+    code: codes.ResultCode
+    detail: str
+
+
+class Waiting(NamedTuple):
+    """No token for a while; time for a heartbeat comment."""
+
+
+RelayResult: TypeAlias = Delivered | Finished | Failed | Waiting
--- /dev/null
+++ b/src/godwitvalve/generations/sequence.py
@@ -0,0 +1,251 @@
+"""Token sequence of one answer over several attempts."""
+
+from __future__ import annotations
+
+import array
+from collections import abc
+from typing import NamedTuple, TypeAlias
+
+from godwitvalve.engine import port
+from godwitvalve.generations import digest as rolling
+from godwitvalve.outcomes import codes
+
+ATTEMPTS_PER_EPOCH = 1000
+
+
+class Identity(NamedTuple):
+    """What decides the tokens of an answer besides the prompt."""
+
+    version: str
+    adapter: str
+    seed: int
+
+
+class Deliver(NamedTuple):
+    """New tokens for the caller."""
+
+    first_index: int
+    token_ids: tuple[int, ...]
+    pieces: tuple[str, ...]
+
+
+class Ignored(NamedTuple):
+    """The event changes nothing for the caller."""
+
+
+class Finished(NamedTuple):
+    """All tokens were delivered."""
+
+    reason: str
+    token_count: int
+    digest: bytes
+
+
+class Lost(NamedTuple):
+    """The attempt is of no further use."""
+
+    reason: str
+
+
+class Inconsistent(NamedTuple):
+    """The attempt generates another answer than the one begun."""
+
+    code: codes.ResultCode
+
+
+Verdict: TypeAlias = Deliver | Ignored | Finished | Lost | Inconsistent
+
+_IGNORED = Ignored()
+_DIVERGED = Inconsistent(codes.ResultCode.CONTINUATION_DIVERGED)
+
+
+class GenerationSequence:
+    """Decides what of each event may be delivered.
+
+    Tokens are kept in an array of 4 bytes each. After a resume without the
+    caller's tokens only their digest is known; the known tokens then start
+    at the resume position until an attempt recomputes those before it.
+
+    :param position: tokens that the caller has already.
+    :param prefix_digest: rolling digest at that position.
+    :param token_ids: those tokens, already checked, or empty if unknown.
+    """
+
+    def __init__(
+        self,
+        request_id: str,
+        max_tokens: int,
+        resume_epoch: int = 0,
+        position: int = 0,
+        prefix_digest: bytes = rolling.EMPTY,
+        token_ids: abc.Sequence[int] = (),
+    ) -> None:
+        self._request_id = request_id
+        self._max_tokens = max_tokens
+        self.resume_epoch = resume_epoch
+        self.position = position
+        self.digest = prefix_digest
+        self._known = array.array('I', token_ids)
+        self._base = position - len(token_ids)
+        self._base_digest = rolling.EMPTY if token_ids else prefix_digest
+        self._recomputed: array.array[int] | None = None
+        self._attempts = 0
+        self._attempt = -1
+        self._identity: Identity | None = None
+        self._is_started = False
+        self._is_open = False
+        self._next = position
+
+    @property
+    def attempts(self) -> int:
+        """Return the number of attempts of this epoch."""
+        return self._attempts
+
+    @property
+    def has_prefix(self) -> bool:
+        """Tell whether all tokens before the position are known."""
+        return self._base == 0
+
+    def prefix(self) -> tuple[int, ...]:
+        """Return the tokens before the position; all must be known."""
+        if self._base:
+            raise ValueError('the tokens before the position are unknown')
+        return tuple(self._known)
+
+    def raise_epoch(self) -> None:
+        """Let later attempts supersede those of a concurrent resume."""
+        self.resume_epoch += 1
+        self._attempts = 0
+
+    def begin_attempt(
+        self, identity: Identity, from_start: bool = False
+    ) -> int:
+        """Begin an attempt; events of older ones are ignored from now on.
+
+        :param identity: what the engine is asked to generate with.
+        :param from_start: whether it generates from the first token again.
+        :returns: the attempt's number.
+        :raises ValueError: if the answer was begun with another identity,
+            or if no number is left.
+        """
+        if self.position and self._identity not in (None, identity):
+            raise ValueError('the answer was begun with another identity')
+        if self._attempts >= ATTEMPTS_PER_EPOCH - 1:
+            raise ValueError('no attempt number left')
+        self._attempts += 1
+        self._attempt = self.resume_epoch * ATTEMPTS_PER_EPOCH + self._attempts
+        self._identity = identity
+        self._is_started = False
+        self._is_open = True
+        self._next = 0 if from_start else self.position
+        self._recomputed = array.array('I') if from_start else None
+        return self._attempt
+
+    def accept(self, event: port.EngineEvent) -> Verdict:
+        """Return what an event means for the caller."""
+        if type(event) is port.Heartbeat or not self._is_current(event):
+            return _IGNORED
+        verdict: Verdict
+        match event:
+            case port.Tokens():
+                verdict = self._accept_tokens(event)
+            case port.StreamStarted():
+                verdict = self._accept_start(event)
+            case port.StreamEnded():
+                verdict = self._accept_end(event)
+            case _:
+                return _IGNORED
+        if not isinstance(verdict, (Deliver, Ignored)):
+            self._is_open = False
+        return verdict
+
+    def _is_current(self, event: port.EngineEvent) -> bool:
+        return (
+            not isinstance(event, port.Heartbeat)
+            and self._is_open
+            and event.attempt == self._attempt
+            and event.request_id == self._request_id
+        )
+
+    def _accept_start(self, event: port.StreamStarted) -> Verdict:
+        if self._is_started:
+            return Lost('protocol')
+        identity = Identity(event.version, event.adapter, event.seed)
+        if identity != self._identity:
+            return Lost('identity')
+        if event.first_index != self._next:
+            return Lost('first_index')
+        self._is_started = True
+        return _IGNORED
+
+    def _accept_end(self, event: port.StreamEnded) -> Verdict:
+        if not self._is_started:
+            return Lost('protocol')
+        if event.token_count != self.position or self._next != self.position:
+            return Lost('count')
+        return Finished(event.reason, self.position, self.digest)
+
+    def _accept_tokens(self, event: port.Tokens) -> Verdict:
+        first = event.first_index
+        token_ids = event.token_ids
+        end = first + len(token_ids)
+        if not self._is_started:
+            return Lost('protocol')
+        if first > self._next:
+            return Lost('gap')
+        if end > self._max_tokens:
+            return Lost('too_many_tokens')
+        if first == self.position:
+            return self._deliver(first, token_ids, event.pieces)
+        failure = self._check_overlap(first, token_ids)
+        if failure is not None:
+            return failure
+        self._next = max(self._next, end)
+        skip = self.position - first
+        if end <= self.position:
+            return _IGNORED
+        return self._deliver(
+            self.position, token_ids[skip:], event.pieces[skip:]
+        )
+
+    def _deliver(
+        self, first: int, token_ids: tuple[int, ...], pieces: tuple[str, ...]
+    ) -> Deliver:
+        self._known.extend(token_ids)
+        self.digest = rolling.extend(self.digest, token_ids)
+        self.position = self._next = first + len(token_ids)
+        return Deliver(first, token_ids, pieces)
+
+    def _check_overlap(
+        self, first: int, token_ids: tuple[int, ...]
+    ) -> Verdict | None:
+        unknown = token_ids[: max(0, self._base - first)]
+        if unknown:
+            failure = self._recompute(first, unknown)
+            if failure is not None:
+                return failure
+            first += len(unknown)
+            token_ids = token_ids[len(unknown) :]
+        start = first - self._base
+        received = self._known[start : start + len(token_ids)]
+        if tuple(received) != token_ids[: len(received)]:
+            return _DIVERGED
+        return None
+
+    def _recompute(
+        self, first: int, token_ids: tuple[int, ...]
+    ) -> Verdict | None:
+        if self._recomputed is None:
+            return Lost('overlap_unknown')
+        head = self._recomputed
+        received = head[first : first + len(token_ids)]
+        if tuple(received) != token_ids[: len(received)]:
+            return _DIVERGED
+        head.extend(token_ids[len(received) :])
+        if len(head) == self._base:
+            if rolling.digest_of(head) != self._base_digest:
+                return _DIVERGED
+            self._known = head + self._known
+            self._base = 0
+            self._recomputed = None
+        return None
--- /dev/null
+++ b/src/godwitvalve/generations/watch.py
@@ -0,0 +1,92 @@
+"""Bounded waits for the next event of a stream."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+
+from godwitvalve.engine import port
+
+
+class Silent(Exception):
+    """No event came before the deadline."""
+
+
+class SilenceWatch:
+    """One timer for all waits of one generation.
+
+    The timer is moved only when it fires, so that a wait costs no timer of
+    its own. A timer that fires late shows that this process was paused; the
+    engine then gets a short grace, because its events may be waiting in the
+    socket.
+    """
+
+    LATE_S = 0.1
+    GRACE_S = 0.2
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._due_s = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+        self._waiter: asyncio.Task[object] | None = None
+        self._is_expired = False
+        self._had_grace = False
+
+    async def next(
+        self,
+        events: abc.AsyncGenerator[port.EngineEvent, None],
+        limit_s: float,
+    ) -> port.EngineEvent:
+        """Return the next event.
+
+        :param limit_s: seconds to wait.
+        :raises Silent: if none came; the stream is closed then.
+        """
+        self._due_s = self._loop.time() + limit_s
+        if self._timer is None or self._timer.when() > self._due_s:
+            self._arm(self._due_s)
+        waiter = asyncio.current_task()
+        assert waiter is not None
+        cancelling = waiter.cancelling()
+        self._waiter = waiter
+        self._is_expired = self._had_grace = False
+        try:
+            return await events.__anext__()
+        except asyncio.CancelledError:
+            # Another cancellation of the task takes precedence.
+            if self._is_expired and waiter.cancelling() == cancelling + 1:
+                raise Silent() from None
+            raise
+        except StopAsyncIteration:
+            raise port.EngineLost('ended_early', sent=True) from None
+        finally:
+            self._waiter = None
+            if self._is_expired:
+                waiter.uncancel()
+
+    def close(self) -> None:
+        """Stop the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _arm(self, when_s: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_at(when_s, self._check)
+
+    def _check(self) -> None:
+        assert self._timer is not None
+        late_s = self._loop.time() - self._timer.when()
+        self._timer = None
+        if self._waiter is None:
+            return
+        if self._loop.time() < self._due_s:
+            self._arm(self._due_s)
+        elif late_s > self.LATE_S and not self._had_grace:
+            self._had_grace = True
+            self._due_s = self._loop.time() + self.GRACE_S
+            self._arm(self._due_s)
+        else:
+            self._is_expired = True
+            self._waiter.cancel()
--- /dev/null
+++ b/standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in model engine for tests and measurements."""
