--- /dev/null
+++ b/src/godwitvalve/caller/errors.py
@@ -0,0 +1,65 @@
+"""Errors of the reference caller."""
+
+from __future__ import annotations
+
+from typing import Any
+
+
+class CallerError(Exception):
+    """A call did not bring the whole answer."""
+
+
+class NoAddress(CallerError):
+    """No known entry instance could be reached."""
+
+
+class Refused(CallerError):
+    """The system answered with problem details.
+
+    :param problem: the decoded problem details.
+    """
+
+    def __init__(self, problem: dict[str, Any]) -> None:
+        super().__init__(f'{problem.get("title")}: {problem.get("detail")}')
+        self.problem = problem
+
+    @property
+    def code(self) -> int:
+        """Return the result code, 0 if there was none."""
+        code = self.problem.get('code')
+        return code if isinstance(code, int) else 0
+
+    @property
+    def not_run(self) -> bool:
+        """Tell whether the request truly did not run."""
+        return self.problem.get('not_run') is True
+
+
+class OutcomeUnknown(CallerError):
+    """The request was sent, and whether it ran is not known.
+
+    :param key: idempotency key; only this key may be used again.
+    """
+
+    def __init__(self, detail: str, key: str | None) -> None:
+        super().__init__(detail)
+        self.key = key
+
+
+class PartialAnswer(CallerError):
+    """The answer ended before it was whole.
+
+    :param resume_id: last resume id, with which to ask for the rest.
+    :param token_ids: tokens that arrived.
+    """
+
+    def __init__(
+        self, detail: str, resume_id: str, token_ids: list[int]
+    ) -> None:
+        super().__init__(detail)
+        self.resume_id = resume_id
+        self.token_ids = token_ids
+
+
+class CorruptAnswer(CallerError):
+    """Tokens are missing, repeated or differ from the digest."""
