--- /dev/null
+++ b/src/godwitvalve/moves/betting.py
@@ -0,0 +1,125 @@
+"""E-values against "events do not depend on the version".
+
+Within one failure domain and a short time, which requests went to the new
+version is decided by a hash. If the version does not matter, the events
+(failures, slow answers) among ``n0 + n1`` requests fall on the ``n1``
+requests of the new version like a draw without replacement. For ``K``
+events the number ``k1`` of them on the new version is then hypergeometric,
+whatever the failure rate is and however it changes between blocks. The
+likelihood ratio of Fisher's noncentral distribution with odds ratio ``r``
+to it,
+
+    e = r ** k1 / sum(P(j) * r ** j),
+
+has the expectation 1 under that hypothesis, given the margins. The product
+over successive blocks is a nonnegative martingale with start 1, and by
+Ville's inequality it ever reaches ``1/a`` with probability at most ``a``.
+"""
+
+from __future__ import annotations
+
+import functools
+import math
+
+# Wealth above this bound decides anything; the cap only avoids overflow.
+_MAX_WEALTH = 1e200
+
+
+@functools.lru_cache(maxsize=65536)
+def log_normaliser(
+    new: int, old: int, events: int, odds_ratio: float
+) -> float:
+    """Return the log of ``sum(P(j) * r ** j)``, j hypergeometric."""
+    total = new + old
+    low = max(0, events - old)
+    log_term = (
+        _log_choose(new, low)
+        + _log_choose(old, events - low)
+        - _log_choose(total, events)
+        + low * math.log(odds_ratio)
+    )
+    log_sum = log_term
+    for j in range(low, min(new, events)):
+        ratio = (new - j) * (events - j) * odds_ratio
+        ratio /= (j + 1) * (old - events + j + 1)
+        log_term += math.log(ratio)
+        high = max(log_sum, log_term)
+        log_sum = high + math.log1p(math.exp(-abs(log_sum - log_term)))
+    return log_sum
+
+
+@functools.lru_cache(maxsize=65536)
+def _log_choose(total: int, chosen: int) -> float:
+    return (
+        math.lgamma(total + 1)
+        - math.lgamma(chosen + 1)
+        - math.lgamma(total - chosen + 1)
+    )
+
+
+@functools.lru_cache(maxsize=65536)
+def log_e_value(
+    new: int, old: int, new_events: int, events: int, odds_ratio: float
+) -> float:
+    """Return the log of a block's e-value.
+
+    :param new: requests of the new version.
+    :param old: requests of the old version.
+    :param new_events: events on the new version.
+    :param events: events on both.
+    """
+    if not new or not old or not events:
+        return 0.0
+    return new_events * math.log(odds_ratio) - log_normaliser(
+        new, old, events, odds_ratio
+    )
+
+
+class Wealth:
+    """Mixture of e-processes that start at the beginning or later.
+
+    A version that turns bad late must not be protected by the good record
+    it had before. Half of the stake is bet from the start; the other half
+    is spread over later epochs with the weights
+    ``0.5 * m / ((i + m) * (i + m + 1))``, which sum to 0.5. A mixture of
+    e-processes with weights of sum 1 is an e-process.
+
+    :param odds_ratios: alternatives bet on, with equal stakes.
+    :param horizon: m, the number of epochs within which a start is
+        expected.
+    """
+
+    def __init__(
+        self, odds_ratios: tuple[float, ...], horizon: int, epoch: int = 0
+    ) -> None:
+        self._odds_ratios = odds_ratios
+        self._horizon = horizon
+        self._epoch = epoch
+        stake = 0.5 / len(odds_ratios)
+        late = self._staked(epoch) / len(odds_ratios)
+        self._wealth = [stake + late for _ in odds_ratios]
+
+    def _staked(self, epoch: int) -> float:
+        return 0.5 * (1 - self._horizon / (epoch + self._horizon))
+
+    def multiply(
+        self, epoch: int, new: int, old: int, new_events: int, events: int
+    ) -> None:
+        """Take a block into account.
+
+        :param epoch: number of the epoch, which never falls.
+        """
+        if epoch > self._epoch:
+            fresh = self._staked(epoch) - self._staked(self._epoch)
+            fresh /= len(self._odds_ratios)
+            self._epoch = epoch
+            self._wealth = [wealth + fresh for wealth in self._wealth]
+        for index, ratio in enumerate(self._odds_ratios):
+            log_e = log_e_value(new, old, new_events, events, ratio)
+            grown = self._wealth[index] * math.exp(log_e)
+            self._wealth[index] = min(grown, _MAX_WEALTH)
+
+    @property
+    def value(self) -> float:
+        """Return the e-value; stakes of later epochs are left out."""
+        return sum(self._wealth)
--- /dev/null
+++ b/src/godwitvalve/moves/judge.py
@@ -0,0 +1,78 @@
+"""Verdict on a move from what was watched."""
+
+from __future__ import annotations
+
+from godwitvalve.moves import blocks
+from godwitvalve.moves import move
+from godwitvalve.moves import watch
+
+# Parts of the time asked for: from here the move may be called done, and
+# here it is, unless the evidence speaks against it.
+_DONE_EARLIEST = 0.93
+_DONE_LATEST = 0.985
+# Evidence below the limit of proof that still decides at the end; by
+# Markov's inequality it errs in 1 of 400 moves.
+_DOUBT_AT_END = 400.0
+_THIN_ATTEMPTS = 50
+
+
+def judge(
+    moving: move.Move,
+    seen: watch.MoveWatch,
+    now_wall_s: float,
+    new_replicas: int,
+    verdict: move.Verdict = move.Verdict.MOVING,
+) -> move.Judgement:
+    """Return whether the move goes on, is taken back or is done.
+
+    A good version is taken back by chance with a probability of at most
+    ``watch.FALSE_ALARM_RATE`` over the whole move and the time after it,
+    at whatever time it is judged (Ville's inequality, see ``betting``),
+    and of 1 in 400 more at the end of the move. This holds if at most one
+    endpoint or one failure domain has troubles of its own.
+
+    :param new_replicas: number of endpoints of the new version.
+    """
+    if verdict is move.Verdict.TAKEN_BACK:
+        return move.TakeBack('taken back before')
+    proofs = seen.proofs(single=new_replicas <= 1)
+    if proofs:
+        worst = max(proofs, key=lambda found: found.e_value)
+        return move.TakeBack(_blame(worst.kind, worst.least_e_value()))
+    if verdict is move.Verdict.DONE:
+        return move.Keep('watched until the old version is retired')
+    return _at_end(moving, seen, now_wall_s)
+
+
+def _at_end(
+    moving: move.Move, seen: watch.MoveWatch, now_wall_s: float
+) -> move.Judgement:
+    part = moving.fraction(now_wall_s)
+    if part < _DONE_EARLIEST:
+        return move.Keep('moving')
+    if part < _DONE_LATEST and seen.has_sign(now_wall_s):
+        return move.Keep('a change is examined')
+    worst = seen.strongest()
+    if worst and part >= _DONE_LATEST:
+        if worst.least_e_value() >= _DOUBT_AT_END:
+            return move.TakeBack(_blame(worst.kind, worst.least_e_value()))
+    return move.Done(_done_reason(seen))
+
+
+def _done_reason(seen: watch.MoveWatch) -> str:
+    requests = f'{seen.new_attempts} requests'
+    if seen.new_attempts >= _THIN_ATTEMPTS:
+        return f'no worse than the old version in {requests}'
+    return (
+        f'evidence is thin: only {requests} were seen and none of it '
+        'speaks against the new version'
+    )
+
+
+def _blame(kind: blocks.Kind, e_value: float) -> str:
+    what = 'fails' if kind.event == blocks.FAILED else 'is slow'
+    where = f' on route {kind.route}' if kind.route else ''
+    return (
+        f'the new version {what}{where} more often than the old one in '
+        f'the same domain and minute (evidence {e_value:.0f} to 1)'
+    )
--- /dev/null
+++ b/src/godwitvalve/moves/pace.py
@@ -0,0 +1,66 @@
+"""Limits above which an answer counts as slow, by route."""
+
+from __future__ import annotations
+
+import collections
+
+# A quarter of the old version's answers count as slow. At a lower quantile
+# good answers are noise; at a higher one a factor of 1.5 shows later.
+_SLOW_FRACTION = 0.25
+_MIN_SAMPLES = 20
+_GENERATION_S = 60.0
+
+
+class PaceLimits:
+    """Quantiles of the old version's times in the last two minutes.
+
+    A limit is always taken from buckets before those it is applied to, and
+    is the same for both versions.
+    """
+
+    def __init__(self) -> None:
+        self._current: dict[str, collections.Counter[int]] = {}
+        self._previous: dict[str, collections.Counter[int]] = {}
+        self._turned_wall_s = 0.0
+        self._limits: dict[str, int] = {}
+
+    def add(self, route: str, times: tuple[tuple[int, int], ...]) -> None:
+        """Take times of the old version into account."""
+        counts = self._current.setdefault(route, collections.Counter())
+        for index, count in times:
+            counts[index] += count
+
+    def refresh(self, now_wall_s: float) -> None:
+        """Set the limits anew, at most once in a minute for each route."""
+        if now_wall_s - self._turned_wall_s < _GENERATION_S:
+            if self._limits:
+                return
+        else:
+            self._turned_wall_s = now_wall_s
+        for route, counts in self._current.items():
+            merged = counts + self._previous.get(route, collections.Counter())
+            if merged.total() >= _MIN_SAMPLES:
+                self._limits[route] = _upper_bin(merged)
+        for route in list(self._current):
+            if self._current[route].total() >= _MIN_SAMPLES:
+                self._previous[route] = self._current.pop(route)
+
+    def slow_count(
+        self, route: str, times: tuple[tuple[int, int], ...]
+    ) -> int | None:
+        """Return how many times are slow, or None if there is no limit."""
+        limit = self._limits.get(route)
+        if limit is None or not times:
+            return None
+        return sum(count for index, count in times if index > limit)
+
+
+def _upper_bin(counts: collections.Counter[int]) -> int:
+    """Return the least bin with at most the slow fraction above it."""
+    allowed = _SLOW_FRACTION * counts.total()
+    above = 0
+    for index in sorted(counts, reverse=True):
+        above += counts[index]
+        if above > allowed:
+            return index
+    return min(counts)
--- /dev/null
+++ b/src/godwitvalve/moves/verdicts.py
@@ -0,0 +1,218 @@
+"""Durable verdicts on moves: known here, in the store and at peers."""
+
+from __future__ import annotations
+
+import logging
+from typing import NamedTuple
+
+import msgpack
+
+from godwitvalve.moves import move
+from godwitvalve.platform import port
+
+TABLE = 'moves'
+# A running move is offered only while its verdict was confirmed so lately,
+# by the store or by more than half of the entries. So an entry that was
+# cut off stops sending soon after the others took the version back.
+OFFER_LEASE_S = 3.0
+_MAX_TRIES = 3
+_RETRY_S = 1.0
+_MAX_REASON = 400
+_LOG = logging.getLogger('godwitvalve.moves')
+
+
+class VerdictRow(NamedTuple):
+    """Verdict on a move, with who found it.
+
+    Rows are ordered by verdict first; the earliest of equal verdicts holds.
+    """
+
+    move_id: str
+    verdict: int
+    reason: str
+    origin: str
+    decided_wall_s: float
+
+    def encode(self) -> bytes:
+        """Return the row as it is stored."""
+        return msgpack.packb(tuple(self))  # type: ignore[no-any-return]
+
+
+def decode(raw: bytes) -> VerdictRow:
+    """Return a stored row.
+
+    :raises ValueError: if it is no verdict row.
+    """
+    try:
+        move_id, verdict, reason, origin, decided = msgpack.unpackb(raw)
+        return VerdictRow(
+            str(move_id),
+            move.Verdict(verdict),
+            str(reason),
+            str(origin),
+            float(decided),
+        )
+    except (TypeError, msgpack.UnpackException) as error:
+        raise ValueError(f'not a verdict row: {error}')
+
+
+def stronger(one: VerdictRow, other: VerdictRow) -> VerdictRow:
+    """Return the verdict that holds: commutative and idempotent."""
+
+    def rank(row: VerdictRow) -> tuple[int, float, str, str]:
+        return (-row.verdict, row.decided_wall_s, row.origin, row.reason)
+
+    return min(one, other, key=rank)
+
+
+class VerdictKeeper:
+    """Verdicts that this entry knows, and those it has yet to store.
+
+    A verdict holds here from the moment it is found or learned, with or
+    without the store. ``flush`` writes it later.
+
+    :param tables: table service of the platform.
+    :param origin: id of this entry instance.
+    """
+
+    def __init__(self, tables: port.TableService, origin: str) -> None:
+        self._tables = tables
+        self._origin = origin
+        self._rows: dict[str, VerdictRow] = {}
+        self._stored: dict[str, tuple[int, VerdictRow]] = {}
+        self._confirmed: dict[str, float] = {}
+        self._retry_at_s = 0.0
+
+    def verdict(self, move_id: str) -> move.Verdict:
+        """Return the verdict that holds here."""
+        row = self._rows.get(move_id)
+        return move.Verdict(row.verdict) if row else move.Verdict.MOVING
+
+    def row(self, move_id: str) -> VerdictRow | None:
+        """Return the verdict with its reason, if there is one."""
+        return self._rows.get(move_id)
+
+    def rows(self) -> list[VerdictRow]:
+        """Return all verdicts, to be told to peers."""
+        return list(self._rows.values())
+
+    def decide(
+        self, move_id: str, judgement: move.Judgement, now_wall_s: float
+    ) -> bool:
+        """Record what was judged here; tell whether it changed anything."""
+        match judgement:
+            case move.TakeBack(reason):
+                verdict = move.Verdict.TAKEN_BACK
+            case move.Done(reason):
+                verdict = move.Verdict.DONE
+            case _:
+                return False
+        if verdict <= self.verdict(move_id):
+            return False
+        row = VerdictRow(
+            move_id, verdict, reason[:_MAX_REASON], self._origin, now_wall_s
+        )
+        return self.merge(row)
+
+    def merge(self, row: VerdictRow) -> bool:
+        """Take over a verdict; tell whether the known one changed."""
+        known = self._rows.get(row.move_id)
+        held = stronger(known, row) if known else row
+        if held == known:
+            return False
+        self._rows[row.move_id] = held
+        _LOG.info(
+            'Move %s: %s by %s: %s.',
+            held.move_id,
+            move.Verdict(held.verdict).name.lower(),
+            held.origin,
+            held.reason,
+        )
+        return True
+
+    def confirm(self, move_id: str, now_s: float) -> None:
+        """Note that the store, or most entries, told their verdict.
+
+        :param now_s: monotonic seconds when the question was asked.
+        """
+        last = self._confirmed.get(move_id, now_s)
+        self._confirmed[move_id] = max(last, now_s)
+
+    def may_offer(self, move_id: str, now_s: float) -> bool:
+        """Tell whether the new version may get requests from here.
+
+        A move that is done is offered without a fresh confirmation: an
+        entry that is cut off for long stops admitting anyway.
+        """
+        verdict = self.verdict(move_id)
+        if verdict is not move.Verdict.MOVING:
+            return verdict is move.Verdict.DONE
+        confirmed = self._confirmed.get(move_id)
+        return confirmed is not None and now_s - confirmed <= OFFER_LEASE_S
+
+    async def refresh(self, move_id: str, now_s: float) -> bool:
+        """Read the stored verdict; tell whether the store answered."""
+        try:
+            await self._read(move_id)
+        except port.PlatformUnavailable:
+            return False
+        self.confirm(move_id, now_s)
+        return True
+
+    def pending(self) -> list[str]:
+        """Return the moves whose verdict is not in the store yet."""
+        return [
+            move_id
+            for move_id, row in self._rows.items()
+            if self._needs_write(move_id, row)
+        ]
+
+    def _needs_write(self, move_id: str, row: VerdictRow) -> bool:
+        stored = self._stored.get(move_id)
+        return stored is None or stored[1].verdict < row.verdict
+
+    async def flush(self, now_s: float) -> bool:
+        """Store what is pending; tell whether nothing is left.
+
+        After a failure nothing is tried for ``_RETRY_S``.
+        """
+        if now_s < self._retry_at_s:
+            return not self.pending()
+        for move_id in self.pending():
+            if not await self._store(move_id):
+                self._retry_at_s = now_s + _RETRY_S
+                return False
+        return True
+
+    async def _store(self, move_id: str) -> bool:
+        """Write one verdict, reading back after a lost answer."""
+        try:
+            for _ in range(_MAX_TRIES):
+                await self._read(move_id)
+                row = self._rows[move_id]
+                if not self._needs_write(move_id, row):
+                    return True
+                version = self._stored_version(move_id)
+                outcome = await self._tables.compare_and_set(
+                    TABLE, move_id, version, row.encode()
+                )
+                if isinstance(outcome, port.Written):
+                    self._stored[move_id] = (outcome.version, row)
+                    return True
+                if isinstance(outcome, port.WriteRefused):
+                    return False
+        except port.PlatformUnavailable:
+            return False
+        return False
+
+    def _stored_version(self, move_id: str) -> int:
+        stored = self._stored.get(move_id)
+        return stored[0] if stored else 0
+
+    async def _read(self, move_id: str) -> None:
+        row = await self._tables.read(TABLE, move_id)
+        if row is None:
+            return
+        found = decode(row.value)
+        self._stored[move_id] = (row.version, found)
+        self.merge(found)
