--- /dev/null
+++ b/bench/move_runs.py
@@ -0,0 +1,325 @@
+"""One seeded move, decided by the product code or by the baseline."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import random
+from typing import NamedTuple
+
+from bench import memory_tables
+from bench import naive_policy
+from bench import sites
+from bench import streams
+from godwitvalve.moves import choice
+from godwitvalve.moves import evidence
+from godwitvalve.moves import judge
+from godwitvalve.moves import move
+from godwitvalve.moves import share
+from godwitvalve.moves import verdicts
+from godwitvalve.moves import watch
+from godwitvalve.routing import endpoint
+
+ENTRIES = 6
+_TICK_S = 1.0
+# Any wall time; the move starts at it.
+_EPOCH_S = 1_000_000.0
+# How long the new version is watched after ``done_by``.
+_AFTER_BAD_S = 300.0
+_AFTER_GOOD_S = 20.0
+_LOST_REPORTS = 0.02
+_AFTER_VERDICT_S = 10.0
+
+
+class Run(NamedTuple):
+    """What came of one move.
+
+    :param taken_back_s: seconds from the start, or None.
+    :param done_s: when the last entry knew that it was done, or None.
+    :param blamed: requests that the version's fault failed or slowed.
+    :param since_onset: those among them that had ended at the verdict.
+    :param after_verdict: requests sent to a version that was taken back,
+        more than 3 s after the verdict.
+    :param stored: the store had the right verdict at the end.
+    """
+
+    site: str
+    case: str
+    seed: int
+    taken_back_s: float | None
+    done_s: float | None
+    onset_s: float
+    new_requests: int
+    requests: int
+    blamed: int
+    after_verdict: int
+    stored: bool
+    reason: str
+
+
+class _Entry:
+    """Decision code of one entry instance."""
+
+    def __init__(
+        self,
+        index: int,
+        moving: move.Move,
+        routes: int,
+        tables: memory_tables.MemoryTables,
+    ) -> None:
+        self.name = f'entry-{index}'
+        self.book = evidence.EvidenceBook(self.name, 1)
+        self.watch = watch.MoveWatch(moving, routes, _EPOCH_S)
+        self.keeper = verdicts.VerdictKeeper(tables, self.name)
+        self.plan = share.ShareDecision(0.0, (), '')
+
+
+class Simulation:
+    """Entries that decide on one stream and tell each other once a second."""
+
+    def __init__(
+        self, site: sites.Site, case: sites.Case, seed: int
+    ) -> None:
+        self.site = site
+        self.case = case
+        self.seed = seed
+        self.stream = streams.Stream(site, case, seed)
+        self._rng = random.Random(f'entries {site.name} {case.name} {seed}')
+        self.moving = move.Move(
+            'service',
+            'v1',
+            'v2',
+            move.move_id('service', 'v2', str(seed)),
+            _EPOCH_S,
+            _EPOCH_S + site.move_s,
+            site.pulse_s,
+        )
+        self.tables = memory_tables.MemoryTables()
+        routes = len(self.stream.routes)
+        self.entries = [
+            _Entry(index, self.moving, routes, self.tables)
+            for index in range(ENTRIES)
+        ]
+        self._endpoints = [
+            endpoint.Endpoint(
+                sites.endpoint_id('v2', index),
+                '',
+                f'fd-{index % site.domains}',
+                'service',
+                'v2',
+                False,
+            )
+            for index in range(site.replicas)
+        ]
+        self._running: list[streams.Ended] = []
+        self._reports: list[tuple[float, int, evidence.EvidenceReport]] = []
+        self._rows: list[tuple[float, verdicts.VerdictRow]] = []
+        self._requests = self._new_requests = 0
+        self._blamed = self._after_verdict = 0
+        self._taken_back_s: float | None = None
+        self._done: dict[str, float] = {}
+        self._reason = ''
+
+    def run(self) -> Run:
+        """Run the move to its end."""
+        after_s = _AFTER_BAD_S if self.case.is_bad else _AFTER_GOOD_S
+        end_s = self.site.move_s + after_s
+        at_s = 0.0
+        while at_s < end_s:
+            self._tick(at_s)
+            at_s += _TICK_S
+            taken_back_s = self._taken_back_s
+            if taken_back_s and at_s > taken_back_s + _AFTER_VERDICT_S:
+                break
+        return self._result()
+
+    def _tick(self, at_s: float) -> None:
+        outage = self.stream.weather.store_down
+        self.tables.down = bool(outage and outage[0] <= at_s < outage[1])
+        self._plan(at_s)
+        for time_s in self.stream.arrivals(at_s, _TICK_S):
+            self._send(time_s)
+        self._end_requests(at_s + _TICK_S)
+        self._exchange(at_s + _TICK_S)
+        for entry in self.entries:
+            self._judge(entry, at_s + _TICK_S)
+
+    def _plan(self, at_s: float) -> None:
+        now = _EPOCH_S + at_s
+        dead = self.stream.weather.dead
+        live = self._endpoints
+        if dead:
+            indexes = self.stream.live('v2', at_s)
+            live = [self._endpoints[index] for index in indexes]
+        old = len(self.stream.live('v1', at_s)) if dead else len(live)
+        for entry in self.entries:
+            entry.plan = share.plan_share(
+                self.moving,
+                live,
+                old,
+                entry.watch,
+                now,
+                entry.keeper.verdict(self.moving.move_id),
+            )
+            entry.watch.note_share(now, entry.plan.share)
+        plans = [(e.plan.share, e.plan.replicas) for e in self.entries]
+        self.stream.follow_load(plans, _TICK_S)
+
+    def _send(self, at_s: float) -> None:
+        rng = self._rng
+        number = int(rng.random() * ENTRIES)
+        entry = self.entries[number]
+        plan = entry.plan
+        version = choice.choose_version(
+            self.moving, plan.share, rng.getrandbits(64)
+        )
+        if version == 'v2':
+            name = rng.choice(plan.replicas)
+            self._count_new(at_s)
+        else:
+            index = rng.choice(self.stream.live('v1', at_s))
+            name = sites.endpoint_id('v1', index)
+        if self._taken_back_s is None:
+            self._requests += 1
+        ended = self.stream.run(at_s, number, version, name)
+        self._blamed += ended.blamed
+        heapq.heappush(self._running, ended)
+
+    def _count_new(self, at_s: float) -> None:
+        if self._taken_back_s is None:
+            self._new_requests += 1
+        elif at_s > self._taken_back_s + 3.0:
+            self._after_verdict += 1
+
+    def _end_requests(self, now_s: float) -> None:
+        while self._running and self._running[0].at_s < now_s:
+            ended = heapq.heappop(self._running)
+            key = evidence.CellKey(
+                'service',
+                ended.version,
+                ended.route,
+                ended.domain,
+                ended.endpoint,
+            )
+            self.entries[ended.entry].book.record(
+                key,
+                _EPOCH_S + ended.at_s,
+                failed=not ended.ok,
+                time_s=ended.time_s,
+            )
+
+    def _exchange(self, now_s: float) -> None:
+        """Deliver what was sent before, then send the next reports."""
+        for sender, report in [r[1:] for r in self._reports]:
+            for index, entry in enumerate(self.entries):
+                if index == sender or self._rng.random() < _LOST_REPORTS:
+                    continue
+                entry.book.merge(report)
+        self._reports = [
+            (now_s, index, entry.book.report(_EPOCH_S + now_s - 1e-6))
+            for index, entry in enumerate(self.entries)
+        ]
+        for _, row in self._rows:
+            for entry in self.entries:
+                entry.keeper.merge(row)
+        self._rows = [
+            (now_s, row)
+            for entry in self.entries
+            for row in entry.keeper.rows()
+        ]
+
+    def _judge(self, entry: _Entry, now_s: float) -> None:
+        now = _EPOCH_S + now_s
+        entry.watch.advance(entry.book, now)
+        known = entry.keeper.verdict(self.moving.move_id)
+        decided = judge.judge(
+            self.moving, entry.watch, now, self.site.replicas, known
+        )
+        if entry.keeper.decide(self.moving.move_id, decided, now):
+            if isinstance(decided, move.TakeBack):
+                self._reason = decided.reason
+        known = entry.keeper.verdict(self.moving.move_id)
+        if known is move.Verdict.DONE:
+            self._done.setdefault(entry.name, now_s)
+        if known is move.Verdict.TAKEN_BACK and self._taken_back_s is None:
+            self._taken_back_s = now_s
+        if entry.keeper.pending():
+            asyncio.run(entry.keeper.flush(now_s))
+
+    def _result(self) -> Run:
+        done_s = None
+        if len(self._done) == ENTRIES:
+            done_s = max(self._done.values())
+        verdict = self.entries[0].keeper.verdict(self.moving.move_id)
+        self.tables.down = False
+        for entry in self.entries:
+            asyncio.run(entry.keeper.flush(1e9))
+        row = asyncio.run(
+            self.tables.read(verdicts.TABLE, self.moving.move_id)
+        )
+        stored = row is not None
+        if row is not None:
+            stored = verdicts.decode(row.value).verdict == verdict
+        return Run(
+            self.site.name,
+            self.case.name,
+            self.seed,
+            self._taken_back_s,
+            done_s,
+            self.stream.onset_s,
+            self._new_requests,
+            self._requests,
+            self._blamed,
+            self._after_verdict,
+            stored,
+            self._reason,
+        )
+
+
+def run_naive(site: sites.Site, case: sites.Case, seed: int) -> Run:
+    """Run the baseline on the same stream."""
+    stream = streams.Stream(site, case, seed)
+    rng = random.Random(f'entries {site.name} {case.name} {seed}')
+    policy = naive_policy.NaivePolicy()
+    carriers = tuple(
+        sites.endpoint_id('v2', index) for index in range(site.replicas)
+    )
+    running: list[streams.Ended] = []
+    new_requests = requests = blamed = 0
+    at_s = 0.0
+    taken_back_s: float | None = None
+    while at_s < site.move_s + _AFTER_BAD_S and taken_back_s is None:
+        part = policy.share(at_s / site.move_s)
+        stream.follow_load([(part, carriers)], _TICK_S)
+        for time_s in stream.arrivals(at_s, _TICK_S):
+            version = 'v2' if rng.random() < part else 'v1'
+            index = rng.choice(stream.live(version, time_s))
+            name = sites.endpoint_id(version, index)
+            ended = stream.run(time_s, 0, version, name)
+            requests += 1
+            new_requests += version == 'v2'
+            blamed += ended.blamed
+            heapq.heappush(running, ended)
+        at_s += _TICK_S
+        while running and running[0].at_s < at_s:
+            ended = heapq.heappop(running)
+            policy.record(ended.version == 'v2', ended.ok, ended.time_s)
+        if policy.is_bad():
+            taken_back_s = at_s
+        elif at_s >= site.move_s and not case.is_bad:
+            break
+    done_s = site.move_s if taken_back_s is None else None
+    return Run(
+        site.name,
+        case.name,
+        seed,
+        taken_back_s,
+        done_s,
+        stream.onset_s,
+        new_requests,
+        requests,
+        blamed,
+        0,
+        True,
+        '',
+    )
--- /dev/null
+++ b/bench/streams.py
@@ -0,0 +1,155 @@
+"""Seeded outcomes of requests, given the share of the new version."""
+
+from __future__ import annotations
+
+import math
+import random
+from typing import NamedTuple
+
+from bench import sites
+
+# Routing stops choosing a dead replica after this time.
+EJECTED_AFTER_S = 3.0
+# Load, as part of an old replica's usual one, from which a version that
+# fails under load fails.
+_LOADED = 0.7
+_HEAVY_FACTOR = 4
+
+
+class Ended(NamedTuple):
+    """An attempt that ended."""
+
+    at_s: float
+    entry: int
+    version: str
+    route: str
+    endpoint: str
+    domain: str
+    ok: bool
+    time_s: float | None
+    # The version's own fault failed this request or made it slow.
+    blamed: bool
+
+
+class Stream:
+    """Outcomes of one seeded move.
+
+    :param onset_s: seconds from the start of the move at which the fault
+        of the new version begins.
+    """
+
+    def __init__(
+        self, site: sites.Site, case: sites.Case, seed: int
+    ) -> None:
+        self.site = site
+        self.case = case
+        name = f'{site.name} {case.name} {seed}'
+        self._rng = random.Random(name)
+        self.weather = sites.draw_weather(site, case, self._rng)
+        routes = 10 if case.one_route else site.routes
+        self.routes = [str(index) for index in range(routes)]
+        self.bad_route = self._rng.choice(self.routes)
+        span = self._rng.uniform(0.3, 1.15) if case.late else 0.0
+        self.onset_s = span * site.move_s
+        self._load = {
+            sites.endpoint_id('v2', index): 0.0
+            for index in range(site.replicas)
+        }
+
+    def rate(self, at_s: float) -> float:
+        """Return the requests/s at a time."""
+        heavy = self.weather.heavy
+        if heavy and heavy[0] <= at_s < heavy[1]:
+            return _HEAVY_FACTOR * self.weather.rate
+        return self.weather.rate
+
+    def arrivals(self, at_s: float, length_s: float) -> list[float]:
+        """Return the times of the requests in the next seconds."""
+        mean = self.rate(at_s) * length_s
+        times = []
+        passed = self._rng.expovariate(1.0)
+        while passed < mean:
+            times.append(at_s + passed / mean * length_s)
+            passed += self._rng.expovariate(1.0)
+        return times
+
+    def is_ejected(self, endpoint: str, at_s: float) -> bool:
+        """Tell whether routing leaves out a replica."""
+        return any(
+            name == endpoint and begin + EJECTED_AFTER_S <= at_s < end
+            for name, begin, end in self.weather.dead
+        )
+
+    def live(self, version: str, at_s: float) -> list[int]:
+        """Return the replicas that routing may choose."""
+        return [
+            index
+            for index in range(self.site.replicas)
+            if not self.weather.dead
+            or not self.is_ejected(sites.endpoint_id(version, index), at_s)
+        ]
+
+    def follow_load(
+        self, shares: list[tuple[float, tuple[str, ...]]], length_s: float
+    ) -> None:
+        """Let the load of the new replicas follow the shares of entries."""
+        wanted: dict[str, float] = {}
+        for share, carriers in shares:
+            for name in carriers:
+                part = share / len(carriers) / len(shares)
+                wanted[name] = wanted.get(name, 0.0) + part
+        keep = math.exp(-length_s / self.site.load_lag_s)
+        for name, load in self._load.items():
+            target = wanted.get(name, 0.0) * self.site.replicas
+            self._load[name] = target + (load - target) * keep
+
+    def run(
+        self, at_s: float, entry: int, version: str, endpoint: str
+    ) -> Ended:
+        """Return how a request ends."""
+        rng = self._rng
+        route = self.routes[int(rng.random() * len(self.routes))]
+        domain = f'fd-{int(endpoint[3:]) % self.site.domains}'
+        blamed = version == 'v2' and self._fault_shows(at_s, route, endpoint)
+        fault_fails = blamed and rng.random() < self.case.failing
+        failed = rng.random() < self._failing(at_s, route, endpoint)
+        load = 1.0 if version == 'v1' else self._load[endpoint]
+        time_s = self.site.duration_s * (1 + int(route) / 5)
+        time_s *= math.exp(rng.gauss(0.0, self.weather.spread))
+        time_s *= 0.8 + 0.2 * load
+        if self.rate(at_s) > self.weather.rate:
+            time_s *= 2
+        slower = blamed and self.case.slower > 1
+        if slower:
+            time_s *= self.case.slower
+        ok = not failed and not fault_fails
+        took_s = time_s if ok else 0.3 * time_s
+        return Ended(
+            at_s + took_s,
+            entry,
+            version,
+            route,
+            endpoint,
+            domain,
+            ok,
+            time_s if ok else None,
+            fault_fails or slower,
+        )
+
+    def _fault_shows(self, at_s: float, route: str, endpoint: str) -> bool:
+        case = self.case
+        if not case.is_bad or at_s < self.onset_s:
+            return False
+        if case.one_route and route != self.bad_route:
+            return False
+        return not case.under_load or self._load[endpoint] >= _LOADED
+
+    def _failing(self, at_s: float, route: str, endpoint: str) -> float:
+        weather = self.weather
+        for name, begin, end in weather.dead:
+            if name == endpoint and begin <= at_s < end:
+                return 1.0
+        outage = weather.outage
+        if outage and outage[0] == route and outage[1] <= at_s < outage[2]:
+            return 0.9
+        return weather.base_failing
