--- /dev/null
+++ b/src/godwitvalve/routing/router.py
@@ -0,0 +1,191 @@
+"""Routing state of one entry: endpoints, health and load."""
+
+from __future__ import annotations
+
+from collections import abc
+
+from godwitvalve.engine import port as engine_port
+from godwitvalve.outcomes import codes
+from godwitvalve.routing import choose as choice
+from godwitvalve.routing import endpoint as endpoint_model
+from godwitvalve.routing import prefixes
+from godwitvalve.routing import results
+from godwitvalve.routing import subset as subsets
+from godwitvalve.routing import view as view_model
+
+_Group = tuple[str, str]
+
+
+class Router:
+    """Chooses endpoints and learns from what became of the requests.
+
+    :param entry_id: name of this entry; entries break ties in different
+        orders, so that they do not all start with the same endpoint.
+    :param near_domain: failure domain of this entry.
+    """
+
+    def __init__(self, entry_id: str, near_domain: str) -> None:
+        self._entry_id = entry_id
+        self._near_domain = near_domain
+        self._views: dict[str, view_model.EndpointView] = {}
+        self._groups: dict[_Group, list[view_model.EndpointView]] = {}
+        # Unlisted endpoints with requests in flight. If the lagging list
+        # names them again, their count is still exact.
+        self._unlisted: dict[str, view_model.EndpointView] = {}
+        self._prefixes = prefixes.PrefixMemory()
+        self._turn = 0
+
+    def update_endpoints(
+        self,
+        endpoints: abc.Iterable[endpoint_model.Endpoint],
+        now_s: float,
+        leaving_ids: abc.Set[str] = frozenset(),
+    ) -> None:
+        """Replace the known endpoints, keeping what is known of them.
+
+        :param leaving_ids: endpoints that the list calls leaving.
+        """
+        known = {**self._unlisted, **self._views}
+        views = {}
+        for endpoint in endpoints:
+            view = self._view_for(known.get(endpoint.endpoint_id), endpoint)
+            view.listed_leaving = endpoint.endpoint_id in leaving_ids
+            views[endpoint.endpoint_id] = view
+        self._unlisted = {
+            endpoint_id: view
+            for endpoint_id, view in known.items()
+            if endpoint_id not in views and view.outstanding
+        }
+        self._views = views
+        self._regroup()
+
+    def acquire(
+        self, request: choice.RouteRequest, now_s: float
+    ) -> endpoint_model.Endpoint | codes.ResultCode:
+        """Choose an endpoint and count the request as in flight there."""
+        group = self._groups.get((request.service, request.version), [])
+        holder = self._prefixes.holder(
+            request.service, request.version, request.prefix_hint
+        )
+        chosen = choice.choose(group, request, self._near_domain, holder)
+        if isinstance(chosen, choice.NoEndpoint):
+            return chosen.code
+        self._turn += 1
+        chosen.turn = self._turn
+        chosen.outstanding += 1
+        self._prefixes.remember(
+            request.service,
+            request.version,
+            request.prefix_hint,
+            chosen.endpoint.endpoint_id,
+        )
+        return chosen.endpoint
+
+    def release(
+        self,
+        endpoint_id: str,
+        result: results.AttemptResult,
+        now_s: float,
+    ) -> None:
+        """Record the end of an attempt that ``acquire`` began."""
+        view = self._find(endpoint_id)
+        if view is None:
+            return
+        view.outstanding = max(0, view.outstanding - 1)
+        if not view.outstanding:
+            self._unlisted.pop(endpoint_id, None)
+        if isinstance(result, results.Leaving):
+            view.see_leaving(now_s)
+        view.health.record(result, now_s)
+        self._reassign(view)
+
+    def report_load(
+        self,
+        endpoint_id: str,
+        report: engine_port.LoadReport,
+        now_s: float,
+    ) -> None:
+        """Take a load report of an endpoint into account."""
+        view = self._views.get(endpoint_id)
+        if view is None:
+            return
+        view.reported = report.queue_length + report.running
+        if report.state == 'leaving':
+            view.see_leaving(now_s)
+        else:
+            view.see_live(now_s)
+        self._reassign(view)
+
+    def endpoints_to_probe(
+        self, now_s: float
+    ) -> list[endpoint_model.Endpoint]:
+        """Return the endpoints to probe now, each on a fresh connection.
+
+        The answer counts as the start of the probe: an endpoint is not
+        named again before the probe interval has passed.
+        """
+        due = []
+        for group in self._groups.values():
+            none_usable = not any(_takes_work(view) for view in group)
+            due += [
+                view.endpoint
+                for view in group
+                if view.health.probe_due(now_s, none_usable)
+            ]
+        return due
+
+    def probe_result(
+        self,
+        endpoint_id: str,
+        result: engine_port.LoadReport | results.AttemptResult,
+        now_s: float,
+    ) -> None:
+        """Record a probe's load report or how the probe failed."""
+        view = self._views.get(endpoint_id)
+        if view is None:
+            return
+        if isinstance(result, engine_port.LoadReport):
+            self.report_load(endpoint_id, result, now_s)
+            result = results.Succeeded()
+        view.health.record_probe(result, now_s)
+        self._reassign(view)
+
+    def usable_count(self, service: str, version: str) -> int:
+        """Return the number of endpoints that may get new work."""
+        group = self._groups.get((service, version), [])
+        return sum(_takes_work(view) for view in group)
+
+    def views(self) -> list[view_model.EndpointView]:
+        """Return what is known of the endpoints, for status reports."""
+        return list(self._views.values())
+
+    def _view_for(
+        self,
+        known: view_model.EndpointView | None,
+        endpoint: endpoint_model.Endpoint,
+    ) -> view_model.EndpointView:
+        if known is not None and known.endpoint == endpoint:
+            return known
+        # Below zero, so that unused endpoints come before used ones.
+        turn = -subsets.score(self._entry_id, endpoint.endpoint_id)
+        return view_model.EndpointView(endpoint, turn)
+
+    def _find(self, endpoint_id: str) -> view_model.EndpointView | None:
+        view = self._views.get(endpoint_id)
+        return view or self._unlisted.get(endpoint_id)
+
+    def _regroup(self) -> None:
+        self._groups = {}
+        for view in self._views.values():
+            key = (view.endpoint.service, view.endpoint.version)
+            self._groups.setdefault(key, []).append(view)
+        for group in self._groups.values():
+            view_model.assign_standings(group)
+
+    def _reassign(self, view: view_model.EndpointView) -> None:
+        key = (view.endpoint.service, view.endpoint.version)
+        view_model.assign_standings(self._groups.get(key, []))
+
+
+def _takes_work(view: view_model.EndpointView) -> bool:
+    return view.standing is not view_model.Standing.OUT
