Add account shares, fair admission, lifecycle and endpoint orders

Each entry owns limit/entries and lends what it does not need under leases whose borrower side ends first, so no message is needed for the sum of the shares to stay at most the limit.

--- /dev/null
+++ b/src/godwitvalve/limits/account.py
@@ -0,0 +1,84 @@
+"""Limits of one client account as this entry applies them."""
+
+from __future__ import annotations
+
+import math
+
+from godwitvalve.limits import buckets
+from godwitvalve.limits import demand as meters
+from godwitvalve.limits import model
+from godwitvalve.outcomes import codes
+
+
+class AccountLimiter:
+    """Rates and concurrency of one account under the local share."""
+
+    def __init__(self, limit: model.AccountLimit, now_s: float) -> None:
+        self.limit = limit
+        self.in_flight = 0
+        self._requests = buckets.TokenBucket(now_s)
+        self._tokens = buckets.TokenBucket(now_s)
+        self._offered_requests = meters.DemandMeter(now_s)
+        self._offered_tokens = meters.DemandMeter(now_s)
+
+    def offer(self, cost_tokens: float, now_s: float) -> None:
+        """Count a request as demand, admitted or not."""
+        self._offered_requests.add(1.0, now_s)
+        self._offered_tokens.add(cost_tokens, now_s)
+
+    def demand(self, now_s: float) -> float:
+        """Return the offered load as a fraction of the whole limit."""
+        limit = self.limit
+        requests_per_s = self._offered_requests.rate_per_s(now_s)
+        tokens_per_s = self._offered_tokens.rate_per_s(now_s)
+        return max(
+            _ratio(requests_per_s, limit.requests_per_s),
+            _ratio(tokens_per_s, limit.tokens_per_s),
+            _ratio(self.in_flight, limit.concurrent),
+        )
+
+    def try_take(
+        self, cost_tokens: float, share: float, now_s: float
+    ) -> codes.ResultCode | None:
+        """Admit one request, or return the code of the limit it meets."""
+        self._fill(share, now_s)
+        # The sum of the rounded shares stays at most the limit.
+        allowed = math.floor(self.limit.concurrent * share + 1e-9)
+        if self.in_flight >= allowed:
+            return codes.ResultCode.ACCOUNT_CONCURRENCY_LIMIT
+        fits = self._requests.can_take(1.0)
+        if not fits or not self._tokens.can_take(cost_tokens):
+            return codes.ResultCode.ACCOUNT_RATE_LIMIT
+        self._requests.take(1.0)
+        self._tokens.take(cost_tokens)
+        self.in_flight += 1
+        return None
+
+    def ready_s(self, cost_tokens: float, share: float, now_s: float) -> float:
+        """Return when the rates would admit such a request."""
+        limit = self.limit
+        return max(
+            self._requests.ready_s(1.0, limit.requests_per_s * share, now_s),
+            self._tokens.ready_s(
+                cost_tokens, limit.tokens_per_s * share, now_s
+            ),
+        )
+
+    def give_back(self, cost_tokens: float) -> None:
+        """Undo ``try_take`` for a request that was refused later."""
+        self.in_flight -= 1
+        self._requests.take(-1.0)
+        self._tokens.take(-cost_tokens)
+
+    def finish(self, cost_tokens: float, used_tokens: float) -> None:
+        """End a request and correct its cost to what it used."""
+        self.in_flight -= 1
+        self._tokens.take(used_tokens - cost_tokens)
+
+    def _fill(self, share: float, now_s: float) -> None:
+        self._requests.fill(self.limit.requests_per_s * share, now_s)
+        self._tokens.fill(self.limit.tokens_per_s * share, now_s)
+
+
+def _ratio(amount: float, limit: float) -> float:
+    return amount / limit if limit > 0 else 0.0
--- /dev/null
+++ b/src/godwitvalve/orders/lease.py
@@ -0,0 +1,194 @@
+"""Lease on sending orders to the endpoints of one service."""
+
+from __future__ import annotations
+
+from collections import abc
+import enum
+import json
+import secrets
+from typing import NamedTuple
+
+from godwitvalve import clock as clocks
+from godwitvalve.platform import port
+
+TABLE = 'leases'
+LEASE_S = 10.0
+RENEW_AFTER_S = 5.0
+# A contender waits this long by its own clock after it first saw a
+# version of the row. Clock rates may differ by 10%, and an order that was
+# sent just before the deadline may take a second to arrive.
+TAKE_OVER_AFTER_S = 12.5
+# Time that an order may spend between the check and the send.
+ORDER_MARGIN_S = 0.5
+
+
+class LeaseState(enum.Enum):
+    """Result of one step of the lease."""
+
+    HELD = 'held'
+    HELD_BY_OTHER = 'held by other'
+    UNKNOWN = 'unknown'
+
+
+class _Holding(NamedTuple):
+    version: int
+    deadline_s: float
+    renew_at_s: float
+
+
+class _Seen(NamedTuple):
+    version: int
+    since_s: float
+
+
+class _Value(NamedTuple):
+    holder: str
+    nonce: str
+    released: bool
+
+
+class FencingLease:
+    """Lease row ``orders/{service}``; its version is the fencing number.
+
+    No wall clocks are compared: the holder counts its deadline from
+    before its write, and a contender from when it first saw the row's
+    version.
+
+    ``term`` counts how often this entry took the lease over.
+
+    :param make_nonce: source of values that identify one write.
+    """
+
+    def __init__(
+        self,
+        table: port.TableService,
+        service: str,
+        holder: str,
+        clock: clocks.Clock,
+        make_nonce: abc.Callable[[], str] = lambda: secrets.token_hex(12),
+    ) -> None:
+        self._table = table
+        self._key = f'orders/{service}'
+        self._holder = holder
+        self._clock = clock
+        self._make_nonce = make_nonce
+        self._holding: _Holding | None = None
+        self._seen: _Seen | None = None
+        self.term = 0
+
+    def fencing_number(self) -> int | None:
+        """Return the number for an order sent now, or None.
+
+        Reads the clock: a holder that was paused past its deadline gets
+        None.
+        """
+        holding = self._holding
+        if holding is None:
+            return None
+        now_s = self._clock.monotonic_s()
+        if now_s + ORDER_MARGIN_S >= holding.deadline_s:
+            return None
+        return holding.version
+
+    async def step(self) -> LeaseState:
+        """Acquire or renew the lease if that is due."""
+        now_s = self._clock.monotonic_s()
+        holding = self._holding
+        if holding is not None and now_s < holding.renew_at_s:
+            return LeaseState.HELD
+        if holding is not None and now_s < holding.deadline_s:
+            return await self._write(holding.version)
+        self._holding = None
+        return await self._try_take_over()
+
+    async def release(self) -> None:
+        """Give the lease up, so that another entry may take it at once."""
+        holding = self._holding
+        self._holding = None
+        if holding is None:
+            return
+        value = _pack(_Value(self._holder, self._make_nonce(), True))
+        await self._table.compare_and_set(
+            TABLE, self._key, holding.version, value
+        )
+
+    def lose(self) -> None:
+        """Stop holding: an endpoint has seen a newer fencing number."""
+        self._holding = None
+
+    async def _try_take_over(self) -> LeaseState:
+        try:
+            row = await self._table.read(TABLE, self._key)
+        except port.PlatformUnavailable:
+            return LeaseState.UNKNOWN
+        if row is None:
+            return await self._write(0)
+        if _unpack(row.value).released or self._has_lapsed(row):
+            return await self._write(row.version)
+        return LeaseState.HELD_BY_OTHER
+
+    def _has_lapsed(self, row: port.Row) -> bool:
+        now_s = self._clock.monotonic_s()
+        if self._seen is None or self._seen.version != row.version:
+            self._seen = _Seen(row.version, now_s)
+        return now_s - self._seen.since_s >= TAKE_OVER_AFTER_S
+
+    async def _write(self, expected_version: int) -> LeaseState:
+        nonce = self._make_nonce()
+        value = _pack(_Value(self._holder, nonce, False))
+        before_s = self._clock.monotonic_s()
+        written = await self._table.compare_and_set(
+            TABLE, self._key, expected_version, value
+        )
+        match written:
+            case port.Written(version=version):
+                return self._hold(version, before_s)
+            case port.Conflict(current=current):
+                return self._meet_conflict(current, nonce, before_s)
+            case port.WriteRefused():
+                return self._unconfirmed()
+            case port.WriteUnknown():
+                return await self._read_back(nonce, before_s)
+
+    async def _read_back(self, nonce: str, before_s: float) -> LeaseState:
+        try:
+            row = await self._table.read(TABLE, self._key)
+        except port.PlatformUnavailable:
+            return self._unconfirmed()
+        if row is None:
+            return self._unconfirmed()
+        if _unpack(row.value).nonce == nonce:
+            return self._hold(row.version, before_s)
+        return self._unconfirmed()
+
+    def _meet_conflict(
+        self, current: port.Row | None, nonce: str, before_s: float
+    ) -> LeaseState:
+        if current is not None and _unpack(current.value).nonce == nonce:
+            return self._hold(current.version, before_s)
+        self._holding = None
+        return LeaseState.HELD_BY_OTHER
+
+    def _hold(self, version: int, before_s: float) -> LeaseState:
+        self._seen = None
+        if self._holding is None:
+            self.term += 1
+        self._holding = _Holding(
+            version, before_s + LEASE_S, before_s + RENEW_AFTER_S
+        )
+        return LeaseState.HELD
+
+    def _unconfirmed(self) -> LeaseState:
+        """Go on until the old deadline if there is one."""
+        if self.fencing_number() is not None:
+            return LeaseState.HELD
+        return LeaseState.UNKNOWN
+
+
+def _pack(value: _Value) -> bytes:
+    return json.dumps(value._asdict()).encode()
+
+
+def _unpack(raw: bytes) -> _Value:
+    fields = json.loads(raw)
+    return _Value(fields['holder'], fields['nonce'], fields['released'])
