--- a/src/godwitvalve/configuration/tracker.py
+++ b/src/godwitvalve/configuration/tracker.py
@@ -193,7 +193,7 @@
             if instance_id in self._listed
         }
 
-    def _majority_at_s(self) -> float:
+    def majority_heard_at_s(self) -> float:
         """Return the last moment at which more than half were heard.
 
         This entry counts as one of them. A peer with a higher revision
@@ -219,7 +219,7 @@
         """Return when the revision in force was last confirmed."""
         return max(
             self._confirmed.get(self.revision, -math.inf),
-            self._majority_at_s(),
+            self.majority_heard_at_s(),
         )
 
     def may_admit(self, now_s: float) -> bool:
--- /dev/null
+++ b/src/godwitvalve/entry/app.py
@@ -0,0 +1,80 @@
+"""HTTP application of an entry instance."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+
+from aiohttp import typedefs
+from aiohttp import web
+from aioprometheus import renderer
+
+from godwitvalve.entry import answers
+from godwitvalve.entry import completions
+from godwitvalve.entry import context as contexts
+from godwitvalve.entry import information
+from godwitvalve.entry import plain_calls
+from godwitvalve.generations import requests
+from godwitvalve.logs import setup as logs
+from godwitvalve.outcomes import codes
+
+# Largest header or request line, in bytes.
+MAX_LINE_BYTES = 16 * 1024
+
+_LOG = logs.get('entry')
+_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def build(context: contexts.EntryContext) -> web.Application:
+    """Return the application with all routes."""
+    app = web.Application(
+        client_max_size=requests.MAX_BODY_BYTES,
+        middlewares=[_problems(context)],
+    )
+    info = information.InformationHandler(context)
+    generations = completions.CompletionHandler(context)
+    plain = plain_calls.PlainCallHandler(context)
+    app.router.add_post('/v1/completions', generations.handle)
+    app.router.add_route(
+        '*', plain_calls.PREFIX + '{service}{path:(/.*)?}', plain.handle
+    )
+    app.router.add_post('/v1/keys', info.issue_key)
+    app.router.add_get('/v1/addresses', info.addresses)
+    app.router.add_get('/v1/status', info.status)
+    app.router.add_get('/healthz', info.healthz)
+    app.router.add_get('/readyz', info.readyz)
+    app.router.add_get('/metrics', _metrics(context))
+    return app
+
+
+def _metrics(context: contexts.EntryContext) -> _Handler:
+    async def handle(request: web.Request) -> web.StreamResponse:
+        accept = request.headers.getall('Accept', ['text/plain'])
+        content, headers = renderer.render(context.counters.registry, accept)
+        return web.Response(body=content, headers=headers)
+
+    return handle
+
+
+def _problems(context: contexts.EntryContext) -> typedefs.Middleware:
+    @web.middleware
+    async def middleware(
+        request: web.Request, handler: _Handler
+    ) -> web.StreamResponse:
+        try:
+            return await handler(request)
+        except web.HTTPNotFound:
+            code = codes.ResultCode.UNKNOWN_ROUTE
+            return answers.code_answer(context, code)
+        except web.HTTPException as error:
+            code = codes.ResultCode.BAD_REQUEST
+            return answers.code_answer(context, code, error.reason or '')
+        except ConnectionError:
+            # The caller left; there is no one to answer.
+            raise
+        except Exception:
+            _LOG.exception('Request handler failed.')
+            code = codes.ResultCode.OUTCOME_UNKNOWN
+            return answers.code_answer(context, code, 'internal error')
+
+    return middleware
--- /dev/null
+++ b/src/godwitvalve/entry/build.py
@@ -0,0 +1,165 @@
+"""Builds the parts of an entry instance."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TypeAlias
+
+import aiohttp
+
+from godwitvalve import clock as clocks
+from godwitvalve.configuration import in_force
+from godwitvalve.configuration import refresher as refreshers
+from godwitvalve.configuration import tracker as trackers
+from godwitvalve.engine import http_adapter as engine_adapter
+from godwitvalve.entry import context as contexts
+from godwitvalve.entry import gossip
+from godwitvalve.generations import limits as relay_limits
+from godwitvalve.generations import relay as relays
+from godwitvalve.idempotency import budget as claim_budget
+from godwitvalve.idempotency import claims
+from godwitvalve.idempotency import executor as executors
+from godwitvalve.idempotency import forwarding
+from godwitvalve.lifecycle import lifecycle as lifecycles
+from godwitvalve.limits import admission as admissions
+from godwitvalve.limits import model as limit_model
+from godwitvalve.limits import shares as account_shares
+from godwitvalve.metrics import counters as metric_counters
+from godwitvalve.moves import board as boards
+from godwitvalve.moves import evidence
+from godwitvalve.moves import verdicts
+from godwitvalve.peers import membership
+from godwitvalve.peers import node as peer_nodes
+from godwitvalve.platform import http_adapter as platform_adapter
+from godwitvalve.routing import retry_budget
+from godwitvalve.routing import router as routers
+from godwitvalve.services import http as service_adapter
+from godwitvalve.settings import load as settings_load
+
+Installed: TypeAlias = Callable[[in_force.InForceConfiguration], None]
+
+# Seconds until every other entry has heard that this one is leaving.
+LEAVING_HEARD_S = 1.0
+
+
+class EntryParts:
+    """Builds the context of one process and owns its adapters."""
+
+    def __init__(
+        self,
+        loaded: settings_load.LoadedSettings,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self._loaded = loaded
+        self._clock = clocks.SystemClock()
+        self._incarnation = membership.new_incarnation(self._clock.wall_s())
+        self.engine = engine_adapter.HttpEngine(session)
+        self.plain = service_adapter.HttpPlainService(self._clock)
+        self.platform = platform_adapter.HttpPlatform(
+            loaded.settings.platform_url, loaded.settings.table_timeout_s
+        )
+        self.part_source = gossip.PeerPartSource()
+
+    def build(self, on_installed: Installed) -> contexts.EntryContext:
+        """Return the context of this process."""
+        settings = self._loaded.settings
+        clock = self._clock
+        now_s = clock.monotonic_s()
+        node = self._node()
+        self.part_source.node = node
+        shares = account_shares.AccountShares(
+            settings.instance_id, self._incarnation, now_s
+        )
+        return contexts.EntryContext(
+            loaded=self._loaded,
+            incarnation=self._incarnation,
+            clock=clock,
+            counters=metric_counters.Counters(settings.instance_id),
+            platform=self.platform,
+            lifecycle=lifecycles.Lifecycle(
+                settings.address_validity_s + LEAVING_HEARD_S
+            ),
+            refresher=self._refresher(on_installed),
+            node=node,
+            router=routers.Router(
+                settings.instance_id, settings.failure_domain
+            ),
+            budget=retry_budget.RetryBudget(),
+            board=self._board(),
+            shares=shares,
+            admission=admissions.Admission(
+                clock, shares, settings.max_in_flight
+            ),
+            relay=relays.Relay(
+                self.engine,
+                self._loaded.resume_key,
+                clock,
+                relay_limits.RelayLimits(
+                    resume_validity_s=settings.resume_validity_s
+                ),
+            ),
+            executor=self._executor(node),
+            plain=self.plain,
+        )
+
+    def _node(self) -> peer_nodes.PeerNode:
+        settings = self._loaded.settings
+        return peer_nodes.PeerNode(
+            settings.instance_id,
+            self._incarnation,
+            settings.failure_domain,
+            settings.peer_address,
+            self._loaded.peer_key,
+            self._clock,
+            settings.listen_address,
+        )
+
+    def _refresher(self, on_installed: Installed) -> refreshers.Refresher:
+        return refreshers.Refresher(
+            trackers.ConfigurationTracker(self._loaded.settings.instance_id),
+            self.platform,
+            self.platform,
+            self.part_source,
+            self._clock,
+            on_installed,
+        )
+
+    def _board(self) -> boards.MoveBoard:
+        instance_id = self._loaded.settings.instance_id
+        return boards.MoveBoard(
+            evidence.EvidenceBook(instance_id, self._incarnation),
+            verdicts.VerdictKeeper(self.platform, instance_id),
+        )
+
+    def _executor(self, node: peer_nodes.PeerNode) -> executors.OnceExecutor:
+        clock = self._clock
+        return executors.OnceExecutor(
+            self._loaded.settings.instance_id,
+            self._incarnation,
+            (self._loaded.resume_key,),
+            claims.ClaimStore(
+                self.platform, claim_budget.ClaimBudget(), clock
+            ),
+            forwarding.PeerForwarder(node, clock),
+            clock,
+        )
+
+    async def close(self) -> None:
+        """Close the connections of all adapters."""
+        await self.plain.close()
+        await self.platform.close()
+
+
+def account_limits(
+    configuration: in_force.InForceConfiguration,
+) -> dict[str, limit_model.AccountLimit]:
+    """Return the limits of all client accounts."""
+    return {
+        name: limit_model.AccountLimit(
+            account.text.requests_per_s,
+            account.text.tokens_per_s,
+            account.text.concurrent,
+            account.text.priority + 1,
+        )
+        for name, account in configuration.client_accounts.items()
+    }
--- /dev/null
+++ b/src/godwitvalve/entry/gate.py
@@ -0,0 +1,78 @@
+"""Checks that every new request passes before it is admitted."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from godwitvalve.configuration import in_force
+from godwitvalve.entry import context as contexts
+from godwitvalve.outcomes import codes
+from godwitvalve.outcomes import outcome as outcomes
+
+_BEARER = 'Bearer '
+# Told to callers that meet an instance without a usable configuration.
+RETRY_AFTER_S = 1.0
+
+
+def open_configuration(
+    context: contexts.EntryContext, is_resume: bool = False
+) -> in_force.InForceConfiguration | outcomes.NotRun:
+    """Return the configuration to admit a request under.
+
+    :param is_resume: whether the request continues an answer; those are
+        taken while draining, because they were admitted before.
+    """
+    now_wall_s = context.clock.wall_s()
+    retry_at_wall_s = now_wall_s + RETRY_AFTER_S
+    accepts = context.lifecycle.accepts_new_work(now_wall_s)
+    if not accepts and not is_resume:
+        code = codes.ResultCode.DRAINING
+        if context.lifecycle.state == 'starting':
+            code = codes.ResultCode.NOT_READY
+        return outcomes.NotRun(code, '', now_wall_s)
+    configuration = context.configuration
+    if configuration is None:
+        return outcomes.NotRun(codes.ResultCode.NOT_READY, '', retry_at_wall_s)
+    tracker = context.refresher.tracker
+    if is_resume or tracker.may_admit(context.clock.monotonic_s()):
+        return configuration
+    return outcomes.NotRun(
+        codes.ResultCode.CONFIGURATION_NOT_CONFIRMED, '', retry_at_wall_s
+    )
+
+
+def authenticate(
+    configuration: in_force.InForceConfiguration, request: web.Request
+) -> in_force.ClientAccountInForce | outcomes.NotRun:
+    """Return the client account of a request."""
+    header = request.headers.get('Authorization', '')
+    if not header.startswith(_BEARER):
+        return outcomes.NotRun(
+            codes.ResultCode.UNAUTHENTICATED, 'no bearer credential'
+        )
+    account = configuration.account_for_key(header.removeprefix(_BEARER))
+    if account is None:
+        return outcomes.NotRun(codes.ResultCode.UNAUTHENTICATED)
+    return account
+
+
+def find_service(
+    context: contexts.EntryContext,
+    configuration: in_force.InForceConfiguration,
+    name: str,
+    kind: str,
+) -> in_force.ServiceInForce | outcomes.NotRun:
+    """Return a service that may take its requests now."""
+    service = configuration.service(name)
+    if service is None or service.kind != kind:
+        return outcomes.NotRun(
+            codes.ResultCode.UNKNOWN_SERVICE, f'no {kind} service "{name}"'
+        )
+    serving = context.board.serving(name)
+    if serving is not None and not context.board.is_ready(serving):
+        return outcomes.NotRun(
+            codes.ResultCode.DEPENDENCY_MISSING,
+            '',
+            context.clock.wall_s() + RETRY_AFTER_S,
+        )
+    return service
--- /dev/null
+++ b/src/godwitvalve/entry/gossip.py
@@ -0,0 +1,243 @@
+"""Connects peer messages with the parts that they are for."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine, Mapping
+import itertools
+from typing import Any
+
+import msgpack
+
+from godwitvalve.configuration import tracker as trackers
+from godwitvalve.entry import context as contexts
+from godwitvalve.entry import plain_calls
+from godwitvalve.idempotency import forwarding
+from godwitvalve.limits import model as limit_model
+from godwitvalve.limits import shares as account_shares
+from godwitvalve.logs import setup as logs
+from godwitvalve.moves import evidence
+from godwitvalve.moves import verdicts
+from godwitvalve.peers import calls
+from godwitvalve.peers import messages
+from godwitvalve.peers import node as peer_nodes
+from godwitvalve.text import head as text_head
+
+FRESHNESS_INTERVAL_S = 1.0
+EVIDENCE_INTERVAL_S = 1.0
+# Age told by an entry that never had its revision confirmed.
+NEVER_CONFIRMED_AGE_S = 1e9
+# Peers that are asked for parts before the object store.
+MAX_PEERS_ASKED = 2
+
+_LOG = logs.get('gossip')
+
+
+class PeerPartSource:
+    """Fetches parts of the text from connected entries."""
+
+    def __init__(self) -> None:
+        self.node: peer_nodes.PeerNode | None = None
+
+    async def fetch_parts(self, hashes: frozenset[str]) -> Mapping[str, bytes]:
+        """Return those parts, by content hash, that a peer could give."""
+        found: dict[str, bytes] = {}
+        if self.node is None:
+            return found
+        connected = self.node.connected_instances()
+        for instance_id in itertools.islice(connected, MAX_PEERS_ASKED):
+            missing = tuple(sorted(hashes - found.keys()))
+            if not missing:
+                break
+            try:
+                answer = await self.node.call(
+                    instance_id, messages.PartsWanted(missing)
+                )
+            except (calls.PeerUnreachable, messages.MessageError):
+                continue
+            if isinstance(answer, messages.PartsGiven):
+                found.update(answer.parts)
+        return found
+
+
+class Gossip:
+    """Sends this entry's reports and takes in those of its peers."""
+
+    def __init__(self, context: contexts.EntryContext) -> None:
+        self._context = context
+        self._sender = plain_calls.CallSender(context)
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._announced_revision = 0
+
+    def register(self) -> None:
+        """Add the handlers of all messages."""
+        node = self._context.node
+        node.on(messages.HeadAnnounced, self._take_head)
+        node.on(messages.Freshness, self._take_freshness)
+        node.on(messages.EvidenceReport, self._take_evidence)
+        node.on(messages.VerdictAnnounced, self._take_verdict)
+        node.on(messages.DemandReport, self._take_demand)
+        node.on_connected(self._greet)
+        node.on_request(messages.PartsWanted, self._give_parts)
+        node.on_request(messages.ForwardCall, self._run_forwarded)
+
+    async def run(self) -> None:
+        """Send reports until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._send_freshness())
+            group.create_task(self._send_evidence())
+            group.create_task(self._send_demand())
+
+    def announce_head(self, head: text_head.Head) -> None:
+        """Tell all peers of a head, unless one of them told it here."""
+        if head.revision <= self._announced_revision:
+            return
+        self._announced_revision = head.revision
+        self._context.node.broadcast(
+            messages.HeadAnnounced(head.revision, text_head.encode(head))
+        )
+
+    async def _send_freshness(self) -> None:
+        context = self._context
+        while True:
+            own = context.refresher.tracker.freshness(
+                context.clock.monotonic_s()
+            )
+            age_s = own.confirmed_age_s
+            context.node.broadcast(
+                messages.Freshness(
+                    context.instance_id,
+                    own.revision,
+                    NEVER_CONFIRMED_AGE_S if age_s is None else age_s,
+                )
+            )
+            await asyncio.sleep(FRESHNESS_INTERVAL_S)
+
+    async def _send_evidence(self) -> None:
+        context = self._context
+        while True:
+            if context.board.active_moves():
+                report = context.board.book.report(context.clock.wall_s())
+                context.node.broadcast(
+                    messages.EvidenceReport(
+                        report.origin,
+                        report.incarnation,
+                        report.sequence,
+                        msgpack.packb(report),
+                    )
+                )
+            await asyncio.sleep(EVIDENCE_INTERVAL_S)
+
+    async def _send_demand(self) -> None:
+        context = self._context
+        while True:
+            report = context.shares.make_report(
+                context.admission.demands(), context.clock.monotonic_s()
+            )
+            context.node.broadcast(
+                messages.DemandReport(
+                    report.origin,
+                    report.incarnation,
+                    report.sequence,
+                    msgpack.packb(report),
+                )
+            )
+            await asyncio.sleep(account_shares.REPORT_INTERVAL_S)
+
+    def _greet(self, instance_id: str) -> None:
+        """Tell a newly connected peer the head and all verdicts."""
+        context = self._context
+        head = context.refresher.tracker.head
+        if head is not None:
+            context.node.send(
+                instance_id,
+                messages.HeadAnnounced(head.revision, text_head.encode(head)),
+            )
+        for row in context.board.keeper.rows():
+            context.node.send(
+                instance_id,
+                messages.VerdictAnnounced(row.move_id, row.encode()),
+            )
+
+    def _take_head(self, origin: str, message: messages.Message) -> None:
+        assert isinstance(message, messages.HeadAnnounced)
+        try:
+            head = text_head.decode(message.head)
+        except text_head.HeadError as error:
+            _LOG.warning('A head from %s is malformed: %s.', origin, error)
+            return
+        self._announced_revision = max(self._announced_revision, head.revision)
+        self._start(self._context.refresher.offer_from_peer(head))
+
+    def _take_freshness(self, origin: str, message: messages.Message) -> None:
+        assert isinstance(message, messages.Freshness)
+        if message.origin != origin:
+            return
+        never = message.age_s >= NEVER_CONFIRMED_AGE_S
+        # The node has added the time on the way to the age.
+        report = trackers.PeerFreshness(
+            origin, message.revision, None if never else message.age_s, 0.0
+        )
+        self._context.refresher.tracker.hear_peer(
+            report, self._context.clock.monotonic_s()
+        )
+
+    def _take_evidence(self, origin: str, message: messages.Message) -> None:
+        assert isinstance(message, messages.EvidenceReport)
+        try:
+            report = evidence.report_from_wire(
+                messages.unpack_values(message.report)
+            )
+        except (ValueError, messages.MessageError) as error:
+            _LOG.warning('Evidence of %s is malformed: %s.', origin, error)
+            return
+        if report.origin == origin:
+            self._context.board.book.merge(report)
+
+    def _take_verdict(self, origin: str, message: messages.Message) -> None:
+        assert isinstance(message, messages.VerdictAnnounced)
+        try:
+            row = verdicts.decode(message.row)
+        except ValueError as error:
+            _LOG.warning('A verdict of %s is malformed: %s.', origin, error)
+            return
+        self._context.board.keeper.merge(row)
+
+    def _take_demand(self, origin: str, message: messages.Message) -> None:
+        assert isinstance(message, messages.DemandReport)
+        try:
+            report = limit_model.report_from_wire(
+                messages.unpack_values(message.report)
+            )
+        except (ValueError, messages.MessageError) as error:
+            _LOG.warning('Demand of %s is malformed: %s.', origin, error)
+            return
+        if report.origin == origin:
+            now_s = self._context.clock.monotonic_s()
+            self._context.shares.receive(report, now_s)
+
+    async def _give_parts(
+        self, origin: str, message: messages.Message
+    ) -> messages.Message:
+        assert isinstance(message, messages.PartsWanted)
+        held = (
+            (item, self._context.refresher.part(item))
+            for item in message.hashes
+        )
+        return messages.PartsGiven(
+            tuple((item, body) for item, body in held if body is not None)
+        )
+
+    async def _run_forwarded(
+        self, origin: str, message: messages.Message
+    ) -> messages.Message:
+        assert isinstance(message, messages.ForwardCall)
+        context = self._context
+        return await forwarding.answer_forwarded(
+            context.executor, context.incarnation, message, self._sender.bind
+        )
+
+    def _start(self, work: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/godwitvalve/entry/move_watch.py
@@ -0,0 +1,122 @@
+"""Task that advances the moves and keeps their verdicts durable."""
+
+from __future__ import annotations
+
+import asyncio
+
+from godwitvalve.configuration import in_force
+from godwitvalve.entry import context as contexts
+from godwitvalve.moves import verdicts
+from godwitvalve.peers import messages
+from godwitvalve.platform import port
+from godwitvalve.text import dependencies
+
+STEP_INTERVAL_S = 0.5
+REFRESH_INTERVAL_S = 1.0
+# Verdicts are told again for this long, for peers that missed the first
+# announcement while the store was down.
+REPEAT_FOR_S = 60.0
+
+
+class MoveWatch:
+    """Advances the move board of one entry."""
+
+    def __init__(self, context: contexts.EntryContext) -> None:
+        self._context = context
+
+    async def run(self) -> None:
+        """Step and refresh until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._step())
+            group.create_task(self._refresh())
+
+    async def _step(self) -> None:
+        context = self._context
+        while True:
+            for move_id in context.board.step(context.clock.wall_s()):
+                self._announce(move_id)
+            await asyncio.sleep(STEP_INTERVAL_S)
+
+    async def _refresh(self) -> None:
+        context = self._context
+        keeper = context.board.keeper
+        while True:
+            await self._look_for_dependencies()
+            for moving in context.board.active_moves():
+                await self._confirm(moving.move_id)
+            await keeper.flush(context.clock.monotonic_s())
+            self._repeat()
+            await asyncio.sleep(REFRESH_INTERVAL_S)
+
+    async def _confirm(self, move_id: str) -> None:
+        """Confirm a verdict by the store, or by most other entries."""
+        context = self._context
+        keeper = context.board.keeper
+        asked_s = context.clock.monotonic_s()
+        if await keeper.refresh(move_id, asked_s):
+            return
+        heard_s = context.refresher.tracker.majority_heard_at_s()
+        if heard_s >= asked_s - verdicts.OFFER_LEASE_S:
+            keeper.confirm(move_id, heard_s)
+
+    def _announce(self, move_id: str) -> None:
+        row = self._context.board.keeper.row(move_id)
+        if row is not None:
+            self._context.node.broadcast(to_message(row))
+
+    def _repeat(self) -> None:
+        context = self._context
+        oldest_wall_s = context.clock.wall_s() - REPEAT_FOR_S
+        for row in context.board.keeper.rows():
+            is_own = row.origin == context.instance_id
+            if is_own and row.decided_wall_s >= oldest_wall_s:
+                context.node.broadcast(to_message(row))
+
+    async def _look_for_dependencies(self) -> None:
+        context = self._context
+        configuration = context.configuration
+        if configuration is None:
+            return
+        ready = [
+            version.move_id
+            for version in context.board.unready()
+            if await self._is_ready(configuration, version)
+        ]
+        context.board.set_ready(ready)
+
+    async def _is_ready(
+        self,
+        configuration: in_force.InForceConfiguration,
+        version: in_force.VersionInForce,
+    ) -> bool:
+        service = configuration.services[version.service]
+        if not all(
+            self._has_endpoint(configuration, wanted)
+            for wanted in service.depends_on
+        ):
+            return False
+        if not version.text.weights:
+            return True
+        try:
+            return await self._context.platform.has(version.text.weights)
+        except port.PlatformUnavailable:
+            # Endpoints of this version that answer have loaded it.
+            usable = self._context.router.usable_count
+            return usable(version.service, version.name) > 0
+
+    def _has_endpoint(
+        self,
+        configuration: in_force.InForceConfiguration,
+        wanted: dependencies.Dependency,
+    ) -> bool:
+        service = configuration.service(wanted.service)
+        if service is None:
+            return False
+        names = [wanted.version] if wanted.version else service.by_version
+        usable = self._context.router.usable_count
+        return any(usable(wanted.service, name) for name in names)
+
+
+def to_message(row: verdicts.VerdictRow) -> messages.VerdictAnnounced:
+    """Return the announcement of a verdict."""
+    return messages.VerdictAnnounced(row.move_id, row.encode())
--- /dev/null
+++ b/src/godwitvalve/entry/picker.py
@@ -0,0 +1,177 @@
+"""Endpoints for one generation: version, endpoint and retry budget."""
+
+from __future__ import annotations
+
+from godwitvalve.entry import attempts
+from godwitvalve.entry import context as contexts
+from godwitvalve.generations import plan
+from godwitvalve.moves import board as boards
+from godwitvalve.outcomes import codes
+from godwitvalve.routing import choose
+from godwitvalve.routing import endpoint as endpoint_model
+
+# Tokens after which the pace of a running generation is evidence.
+PACE_TOKENS = 16
+
+
+class GenerationPicker:
+    """Gives the relay its endpoints and records what became of them.
+
+    :param request_hash: the same for each retry of the request.
+    :ivar version: version of the newest endpoint, empty before it.
+    """
+
+    def __init__(
+        self,
+        context: contexts.EntryContext,
+        service: str,
+        priority: int,
+        request_hash: int,
+    ) -> None:
+        self._context = context
+        self._service = service
+        self._priority = priority
+        self._request_hash = request_hash
+        self._recorder = attempts.AttemptRecorder(context)
+        self.version = ''
+        self._picked = 0
+        self._load = 0
+        self._endpoint: endpoint_model.Endpoint | None = None
+        self._pace_tokens = 0
+        self._pace_started_s = 0.0
+        self._pace_recorded = False
+
+    def pick(
+        self, tried: frozenset[str], prefix_hint: str, version: str
+    ) -> endpoint_model.Endpoint | codes.ResultCode:
+        """Choose an endpoint; ``version`` is empty before the first token."""
+        for_resume = version != ''
+        if not self._may_attempt(for_resume):
+            return codes.ResultCode.RETRY_BUDGET_EXHAUSTED
+        if for_resume:
+            return self._acquire(version, None, tried, prefix_hint, True)
+        chosen = self._choose_version()
+        if chosen is None:
+            return codes.ResultCode.NO_ENDPOINT
+        picked = self._acquire(
+            chosen.version, chosen.allowed, tried, prefix_hint, False
+        )
+        if isinstance(picked, codes.ResultCode) and chosen.fallback:
+            return self._acquire(
+                chosen.fallback, None, tried, prefix_hint, False
+            )
+        return picked
+
+    def claim(self, endpoint_id: str) -> endpoint_model.Endpoint | None:
+        """Take the endpoint of a resumed stream, if it still exists."""
+        endpoint = self._context.router.claim(endpoint_id)
+        if endpoint is not None:
+            self._begin(endpoint)
+        return endpoint
+
+    def adapter(self, version: str) -> str:
+        """Return the adapter that the text gives to a version."""
+        configuration = self._context.configuration
+        service = configuration and configuration.service(self._service)
+        found = service.version(version) if service else None
+        return found.text.adapter if found else ''
+
+    def finished(
+        self, endpoint: endpoint_model.Endpoint, result: plan.AttemptResult
+    ) -> None:
+        """Give an endpoint back."""
+        counters = self._context.counters
+        if result.outcome == 'lost':
+            counters.count_loss(result.reason)
+        counters.count_tokens('delivered', result.delivered_tokens)
+        counters.count_tokens('prefill', result.prefill_tokens)
+        self._recorder.record(
+            endpoint,
+            attempts.classify_generation(result),
+            attempts.COMPLETIONS_ROUTE,
+            self._load,
+            None if self._pace_recorded else _pace_s(result),
+        )
+        self._endpoint = None
+
+    def note_tokens(self, count: int) -> None:
+        """Record the pace of a running generation once.
+
+        Generations run for minutes; their pace must not wait for the end.
+        """
+        if self._pace_recorded or self._endpoint is None:
+            return
+        now_s = self._context.clock.monotonic_s()
+        if not self._pace_tokens:
+            self._pace_started_s = now_s
+            count = 1
+        self._pace_tokens += count
+        if self._pace_tokens <= PACE_TOKENS:
+            return
+        self._pace_recorded = True
+        self._context.board.book.record_time(
+            attempts.evidence_key(self._endpoint, attempts.COMPLETIONS_ROUTE),
+            self._context.clock.wall_s(),
+            (now_s - self._pace_started_s) / (self._pace_tokens - 1),
+        )
+
+    def _may_attempt(self, for_resume: bool) -> bool:
+        budget = self._context.budget
+        self._picked += 1
+        if self._picked == 1 and not for_resume:
+            budget.first_attempt(self._service)
+            return True
+        reason = 'resume' if for_resume else 'before_first_token'
+        if not budget.try_retry(self._service, for_resume):
+            self._context.counters.count_retry(f'{reason}_refused')
+            return False
+        self._context.counters.count_retry(reason)
+        return True
+
+    def _choose_version(self) -> boards.VersionChoice | None:
+        board = self._context.board
+        now_s = self._context.clock.monotonic_s()
+        chosen = board.choose(self._service, self._request_hash, now_s)
+        if chosen is None or self._picked == 1 or not chosen.fallback:
+            return chosen
+        # A retry goes to the old version: a caller meets a bad new version
+        # at most once.
+        return boards.VersionChoice(chosen.fallback, None, '')
+
+    def _acquire(
+        self,
+        version: str,
+        allowed: frozenset[str] | None,
+        tried: frozenset[str],
+        prefix_hint: str,
+        for_resume: bool,
+    ) -> endpoint_model.Endpoint | codes.ResultCode:
+        request = choose.RouteRequest(
+            self._service,
+            version,
+            allowed,
+            tried,
+            prefix_hint,
+            self._priority,
+            for_resume,
+        )
+        now_s = self._context.clock.monotonic_s()
+        picked = self._context.router.acquire(request, now_s)
+        if isinstance(picked, endpoint_model.Endpoint):
+            self._begin(picked)
+        return picked
+
+    def _begin(self, endpoint: endpoint_model.Endpoint) -> None:
+        self._endpoint = endpoint
+        self.version = endpoint.version
+        self._load = self._context.router.load(endpoint.endpoint_id)
+        self._pace_tokens = 0
+        self._pace_recorded = False
+
+
+def _pace_s(result: plan.AttemptResult) -> float | None:
+    """Return the seconds per output token after the first one."""
+    if result.first_token_s is None or result.delivered_tokens < 2:
+        return None
+    running_s = result.duration_s - result.first_token_s
+    return running_s / (result.delivered_tokens - 1)
--- /dev/null
+++ b/src/godwitvalve/entry/plain_calls.py
@@ -0,0 +1,296 @@
+"""``/v1/services/{service}/...``: calls of plain services."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+import urllib.parse
+
+from aiohttp import web
+
+from godwitvalve.configuration import in_force
+from godwitvalve.entry import answers
+from godwitvalve.entry import attempts
+from godwitvalve.entry import context as contexts
+from godwitvalve.entry import gate
+from godwitvalve.idempotency import once
+from godwitvalve.moves import choice
+from godwitvalve.outcomes import codes
+from godwitvalve.outcomes import outcome as outcomes
+from godwitvalve.routing import choose
+from godwitvalve.routing import endpoint as endpoint_model
+from godwitvalve.services import port as service_port
+
+PREFIX = '/v1/services/'
+KEY_HEADER = 'Idempotency-Key'
+DEADLINE_HEADER = 'X-Deadline-Wall-S'
+DEFAULT_DEADLINE_S = 30.0
+ADMISSION_WAIT_S = 2.0
+MAX_ATTEMPTS = 3
+_REPEATABLE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
+# The credential of the caller is not the service's business.
+_DROPPED_HEADERS = frozenset(('authorization',))
+
+
+class _PlainCall(NamedTuple):
+    account: str
+    service: in_force.ServiceInForce
+    route: str
+    request: service_port.PlainRequest
+    key: str | None
+
+
+class PlainCallHandler:
+    """Passes calls on to plain services."""
+
+    def __init__(self, context: contexts.EntryContext) -> None:
+        self._context = context
+        self._sender = CallSender(context)
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Answer one call."""
+        call = await self._prepare(request)
+        if isinstance(call, outcomes.NotRun):
+            return answers.problem_answer(self._context, call)
+        context = self._context
+        admitted = await context.admission.admit(
+            call.account, 0.0, context.clock.monotonic_s() + ADMISSION_WAIT_S
+        )
+        if isinstance(admitted, outcomes.NotRun):
+            return answers.problem_answer(context, admitted)
+        async with admitted:
+            context.counters.count_request(call.service.name)
+            context.lifecycle.request_started()
+            try:
+                return self._answer(await self._run(call))
+            finally:
+                context.lifecycle.request_finished()
+
+    async def _prepare(
+        self, request: web.Request
+    ) -> _PlainCall | outcomes.NotRun:
+        context = self._context
+        configuration = gate.open_configuration(context)
+        if isinstance(configuration, outcomes.NotRun):
+            return configuration
+        account = gate.authenticate(configuration, request)
+        if isinstance(account, outcomes.NotRun):
+            return account
+        name = request.match_info['service']
+        service = gate.find_service(context, configuration, name, 'plain')
+        if isinstance(service, outcomes.NotRun):
+            return service
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            return outcomes.NotRun(codes.ResultCode.BODY_TOO_LARGE)
+        return self._plan(request, account.name, service, body)
+
+    def _plan(
+        self,
+        request: web.Request,
+        account: str,
+        service: in_force.ServiceInForce,
+        body: bytes,
+    ) -> _PlainCall | outcomes.NotRun:
+        target = _target(request, service.name)
+        path = urllib.parse.unquote(target.partition('?')[0])
+        route = service.route(request.method, path)
+        if route is None and request.method not in _REPEATABLE_METHODS:
+            return outcomes.NotRun(
+                codes.ResultCode.UNKNOWN_ROUTE,
+                f'the text lists no route {request.method} {path}',
+            )
+        repeatable = route is None or route.repeatable
+        key = request.headers.get(KEY_HEADER)
+        if not repeatable and key is None:
+            return outcomes.NotRun(codes.ResultCode.KEY_REQUIRED)
+        deadline_wall_s = self._deadline_wall_s(request)
+        if deadline_wall_s is None:
+            return outcomes.NotRun(
+                codes.ResultCode.BAD_REQUEST, f'{DEADLINE_HEADER}: no number'
+            )
+        headers = tuple(
+            (name, value)
+            for name, value in request.headers.items()
+            if name.lower() not in _DROPPED_HEADERS
+        )
+        plain = service_port.PlainRequest(
+            request.method,
+            target,
+            headers,
+            body,
+            repeatable,
+            deadline_wall_s,
+        )
+        label = f'{route.method} {route.path}' if route else 'GET other'
+        return _PlainCall(
+            account, service, label, plain, None if repeatable else key
+        )
+
+    def _deadline_wall_s(self, request: web.Request) -> float | None:
+        latest_wall_s = self._context.clock.wall_s() + DEFAULT_DEADLINE_S
+        given = request.headers.get(DEADLINE_HEADER)
+        if given is None:
+            return latest_wall_s
+        try:
+            deadline_wall_s = float(given)
+        except ValueError:
+            return None
+        if not deadline_wall_s >= 0:
+            return None
+        return min(deadline_wall_s, latest_wall_s)
+
+    async def _run(self, call: _PlainCall) -> once.OnceAnswer:
+        if call.key is None:
+            outcome = await self._sender.send(
+                call.account, call.service.name, call.request
+            )
+            return once.OnceAnswer(outcome)
+        once_call = once.OnceCall(
+            call.account, call.key, call.service.name, call.request
+        )
+        return await self._context.executor.execute(
+            once_call, self._sender.bind(once_call)
+        )
+
+    def _answer(self, answer: once.OnceAnswer) -> web.Response:
+        match answer.outcome:
+            case outcomes.Completed(status, headers, body):
+                response = web.Response(body=body, status=status)
+                for name, value in headers:
+                    response.headers[name] = value
+                if answer.replayed:
+                    response.headers['Idempotency-Replayed'] = 'true'
+                return response
+            case failure:
+                return answers.problem_answer(self._context, failure)
+
+
+class CallSender:
+    """Sends a call to an endpoint, and to another one if it did not run.
+
+    A repeatable call is also tried again after an unknown outcome.
+    """
+
+    def __init__(self, context: contexts.EntryContext) -> None:
+        self._context = context
+        self._recorder = attempts.AttemptRecorder(context)
+
+    def bind(self, call: once.OnceCall) -> once.SendFunction:
+        """Return the function that sends a call with a key."""
+
+        async def send() -> outcomes.Outcome:
+            return await self.send(
+                call.client_account, call.service, call.request, call.key
+            )
+
+        return send
+
+    async def send(
+        self,
+        account: str,
+        service: str,
+        request: service_port.PlainRequest,
+        key: str = '',
+    ) -> outcomes.Outcome:
+        """Send a call within the retry budget."""
+        budget = self._context.budget
+        budget.first_attempt(service)
+        tried: set[str] = set()
+        outcome: outcomes.Outcome = outcomes.NotRun(
+            codes.ResultCode.NO_ENDPOINT
+        )
+        seed = key.encode() or request.target.encode() + request.body
+        request_hash = choice.request_hash(account, seed)
+        for number in range(MAX_ATTEMPTS):
+            if number and not budget.try_retry(service):
+                return outcome
+            endpoint = self._pick(service, request_hash, tried)
+            if endpoint is None:
+                return outcome
+            if number:
+                reason = _retry_reason(outcome)
+                self._context.counters.count_retry(reason)
+            tried.add(endpoint.endpoint_id)
+            outcome = await self._attempt(endpoint, request)
+            if not _may_try_again(outcome, request.repeatable):
+                return outcome
+        return outcome
+
+    def _pick(
+        self, service: str, request_hash: int, tried: set[str]
+    ) -> endpoint_model.Endpoint | None:
+        context = self._context
+        now_s = context.clock.monotonic_s()
+        chosen = context.board.choose(service, request_hash, now_s)
+        if chosen is None:
+            return None
+        versions = [(chosen.version, chosen.allowed)]
+        if chosen.fallback:
+            versions.append((chosen.fallback, None))
+        if tried:
+            # A retry goes to the old version first: a caller meets a bad
+            # new version at most once.
+            versions.reverse()
+        for version, allowed in versions:
+            picked = context.router.acquire(
+                choose.RouteRequest(
+                    service, version, allowed, frozenset(tried)
+                ),
+                now_s,
+            )
+            if isinstance(picked, endpoint_model.Endpoint):
+                return picked
+        return None
+
+    async def _attempt(
+        self,
+        endpoint: endpoint_model.Endpoint,
+        request: service_port.PlainRequest,
+    ) -> outcomes.Outcome:
+        context = self._context
+        load = context.router.load(endpoint.endpoint_id)
+        started_s = context.clock.monotonic_s()
+        outcome: outcomes.Outcome | None = None
+        try:
+            outcome = await context.plain.send(
+                endpoint, request, outcomes.SendAttempt()
+            )
+            return outcome
+        finally:
+            ended = outcome or outcomes.NotRun(codes.ResultCode.DRAINING)
+            self._recorder.record(
+                endpoint,
+                attempts.classify_call(ended),
+                self._route(endpoint.service, request),
+                load,
+                context.clock.monotonic_s() - started_s,
+            )
+
+    def _route(self, service: str, request: service_port.PlainRequest) -> str:
+        configuration = self._context.configuration
+        found = configuration.service(service) if configuration else None
+        path = urllib.parse.unquote(request.target.partition('?')[0])
+        route = found.route(request.method, path) if found else None
+        return f'{route.method} {route.path}' if route else 'other'
+
+
+def _may_try_again(outcome: outcomes.Outcome, repeatable: bool) -> bool:
+    match outcome:
+        case outcomes.NotRun(codes.ResultCode.CONNECT_FAILED):
+            return True
+        case outcomes.Unknown():
+            return repeatable
+    return False
+
+
+def _retry_reason(outcome: outcomes.Outcome) -> str:
+    match outcome:
+        case outcomes.NotRun(code) | outcomes.Unknown(code):
+            return code.name.lower()
+    return 'none'
+
+
+def _target(request: web.Request, service: str) -> str:
+    raw = request.raw_path.removeprefix(f'{PREFIX}{service}')
+    return raw if raw.startswith('/') else f'/{raw}'
--- /dev/null
+++ b/src/godwitvalve/entry/process.py
@@ -0,0 +1,134 @@
+"""Life of one entry process: start, serve, drain, stop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+import aiohttp
+from aiohttp import web
+
+from godwitvalve.configuration import in_force
+from godwitvalve.engine import http_adapter as engine_adapter
+from godwitvalve.entry import app
+from godwitvalve.entry import build
+from godwitvalve.entry import context as contexts
+from godwitvalve.entry import gossip
+from godwitvalve.entry import instance_watch
+from godwitvalve.entry import load_watch
+from godwitvalve.entry import move_watch
+from godwitvalve.logs import setup as logs
+from godwitvalve.settings import load as settings_load
+
+DRAIN_POLL_S = 0.05
+# Set on the server, so that a silent caller does not hold a drain for ever.
+SHUTDOWN_LIMIT_S = 2.0
+
+_LOG = logs.get('entry')
+
+
+class EntryProcess:
+    """Runs one entry instance until it is told to stop."""
+
+    def __init__(
+        self,
+        loaded: settings_load.LoadedSettings,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self._settings = loaded.settings
+        self._parts = build.EntryParts(loaded, session)
+        self.context: contexts.EntryContext = self._parts.build(
+            self._take_configuration
+        )
+        self._gossip = gossip.Gossip(self.context)
+        self._instances = instance_watch.InstanceWatch(self.context)
+        self._stopping = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then drain."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        self._gossip.register()
+        await self.context.node.start()
+        tasks = self._start_tasks()
+        runner = await self._start_server()
+        self.context.lifecycle.begin_serving()
+        _LOG.info('Serving at %s.', self._settings.listen_address)
+        stopped = asyncio.create_task(self._stopping.wait())
+        await asyncio.wait(
+            {stopped, *tasks}, return_when=asyncio.FIRST_COMPLETED
+        )
+        failed = [task for task in tasks if task.done()]
+        if failed:
+            _LOG.error('A task ended: %r.', failed[0])
+        await self._drain()
+        await self._stop(runner, tasks)
+
+    def _start_tasks(self) -> list[asyncio.Task[None]]:
+        works = (
+            self.context.refresher.run(),
+            self._gossip.run(),
+            self._instances.run(),
+            load_watch.LoadWatch(self.context, self._parts.engine).run(),
+            move_watch.MoveWatch(self.context).run(),
+        )
+        return [asyncio.create_task(work) for work in works]
+
+    async def _start_server(self) -> web.AppRunner:
+        runner = web.AppRunner(
+            app.build(self.context),
+            access_log=None,
+            handler_cancellation=True,
+            max_line_size=app.MAX_LINE_BYTES,
+            max_field_size=app.MAX_LINE_BYTES,
+            shutdown_timeout=SHUTDOWN_LIMIT_S,
+        )
+        await runner.setup()
+        host, _, port = self._settings.listen_address.rpartition(':')
+        site = web.TCPSite(runner, host.strip('[]'), int(port))
+        await site.start()
+        return runner
+
+    async def _drain(self) -> None:
+        context = self.context
+        now_s = context.clock.monotonic_s()
+        late_at_s = now_s + self._settings.drain_limit_s
+        context.lifecycle.begin_drain(context.clock.wall_s())
+        context.node.announce_leaving()
+        _LOG.info('Draining %d requests.', context.lifecycle.running)
+        while not context.lifecycle.stop(context.clock.wall_s()):
+            if context.clock.monotonic_s() >= late_at_s:
+                late_at_s += self._settings.drain_limit_s
+                running = context.lifecycle.running
+                _LOG.warning('The drain is late: %d run.', running)
+            await asyncio.sleep(DRAIN_POLL_S)
+        await context.executor.close()
+
+    async def _stop(
+        self, runner: web.AppRunner, tasks: list[asyncio.Task[None]]
+    ) -> None:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await runner.cleanup()
+        await self.context.relay.close()
+        await self.context.node.close()
+        await self._parts.close()
+        _LOG.info('Stopped.')
+
+    def _take_configuration(
+        self, configuration: in_force.InForceConfiguration
+    ) -> None:
+        context = self.context
+        context.admission.set_limits(build.account_limits(configuration))
+        context.board.set_configuration(configuration)
+        self._instances.apply()
+        context.board.step(context.clock.wall_s())
+        self._gossip.announce_head(configuration.head)
+
+
+async def serve(loaded: settings_load.LoadedSettings) -> None:
+    """Run an entry instance with loaded settings."""
+    async with engine_adapter.new_session() as session:
+        await EntryProcess(loaded, session).run()
--- /dev/null
+++ b/src/godwitvalve/moves/board.py
@@ -0,0 +1,265 @@
+"""All moves as one entry sees them: shares, watches and verdicts."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+import dataclasses
+from typing import NamedTuple
+
+from godwitvalve.configuration import in_force
+from godwitvalve.moves import choice
+from godwitvalve.moves import evidence
+from godwitvalve.moves import judge
+from godwitvalve.moves import move
+from godwitvalve.moves import share as shares
+from godwitvalve.moves import succession
+from godwitvalve.moves import verdicts
+from godwitvalve.moves import watch
+from godwitvalve.routing import endpoint as endpoint_model
+
+
+class VersionChoice(NamedTuple):
+    """Where a new request goes.
+
+    :param allowed: endpoint ids that may be used, or None for all.
+    :param fallback: version for a retry, empty if there is no other.
+    """
+
+    version: str
+    allowed: frozenset[str] | None
+    fallback: str
+
+
+class MoveStatus(NamedTuple):
+    """A move as reported to operators."""
+
+    service: str
+    version: str
+    state: str
+    share: float
+    reason: str
+
+
+@dataclasses.dataclass
+class _Watched:
+    """State of the move of one service."""
+
+    moving: move.Move
+    watch: watch.MoveWatch
+    decision: shares.ShareDecision
+    judgement: move.Judgement
+
+
+class MoveBoard:
+    """Keeps share and judgement of each service's move.
+
+    :param book: evidence of this entry and of its peers.
+    :param keeper: verdicts.
+    """
+
+    def __init__(
+        self, book: evidence.EvidenceBook, keeper: verdicts.VerdictKeeper
+    ) -> None:
+        self.book = book
+        self.keeper = keeper
+        self._configuration: in_force.InForceConfiguration | None = None
+        self._endpoints: dict[
+            tuple[str, str], list[endpoint_model.Endpoint]
+        ] = {}
+        self._live: dict[tuple[str, str], int] = {}
+        self._ready: set[str] = set()
+        self._successions: dict[str, succession.Succession] = {}
+        self._watched: dict[str, _Watched] = {}
+
+    def set_configuration(
+        self, configuration: in_force.InForceConfiguration
+    ) -> None:
+        """Take over a configuration that is in force now."""
+        self._configuration = configuration
+        present = {
+            version.move_id
+            for service in configuration.services.values()
+            for version in service.versions
+        }
+        self._ready &= present
+
+    def set_endpoints(
+        self, endpoints: Iterable[endpoint_model.Endpoint]
+    ) -> None:
+        """Take over the live endpoints of all services."""
+        grouped: dict[tuple[str, str], list[endpoint_model.Endpoint]] = {}
+        for item in endpoints:
+            grouped.setdefault((item.service, item.version), []).append(item)
+        self._endpoints = grouped
+
+    def set_ready(self, move_ids: Iterable[str]) -> None:
+        """Add versions whose dependencies and weights were seen.
+
+        A version stays ready: a dependency that goes away later must not
+        move the traffic.
+        """
+        self._ready |= set(move_ids)
+
+    def is_ready(self, version: in_force.VersionInForce) -> bool:
+        """Tell whether a version may take its first request."""
+        return version.move_id in self._ready
+
+    def unready(self) -> list[in_force.VersionInForce]:
+        """Return the versions that wait for dependencies or weights."""
+        if self._configuration is None:
+            return []
+        return [
+            version
+            for service in self._configuration.services.values()
+            for version in service.versions
+            if not version.text.retire and not self.is_ready(version)
+        ]
+
+    def active_moves(self) -> list[move.Move]:
+        """Return the moves that are running or watched."""
+        return [item.moving for item in self._watched.values()]
+
+    def step(self, now_wall_s: float) -> list[str]:
+        """Read new evidence, judge, and compute the shares.
+
+        :returns: ids of the moves whose verdict this step decided.
+        """
+        if self._configuration is None:
+            return []
+        self._find_successions(now_wall_s)
+        decided = []
+        for item in self._watched.values():
+            if self._judge(item, now_wall_s):
+                decided.append(item.moving.move_id)
+        if decided:
+            self._find_successions(now_wall_s)
+        for item in self._watched.values():
+            self._plan(item, now_wall_s)
+        return decided
+
+    def serving(self, service: str) -> in_force.VersionInForce | None:
+        """Return the version that has the traffic of a service."""
+        found = self._successions.get(service)
+        return found.serving if found else None
+
+    def choose(
+        self, service: str, request_hash: int, now_s: float
+    ) -> VersionChoice | None:
+        """Return where a new request goes.
+
+        :param request_hash: the same for each retry of a request.
+        :param now_s: monotonic seconds.
+        """
+        found = self._successions.get(service)
+        if found is None:
+            return None
+        item = self._watched.get(service)
+        if item is None:
+            return VersionChoice(found.serving.name, None, '')
+        moving = item.moving
+        share = item.decision.share
+        if not self.keeper.may_offer(moving.move_id, now_s):
+            share = 0.0
+        chosen = choice.choose_version(moving, share, request_hash)
+        if chosen == moving.old_version:
+            return VersionChoice(chosen, None, '')
+        allowed = frozenset(item.decision.replicas)
+        return VersionChoice(chosen, allowed, moving.old_version)
+
+    def carriers(self) -> Mapping[tuple[str, str], Sequence[str]]:
+        """Return the endpoints that carry a share, by service version."""
+        return {
+            (item.moving.service, item.moving.new_version): (
+                item.decision.replicas
+            )
+            for item in self._watched.values()
+        }
+
+    def status(self) -> list[MoveStatus]:
+        """Return every move that the text asks for."""
+        if self._configuration is None:
+            return []
+        return [
+            self._status(service, version)
+            for service in self._configuration.services.values()
+            for version in service.versions
+            if version.done_by_wall_s is not None and not version.text.retire
+        ]
+
+    def _status(
+        self,
+        service: in_force.ServiceInForce,
+        version: in_force.VersionInForce,
+    ) -> MoveStatus:
+        verdict = self.keeper.verdict(version.move_id)
+        row = self.keeper.row(version.move_id)
+        item = self._watched.get(service.name)
+        share = 1.0 if verdict is move.Verdict.DONE else 0.0
+        reason = row.reason if row else ''
+        if item and item.moving.move_id == version.move_id:
+            share = item.decision.share
+            reason = reason or item.decision.reason
+        elif verdict is move.Verdict.MOVING and not self.is_ready(version):
+            reason = 'waits for its dependencies or weights'
+        return MoveStatus(
+            service.name, version.name, verdict.name.lower(), share, reason
+        )
+
+    def _find_successions(self, now_wall_s: float) -> None:
+        assert self._configuration is not None
+        found = {
+            name: succession.find(service, self.keeper.verdict, self.is_ready)
+            for name, service in self._configuration.services.items()
+        }
+        self._successions = {
+            name: item for name, item in found.items() if item
+        }
+        self._watched = {
+            name: self._watch(name, item.moving, now_wall_s)
+            for name, item in self._successions.items()
+            if item.moving
+        }
+
+    def _watch(
+        self, service: str, moving: move.Move, now_wall_s: float
+    ) -> _Watched:
+        known = self._watched.get(service)
+        if known is not None and known.moving == moving:
+            return known
+        assert self._configuration is not None
+        routes = len(self._configuration.services[service].text.routes)
+        return _Watched(
+            moving,
+            watch.MoveWatch(moving, routes, now_wall_s),
+            shares.ShareDecision(0.0, (), 'not planned yet'),
+            move.Keep('moving'),
+        )
+
+    def _judge(self, item: _Watched, now_wall_s: float) -> bool:
+        moving = item.moving
+        item.watch.advance(self.book, now_wall_s)
+        item.judgement = judge.judge(
+            moving,
+            item.watch,
+            now_wall_s,
+            len(self._group(moving.new_version, moving)),
+            self.keeper.verdict(moving.move_id),
+        )
+        return self.keeper.decide(moving.move_id, item.judgement, now_wall_s)
+
+    def _plan(self, item: _Watched, now_wall_s: float) -> None:
+        moving = item.moving
+        item.decision = shares.plan_share(
+            moving,
+            self._group(moving.new_version, moving),
+            len(self._group(moving.old_version, moving)),
+            item.watch,
+            now_wall_s,
+            self.keeper.verdict(moving.move_id),
+        )
+        item.watch.note_share(now_wall_s, item.decision.share)
+
+    def _group(
+        self, version: str, moving: move.Move
+    ) -> list[endpoint_model.Endpoint]:
+        return self._endpoints.get((moving.service, version), [])
--- a/src/godwitvalve/moves/choice.py
+++ b/src/godwitvalve/moves/choice.py
@@ -31,8 +31,8 @@
     :param share: part of the traffic for the new version, 0 to 1.
     :param hash_of_request: 64-bit hash from :func:`request_hash`.
     """
-    salt = moving.move_id.encode()
     key = hash_of_request.to_bytes(8, 'big')
-    mixed = hashlib.blake2b(key, digest_size=8, salt=salt[:16]).digest()
+    salted = key + moving.move_id.encode()
+    mixed = hashlib.blake2b(salted, digest_size=8).digest()
     point = int.from_bytes(mixed, 'big') / _POINTS
     return moving.new_version if point < share else moving.old_version
--- a/src/godwitvalve/operator_cli/verdicts.py
+++ b/src/godwitvalve/operator_cli/verdicts.py
@@ -4,7 +4,7 @@
 
 from typing import Any, NamedTuple
 
-import msgpack  # type: ignore[import-untyped]
+import msgpack
 import orjson
 
 from godwitvalve.platform import port
--- a/src/godwitvalve/outcomes/problem.py
+++ b/src/godwitvalve/outcomes/problem.py
@@ -21,6 +21,7 @@
     detail: str
     action: str
     retry_at_wall_s: NotRequired[float]
+    addresses: NotRequired[list[str]]
 
 
 def describe(
--- a/src/godwitvalve/peers/messages.py
+++ b/src/godwitvalve/peers/messages.py
@@ -55,12 +55,10 @@
 
 
 class VerdictAnnounced(NamedTuple):
-    """Verdict on a move."""
+    """Verdict on a move; ``row`` is the row as stored."""
 
     move_id: str
-    verdict: str
-    reason: str
-    decided_wall_s: float
+    row: bytes
 
 
 class DemandReport(NamedTuple):
--- a/src/godwitvalve/routing/router.py
+++ b/src/godwitvalve/routing/router.py
@@ -81,6 +81,19 @@
         )
         return chosen.endpoint
 
+    def claim(self, endpoint_id: str) -> endpoint_model.Endpoint | None:
+        """Take one given endpoint, for a stream that it still holds."""
+        view = self._views.get(endpoint_id)
+        if view is None:
+            return None
+        view.outstanding += 1
+        return view.endpoint
+
+    def load(self, endpoint_id: str) -> int:
+        """Return this entry's requests in flight at an endpoint."""
+        view = self._find(endpoint_id)
+        return view.outstanding if view else 0
+
     def release(
         self,
         endpoint_id: str,
--- a/src/godwitvalve/settings/model.py
+++ b/src/godwitvalve/settings/model.py
@@ -31,6 +31,7 @@
     :param address_validity_s: seconds for which callers keep addresses.
     :param drain_limit_s: seconds after which a drain is reported as late.
     :param table_timeout_s: seconds to wait for the table service.
+    :param max_in_flight: requests that may be in flight here at once.
     :param resume_validity_s: seconds for which a resume id is accepted.
     """
 
@@ -53,6 +54,7 @@
     table_timeout_s: Annotated[
         float, pydantic.Field(ge=0.05, le=30, strict=False)
     ] = 1.0
+    max_in_flight: Annotated[int, pydantic.Field(ge=1, le=100_000)] = 512
     resume_validity_s: Annotated[
         float, pydantic.Field(ge=10, le=86400, strict=False)
     ] = 3600.0
--- a/src/godwitvalve/text/head.py
+++ b/src/godwitvalve/text/head.py
@@ -6,7 +6,7 @@
 import dataclasses
 from typing import Any, NamedTuple
 
-import msgpack  # type: ignore[import-untyped]
+import msgpack
 
 from godwitvalve.text import model
 from godwitvalve.text import parts
