--- /dev/null
+++ b/features/steps/configuration_steps.py
@@ -0,0 +1,511 @@
+"""Steps for the configuration in force."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+
+import behave
+from features.support import memory_platform
+from features.support import texts
+from godwitvalve.configuration import in_force
+from godwitvalve.configuration import refresher
+from godwitvalve.configuration import routes
+from godwitvalve.configuration import tracker
+from godwitvalve.platform import port
+from godwitvalve.text import check
+from godwitvalve.text import head as text_head
+from godwitvalve.text import parts
+import hypothesis
+from hypothesis import strategies
+
+FIXED = hypothesis.settings(
+    derandomize=True, max_examples=300, deadline=None, database=None
+)
+CONDITION_LIMIT_S = 20.0
+
+
+def _head(revision):
+    return text_head.Head(revision, 0.0, ('nonce',), {}, {})
+
+
+# Tracker.
+
+
+@behave.then(
+    'under any order of offers and installs the revision in force is '
+    'the highest installed'
+)
+def revisions_grow(context):
+    revisions = strategies.integers(1, 9)
+    actions = strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(['offer', 'install', 'store', 'peer']),
+            revisions,
+        ),
+        max_size=30,
+    )
+
+    @FIXED
+    @hypothesis.given(actions)
+    def run(actions):
+        tracked = tracker.ConfigurationTracker('a')
+        installed, offered = [0], [0]
+        for now_s, (action, revision) in enumerate(actions):
+            if action == 'offer':
+                outcome = tracked.offer(_head(revision), now_s)
+                newest = max(installed + offered)
+                assert isinstance(outcome, tracker.FetchParts) == (
+                    revision > newest
+                )
+                offered.append(revision)
+            elif action == 'install':
+                grew = tracked.install(_head(revision))
+                assert grew == (revision > max(installed))
+                installed.append(revision)
+            elif action == 'store':
+                tracked.confirm_by_store(revision, now_s, now_s)
+            else:
+                report = tracker.PeerFreshness('b', revision, 0.0, 0.0)
+                tracked.hear_peer(report, now_s)
+            assert tracked.revision == max(installed)
+            wanted = tracked.wanted.revision if tracked.wanted else 0
+            assert wanted == (
+                max(offered) if max(offered) > max(installed) else 0
+            )
+
+    run()
+
+
+class _World:
+    """Entries, one store, and messages under way; times are exact."""
+
+    def __init__(self):
+        self.now_s = 0.0
+        self.accepted = 1
+        self.replaced_at_s = {}
+        self.entries = [
+            tracker.ConfigurationTracker(str(index)) for index in range(3)
+        ]
+        self.reads = []
+        self.reports = []
+
+    def accept(self, *_):
+        self.replaced_at_s[self.accepted] = self.now_s
+        self.accepted += 1
+
+    def ask(self, index, _):
+        # The row is read at some moment between request and answer; the
+        # earliest one makes the answer oldest.
+        self.reads.append((index, self.accepted, self.now_s))
+
+    def answer(self, *_):
+        if self.reads:
+            index, revision, asked_s = self.reads.pop()
+            entry = self.entries[index]
+            entry.confirm_by_store(revision, asked_s, self.now_s)
+
+    def report(self, index, other):
+        own = self.entries[index].freshness(self.now_s)
+        self.reports.append((index, other, own, self.now_s))
+
+    def deliver(self, *_):
+        if self.reports:
+            index, other, own, sent_s = self.reports.pop(0)
+            report = tracker.PeerFreshness(
+                str(index),
+                own.revision,
+                own.confirmed_age_s,
+                self.now_s - sent_s,
+            )
+            self.entries[other].hear_peer(report, self.now_s)
+
+    def install(self, index, other):
+        entry = self.entries[index]
+        entry.install(_head(max(entry.known_revision - other % 2, 1)))
+
+    def advance(self, index, other):
+        self.now_s += 1.0 + index + other
+
+    def check(self):
+        for entry in self.entries:
+            replaced_s = self.replaced_at_s.get(entry.revision, self.now_s)
+            if entry.may_admit(self.now_s):
+                assert self.now_s - replaced_s <= 10.0
+
+
+@behave.then(
+    'under any order of reads, reports, accepts and installs no entry '
+    'admits under a revision replaced more than 10 s ago'
+)
+def no_stale_admission(context):
+    names = [
+        'accept',
+        'ask',
+        'answer',
+        'report',
+        'deliver',
+        'install',
+        'advance',
+    ]
+    index = strategies.integers(0, 2)
+    actions = strategies.lists(
+        strategies.tuples(strategies.sampled_from(names), index, index),
+        max_size=60,
+    )
+    admitted = 0
+
+    @FIXED
+    @hypothesis.given(actions)
+    def run(actions):
+        nonlocal admitted
+        world = _World()
+        for name, one, other in actions:
+            getattr(world, name)(one, other)
+            world.check()
+            admitted += any(
+                entry.may_admit(world.now_s) for entry in world.entries
+            )
+
+    run()
+    assert admitted, 'no run admitted work, so nothing was tested'
+
+
+@behave.given('a configuration tracker among the entries "{ids}"')
+def tracker_among(context, ids):
+    context.now_s = 100.0
+    context.tracker = tracker.ConfigurationTracker('a')
+    context.tracker.set_listed(ids.split(', '))
+
+
+@behave.given('revision {revision:d} is in force')
+@behave.when('revision {revision:d} is installed')
+def revision_in_force(context, revision):
+    assert context.tracker.install(_head(revision))
+
+
+@behave.when('the store confirms revision {revision:d}')
+def store_confirms(context, revision):
+    context.tracker.confirm_by_store(revision, context.now_s, context.now_s)
+
+
+@behave.when('the store confirms revision {revision:d} after {age_s:g} s')
+def store_confirms_late(context, revision, age_s):
+    asked_s = context.now_s
+    context.now_s += age_s
+    context.tracker.confirm_by_store(revision, asked_s, context.now_s)
+
+
+def _hear(context, peer, revision, age_s):
+    report = tracker.PeerFreshness(peer, revision, age_s, 0.0)
+    context.tracker.hear_peer(report, context.now_s)
+
+
+@behave.when(
+    'peer "{peer}" reports revision {revision:d} confirmed {age_s:g} s ago'
+)
+def peer_reports(context, peer, revision, age_s):
+    _hear(context, peer, revision, age_s)
+
+
+@behave.when('peer "{peer}" reports revision {revision:d} never confirmed')
+def peer_reports_unconfirmed(context, peer, revision):
+    _hear(context, peer, revision, None)
+
+
+@behave.when('{duration_s:g} s pass for the tracker')
+def time_passes(context, duration_s):
+    context.now_s += duration_s
+
+
+@behave.then('the tracker admits work')
+def tracker_admits(context):
+    assert context.tracker.may_admit(context.now_s)
+
+
+@behave.then('the tracker admits nothing')
+def tracker_admits_nothing(context):
+    assert not context.tracker.may_admit(context.now_s)
+
+
+@behave.then(
+    'the tracker tells its peers that revision {revision:d} '
+    'was never confirmed'
+)
+def tracker_tells(context, revision):
+    told = context.tracker.freshness(context.now_s)
+    assert told == tracker.OwnFreshness(revision, None)
+
+
+# Refresher.
+
+
+@behave.given('a refresher with a platform and peers in memory')
+def refresher_in_memory(context):
+    context.raw = texts.example()
+    context.memory = memory_platform.MemoryPlatform()
+    context.peers = memory_platform.MemoryPeers()
+    context.clock = memory_platform.ManualClock()
+    context.installed = []
+    context.refresher = refresher.Refresher(
+        tracker.ConfigurationTracker('a'),
+        context.memory,
+        context.memory,
+        context.peers,
+        context.clock,
+        context.installed.append,
+    )
+
+
+@behave.given('the example text is accepted')
+def example_accepted(context):
+    outcome = check.check(texts.to_bytes(context.raw))
+    context.accepted = memory_platform.accept(
+        context.memory, outcome.text, context.clock.wall_s()
+    )
+
+
+@behave.given('the example text is accepted with "{path}" set to {value}')
+def changed_example_accepted(context, path, value):
+    texts.set_key(context.raw, path, json.loads(value))
+    example_accepted(context)
+
+
+def _unusable_head(context, revision):
+    """Accept a head with a part that no release can parse."""
+    body = b'{"colour": 1}'
+    context.unusable_key = parts.object_key(parts.content_hash(body))
+    context.memory.objects[context.unusable_key] = body
+    head = text_head.Head(
+        revision,
+        0.0,
+        ('nonce',),
+        {'service/x': parts.content_hash(body)},
+        {},
+    )
+    context.memory.rows[text_head.TABLE, text_head.KEY] = port.Row(
+        text_head.KEY, revision, text_head.encode(head)
+    )
+
+
+@behave.given('the example text is accepted with an unusable part')
+def unusable_accepted(context):
+    _unusable_head(context, 1)
+
+
+def _held(context):
+    return {
+        item: context.memory.objects[parts.object_key(item)]
+        for item in context.accepted.parts.values()
+        if parts.object_key(item) in context.memory.objects
+    }
+
+
+@behave.given('the peers hold all parts')
+def peers_hold_parts(context):
+    context.peers.held = _held(context) | getattr(context, 'lost', {})
+
+
+@behave.given('the peers hold damaged parts')
+def peers_hold_damaged(context):
+    context.peers.held = {
+        item: body + b' ' for item, body in _held(context).items()
+    }
+
+
+@behave.given('an object of the store is lost')
+def object_lost(context):
+    item = context.accepted.parts['accounts/' + _accounts_group(context)]
+    body = context.memory.objects.pop(parts.object_key(item))
+    context.lost = {item: body}
+
+
+def _accounts_group(context):
+    [name] = [
+        name for name in context.accepted.parts if name.startswith('accounts/')
+    ]
+    return name.removeprefix('accounts/')
+
+
+@behave.given('the store of the refresher is down')
+def refresher_store_down(context):
+    context.memory.is_down = True
+
+
+@behave.given('the head row is damaged')
+def head_damaged(context):
+    context.memory.rows[text_head.TABLE, text_head.KEY] = port.Row(
+        text_head.KEY, 9, b'damaged'
+    )
+
+
+@behave.given('the refresher polls and installs')
+@behave.when('the refresher polls and installs')
+def poll_and_install(context):
+    async def run():
+        await context.refresher.poll_once()
+        await context.refresher.install_once()
+
+    asyncio.run(run())
+
+
+@behave.when('the refresher installs again')
+def install_again(context):
+    asyncio.run(context.refresher.install_once())
+
+
+@behave.when('a peer announces the accepted head to the refresher')
+def peer_announces(context):
+    async def run():
+        assert await context.refresher.offer_from_peer(context.accepted)
+        assert not await context.refresher.offer_from_peer(context.accepted)
+        await context.refresher.install_once()
+
+    asyncio.run(run())
+
+
+@behave.then('revision {revision:d} was installed')
+def revision_was_installed(context, revision):
+    assert [item.revision for item in context.installed][-1:] == [revision]
+    assert context.refresher.current is context.installed[-1]
+    assert context.refresher.tracker.revision == revision
+
+
+@behave.then('nothing was installed')
+def nothing_installed(context):
+    assert not context.installed
+
+
+@behave.then('the refresher may not admit work')
+def refresher_may_not_admit(context):
+    now_s = context.clock.monotonic_s()
+    assert not context.refresher.tracker.may_admit(now_s)
+
+
+@behave.then('the refresher may admit work')
+def refresher_may_admit(context):
+    assert context.refresher.tracker.may_admit(context.clock.monotonic_s())
+
+
+@behave.then('the service "{name}" has the versions "{versions}" in order')
+def service_versions(context, name, versions):
+    service = context.installed[-1].service(name)
+    assert [item.name for item in service.versions] == versions.split(', ')
+    [endpoint] = service.version('v1').endpoints
+    assert (endpoint.endpoint_id, endpoint.service) == ('e1', name)
+    assert context.installed[-1].service('nothing') is None
+
+
+@behave.then('the key of no client account is known as "{key}"')
+@behave.then('the key of no client account is known as ""')
+def key_unknown(context, key=''):
+    configuration = context.installed[-1]
+    assert configuration.account_for_key(key) is None
+    known = configuration.accounts_by_key_hash['0' * 64]
+    assert known.name == 'portal'
+    assert in_force.hash_key(key) != '0' * 64
+
+
+@behave.then('{count:d} part was asked of the peers last')
+def parts_asked(context, count):
+    assert len(context.peers.asked[-1]) == count
+
+
+@behave.then('{count:d} parts were read from the object store')
+def parts_read(context, count):
+    assert context.memory.gets.total() == count
+
+
+@behave.then('every service is the same object as before')
+def services_taken_over(context):
+    before, after = context.installed
+    assert before.services.keys() == after.services.keys()
+    for name, service in after.services.items():
+        assert service is before.services[name]
+
+
+@behave.then('the refresher gives each part of the accepted head')
+def refresher_gives_parts(context):
+    for item in context.accepted.parts.values():
+        assert parts.content_hash(context.refresher.part(item)) == item
+    assert context.refresher.part('0' * 64) is None
+
+
+async def _until(condition):
+    async with asyncio.timeout(CONDITION_LIMIT_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@behave.then(
+    'the running refresher installs revision 1 by polling and '
+    'revision 2 by announcement'
+)
+def running_refresher(context):
+    async def run():
+        task = asyncio.create_task(context.refresher.run())
+        await _until(lambda: context.refresher.tracker.revision == 1)
+        context.memory.is_down = True
+        changed_example_accepted(context, 'client_accounts.portal', 'null')
+        context.peers.held = _held(context)
+        await context.refresher.offer_from_peer(context.accepted)
+        await _until(lambda: context.refresher.tracker.revision == 2)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(run())
+
+
+@behave.then(
+    'the running refresher fetches the unusable part once and installs '
+    'the next revision'
+)
+def unusable_once(context):
+    async def run():
+        task = asyncio.create_task(context.refresher.run())
+        await _until(lambda: context.memory.gets[context.unusable_key])
+        # Longer than the interval at which a failed fetch is tried again.
+        await asyncio.sleep(refresher.RETRY_INTERVAL_S * 1.5)
+        assert context.memory.gets[context.unusable_key] == 1
+        example_accepted(context)
+        await _until(lambda: context.refresher.tracker.revision == 2)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(run())
+
+
+def _naive_find(listed, method, path):
+    """Return the fixed route or else the first one that matches."""
+
+    def pattern(route):
+        return re.sub(r'\\{\w+\\}', '[^/]+', re.escape(route.path))
+
+    matching = [
+        route
+        for route in listed
+        if route.method == method and re.fullmatch(pattern(route), path)
+    ]
+    fixed = [route for route in matching if route.path == path]
+    return (fixed or matching or [None])[0]
+
+
+@behave.then('the route table agrees with patterns tried one by one')
+def route_table_agrees(context):
+    listed = strategies.lists(
+        texts.ROUTES,
+        max_size=6,
+        unique_by=lambda route: (route.method, route.path),
+    )
+    paths = strategies.lists(
+        strategies.sampled_from(['', 'a', 'b', 'c']), max_size=4
+    ).map(lambda segments: '/' + '/'.join(segments))
+
+    @FIXED
+    @hypothesis.given(listed, strategies.sampled_from(['GET', 'POST']), paths)
+    def run(listed, method, path):
+        table = routes.RouteTable(listed)
+        assert table.find(method, path) == _naive_find(listed, method, path)
+
+    run()
--- a/features/steps/text_steps.py
+++ b/features/steps/text_steps.py
@@ -403,17 +403,29 @@
     @FIXED
     @hypothesis.given(texts.TEXTS, texts.VERSIONS, texts.ACCOUNTS)
     def run_single(text, version, account):
-        for name, service in text.services.items():
-            for label, old in service.versions.items():
-                for field in dataclasses.fields(version):
-                    value = getattr(version, field.name)
-                    new = dataclasses.replace(old, **{field.name: value})
-                    changed = dataclasses.replace(
-                        service, versions=service.versions | {label: new}
-                    )
-                    other = dataclasses.replace(
-                        text, services=text.services | {name: changed}
-                    )
-                    assert (not diff.diff(text, other)) == (text == other)
+        for other in _single_changes(text, version, account):
+            assert (not diff.diff(text, other)) == (text == other)
 
     run_single()
+
+
+def _with_each_field(old, new):
+    """Yield the old value with each single field of the new one."""
+    for field in dataclasses.fields(new):
+        value = getattr(new, field.name)
+        yield dataclasses.replace(old, **{field.name: value})
+
+
+def _single_changes(text, version, account):
+    for name, service in text.services.items():
+        for label, old in service.versions.items():
+            for new in _with_each_field(old, version):
+                changed = dataclasses.replace(
+                    service, versions=service.versions | {label: new}
+                )
+                services = text.services | {name: changed}
+                yield dataclasses.replace(text, services=services)
+    for name, old in text.client_accounts.items():
+        for new in _with_each_field(old, account):
+            accounts = text.client_accounts | {name: new}
+            yield dataclasses.replace(text, client_accounts=accounts)
--- /dev/null
+++ b/features/support/memory_platform.py
@@ -0,0 +1,103 @@
+"""Platform ports and peers in memory, for tests without sockets."""
+
+from __future__ import annotations
+
+import collections
+
+from godwitvalve.platform import port
+from godwitvalve.text import head as text_head
+from godwitvalve.text import model
+from godwitvalve.text import parts
+
+
+class ManualClock:
+    """Clock that a test moves."""
+
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+
+    def monotonic_s(self) -> float:
+        """Return the set time."""
+        return self.now_s
+
+    def wall_s(self) -> float:
+        """Return the set time."""
+        return self.now_s
+
+
+class MemoryPlatform:
+    """Table service and object store that can be down."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], port.Row] = {}
+        self.objects: dict[str, bytes] = {}
+        self.is_down = False
+        self.gets: collections.Counter[str] = collections.Counter()
+
+    def _check(self) -> None:
+        if self.is_down:
+            raise port.PlatformUnavailable('down')
+
+    async def read(self, table: str, key: str) -> port.Row | None:
+        """Return a row."""
+        self._check()
+        return self.rows.get((table, key))
+
+    async def scan(self, table: str, prefix: str) -> list[port.Row]:
+        """Return the rows of a table."""
+        self._check()
+        return [row for (name, _), row in self.rows.items() if name == table]
+
+    async def compare_and_set(
+        self, table: str, key: str, expected_version: int, value: bytes
+    ) -> port.WriteOutcome:
+        """Write a row."""
+        if self.is_down:
+            return port.WriteRefused('down')
+        current = self.rows.get((table, key))
+        version = current.version if current else 0
+        if version != expected_version:
+            return port.Conflict(current)
+        self.rows[table, key] = port.Row(key, version + 1, value)
+        return port.Written(version + 1)
+
+    async def put(self, key: str, body: bytes) -> None:
+        """Store an object."""
+        self._check()
+        self.objects[key] = body
+
+    async def get(self, key: str) -> bytes | None:
+        """Return an object and count the read."""
+        self._check()
+        self.gets[key] += 1
+        return self.objects.get(key)
+
+
+class MemoryPeers:
+    """Peers that hold some parts."""
+
+    def __init__(self) -> None:
+        self.held: dict[str, bytes] = {}
+        self.asked: list[frozenset[str]] = []
+
+    async def fetch_parts(self, hashes: frozenset[str]) -> dict[str, bytes]:
+        """Return the parts that are held."""
+        self.asked.append(hashes)
+        return {item: self.held[item] for item in hashes if item in self.held}
+
+
+def accept(
+    platform: MemoryPlatform, text: model.Text, now_wall_s: float
+) -> text_head.Head:
+    """Make a text the accepted one and return its head."""
+    place = (text_head.TABLE, text_head.KEY)
+    row = platform.rows.get(place)
+    base = text_head.decode(row.value) if row else None
+    split = parts.split(text)
+    head = text_head.succeed(base, text, split, 'nonce', now_wall_s)
+    for part in split.values():
+        key = parts.object_key(part.content_hash)
+        platform.objects[key] = part.body
+    value = text_head.encode(head)
+    platform.rows[place] = port.Row(text_head.KEY, head.revision, value)
+    return head
--- a/src/godwitvalve/operator_cli/stored.py
+++ b/src/godwitvalve/operator_cli/stored.py
@@ -109,6 +109,18 @@
     return await read_text(platform, head)
 
 
+async def _put(platform: Platform, key: str, body: bytes) -> None:
+    """Store an object; read it back if the answer is lost.
+
+    :raises PlatformUnavailable: if it is not known to be stored.
+    """
+    try:
+        await platform.put(key, body)
+    except port.PlatformUnavailable:
+        if await platform.get(key) != body:
+            raise
+
+
 async def write_parts(
     platform: Platform,
     split: Mapping[str, parts.Part],
@@ -133,6 +145,6 @@
 
     async def put(key: str, body: bytes) -> None:
         async with limit:
-            await platform.put(key, body)
+            await _put(platform, key, body)
 
     await asyncio.gather(*(put(*item) for item in wanted.items()))
