Test routing and simulate the exchange of shares

Reports now say how many entries the sender counts, and the receiver counts at least as many. Ruled out: more frequent lists, because the entry was gone from every list.

--- /dev/null
+++ b/features/variants/routing.py
@@ -0,0 +1,77 @@
+"""Plain re-statements of routing rules, and rules with a guard left out."""
+
+from __future__ import annotations
+
+from godwitvalve.routing import retry_budget
+from godwitvalve.routing import subset
+from godwitvalve.routing import view
+
+
+def naive_choose(views, request, near_domain, holder_id):
+    """Return the index of the chosen view by the words of the design."""
+
+    def may_take(item, standing):
+        endpoint_id = item.endpoint.endpoint_id
+        return (
+            item.standing is standing
+            and endpoint_id not in request.tried
+            and (request.allowed is None or endpoint_id in request.allowed)
+        )
+
+    pool = [v for v in views if may_take(v, view.Standing.USABLE)]
+    if not pool:
+        pool = [v for v in views if may_take(v, view.Standing.AVOIDED)]
+    if not pool:
+        return None
+    near = [v for v in pool if v.endpoint.failure_domain == near_domain]
+    far = [v for v in pool if v.endpoint.failure_domain != near_domain]
+    if near and far:
+        near_least = sorted(v.outstanding for v in near)[0]
+        far_least = sorted(v.outstanding for v in far)[0]
+        if not near_least >= far_least + 2:
+            pool = near
+    elif near:
+        pool = near
+    order = sorted(pool, key=lambda v: (v.outstanding, v.reported, v.turn))
+    holders = [v for v in pool if v.endpoint.endpoint_id == holder_id]
+    if holders and holders[0].outstanding <= order[0].outstanding + 2:
+        return holders[0]
+    return order[0]
+
+
+def naive_subset(entry_id, endpoints, size):
+    """Take the best unused endpoint of each domain in turn."""
+    best_first = sorted(
+        endpoints, key=lambda e: -subset.score(entry_id, e.endpoint_id)
+    )
+    domains = []
+    for endpoint in best_first:
+        if endpoint.failure_domain not in domains:
+            domains.append(endpoint.failure_domain)
+    taken = []
+    while len(taken) < min(size, len(best_first)):
+        for domain in domains:
+            left = [
+                e
+                for e in best_first
+                if e.failure_domain == domain and e not in taken
+            ]
+            if left and len(taken) < size:
+                taken.append(left[0])
+    return taken
+
+
+def standings_without_cap(views):
+    """Keep every doubtful endpoint from new work."""
+    view.assign_standings(views)
+    for item in views:
+        if item.health.condition is not item.health.condition.HEALTHY:
+            item.standing = view.Standing.OUT
+
+
+class UnboundedRetries(retry_budget.RetryBudget):
+    """Budget that allows each retry."""
+
+    def try_retry(self, service, for_resume=False):
+        """Allow the retry."""
+        return True
--- a/src/godwitvalve/limits/members.py
+++ b/src/godwitvalve/limits/members.py
@@ -5,6 +5,7 @@
 from collections import abc
 import hashlib
 import math
+from typing import NamedTuple
 
 # After this time without a list that names it, or an acknowledgement by
 # peers, an entry gives its base share up. The configuration slice stops
@@ -21,6 +22,11 @@
     return hashlib.blake2b(text, digest_size=8).digest()
 
 
+class _Heard(NamedTuple):
+    heard_s: float
+    counted: int
+
+
 class Members:
     """Listed entries, and unlisted ones that may still be admitting.
 
@@ -41,7 +47,8 @@
         self._active = False
         self._gone_until_s: dict[str, float] = {}
         self._acknowledged: set[str] = set()
-        self._heard_s: dict[str, float] = {}
+        self._heard: dict[str, _Heard] = {}
+        self._acknowledged_s: dict[str, float] = {}
         self.listed: frozenset[str] = frozenset({entry_id})
         self.digest = digest(self.listed)
 
@@ -67,9 +74,13 @@
         self.digest = digest(members)
         self._acknowledged.clear()
 
-    def hear(self, origin: str, now_s: float) -> None:
-        """Record that another entry sent a report."""
-        self._heard_s[origin] = now_s
+    def hear(self, origin: str, counted: int, now_s: float) -> None:
+        """Record that another entry sent a report.
+
+        :param counted: entries that it counts; it may still count one
+            that left the list before this entry started.
+        """
+        self._heard[origin] = _Heard(now_s, counted)
 
     def acknowledge(
         self, origin: str, members_digest: bytes, sent_s: float
@@ -79,7 +90,8 @@
         :param sent_s: when this entry sent the report that is
             acknowledged.
         """
-        self._confirmed_s = max(self._confirmed_s, sent_s)
+        known_s = self._acknowledged_s.get(origin, -math.inf)
+        self._acknowledged_s[origin] = max(known_s, sent_s)
         if members_digest != self.digest or sent_s < self._waiting_since_s:
             return
         self._acknowledged.add(origin)
@@ -90,6 +102,14 @@
 
     def count(self, now_s: float) -> int:
         """Return the number of entries among which a limit is split."""
+        counted = self.own_count(now_s)
+        for heard in self._heard.values():
+            if now_s - heard.heard_s < HOLD_S:
+                counted = max(counted, heard.counted)
+        return counted
+
+    def own_count(self, now_s: float) -> int:
+        """Return the entries counted by this entry's own list."""
         lapsed = [
             gone
             for gone, until_s in self._gone_until_s.items()
@@ -97,7 +117,8 @@
         ]
         for gone in lapsed:
             del self._gone_until_s[gone]
-            self._heard_s.pop(gone, None)
+            self._heard.pop(gone, None)
+            self._acknowledged_s.pop(gone, None)
         return len(self.listed) + len(self._gone_until_s)
 
     def is_active(self, now_s: float) -> bool:
@@ -107,7 +128,7 @@
         new list does not end it; only a missing confirmation does, for
         instance after a pause of this process.
         """
-        if now_s - self._confirmed_s >= CONFIRM_S:
+        if now_s - self._last_confirmed_s(now_s) >= CONFIRM_S:
             if self._active:
                 self._active = False
                 self._waiting_since_s = now_s
@@ -121,8 +142,29 @@
             )
         return self._active
 
+    def _last_confirmed_s(self, now_s: float) -> float:
+        """Return when the list or a majority last named this entry.
+
+        A minority that is cut off from the list must not confirm itself
+        while the others stop counting it.
+        """
+        if self._confirmed_s == -math.inf:
+            return self._confirmed_s
+        others_needed = len(self.listed) // 2
+        if not others_needed:
+            return now_s
+        acknowledged_s = sorted(
+            (self._acknowledged_s.get(member, -math.inf))
+            for member in self.listed
+            if member != self._entry_id
+        )
+        return max(self._confirmed_s, acknowledged_s[-others_needed])
+
     def _makes_room(self, member: str, now_s: float) -> bool:
         if member in self._acknowledged:
             return True
-        heard_s = self._heard_s.get(member, 0.0)
-        return now_s - max(heard_s, self._waiting_since_s) >= HOLD_S
+        silent_since_s = self._waiting_since_s
+        if member in self._heard:
+            heard_s = self._heard[member].heard_s
+            silent_since_s = max(silent_since_s, heard_s)
+        return now_s - silent_since_s >= HOLD_S
--- a/src/godwitvalve/limits/model.py
+++ b/src/godwitvalve/limits/model.py
@@ -55,6 +55,7 @@
 
     :param members_digest: digest of the listed entries that the sender
         has made room for.
+    :param counted: entries among which the sender splits limits.
     :param active: whether the sender uses a base share.
     """
 
@@ -62,6 +63,7 @@
     incarnation: int
     sequence: int
     members_digest: bytes
+    counted: int
     active: bool
     heard: tuple[Heard, ...]
     demands: tuple[AccountDemand, ...]
@@ -75,14 +77,14 @@
     """
     if len(fields) != len(DemandReport._fields):
         raise ValueError(f'{len(fields)} fields')
-    origin, incarnation, sequence, digest, active, heard, demands, grants = (
-        fields
-    )
+    origin, incarnation, sequence, digest, counted, active = fields[:6]
+    heard, demands, grants = fields[6:]
     return DemandReport(
         str(origin),
         _integer(incarnation),
         _integer(sequence),
         _bytes(digest),
+        _integer(counted),
         bool(active),
         tuple(_heard(item) for item in _items(heard)),
         tuple(_demand(item) for item in _items(demands)),
--- a/src/godwitvalve/limits/shares.py
+++ b/src/godwitvalve/limits/shares.py
@@ -113,6 +113,7 @@
             self._incarnation,
             self._sequence,
             self._acknowledged_digest,
+            self._members.own_count(now_s),
             base > 0,
             self._heard(),
             tuple(
@@ -131,7 +132,7 @@
             return
         if known and known.incarnation != report.incarnation:
             self._drop_loans_of(report.origin)
-        self._members.hear(report.origin, now_s)
+        self._members.hear(report.origin, report.counted, now_s)
         self._peers[report.origin] = lending.Peer(
             report.incarnation,
             report.sequence,
--- a/src/godwitvalve/routing/gaps.py
+++ b/src/godwitvalve/routing/gaps.py
@@ -12,7 +12,8 @@
 LEAST_DEADLINE_S = 0.4
 # Leaves more than a second of the 3 s for the resume itself.
 GREATEST_DEADLINE_S = 1.5
-HALF_LIFE_S = 10.0
+# A slow spell stops raising the p99 within about seven half-lives.
+HALF_LIFE_S = 5.0
 MIN_SAMPLES = 50.0
 
 _LEAST_GAP_S = 0.001
