--- /dev/null
+++ b/features/variants/limits.py
@@ -0,0 +1,120 @@
+"""Plain re-statements of limit rules, and rules with a guard left out."""
+
+from __future__ import annotations
+
+import collections
+
+from godwitvalve.limits import loans
+from godwitvalve.limits import queue
+from godwitvalve.limits import shares
+
+
+class FirstComeFirstServed(queue.AdmissionQueue):
+    """Queue that serves requests in the order of their arrival."""
+
+    def __init__(self, now_s):
+        super().__init__(now_s)
+        self._arrived = collections.deque()
+
+    def offer(self, request, now_s):
+        """Queue every request."""
+        self._arrived.append(request)
+        return queue.Queued(now_s)
+
+    def take(self, now_s):
+        """Return the oldest request."""
+        return self._arrived.popleft() if self._arrived else None
+
+
+class NaiveRoundRobin:
+    """Deficit round robin over plain lists, one account visited a step."""
+
+    def __init__(self, weights):
+        self._weights = weights
+        self._order = []
+        self._queues = {}
+        self._deficits = {}
+
+    def offer(self, request):
+        """Append a request to its account's list."""
+        account = request.client_account
+        if account not in self._order:
+            self._order.append(account)
+            self._queues[account] = []
+            self._deficits[account] = 0.0
+        self._queues[account].append(request)
+
+    def take(self):
+        """Visit accounts in turn until one can pay for its first request."""
+        while self._order:
+            account = self._order[0]
+            first = self._queues[account][0]
+            if self._deficits[account] < first.cost_tokens:
+                quantum = queue.QUANTUM_TOKENS * self._weights[account]
+                self._deficits[account] += quantum
+                self._order = self._order[1:] + [account]
+                continue
+            self._deficits[account] -= first.cost_tokens
+            self._queues[account].remove(first)
+            if not self._queues[account]:
+                self._order.remove(account)
+            return first
+        return None
+
+
+def naive_targets(demands, base):
+    """Hand the limit out in small equal steps to those that want more."""
+    steps = 20_000
+    step = base * len(demands) / steps
+    wanted = {name: max(d, base * 0.1) for name, d in demands.items()}
+    given = dict.fromkeys(demands, 0.0)
+    left = steps
+    while left > 0:
+        short = [n for n in sorted(given) if given[n] < wanted[n] - step / 2]
+        for name in (short or sorted(given))[:left]:
+            given[name] += step
+            left -= 1
+    return given
+
+
+class WithoutFallback(shares.AccountShares):
+    """Shares whose borrowed part does not lapse."""
+
+    def share(self, client_account, now_s):
+        """Return the share with each loan ever received."""
+        books = self._accounts.get(client_account)
+        if books is None:
+            return self.base(now_s)
+        own = max(0.0, self.base(now_s) - books.lent.reserved(now_s))
+        return own + sum(
+            loan.fraction for loan in books.borrowed._loans.values()
+        )
+
+
+class WithoutReservation(shares.AccountShares):
+    """Shares whose lender takes a loan back as soon as it likes."""
+
+    def share(self, client_account, now_s):
+        """Return the share without what was lent half a second ago."""
+        books = self._accounts.get(client_account)
+        if books is None:
+            return self.base(now_s)
+        lapsed_s = now_s + loans.LENT_FOR_S - 0.5
+        own = max(0.0, self.base(now_s) - books.lent.reserved(lapsed_s))
+        return own + books.borrowed.usable(now_s)
+
+
+class WithoutWaiting(shares.AccountShares):
+    """Shares that use a base share from the first list on."""
+
+    def base(self, now_s):
+        """Return the base share by the own list."""
+        return 1.0 / len(self._members.listed)
+
+
+class FixedShares(shares.AccountShares):
+    """Shares that never follow the demand."""
+
+    def share(self, client_account, now_s):
+        """Return the base share."""
+        return self.base(now_s)
--- a/src/godwitvalve/limits/buckets.py
+++ b/src/godwitvalve/limits/buckets.py
@@ -17,13 +17,18 @@
     """
 
     def __init__(self, now_s: float) -> None:
-        self._balance = LEAST_BURST
+        self._balance = 0.0
         self._filled_s = now_s
+        self._started = False
 
     def fill(self, rate_per_s: float, now_s: float) -> None:
         """Add what the rate gave since the last call."""
         burst = max(LEAST_BURST, rate_per_s * BURST_S)
         earned = rate_per_s * max(0.0, now_s - self._filled_s)
+        # Full at first: a request after a quiet time is not refused.
+        if not self._started:
+            self._started = True
+            earned = burst
         self._balance = min(self._balance + earned, burst)
         self._filled_s = now_s
 
