--- a/bench/move_runs.py
+++ b/bench/move_runs.py
@@ -77,9 +77,7 @@
 class Simulation:
     """Entries that decide on one stream and tell each other once a second."""
 
-    def __init__(
-        self, site: sites.Site, case: sites.Case, seed: int
-    ) -> None:
+    def __init__(self, site: sites.Site, case: sites.Case, seed: int) -> None:
         self.site = site
         self.case = case
         self.seed = seed
--- a/bench/sites.py
+++ b/bench/sites.py
@@ -138,9 +138,7 @@
         0.05 if noisy else rng.uniform(0.0, 0.01),
         0.8 if noisy else 0.4,
         tuple(_deaths(site, around, rng)),
-        (route, begin, begin + 60)
-        if around == 'dependency-outage'
-        else None,
+        (route, begin, begin + 60) if around == 'dependency-outage' else None,
         (begin, begin + 60) if around == 'heavy-account' else None,
         (0.0, 1.2 * site.move_s) if around == 'store-outage' else None,
     )
--- a/bench/streams.py
+++ b/bench/streams.py
@@ -38,9 +38,7 @@
         of the new version begins.
     """
 
-    def __init__(
-        self, site: sites.Site, case: sites.Case, seed: int
-    ) -> None:
+    def __init__(self, site: sites.Site, case: sites.Case, seed: int) -> None:
         self.site = site
         self.case = case
         name = f'{site.name} {case.name} {seed}'
--- a/features/steps/operator_cli_steps.py
+++ b/features/steps/operator_cli_steps.py
@@ -15,6 +15,8 @@
 from features.support import memory_platform
 from features.support import platform_standin
 from features.support import texts
+from godwitvalve.moves import move
+from godwitvalve.moves import verdicts
 from godwitvalve.operator_cli import main
 from godwitvalve.operator_cli import publish
 from godwitvalve.operator_cli import stored
@@ -287,7 +289,10 @@
 
 @behave.given('the verdict row "{key}" says "{verdict}" because "{reason}"')
 def verdict_row(context, key, verdict, reason):
-    value = orjson.dumps({'verdict': verdict, 'reason': reason})
+    row = verdicts.VerdictRow(
+        key, move.Verdict[verdict.upper()], reason, 'entry-1', 1.0
+    )
+    value = row.encode()
     _with_platform(
         context,
         lambda platform: platform.compare_and_set('moves', key, 0, value),
--- a/src/godwitvalve/caller/options.py
+++ b/src/godwitvalve/caller/options.py
@@ -49,7 +49,7 @@
 
 def print_json(body: Any) -> None:
     """Print one JSON document."""
-    typer.echo(orjson.dumps(body).decode())
+    typer.echo(orjson.dumps(body, option=orjson.OPT_NON_STR_KEYS).decode())
 
 
 def _fail(error: errors.CallerError, as_json: bool) -> NoReturn:
--- a/src/godwitvalve/operator_cli/verdicts.py
+++ b/src/godwitvalve/operator_cli/verdicts.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple
-
-import msgpack
-import orjson
+from typing import NamedTuple
 
+from godwitvalve.moves import move
+from godwitvalve.moves import verdicts
 from godwitvalve.platform import port
 
-TABLE = 'moves'
-
 
 class VerdictRow(NamedTuple):
     """A durable verdict.
@@ -24,23 +21,13 @@
     reason: str
 
 
-def _decode(value: bytes) -> Any:
-    try:
-        return orjson.loads(value)
-    except orjson.JSONDecodeError:
-        pass
-    try:
-        return msgpack.unpackb(value)
-    except (ValueError, msgpack.UnpackException):
-        return None
-
-
 def _row(row: port.Row) -> VerdictRow:
-    raw = _decode(row.value)
-    if not isinstance(raw, dict):
+    try:
+        found = verdicts.decode(row.value)
+    except ValueError:
         return VerdictRow(row.key, 'unreadable', '')
-    verdict = raw.get('verdict') or raw.get('state') or 'unreadable'
-    return VerdictRow(row.key, str(verdict), str(raw.get('reason') or ''))
+    state = move.Verdict(found.verdict).name.lower()
+    return VerdictRow(row.key, state, found.reason)
 
 
 async def read(platform: port.TableService) -> list[VerdictRow]:
@@ -48,4 +35,4 @@
 
     :raises PlatformUnavailable: if no answer came in time.
     """
-    return [_row(row) for row in await platform.scan(TABLE, '')]
+    return [_row(row) for row in await platform.scan(verdicts.TABLE, '')]
