--- /dev/null
+++ b/bench/configuration.py
@@ -0,0 +1,182 @@
+"""Cost of one changed service against the size of the text.
+
+Prints JSON lines. The baseline of each case is the cost of sending and
+parsing the whole text at the same size, which is what an entry without
+parts would do. ``python -m bench.configuration``
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+import dataclasses
+import statistics
+import time
+
+import orjson
+import pydantic
+
+from godwitvalve import clock
+from godwitvalve.configuration import refresher
+from godwitvalve.configuration import tracker
+from godwitvalve.platform import port
+from godwitvalve.text import head as text_head
+from godwitvalve.text import model
+from godwitvalve.text import parts
+
+SIZES = (10, 100, 1000, 7100)
+SERVICES = 22
+ACCOUNTS = 830
+REPEATS = 15
+_TEXT = pydantic.TypeAdapter(model.Text)
+
+
+class _Store:
+    """Head row and parts in memory; counts the bytes it gives out."""
+
+    def __init__(self) -> None:
+        self.row: port.Row | None = None
+        self.objects: dict[str, bytes] = {}
+        self.given_bytes = 0
+
+    async def read(self, table: str, key: str) -> port.Row | None:
+        if self.row is not None:
+            self.given_bytes += len(self.row.value)
+        return self.row
+
+    async def scan(self, table: str, prefix: str) -> list[port.Row]:
+        return []
+
+    async def compare_and_set(
+        self, table: str, key: str, expected_version: int, value: bytes
+    ) -> port.WriteOutcome:
+        self.row = port.Row(key, expected_version + 1, value)
+        return port.Written(expected_version + 1)
+
+    async def put(self, key: str, body: bytes) -> None:
+        self.objects[key] = body
+
+    async def get(self, key: str) -> bytes | None:
+        body = self.objects[key]
+        self.given_bytes += len(body)
+        return body
+
+
+class _NoPeers:
+    async def fetch_parts(self, hashes: frozenset[str]) -> Mapping[str, bytes]:
+        return {}
+
+
+def _endpoint(index: int) -> model.EndpointText:
+    address = f'10.{index >> 16}.{index >> 8 & 255}.{index & 255}:7000'
+    return model.EndpointText(f'endpoint-{index}', address, f'fd-{index % 8}')
+
+
+def _service(number: int, endpoints: int, count: int) -> model.ServiceText:
+    """Return a model service with its share of all endpoints."""
+    listed = tuple(map(_endpoint, range(number, endpoints, count)))
+    version = model.VersionText(weights='weights-1', endpoints=listed)
+    return model.ServiceText('model', {'v1': version})
+
+
+def build_text(endpoints: int) -> model.Text:
+    """Return a text whose endpoints are spread over its services."""
+    count = min(SERVICES, endpoints)
+    return model.Text(
+        {
+            f'service-{number}': _service(number, endpoints, count)
+            for number in range(count)
+        },
+        {
+            f'account-{number}': model.ClientAccountText(
+                (f'{number:064x}',), 10.0, 1000.0, 10
+            )
+            for number in range(ACCOUNTS)
+        },
+    )
+
+
+def _changed(text: model.Text, weights: str) -> model.Text:
+    service = text.services['service-0']
+    version = dataclasses.replace(service.versions['v1'], weights=weights)
+    changed = dataclasses.replace(service, versions={'v1': version})
+    services = text.services | {'service-0': changed}
+    return dataclasses.replace(text, services=services)
+
+
+async def _accept(store: _Store, text: model.Text, revision: int) -> None:
+    base = text_head.decode(store.row.value) if store.row else None
+    split = parts.split(text)
+    for part in split.values():
+        await store.put(parts.object_key(part.content_hash), part.body)
+    head = text_head.succeed(base, text, split, 'nonce', float(revision))
+    value = text_head.encode(head)
+    await store.compare_and_set('config', 'head', revision - 1, value)
+
+
+async def _one_change(endpoints: int) -> tuple[list[float], int]:
+    """Return CPU seconds and bytes of installing one changed service."""
+    store, text = _Store(), build_text(endpoints)
+    node = refresher.Refresher(
+        tracker.ConfigurationTracker('a'),
+        store,
+        store,
+        _NoPeers(),
+        clock.SystemClock(),
+        lambda installed: None,
+    )
+    times = []
+    for revision in range(1, REPEATS + 2):
+        await _accept(store, _changed(text, f'weights-{revision}'), revision)
+        store.given_bytes = 0
+        start_s = time.process_time()
+        await node.poll_once()
+        await node.install_once()
+        times.append(time.process_time() - start_s)
+        if node.tracker.revision != revision:
+            raise RuntimeError('the change was not installed')
+    return times[1:], store.given_bytes
+
+
+def _whole(text: model.Text) -> tuple[list[float], int]:
+    body = orjson.dumps(text)
+    times = []
+    for _ in range(REPEATS):
+        start_s = time.process_time()
+        _TEXT.validate_json(body)
+        times.append(time.process_time() - start_s)
+    return times, len(body)
+
+
+def _line(
+    measure: str, value: float, unit: str, base: float, case: str
+) -> None:
+    line = {
+        'measure': measure,
+        'value': round(value, 3),
+        'unit': unit,
+        'baseline': round(base, 3),
+        'seed': 0,
+        'case': case,
+    }
+    print(orjson.dumps(line).decode(), flush=True)
+
+
+def main() -> None:
+    """Measure each size."""
+    for endpoints in SIZES:
+        times, sent = asyncio.run(_one_change(endpoints))
+        whole_times, whole_sent = _whole(build_text(endpoints))
+        case = f'{endpoints} endpoints'
+        _line('configuration_change_bytes', sent, 'bytes', whole_sent, case)
+        _line(
+            'configuration_change_cpu',
+            statistics.median(times) * 1000,
+            'ms',
+            statistics.median(whole_times) * 1000,
+            case,
+        )
+
+
+if __name__ == '__main__':
+    main()
--- a/src/godwitvalve/configuration/in_force.py
+++ b/src/godwitvalve/configuration/in_force.py
@@ -178,6 +178,17 @@
     )
 
 
+def _account(
+    name: str,
+    text: model.ClientAccountText,
+    old: InForceConfiguration | None,
+) -> ClientAccountInForce:
+    before = old.client_accounts.get(name) if old else None
+    if before and before.text is text:
+        return before
+    return ClientAccountInForce(name, text)
+
+
 def build(
     head: text_head.Head,
     bodies: Mapping[str, parts.PartBody],
@@ -198,7 +209,7 @@
         else:
             services[name] = _service(name, service, head.version_starts)
     accounts = {
-        name: ClientAccountInForce(name, account)
+        name: _account(name, account, old)
         for name, account in text.client_accounts.items()
     }
     return InForceConfiguration(
