--- a/features/steps/text_steps.py
+++ b/features/steps/text_steps.py
@@ -5,6 +5,8 @@
 import dataclasses
 import itertools
 import json
+import pathlib
+import re
 
 import behave
 from features.support import texts
@@ -429,3 +431,11 @@
         for new in _with_each_field(old, account):
             accounts = text.client_accounts | {name: new}
             yield dataclasses.replace(text, client_accounts=accounts)
+
+
+@behave.then('the example of docs/operators.md passes the check')
+def documented_example(context):
+    page = pathlib.Path(__file__).parents[2] / 'docs' / 'operators.md'
+    [example] = re.findall(r'```json5\n(.*?)```', page.read_text(), re.DOTALL)
+    outcome = check.check(example.encode())
+    assert isinstance(outcome, check.Valid), outcome
--- a/features/text/check.feature
+++ b/features/text/check.feature
@@ -33,7 +33,7 @@
       | cycle                | services.case-status.depends_on           | ["summaries"]                                | services.summaries.depends_on                       | summaries -> case-status -> summaries |
       | retired dependency   | services.case-status                      | {"kind": "plain", "versions": {"v1": {"discover": true, "retire": true}}} | services.case-status.versions | not be retired |
       | no version           | services.summaries.versions               | {}                                           | services.summaries.versions                         | not be retired      |
-      | local time           | services.summaries.versions.v2.done_by    | "2099-12-04T06:00:00"                        | services.summaries.versions.v2.done_by              | offset              |
+      | local time           | services.summaries.versions.v2.done_by    | "2099-12-04T06:00:00"                        | services.summaries.versions.v2.done_by              | RFC 3339              |
       | no time              | services.summaries.versions.v2.done_by    | "soon"                                       | services.summaries.versions.v2.done_by              | RFC 3339            |
       | open order           | services.summaries.versions.v2.done_by    | null                                         | services.summaries.versions.v2.done_by              | order is open       |
       | no weights           | services.summaries.versions.v2.weights    | ""                                           | services.summaries.versions.v2.weights              | needs weights       |
@@ -44,6 +44,10 @@
       | port                 | services.summaries.versions.v1.endpoints.0.address | "127.0.0.1:70000"                   | services.summaries.versions.v1.endpoints.0.address  | port out of range   |
       | bad key hash         | client_accounts.portal.key_hashes         | ["00"]                                       | client_accounts.portal.key_hashes.0                 | pattern             |
       | repeated key hash    | client_accounts.second                    | {"key_hashes": ["0000000000000000000000000000000000000000000000000000000000000000"], "requests_per_s": 1, "tokens_per_s": 1, "concurrent": 1} | client_accounts.second.key_hashes.0 | client_accounts.portal.key_hashes.0 too |
+      | hidden route         | services.case-status.routes.2             | {"method": "GET", "path": "/cases/{number}", "repeatable": false} | services.case-status.routes.2 | routes.1 too  |
+      | partial variable     | services.case-status.routes.2             | {"method": "GET", "path": "/cases/a{number}", "repeatable": false} | services.case-status.routes.2.path | whole segment |
+      | week date            | services.summaries.versions.v2.done_by    | "2099-W01-1T06:00:00Z"                       | services.summaries.versions.v2.done_by              | RFC 3339            |
+      | impossible date      | services.summaries.versions.v2.done_by    | "2099-13-01T06:00:00Z"                       | services.summaries.versions.v2.done_by              | RFC 3339            |
       | repeated route       | services.case-status.routes.1             | {"method": "POST", "path": "/complaints", "repeatable": true} | services.case-status.routes.1  | routes.0 too        |
 
   Scenario: A version that is depended on is not retired
@@ -87,3 +91,7 @@
 
   Scenario: The search for repeated keys agrees with a JSON parser
     Then repeated keys are found in arbitrary JSON as by its parser
+
+  Scenario: The text of the operators' page is valid
+    # Guards against a page whose example the check refuses.
+    Then the example of docs/operators.md passes the check
--- a/src/godwitvalve/configuration/refresher.py
+++ b/src/godwitvalve/configuration/refresher.py
@@ -31,7 +31,10 @@
     """Fetches parts from other entries."""
 
     async def fetch_parts(self, hashes: frozenset[str]) -> Mapping[str, bytes]:
-        """Return those parts, by content hash, that a peer could give."""
+        """Return those parts, by content hash, that a peer could give.
+
+        :raises OSError: if no peer answered.
+        """
 
 
 class PartsUnavailable(Exception):
@@ -75,7 +78,10 @@
         return self._serialized.get(part_hash)
 
     async def run(self) -> None:
-        """Poll and install until cancelled."""
+        """Poll and install until cancelled.
+
+        :raises ExceptionGroup: if ``on_installed`` raised.
+        """
         async with asyncio.TaskGroup() as group:
             group.create_task(self._poll())
             group.create_task(self._install_offers())
--- a/src/godwitvalve/text/rules.py
+++ b/src/godwitvalve/text/rules.py
@@ -4,6 +4,7 @@
 
 import collections
 from collections.abc import Iterable, Iterator
+import re
 
 from godwitvalve.text import dependencies
 from godwitvalve.text import errors
@@ -11,6 +12,8 @@
 from godwitvalve.text import versions
 
 _MAX_PORT = 65535
+_HAS_BRACE = re.compile(r'[{}]')
+_VARIABLE = re.compile(r'\{[A-Za-z0-9_]+\}')
 
 
 def _repeated(
@@ -67,19 +70,42 @@
             yield errors.TextError(path, message)
 
 
+def _route_errors(
+    path: str, listed: tuple[model.RouteText, ...]
+) -> Iterator[errors.TextError]:
+    """Yield routes that are malformed or hidden by an earlier one.
+
+    Routes that differ in the names of their variables only are equal: the
+    second would never be used, and with it its ``repeatable``.
+    """
+    for index, route in enumerate(listed):
+        segments = route.path.split('/')
+        if any(map(_HAS_BRACE.search, filter(_is_fixed, segments))):
+            message = 'a variable must be a whole segment, such as {id}'
+            yield errors.TextError(f'{path}.{index}.path', message)
+    yield from _repeated(
+        (
+            (
+                f'{route.method} {_VARIABLE.sub("{}", route.path)}',
+                f'{path}.{index}',
+            )
+            for index, route in enumerate(listed)
+        ),
+        'route',
+    )
+
+
+def _is_fixed(segment: str) -> bool:
+    return not _VARIABLE.fullmatch(segment)
+
+
 def _service_errors(text: model.Text) -> Iterator[errors.TextError]:
     for name, service in text.services.items():
         path = f'services.{name}'
         if all(version.retire for version in service.versions.values()):
             message = 'at least one version must not be retired'
             yield errors.TextError(f'{path}.versions', message)
-        yield from _repeated(
-            (
-                (f'{route.method} {route.path}', f'{path}.routes.{index}')
-                for index, route in enumerate(service.routes)
-            ),
-            'route',
-        )
+        yield from _route_errors(f'{path}.routes', service.routes)
 
 
 def _version_errors(text: model.Text) -> Iterator[errors.TextError]:
--- a/src/godwitvalve/text/versions.py
+++ b/src/godwitvalve/text/versions.py
@@ -4,12 +4,17 @@
 
 import datetime
 import hashlib
+import re
 
 import orjson
 
 from godwitvalve.text import model
 
 DIGEST_BYTES = 16
+_RFC_3339 = re.compile(
+    r'[0-9]{4}-[0-9]{2}-[0-9]{2}T[0-9]{2}:[0-9]{2}:[0-9]{2}(\.[0-9]{1,6})?'
+    r'(Z|[+-][0-9]{2}:[0-9]{2})'
+)
 
 
 def parse_done_by(done_by: str) -> float:
@@ -17,9 +22,9 @@
 
     :raises ValueError: if it is malformed or has no offset from UTC.
     """
+    if not _RFC_3339.fullmatch(done_by):
+        raise ValueError('expected a form like 2026-12-04T06:00:00Z')
     moment = datetime.datetime.fromisoformat(done_by)
-    if moment.tzinfo is None:
-        raise ValueError('no offset from UTC')
     try:
         return moment.timestamp()
     except OverflowError as error:
