--- a/src/godwitvalve/configuration/refresher.py
+++ b/src/godwitvalve/configuration/refresher.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 import contextlib
-from typing import Protocol
 
 from godwitvalve import clock as clocks
+from godwitvalve.configuration import builder
+from godwitvalve.configuration import fetcher
 from godwitvalve.configuration import in_force
 from godwitvalve.configuration import tracker as trackers
 from godwitvalve.logs import setup
@@ -19,28 +20,10 @@
 # A failed fetch is tried again after this; ten tries fit in the 10 s after
 # which an entry without the newest text stops admitting.
 RETRY_INTERVAL_S = 1.0
-# Peers hold the parts in memory, so a slow answer means a lost peer.
-PEER_FETCH_LIMIT_S = 1.0
-# Reads of the object store that one entry has open at once.
-MAX_FETCHES = 8
 
 _LOG = setup.get('configuration')
 
 
-class PeerParts(Protocol):
-    """Fetches parts from other entries."""
-
-    async def fetch_parts(self, hashes: frozenset[str]) -> Mapping[str, bytes]:
-        """Return those parts, by content hash, that a peer could give.
-
-        :raises OSError: if no peer answered.
-        """
-
-
-class PartsUnavailable(Exception):
-    """Neither peers nor the object store gave every part."""
-
-
 class Refresher:
     """Polls the head row, fetches missing parts and installs them.
 
@@ -53,14 +36,13 @@
         tracker: trackers.ConfigurationTracker,
         table: port.TableService,
         objects: port.ObjectStore,
-        peers: PeerParts,
+        peers: fetcher.PeerParts,
         clock: clocks.Clock,
         on_installed: Callable[[in_force.InForceConfiguration], None],
     ) -> None:
         self.tracker = tracker
         self._table = table
-        self._objects = objects
-        self._peers = peers
+        self._fetcher = fetcher.PartFetcher(objects, peers)
         self._clock = clock
         self._on_installed = on_installed
         self._current: in_force.InForceConfiguration | None = None
@@ -153,7 +135,7 @@
             return True
         try:
             bodies, serialized = await self._bodies(head)
-        except PartsUnavailable as error:
+        except fetcher.PartsUnavailable as error:
             _LOG.warning('Revision %d waits: %s.', head.revision, error)
             return False
         except parts.PartError as error:
@@ -161,7 +143,7 @@
             self._unusable_revision = head.revision
             _LOG.error('Revision %d is unusable: %s.', head.revision, error)
             return False
-        built = in_force.build(head, bodies, self._current)
+        built = builder.build(head, bodies, self._current)
         if self.tracker.install(head):
             self._current = built
             self._serialized = serialized
@@ -179,7 +161,7 @@
             for name, part_hash in head.parts.items()
             if part_hash not in known
         }
-        fetched = await self._fetch(names)
+        fetched = await self._fetcher.fetch(names)
         bodies = {
             part_hash: known[part_hash]
             if part_hash in known
@@ -191,54 +173,3 @@
             for part_hash in bodies
         }
         return bodies, serialized
-
-    async def _fetch(self, names: Mapping[str, str]) -> dict[str, bytes]:
-        """Return serialized parts by hash: from peers, then the store.
-
-        :param names: name of each part by its hash.
-        :raises PartsUnavailable: if one of them was not found.
-        """
-        if not names:
-            return {}
-        fetched = await self._fetch_from_peers(frozenset(names))
-        missing = [item for item in names if item not in fetched]
-        limit = asyncio.Semaphore(MAX_FETCHES)
-        found = await asyncio.gather(
-            *(self._fetch_from_store(item, limit) for item in missing)
-        )
-        fetched.update(
-            (item, body) for item, body in zip(missing, found) if body
-        )
-        lost = [name for item, name in names.items() if item not in fetched]
-        if lost:
-            raise PartsUnavailable(f'parts not found: {", ".join(lost)}')
-        return fetched
-
-    async def _fetch_from_peers(
-        self, hashes: frozenset[str]
-    ) -> dict[str, bytes]:
-        try:
-            async with asyncio.timeout(PEER_FETCH_LIMIT_S):
-                given = await self._peers.fetch_parts(hashes)
-        except (asyncio.TimeoutError, OSError) as error:
-            _LOG.info('No peer gave parts: %s.', type(error).__name__)
-            return {}
-        return {
-            item: body
-            for item, body in given.items()
-            if item in hashes and parts.content_hash(body) == item
-        }
-
-    async def _fetch_from_store(
-        self, part_hash: str, limit: asyncio.Semaphore
-    ) -> bytes | None:
-        key = parts.object_key(part_hash)
-        try:
-            async with limit:
-                body = await self._objects.get(key)
-        except port.PlatformUnavailable as error:
-            _LOG.info('A part was not read: %s.', error)
-            return None
-        if body is None or parts.content_hash(body) != part_hash:
-            return None
-        return body
--- a/src/godwitvalve/platform/http_adapter.py
+++ b/src/godwitvalve/platform/http_adapter.py
@@ -4,32 +4,23 @@
 
 import asyncio
 import base64
-from collections.abc import AsyncIterator, Callable
-from typing import NamedTuple, TypeVar
+from collections.abc import AsyncIterator
 from urllib import parse
 
 import aiohttp
 import orjson
-import pydantic
 
+from godwitvalve.platform import answers
 from godwitvalve.platform import port
 
 DEFAULT_TIMEOUT_S = 1.0
 # An answer above this size is treated as damaged rather than read whole.
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
 
-_Decoded = TypeVar('_Decoded')
-
-_LISTED = pydantic.TypeAdapter(list[port.ListedInstance])
 # Errors raised before the first byte of a request is written.
 _UNSENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
-class _Answer(NamedTuple):
-    status: int
-    body: bytes
-
-
 async def _once(body: bytes) -> AsyncIterator[bytes]:
     """Yield a body that the HTTP client cannot send a second time.
 
@@ -48,37 +39,6 @@
     return parse.quote(text, safe='')
 
 
-def _row(body: bytes) -> port.Row:
-    raw = orjson.loads(body)
-    value = base64.b64decode(raw['value'], validate=True)
-    return port.Row(str(raw['key']), int(raw['version']), value)
-
-
-def _rows(body: bytes) -> list[port.Row]:
-    return [_row(orjson.dumps(raw)) for raw in orjson.loads(body)]
-
-
-def _version(body: bytes) -> int:
-    return int(orjson.loads(body)['version'])
-
-
-def _conflict(body: bytes) -> port.Conflict:
-    raw = orjson.loads(body)
-    current = raw['current']
-    if current is None:
-        return port.Conflict(None)
-    return port.Conflict(_row(orjson.dumps(current)))
-
-
-def _is_not_applied(answer: _Answer) -> bool:
-    """Tell whether a failed write was answered as not applied."""
-    try:
-        raw = orjson.loads(answer.body)
-    except orjson.JSONDecodeError:
-        return False
-    return isinstance(raw, dict) and raw.get('applied') is False
-
-
 class HttpPlatform:
     """All four platform ports over one base URL.
 
@@ -122,7 +82,7 @@
         path: str,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
-    ) -> _Answer:
+    ) -> answers.Answer:
         async with self._open_session().request(
             method,
             self._base_url + path,
@@ -135,11 +95,11 @@
             while content and sum(map(len, parts)) <= MAX_ANSWER_BYTES:
                 content = await answer.content.read(MAX_ANSWER_BYTES + 1)
                 parts.append(content)
-            return _Answer(answer.status, b''.join(parts))
+            return answers.Answer(answer.status, b''.join(parts))
 
     async def _ask(
         self, method: str, path: str, body: bytes | None = None
-    ) -> _Answer:
+    ) -> answers.Answer:
         """Return an answer with status 200 or 404.
 
         :raises PlatformUnavailable: for any other end of the call.
@@ -162,7 +122,7 @@
         answer = await self._ask('GET', _table_path(table, key))
         if answer.status == 404:
             return None
-        return _decoded(_row, answer)
+        return answers.decoded(answers.row, answer)
 
     async def scan(self, table: str, prefix: str) -> list[port.Row]:
         """Return the rows whose key starts with a prefix, by key.
@@ -173,7 +133,7 @@
         answer = await self._ask('GET', path)
         if answer.status == 404:
             return []
-        return _decoded(_rows, answer)
+        return answers.decoded(answers.rows, answer)
 
     async def compare_and_set(
         self, table: str, key: str, expected_version: int, value: bytes
@@ -191,7 +151,7 @@
             return port.WriteRefused(f'not sent: {type(error).__name__}')
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
             return port.WriteUnknown(f'no answer: {type(error).__name__}')
-        return _write_outcome(answer)
+        return answers.write_outcome(answer)
 
     async def put(self, key: str, body: bytes) -> None:
         """Store an object.
@@ -224,28 +184,4 @@
         :raises PlatformUnavailable: if no answer came in time.
         """
         answer = await self._ask('GET', '/instances')
-        return _decoded(_instances, answer)
-
-
-def _instances(body: bytes) -> list[port.ListedInstance]:
-    return _LISTED.validate_json(body)
-
-
-def _decoded(decode: Callable[[bytes], _Decoded], answer: _Answer) -> _Decoded:
-    try:
-        return decode(answer.body)
-    except (ValueError, KeyError, TypeError) as error:
-        raise port.PlatformUnavailable('damaged answer') from error
-
-
-def _write_outcome(answer: _Answer) -> port.WriteOutcome:
-    try:
-        if answer.status == 200:
-            return port.Written(_version(answer.body))
-        if answer.status == 409:
-            return _conflict(answer.body)
-    except (ValueError, KeyError, TypeError):
-        return port.WriteUnknown(f'damaged answer, status {answer.status}')
-    if _is_not_applied(answer):
-        return port.WriteRefused(f'status {answer.status}, not applied')
-    return port.WriteUnknown(f'status {answer.status}')
+        return answers.decoded(answers.instances, answer)
