--- a/src/godwitvalve/limits/members.py
+++ b/src/godwitvalve/limits/members.py
@@ -44,6 +44,7 @@
         self._waiting_since_s = started_s
         # Without a list that names it an entry cannot know who else admits.
         self._confirmed_s = -math.inf
+        self._named = False
         self._active = False
         self._gone_until_s: dict[str, float] = {}
         self._acknowledged: set[str] = set()
@@ -61,7 +62,8 @@
             while this process was paused confirms nothing since.
         """
         named = frozenset(listed)
-        if self._entry_id in named:
+        self._named = self._entry_id in named
+        if self._named:
             self._confirmed_s = max(self._confirmed_s, asked_s)
         members = named | {self._entry_id}
         if members == self.listed:
@@ -96,6 +98,16 @@
             return
         self._acknowledged.add(origin)
 
+    def note_running(self, now_s: float) -> None:
+        """Confirm an entry that is the only listed one.
+
+        It is its own majority and goes on while the list is unavailable,
+        but not after a pause of this process.
+        """
+        alone = self._named and len(self.listed) == 1
+        if alone and now_s - self._confirmed_s < CONFIRM_S:
+            self._confirmed_s = now_s
+
     def note_not_running(self, member: str) -> None:
         """Record that a member's peer address refuses connections."""
         self._acknowledged.add(member)
@@ -128,7 +140,7 @@
         new list does not end it; only a missing confirmation does, for
         instance after a pause of this process.
         """
-        if now_s - self._last_confirmed_s(now_s) >= CONFIRM_S:
+        if now_s - self._last_confirmed_s() >= CONFIRM_S:
             if self._active:
                 self._active = False
                 self._waiting_since_s = now_s
@@ -142,7 +154,7 @@
             )
         return self._active
 
-    def _last_confirmed_s(self, now_s: float) -> float:
+    def _last_confirmed_s(self) -> float:
         """Return when the list or a majority last named this entry.
 
         A minority that is cut off from the list must not confirm itself
@@ -152,7 +164,7 @@
             return self._confirmed_s
         others_needed = len(self.listed) // 2
         if not others_needed:
-            return now_s
+            return self._confirmed_s
         acknowledged_s = sorted(
             (self._acknowledged_s.get(member, -math.inf))
             for member in self.listed
--- a/src/godwitvalve/limits/shares.py
+++ b/src/godwitvalve/limits/shares.py
@@ -105,6 +105,7 @@
         self._sent_s[self._sequence] = now_s
         if len(self._sent_s) > _REMEMBERED_REPORTS:
             self._sent_s.popitem(last=False)
+        self._members.note_running(now_s)
         base = self.base(now_s)
         grants = tuple(self._grants(demands, base, now_s))
         self._acknowledge_list(now_s)
