--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,12 @@
 
 .PHONY: install format check test demo bench
 
+# A shared VENV belongs to another checkout and is used as it is.
+ifeq ($(VENV),.venv)
 install: $(VENV)/.installed
+else
+install:
+endif
 
 $(VENV)/.installed: requirements.txt pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
--- /dev/null
+++ b/features/system/operations.feature
@@ -0,0 +1,77 @@
+Feature: Stops, configuration and moves with real processes
+
+  Scenario: A planned stop of an entry instance cuts nothing
+    # Guards against a drain that ends a stream or refuses an address in use.
+    Given a small site with 3 engines
+    When 6 callers ask for an answer of 300 tokens each
+    And the busy entry instance gets SIGTERM
+    Then every caller's answer is whole without a reconnect
+    And the stopped entry instance is named in no new address answer
+    And the stopped entry instance ends with exit code 0
+
+  Scenario: A draining entry instance refuses new work with an address
+    # Guards against a refusal that leaves the caller nowhere to go.
+    Given a small site with 3 engines
+    When a caller asks for an answer of 2000 tokens
+    And the busy entry instance gets SIGTERM
+    And its last address answer has lapsed
+    Then it refuses a new call with code 2000 and names another address
+    And the caller's answer is whole without a reconnect
+
+  Scenario: A leaving endpoint gets no new work although the list lags
+    # Guards against routing by the lagging list alone.
+    Given a small site with 1 engines
+    When the first portal replica reports that it is leaving
+    And 3 seconds have passed
+    Then it gets none of the next 30 calls
+
+  Scenario: An entry instance that starts in an outage gets the newest text
+    # Guards against an old revision or none after a cold start.
+    Given a small site with 1 engines
+    And the text was changed 2 times
+    And the platform is down
+    When entry instance "entry-9" starts
+    Then it has revision 3 in force and serves
+
+  Scenario: Two operators race
+    # Guards against an edit that is merged by guess or silently lost.
+    Given a small site with 1 engines
+    When two operators apply different texts on revision 1 at once
+    Then one is accepted and the other is told what changed
+    And the accepted one is in force everywhere within 16 s
+
+  Scenario: The answer to an apply is lost
+    # Guards against reporting a failure for a text that is in force.
+    Given a small site with 1 engines
+    When the platform loses the answers to writes
+    Then an apply on revision 1 is reported as accepted
+
+  Scenario: An entry instance that hears neither store nor peers stops admitting
+    # Guards against work admitted under a text that may be out of date.
+    Given a small site with 1 engines
+    And the platform is down
+    When the other entry instances are frozen
+    Then within 14 s it refuses new calls with code 2006
+
+  Scenario: The store is down for everyone
+    # Guards against an outage of the store that stops the service.
+    Given a small site with 1 engines
+    And the platform is down
+    When 14 seconds have passed
+    Then the next 10 calls of the portal are answered
+
+  Scenario: A version that fails at once is taken back
+    # Guards against a bad version that keeps its share.
+    Given a small site with 1 engines
+    And 4 replicas of portal v1 and 4 failing ones of portal v2
+    When the text asks to move the portal to v2 within 30 s under traffic
+    Then the move is reported as taken back
+    And at most 5% of the calls went to v2 until then
+    And no call goes to v2 later than 3 s after the verdict
+
+  Scenario: A good version is moved to by the time asked
+    # Guards against a good version that is blamed or late.
+    Given a small site with 1 engines
+    And 4 replicas of portal v1 and 4 working ones of portal v2
+    When the text asks to move the portal to v2 within 30 s under traffic
+    Then the move is reported as done by the time asked
