--- /dev/null
+++ b/features/support/naive_sequence.py
@@ -0,0 +1,184 @@
+"""Slow token sequence that is obviously right, and faulty variants.
+
+The naive version keeps every token in a dictionary and looks at one token
+at a time. The faulty variants each lack one guard of the real sequence.
+"""
+
+from __future__ import annotations
+
+from godwitvalve.engine import port
+from godwitvalve.generations import digest
+from godwitvalve.generations import sequence
+from godwitvalve.outcomes import codes
+
+DIVERGED = sequence.Inconsistent(codes.ResultCode.CONTINUATION_DIVERGED)
+
+
+class NaiveSequence:
+    """Reference for ``GenerationSequence``."""
+
+    def __init__(
+        self, request_id, max_tokens, epoch, position, prefix_digest, token_ids
+    ):
+        self.request_id = request_id
+        self.max_tokens = max_tokens
+        self.epoch = epoch
+        self.position = position
+        self.base = position
+        self.base_digest = prefix_digest
+        self.answer = dict(enumerate(token_ids))
+        self.pieces = {}
+        self.attempts = 0
+        self.open = False
+
+    def begin_attempt(self, identity, from_start):
+        self.attempts += 1
+        self.number = self.epoch * 1000 + self.attempts
+        self.identity = identity
+        self.start = 0 if from_start else self.position
+        self.got = []
+        self.started = False
+        self.open = True
+        return self.number
+
+    def accept(self, event):
+        if isinstance(event, port.Heartbeat) or not self.open:
+            return sequence.Ignored()
+        if (event.request_id, event.attempt) != (self.request_id, self.number):
+            return sequence.Ignored()
+        verdict = self.judge(event)
+        if not isinstance(verdict, (sequence.Deliver, sequence.Ignored)):
+            self.open = False
+        return verdict
+
+    def judge(self, event):
+        if isinstance(event, port.StreamStarted):
+            if self.started:
+                return sequence.Lost('protocol')
+            found = (event.version, event.adapter, event.seed)
+            if found != tuple(self.identity):
+                return sequence.Lost('identity')
+            if event.first_index != self.start:
+                return sequence.Lost('first_index')
+            self.started = True
+            return sequence.Ignored()
+        if not self.started:
+            return sequence.Lost('protocol')
+        end = self.start + len(self.got)
+        if isinstance(event, port.StreamEnded):
+            if event.token_count != self.position or end != self.position:
+                return sequence.Lost('count')
+            return sequence.Finished(
+                event.reason, self.position, self.whole_digest()
+            )
+        if event.first_index > end:
+            return sequence.Lost('gap')
+        if event.first_index + len(event.token_ids) > self.max_tokens:
+            return sequence.Lost('too_many_tokens')
+        return self.take_tokens(event)
+
+    def take_tokens(self, event):
+        new = []
+        for offset, token in enumerate(event.token_ids):
+            index = event.first_index + offset
+            if index < self.start and index not in self.answer:
+                return sequence.Lost('overlap_unknown')
+            if self.start <= index < self.start + len(self.got):
+                if self.got[index - self.start] != token:
+                    return DIVERGED
+                continue
+            if index in self.answer:
+                if self.answer[index] != token:
+                    return DIVERGED
+            elif index >= self.position:
+                new.append((index, token, event.pieces[offset]))
+            if index >= self.start:
+                self.got.append(token)
+            if index == self.base - 1 and index not in self.answer:
+                if digest.digest_of(self.got) != self.base_digest:
+                    return DIVERGED
+                self.answer.update(enumerate(self.got))
+        if not new:
+            return sequence.Ignored()
+        self.position += len(new)
+        self.answer.update((index, token) for index, token, _ in new)
+        return sequence.Deliver(
+            new[0][0],
+            tuple(token for _, token, _ in new),
+            tuple(piece for _, _, piece in new),
+        )
+
+    def whole_digest(self):
+        after = [
+            self.answer[index] for index in range(self.base, self.position)
+        ]
+        return digest.extend(self.base_digest, after)
+
+
+class WithoutAttemptCheck(sequence.GenerationSequence):
+    """Takes events of older attempts."""
+
+    def _is_current(self, event):
+        return not isinstance(event, port.Heartbeat)
+
+
+class WithoutRequestCheck(sequence.GenerationSequence):
+    """Takes events of other requests."""
+
+    def _is_current(self, event):
+        return (
+            not isinstance(event, port.Heartbeat)
+            and event.attempt == self._attempt
+        )
+
+
+class WithoutOverlapCheck(sequence.GenerationSequence):
+    """Trims an overlap without comparing it."""
+
+    def _check_overlap(self, first, token_ids):
+        return None
+
+
+class WithoutGapCheck(sequence.GenerationSequence):
+    """Skips missing tokens."""
+
+    def _accept_tokens(self, event):
+        if event.first_index > self._next:
+            self.position = self._next = event.first_index
+        return super()._accept_tokens(event)
+
+
+class WithoutCountCheck(sequence.GenerationSequence):
+    """Believes any end mark."""
+
+    def _accept_end(self, event):
+        return sequence.Finished(event.reason, self.position, self.digest)
+
+
+class WithoutIdentityCheck(sequence.GenerationSequence):
+    """Takes a stream of another version, adapter or seed."""
+
+    def _accept_start(self, event):
+        self._is_started = True
+        return sequence.Ignored()
+
+
+class WithoutDigestCheck(sequence.GenerationSequence):
+    """Trusts recomputed tokens without their digest."""
+
+    def _recompute(self, first, token_ids):
+        self._base_digest = digest.digest_of(
+            [*(self._recomputed or ()), *token_ids]
+        )
+        return super()._recompute(first, token_ids)
+
+
+VARIANTS = {
+    'attempt number': WithoutAttemptCheck,
+    'request id': WithoutRequestCheck,
+    'overlap': WithoutOverlapCheck,
+    'gap': WithoutGapCheck,
+    'token count': WithoutCountCheck,
+    'identity': WithoutIdentityCheck,
+    'recomputed digest': WithoutDigestCheck,
+}
--- a/src/godwitvalve/generations/attempts.py
+++ b/src/godwitvalve/generations/attempts.py
@@ -111,7 +111,7 @@
     def after(self, loss: Loss) -> NextAttempt:
         """Return the attempt after a loss."""
         visit = self.visit
-        visit.sent = visit.sent or loss.sent
+        visit.lost(loss.sent)
         self._history.add(loss.reason, loss.sent)
         if loss.reason == 'superseded':
             if self._was_started:
@@ -137,7 +137,7 @@
 
     def _give_up(self, visit: visits.Visit, reason: str) -> None:
         # An engine that only lost the stream can still generate.
-        if reason != 'stream_gone':
+        if reason != 'stream_gone' or visit.losses > 1:
             self._tried.add(visit.endpoint.endpoint_id)
         self.close('lost', reason, cancels=True)
 
--- a/src/godwitvalve/generations/visit.py
+++ b/src/godwitvalve/generations/visit.py
@@ -24,6 +24,7 @@
         self.identity = identity
         self.stream_id = ''
         self.sent = False
+        self.losses = 0
         self.delivered_tokens = 0
         self.prefill_tokens = 0
         # Tokens delivered when the stream was last resumed; another resume
@@ -44,6 +45,11 @@
             self._first_token_s = now_s - self._start_s
         self.delivered_tokens += token_count
 
+    def lost(self, sent: bool) -> None:
+        """Record that an attempt was lost."""
+        self.sent = self.sent or sent
+        self.losses += 1
+
     def may_resume_stream(self) -> bool:
         """Tell whether a stream resume is worth a try."""
         return (
