--- a/standins/engine/server.py
+++ b/standins/engine/server.py
@@ -160,6 +160,9 @@
                     await self._faults.before_output(request.transport)
                     await response.write(_event({'type': 'heartbeat'}))
             await response.write_eof()
+        except ConnectionError:
+            # The reader left; the stream goes on for a later resume.
+            pass
         finally:
             stream.readers -= 1
             stream.unread_since_s = time.monotonic()
