--- a/src/godwitvalve/caller/answer.py
+++ b/src/godwitvalve/caller/answer.py
@@ -56,6 +56,10 @@
         self.is_done = False
         self._digest = rolling.EMPTY
 
+    def reconnected(self) -> None:
+        """Expect the final event again; it is sent on each connection."""
+        self.finish_reason = None
+
     def accept(self, event_id: str, data: bytes) -> Chunk | None:
         """Take the data of one event.
 
--- a/src/godwitvalve/caller/client.py
+++ b/src/godwitvalve/caller/client.py
@@ -201,6 +201,7 @@
             if fruitless > MAX_FRUITLESS_RECONNECTS:
                 raise self._gave_up(check, detail)
             reconnects[0] += 1
+            check.reconnected()
             if fruitless > 1:
                 await asyncio.sleep(RECONNECT_PAUSE_S * fruitless)
 
--- a/src/godwitvalve/caller/services.py
+++ b/src/godwitvalve/caller/services.py
@@ -191,7 +191,8 @@
         if problem is not None:
             raise _failure(problem, response.status, call.key)
         self._book.worked(address)
-        return ServiceAnswer(response.status, dict(response.headers), body)
+        found = {str(name): text for name, text in response.headers.items()}
+        return ServiceAnswer(response.status, found, body)
 
 
 class _TryElsewhere(Exception):
