--- /dev/null
+++ b/bench/limit_runs.py
@@ -0,0 +1,204 @@
+"""Simulated load on the limits of one client account.
+
+Entries admit requests under their shares while entries are replaced, cut
+off and paused, and while messages are late or lost.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections import abc
+import dataclasses
+import itertools
+import random
+
+from bench import share_network
+from godwitvalve.limits import account as account_limits
+from godwitvalve.limits import model
+
+ACCOUNT = 'portal'
+LIMIT = model.AccountLimit(600.0, 1e9, 100_000)
+WARM_UP_S = 20.0
+DURATION_S = 180.0
+WINDOW_S = 1.0
+
+
+class ListShares:
+    """Baseline: the limit divided by the number of listed entries."""
+
+    def __init__(
+        self, entry_id: str, incarnation: int, started_s: float
+    ) -> None:
+        self._entry_id = entry_id
+        self._incarnation = incarnation
+        self._count = 0
+
+    def update_members(
+        self, listed: abc.Iterable[str], asked_s: float, now_s: float
+    ) -> None:
+        """Take the listed entries."""
+        self._count = len(frozenset(listed) | {self._entry_id})
+
+    def make_report(
+        self, demands: abc.Mapping[str, float], now_s: float
+    ) -> model.DemandReport:
+        """Return a report that says nothing."""
+        return model.DemandReport(
+            self._entry_id, self._incarnation, 0, b'', 0, True, (), (), ()
+        )
+
+    def receive(self, report: model.DemandReport, now_s: float) -> None:
+        """Ignore a report."""
+
+    def share(self, client_account: str, now_s: float) -> float:
+        """Return the even part."""
+        return 1.0 / self._count if self._count else 0.0
+
+
+class ProportionalShares(ListShares):
+    """Baseline: own part of the demand that was heard, without leases."""
+
+    def __init__(
+        self, entry_id: str, incarnation: int, started_s: float
+    ) -> None:
+        super().__init__(entry_id, incarnation, started_s)
+        self._own = 0.0
+        self._heard: dict[str, float] = {}
+
+    def update_members(
+        self, listed: abc.Iterable[str], asked_s: float, now_s: float
+    ) -> None:
+        """Take the listed entries and forget the others."""
+        named = frozenset(listed)
+        super().update_members(named, asked_s, now_s)
+        self._heard = {
+            name: demand
+            for name, demand in self._heard.items()
+            if name in named
+        }
+
+    def make_report(
+        self, demands: abc.Mapping[str, float], now_s: float
+    ) -> model.DemandReport:
+        """Report the demand."""
+        self._own = demands.get(ACCOUNT, 0.0)
+        told = (model.AccountDemand(ACCOUNT, self._own),)
+        return super().make_report(demands, now_s)._replace(demands=told)
+
+    def receive(self, report: model.DemandReport, now_s: float) -> None:
+        """Remember another entry's demand."""
+        for item in report.demands:
+            self._heard[report.origin] = item.demand
+
+    def share(self, client_account: str, now_s: float) -> float:
+        """Return the part of the demand that is this entry's."""
+        total = self._own + sum(self._heard.values())
+        if total <= 0:
+            return super().share(client_account, now_s)
+        return self._own / total
+
+
+@dataclasses.dataclass
+class LimitResult:
+    """What one run admitted.
+
+    :param worst_window: largest part of the limit admitted in a second.
+    :param mean: mean part of the limit admitted.
+    """
+
+    worst_window: float
+    mean: float
+    offered: float
+
+
+class LimitRun:
+    """Offers load to simulated entries and counts what they admit.
+
+    :param spread: part of the limit that each entry is offered in turn;
+        the list is rotated every 20 s.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        make_shares: share_network.MakeShares,
+        spread: abc.Sequence[float],
+    ) -> None:
+        self.network = share_network.ShareNetwork(seed, make_shares)
+        self._random = random.Random(seed)
+        self._spread = spread
+        self._limiters: dict[int, account_limits.AccountLimiter] = {}
+        self._names = itertools.count()
+        self._admitted: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+        for _ in spread:
+            self.start()
+
+    def start(self) -> None:
+        """Start a new entry with a list that lags by up to 2 s."""
+        entry = self.network.start(f'e{next(self._names)}', 0.05)
+        entry.list_lag_s = self._random.uniform(0, 2)
+
+    def replace_one(self) -> None:
+        """End an entry at once and start another one."""
+        name = self._random.choice(sorted(self.network.entries))
+        self.network.stop(name)
+        self.network.set_listed(self.network.listed() - {name})
+        self.start()
+
+    def run(
+        self, faults: abc.Mapping[float, abc.Callable[[], None]]
+    ) -> LimitResult:
+        """Run with faults at given times after the warm-up."""
+        due = sorted(faults)
+        admitted = offered = 0
+        window = worst = 0
+        for now_s in self.network.run(WARM_UP_S + DURATION_S):
+            while due and now_s >= WARM_UP_S + due[0]:
+                faults[due.pop(0)]()
+            step_admitted, step_offered = self._step(now_s)
+            if now_s < WARM_UP_S:
+                continue
+            admitted += step_admitted
+            offered += step_offered
+            window += step_admitted
+            self._admitted.append((now_s, step_admitted))
+            while self._admitted[0][0] <= now_s - WINDOW_S:
+                window -= self._admitted.popleft()[1]
+            worst = max(worst, window)
+        per_s = LIMIT.requests_per_s
+        whole = per_s * DURATION_S
+        return LimitResult(
+            worst / (per_s * WINDOW_S), admitted / whole, offered / whole
+        )
+
+    def _step(self, now_s: float) -> tuple[int, int]:
+        admitted = offered = 0
+        turn = int(now_s // 20)
+        entries = list(self.network.entries.values())
+        for index, entry in enumerate(entries):
+            part = self._spread[(index + turn) % len(self._spread)]
+            if entry.paused:
+                continue
+            expected = part * LIMIT.requests_per_s * share_network.STEP_S
+            asked = int(expected + self._random.random())
+            offered += asked
+            admitted += self._offer(entry, asked)
+        return admitted, offered
+
+    def _offer(self, entry: share_network.Entry, asked: int) -> int:
+        clock_s = entry.clock_s(self.network.now_s)
+        limiter = self._limiters.get(entry.incarnation)
+        if limiter is None:
+            limiter = account_limits.AccountLimiter(LIMIT, clock_s)
+            self._limiters[entry.incarnation] = limiter
+        share = entry.shares.share(ACCOUNT, clock_s)
+        admitted = 0
+        for _ in range(asked):
+            limiter.offer(1.0, clock_s)
+            if limiter.try_take(1.0, share, clock_s) is None:
+                limiter.finish(1.0, 1.0)
+                admitted += 1
+        entry.demands = {ACCOUNT: limiter.demand(clock_s)}
+        return admitted
