Assign standings only when the state of an endpoint changed

Cause: each release and each load report walked all endpoints of the version, although their standings rarely change. Ruled out: an index of usable endpoints, because the choice itself walks them anyway. python -m bench.routing, 20 endpoints: acquire and release 30.2 us before, 15.3 us after; load report 14.7 us before, 0.7 us after. At 323: 399 us and 158 us; 217 us and 0.7 us. Conclusion: kept; the cost of a load report no longer grows with the endpoints.

--- a/src/godwitvalve/routing/router.py
+++ b/src/godwitvalve/routing/router.py
@@ -94,10 +94,11 @@
         view.outstanding = max(0, view.outstanding - 1)
         if not view.outstanding:
             self._unlisted.pop(endpoint_id, None)
+        before = view.doubt
         if isinstance(result, results.Leaving):
             view.see_leaving(now_s)
         view.health.record(result, now_s)
-        self._reassign(view)
+        self._reassign(view, before)
 
     def report_load(
         self,
@@ -109,12 +110,13 @@
         view = self._views.get(endpoint_id)
         if view is None:
             return
+        before = view.doubt
         view.reported = report.queue_length + report.running
         if report.state == 'leaving':
             view.see_leaving(now_s)
         else:
             view.see_live(now_s)
-        self._reassign(view)
+        self._reassign(view, before)
 
     def endpoints_to_probe(
         self, now_s: float
@@ -147,8 +149,9 @@
         if isinstance(result, engine_port.LoadReport):
             self.report_load(endpoint_id, result, now_s)
             result = results.Succeeded()
+        before = view.doubt
         view.health.record_probe(result, now_s)
-        self._reassign(view)
+        self._reassign(view, before)
 
     def usable_count(self, service: str, version: str) -> int:
         """Return the number of endpoints that may get new work."""
@@ -182,7 +185,12 @@
         for group in self._groups.values():
             view_model.assign_standings(group)
 
-    def _reassign(self, view: view_model.EndpointView) -> None:
+    def _reassign(
+        self, view: view_model.EndpointView, before: view_model.Doubt
+    ) -> None:
+        """Assign the standings of a group anew if they may differ."""
+        if view.doubt == before:
+            return
         key = (view.endpoint.service, view.endpoint.version)
         view_model.assign_standings(self._groups.get(key, []))
 
--- a/src/godwitvalve/routing/view.py
+++ b/src/godwitvalve/routing/view.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+from typing import TypeAlias
 
 from godwitvalve.routing import endpoint as endpoint_model
 from godwitvalve.routing import health
@@ -21,6 +22,9 @@
     OUT = 2
 
 
+Doubt: TypeAlias = tuple[bool, health.Condition, float]
+
+
 @dataclasses.dataclass
 class EndpointView:
     """State of one endpoint.
@@ -45,6 +49,11 @@
         """Tell whether any source says that the endpoint is leaving."""
         return self.listed_leaving or self.leaving_seen_s is not None
 
+    @property
+    def doubt(self) -> Doubt:
+        """Return what the standings of the group depend on."""
+        return (self.is_leaving, self.health.condition, self.health.since_s)
+
     def see_leaving(self, now_s: float) -> None:
         """Record a leaving sign from the endpoint itself."""
         self.leaving_seen_s = now_s
