--- a/bench/routing.py
+++ b/bench/routing.py
@@ -109,10 +109,21 @@
 
 
 def _loads() -> abc.Iterator[rows.Row]:
-    for size in SUBSET_SIZES:
-        case = f'one of 22 models at full load, {size} endpoints an entry'
+    cases = {
+        f'one of 22 models at full load, {size} endpoints an entry': (
+            spread_runs.full_size(size)
+        )
+        for size in SUBSET_SIZES
+    }
+    cases['6 entries, 12 endpoints, 8 streams each'] = spread_runs.Site(
+        6, 12, 12, 8.0
+    )
+    cases['6 entries, 12 endpoints, 2 streams each'] = spread_runs.Site(
+        6, 12, 12, 2.0
+    )
+    for case, site in cases.items():
         for baseline, reported in (('', True), ('without reports', False)):
-            spread = spread_runs.LoadRun(1, size, reported).run()
+            spread = spread_runs.LoadRun(1, site, reported).run()
             yield from _spread_rows(
                 'streams an endpoint', spread, baseline, 1, case
             )
--- a/bench/spread_runs.py
+++ b/bench/spread_runs.py
@@ -127,24 +127,51 @@
     return moved / (size * len(names_before))
 
 
+class Site(NamedTuple):
+    """Size of one model's part of a system.
+
+    :param subset: endpoints that an entry uses.
+    :param streams: streams running at once at an endpoint on average.
+    """
+
+    entries: int
+    endpoints: int
+    subset: int
+    streams: float
+
+    @property
+    def requests_per_s(self) -> float:
+        """Return the rate that keeps that many streams running."""
+        return self.endpoints * self.streams / STREAM_S
+
+
+def full_size(subset_size: int) -> Site:
+    """Return one of the 22 models at full size and load."""
+    streams = REQUESTS_PER_S * STREAM_S * MODELS / ENDPOINTS
+    endpoints = len(model_endpoints(0))
+    return Site(ENTRIES, endpoints, subset_size, streams)
+
+
 class LoadRun:
     """Routes one model's requests through routers of all entries.
 
     :param reported: whether load reports reach the routers.
     """
 
-    def __init__(self, seed: int, size: int, reported: bool) -> None:
+    def __init__(self, seed: int, site: Site, reported: bool) -> None:
         self._random = random.Random(seed)
+        self._site = site
         self._reported = reported
-        self._endpoints = model_endpoints(0)
+        self._endpoints = model_endpoints(0)[: site.endpoints]
         self.running = {item.endpoint_id: 0 for item in self._endpoints}
         self._routers = [
-            self._make_router(name, size) for name in entry_names()
+            self._make_router(name) for name in entry_names()[: site.entries]
         ]
         self._order = itertools.count()
+        self._samples: list[Spread] = []
 
     def run(self) -> Spread:
-        """Return the spread of running streams at the end."""
+        """Return the spread of running streams, averaged over 30 s."""
         events: list[tuple[float, int, int, str]] = [(0.0, -1, -1, '')]
         next_report_s = 0.0
         while events[0][0] < DURATION_S:
@@ -152,27 +179,34 @@
             if now_s >= next_report_s:
                 next_report_s += REPORT_INTERVAL_S
                 self._report(now_s)
+                self._sample(now_s)
             if number >= 0:
                 self.running[endpoint_id] -= 1
                 self._routers[number].release(
                     endpoint_id, results.Succeeded(), now_s
                 )
                 continue
-            gap_s = self._random.expovariate(REQUESTS_PER_S)
+            gap_s = self._random.expovariate(self._site.requests_per_s)
             arrival = (now_s + gap_s, next(self._order), -1, '')
             heapq.heappush(events, arrival)
-            number = self._random.randrange(ENTRIES)
+            number = self._random.randrange(self._site.entries)
             chosen = self._acquire(number, now_s)
             took_s = self._random.expovariate(1 / STREAM_S)
             end = (now_s + took_s, next(self._order), number, chosen)
             heapq.heappush(events, end)
-        return spread_of(list(map(float, self.running.values())))
+        return Spread(
+            *(sum(column) / len(column) for column in zip(*self._samples))
+        )
 
-    def _make_router(self, name: str, size: int) -> routers.Router:
+    def _sample(self, now_s: float) -> None:
+        if now_s >= DURATION_S - 30.0:
+            counts = [float(count) for count in self.running.values()]
+            self._samples.append(spread_of(counts))
+
+    def _make_router(self, name: str) -> routers.Router:
         router = routers.Router(name, '')
-        router.update_endpoints(
-            subset.subset(name, self._endpoints, size), 0.0
-        )
+        used = subset.subset(name, self._endpoints, self._site.subset)
+        router.update_endpoints(used, 0.0)
         return router
 
     def _acquire(self, number: int, now_s: float) -> str:
