--- a/bench/limit_runs.py
+++ b/bench/limit_runs.py
@@ -50,6 +50,9 @@
     def receive(self, report: model.DemandReport, now_s: float) -> None:
         """Ignore a report."""
 
+    def note_not_running(self, entry_id: str, now_s: float) -> None:
+        """Ignore a refused connection."""
+
     def share(self, client_account: str, now_s: float) -> float:
         """Return the even part."""
         return 1.0 / self._count if self._count else 0.0
--- a/bench/share_network.py
+++ b/bench/share_network.py
@@ -36,6 +36,9 @@
     def receive(self, report: model.DemandReport, now_s: float) -> None:
         """See ``AccountShares``."""
 
+    def note_not_running(self, entry_id: str, now_s: float) -> None:
+        """See ``AccountShares``."""
+
     def share(self, client_account: str, now_s: float) -> float:
         """See ``AccountShares``."""
 
@@ -89,6 +92,8 @@
         self.faults = Faults()
         self.entries: dict[str, Entry] = {}
         self.list_available = True
+        self.tells_refused = True
+        self._ended: set[str] = set()
         self._make_shares = make_shares
         self._incarnations = itertools.count(1)
         self._order = itertools.count()
@@ -116,12 +121,18 @@
             self.now_s,
         )
         self.entries[name] = entry
+        self._ended.discard(name)
         self.set_listed(self.listed() | {name})
         return entry
 
     def stop(self, name: str) -> None:
-        """End an entry at once; the list does not show it yet."""
+        """End an entry at once; the list does not show it yet.
+
+        Others notice with their next report that its address refuses
+        connections, unless ``tells_refused`` is off.
+        """
         del self.entries[name]
+        self._ended.add(name)
 
     def set_listed(self, names: frozenset[str]) -> None:
         """Change the platform's list."""
@@ -185,10 +196,18 @@
             listed = self._seen_list(entry)
             entry.shares.update_members(listed, clock_s, clock_s)
         if self.now_s >= entry.next_report_s:
+            if self.tells_refused:
+                self._connect(entry, clock_s)
             entry.next_report_s = self.now_s + REPORT_INTERVAL_S / entry.rate
             report = entry.shares.make_report(entry.demands, clock_s)
             self._send(entry.name, report)
 
+    def _connect(self, entry: Entry, clock_s: float) -> None:
+        """Tell an entry of the ended ones that it can see refuse."""
+        for name in self._ended:
+            if frozenset((entry.name, name)) not in self.faults.cut:
+                entry.shares.note_not_running(name, clock_s)
+
     def _send(self, sender: str, report: model.DemandReport) -> None:
         for receiver, entry in self.entries.items():
             if receiver == sender:
--- a/features/limits/shares.feature
+++ b/features/limits/shares.feature
@@ -68,6 +68,26 @@
     Then the sum of shares is at least 0.95
     And entry "e6" has a share of at least 0.1
 
+  Scenario: The share of an entry that refuses connections is used soon
+    # Guards against 24 s without a dead entry's share, although its peer
+    # address refuses connections.
+    Given 6 entries that exchange shares
+    When 10 s of share exchange pass
+    And entry "e1" dies and is no longer listed
+    And 12 s of share exchange pass
+    Then the sum of shares is at least 0.99
+    And the sum of shares never exceeded the limit
+
+  Scenario: The share of an entry that may live is kept
+    # Guards against taking the share of an entry that only cannot be
+    # reached.
+    Given 6 entries that exchange shares
+    When 10 s of share exchange pass
+    And refused connections cannot be seen
+    And entry "e1" dies and is no longer listed
+    And 12 s of share exchange pass
+    Then the sum of shares is at most 0.84
+
   Scenario: Reports pass through msgpack unchanged
     # Guards against a report type that the peer link cannot carry.
     Then a demand report survives msgpack
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -111,6 +111,23 @@
     context.network.start(name, 0.1)
 
 
+@behave.when('entry "{name}" dies and is no longer listed')
+def entry_dies(context, name):
+    context.network.stop(name)
+    context.network.set_listed(context.network.listed() - {name})
+
+
+@behave.when('refused connections cannot be seen')
+def refused_unseen(context):
+    context.network.tells_refused = False
+
+
+@behave.then('the sum of shares is at most {most:f}')
+def sum_at_most(context, most):
+    total = context.network.total(_ACCOUNT)
+    assert total <= most, total
+
+
 @behave.when('entry "{name}" restarts')
 def entry_restarts(context, name):
     context.network.stop(name)
@@ -227,6 +244,7 @@
         self.network = _network(seed=seed)
         self.network.faults.loss = loss
         self.network.faults.delay_s = delay_s
+        self.network.tells_refused = seed % 4 != 0
         self._random = self.network.random
         self._started = 6
         for entry in self.network.entries.values():
--- a/src/godwitvalve/limits/demand.py
+++ b/src/godwitvalve/limits/demand.py
@@ -4,8 +4,9 @@
 
 import math
 
-# Follows a change of load within about two report intervals.
-SMOOTHING_S = 2.0
+# One report interval; a faster meter would pass on the noise of single
+# requests.
+SMOOTHING_S = 1.0
 
 
 class DemandMeter:
--- a/src/godwitvalve/limits/members.py
+++ b/src/godwitvalve/limits/members.py
@@ -7,6 +7,8 @@
 import math
 from typing import NamedTuple
 
+from godwitvalve.limits import loans
+
 # After this time without a list that names it, or an acknowledgement by
 # peers, an entry gives its base share up. The configuration slice stops
 # admission after the same time.
@@ -108,9 +110,17 @@
         if alone and now_s - self._confirmed_s < CONFIRM_S:
             self._confirmed_s = now_s
 
-    def note_not_running(self, member: str) -> None:
-        """Record that a member's peer address refuses connections."""
-        self._acknowledged.add(member)
+    def note_not_running(self, member: str, now_s: float) -> None:
+        """Record that a member's peer address refuses connections.
+
+        What it lent is used until those loans have lapsed.
+        """
+        if member in self.listed:
+            self._acknowledged.add(member)
+        held_s = self._gone_until_s.get(member)
+        if held_s is not None:
+            until_s = now_s + loans.LENT_FOR_S
+            self._gone_until_s[member] = min(held_s, until_s)
 
     def count(self, now_s: float) -> int:
         """Return the number of entries among which a limit is split."""
--- a/src/godwitvalve/limits/shares.py
+++ b/src/godwitvalve/limits/shares.py
@@ -70,9 +70,13 @@
             if entry in kept or now_s - peer.heard_s < DEMAND_FRESH_S
         }
 
-    def note_not_running(self, entry_id: str) -> None:
-        """Record that an entry's peer address refuses connections."""
-        self._members.note_not_running(entry_id)
+    def note_not_running(self, entry_id: str, now_s: float) -> None:
+        """Record that an entry's peer address refuses connections.
+
+        Only a refusal proves that no process listens there; a timeout or
+        a reset does not. An entry must listen for as long as it admits.
+        """
+        self._members.note_not_running(entry_id, now_s)
 
     def is_active(self, now_s: float) -> bool:
         """Tell whether the other entries have made room for this one."""
