Measure prefix cache hits with and without affinity

Tried and not kept: sending a prefix that an entry has not seen to the endpoint that rendezvous hashing names, so that entries agree. Conclusion: the memory of each entry stays.

--- a/bench/routing.py
+++ b/bench/routing.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections import abc
+import itertools
 import time
 
 from bench import attempt_runs
+from bench import prefix_runs
 from bench import rows
 from bench import spread_runs
 from godwitvalve.engine import port as engine_port
@@ -129,6 +131,27 @@
             )
 
 
+def _prefixes() -> abc.Iterator[rows.Row]:
+    for streams, near in itertools.product((2.0, 8.0), (True, False)):
+        domain = 'near domain first' if near else 'all domains alike'
+        case = f'6 entries, 12 endpoints, {streams:.0f} streams, {domain}'
+        for baseline, hinted in (('', True), ('without hint', False)):
+            for seed in SEEDS:
+                run = prefix_runs.PrefixRun(seed, streams, hinted, near)
+                result = run.run()
+                yield rows.Row(
+                    'prefix hits', result.hits, 'share', baseline, seed, case
+                )
+                yield rows.Row(
+                    'requests of the busiest endpoint',
+                    result.most,
+                    'of mean',
+                    baseline,
+                    seed,
+                    case,
+                )
+
+
 def _router(count: int) -> routers.Router:
     router = routers.Router('entry-1', 'fd-1')
     router.update_endpoints(
@@ -195,6 +218,7 @@
     yield from _attempts()
     yield from _subsets()
     yield from _loads()
+    yield from _prefixes()
     yield from _costs()
 
 
