--- a/src/godwitvalve/limits/shares.py
+++ b/src/godwitvalve/limits/shares.py
@@ -10,6 +10,7 @@
 from godwitvalve.limits import loans as loan_books
 from godwitvalve.limits import members as member_lists
 from godwitvalve.limits import model
+from godwitvalve.limits import split
 
 REPORT_INTERVAL_S = 1.0
 # Two reports may be missed before an entry's demand counts as unknown.
@@ -70,9 +71,13 @@
             if entry in kept or now_s - peer.heard_s < DEMAND_FRESH_S
         }
 
-    def note_not_running(self, entry_id: str) -> None:
-        """Record that an entry's peer address refuses connections."""
-        self._members.note_not_running(entry_id)
+    def note_not_running(self, entry_id: str, now_s: float) -> None:
+        """Record that an entry's peer address refuses connections.
+
+        Only a refusal proves that no process listens there; a timeout or
+        a reset does not. An entry must listen for as long as it admits.
+        """
+        self._members.note_not_running(entry_id, now_s)
 
     def is_active(self, now_s: float) -> bool:
         """Tell whether the other entries have made room for this one."""
@@ -120,7 +125,7 @@
             tuple(
                 model.AccountDemand(account, demand)
                 for account, demand in demands.items()
-                if demand > 0
+                if demand >= split.LEAST_LOAN
             ),
             grants,
         )
@@ -186,6 +191,8 @@
 
     def _acknowledge_list(self, now_s: float) -> None:
         """Acknowledge the list once loans fit into the base share."""
+        if self._acknowledged_digest == self._members.digest:
+            return
         base = 1.0 / self._members.count(now_s)
         fits = all(
             books.lent.reserved(now_s) <= base + 1e-9
