Compare requests of one share class over all domains

Cause: blocks by the time of completion mixed requests that were split at different shares; after a jump of the share quick and slow answers that ended together had been split differently, so good versions looked slow. Blocks within one domain also gave the new version half of the requests of its domain, so each failure told little.

Now the class of the share at the start of a request is part of the cell, blocks join all domains, and evidence of five to one is still wanted within single domains. Slowness is not compared above a share of one half, where the old replicas are nearly idle.

--- /dev/null
+++ b/bench/main.py
@@ -0,0 +1,59 @@
+"""Prints all measurements as JSON lines, with a summary as the last line.
+
+Arguments name the modules to run; without any, all of them run.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+import json
+import sys
+import time
+
+from bench import moves
+from bench import rows
+
+# A measurement is added here; its function returns rows.
+MEASUREMENTS: dict[str, Callable[[], Iterable[rows.Row]]] = {
+    'moves': moves.run,
+}
+
+
+def summary(
+    found: list[rows.Row], elapsed_s: float
+) -> dict[str, dict[str, object] | list[str] | float]:
+    """Return the figures by case and the targets that were missed."""
+    cases: dict[str, object] = {}
+    for row in found:
+        figures = cases.setdefault(row.case, {})
+        assert isinstance(figures, dict)
+        figures[row.measure] = {
+            'value': row.value,
+            'baseline': row.baseline,
+            'target': row.target,
+            'met': row.met,
+        }
+    missed = [
+        f'{row.case}: {row.measure}' for row in found if row.met is False
+    ]
+    return {
+        'summary': cases,
+        'missed': missed,
+        'elapsed_s': round(elapsed_s, 1),
+    }
+
+
+def main(names: list[str]) -> int:
+    """Run the named measurements."""
+    began_s = time.monotonic()
+    found = []
+    for name in names or MEASUREMENTS:
+        for row in MEASUREMENTS[name]():
+            found.append(row)
+            print(json.dumps(row._asdict()), flush=True)
+    print(json.dumps(summary(found, time.monotonic() - began_s)), flush=True)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/bench/moves.py
@@ -0,0 +1,150 @@
+"""Measures moves: good versions done in time, bad ones taken back.
+
+Each case has seeded moves spread evenly over the sizes in ``sites``. The
+baseline runs on the same seeds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from concurrent import futures
+import statistics
+
+from bench import move_runs
+from bench import rows
+from bench import sites
+
+MOVES_A_CASE = 200
+_WORKERS = 4
+_LATE_S = 10.0
+_LATE_BLAMED = 20
+_TARGETS = {
+    'done_in_time': 0.99,
+    'taken_back': 0.99,
+    'mild_taken_back': 0.95,
+    'share_until_verdict': 0.05,
+    'late_in_limit': 0.99,
+    'failed_median': 20.0,
+    'sent_after_verdict': 0.0,
+}
+
+
+def _run_pair(
+    job: tuple[sites.Site, sites.Case, int],
+) -> tuple[move_runs.Run, move_runs.Run]:
+    return move_runs.Simulation(*job).run(), move_runs.run_naive(*job)
+
+
+def run_case(
+    case: sites.Case,
+    moves: int,
+    pool: futures.Executor,
+    chosen: tuple[sites.Site, ...] = sites.SITES,
+) -> list[tuple[move_runs.Run, move_runs.Run]]:
+    """Run the seeded moves of a case; half the pair is the baseline."""
+    jobs = [(chosen[seed % len(chosen)], case, seed) for seed in range(moves)]
+    return list(pool.map(_run_pair, jobs, chunksize=4))
+
+
+def in_time(run: move_runs.Run) -> bool:
+    """Tell whether all entries knew the move to be done in time."""
+    site = next(site for site in sites.SITES if site.name == run.site)
+    return (
+        run.taken_back_s is None
+        and run.done_s is not None
+        and run.done_s <= site.move_s
+        and run.stored
+    )
+
+
+def taken_back(run: move_runs.Run) -> bool:
+    """Tell whether a bad version was taken back after its onset."""
+    return (
+        run.taken_back_s is not None
+        and run.taken_back_s >= run.onset_s
+        and run.stored
+    )
+
+
+def late_in_limit(run: move_runs.Run) -> bool:
+    """Tell whether a late fault ended within 10 s or 20 requests."""
+    if run.taken_back_s is None:
+        return False
+    soon = run.taken_back_s - run.onset_s <= _LATE_S
+    return soon or run.blamed_at_verdict <= _LATE_BLAMED
+
+
+def _part(runs: list[move_runs.Run], test: Callable[..., bool]) -> float:
+    return sum(map(test, runs)) / len(runs)
+
+
+def share(runs: list[move_runs.Run]) -> float:
+    """Return the new version's part of the requests until the verdict."""
+    requests = sum(run.requests for run in runs)
+    return sum(run.new_requests for run in runs) / max(requests, 1)
+
+
+def figures(
+    case: sites.Case, runs: list[move_runs.Run]
+) -> Iterator[tuple[str, float]]:
+    """Return the measures of a case."""
+    if not case.is_bad:
+        yield 'done_in_time', _part(runs, in_time)
+        return
+    name = 'mild_taken_back' if case.is_mild else 'taken_back'
+    yield name, _part(runs, taken_back)
+    if not case.late and not case.is_mild:
+        yield 'share_until_verdict', share(runs)
+    if case.late:
+        yield 'late_in_limit', _part(runs, late_in_limit)
+    blamed = [run.blamed_at_verdict for run in runs]
+    if case.failing:
+        yield 'failed_median', statistics.median(blamed)
+    else:
+        yield 'slowed_median', statistics.median(blamed)
+    yield 'sent_after_verdict', sum(run.after_verdict for run in runs)
+
+
+def _is_met(measure: str, value: float) -> bool | None:
+    limit = _TARGETS.get(measure)
+    if limit is None:
+        return None
+    if measure in ('done_in_time', 'taken_back', 'mild_taken_back'):
+        return value >= limit
+    if measure == 'late_in_limit':
+        return value >= limit
+    return value <= limit
+
+
+def run() -> Iterable[rows.Row]:
+    """Run all cases."""
+    with futures.ProcessPoolExecutor(_WORKERS) as pool:
+        for case in sites.CASES:
+            pairs = run_case(case, MOVES_A_CASE, pool)
+            yield from case_rows(case, pairs)
+
+
+def case_rows(
+    case: sites.Case, pairs: list[tuple[move_runs.Run, move_runs.Run]]
+) -> Iterator[rows.Row]:
+    """Return the rows of one case beside those of the baseline."""
+    ours = figures(case, [pair[0] for pair in pairs])
+    naive = figures(case, [pair[1] for pair in pairs])
+    seeds = f'0-{len(pairs) - 1}'
+    for (name, value), (_, baseline) in zip(ours, naive):
+        yield rows.Row(
+            measure=f'moves.{name}',
+            value=round(value, 4),
+            unit=_unit(name),
+            baseline=round(baseline, 4),
+            seed=seeds,
+            case=case.name,
+            target=_TARGETS.get(name),
+            met=_is_met(name, value),
+        )
+
+
+def _unit(measure: str) -> str:
+    if measure in ('failed_median', 'slowed_median', 'sent_after_verdict'):
+        return 'requests'
+    return 'fraction'
--- a/src/godwitvalve/moves/blocks.py
+++ b/src/godwitvalve/moves/blocks.py
@@ -1,4 +1,4 @@
-"""Blocks: requests of both versions in one domain and a short time."""
+"""Blocks: requests of both versions, split alike, in a short time."""
 
 from __future__ import annotations
 
@@ -17,8 +17,8 @@
 _ENOUGH_OF_EACH = 2
 _ENOUGH_IN_ALL = 20
 _MAX_AGE_S = 60.0
-# A new replica with more than this many times the requests of the busiest
-# old one is not compared for slowness: its load is not the same.
+# A new replica with more than this many times the usual requests of an old
+# one is not compared for slowness: its load is not the same.
 _MAX_LOAD_RATIO = 2
 _LOAD_SLACK = 3
 
@@ -30,6 +30,13 @@
     route: str
 
 
+class Suspect(NamedTuple):
+    """An endpoint or a failure domain that may have its own trouble."""
+
+    endpoint_id: str
+    failure_domain: str
+
+
 class Counts(NamedTuple):
     """Requests and events of both versions in a block."""
 
@@ -39,31 +46,38 @@
     events: int
 
 
+NOBODY = Suspect('', '')
+_Place = Suspect
+_Tally = collections.Counter[_Place]
+
+
 @dataclasses.dataclass
 class _Side:
-    attempts: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    timed: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    events: dict[Kind, collections.Counter[str]] = dataclasses.field(
-        default_factory=dict
-    )
+    attempts: _Tally = dataclasses.field(default_factory=collections.Counter)
+    timed: _Tally = dataclasses.field(default_factory=collections.Counter)
+    events: dict[Kind, _Tally] = dataclasses.field(default_factory=dict)
 
-    def add_events(self, kind: Kind, endpoint_id: str, count: int) -> None:
-        if count:
-            self.events.setdefault(kind, collections.Counter())
-            self.events[kind][endpoint_id] += count
+    def add_events(
+        self, event: str, route: str, place: _Place, count: int
+    ) -> None:
+        for kind in (Kind(event, ''), Kind(event, route)):
+            tally = self.events.get(kind)
+            if tally is None:
+                tally = self.events[kind] = collections.Counter()
+            tally[place] += count
 
 
 @dataclasses.dataclass
 class Block:
-    """Requests of one failure domain while the share stayed the same."""
+    """Requests that were given to the versions at about the same share.
 
-    failure_domain: str
-    share: float
+    :param usual_load: requests that an old replica would have had in the
+        time of the block without the move.
+    """
+
+    share_class: int
     first_bucket: int
+    usual_load: float = 0.0
     new: _Side = dataclasses.field(default_factory=_Side)
     old: _Side = dataclasses.field(default_factory=_Side)
 
@@ -74,23 +88,29 @@
         is_new: bool,
         limits: pace.PaceLimits,
     ) -> None:
-        """Count the requests of a cell."""
+        """Count the requests of a cell.
+
+        Above a share of one half the old replicas have little load left,
+        so that slowness is not compared.
+        """
         side = self.new if is_new else self.old
-        endpoint_id = key.endpoint_id
-        side.attempts[endpoint_id] += cell.attempts
-        for route in ('', key.route):
-            side.add_events(Kind(FAILED, route), endpoint_id, cell.failures)
+        place = _Place(key.endpoint_id, key.failure_domain)
+        side.attempts[place] += cell.attempts
+        if cell.failures:
+            side.add_events(FAILED, key.route, place, cell.failures)
+        if self.share_class > 0:
+            return
         slow = limits.slow_count(key.route, cell.times)
         if slow is None:
             return
-        side.timed[endpoint_id] += sum(count for _, count in cell.times)
-        for route in ('', key.route):
-            side.add_events(Kind(SLOW, route), endpoint_id, slow)
+        side.timed[place] += sum(count for _, count in cell.times)
+        if slow:
+            side.add_events(SLOW, key.route, place, slow)
 
     def is_full(self) -> bool:
         """Tell whether the block says enough to be closed."""
-        new = self.new.attempts.total()
-        old = self.old.attempts.total()
+        new = max(self.new.attempts.total(), self.new.timed.total())
+        old = max(self.old.attempts.total(), self.old.timed.total())
         if min(new, old) >= _ENOUGH_OF_EACH:
             return True
         return new > 0 and new + old >= _ENOUGH_IN_ALL
@@ -101,31 +121,48 @@
         return age_s >= _MAX_AGE_S
 
     def kinds(self) -> list[Kind]:
-        """Return the kinds of events that occurred."""
+        """Return the kinds of events that occurred, if they compare."""
+        if not self.new.attempts and not self.new.timed:
+            return []
+        if not self.old.attempts and not self.old.timed:
+            return []
         return sorted(self.new.events.keys() | self.old.events.keys())
 
-    def endpoints_with(self, kind: Kind) -> set[str]:
-        """Return the new version's endpoints where events occurred."""
-        return set(self.new.events.get(kind, ()))
+    def suspects(self, kind: Kind) -> set[Suspect]:
+        """Return where the new version had events of a kind."""
+        places = self.new.events.get(kind, collections.Counter())
+        return {Suspect(place.endpoint_id, '') for place in places} | {
+            Suspect('', place.failure_domain) for place in places
+        }
 
-    def counts(self, kind: Kind, left_out: str = '') -> Counts:
-        """Return what to compare, without one endpoint if one is named."""
+    def counts(self, kind: Kind, left_out: Suspect = NOBODY) -> Counts:
+        """Return what to compare, without one suspect."""
         loaded = self._overloaded() if kind.event == SLOW else set()
-        ignored = loaded | {left_out}
-        new, new_events = _sum(self.new, kind, ignored)
-        old, old_events = _sum(self.old, kind, ignored)
+        new, new_events = _sum(self.new, kind, left_out, loaded)
+        old, old_events = _sum(self.old, kind, left_out, loaded)
         return Counts(new, old, new_events, new_events + old_events)
 
-    def _overloaded(self) -> set[str]:
-        busiest = max(self.old.attempts.values(), default=0)
-        limit = _MAX_LOAD_RATIO * busiest + _LOAD_SLACK
+    def _overloaded(self) -> set[_Place]:
+        limit = _MAX_LOAD_RATIO * self.usual_load + _LOAD_SLACK
         return {e for e, n in self.new.attempts.items() if n > limit}
 
 
-def _sum(side: _Side, kind: Kind, ignored: set[str]) -> tuple[int, int]:
+def _sum(
+    side: _Side, kind: Kind, left_out: Suspect, loaded: set[_Place]
+) -> tuple[int, int]:
     population = side.timed if kind.event == SLOW else side.attempts
     events = side.events.get(kind, collections.Counter())
+    if left_out is NOBODY and not loaded:
+        return population.total(), events.total()
+
+    def counts(place: _Place) -> bool:
+        return (
+            place.endpoint_id != left_out.endpoint_id
+            and place.failure_domain != left_out.failure_domain
+            and place not in loaded
+        )
+
     return (
-        sum(n for e, n in population.items() if e not in ignored),
-        sum(n for e, n in events.items() if e not in ignored),
+        sum(n for place, n in population.items() if counts(place)),
+        sum(n for place, n in events.items() if counts(place)),
     )
--- a/src/godwitvalve/moves/evidence.py
+++ b/src/godwitvalve/moves/evidence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from typing import Any, NamedTuple
 
@@ -20,13 +21,18 @@
 
 
 class CellKey(NamedTuple):
-    """What the counts of a cell are about."""
+    """What the counts of a cell are about.
+
+    :param share_class: class of the share in force when the request was
+        given to a version, from :func:`share_class`.
+    """
 
     service: str
     version: str
     route: str
     failure_domain: str
     endpoint_id: str
+    share_class: int
 
 
 class Cell(NamedTuple):
@@ -84,6 +90,17 @@
     return int(now_wall_s // BUCKET_S)
 
 
+def share_class(share: float) -> int:
+    """Return the class of a share; those up to one half are at most 0.
+
+    Requests are compared only with others that were split alike.
+    Otherwise, after a jump of the share, quick answers and slow ones that
+    end together would have been split differently.
+    """
+    bounded = min(max(share, 0.001), 0.999)
+    return math.ceil(2 * math.log(bounded / (1 - bounded)) - 1e-9)
+
+
 def time_bin(time_s: float) -> int:
     """Return the bin of a time in seconds."""
     return math.floor(math.log(max(time_s, _MIN_TIME_S)) / _LOG_RATIO)
@@ -99,6 +116,18 @@
     return tuple(sorted(counts.items()))
 
 
+def _add(one: Cell, other: Cell) -> Cell:
+    counts = dict(one.times)
+    for index, count in other.times:
+        counts[index] = counts.get(index, 0) + count
+    return Cell(
+        one.attempts + other.attempts,
+        one.failures + other.failures,
+        one.load_sum + other.load_sum,
+        tuple(sorted(counts.items())),
+    )
+
+
 class EvidenceBook:
     """Own evidence and that of the other entries, by bucket.
 
@@ -190,10 +219,11 @@
         slot = (self.origin, self.incarnation)
         for bucket in range(last, last - REPORTED_BUCKETS, -1):
             held = self._buckets.get(bucket, {}).get(slot)
-            if held is None or len(held.cells) > room:
+            if held is None:
                 continue
-            room -= len(held.cells)
-            cells = tuple(CellRow(k, c) for k, c in held.cells.items())
+            chosen = itertools.islice(held.cells.items(), room)
+            cells = tuple(CellRow(key, cell) for key, cell in chosen)
+            room -= len(cells)
             rows.append(BucketRow(bucket, cells))
         return EvidenceReport(
             self.origin, self.incarnation, self._sequence, tuple(rows)
@@ -215,13 +245,14 @@
             cells = dict(rows[:MAX_CELLS_A_BUCKET])
             self._buckets[bucket][slot] = _Held(report.sequence, cells)
 
-    def cells(self, bucket: int) -> list[tuple[CellKey, Cell]]:
-        """Return the cells of all origins in a bucket."""
-        return [
-            item
-            for held in self._buckets.get(bucket, {}).values()
-            for item in held.cells.items()
-        ]
+    def cells(self, bucket: int) -> dict[CellKey, Cell]:
+        """Return the cells of a bucket, summed over all origins."""
+        total: dict[CellKey, Cell] = {}
+        for held in self._buckets.get(bucket, {}).values():
+            for key, cell in held.cells.items():
+                known = total.get(key)
+                total[key] = cell if known is None else _add(known, cell)
+        return total
 
     def buckets(self) -> list[int]:
         """Return the buckets that the book holds, oldest first."""
@@ -248,12 +279,18 @@
 
 def _bucket_from_wire(bucket: Any, cells: Any) -> BucketRow:
     rows = (
-        CellRow(CellKey(*map(str, key)), _cell_from_wire(*cell))
+        CellRow(_key_from_wire(*key), _cell_from_wire(*cell))
         for key, cell in cells
     )
     return BucketRow(int(bucket), tuple(rows))
 
 
+def _key_from_wire(*fields: Any) -> CellKey:
+    *names, split = fields
+    service, version, route, domain, endpoint_id = map(str, names)
+    return CellKey(service, version, route, domain, endpoint_id, int(split))
+
+
 def _cell_from_wire(
     attempts: Any, failures: Any, load_sum: Any, times: Any
 ) -> Cell:
--- a/src/godwitvalve/moves/findings.py
+++ b/src/godwitvalve/moves/findings.py
@@ -9,8 +9,13 @@
 from godwitvalve.moves import blocks
 
 # Odds ratios bet on: some points more failures, and nearly all requests
-# failing; 1.5 times slower has about 5, three times slower over 50.
-_ODDS_RATIOS = {blocks.FAILED: (6.0, 80.0), blocks.SLOW: (4.0, 40.0)}
+# failing. Versions 1.5 and 3 times slower have about 6 and over 60. Ratios
+# under 6 would also answer to the smaller load of the old replicas.
+_ODDS_RATIOS = {blocks.FAILED: (6.0, 80.0), blocks.SLOW: (6.0, 60.0)}
+_DOMAIN_RATIO = 6.0
+# Evidence that is wanted within single failure domains, as a log: about
+# five to one. It rules out troubles of several domains at once.
+_DOMAIN_LIMIT = 1.6
 
 
 class Record(NamedTuple):
@@ -35,10 +40,11 @@
 
     def __init__(self, kind: blocks.Kind, horizon: int, limit: float) -> None:
         self.kind = kind
+        self.limit = limit
         self._horizon = horizon
-        self._limit = limit
         self._whole = self._new_wealth()
-        self._without: dict[str, betting.Wealth] = {}
+        self._without: dict[blocks.Suspect, betting.Wealth] = {}
+        self._in_domains = 0.0
 
     def _new_wealth(self) -> betting.Wealth:
         return betting.Wealth(_ODDS_RATIOS[self.kind.event], self._horizon)
@@ -54,35 +60,39 @@
         return min(values, default=self.e_value)
 
     def add(
-        self, record: Record, history: Iterable[Record], spread: bool
+        self,
+        record: Record,
+        history: Iterable[Record],
+        domains: set[str],
     ) -> None:
-        """Take a block into account.
+        """Take a block of all domains into account.
 
         :param history: earlier records.
-        :param spread: whether the version has several failure domains.
+        :param domains: failure domains of the new version.
         """
-        _multiply(self._whole, record, self.kind, '', '')
+        _multiply(self._whole, record, self.kind, blocks.NOBODY)
         for suspect, wealth in self._without.items():
-            _multiply(wealth, record, self.kind, *_left_out(suspect))
-        if self.e_value >= self._limit:
-            self._add_suspects([*history, record], spread)
-
-    def _add_suspects(self, records: list[Record], spread: bool) -> None:
-        suspects = {
-            f'endpoint {endpoint_id}'
+            _multiply(wealth, record, self.kind, suspect)
+        if self.e_value >= self.limit:
+            self._add_suspects([*history, record], domains)
+
+    def add_domain(self, block: blocks.Block) -> None:
+        """Take a block of one domain into account."""
+        counts = block.counts(self.kind)
+        log_e = betting.log_e_value(*counts, _DOMAIN_RATIO)
+        self._in_domains = max(self._in_domains + log_e, 0.0)
+
+    def _add_suspects(self, records: list[Record], domains: set[str]) -> None:
+        found = {
+            suspect
             for record in records
-            for endpoint_id in record.block.endpoints_with(self.kind)
+            for suspect in record.block.suspects(self.kind)
+            if suspect.endpoint_id or len(domains) > 1
         }
-        if spread:
-            suspects |= {
-                f'domain {record.block.failure_domain}'
-                for record in records
-                if record.block.endpoints_with(self.kind)
-            }
-        for suspect in suspects - self._without.keys():
+        for suspect in found - self._without.keys():
             wealth = self._new_wealth()
             for record in records:
-                _multiply(wealth, record, self.kind, *_left_out(suspect))
+                _multiply(wealth, record, self.kind, suspect)
             self._without[suspect] = wealth
 
     def is_proof(self, single: bool) -> bool:
@@ -91,25 +101,17 @@
         :param single: the version has one endpoint, so that leaving it out
             would leave nothing.
         """
-        if self.e_value < self._limit:
+        if self.e_value < self.limit or self._in_domains < _DOMAIN_LIMIT:
             return False
-        return single or self.least_e_value() >= self._limit
-
-
-def _left_out(suspect: str) -> tuple[str, str]:
-    what, _, name = suspect.partition(' ')
-    return (name, '') if what == 'endpoint' else ('', name)
+        return single or self.least_e_value() >= self.limit
 
 
 def _multiply(
     wealth: betting.Wealth,
     record: Record,
     kind: blocks.Kind,
-    endpoint_id: str,
-    failure_domain: str,
+    left_out: blocks.Suspect,
 ) -> None:
-    if failure_domain and record.block.failure_domain == failure_domain:
-        return
-    counts = record.block.counts(kind, endpoint_id)
+    counts = record.block.counts(kind, left_out)
     if counts.events:
         wealth.multiply(record.epoch, *counts)
--- a/src/godwitvalve/moves/pace.py
+++ b/src/godwitvalve/moves/pace.py
@@ -4,10 +4,10 @@
 
 import collections
 
-# A quarter of the old version's answers count as slow. At a lower quantile
-# good answers are noise; at a higher one a factor of 1.5 shows later.
-_SLOW_FRACTION = 0.25
-_MIN_SAMPLES = 20
+# A tenth of the old version's answers count as slow. With more of them,
+# slow answers of the old version hide those of the new one.
+_SLOW_FRACTION = 0.1
+_MIN_SAMPLES = 30
 _GENERATION_S = 60.0
 
 
--- a/src/godwitvalve/moves/share.py
+++ b/src/godwitvalve/moves/share.py
@@ -29,7 +29,7 @@
 _SIGNS_END = 0.97
 # Share at which a sign or a doubt is examined: one failure tells most if
 # few of the compared requests went to the new version.
-_TEST_SHARE = 0.25
+_TEST_SHARE = 0.15
 _ENOUGH_ATTEMPTS = 50
 _ENOUGH_ENDPOINTS = 2
 _DOUBT = 20.0
--- /dev/null
+++ b/src/godwitvalve/moves/signs.py
@@ -0,0 +1,95 @@
+"""Signs of a change in the new version's own record.
+
+A sign proves nothing: it only lowers the share for a short time, so that
+enough requests go to the old version to compare with.
+"""
+
+from __future__ import annotations
+
+import collections
+import math
+
+from godwitvalve.moves import blocks
+
+# Two or three failures close together raise a sign; see docs/moves.md.
+_LIMIT = 6.0
+_MORE_IN_SUM = {blocks.FAILED: 0.1, blocks.SLOW: 0.3}
+_MORE_ON_ROUTE = {blocks.FAILED: 0.06, blocks.SLOW: 0.08}
+_LEAST_RATE = {blocks.FAILED: 0.003, blocks.SLOW: 0.02}
+# Requests that the rate before the change is taken from.
+_MEMORY = 1000
+# A sign holds for this time. Signs that go on without a proof, as in an
+# outage of a dependency, are heeded for a limited time.
+_SIGN_S = 30.0
+_MAX_SIGNS_S = 90.0
+_QUIET_S = 120.0
+
+
+class ChangeSign:
+    """Cumulative sum test of one kind of event (Page 1954).
+
+    The rate before the change is the one seen so far, with old counts
+    fading.
+
+    :param before: requests without such an event that came before.
+    """
+
+    def __init__(self, kind: blocks.Kind, before: int) -> None:
+        more = _MORE_ON_ROUTE if kind.route else _MORE_IN_SUM
+        self._more = more[kind.event]
+        self._least = _LEAST_RATE[kind.event]
+        self._events = 0.0
+        self._total = 100.0 + min(before, _MEMORY)
+        self._sum = 0.0
+
+    def add(self, total: int, events: int) -> bool:
+        """Add requests of the new version; tell whether there is a sign."""
+        before = min(max(self._events / self._total, self._least), 0.9)
+        after = min(before + self._more, 0.97)
+        self._sum += events * math.log(after / before)
+        self._sum += (total - events) * math.log((1 - after) / (1 - before))
+        self._sum = max(self._sum, 0.0)
+        self._events += events
+        self._total += total
+        if self._total > 2 * _MEMORY:
+            self._events /= 2
+            self._total /= 2
+        if self._sum < _LIMIT:
+            return False
+        self._sum = 0.0
+        return True
+
+
+class Signs:
+    """Signs of all kinds, and until when they are heeded."""
+
+    def __init__(self) -> None:
+        self._signs: dict[blocks.Kind, ChangeSign] = {}
+        self._before = 0
+        self._from_s = self._until_s = -_QUIET_S
+
+    def add(
+        self,
+        total: int,
+        events: collections.Counter[blocks.Kind],
+        now_wall_s: float,
+    ) -> None:
+        """Add requests of the new version in one bucket."""
+        for kind in events.keys() - self._signs.keys():
+            self._signs[kind] = ChangeSign(kind, self._before)
+        self._before += total
+        raised = False
+        for kind, sign in self._signs.items():
+            raised |= sign.add(total, min(events[kind], total))
+        if raised:
+            self._raise(now_wall_s)
+
+    def _raise(self, now_wall_s: float) -> None:
+        if now_wall_s > self._until_s + _QUIET_S:
+            self._from_s = now_wall_s
+        if now_wall_s <= self._from_s + _MAX_SIGNS_S:
+            self._until_s = now_wall_s + _SIGN_S
+
+    def holds(self, now_wall_s: float) -> bool:
+        """Tell whether a change was seen that is yet to be explained."""
+        return now_wall_s < self._until_s
--- a/src/godwitvalve/moves/watch.py
+++ b/src/godwitvalve/moves/watch.py
@@ -3,35 +3,31 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Iterable
 
 from godwitvalve.moves import blocks
 from godwitvalve.moves import evidence
 from godwitvalve.moves import findings
 from godwitvalve.moves import move
 from godwitvalve.moves import pace
-from godwitvalve.moves import suspicion
+from godwitvalve.moves import signs
 
-# Probability that a good version is ever taken back by chance alone.
-FALSE_ALARM_RATE = 0.004
+# Probability that a good version is ever taken back by chance alone, and
+# how it is shared out; parts by route are divided by the routes.
+FALSE_ALARM_RATE = 0.005
+_PARTS = {blocks.FAILED: 0.4, blocks.SLOW: 0.3}
+_ROUTE_PARTS = {blocks.FAILED: 0.2, blocks.SLOW: 0.1}
 # A report takes up to a second to be sent and some time to arrive.
 GRACE_S = 1.5
-_EPOCH_S = 10.0
-_HISTORY_BLOCKS = 4000
-# A jump of the share by this factor closes all blocks: requests that were
-# split differently must not be compared.
-_SHARE_JUMP = 1.5
-_SIGN_S = 30.0
-_MAX_SIGNS_S = 90.0
-_QUIET_S = 120.0
+_EPOCH_S = 30.0
+_HISTORY_BLOCKS = 2000
+
+_Cells = Iterable[tuple[evidence.CellKey, evidence.Cell]]
 
 
 class MoveWatch:
     """Reads an evidence book bucket by bucket and keeps the findings.
 
-    The limits of the findings share out ``FALSE_ALARM_RATE``: a quarter
-    each for failures and slowness in sum, and a quarter each for those by
-    route, divided by the number of routes.
-
     :param routes: number of routes of the service.
     :param now_wall_s: time from which evidence is read.
     """
@@ -48,21 +44,15 @@
         planned_s = moving.done_by_wall_s - moving.started_wall_s
         self._horizon = max(int(2 * planned_s / _EPOCH_S), 1)
         self._next = evidence.bucket_of(now_wall_s)
-        self._shares: dict[int, float] = {}
-        self._share = 0.0
-        self._open: dict[str, blocks.Block] = {}
+        self._open: dict[tuple[str, int], blocks.Block] = {}
         self._limits = pace.PaceLimits()
         self._history: collections.deque[findings.Record] = collections.deque(
             maxlen=_HISTORY_BLOCKS
         )
         self._findings: dict[blocks.Kind, findings.Finding] = {}
-        self._signs: dict[blocks.Kind, suspicion.ChangeSign] = {}
-        self._sign_from = self._sign_until = -_QUIET_S
+        self._signs = signs.Signs()
         self._domains: set[str] = set()
-
-    def note_share(self, now_wall_s: float, share: float) -> None:
-        """Remember the share in force, so that blocks end where it jumps."""
-        self._shares[evidence.bucket_of(now_wall_s)] = share
+        self._old_endpoints: set[str] = set()
 
     def advance(self, book: evidence.EvidenceBook, now_wall_s: float) -> None:
         """Read the buckets that are complete by now."""
@@ -73,50 +63,69 @@
             self._next += 1
 
     def _read(self, book: evidence.EvidenceBook, bucket: int) -> None:
-        self._share = self._shares.pop(bucket, self._share)
         self._limits.refresh(bucket * evidence.BUCKET_S)
-        new_cells = []
-        for key, cell in book.cells(bucket):
-            if key.service != self.moving.service:
-                continue
-            if key.version == self.moving.new_version:
-                new_cells.append((key, cell))
-                self._block(key.failure_domain, bucket).add(
-                    key, cell, True, self._limits
-                )
-            elif key.version == self.moving.old_version:
-                self._block(key.failure_domain, bucket).add(
-                    key, cell, False, self._limits
-                )
-                self._limits.add(key.route, cell.times)
-        self._count(new_cells, bucket)
-        for domain, block in list(self._open.items()):
+        cells = {
+            key: cell
+            for key, cell in book.cells(bucket).items()
+            if key.service == self.moving.service
+        }
+        new_version = self.moving.new_version
+        old_version = self.moving.old_version
+        new = [
+            item for item in cells.items() if item[0].version == new_version
+        ]
+        old = [
+            item for item in cells.items() if item[0].version == old_version
+        ]
+        self._fill(new, old, bucket)
+        self._learn(old)
+        self._count(new, bucket)
+        for name, block in list(self._open.items()):
             if block.is_full() or block.is_old(bucket):
-                self._close(domain, bucket)
-
-    def _block(self, domain: str, bucket: int) -> blocks.Block:
-        block = self._open.get(domain)
-        if block is not None:
-            low, high = sorted((block.share, self._share))
-            if high <= low * _SHARE_JUMP:
-                return block
-            self._close(domain, bucket)
-        block = blocks.Block(domain, self._share, bucket)
-        self._open[domain] = block
+                self._close(name, bucket)
+
+    def _fill(self, new: _Cells, old: _Cells, bucket: int) -> None:
+        """Put each cell into the block of its domain and that of all."""
+        touched: dict[tuple[str, int], blocks.Block] = {}
+        total = 0
+        for is_new, cells in ((True, new), (False, old)):
+            for key, cell in cells:
+                total += cell.attempts
+                for domain in ('', key.failure_domain):
+                    block = self._block(domain, key.share_class, bucket)
+                    block.add(key, cell, is_new, self._limits)
+                    touched[domain, key.share_class] = block
+        usual = total / max(len(self._old_endpoints), 1)
+        for block in touched.values():
+            block.usual_load += usual
+
+    def _block(self, domain: str, split: int, bucket: int) -> blocks.Block:
+        block = self._open.get((domain, split))
+        if block is None:
+            block = blocks.Block(split, bucket)
+            self._open[domain, split] = block
         return block
 
-    def _close(self, domain: str, bucket: int) -> None:
-        block = self._open.pop(domain)
+    def _learn(self, old: _Cells) -> None:
+        for key, cell in old:
+            self._old_endpoints.add(key.endpoint_id)
+            if key.share_class <= 0:
+                self._limits.add(key.route, cell.times)
+
+    def _close(self, name: tuple[str, int], bucket: int) -> None:
+        block = self._open.pop(name)
         kinds = block.kinds()
-        if not kinds or not block.new.attempts or not block.old.attempts:
+        if name[0]:
+            for kind in kinds:
+                self._finding(kind).add_domain(block)
+            return
+        if not kinds:
             return
-        started = evidence.bucket_of(self.moving.started_wall_s)
-        elapsed_s = max(bucket - started, 0) * evidence.BUCKET_S
-        record = findings.Record(int(elapsed_s / _EPOCH_S), block)
+        elapsed_s = bucket * evidence.BUCKET_S - self.moving.started_wall_s
+        epoch = int(max(elapsed_s, 0.0) / _EPOCH_S)
+        record = findings.Record(epoch, block)
         for kind in kinds:
-            self._finding(kind).add(
-                record, self._history, len(self._domains) > 1
-            )
+            self._finding(kind).add(record, self._history, self._domains)
         self._history.append(record)
 
     def _finding(self, kind: blocks.Kind) -> findings.Finding:
@@ -127,42 +136,33 @@
         return found
 
     def _limit(self, kind: blocks.Kind) -> float:
-        parts = 4 * self._routes if kind.route else 4
-        return parts / FALSE_ALARM_RATE
-
-    def _count(
-        self,
-        cells: list[tuple[evidence.CellKey, evidence.Cell]],
-        bucket: int,
-    ) -> None:
-        total = sum(cell.attempts for _, cell in cells)
-        if not total:
-            return
-        self.new_attempts += total
+        if kind.route:
+            part = _ROUTE_PARTS[kind.event] / self._routes
+        else:
+            part = _PARTS[kind.event]
+        return 1 / (part * FALSE_ALARM_RATE)
+
+    def _count(self, new: _Cells, bucket: int) -> None:
+        total = 0
         events: collections.Counter[blocks.Kind] = collections.Counter()
-        for key, cell in cells:
+        for key, cell in new:
+            total += cell.attempts
             self.new_endpoints.add(key.endpoint_id)
             self._domains.add(key.failure_domain)
             slow = self._limits.slow_count(key.route, cell.times) or 0
-            for route in ('', key.route):
-                events[blocks.Kind(blocks.FAILED, route)] += cell.failures
-                events[blocks.Kind(blocks.SLOW, route)] += slow
-        raised = False
-        for kind in events.keys() | self._signs.keys():
-            sign = self._signs.setdefault(kind, suspicion.ChangeSign(kind))
-            raised |= sign.add(total, min(events[kind], total))
-        if raised:
-            self._raise_sign((bucket + 1) * evidence.BUCKET_S)
-
-    def _raise_sign(self, now_wall_s: float) -> None:
-        if now_wall_s > self._sign_until + _QUIET_S:
-            self._sign_from = now_wall_s
-        if now_wall_s <= self._sign_from + _MAX_SIGNS_S:
-            self._sign_until = now_wall_s + _SIGN_S
+            for event, count in (
+                (blocks.FAILED, cell.failures),
+                (blocks.SLOW, slow),
+            ):
+                if count:
+                    events[blocks.Kind(event, '')] += count
+                    events[blocks.Kind(event, key.route)] += count
+        self.new_attempts += total
+        self._signs.add(total, events, (bucket + 1) * evidence.BUCKET_S)
 
     def has_sign(self, now_wall_s: float) -> bool:
         """Tell whether a change was seen that is yet to be explained."""
-        return now_wall_s < self._sign_until
+        return self._signs.holds(now_wall_s)
 
     def doubt(self) -> float:
         """Return the greatest e-value against the new version."""
@@ -173,7 +173,7 @@
         """Return the finding that is nearest to or above its limit."""
         return max(
             self._findings.values(),
-            key=lambda found: found.least_e_value() / self._limit(found.kind),
+            key=lambda found: found.least_e_value() / found.limit,
             default=None,
         )
 
