Give carriers the load of an old replica at every share

Cause: while a doubt was examined and at the start of the ramp two carriers shared a small share, so faults under load did not show there, and leaving one of two carriers out halved the evidence. Slow old answers between pulses also paid down the evidence of the pulses.

The share is now a multiple of what one carrier takes at the load of an old replica, alternates between two of them, and the carriers rotate. Slowness is not compared between pulses. Evidence within domains comes from the same blocks, which halves the work of reading a bucket.

Still missed: late faults, one route, mild ones.

--- a/src/godwitvalve/moves/blocks.py
+++ b/src/godwitvalve/moves/blocks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
 import dataclasses
 from typing import NamedTuple
 
@@ -23,6 +24,9 @@
 _LOAD_SLACK = 3
 
 
+_LEAST_CLASS = evidence.share_class(0.02)
+
+
 class Kind(NamedTuple):
     """What is counted: failures or slow answers, on a route or in sum."""
 
@@ -91,14 +95,14 @@
         """Count the requests of a cell.
 
         Above a share of one half the old replicas have little load left,
-        so that slowness is not compared.
+        and between pulses the new ones have; slowness is not compared then.
         """
         side = self.new if is_new else self.old
         place = _Place(key.endpoint_id, key.failure_domain)
         side.attempts[place] += cell.attempts
         if cell.failures:
             side.add_events(FAILED, key.route, place, cell.failures)
-        if self.share_class > 0:
+        if not _LEAST_CLASS <= self.share_class <= 0:
             return
         slow = limits.slow_count(key.route, cell.times)
         if slow is None:
@@ -138,31 +142,51 @@
     def counts(self, kind: Kind, left_out: Suspect = NOBODY) -> Counts:
         """Return what to compare, without one suspect."""
         loaded = self._overloaded() if kind.event == SLOW else set()
-        new, new_events = _sum(self.new, kind, left_out, loaded)
-        old, old_events = _sum(self.old, kind, left_out, loaded)
+
+        def counts(place: _Place) -> bool:
+            return (
+                place.endpoint_id != left_out.endpoint_id
+                and place.failure_domain != left_out.failure_domain
+                and place not in loaded
+            )
+
+        chosen = None if left_out is NOBODY and not loaded else counts
+        new, new_events = _sum(self.new, kind, chosen)
+        old, old_events = _sum(self.old, kind, chosen)
         return Counts(new, old, new_events, new_events + old_events)
 
+    def counts_in_domains(self, kind: Kind) -> list[Counts]:
+        """Return what to compare within each failure domain with events."""
+        domains = {
+            place.failure_domain
+            for side in (self.new, self.old)
+            for place in side.events.get(kind, ())
+        }
+        loaded = self._overloaded() if kind.event == SLOW else set()
+        found = []
+        for domain in domains:
+
+            def counts(place: _Place, domain: str = domain) -> bool:
+                return place.failure_domain == domain and place not in loaded
+
+            new, new_events = _sum(self.new, kind, counts)
+            old, old_events = _sum(self.old, kind, counts)
+            found.append(Counts(new, old, new_events, new_events + old_events))
+        return found
+
     def _overloaded(self) -> set[_Place]:
         limit = _MAX_LOAD_RATIO * self.usual_load + _LOAD_SLACK
         return {e for e, n in self.new.attempts.items() if n > limit}
 
 
 def _sum(
-    side: _Side, kind: Kind, left_out: Suspect, loaded: set[_Place]
+    side: _Side, kind: Kind, chosen: Callable[[_Place], bool] | None
 ) -> tuple[int, int]:
     population = side.timed if kind.event == SLOW else side.attempts
     events = side.events.get(kind, collections.Counter())
-    if left_out is NOBODY and not loaded:
+    if chosen is None:
         return population.total(), events.total()
-
-    def counts(place: _Place) -> bool:
-        return (
-            place.endpoint_id != left_out.endpoint_id
-            and place.failure_domain != left_out.failure_domain
-            and place not in loaded
-        )
-
     return (
-        sum(n for place, n in population.items() if counts(place)),
-        sum(n for place, n in events.items() if counts(place)),
+        sum(n for place, n in population.items() if chosen(place)),
+        sum(n for place, n in events.items() if chosen(place)),
     )
--- a/src/godwitvalve/moves/evidence.py
+++ b/src/godwitvalve/moves/evidence.py
@@ -13,7 +13,7 @@
 _LOG_RATIO = math.log(BIN_RATIO)
 _MIN_TIME_S = 1e-5
 # A report repeats the last buckets, so that a lost one is made good.
-REPORTED_BUCKETS = 4
+REPORTED_BUCKETS = 3
 KEPT_BUCKETS = 30
 # Bounds of a report and of the book, for routes and endpoints that grow.
 MAX_CELLS_A_BUCKET = 4096
--- a/src/godwitvalve/moves/findings.py
+++ b/src/godwitvalve/moves/findings.py
@@ -71,17 +71,14 @@
         :param domains: failure domains of the new version.
         """
         _multiply(self._whole, record, self.kind, blocks.NOBODY)
+        for counts in record.block.counts_in_domains(self.kind):
+            log_e = betting.log_e_value(*counts, _DOMAIN_RATIO)
+            self._in_domains = max(self._in_domains + log_e, 0.0)
         for suspect, wealth in self._without.items():
             _multiply(wealth, record, self.kind, suspect)
         if self.e_value >= self.limit:
             self._add_suspects([*history, record], domains)
 
-    def add_domain(self, block: blocks.Block) -> None:
-        """Take a block of one domain into account."""
-        counts = block.counts(self.kind)
-        log_e = betting.log_e_value(*counts, _DOMAIN_RATIO)
-        self._in_domains = max(self._in_domains + log_e, 0.0)
-
     def _add_suspects(self, records: list[Record], domains: set[str]) -> None:
         found = {
             suspect
--- a/src/godwitvalve/moves/share.py
+++ b/src/godwitvalve/moves/share.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+import functools
 import hashlib
 import itertools
 import math
@@ -27,9 +28,11 @@
 _HOLD_END = 0.8
 # Part after which a sign no longer lowers the share before ``done_by``.
 _SIGNS_END = 0.97
-# Share at which a sign or a doubt is examined: one failure tells most if
-# few of the compared requests went to the new version.
+# Share at which a sign or a doubt is examined, if one replica at the load of
+# an old one carries no more: a failure tells most if few of the compared
+# requests went to the new version.
 _TEST_SHARE = 0.15
+_GOLDEN = 0.6180339887498949
 _ENOUGH_ATTEMPTS = 50
 _ENOUGH_ENDPOINTS = 2
 _DOUBT = 20.0
@@ -64,7 +67,7 @@
         return ShareDecision(0.0, (), 'taken back')
     if not new_endpoints:
         return ShareDecision(0.0, (), 'the new version has no endpoint')
-    order = _spread(moving, new_endpoints)
+    order = _spread(moving.move_id, tuple(new_endpoints))
     if not old_replicas:
         return ShareDecision(1.0, order, 'the old version has no endpoint')
     if now_wall_s < moving.started_wall_s:
@@ -73,12 +76,43 @@
     if verdict is move.Verdict.MOVING and not _ramping(seen, part):
         return _small(moving, order, old_replicas, now_wall_s)
     share, reason = _ramp(seen, part, verdict), 'ramp'
-    if share > _TEST_SHARE and _examine(seen, part, verdict, now_wall_s):
-        share, reason = _TEST_SHARE, 'a change is examined'
-    carriers = max(math.ceil(share * old_replicas - 1e-9), 2)
+    turn = _turn(moving, now_wall_s)
+    if _examine(seen, part, verdict, now_wall_s):
+        test = max(round(_TEST_SHARE * old_replicas), 1)
+        if share > test / old_replicas:
+            return _full_load(test, order, old_replicas, turn, 'examined')
     if share >= 1.0:
-        carriers = len(order)
-    return ShareDecision(share, order[:carriers], reason)
+        return ShareDecision(1.0, order, reason)
+    # Carriers always have the load of an old replica. So the share is a
+    # multiple of what one of them takes, and changes between two of these
+    # to reach the wanted one on average.
+    wanted = share * old_replicas
+    carriers = int(wanted + (turn * _GOLDEN) % 1.0)
+    if not carriers:
+        return ShareDecision(_BASE_SHARE, _rotated(order, turn)[:2], reason)
+    return _full_load(carriers, order, old_replicas, turn, reason)
+
+
+def _turn(moving: move.Move, now_wall_s: float) -> int:
+    """Return the number of the current period of one set of carriers."""
+    return int((now_wall_s - moving.started_wall_s) // moving.pulse_s)
+
+
+def _rotated(order: tuple[str, ...], turn: int) -> tuple[str, ...]:
+    first = turn % len(order)
+    return order[first:] + order[:first]
+
+
+def _full_load(
+    carriers: int,
+    order: tuple[str, ...],
+    old_replicas: int,
+    turn: int,
+    reason: str,
+) -> ShareDecision:
+    """Give some replicas, others in each turn, the load of an old one."""
+    share = min(carriers / old_replicas, 1.0)
+    return ShareDecision(share, _rotated(order, turn)[:carriers], reason)
 
 
 def _ramping(seen: watch.MoveWatch, part: float) -> bool:
@@ -146,19 +180,19 @@
     began = math.ceil(moving.started_wall_s / step_s)
     steps = evidence.bucket_of(now_wall_s) - began
     turn, step = divmod(steps, period)
-    rotated = order[turn % len(order) :] + order[: turn % len(order)]
     if step >= period - pulse:
-        return ShareDecision(alone, rotated[:1], 'small share, pulse')
-    return ShareDecision(_BASE_SHARE, rotated[:2], 'small share')
+        return _full_load(1, order, old_replicas, turn, 'small share, pulse')
+    return ShareDecision(_BASE_SHARE, _rotated(order, turn)[:2], 'small share')
 
 
+@functools.lru_cache(maxsize=64)
 def _spread(
-    moving: move.Move, endpoints: Sequence[endpoint.Endpoint]
+    move_id: str, endpoints: tuple[endpoint.Endpoint, ...]
 ) -> tuple[str, ...]:
     """Return endpoint ids in an order that alternates failure domains."""
 
     def place(one: endpoint.Endpoint) -> bytes:
-        joined = f'{moving.move_id} {one.endpoint_id}'.encode()
+        joined = f'{move_id} {one.endpoint_id}'.encode()
         return hashlib.blake2b(joined, digest_size=8).digest()
 
     by_domain: dict[str, list[str]] = {}
--- a/src/godwitvalve/moves/watch.py
+++ b/src/godwitvalve/moves/watch.py
@@ -44,7 +44,7 @@
         planned_s = moving.done_by_wall_s - moving.started_wall_s
         self._horizon = max(int(2 * planned_s / _EPOCH_S), 1)
         self._next = evidence.bucket_of(now_wall_s)
-        self._open: dict[tuple[str, int], blocks.Block] = {}
+        self._open: dict[int, blocks.Block] = {}
         self._limits = pace.PaceLimits()
         self._history: collections.deque[findings.Record] = collections.deque(
             maxlen=_HISTORY_BLOCKS
@@ -80,30 +80,28 @@
         self._fill(new, old, bucket)
         self._learn(old)
         self._count(new, bucket)
-        for name, block in list(self._open.items()):
+        for split, block in list(self._open.items()):
             if block.is_full() or block.is_old(bucket):
-                self._close(name, bucket)
+                self._close(self._open.pop(split), bucket)
 
     def _fill(self, new: _Cells, old: _Cells, bucket: int) -> None:
-        """Put each cell into the block of its domain and that of all."""
-        touched: dict[tuple[str, int], blocks.Block] = {}
+        """Put each cell into the block of its share class."""
+        touched = {}
         total = 0
         for is_new, cells in ((True, new), (False, old)):
             for key, cell in cells:
                 total += cell.attempts
-                for domain in ('', key.failure_domain):
-                    block = self._block(domain, key.share_class, bucket)
-                    block.add(key, cell, is_new, self._limits)
-                    touched[domain, key.share_class] = block
+                block = self._block(key.share_class, bucket)
+                block.add(key, cell, is_new, self._limits)
+                touched[key.share_class] = block
         usual = total / max(len(self._old_endpoints), 1)
         for block in touched.values():
             block.usual_load += usual
 
-    def _block(self, domain: str, split: int, bucket: int) -> blocks.Block:
-        block = self._open.get((domain, split))
+    def _block(self, split: int, bucket: int) -> blocks.Block:
+        block = self._open.get(split)
         if block is None:
-            block = blocks.Block(split, bucket)
-            self._open[domain, split] = block
+            block = self._open[split] = blocks.Block(split, bucket)
         return block
 
     def _learn(self, old: _Cells) -> None:
@@ -112,13 +110,8 @@
             if key.share_class <= 0:
                 self._limits.add(key.route, cell.times)
 
-    def _close(self, name: tuple[str, int], bucket: int) -> None:
-        block = self._open.pop(name)
+    def _close(self, block: blocks.Block, bucket: int) -> None:
         kinds = block.kinds()
-        if name[0]:
-            for kind in kinds:
-                self._finding(kind).add_domain(block)
-            return
         if not kinds:
             return
         elapsed_s = bucket * evidence.BUCKET_S - self.moving.started_wall_s
