--- a/src/godwitvalve/engine/http_adapter.py
+++ b/src/godwitvalve/engine/http_adapter.py
@@ -16,7 +16,7 @@
 MAX_ANSWER_BYTES = 64 * 1024
 # A connection inside one region opens within a few ms; a dead machine
 # answers nothing, and resume within 3 s leaves no room for a longer wait.
-CONNECT_TIMEOUT_S = 0.5
+CONNECT_TIMEOUT_S = 0.8
 ANSWER_TIMEOUT_S = 1.0
 _REFUSALS = frozenset(
     ('leaving', 'superseded', 'version_mismatch', 'stream_gone')
@@ -110,7 +110,8 @@
                     reason = await _refusal_reason(response)
                     raise port.EngineLost(reason, sent=True)
                 splitter = sse.EventSplitter(MAX_EVENT_BYTES)
-                async for chunk in response.content.iter_any():
+                content = response.content
+                while chunk := await content.readany():
                     for event in _decode(splitter.feed(chunk)):
                         yield event
                         if type(event) is port.StreamEnded:
--- a/src/godwitvalve/engine/wire.py
+++ b/src/godwitvalve/engine/wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import abc
+import itertools
 from typing import Any, cast
 
 import orjson
@@ -13,6 +14,8 @@
 # An index fits four bytes in a resume id.
 MAX_INDEX = 2**32 - 1
 MAX_TEXT_CHARACTERS = 256
+_ONLY_INT = {int}
+_ONLY_STR = {str}
 
 
 class MalformedEvent(Exception):
@@ -54,12 +57,13 @@
         raise MalformedEvent('token_ids')
     if not token_ids or len(token_ids) != len(pieces):
         raise MalformedEvent('token_ids')
-    for token in token_ids:
-        if type(token) is not int or not 0 <= token <= MAX_TOKEN_ID:
-            raise MalformedEvent('token_ids')
-    for piece in pieces:
-        if type(piece) is not str:
-            raise MalformedEvent('pieces')
+    # Checks of whole lists, because this runs for every token.
+    if set(map(type, token_ids)) != _ONLY_INT:
+        raise MalformedEvent('token_ids')
+    if min(token_ids) < 0 or max(token_ids) > MAX_TOKEN_ID:
+        raise MalformedEvent('token_ids')
+    if set(map(type, pieces)) != _ONLY_STR:
+        raise MalformedEvent('pieces')
     return port.Tokens(
         _text(body, 'request_id'),
         _integer(body, 'attempt'),
@@ -111,25 +115,40 @@
 def merge(events: abc.Iterable[port.EngineEvent]) -> list[port.EngineEvent]:
     """Join consecutive token events of one attempt."""
     merged: list[port.EngineEvent] = []
+    run: list[port.Tokens] = []
+    end = 0
     for event in events:
-        last = merged[-1] if merged else None
-        if (
-            type(event) is port.Tokens
-            and type(last) is port.Tokens
-            and last.attempt == event.attempt
-            and last.request_id == event.request_id
-            and last.first_index + len(last.token_ids) == event.first_index
-        ):
-            merged[-1] = port.Tokens(
-                last.request_id,
-                last.attempt,
-                last.first_index,
-                last.token_ids + event.token_ids,
-                last.pieces + event.pieces,
-            )
-        else:
+        if type(event) is not port.Tokens:
+            merged += _joined(run)
             merged.append(event)
-    return merged
+            run = []
+            continue
+        if run and not (
+            event.first_index == end
+            and event.attempt == run[0].attempt
+            and event.request_id == run[0].request_id
+        ):
+            merged += _joined(run)
+            run = []
+        run.append(event)
+        end = event.first_index + len(event.token_ids)
+    return merged + _joined(run)
+
+
+def _joined(run: list[port.Tokens]) -> list[port.EngineEvent]:
+    if len(run) < 2:
+        return [*run]
+    first = run[0]
+    chain = itertools.chain.from_iterable
+    return [
+        port.Tokens(
+            first.request_id,
+            first.attempt,
+            first.first_index,
+            tuple(chain(event.token_ids for event in run)),
+            tuple(chain(event.pieces for event in run)),
+        )
+    ]
 
 
 def order_body(order: port.GenerationOrder) -> bytes:
--- a/src/godwitvalve/generations/answer.py
+++ b/src/godwitvalve/generations/answer.py
@@ -84,9 +84,9 @@
         self._has_event = True
         self._last_event_s = now_s
         verdict = self._tokens.accept(event)
+        if type(verdict) is sequence.Deliver:
+            return self._deliver(verdict, now_s)
         match verdict:
-            case sequence.Deliver():
-                return self._deliver(verdict, now_s)
             case sequence.Ignored():
                 if type(event) is port.StreamStarted:
                     self._started(event)
--- a/src/godwitvalve/generations/sequence.py
+++ b/src/godwitvalve/generations/sequence.py
@@ -143,19 +143,18 @@
 
     def accept(self, event: port.EngineEvent) -> Verdict:
         """Return what an event means for the caller."""
-        if type(event) is port.Heartbeat or not self._is_current(event):
+        if not self._is_current(event):
             return _IGNORED
         verdict: Verdict
-        match event:
-            case port.Tokens():
-                verdict = self._accept_tokens(event)
-            case port.StreamStarted():
-                verdict = self._accept_start(event)
-            case port.StreamEnded():
-                verdict = self._accept_end(event)
-            case _:
-                return _IGNORED
-        if not isinstance(verdict, (Deliver, Ignored)):
+        if type(event) is port.Tokens:
+            verdict = self._accept_tokens(event)
+        elif type(event) is port.StreamStarted:
+            verdict = self._accept_start(event)
+        elif type(event) is port.StreamEnded:
+            verdict = self._accept_end(event)
+        else:
+            return _IGNORED
+        if type(verdict) is not Deliver and type(verdict) is not Ignored:
             self._is_open = False
         return verdict
 
