--- a/features/steps/generations_sequence_steps.py
+++ b/features/steps/generations_sequence_steps.py
@@ -13,6 +13,7 @@
 from godwitvalve.engine import port
 from godwitvalve.generations import digest
 from godwitvalve.generations import sequence
+from godwitvalve.generations import verdicts
 
 REQUEST = 'r-1'
 IDENTITY = sequence.Identity('v1', 'ad', 7)
@@ -73,9 +74,9 @@
             case [first, *letters]:
                 event = _tokens_event(attempt, int(first), letters)
         verdict = tokens.accept(event)
-        if isinstance(verdict, sequence.Deliver):
+        if isinstance(verdict, verdicts.Deliver):
             delivered.append((verdict.first_index, verdict.pieces))
-        if isinstance(verdict, sequence.Finished):
+        if isinstance(verdict, verdicts.Finished):
             finished = verdict
     return delivered, finished
 
--- a/features/support/naive_sequence.py
+++ b/features/support/naive_sequence.py
@@ -9,9 +9,10 @@
 from godwitvalve.engine import port
 from godwitvalve.generations import digest
 from godwitvalve.generations import sequence
+from godwitvalve.generations import verdicts
 from godwitvalve.outcomes import codes
 
-DIVERGED = sequence.Inconsistent(codes.ResultCode.CONTINUATION_DIVERGED)
+DIVERGED = verdicts.Inconsistent(codes.ResultCode.CONTINUATION_DIVERGED)
 
 
 class NaiveSequence:
@@ -43,38 +44,38 @@
 
     def accept(self, event):
         if isinstance(event, port.Heartbeat) or not self.open:
-            return sequence.Ignored()
+            return verdicts.Ignored()
         if (event.request_id, event.attempt) != (self.request_id, self.number):
-            return sequence.Ignored()
+            return verdicts.Ignored()
         verdict = self.judge(event)
-        if not isinstance(verdict, (sequence.Deliver, sequence.Ignored)):
+        if not isinstance(verdict, (verdicts.Deliver, verdicts.Ignored)):
             self.open = False
         return verdict
 
     def judge(self, event):
         if isinstance(event, port.StreamStarted):
             if self.started:
-                return sequence.Lost('protocol')
+                return verdicts.Lost('protocol')
             found = (event.version, event.adapter, event.seed)
             if found != tuple(self.identity):
-                return sequence.Lost('identity')
+                return verdicts.Lost('identity')
             if event.first_index != self.start:
-                return sequence.Lost('first_index')
+                return verdicts.Lost('first_index')
             self.started = True
-            return sequence.Ignored()
+            return verdicts.Ignored()
         if not self.started:
-            return sequence.Lost('protocol')
+            return verdicts.Lost('protocol')
         end = self.start + len(self.got)
         if isinstance(event, port.StreamEnded):
             if event.token_count != self.position or end != self.position:
-                return sequence.Lost('count')
-            return sequence.Finished(
+                return verdicts.Lost('count')
+            return verdicts.Finished(
                 event.reason, self.position, self.whole_digest()
             )
         if event.first_index > end:
-            return sequence.Lost('gap')
+            return verdicts.Lost('gap')
         if event.first_index + len(event.token_ids) > self.max_tokens:
-            return sequence.Lost('too_many_tokens')
+            return verdicts.Lost('too_many_tokens')
         return self.take_tokens(event)
 
     def take_tokens(self, event):
@@ -82,7 +83,7 @@
         for offset, token in enumerate(event.token_ids):
             index = event.first_index + offset
             if index < self.start and index not in self.answer:
-                return sequence.Lost('overlap_unknown')
+                return verdicts.Lost('overlap_unknown')
             if self.start <= index < self.start + len(self.got):
                 if self.got[index - self.start] != token:
                     return DIVERGED
@@ -99,10 +100,10 @@
                     return DIVERGED
                 self.answer.update(enumerate(self.got))
         if not new:
-            return sequence.Ignored()
+            return verdicts.Ignored()
         self.position += len(new)
         self.answer.update((index, token) for index, token, _ in new)
-        return sequence.Deliver(
+        return verdicts.Deliver(
             new[0][0],
             tuple(token for _, token, _ in new),
             tuple(piece for _, _, piece in new),
@@ -152,7 +153,7 @@
     """Believes any end mark."""
 
     def _accept_end(self, event):
-        return sequence.Finished(event.reason, self.position, self.digest)
+        return verdicts.Finished(event.reason, self.position, self.digest)
 
 
 class WithoutIdentityCheck(sequence.GenerationSequence):
@@ -160,7 +161,7 @@
 
     def _accept_start(self, event):
         self._is_started = True
-        return sequence.Ignored()
+        return verdicts.Ignored()
 
 
 class WithoutDigestCheck(sequence.GenerationSequence):
--- a/src/godwitvalve/generations/answer.py
+++ b/src/godwitvalve/generations/answer.py
@@ -11,6 +11,7 @@
 from godwitvalve.generations import results
 from godwitvalve.generations import resume
 from godwitvalve.generations import sequence
+from godwitvalve.generations import verdicts
 
 # The caller gets a heartbeat comment for each second of silence. A little
 # less, because time is looked at only when an event or a loss comes.
@@ -84,22 +85,22 @@
         self._has_event = True
         self._last_event_s = now_s
         verdict = self._tokens.accept(event)
-        if type(verdict) is sequence.Deliver:
+        if type(verdict) is verdicts.Deliver:
             return self._deliver(verdict, now_s)
         match verdict:
-            case sequence.Ignored():
+            case verdicts.Ignored():
                 if type(event) is port.StreamStarted:
                     self._started(event)
-            case sequence.Finished(reason, token_count, digest):
+            case verdicts.Finished(reason, token_count, digest):
                 return results.Finished(token_count, digest, reason)
-            case sequence.Lost(reason):
+            case verdicts.Lost(reason):
                 self.loss = attempts.Loss(reason, True)
-            case sequence.Inconsistent():
+            case verdicts.Inconsistent():
                 self.loss = attempts.Loss('inconsistent', True)
         return _WAITING if self.heartbeat_due() else None
 
     def _deliver(
-        self, verdict: sequence.Deliver, now_s: float
+        self, verdict: verdicts.Deliver, now_s: float
     ) -> results.Delivered:
         self._last_output_s = now_s
         first_index, token_ids, pieces = verdict
--- a/src/godwitvalve/generations/sequence.py
+++ b/src/godwitvalve/generations/sequence.py
@@ -4,10 +4,11 @@
 
 import array
 from collections import abc
-from typing import NamedTuple, TypeAlias
+from typing import NamedTuple
 
 from godwitvalve.engine import port
 from godwitvalve.generations import digest as rolling
+from godwitvalve.generations import verdicts
 from godwitvalve.outcomes import codes
 
 ATTEMPTS_PER_EPOCH = 1000
@@ -21,42 +22,8 @@
     seed: int
 
 
-class Deliver(NamedTuple):
-    """New tokens for the caller."""
-
-    first_index: int
-    token_ids: tuple[int, ...]
-    pieces: tuple[str, ...]
-
-
-class Ignored(NamedTuple):
-    """The event changes nothing for the caller."""
-
-
-class Finished(NamedTuple):
-    """All tokens were delivered."""
-
-    reason: str
-    token_count: int
-    digest: bytes
-
-
-class Lost(NamedTuple):
-    """The attempt is of no further use."""
-
-    reason: str
-
-
-class Inconsistent(NamedTuple):
-    """The attempt generates another answer than the one begun."""
-
-    code: codes.ResultCode
-
-
-Verdict: TypeAlias = Deliver | Ignored | Finished | Lost | Inconsistent
-
-_IGNORED = Ignored()
-_DIVERGED = Inconsistent(codes.ResultCode.CONTINUATION_DIVERGED)
+_IGNORED = verdicts.Ignored()
+_DIVERGED = verdicts.Inconsistent(codes.ResultCode.CONTINUATION_DIVERGED)
 
 
 class GenerationSequence:
@@ -141,11 +108,11 @@
         self._recomputed = array.array('I') if from_start else None
         return self._attempt
 
-    def accept(self, event: port.EngineEvent) -> Verdict:
+    def accept(self, event: port.EngineEvent) -> verdicts.Verdict:
         """Return what an event means for the caller."""
         if not self._is_current(event):
             return _IGNORED
-        verdict: Verdict
+        verdict: verdicts.Verdict
         if type(event) is port.Tokens:
             verdict = self._accept_tokens(event)
         elif type(event) is port.StreamStarted:
@@ -154,7 +121,10 @@
             verdict = self._accept_end(event)
         else:
             return _IGNORED
-        if type(verdict) is not Deliver and type(verdict) is not Ignored:
+        if (
+            type(verdict) is not verdicts.Deliver
+            and type(verdict) is not verdicts.Ignored
+        ):
             self._is_open = False
         return verdict
 
@@ -166,34 +136,34 @@
             and event.request_id == self._request_id
         )
 
-    def _accept_start(self, event: port.StreamStarted) -> Verdict:
+    def _accept_start(self, event: port.StreamStarted) -> verdicts.Verdict:
         if self._is_started:
-            return Lost('protocol')
+            return verdicts.Lost('protocol')
         identity = Identity(event.version, event.adapter, event.seed)
         if identity != self._identity:
-            return Lost('identity')
+            return verdicts.Lost('identity')
         if event.first_index != self._next:
-            return Lost('first_index')
+            return verdicts.Lost('first_index')
         self._is_started = True
         return _IGNORED
 
-    def _accept_end(self, event: port.StreamEnded) -> Verdict:
+    def _accept_end(self, event: port.StreamEnded) -> verdicts.Verdict:
         if not self._is_started:
-            return Lost('protocol')
+            return verdicts.Lost('protocol')
         if event.token_count != self.position or self._next != self.position:
-            return Lost('count')
-        return Finished(event.reason, self.position, self.digest)
+            return verdicts.Lost('count')
+        return verdicts.Finished(event.reason, self.position, self.digest)
 
-    def _accept_tokens(self, event: port.Tokens) -> Verdict:
+    def _accept_tokens(self, event: port.Tokens) -> verdicts.Verdict:
         first = event.first_index
         token_ids = event.token_ids
         end = first + len(token_ids)
         if not self._is_started:
-            return Lost('protocol')
+            return verdicts.Lost('protocol')
         if first > self._next:
-            return Lost('gap')
+            return verdicts.Lost('gap')
         if end > self._max_tokens:
-            return Lost('too_many_tokens')
+            return verdicts.Lost('too_many_tokens')
         if first == self.position:
             return self._deliver(first, token_ids, event.pieces)
         failure = self._check_overlap(first, token_ids)
@@ -209,15 +179,15 @@
 
     def _deliver(
         self, first: int, token_ids: tuple[int, ...], pieces: tuple[str, ...]
-    ) -> Deliver:
+    ) -> verdicts.Deliver:
         self._known.extend(token_ids)
         self.digest = rolling.extend(self.digest, token_ids)
         self.position = self._next = first + len(token_ids)
-        return Deliver(first, token_ids, pieces)
+        return verdicts.Deliver(first, token_ids, pieces)
 
     def _check_overlap(
         self, first: int, token_ids: tuple[int, ...]
-    ) -> Verdict | None:
+    ) -> verdicts.Verdict | None:
         unknown = token_ids[: max(0, self._base - first)]
         if unknown:
             failure = self._recompute(first, unknown)
@@ -233,9 +203,9 @@
 
     def _recompute(
         self, first: int, token_ids: tuple[int, ...]
-    ) -> Verdict | None:
+    ) -> verdicts.Verdict | None:
         if self._recomputed is None:
-            return Lost('overlap_unknown')
+            return verdicts.Lost('overlap_unknown')
         head = self._recomputed
         received = head[first : first + len(token_ids)]
         if tuple(received) != token_ids[: len(received)]:
