--- a/features/engine/adapter.feature
+++ b/features/engine/adapter.feature
@@ -35,6 +35,14 @@
     And the engine stream is resumed at 10 by the first attempt
     Then the resume is lost with reason "superseded"
 
+  Scenario: A stream that was begun anew elsewhere is not resumed
+    # Guards against an entry that goes on for a caller that moved away.
+    Given a stand-in engine process
+    When the connections go silent after 10 of 400 tokens
+    And the same request is generated again by attempt 1001
+    And the engine stream is resumed at 10 by a newer attempt
+    Then the resume is lost with reason "superseded"
+
   Scenario: A cancelled stream generates no more
     # Guards against tokens computed for no one.
     Given a stand-in engine process
--- a/features/steps/engine_steps.py
+++ b/features/steps/engine_steps.py
@@ -169,6 +169,12 @@
     context.after = after
 
 
+@behave.when('the same request is generated again by attempt {attempt:d}')
+def generate_newer(context, attempt):
+    order = _order(20, attempt=attempt)
+    _run(lambda engine: _read(engine.generate(context.endpoint, order)))
+
+
 @behave.when('the engine stream is resumed at {first:d} by a newer attempt')
 def resume_newer(context, first):
     _resume(context, first, 2)
--- a/standins/engine/server.py
+++ b/standins/engine/server.py
@@ -12,12 +12,10 @@
 
 from standins.engine import cache
 from standins.engine import faults as engine_faults
+from standins.engine import output
 from standins.engine import streams
-from standins.engine import tokens
 
-HEARTBEAT_INTERVAL_S = 0.2
 MAX_BODY_BYTES = 8 * 1024 * 1024
-MAX_EVENT_TOKENS = 256
 MAX_LOGGED_ORDERS = 10_000
 
 
@@ -38,10 +36,6 @@
     )
 
 
-def _event(body: dict[str, Any]) -> bytes:
-    return b'data: ' + orjson.dumps(body) + b'\n\n'
-
-
 class EngineServer:
     """Handlers and state of one stand-in engine."""
 
@@ -97,12 +91,16 @@
             stream = self._table.start(order)
         except streams.Superseded:
             return _json({'error': 'superseded'}, 409)
-        return await self._send(request, stream, stream.prefix_length)
+        return await output.send(
+            self._faults, request, stream, stream.prefix_length
+        )
 
     async def _post_resume(self, request: web.Request) -> web.StreamResponse:
         body = orjson.loads(await request.read())
         stream = self._table.streams.get(request.match_info['stream_id'])
         first_index = int(body['first_index'])
+        if stream is not None and stream.end_reason == 'superseded':
+            return _json({'error': 'superseded'}, 409)
         if (
             stream is None
             or stream.request_id != body['request_id']
@@ -115,94 +113,7 @@
             self._table.resume(stream, int(body['attempt']))
         except streams.Superseded:
             return _json({'error': 'superseded'}, 409)
-        return await self._send(request, stream, first_index)
-
-    async def _send(
-        self, request: web.Request, stream: streams.Stream, first_index: int
-    ) -> web.StreamResponse:
-        response = web.StreamResponse(
-            headers={'Content-Type': 'text/event-stream'}
-        )
-        attempt = stream.attempt
-        ends_seen = self._faults.end_early_count
-        computed = stream.prefill_tokens if len(stream.attempts) == 1 else 0
-        stream.readers += 1
-        try:
-            await response.prepare(request)
-            await response.write(
-                _event(
-                    {
-                        'type': 'started',
-                        'request_id': stream.request_id,
-                        'attempt': attempt,
-                        'stream_id': stream.stream_id,
-                        'version': stream.version,
-                        'adapter': stream.adapter,
-                        'seed': stream.seed,
-                        'first_index': first_index,
-                        'computed_tokens': computed,
-                    }
-                )
-            )
-            cursor = first_index
-            while stream.attempt == attempt:
-                await self._faults.before_output(request.transport)
-                if self._faults.end_early_count != ends_seen:
-                    break
-                if cursor < len(stream.token_ids):
-                    cursor = await self._send_tokens(
-                        response, stream, cursor, attempt
-                    )
-                elif stream.end_reason:
-                    await self._send_end(response, stream, attempt)
-                    break
-                elif not await stream.changed(HEARTBEAT_INTERVAL_S):
-                    await self._faults.before_output(request.transport)
-                    await response.write(_event({'type': 'heartbeat'}))
-            await response.write_eof()
-        except ConnectionError:
-            # The reader left; the stream goes on for a later resume.
-            pass
-        finally:
-            stream.readers -= 1
-            stream.unread_since_s = time.monotonic()
-        return response
-
-    async def _send_tokens(
-        self,
-        response: web.StreamResponse,
-        stream: streams.Stream,
-        cursor: int,
-        attempt: int,
-    ) -> int:
-        ids = stream.token_ids[cursor : cursor + MAX_EVENT_TOKENS]
-        event = {
-            'type': 'tokens',
-            'request_id': stream.request_id,
-            'attempt': attempt,
-            'first_index': cursor,
-            'token_ids': ids,
-            'pieces': [tokens.piece(token) for token in ids],
-        }
-        await response.write(_event(event))
-        return cursor + len(ids)
-
-    async def _send_end(
-        self,
-        response: web.StreamResponse,
-        stream: streams.Stream,
-        attempt: int,
-    ) -> None:
-        if stream.end_reason != 'length':
-            return
-        event = {
-            'type': 'ended',
-            'request_id': stream.request_id,
-            'attempt': attempt,
-            'reason': stream.end_reason,
-            'token_count': len(stream.token_ids),
-        }
-        await response.write(_event(event))
+        return await output.send(self._faults, request, stream, first_index)
 
     async def _delete_stream(self, request: web.Request) -> web.Response:
         stream = self._table.streams.get(request.match_info['stream_id'])
