Examine doubts at a larger share than signs, read one-second buckets

Cause: mild faults were held at a share so small that few requests could be compared; a sign was heeded for a fixed time in which a service with little traffic collected no proof; two-second buckets cost two seconds twice.

Signs now hold until 40 requests of the new version were seen, doubts are examined at 0.35.

--- a/src/godwitvalve/moves/evidence.py
+++ b/src/godwitvalve/moves/evidence.py
@@ -6,7 +6,7 @@
 import math
 from typing import Any, NamedTuple
 
-BUCKET_S = 2.0
+BUCKET_S = 1.0
 # Bins of the time a request (or one output token) took; each bin ends 15 %
 # above where it starts, far below the factor 1.5 that has to be seen.
 BIN_RATIO = 1.15
@@ -14,7 +14,7 @@
 _MIN_TIME_S = 1e-5
 # A report repeats the last buckets, so that a lost one is made good.
 REPORTED_BUCKETS = 3
-KEPT_BUCKETS = 30
+KEPT_BUCKETS = 60
 # Bounds of a report and of the book, for routes and endpoints that grow.
 MAX_CELLS_A_BUCKET = 4096
 MAX_REPORT_CELLS = 1024
--- a/src/godwitvalve/moves/share.py
+++ b/src/godwitvalve/moves/share.py
@@ -25,13 +25,16 @@
 _RAMP_EARLIEST = 0.4
 _RAMP_LATEST = 0.55
 _RAMP_END = 0.9
-_HOLD_END = 0.8
+_HOLD_END = 0.9
 # Part after which a sign no longer lowers the share before ``done_by``.
 _SIGNS_END = 0.97
 # Share at which a sign or a doubt is examined, if one replica at the load of
 # an old one carries no more: a failure tells most if few of the compared
 # requests went to the new version.
 _TEST_SHARE = 0.15
+# Share at which a doubt below the limit of proof is examined: a fault that is
+# so mild needs many requests of both versions.
+_DOUBT_SHARE = 0.35
 _GOLDEN = 0.6180339887498949
 _ENOUGH_ATTEMPTS = 50
 _ENOUGH_ENDPOINTS = 2
@@ -77,10 +80,10 @@
         return _small(moving, order, old_replicas, now_wall_s)
     share, reason = _ramp(seen, part, verdict), 'ramp'
     turn = _turn(moving, now_wall_s)
-    if _examine(seen, part, verdict, now_wall_s):
-        test = max(round(_TEST_SHARE * old_replicas), 1)
-        if share > test / old_replicas:
-            return _full_load(test, order, old_replicas, turn, 'examined')
+    limit, why = _examined(seen, part, verdict, now_wall_s)
+    test = max(round(limit * old_replicas), 1)
+    if share > max(limit, test / old_replicas):
+        return _full_load(test, order, old_replicas, turn, why)
     if share >= 1.0:
         return ShareDecision(1.0, order, reason)
     # Carriers always have the load of an old replica. So the share is a
@@ -127,7 +130,6 @@
     enough = (
         seen.new_attempts >= _ENOUGH_ATTEMPTS
         and len(seen.new_endpoints) >= _ENOUGH_ENDPOINTS
-        and seen.doubt() < _DOUBT
     )
     if not enough and part < _RAMP_LATEST:
         return False
@@ -143,17 +145,19 @@
     return SMALL_SHARE + (1.0 - SMALL_SHARE) * max(climbed, 0.0)
 
 
-def _examine(
+def _examined(
     seen: watch.MoveWatch,
     part: float,
     verdict: move.Verdict,
     now_wall_s: float,
-) -> bool:
-    if verdict is move.Verdict.DONE:
-        return seen.has_sign(now_wall_s)
-    if part < _HOLD_END and seen.doubt() >= _DOUBT:
-        return True
-    return part < _SIGNS_END and seen.has_sign(now_wall_s)
+) -> tuple[float, str]:
+    """Return the greatest share that the evidence allows, and why."""
+    done = verdict is move.Verdict.DONE
+    if (done or part < _SIGNS_END) and seen.has_sign(now_wall_s):
+        return _TEST_SHARE, 'a change is examined'
+    if not done and part < _HOLD_END and seen.doubt() >= _DOUBT:
+        return _DOUBT_SHARE, 'a doubt is examined'
+    return 1.0, ''
 
 
 def _small(
--- a/src/godwitvalve/moves/signs.py
+++ b/src/godwitvalve/moves/signs.py
@@ -18,10 +18,12 @@
 _LEAST_RATE = {blocks.FAILED: 0.003, blocks.SLOW: 0.02}
 # Requests that the rate before the change is taken from.
 _MEMORY = 1000
-# A sign holds for this time. Signs that go on without a proof, as in an
-# outage of a dependency, are heeded for a limited time.
+# A sign holds for this time and this many requests of the new version.
+# Signs that go on without a proof, as in an outage of a dependency, are
+# heeded for a limited time.
 _SIGN_S = 30.0
-_MAX_SIGNS_S = 90.0
+_SIGN_REQUESTS = 40
+_MAX_SIGNS_S = 300.0
 _QUIET_S = 120.0
 
 
@@ -66,7 +68,8 @@
     def __init__(self) -> None:
         self._signs: dict[blocks.Kind, ChangeSign] = {}
         self._before = 0
-        self._from_s = self._until_s = -_QUIET_S
+        self._from_s = self._last_s = -_MAX_SIGNS_S
+        self._since = _SIGN_REQUESTS
 
     def add(
         self,
@@ -78,6 +81,7 @@
         for kind in events.keys() - self._signs.keys():
             self._signs[kind] = ChangeSign(kind, self._before)
         self._before += total
+        self._since += total
         raised = False
         for kind, sign in self._signs.items():
             raised |= sign.add(total, min(events[kind], total))
@@ -85,11 +89,14 @@
             self._raise(now_wall_s)
 
     def _raise(self, now_wall_s: float) -> None:
-        if now_wall_s > self._until_s + _QUIET_S:
+        if now_wall_s > self._from_s + _MAX_SIGNS_S + _QUIET_S:
             self._from_s = now_wall_s
-        if now_wall_s <= self._from_s + _MAX_SIGNS_S:
-            self._until_s = now_wall_s + _SIGN_S
+        self._last_s = now_wall_s
+        self._since = 0
 
     def holds(self, now_wall_s: float) -> bool:
         """Tell whether a change was seen that is yet to be explained."""
-        return now_wall_s < self._until_s
+        if now_wall_s >= self._from_s + _MAX_SIGNS_S:
+            return False
+        lately = now_wall_s < self._last_s + _SIGN_S
+        return lately or self._since < _SIGN_REQUESTS
--- a/src/godwitvalve/moves/watch.py
+++ b/src/godwitvalve/moves/watch.py
@@ -18,7 +18,7 @@
 _PARTS = {blocks.FAILED: 0.4, blocks.SLOW: 0.3}
 _ROUTE_PARTS = {blocks.FAILED: 0.2, blocks.SLOW: 0.1}
 # A report takes up to a second to be sent and some time to arrive.
-GRACE_S = 1.5
+GRACE_S = 1.2
 _EPOCH_S = 30.0
 _HISTORY_BLOCKS = 2000
 
@@ -158,8 +158,8 @@
         return self._signs.holds(now_wall_s)
 
     def doubt(self) -> float:
-        """Return the greatest e-value against the new version."""
-        values = [found.e_value for found in self._findings.values()]
+        """Return the greatest e-value that one suspect does not explain."""
+        values = [found.least_e_value() for found in self._findings.values()]
         return max(values, default=1.0)
 
     def strongest(self) -> findings.Finding | None:
