Start a bet at each sign of a change

Cause: a late fault had to pay for the good record before it, or for the weight of one of many epochs (about 5 nats), which cost some eight failed requests. A sign of a change is a stopping time, so a bet that starts there with the weight 1/(j(j+1)) of the j-th sign keeps the bound. Judging comes 0.25 s after reports arrive instead of a whole tick later.

--- a/bench/move_runs.py
+++ b/bench/move_runs.py
@@ -22,6 +22,9 @@
 
 ENTRIES = 6
 _TICK_S = 1.0
+# Reports arrive at the end of the tick after the one they were sent in, and
+# are judged this much later.
+_JUDGED_S = 0.25
 # Any wall time; the move starts at it.
 _EPOCH_S = 1_000_000.0
 # How long the new version is watched after ``done_by``.
@@ -140,7 +143,7 @@
         self._end_requests(at_s + _TICK_S)
         self._exchange(at_s + _TICK_S)
         for entry in self.entries:
-            self._judge(entry, at_s + _TICK_S)
+            self._judge(entry, at_s + _TICK_S + _JUDGED_S)
 
     def _plan(self, at_s: float) -> None:
         now = _EPOCH_S + at_s
--- a/src/godwitvalve/moves/betting.py
+++ b/src/godwitvalve/moves/betting.py
@@ -20,6 +20,7 @@
 
 import functools
 import math
+from typing import NamedTuple
 
 # Wealth above this bound decides anything; the cap only avoids overflow.
 _MAX_WEALTH = 1e200
@@ -75,44 +76,53 @@
     )
 
 
+class Start(NamedTuple):
+    """Number of epochs and of signs that came before a block."""
+
+    epoch: int
+    signs: int
+
+
 class Wealth:
     """Mixture of e-processes that start at the beginning or later.
 
     A version that turns bad late must not be protected by the good record
-    it had before. Half of the stake is bet from the start; the other half
-    is spread over later epochs with the weights
-    ``0.5 * m / ((i + m) * (i + m + 1))``, which sum to 0.5. A mixture of
-    e-processes with weights of sum 1 is an e-process.
+    it had before. Of the stake, 0.4 is bet from the start. 0.3 is spread
+    over later epochs i with the weights ``m / ((i + m) * (i + m + 1))``,
+    and 0.3 over the signs of a change that were raised so far, the j-th
+    one with ``1 / (j * (j + 1))``. Both sum to 1. A sign depends on the
+    past only. So this is a mixture of e-processes that start at stopping
+    times, with weights of sum 1, and thereby an e-process.
 
     :param odds_ratios: alternatives bet on, with equal stakes.
     :param horizon: m, the number of epochs within which a start is
         expected.
     """
 
-    def __init__(
-        self, odds_ratios: tuple[float, ...], horizon: int, epoch: int = 0
-    ) -> None:
+    def __init__(self, odds_ratios: tuple[float, ...], horizon: int) -> None:
         self._odds_ratios = odds_ratios
         self._horizon = horizon
-        self._epoch = epoch
-        stake = 0.5 / len(odds_ratios)
-        late = self._staked(epoch) / len(odds_ratios)
-        self._wealth = [stake + late for _ in odds_ratios]
+        self._staked = 0.4
+        stake = self._staked / len(odds_ratios)
+        self._wealth = [stake for _ in odds_ratios]
 
-    def _staked(self, epoch: int) -> float:
-        return 0.5 * (1 - self._horizon / (epoch + self._horizon))
+    def _due(self, start: Start) -> float:
+        epochs = 1 - self._horizon / (start.epoch + self._horizon)
+        signs = 1 - 1 / (start.signs + 1)
+        return 0.4 + 0.3 * epochs + 0.3 * signs
 
     def multiply(
-        self, epoch: int, new: int, old: int, new_events: int, events: int
+        self, start: Start, new: int, old: int, new_events: int, events: int
     ) -> None:
         """Take a block into account.
 
-        :param epoch: number of the epoch, which never falls.
+        :param start: number of the epoch and of the signs when the block
+            was begun; neither ever falls.
         """
-        if epoch > self._epoch:
-            fresh = self._staked(epoch) - self._staked(self._epoch)
+        fresh = self._due(start) - self._staked
+        if fresh > 0:
+            self._staked += fresh
             fresh /= len(self._odds_ratios)
-            self._epoch = epoch
             self._wealth = [wealth + fresh for wealth in self._wealth]
         for index, ratio in enumerate(self._odds_ratios):
             log_e = log_e_value(new, old, new_events, events, ratio)
--- a/src/godwitvalve/moves/blocks.py
+++ b/src/godwitvalve/moves/blocks.py
@@ -75,12 +75,14 @@
 class Block:
     """Requests that were given to the versions at about the same share.
 
+    :param signs: number of signs that came before the block.
     :param usual_load: requests that an old replica would have had in the
         time of the block without the move.
     """
 
     share_class: int
     first_bucket: int
+    signs: int = 0
     usual_load: float = 0.0
     new: _Side = dataclasses.field(default_factory=_Side)
     old: _Side = dataclasses.field(default_factory=_Side)
--- a/src/godwitvalve/moves/findings.py
+++ b/src/godwitvalve/moves/findings.py
@@ -19,9 +19,9 @@
 
 
 class Record(NamedTuple):
-    """A closed block with the epoch in which it ended."""
+    """A closed block with what came before it."""
 
-    epoch: int
+    start: betting.Start
     block: blocks.Block
 
 
@@ -111,4 +111,4 @@
 ) -> None:
     counts = record.block.counts(kind, left_out)
     if counts.events:
-        wealth.multiply(record.epoch, *counts)
+        wealth.multiply(record.start, *counts)
--- a/src/godwitvalve/moves/signs.py
+++ b/src/godwitvalve/moves/signs.py
@@ -13,7 +13,7 @@
 
 # Two or three failures close together raise a sign; see docs/moves.md.
 _LIMIT = 6.0
-_MORE_IN_SUM = {blocks.FAILED: 0.1, blocks.SLOW: 0.3}
+_MORE_IN_SUM = {blocks.FAILED: 0.1, blocks.SLOW: 0.5}
 _MORE_ON_ROUTE = {blocks.FAILED: 0.06, blocks.SLOW: 0.08}
 _LEAST_RATE = {blocks.FAILED: 0.003, blocks.SLOW: 0.02}
 # Requests that the rate before the change is taken from.
@@ -63,9 +63,13 @@
 
 
 class Signs:
-    """Signs of all kinds, and until when they are heeded."""
+    """Signs of all kinds, and until when they are heeded.
+
+    ``raised`` counts signs that came when none was heeded.
+    """
 
     def __init__(self) -> None:
+        self.raised = 0
         self._signs: dict[blocks.Kind, ChangeSign] = {}
         self._before = 0
         self._from_s = self._last_s = -_MAX_SIGNS_S
@@ -89,6 +93,8 @@
             self._raise(now_wall_s)
 
     def _raise(self, now_wall_s: float) -> None:
+        if not self.holds(now_wall_s):
+            self.raised += 1
         if now_wall_s > self._from_s + _MAX_SIGNS_S + _QUIET_S:
             self._from_s = now_wall_s
         self._last_s = now_wall_s
--- a/src/godwitvalve/moves/watch.py
+++ b/src/godwitvalve/moves/watch.py
@@ -5,6 +5,7 @@
 import collections
 from collections.abc import Iterable
 
+from godwitvalve.moves import betting
 from godwitvalve.moves import blocks
 from godwitvalve.moves import evidence
 from godwitvalve.moves import findings
@@ -82,7 +83,7 @@
         self._count(new, bucket)
         for split, block in list(self._open.items()):
             if block.is_full() or block.is_old(bucket):
-                self._close(self._open.pop(split), bucket)
+                self._close(self._open.pop(split))
 
     def _fill(self, new: _Cells, old: _Cells, bucket: int) -> None:
         """Put each cell into the block of its share class."""
@@ -101,7 +102,9 @@
     def _block(self, split: int, bucket: int) -> blocks.Block:
         block = self._open.get(split)
         if block is None:
-            block = self._open[split] = blocks.Block(split, bucket)
+            block = self._open[split] = blocks.Block(
+                split, bucket, self._signs.raised
+            )
         return block
 
     def _learn(self, old: _Cells) -> None:
@@ -110,13 +113,16 @@
             if key.share_class <= 0:
                 self._limits.add(key.route, cell.times)
 
-    def _close(self, block: blocks.Block, bucket: int) -> None:
+    def _close(self, block: blocks.Block) -> None:
         kinds = block.kinds()
         if not kinds:
             return
-        elapsed_s = bucket * evidence.BUCKET_S - self.moving.started_wall_s
+        elapsed_s = (
+            block.first_bucket * evidence.BUCKET_S - self.moving.started_wall_s
+        )
         epoch = int(max(elapsed_s, 0.0) / _EPOCH_S)
-        record = findings.Record(epoch, block)
+        start = betting.Start(epoch, block.signs)
+        record = findings.Record(start, block)
         for kind in kinds:
             self._finding(kind).add(record, self._history, self._domains)
         self._history.append(record)
