--- a/src/godwitvalve/caller/options.py
+++ b/src/godwitvalve/caller/options.py
@@ -64,6 +64,7 @@
             body['problem'] = error.problem
         case errors.OutcomeUnknown():
             status = EXIT_UNKNOWN
+            body['error'] = errors.OutcomeUnknown.__name__
             body['key'] = error.key
         case errors.PartialAnswer():
             body['resume_id'] = error.resume_id
