--- /dev/null
+++ b/src/godwitvalve/caller/client.py
@@ -0,0 +1,172 @@
+"""Reference caller."""
+
+from __future__ import annotations
+
+from collections import abc
+import contextlib
+import random
+import time
+
+import aiohttp
+import orjson
+
+from godwitvalve.caller import addresses
+from godwitvalve.caller import answer
+from godwitvalve.caller import completions
+from godwitvalve.caller import errors
+from godwitvalve.caller import services
+
+# An entry sends a comment for each second of silence.
+SILENCE_LIMIT_S = 3.0
+CONNECT_TIMEOUT_S = 1.0
+ADDRESS_TIMEOUT_S = 2.0
+
+Completion = completions.Completion
+
+
+def new_session() -> aiohttp.ClientSession:
+    """Return a session that opens a new connection for each call.
+
+    A kept connection can have gone silent unnoticed.
+    """
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+
+
+class Client:
+    """Calls the system through any of its entry instances.
+
+    :param session: session made by :func:`new_session`.
+    :param known: ``host:port`` of entry instances to begin with.
+    :param credential: key of the client account.
+    :param failure_domain: failure domain of the caller, may be empty.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        known: abc.Sequence[str],
+        credential: str,
+        failure_domain: str = '',
+        silence_limit_s: float = SILENCE_LIMIT_S,
+    ) -> None:
+        self._session = session
+        self._headers = {'Authorization': f'Bearer {credential}'}
+        self._silence_limit_s = silence_limit_s
+        self._book = addresses.AddressBook(
+            known, failure_domain, random.Random()
+        )
+        self._services = services.ServiceCalls(
+            session, self._headers, self._book, self._call_addresses
+        )
+
+    async def addresses(self) -> addresses.AddressAnswer:
+        """Ask for the current addresses.
+
+        :raises NoAddress: if no entry instance answered.
+        :raises Refused: if the credential was refused.
+        """
+        timeout = aiohttp.ClientTimeout(
+            total=ADDRESS_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+        )
+        for address in self._book.to_ask():
+            try:
+                async with self._session.get(
+                    f'http://{address}/v1/addresses',
+                    headers=self._headers,
+                    timeout=timeout,
+                ) as response:
+                    body = orjson.loads(await response.read())
+            except (
+                aiohttp.ClientError,
+                OSError,
+                TimeoutError,
+                orjson.JSONDecodeError,
+            ):
+                self._book.failed(address)
+                continue
+            if response.status == 200:
+                found = addresses.decode(body)
+                self._book.update(found)
+                return found
+            if response.status == 401:
+                raise errors.Refused(services.as_problem(body))
+            self._book.failed(address)
+        raise errors.NoAddress('no entry instance answered')
+
+    async def _call_addresses(self) -> list[str]:
+        if not self._book.is_valid(time.time()):
+            try:
+                await self.addresses()
+            except errors.NoAddress:
+                # The old addresses may still work.
+                pass
+        return self._book.to_call(time.time())
+
+    def _completion_stream(
+        self, completion: Completion
+    ) -> completions.CompletionStream:
+        return completions.CompletionStream(
+            self._session,
+            self._headers,
+            self._book,
+            self._call_addresses,
+            self._silence_limit_s,
+            completion,
+        )
+
+    async def complete(self, completion: Completion) -> answer.Answer:
+        """Return a whole, checked answer.
+
+        :raises CallerError: see :meth:`stream`.
+        """
+        stream = self._completion_stream(completion)
+        async for _ in stream.chunks():
+            pass
+        return stream.whole()
+
+    async def stream(
+        self, completion: Completion
+    ) -> abc.AsyncGenerator[answer.Chunk, None]:
+        """Yield the tokens of an answer as they come.
+
+        It ends without an error only if the whole answer was checked.
+
+        :raises Refused: if the system refused the request.
+        :raises PartialAnswer: if the rest could not be had.
+        :raises CorruptAnswer: if the answer breaks a promise.
+        :raises NoAddress: if no entry instance could be reached.
+        """
+        stream = self._completion_stream(completion)
+        async with contextlib.aclosing(stream.chunks()) as chunks:
+            async for chunk in chunks:
+                yield chunk
+
+    async def call_service(
+        self,
+        service: str,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        key: str | None = None,
+    ) -> services.ServiceAnswer:
+        """Call a plain service.
+
+        :param path: path below the service, with its query.
+        :param key: idempotency key; needed if the route may not be
+            repeated. See :meth:`issue_key`.
+        :raises OutcomeUnknown: if the call may have run. Only the same key
+            may be used to ask again.
+        :raises Refused: if the system refused the call.
+        :raises NoAddress: if no entry instance could be reached.
+        """
+        return await self._services.call(service, method, path, body, key)
+
+    async def issue_key(self) -> str:
+        """Return a new idempotency key from an entry instance.
+
+        :raises CallerError: if none was issued.
+        """
+        return await self._services.issue_key()
--- /dev/null
+++ b/src/godwitvalve/moves/watch.py
@@ -0,0 +1,188 @@
+"""What one entry has made of the evidence of a move so far."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+
+from godwitvalve.moves import betting
+from godwitvalve.moves import blocks
+from godwitvalve.moves import evidence
+from godwitvalve.moves import findings
+from godwitvalve.moves import move
+from godwitvalve.moves import pace
+from godwitvalve.moves import signs
+
+# Probability that a good version is ever taken back by chance alone, and
+# how it is shared out; parts by route are divided by the routes.
+FALSE_ALARM_RATE = 0.005
+_PARTS = {blocks.FAILED: 0.4, blocks.SLOW: 0.3}
+_ROUTE_PARTS = {blocks.FAILED: 0.2, blocks.SLOW: 0.1}
+# A report takes up to a second to be sent and some time to arrive.
+GRACE_S = 1.2
+_EPOCH_S = 30.0
+_HISTORY_BLOCKS = 2000
+
+_Cells = Iterable[tuple[evidence.CellKey, evidence.Cell]]
+
+
+class MoveWatch:
+    """Reads an evidence book bucket by bucket and keeps the findings.
+
+    :param routes: number of routes of the service.
+    :param now_wall_s: time from which evidence is read.
+    """
+
+    def __init__(
+        self, moving: move.Move, routes: int, now_wall_s: float
+    ) -> None:
+        self.moving = moving
+        self.began_wall_s = now_wall_s
+        self.new_attempts = 0
+        self.new_endpoints: set[str] = set()
+        self.ramp_from: float | None = None
+        self._routes = max(routes, 1)
+        planned_s = moving.done_by_wall_s - moving.started_wall_s
+        self._horizon = max(int(2 * planned_s / _EPOCH_S), 1)
+        self._next = evidence.bucket_of(now_wall_s)
+        self._open: dict[int, blocks.Block] = {}
+        self._limits = pace.PaceLimits()
+        self._history: collections.deque[findings.Record] = collections.deque(
+            maxlen=_HISTORY_BLOCKS
+        )
+        self._findings: dict[blocks.Kind, findings.Finding] = {}
+        self._signs = signs.Signs()
+        self._domains: set[str] = set()
+        self._old_endpoints: set[str] = set()
+
+    def advance(self, book: evidence.EvidenceBook, now_wall_s: float) -> None:
+        """Read the buckets that are complete by now."""
+        end = evidence.bucket_of(now_wall_s - GRACE_S)
+        self._next = max(self._next, end - evidence.KEPT_BUCKETS)
+        while self._next < end:
+            self._read(book, self._next)
+            self._next += 1
+
+    def _read(self, book: evidence.EvidenceBook, bucket: int) -> None:
+        self._limits.refresh(bucket * evidence.BUCKET_S)
+        cells = {
+            key: cell
+            for key, cell in book.cells(bucket).items()
+            if key.service == self.moving.service
+        }
+        new_version = self.moving.new_version
+        old_version = self.moving.old_version
+        new = [
+            item for item in cells.items() if item[0].version == new_version
+        ]
+        old = [
+            item for item in cells.items() if item[0].version == old_version
+        ]
+        self._fill(new, old, bucket)
+        self._learn(old)
+        self._count(new, bucket)
+        for split, block in list(self._open.items()):
+            if block.is_full() or block.is_old(bucket):
+                self._close(self._open.pop(split))
+
+    def _fill(self, new: _Cells, old: _Cells, bucket: int) -> None:
+        """Put each cell into the block of its share class."""
+        touched = {}
+        total = 0
+        for is_new, cells in ((True, new), (False, old)):
+            for key, cell in cells:
+                total += cell.attempts
+                block = self._block(key.share_class, bucket)
+                block.add(key, cell, is_new, self._limits)
+                touched[key.share_class] = block
+        usual = total / max(len(self._old_endpoints), 1)
+        for block in touched.values():
+            block.usual_load += usual
+
+    def _block(self, split: int, bucket: int) -> blocks.Block:
+        block = self._open.get(split)
+        if block is None:
+            block = self._open[split] = blocks.Block(
+                split, bucket, self._signs.raised
+            )
+        return block
+
+    def _learn(self, old: _Cells) -> None:
+        for key, cell in old:
+            self._old_endpoints.add(key.endpoint_id)
+            if key.share_class <= 0:
+                self._limits.add(key.route, cell.times)
+
+    def _close(self, block: blocks.Block) -> None:
+        kinds = block.kinds()
+        if not kinds:
+            return
+        elapsed_s = (
+            block.first_bucket * evidence.BUCKET_S - self.moving.started_wall_s
+        )
+        epoch = int(max(elapsed_s, 0.0) / _EPOCH_S)
+        start = betting.Start(epoch, block.signs)
+        record = findings.Record(start, block)
+        for kind in kinds:
+            self._finding(kind).add(record, self._history, self._domains)
+        self._history.append(record)
+
+    def _finding(self, kind: blocks.Kind) -> findings.Finding:
+        found = self._findings.get(kind)
+        if found is None:
+            found = findings.Finding(kind, self._horizon, self._limit(kind))
+            self._findings[kind] = found
+        return found
+
+    def _limit(self, kind: blocks.Kind) -> float:
+        if kind.route:
+            part = _ROUTE_PARTS[kind.event] / self._routes
+        else:
+            part = _PARTS[kind.event]
+        return 1 / (part * FALSE_ALARM_RATE)
+
+    def _count(self, new: _Cells, bucket: int) -> None:
+        total = 0
+        events: collections.Counter[blocks.Kind] = collections.Counter()
+        for key, cell in new:
+            total += cell.attempts
+            self.new_endpoints.add(key.endpoint_id)
+            self._domains.add(key.failure_domain)
+            slow = self._limits.slow_count(key.route, cell.times) or 0
+            for event, count in (
+                (blocks.FAILED, cell.failures),
+                (blocks.SLOW, slow),
+            ):
+                if count:
+                    events[blocks.Kind(event, '')] += count
+                    events[blocks.Kind(event, key.route)] += count
+        self.new_attempts += total
+        self._signs.add(total, events, (bucket + 1) * evidence.BUCKET_S)
+
+    def has_sign(self, now_wall_s: float) -> bool:
+        """Tell whether a change was seen that is yet to be explained."""
+        return self._signs.holds(now_wall_s)
+
+    def doubt(self) -> float:
+        """Return the greatest e-value that one suspect does not explain."""
+        values = [found.least_e_value() for found in self._findings.values()]
+        return max(values, default=1.0)
+
+    def strongest(self) -> findings.Finding | None:
+        """Return the finding that is nearest to or above its limit."""
+        return max(
+            self._findings.values(),
+            key=lambda found: found.least_e_value() / found.limit,
+            default=None,
+        )
+
+    def proofs(self, single: bool) -> list[findings.Finding]:
+        """Return the findings that blame the new version.
+
+        :param single: the new version has one endpoint.
+        """
+        return [
+            found
+            for found in self._findings.values()
+            if found.is_proof(single)
+        ]
