Split small concurrency limits in whole units; keep units in flight

Cause: with a concurrency limit below the number of entries each share was less than one unit, and no entry admitted anything (limit 4, 6 entries: 0 of 4 in features/limits). A lender also lent what was in flight. Now shares of small limits are whole units, each entry rounds up by less than its base share, refused requests count as demand, and what is in flight is neither lent nor called back. Ruled out: rounding each share up, because the sum would pass the limit; units by hash only, because one busy entry would get none. Conclusion: limits 1, 2 and 4 at 6 entries are used whole while entries hear each other, and stay unused at an entry cut off.

--- a/bench/limit_runs.py
+++ b/bench/limit_runs.py
@@ -50,6 +50,9 @@
     def receive(self, report: model.DemandReport, now_s: float) -> None:
         """Ignore a report."""
 
+    def note_uses(self, uses: abc.Mapping[str, model.AccountUse]) -> None:
+        """Ignore what is in flight."""
+
     def note_not_running(self, entry_id: str, now_s: float) -> None:
         """Ignore a refused connection."""
 
@@ -200,7 +203,7 @@
         admitted = 0
         for _ in range(asked):
             limiter.offer(1.0, clock_s)
-            if limiter.try_take(1.0, share, clock_s) is None:
+            if limiter.try_take(1.0, share, 100_000, clock_s) is None:
                 limiter.finish(1.0, 1.0)
                 admitted += 1
         entry.demands = {ACCOUNT: limiter.demand(clock_s)}
--- a/bench/share_network.py
+++ b/bench/share_network.py
@@ -36,6 +36,9 @@
     def receive(self, report: model.DemandReport, now_s: float) -> None:
         """See ``AccountShares``."""
 
+    def note_uses(self, uses: abc.Mapping[str, model.AccountUse]) -> None:
+        """See ``AccountShares``."""
+
     def note_not_running(self, entry_id: str, now_s: float) -> None:
         """See ``AccountShares``."""
 
@@ -64,6 +67,7 @@
     paused: bool = False
     can_read_list: bool = True
     demands: dict[str, float] = dataclasses.field(default_factory=dict)
+    uses: dict[str, model.AccountUse] = dataclasses.field(default_factory=dict)
     inbox: list[model.DemandReport] = dataclasses.field(default_factory=list)
 
     def clock_s(self, now_s: float) -> float:
@@ -199,6 +203,7 @@
             if self.tells_refused:
                 self._connect(entry, clock_s)
             entry.next_report_s = self.now_s + REPORT_INTERVAL_S / entry.rate
+            entry.shares.note_uses(entry.uses)
             report = entry.shares.make_report(entry.demands, clock_s)
             self._send(entry.name, report)
 
--- a/features/limits/shares.feature
+++ b/features/limits/shares.feature
@@ -88,6 +88,38 @@
     And 12 s of share exchange pass
     Then the sum of shares is at most 0.84
 
+  Scenario: A small concurrency limit is split in whole units
+    # Guards against units that are lost or given to entries without demand.
+    Then whole units keep close to the even split on generated demands
+
+  Scenario Outline: A concurrency limit below the number of entries is usable
+    # Guards against shares below one unit everywhere, which admit nothing.
+    Given 6 entries that exchange shares
+    When an account with <limit> concurrent requests is wanted at <wanted>
+    And 10 s of share exchange pass
+    Then <units> requests may be in flight at all entries together
+    But without whole units only <naive> may
+
+    Examples:
+      | limit | wanted | units | naive |
+      | 4     | 6      | 4     | 0     |
+      | 4     | 1      | 4     | 3     |
+      | 1     | 1      | 1     | 1     |
+      | 2     | 3      | 2     | 0     |
+      | 64    | 6      | 60    | 60    |
+
+  Scenario: Requests in flight are not lent away
+    # Guards against a borrower that admits on top of what still runs.
+    Given 6 entries that exchange shares
+    When an account with 4 concurrent requests is wanted at 1
+    And 10 s of share exchange pass
+    And entry "e0" has all 4 in flight and entry "e1" wants them
+    And 20 s of share exchange pass
+    Then entry "e1" may have 0 requests in flight
+    When the requests of entry "e0" end
+    And 10 s of share exchange pass
+    Then entry "e1" may have 4 requests in flight
+
   Scenario: Reports pass through msgpack unchanged
     # Guards against a report type that the peer link cannot carry.
     Then a demand report survives msgpack
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -101,6 +101,93 @@
     _pass(context, duration_s)
 
 
+@behave.then('whole units keep close to the even split on generated demands')
+def whole_units_agree(context):
+    @_settings(300)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.sampled_from((0.0, 0.1, 0.3, 1.0)),
+            min_size=1,
+            max_size=9,
+        ),
+        strategies.integers(1, 17),
+    )
+    def check(values, units):
+        demands = {f'e{index}': value for index, value in enumerate(values)}
+        base = 1 / len(demands)
+        given = split.whole_units(_ACCOUNT, demands, base, units)
+        exact = split.targets(demands, base, kept=0.0)
+        counts = {name: given[name] * units for name in given}
+        assert abs(sum(counts.values()) - units) < _ROUNDING, counts
+        for name, count in counts.items():
+            assert abs(count - round(count)) < _ROUNDING, counts
+            assert abs(count - exact[name] * units) < 1 + _ROUNDING, counts
+
+    check()
+
+
+def _want(network, limit, wanted):
+    for index, entry in enumerate(network.entries.values()):
+        demand = 0.9 if index < wanted else 0.0
+        entry.demands = {_ACCOUNT: demand}
+        entry.uses = {_ACCOUNT: model.AccountUse(0.0, limit)}
+
+
+def _units(network, limit):
+    return {
+        name: entry.shares.units(_ACCOUNT, limit, entry.clock_s(network.now_s))
+        for name, entry in network.entries.items()
+        if not entry.paused
+    }
+
+
+@behave.when(
+    'an account with {limit:d} concurrent requests is wanted at {wanted:d}'
+)
+def concurrent_wanted(context, limit, wanted):
+    context.limit = limit
+    context.wanted = wanted
+    _want(context.network, limit, wanted)
+
+
+@behave.then('{units:d} requests may be in flight at all entries together')
+def units_together(context, units):
+    given = _units(context.network, context.limit)
+    assert sum(given.values()) == units, given
+
+
+@behave.then('without whole units only {units:d} may')
+def units_of_variant(context, units):
+    network = _network(variants.WithoutWholeUnits)
+    _want(network, context.limit, context.wanted)
+    list(network.run(10))
+    given = _units(network, context.limit)
+    assert sum(given.values()) == units, given
+
+
+@behave.when(
+    'entry "{name}" has all {limit:d} in flight and entry "{other}" wants them'
+)
+def all_in_flight(context, name, limit, other):
+    entries = context.network.entries
+    entries[name].uses = {_ACCOUNT: model.AccountUse(1.0, limit)}
+    entries[name].demands = {_ACCOUNT: 1.0}
+    entries[other].demands = {_ACCOUNT: 1.0}
+
+
+@behave.when('the requests of entry "{name}" end')
+def in_flight_end(context, name):
+    entry = context.network.entries[name]
+    entry.uses = {_ACCOUNT: model.AccountUse(0.0, context.limit)}
+    entry.demands = {}
+
+
+@behave.then('entry "{name}" may have {units:d} requests in flight')
+def units_at(context, name, units):
+    given = _units(context.network, context.limit)
+    assert given[name] == units, given
+
+
 @behave.when('entry "{name}" is cut off')
 def cut_off(context, name):
     context.network.isolate([name])
@@ -240,7 +327,8 @@
 class _FaultRun:
     """Applies generated faults to a network of entries."""
 
-    def __init__(self, seed, loss, delay_s):
+    def __init__(self, seed, loss, delay_s, limit):
+        self._limit = limit
         self.network = _network(seed=seed)
         self.network.faults.loss = loss
         self.network.faults.delay_s = delay_s
@@ -266,6 +354,9 @@
                 for entry in entries.values():
                     demand = self._random.choice((0, 0.01, 0.1, 0.5, 1.5))
                     entry.demands = {_ACCOUNT: demand}
+                    in_use = self._random.choice((0, 0, 0.1, 0.5))
+                    use = model.AccountUse(in_use, self._limit)
+                    entry.uses = {_ACCOUNT: use}
             case 'start' if len(entries) < 9:
                 self._start(f'e{self._started}')
                 self._started += 1
@@ -316,12 +407,17 @@
         ),
     )
     def check(seed, loss, delay_s, faults):
-        run = _FaultRun(seed, loss, delay_s)
+        limit_units = seed % 9 + 1
+        run = _FaultRun(seed, loss, delay_s, limit_units)
         run.apply('demand')
         for fault, duration_s in faults:
             run.apply(fault)
-            worst = _worst_of(run.network, duration_s)
-            assert worst <= 1 + _ROUNDING, (fault, worst)
+            for _ in run.network.run(duration_s):
+                total = run.network.total(_ACCOUNT)
+                assert total <= 1 + _ROUNDING, (fault, total)
+                for limit in (1, limit_units, 64):
+                    given = _units(run.network, limit)
+                    assert sum(given.values()) <= limit, (fault, given)
 
     check()
 
@@ -335,7 +431,7 @@
         2,
         True,
         (model.Heard('e0', 3, 4),),
-        (model.AccountDemand(_ACCOUNT, demand),),
+        (model.AccountDemand(_ACCOUNT, demand, 0.25),),
         (model.Grant(_ACCOUNT, 'e0', 3, 4, 0.125),),
     )
 
@@ -355,9 +451,9 @@
     bad += [
         fields[:index] + [{'a': 1}] + fields[index + 1 :]
         for index in range(1, len(fields))
-        if index != 5
+        if index != 5  # any value is true or false
     ]
-    bad.append(fields[:7] + [[['a', -1.0]]] + fields[8:])
+    bad.append(fields[:7] + [[['a', -1.0, 0.0]]] + fields[8:])
     bad.append(fields[:7] + [[['a']]] + fields[8:])
     for item in bad:
         try:
--- a/features/variants/limits.py
+++ b/features/variants/limits.py
@@ -112,6 +112,13 @@
         return 1.0 / len(self._members.listed)
 
 
+class WithoutWholeUnits(shares.AccountShares):
+    """Shares that split small concurrency limits like rates."""
+
+    def note_uses(self, uses):
+        """Ignore the concurrency limits."""
+
+
 class FixedShares(shares.AccountShares):
     """Shares that never follow the demand."""
 
--- a/src/godwitvalve/limits/account.py
+++ b/src/godwitvalve/limits/account.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 from godwitvalve.limits import buckets
 from godwitvalve.limits import demand as meters
 from godwitvalve.limits import model
@@ -20,6 +18,7 @@
         self._tokens = buckets.TokenBucket(now_s)
         self._offered_requests = meters.DemandMeter(now_s)
         self._offered_tokens = meters.DemandMeter(now_s)
+        self._refused_concurrent = meters.DemandMeter(now_s)
 
     def offer(self, cost_tokens: float, now_s: float) -> None:
         """Count a request as demand, admitted or not."""
@@ -34,17 +33,29 @@
         return max(
             _ratio(requests_per_s, limit.requests_per_s),
             _ratio(tokens_per_s, limit.tokens_per_s),
-            _ratio(self.in_flight, limit.concurrent),
+            _ratio(self._wanted_concurrent(now_s), limit.concurrent),
         )
 
+    def use(self) -> model.AccountUse:
+        """Return what is in flight, for the next report."""
+        limit = self.limit.concurrent
+        return model.AccountUse(_ratio(self.in_flight, limit), limit)
+
     def try_take(
-        self, cost_tokens: float, share: float, now_s: float
+        self,
+        cost_tokens: float,
+        share: float,
+        concurrent: int,
+        now_s: float,
     ) -> codes.ResultCode | None:
-        """Admit one request, or return the code of the limit it meets."""
+        """Admit one request, or return the code of the limit it meets.
+
+        :param share: part of the rates that this entry may use.
+        :param concurrent: requests that may be in flight here.
+        """
         self._fill(share, now_s)
-        # The sum of the rounded shares stays at most the limit.
-        allowed = math.floor(self.limit.concurrent * share + 1e-9)
-        if self.in_flight >= allowed:
+        if self.in_flight >= concurrent:
+            self._refused_concurrent.add(1.0, now_s)
             return codes.ResultCode.ACCOUNT_CONCURRENCY_LIMIT
         fits = self._requests.can_take(1.0)
         if not fits or not self._tokens.can_take(cost_tokens):
@@ -75,6 +86,11 @@
         self.in_flight -= 1
         self._tokens.take(used_tokens - cost_tokens)
 
+    def _wanted_concurrent(self, now_s: float) -> float:
+        # Callers that retry are counted each time, hence the bound.
+        refused = self._refused_concurrent.rate_per_s(now_s)
+        return min(self.in_flight + refused, self.limit.concurrent)
+
     def _fill(self, share: float, now_s: float) -> None:
         self._requests.fill(self.limit.requests_per_s * share, now_s)
         self._tokens.fill(self.limit.tokens_per_s * share, now_s)
--- a/src/godwitvalve/limits/admission.py
+++ b/src/godwitvalve/limits/admission.py
@@ -88,8 +88,15 @@
         self._accounts = accounts
 
     def demands(self) -> dict[str, float]:
-        """Return the offered load of each account for ``make_report``."""
+        """Return the offered load of each account for ``make_report``.
+
+        Also tells the shares what is in flight; call it before each
+        report.
+        """
         now_s = self._clock.monotonic_s()
+        self._shares.note_uses(
+            {name: account.use() for name, account in self._accounts.items()}
+        )
         return {
             name: account.demand(now_s)
             for name, account in self._accounts.items()
@@ -109,9 +116,14 @@
             return outcome.NotRun(codes.ResultCode.UNAUTHENTICATED)
         account.offer(cost_tokens, now_s)
         share = self._shares.share(client_account, now_s)
-        refusal = account.try_take(cost_tokens, share, now_s)
+        concurrent = self._shares.units(
+            client_account, account.limit.concurrent, now_s
+        )
+        refusal = account.try_take(cost_tokens, share, concurrent, now_s)
         if refusal is not None:
             ready_s = account.ready_s(cost_tokens, share, now_s)
+            if refusal is codes.ResultCode.ACCOUNT_CONCURRENCY_LIMIT:
+                ready_s = max(ready_s, now_s + RETRY_WITHOUT_SHARE_S)
             return self._not_run(refusal, ready_s, now_s)
         late = await self._wait_for_slot(
             client_account, cost_tokens, deadline_s, now_s
--- a/src/godwitvalve/limits/lending.py
+++ b/src/godwitvalve/limits/lending.py
@@ -20,7 +20,28 @@
     sequence: int
     heard_s: float
     active: bool
-    demands: dict[str, float]
+    demands: dict[str, model.AccountDemand]
+
+    def demand(self, account: str) -> float:
+        """Return the demand for an account."""
+        known = self.demands.get(account)
+        return known.demand if known else 0.0
+
+    def in_use(self, account: str) -> float:
+        """Return the part of the concurrency limit that is in flight."""
+        known = self.demands.get(account)
+        return known.in_use if known else 0.0
+
+
+class Own(NamedTuple):
+    """What the lending entry knows of its own part of an account.
+
+    :param share: share that it may use now, borrowed parts included.
+    """
+
+    demand: float
+    share: float
+    use: model.AccountUse
 
 
 class Lender(NamedTuple):
@@ -30,10 +51,21 @@
     listed: frozenset[str]
     base: float
 
+    def is_wanted(
+        self,
+        account: str,
+        use: model.AccountUse,
+        fresh: abc.Mapping[str, Peer],
+    ) -> bool:
+        """Tell whether any entry may need a loan of an account."""
+        return self._is_small(use) or any(
+            self._is_short(account, peer) for peer in fresh.values()
+        )
+
     def grants(
         self,
         account: str,
-        own_demand: float,
+        own: Own,
         fresh: abc.Mapping[str, Peer],
         lent: loans.Lent,
         now_s: float,
@@ -42,20 +74,17 @@
 
         :param fresh: entries that were heard lately.
         """
-        if not any(self._is_short(account, peer) for peer in fresh.values()):
-            return
-        wanted = self._wanted(account, own_demand, fresh)
-        kept = self.base * split.KEPT_OF_BASE
-        free = max(0.0, self.base - kept - lent.reserved(now_s))
-        for borrower, want in wanted.items():
-            peer = fresh.get(borrower)
-            if peer is None:
-                continue
+        small = self._is_small(own.use)
+        wanted = self._wanted(account, own, fresh, small)
+        free = self._free(own, lent.reserved(now_s), small)
+        for borrower, peer in fresh.items():
             held = lent.reserved_for(borrower, now_s)
+            in_use = self._borrowed_in_use(account, peer)
+            want = max(wanted.get(borrower, 0.0), min(held, in_use))
             fraction = min(want, held + free)
-            free -= max(0.0, fraction - held)
             if fraction < split.LEAST_LOAN:
                 continue
+            free -= max(0.0, fraction - held)
             lent.lend(borrower, fraction, now_s)
             yield model.Grant(
                 account,
@@ -65,20 +94,51 @@
                 fraction,
             )
 
+    def _is_small(self, use: model.AccountUse) -> bool:
+        return split.is_small(use.units, len(self.listed))
+
+    def _free(self, own: Own, reserved: float, small: bool) -> float:
+        """Return what may be lent on top of the present loans.
+
+        What is in flight here is not lent: the borrower would admit on
+        top of it.
+        """
+        kept = 0.0 if small else self.base * split.KEPT_OF_BASE
+        unused = own.share - own.use.in_use
+        return max(0.0, min(self.base - kept - reserved, unused))
+
+    def _borrowed_in_use(self, account: str, peer: Peer) -> float:
+        """Return what an entry has in flight beyond its base share.
+
+        A loan is kept up that far, because requests in flight are not
+        cut.
+        """
+        has = self.base if peer.active else 0.0
+        return max(0.0, peer.in_use(account) - has)
+
     def _is_short(self, account: str, peer: Peer) -> bool:
         """Tell whether an entry may soon need more than its base share."""
-        demand = peer.demands.get(account, 0.0)
         has = self.base if peer.active else 0.0
-        return demand > has * SHORT_OF_BASE
+        return peer.demand(account) > has * SHORT_OF_BASE
 
     def _wanted(
-        self, account: str, own_demand: float, fresh: abc.Mapping[str, Peer]
+        self,
+        account: str,
+        own: Own,
+        fresh: abc.Mapping[str, Peer],
+        small: bool,
     ) -> dict[str, float]:
         demands = dict.fromkeys(sorted(self.listed), 0.0)
         for entry, peer in fresh.items():
-            demands[entry] = peer.demands.get(account, 0.0)
-        demands[self.entry_id] = own_demand
+            demands[entry] = peer.demand(account)
+        demands[self.entry_id] = own.demand
         without_base = {
             entry for entry, peer in fresh.items() if not peer.active
         }
-        return split.loans(self.entry_id, demands, self.base, without_base)
+        if small:
+            shares = split.whole_units(
+                account, demands, self.base, own.use.units
+            )
+        else:
+            shares = split.targets(demands, self.base)
+        return split.loans(self.entry_id, shares, self.base, without_base)
--- a/src/godwitvalve/limits/model.py
+++ b/src/godwitvalve/limits/model.py
@@ -36,10 +36,22 @@
     """Demand of one account at one entry.
 
     :param demand: offered load as a fraction of the account's limit.
+    :param in_use: part of the concurrency limit that is in flight.
     """
 
     client_account: str
     demand: float
+    in_use: float = 0.0
+
+
+class AccountUse(NamedTuple):
+    """What an entry's own limiter knows of one account.
+
+    :param units: concurrency limit, which is only usable in whole units.
+    """
+
+    in_use: float
+    units: int
 
 
 class Heard(NamedTuple):
@@ -98,8 +110,8 @@
 
 
 def _demand(item: object) -> AccountDemand:
-    account, demand = _items(item)
-    return AccountDemand(str(account), _fraction(demand))
+    account, demand, in_use = _items(item)
+    return AccountDemand(str(account), _fraction(demand), _fraction(in_use))
 
 
 def _grant(item: object) -> Grant:
--- a/src/godwitvalve/limits/shares.py
+++ b/src/godwitvalve/limits/shares.py
@@ -5,6 +5,7 @@
 import collections
 from collections import abc
 import dataclasses
+import math
 
 from godwitvalve.limits import lending
 from godwitvalve.limits import loans as loan_books
@@ -17,6 +18,8 @@
 DEMAND_FRESH_S = 3.0
 # Reports whose send time is remembered; more than a lease can span.
 _REMEMBERED_REPORTS = 64
+_ROUNDED_UP_OF_BASE = 0.99
+_NO_USE = model.AccountUse(0.0, 0)
 
 
 @dataclasses.dataclass
@@ -53,6 +56,7 @@
         )
         self._peers: dict[str, lending.Peer] = {}
         self._accounts: dict[str, _Books] = {}
+        self._uses: dict[str, model.AccountUse] = {}
 
     def update_members(
         self, listed: abc.Iterable[str], asked_s: float, now_s: float
@@ -98,6 +102,20 @@
         own = max(0.0, base - books.lent.reserved(now_s))
         return own + books.borrowed.usable(now_s)
 
+    def units(self, client_account: str, limit: int, now_s: float) -> int:
+        """Return the whole units of a limit that this entry may use.
+
+        Each entry rounds up by at most 0.99 of its base share. The base
+        shares sum up to at most 1, so the units do not exceed the limit.
+        """
+        share = self.share(client_account, now_s)
+        rounding = _ROUNDED_UP_OF_BASE * self.base(now_s)
+        return math.floor(limit * share + rounding)
+
+    def note_uses(self, uses: abc.Mapping[str, model.AccountUse]) -> None:
+        """Take what is in flight, for the next report."""
+        self._uses = dict(uses)
+
     def make_report(
         self, demands: abc.Mapping[str, float], now_s: float
     ) -> model.DemandReport:
@@ -123,7 +141,7 @@
             base > 0,
             self._heard(),
             tuple(
-                model.AccountDemand(account, demand)
+                model.AccountDemand(account, demand, self._use(account).in_use)
                 for account, demand in demands.items()
                 if demand >= split.LEAST_LOAN
             ),
@@ -144,7 +162,7 @@
             report.sequence,
             now_s,
             report.active,
-            {item.client_account: item.demand for item in report.demands},
+            {item.client_account: item for item in report.demands},
         )
         self._take_acknowledgement(report)
         for grant in report.grants:
@@ -189,6 +207,9 @@
             if entry in self._members.listed
         )
 
+    def _use(self, account: str) -> model.AccountUse:
+        return self._uses.get(account, _NO_USE)
+
     def _acknowledge_list(self, now_s: float) -> None:
         """Acknowledge the list once loans fit into the base share."""
         if self._acknowledged_digest == self._members.digest:
@@ -215,8 +236,18 @@
         accounts = {
             account for peer in fresh.values() for account in peer.demands
         }
+        accounts |= {
+            account
+            for account, use in self._uses.items()
+            if split.is_small(use.units, len(self._members.listed))
+        }
         lender = lending.Lender(self._entry_id, self._members.listed, base)
         for account in sorted(accounts):
+            use = self._use(account)
+            if not lender.is_wanted(account, use, fresh):
+                continue
             books = self._accounts.setdefault(account, _Books())
-            own = demands.get(account, 0.0)
+            own = lending.Own(
+                demands.get(account, 0.0), self.share(account, now_s), use
+            )
             yield from lender.grants(account, own, fresh, books.lent, now_s)
--- a/src/godwitvalve/limits/split.py
+++ b/src/godwitvalve/limits/split.py
@@ -3,15 +3,24 @@
 from __future__ import annotations
 
 from collections import abc
+import hashlib
+import math
 
 # Part of its base share that an entry never lends, so that a request at
 # a quiet entry is admitted while the rest is out on loan.
 KEPT_OF_BASE = 0.1
 # Smaller loans are not worth their bytes in a report.
 LEAST_LOAN = 0.001
+# With fewer units an entry, rounding down would waste a large part.
+SMALL_UNITS_PER_ENTRY = 2
+_ROUNDING = 1e-6
 
 
-def targets(demands: abc.Mapping[str, float], base: float) -> dict[str, float]:
+def targets(
+    demands: abc.Mapping[str, float],
+    base: float,
+    kept: float = KEPT_OF_BASE,
+) -> dict[str, float]:
     """Return the share that each entry should have.
 
     Each gets its demand while the limit suffices, and an even part of the
@@ -19,9 +28,10 @@
 
     :param demands: demand of each entry as a fraction of the limit.
     :param base: share of each entry when nothing is lent.
+    :param kept: part of its base share that each entry gets at least.
     """
     total = base * len(demands)
-    floor = base * KEPT_OF_BASE
+    floor = base * kept
     wanted = {entry: max(demand, floor) for entry, demand in demands.items()}
     spare = total - sum(wanted.values())
     if spare >= 0:
@@ -42,17 +52,59 @@
     return ascending[-1]
 
 
+def whole_units(
+    account: str,
+    demands: abc.Mapping[str, float],
+    base: float,
+    units: int,
+) -> dict[str, float]:
+    """Return shares that are whole units of a small concurrency limit.
+
+    Even shares below one unit would admit nothing anywhere. What rounding
+    down leaves goes to entries with demand first, then by a hash, so that
+    all entries compute the same.
+    """
+    shares = targets(demands, base, kept=0.0)
+    total = base * len(demands)
+    counts = {
+        entry: math.floor(share * units + _ROUNDING)
+        for entry, share in shares.items()
+    }
+    left = math.floor(total * units + _ROUNDING) - sum(counts.values())
+    ranked = sorted(
+        shares,
+        key=lambda entry: (
+            demands[entry] <= 0,
+            counts[entry] - shares[entry] * units,
+            _hash(account, entry),
+        ),
+    )
+    for entry in ranked[:left]:
+        counts[entry] += 1
+    return {entry: count / units for entry, count in counts.items()}
+
+
+def is_small(units: int, entries: int) -> bool:
+    """Tell whether a concurrency limit is split in whole units."""
+    return 0 < units < SMALL_UNITS_PER_ENTRY * entries
+
+
+def _hash(account: str, entry: str) -> bytes:
+    text = f'{account}\0{entry}'.encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
+
+
 def loans(
     own: str,
-    demands: abc.Mapping[str, float],
+    wanted: abc.Mapping[str, float],
     base: float,
     without_base: abc.Set[str] = frozenset(),
 ) -> dict[str, float]:
     """Return how much of its base share an entry should lend to whom.
 
+    :param wanted: share that each entry should have.
     :param without_base: entries that wait for room and use no base share.
     """
-    wanted = targets(demands, base)
     surplus = base - wanted[own]
     if surplus <= 0:
         return {}
