--- /dev/null
+++ b/src/godwitvalve/limits/exchange.py
@@ -0,0 +1,90 @@
+"""Reports that this entry has sent and received."""
+
+from __future__ import annotations
+
+import collections
+
+from godwitvalve.limits import lending
+from godwitvalve.limits import model
+
+# Two reports may be missed before an entry's demand counts as unknown.
+DEMAND_FRESH_S = 3.0
+# Reports whose send time is remembered; more than a lease can span.
+_REMEMBERED_REPORTS = 64
+
+
+class ReportExchange:
+    """Newest report of each other entry, and when own ones were sent.
+
+    :param incarnation: this process among those of the same entry id.
+    """
+
+    def __init__(self, incarnation: int) -> None:
+        self.incarnation = incarnation
+        self.sequence = 0
+        self._sent_s: collections.OrderedDict[int, float] = (
+            collections.OrderedDict()
+        )
+        self._peers: dict[str, lending.Peer] = {}
+
+    def begin_report(self, now_s: float) -> None:
+        """Start the next own report."""
+        self.sequence += 1
+        self._sent_s[self.sequence] = now_s
+        if len(self._sent_s) > _REMEMBERED_REPORTS:
+            self._sent_s.popitem(last=False)
+
+    def sent_s(self, incarnation: int, sequence: int) -> float | None:
+        """Return when an own report was sent, or None if unknown."""
+        if incarnation != self.incarnation:
+            return None
+        return self._sent_s.get(sequence)
+
+    def is_new(self, report: model.DemandReport) -> bool:
+        """Tell whether a report is newer than the last one of its entry."""
+        known = self._peers.get(report.origin)
+        if known is None:
+            return True
+        stamp = (report.incarnation, report.sequence)
+        return stamp > (known.incarnation, known.sequence)
+
+    def is_restart(self, report: model.DemandReport) -> bool:
+        """Tell whether a report is the first of a new process."""
+        known = self._peers.get(report.origin)
+        return known is not None and known.incarnation != report.incarnation
+
+    def take(self, report: model.DemandReport, now_s: float) -> None:
+        """Remember a report."""
+        self._peers[report.origin] = lending.Peer(
+            report.incarnation,
+            report.sequence,
+            now_s,
+            report.active,
+            {item.client_account: item for item in report.demands},
+        )
+
+    def forget_unlisted(self, listed: frozenset[str], now_s: float) -> None:
+        """Drop entries that left the list and are silent."""
+        self._peers = {
+            entry: peer
+            for entry, peer in self._peers.items()
+            if entry in listed or now_s - peer.heard_s < DEMAND_FRESH_S
+        }
+
+    def fresh(
+        self, listed: frozenset[str], now_s: float
+    ) -> dict[str, lending.Peer]:
+        """Return the listed entries that were heard lately."""
+        return {
+            entry: peer
+            for entry, peer in self._peers.items()
+            if now_s - peer.heard_s < DEMAND_FRESH_S and entry in listed
+        }
+
+    def heard(self, listed: frozenset[str]) -> tuple[model.Heard, ...]:
+        """Return what to acknowledge to the listed entries."""
+        return tuple(
+            model.Heard(entry, peer.incarnation, peer.sequence)
+            for entry, peer in self._peers.items()
+            if entry in listed
+        )
--- a/src/godwitvalve/limits/shares.py
+++ b/src/godwitvalve/limits/shares.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import collections
 from collections import abc
 import dataclasses
 import math
 
+from godwitvalve.limits import exchange
 from godwitvalve.limits import lending
 from godwitvalve.limits import loans as loan_books
 from godwitvalve.limits import members as member_lists
@@ -14,10 +14,6 @@
 from godwitvalve.limits import split
 
 REPORT_INTERVAL_S = 1.0
-# Two reports may be missed before an entry's demand counts as unknown.
-DEMAND_FRESH_S = 3.0
-# Reports whose send time is remembered; more than a lease can span.
-_REMEMBERED_REPORTS = 64
 _ROUNDED_UP_OF_BASE = 0.99
 _NO_USE = model.AccountUse(0.0, 0)
 
@@ -47,14 +43,9 @@
         self, entry_id: str, incarnation: int, started_s: float
     ) -> None:
         self._entry_id = entry_id
-        self._incarnation = incarnation
         self._members = member_lists.Members(entry_id, started_s)
         self._acknowledged_digest = self._members.digest
-        self._sequence = 0
-        self._sent_s: collections.OrderedDict[int, float] = (
-            collections.OrderedDict()
-        )
-        self._peers: dict[str, lending.Peer] = {}
+        self._exchange = exchange.ReportExchange(incarnation)
         self._accounts: dict[str, _Books] = {}
         self._uses: dict[str, model.AccountUse] = {}
 
@@ -68,12 +59,7 @@
         self._members.update(listed, asked_s, now_s)
         for books in self._accounts.values():
             books.borrowed.forget(self._members.listed, now_s)
-        kept = self._members.listed
-        self._peers = {
-            entry: peer
-            for entry, peer in self._peers.items()
-            if entry in kept or now_s - peer.heard_s < DEMAND_FRESH_S
-        }
+        self._exchange.forget_unlisted(self._members.listed, now_s)
 
     def note_not_running(self, entry_id: str, now_s: float) -> None:
         """Record that an entry's peer address refuses connections.
@@ -124,22 +110,19 @@
         :param demands: offered load of each account at this entry, as a
             fraction of the account's limit.
         """
-        self._sequence += 1
-        self._sent_s[self._sequence] = now_s
-        if len(self._sent_s) > _REMEMBERED_REPORTS:
-            self._sent_s.popitem(last=False)
+        self._exchange.begin_report(now_s)
         self._members.note_running(now_s)
         base = self.base(now_s)
         grants = tuple(self._grants(demands, base, now_s))
         self._acknowledge_list(now_s)
         return model.DemandReport(
             self._entry_id,
-            self._incarnation,
-            self._sequence,
+            self._exchange.incarnation,
+            self._exchange.sequence,
             self._acknowledged_digest,
             self._members.own_count(now_s),
             base > 0,
-            self._heard(),
+            self._exchange.heard(self._members.listed),
             tuple(
                 model.AccountDemand(account, demand, self._use(account).in_use)
                 for account, demand in demands.items()
@@ -150,20 +133,12 @@
 
     def receive(self, report: model.DemandReport, now_s: float) -> None:
         """Take a report of another entry; older ones are ignored."""
-        known = self._peers.get(report.origin)
-        stamp = (report.incarnation, report.sequence)
-        if known and stamp <= (known.incarnation, known.sequence):
+        if not self._exchange.is_new(report):
             return
-        if known and known.incarnation != report.incarnation:
+        if self._exchange.is_restart(report):
             self._drop_loans_of(report.origin)
+        self._exchange.take(report, now_s)
         self._members.hear(report.origin, report.counted, now_s)
-        self._peers[report.origin] = lending.Peer(
-            report.incarnation,
-            report.sequence,
-            now_s,
-            report.active,
-            {item.client_account: item for item in report.demands},
-        )
         self._take_acknowledgement(report)
         for grant in report.grants:
             self._take_grant(report, grant)
@@ -172,8 +147,8 @@
         for heard in report.heard:
             if heard.entry_id != self._entry_id:
                 continue
-            sent_s = self._sent_s.get(heard.sequence)
-            if heard.incarnation == self._incarnation and sent_s is not None:
+            sent_s = self._exchange.sent_s(heard.incarnation, heard.sequence)
+            if sent_s is not None:
                 self._members.acknowledge(
                     report.origin, report.members_digest, sent_s
                 )
@@ -183,8 +158,10 @@
     ) -> None:
         if grant.borrower != self._entry_id:
             return
-        sent_s = self._sent_s.get(grant.borrower_sequence)
-        if grant.borrower_incarnation != self._incarnation or sent_s is None:
+        sent_s = self._exchange.sent_s(
+            grant.borrower_incarnation, grant.borrower_sequence
+        )
+        if sent_s is None:
             return
         books = self._accounts.setdefault(grant.client_account, _Books())
         books.borrowed.receive(
@@ -200,13 +177,6 @@
         for books in self._accounts.values():
             books.borrowed.drop(lender)
 
-    def _heard(self) -> tuple[model.Heard, ...]:
-        return tuple(
-            model.Heard(entry, peer.incarnation, peer.sequence)
-            for entry, peer in self._peers.items()
-            if entry in self._members.listed
-        )
-
     def _use(self, account: str) -> model.AccountUse:
         return self._uses.get(account, _NO_USE)
 
@@ -227,12 +197,7 @@
     ) -> abc.Iterator[model.Grant]:
         if not base:
             return
-        fresh = {
-            entry: peer
-            for entry, peer in self._peers.items()
-            if now_s - peer.heard_s < DEMAND_FRESH_S
-            and entry in self._members.listed
-        }
+        fresh = self._exchange.fresh(self._members.listed, now_s)
         accounts = {
             account for peer in fresh.values() for account in peer.demands
         }
