--- a/src/godwitvalve/limits/lending.py
+++ b/src/godwitvalve/limits/lending.py
@@ -78,6 +78,8 @@
         wanted = self._wanted(account, own, fresh, small)
         free = self._free(own, lent.reserved(now_s), small)
         for borrower, peer in fresh.items():
+            if borrower not in wanted and not lent.lends_to(borrower):
+                continue
             held = lent.reserved_for(borrower, now_s)
             in_use = self._borrowed_in_use(account, peer)
             want = max(wanted.get(borrower, 0.0), min(held, in_use))
--- a/src/godwitvalve/limits/loans.py
+++ b/src/godwitvalve/limits/loans.py
@@ -43,6 +43,10 @@
         kept.append(_Loan(fraction, now_s + LENT_FOR_S))
         self._loans[borrower] = kept
 
+    def lends_to(self, borrower: str) -> bool:
+        """Tell whether a borrower may have a loan that has not lapsed."""
+        return borrower in self._loans
+
     def reserved_for(self, borrower: str, now_s: float) -> float:
         """Return the largest loan to a borrower that has not lapsed."""
         return max(
