--- /dev/null
+++ b/features/steps/moves_steps.py
@@ -0,0 +1,707 @@
+"""Steps for evidence, share, judgement and verdicts of moves."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import itertools
+import math
+import random
+
+import behave
+from bench import memory_tables
+from bench import move_runs
+from bench import moves
+from bench import sites
+from godwitvalve.moves import betting
+from godwitvalve.moves import blocks
+from godwitvalve.moves import choice
+from godwitvalve.moves import evidence
+from godwitvalve.moves import findings
+from godwitvalve.moves import move
+from godwitvalve.moves import pace
+from godwitvalve.moves import share
+from godwitvalve.moves import verdicts
+from godwitvalve.moves import watch
+from godwitvalve.platform import port
+from godwitvalve.routing import endpoint
+import hypothesis
+from hypothesis import strategies
+import msgpack
+
+START_S = 1_000_000.0
+SETTINGS = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=80, database=None
+)
+MOVE_ID = 'move-1'
+
+
+def _key(route='/a', domain='fd-0', name='v2-0', version='v2', split=0):
+    return evidence.CellKey('service', version, route, domain, name, split)
+
+
+def _cells(book):
+    return {
+        bucket: collections.Counter(book.cells(bucket))
+        for bucket in book.buckets()
+        if book.cells(bucket)
+    }
+
+
+_REPORT = strategies.builds(
+    evidence.EvidenceReport,
+    strategies.sampled_from(['a', 'b']),
+    strategies.integers(1, 2),
+    strategies.integers(1, 6),
+    strategies.integers(0, 3).map(
+        lambda bucket: (
+            evidence.BucketRow(
+                bucket, (evidence.CellRow(_key(), evidence.Cell()),)
+            ),
+        )
+    ),
+)
+
+
+def _numbered(reports):
+    """Give equal contents to reports that have the same sequence number."""
+    numbered = []
+    for report in reports:
+        count = ord(report.origin) % 7 + report.incarnation
+        cell = evidence.Cell(report.sequence + count, report.sequence)
+        rows = tuple(
+            evidence.BucketRow(row.bucket, (evidence.CellRow(_key(), cell),))
+            for row in report.buckets
+        )
+        numbered.append(report._replace(buckets=rows))
+    return numbered
+
+
+@behave.then('evidence reports in any order and repeated give the same cells')
+def merge_is_commutative(context):
+    @SETTINGS
+    @hypothesis.given(
+        strategies.lists(_REPORT, max_size=8).map(_numbered),
+        strategies.randoms(use_true_random=False),
+    )
+    def check(reports, rng):
+        one = evidence.EvidenceBook('me', 1)
+        other = evidence.EvidenceBook('me', 1)
+        for report in reports:
+            one.merge(report)
+        shuffled = reports + reports
+        rng.shuffle(shuffled)
+        for report in shuffled:
+            other.merge(report)
+        assert _cells(one) == _cells(other)
+
+    check()
+
+
+@behave.given('an evidence report and a newer one of the same origin')
+def two_reports(context):
+    book = evidence.EvidenceBook('other', 1)
+    book.record(_key(), START_S, failed=False)
+    context.older = book.report(START_S)
+    book.record(_key(), START_S, failed=True)
+    context.newer = book.report(START_S)
+
+
+@behave.when('an evidence book merges the newer report and then the older one')
+def merge_newer_first(context):
+    context.book = evidence.EvidenceBook('me', 1)
+    context.book.merge(context.newer)
+    context.book.merge(context.older)
+
+
+@behave.then('the evidence book holds the counts of the newer report')
+def holds_newer(context):
+    found = context.book.cells(evidence.bucket_of(START_S))
+    assert found == [(_key(), evidence.Cell(2, 1))], found
+
+
+@behave.when(
+    'an evidence book records {buckets:d} buckets and {n:d} routes in one'
+)
+def record_much(context, buckets, n):
+    context.book = evidence.EvidenceBook('me', 1)
+    for index in range(buckets):
+        context.last_s = START_S + index * evidence.BUCKET_S
+        context.book.record(_key(), context.last_s, failed=False)
+    for index in range(n):
+        key = _key(route=str(index))
+        context.book.record(key, context.last_s, failed=False)
+
+
+@behave.then(
+    'the evidence book holds at most {n:d} buckets and {m:d} cells each'
+)
+def book_is_bounded(context, n, m):
+    assert len(context.book.buckets()) <= n
+    for bucket in context.book.buckets():
+        assert len(context.book.cells(bucket)) <= m
+    assert context.book.dropped_cells > 0
+
+
+@behave.then('its report holds at most {n:d} cells and survives the wire')
+def report_is_bounded(context, n):
+    report = context.book.report(context.last_s)
+    assert 0 < sum(len(row.cells) for row in report.buckets) <= n
+    raw = msgpack.unpackb(msgpack.packb(report))
+    assert evidence.report_from_wire(raw) == report
+
+
+@behave.then('evidence reports of a wrong shape raise a value error')
+def wrong_shapes(context):
+    for raw in (None, [], ['a', 1, 1, [[1]]], ['a', 'x', 1, []], [1, 2]):
+        try:
+            evidence.report_from_wire(raw)
+        except ValueError:
+            continue
+        raise AssertionError(raw)
+
+
+_OUTCOME = strategies.tuples(
+    strategies.integers(0, 2),
+    strategies.integers(0, 5),
+    strategies.sampled_from(['v1', 'v2']),
+    strategies.sampled_from(['/a', '/b']),
+    strategies.integers(0, 2),
+    strategies.booleans(),
+)
+
+
+@behave.then('the events that a watch compares agree with a naive recount')
+def sums_agree(context):
+    moving = move.Move('service', 'v1', 'v2', 'm', START_S, START_S + 600)
+
+    @SETTINGS
+    @hypothesis.given(strategies.lists(_OUTCOME, max_size=60))
+    def check(outcomes):
+        books = [evidence.EvidenceBook(f'e{i}', 1) for i in range(3)]
+        for entry, second, version, route, place, failed in outcomes:
+            key = _key(route, f'fd-{place}', f'{version}-{place}', version)
+            now = START_S + second
+            books[entry].record(key, now, failed=failed)
+        reports = [book.report(START_S + 5.5) for book in books]
+        for second in range(6):
+            reports += [book.report(START_S + second) for book in books]
+        for report in reports:
+            books[0].merge(report)
+        seen = watch.MoveWatch(moving, 2, START_S)
+        block = blocks.Block(0, evidence.bucket_of(START_S))
+        limits = pace.PaceLimits()
+        for bucket in books[0].buckets():
+            for key, cell in books[0].cells(bucket):
+                block.add(key, cell, key.version == 'v2', limits)
+        for route in ('', '/a', '/b'):
+            kind = blocks.Kind(blocks.FAILED, route)
+            assert block.counts(kind) == _recount(outcomes, route, None)
+            for place in range(3):
+                suspect = blocks.Suspect(f'v2-{place}', '')
+                assert block.counts(kind, suspect) == _recount(
+                    outcomes, route, place
+                )
+        seen.advance(books[0], START_S + 60)
+        assert seen.new_attempts == sum(o[2] == 'v2' for o in outcomes)
+
+    check()
+
+
+def _recount(outcomes, route, left_out):
+    counted = [
+        outcome
+        for outcome in outcomes
+        if not (outcome[2] == 'v2' and outcome[4] == left_out)
+    ]
+    events = [o for o in counted if o[5] and route in ('', o[3])]
+    return blocks.Counts(
+        sum(o[2] == 'v2' for o in counted),
+        sum(o[2] == 'v1' for o in counted),
+        sum(o[2] == 'v2' for o in events),
+        len(events),
+    )
+
+
+@behave.then('the mean e-value over all draws without replacement is one')
+def mean_is_one(context):
+    for new, old, events in itertools.product(
+        (1, 3, 8), (1, 5, 20), (1, 4, 9)
+    ):
+        if events > new + old:
+            continue
+        for ratio in (6.0, 80.0):
+            mean = sum(
+                math.comb(new, k)
+                * math.comb(old, events - k)
+                / math.comb(new + old, events)
+                * math.exp(betting.log_e_value(new, old, k, events, ratio))
+                for k in range(max(0, events - old), min(new, events) + 1)
+            )
+            assert abs(mean - 1) < 1e-9, (new, old, events, mean)
+
+
+@behave.when('{runs:d} good versions are bet against with many starts')
+def bet_against_good(context, runs):
+    rng = random.Random(7)
+    context.greatest = []
+    for _ in range(runs):
+        wealth = betting.Wealth((6.0, 80.0), 20)
+        greatest = 0.0
+        for step in range(150):
+            failing = 0.5 if step % 40 < 3 else 0.02
+            new = sum(rng.random() < failing for _ in range(4))
+            old = sum(rng.random() < failing for _ in range(6))
+            start = betting.Start(step // 5, step // 40)
+            if new + old:
+                wealth.multiply(start, 4, 6, new, new + old)
+            greatest = max(greatest, wealth.value)
+        context.greatest.append(greatest)
+
+
+@behave.then('at most {most:d} of them ever pass an e-value of {limit:d}')
+def seldom_passed(context, most, limit):
+    passed = sum(value >= limit for value in context.greatest)
+    assert passed <= most, passed
+
+
+def _finding(fails):
+    """Return the finding on 200 blocks; ``fails(place)`` says who fails."""
+    kind = blocks.Kind(blocks.FAILED, '')
+    found = findings.Finding(kind, 40, 500.0)
+    limits = pace.PaceLimits()
+    history = []
+    for step in range(200):
+        block = blocks.Block(0, step)
+        place = step % 3
+        for version, count in (('v2', 3), ('v1', 9)):
+            failures = count if version == 'v2' and fails(place) else 0
+            key = _key('/a', f'fd-{place}', f'{version}-{place}', version)
+            block.add(
+                key,
+                evidence.Cell(count, failures),
+                version == 'v2',
+                limits,
+            )
+        record = findings.Record(betting.Start(step // 30, 0), block)
+        found.add(record, history, {'fd-0', 'fd-1', 'fd-2'})
+        history.append(record)
+    return found
+
+
+@behave.given('a new version whose failures sit on one endpoint of three')
+@behave.given(
+    'a new version whose failures sit in one failure domain of three'
+)
+def failures_in_one_place(context):
+    context.finding = _finding(lambda place: place == 1)
+
+
+@behave.given('a new version whose failures are spread over three domains')
+def failures_everywhere(context):
+    context.finding = _finding(lambda place: True)
+
+
+@behave.then('the finding is above its limit in sum but is no proof')
+def no_proof(context):
+    assert context.finding.e_value >= context.finding.limit
+    assert not context.finding.is_proof(single=False)
+
+
+@behave.then('the finding is a proof')
+def proof(context):
+    assert context.finding.is_proof(single=False)
+
+
+@behave.given('a move of {replicas:d} replicas that lasts {length_s:d} s')
+def planned_move(context, replicas, length_s):
+    context.replicas = replicas
+    context.moving = move.Move(
+        'service', 'v1', 'v2', MOVE_ID, START_S, START_S + length_s
+    )
+    context.endpoints = [
+        endpoint.Endpoint(f'e{i}', '', f'fd-{i % 4}', 'service', 'v2', False)
+        for i in range(replicas)
+    ]
+
+
+def _plan(context, after_s, verdict=move.Verdict.MOVING):
+    return share.plan_share(
+        context.moving,
+        context.endpoints,
+        context.replicas,
+        watch.MoveWatch(context.moving, 10, START_S),
+        START_S + after_s,
+        verdict,
+    )
+
+
+@behave.then(
+    'its mean share in the first {part:d} in 100 of the time is at most '
+    '{most:g}'
+)
+def small_at_first(context, part, most):
+    end = context.moving.done_by_wall_s - START_S
+    seconds = range(int(end * part / 100))
+    shares = [_plan(context, second).share for second in seconds]
+    assert 0 < sum(shares) / len(shares) <= most
+    for second in range(20, len(shares)):
+        assert sum(shares[:second]) / second <= most, second
+
+
+@behave.then('its share at {part:d} in 100 of the time is 1')
+def whole_at_last(context, part):
+    end = context.moving.done_by_wall_s - START_S
+    assert _plan(context, end * part / 100).share == 1.0
+
+
+@behave.then(
+    'some second of the first {n:d} s gives one replica a share of {wanted:g}'
+)
+def full_load(context, n, wanted):
+    plans = [_plan(context, second) for second in range(n)]
+    assert any(
+        plan.share == wanted and len(plan.replicas) == 1 for plan in plans
+    )
+
+
+@behave.then('each of its endpoints carries some share in the first {n:d} s')
+def all_carry(context, n):
+    carriers = {
+        name for second in range(n) for name in _plan(context, second).replicas
+    }
+    assert carriers == {one.endpoint_id for one in context.endpoints}
+
+
+@behave.then('a request of the move gets the same version at each try')
+def same_version(context):
+    for index in range(100):
+        hashes = {choice.request_hash('a', b'%d' % index) for _ in range(3)}
+        assert len(hashes) == 1
+        versions = {
+            choice.choose_version(context.moving, 0.3, value)
+            for value in hashes
+        }
+        assert len(versions) == 1
+
+
+def _versions(context, wanted):
+    return [
+        choice.choose_version(
+            context.moving, wanted, choice.request_hash('a', b'%d' % index)
+        )
+        for index in range(10000)
+    ]
+
+
+@behave.then(
+    'a share of {wanted:g} gives the new version {part:g} of 10000 requests'
+)
+def share_is_kept(context, wanted, part):
+    found = _versions(context, wanted).count('v2') / 10000
+    assert abs(found - part) < 0.015, found
+
+
+@behave.then(
+    'a request that has the new version keeps it when the share grows'
+)
+def share_only_adds(context):
+    for before, after in zip(_versions(context, 0.3), _versions(context, 0.6)):
+        assert before == 'v1' or after == 'v2'
+
+
+@behave.then('its share after the verdict "{verdict}" is {wanted:g}')
+def share_after(context, verdict, wanted):
+    for after_s in (0, 100, 600, 2000):
+        plan = _plan(context, after_s, move.Verdict[verdict])
+        assert plan.share == wanted
+
+
+class LossyTables(memory_tables.MemoryTables):
+    """Store that applies one write and loses its answer."""
+
+    def __init__(self):
+        super().__init__()
+        self.losses = 1
+
+    async def compare_and_set(self, table, key, expected_version, value):
+        outcome = await super().compare_and_set(
+            table, key, expected_version, value
+        )
+        if self.losses and isinstance(outcome, port.Written):
+            self.losses -= 1
+            return port.WriteUnknown('answer lost')
+        return outcome
+
+
+def _keeper(context, name):
+    return verdicts.VerdictKeeper(context.tables, name)
+
+
+@behave.given('an entry that keeps verdicts in a store that is {state}')
+def entry_and_store(context, state):
+    context.tables = memory_tables.MemoryTables()
+    context.tables.down = state == 'down'
+    context.one = _keeper(context, 'one')
+
+
+@behave.given('an entry that keeps verdicts in a store that loses one answer')
+def entry_and_lossy_store(context):
+    context.tables = LossyTables()
+    context.one = _keeper(context, 'one')
+
+
+@behave.given('two entries that keep verdicts in one store')
+def two_entries(context):
+    context.tables = memory_tables.MemoryTables()
+    context.one = _keeper(context, 'one')
+    context.two = _keeper(context, 'two')
+
+
+@behave.when('it takes the version back')
+def take_back(context):
+    assert context.one.decide(MOVE_ID, move.TakeBack('it fails'), START_S)
+    asyncio.run(context.one.flush(0.0))
+
+
+@behave.when('it takes the version back and flushes')
+def take_back_and_flush(context):
+    take_back(context)
+    asyncio.run(context.one.flush(10.0))
+
+
+@behave.when('the store returns and verdicts are flushed')
+def store_returns(context):
+    context.tables.down = False
+    assert asyncio.run(context.one.flush(10.0))
+
+
+@behave.then('its verdict is "{verdict}" and waits to be stored')
+def verdict_waits(context, verdict):
+    assert context.one.verdict(MOVE_ID) is move.Verdict[verdict]
+    assert context.one.pending() == [MOVE_ID]
+
+
+@behave.then('nothing waits to be stored')
+def nothing_waits(context):
+    assert not context.one.pending()
+
+
+def _stored(context):
+    row = asyncio.run(context.tables.read(verdicts.TABLE, MOVE_ID))
+    return row.version, verdicts.decode(row.value)
+
+
+@behave.then('the stored verdict is "{verdict}" with version {version:d}')
+def stored_with_version(context, verdict, version):
+    assert _stored(context)[0] == version
+    assert _stored(context)[1].verdict == move.Verdict[verdict]
+
+
+@behave.then('the stored verdict is "{verdict}"')
+def stored_verdict(context, verdict):
+    assert _stored(context)[1].verdict == move.Verdict[verdict]
+
+
+@behave.when('one calls the move done while the other takes it back')
+def race(context):
+    context.one.decide(MOVE_ID, move.Done('no worse'), START_S)
+    context.two.decide(MOVE_ID, move.TakeBack('it fails'), START_S + 1)
+
+    async def flush_both():
+        await asyncio.gather(context.one.flush(0.0), context.two.flush(0.0))
+        await asyncio.gather(
+            context.one.refresh(MOVE_ID, 1.0),
+            context.two.refresh(MOVE_ID, 1.0),
+        )
+
+    asyncio.run(flush_both())
+
+
+@behave.when('one takes the move back and the other then calls it done')
+def done_after_taken_back(context):
+    context.two.decide(MOVE_ID, move.TakeBack('it fails'), START_S)
+    asyncio.run(context.two.flush(0.0))
+    context.one.decide(MOVE_ID, move.Done('no worse'), START_S + 1)
+    asyncio.run(context.one.flush(0.0))
+
+
+@behave.then('both entries and the store say "{verdict}"')
+def all_say(context, verdict):
+    wanted = move.Verdict[verdict]
+    assert context.one.verdict(MOVE_ID) is wanted
+    assert context.two.verdict(MOVE_ID) is wanted
+    assert _stored(context)[1].verdict == wanted
+
+
+_ROW = strategies.builds(
+    verdicts.VerdictRow,
+    strategies.just(MOVE_ID),
+    strategies.sampled_from(list(move.Verdict)),
+    strategies.sampled_from(['x', 'y']),
+    strategies.sampled_from(['a', 'b']),
+    strategies.integers(0, 3).map(float),
+)
+
+
+@behave.then('merging verdicts is commutative, associative and idempotent')
+def verdicts_merge(context):
+    stronger = verdicts.stronger
+
+    @SETTINGS
+    @hypothesis.given(_ROW, _ROW, _ROW)
+    def check(a, b, c):
+        assert stronger(a, b) == stronger(b, a)
+        assert stronger(a, a) == a
+        assert stronger(stronger(a, b), c) == stronger(a, stronger(b, c))
+        assert stronger(a, b).verdict == max(a.verdict, b.verdict)
+
+    check()
+
+
+@behave.when('it refreshes the verdict at {now_s:d} s')
+def refresh(context, now_s):
+    assert asyncio.run(context.one.refresh(MOVE_ID, float(now_s)))
+
+
+@behave.then(
+    'it may offer the new version at {early:d} s but not at {late:d} s'
+)
+def lease_ends(context, early, late):
+    assert context.one.may_offer(MOVE_ID, float(early))
+    assert not context.one.may_offer(MOVE_ID, float(late))
+
+
+@behave.when('one takes the move back while the other is cut off')
+def cut_off(context):
+    asyncio.run(context.two.refresh(MOVE_ID, 100.0))
+    assert context.two.may_offer(MOVE_ID, 101.0)
+    context.one.decide(MOVE_ID, move.TakeBack('it fails'), START_S)
+    asyncio.run(context.one.flush(101.0))
+
+
+@behave.then('the cut off entry offers the version at no time after its lease')
+def no_offer_after_lease(context):
+    for now_s in range(104, 200):
+        assert not context.two.may_offer(MOVE_ID, float(now_s))
+
+
+@behave.when('the cut off entry can read the store again')
+def connected_again(context):
+    assert asyncio.run(context.two.refresh(MOVE_ID, 200.0))
+
+
+@behave.then('neither entry offers the version under this move id')
+def never_offered(context):
+    for keeper in (context.one, context.two):
+        keeper.decide(MOVE_ID, move.Done('no worse'), START_S + 9)
+        assert not keeper.may_offer(MOVE_ID, 200.0)
+
+
+@behave.then('a move with another text digest is offered')
+def other_move(context):
+    other = move.move_id('service', 'v2', 'another digest')
+    assert other != move.move_id('service', 'v2', 'digest')
+    asyncio.run(context.two.refresh(other, 200.0))
+    assert context.two.may_offer(other, 200.0)
+
+
+@behave.when('one takes the move back and a third entry starts')
+def third_entry(context):
+    context.one.decide(MOVE_ID, move.TakeBack('it fails'), START_S)
+    asyncio.run(context.one.flush(0.0))
+    context.three = _keeper(context, 'three')
+
+
+@behave.then('the third entry does not offer the version')
+def third_does_not_offer(context):
+    assert not context.three.may_offer(MOVE_ID, 0.0)
+    asyncio.run(context.three.refresh(MOVE_ID, 1.0))
+    assert not context.three.may_offer(MOVE_ID, 1.0)
+
+
+# A tenth of the measured length keeps the suite short.
+_SMALL = tuple(
+    site._replace(move_s=400.0, most_rate=8.0, least_rate=6.0)
+    for site in sites.SITES
+    if site.name in ('council-portal', 'lab-reservations')
+)
+
+
+@behave.when(
+    '{count:d} seeded moves of the case "{name}" run at the small sizes'
+)
+def run_moves(context, count, name):
+    case = next(case for case in sites.CASES if case.name == name)
+    context.runs = [
+        move_runs.Simulation(_SMALL[seed % len(_SMALL)], case, seed).run()
+        for seed in range(count)
+    ]
+
+
+@behave.then('at least {least:d} of these moves are done in time')
+def moves_done(context, least):
+    late = [
+        run
+        for run in context.runs
+        if run.taken_back_s is not None or not run.done_s or run.done_s > 400
+    ]
+    assert len(context.runs) - len(late) >= least, late
+
+
+@behave.then('at least {least:d} of these moves are taken back')
+def moves_taken_back(context, least):
+    missed = [run for run in context.runs if not moves.taken_back(run)]
+    assert len(context.runs) - len(missed) >= least, missed
+
+
+@behave.then('none of these moves sent requests 3 s after the verdict')
+def none_after(context):
+    assert not any(run.after_verdict for run in context.runs)
+
+
+class SumOnlyWatch(watch.MoveWatch):
+    """Watch without the evidence by route."""
+
+    def proofs(self, single):
+        return [f for f in super().proofs(single) if not f.kind.route]
+
+
+@behave.given(
+    'a new version that fails on a route with one percent of requests'
+)
+def rare_route(context):
+    context.moving = move.Move(
+        'service', 'v1', 'v2', MOVE_ID, START_S, START_S + 1200
+    )
+    rng = random.Random(3)
+    context.watches = [
+        kind(context.moving, 2, START_S)
+        for kind in (watch.MoveWatch, SumOnlyWatch)
+    ]
+    book = evidence.EvidenceBook('me', 1)
+    context.proofs = [0, 0]
+    for second in range(600):
+        now = START_S + second
+        for _ in range(20):
+            version = rng.choice(('v1', 'v2'))
+            route = '/rare' if rng.random() < 0.01 else '/usual'
+            failed = rng.random() < 0.04
+            if route == '/rare':
+                failed = version == 'v2'
+            place = rng.randrange(4)
+            key = _key(route, f'fd-{place}', f'{version}-{place}', version)
+            book.record(key, now, failed=failed)
+        for index, seen in enumerate(context.watches):
+            seen.advance(book, now)
+            context.proofs[index] += bool(seen.proofs(single=False))
+
+
+@behave.then('evidence by route proves the fault')
+def route_proves(context):
+    assert context.proofs[0]
+
+
+@behave.then('evidence in sum alone does not prove it')
+def sum_does_not(context):
+    assert not context.proofs[1]
