--- a/src/godwitvalve/entry/information.py
+++ b/src/godwitvalve/entry/information.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from aiohttp import web
 
 from godwitvalve.entry import answers
@@ -95,6 +97,7 @@
                 'may_admit': tracker.may_admit(context.clock.monotonic_s()),
                 'in_flight': context.lifecycle.running,
                 'peers': len(context.node.connected_instances()),
+                'control': dataclasses.asdict(context.node.traffic),
                 'members': [
                     [member.instance_id, member.state]
                     for member in context.node.members()
