--- a/bench/control.py
+++ b/bench/control.py
@@ -17,7 +17,7 @@
 
 from bench import rows
 from godwitvalve.text import head as text_head
-import psutil
+import psutil  # type: ignore[import-untyped]
 from standins import local_site
 from standins import small_site
 
--- /dev/null
+++ b/features/steps/control_steps.py
@@ -0,0 +1,303 @@
+"""Steps for the control traffic between entries."""
+
+from __future__ import annotations
+
+import itertools
+import math
+
+import behave
+from features.doubles import control_net
+from features.variants import control as variants
+from godwitvalve.configuration import member_lists
+from godwitvalve.configuration import tracker
+from godwitvalve.entry import freshness
+from godwitvalve.peers import messages
+import hypothesis
+from hypothesis import strategies
+
+DERANDOMIZED = hypothesis.settings(
+    derandomize=True, max_examples=200, deadline=None, database=None
+)
+NAMES = ('a', 'b', 'c', 'd', 'e')
+SEED = 4
+
+
+class _Pair:
+    """An entry, its naive copy, and the truth about all entries."""
+
+    def __init__(self, name, offset_s):
+        self.name = name
+        self.offset_s = offset_s
+        self.tracker = tracker.ConfigurationTracker(name)
+        self.exchange = freshness.FreshnessExchange(self.tracker)
+        self.naive = variants.NaiveHeard(name)
+        self.set_listed(NAMES)
+
+    def set_listed(self, names):
+        self.tracker.set_listed(names)
+        self.naive.set_listed(names)
+
+
+class _Game:
+    """Plays random actions on the real and on the naive tables."""
+
+    def __init__(self, offsets):
+        self.now_s = 100.0
+        self.pairs = {
+            name: _Pair(name, offset_s)
+            for name, offset_s in zip(NAMES, offsets)
+        }
+        self.under_way = []
+        self.spoke_s = dict.fromkeys(NAMES, -math.inf)
+        self.read = self.unread = self.named = 0
+        self.extra = itertools.count()
+
+    def send(self, index, to):
+        sender, receiver = NAMES[index], NAMES[to]
+        if sender == receiver:
+            return
+        pair = self.pairs[sender]
+        clock_s = self.now_s + pair.offset_s
+        for peer, message in pair.exchange.messages_for(
+            [each for each in NAMES if each != sender], clock_s
+        ):
+            if peer == receiver:
+                told = pair.naive.tell(clock_s)
+                self.under_way.append(
+                    (sender, peer, messages.encode(message), told, self.now_s)
+                )
+        self.spoke_s[sender] = self.now_s
+
+    def exchange(self, index, to):
+        self.send(index, to)
+        self.deliver(-1, index)
+
+    def deliver(self, index, excess):
+        if not self.under_way:
+            return
+        sender, peer, packed, told, sent_s = self.under_way.pop(
+            index % len(self.under_way)  # -1 is the newest
+        )
+        pair = self.pairs[peer]
+        clock_s = self.now_s + pair.offset_s
+        transit_s = self.now_s - sent_s + excess / 8
+        message = messages.decode(packed)._replace(transit_s=transit_s)
+        order = message.names
+        if message.order_digest:
+            order = pair.tracker.heard._lists.find(message.order_digest)
+        pair.exchange.take(sender, message, clock_s)
+        self.read += order is not None
+        self.unread += order is None
+        self.named += bool(message.names)
+        # An entry that the order leaves out has no age in the message.
+        told = {name: told[name] for name in order or () if name in told}
+        pair.naive.take(sender, told, clock_s - transit_s)
+
+    def list(self, index, bits):
+        listed = [name for bit, name in enumerate(NAMES) if bits >> bit & 1]
+        if bits >= 32:
+            # A list that no other entry knows.
+            listed.append(f'x{next(self.extra)}')
+        self.pairs[NAMES[index]].set_listed(listed)
+
+    def advance(self, tenths, _):
+        self.now_s += tenths * 0.375
+
+    def check(self):
+        for pair in self.pairs.values():
+            times = pair.tracker.heard.times()
+            for name in NAMES:
+                at_s = times.get(name, -math.inf)
+                assert at_s == pair.naive.at_s(name), (pair.name, name)
+                true_s = self.spoke_s[name] + pair.offset_s
+                assert at_s <= true_s + 1e-9, 'younger than the truth'
+
+
+@behave.then(
+    'under any order of lists, sends and deliveries the table of ages '
+    'equals a naive one and is never younger than the truth'
+)
+def table_equals_naive(context):
+    small = strategies.integers(0, 4)
+    action = strategies.one_of(
+        strategies.tuples(strategies.just('send'), small, small),
+        strategies.tuples(strategies.just('deliver'), small, small),
+        strategies.tuples(strategies.just('exchange'), small, small),
+        strategies.tuples(strategies.just('exchange'), small, small),
+        strategies.tuples(strategies.just('advance'), small, small),
+        strategies.tuples(
+            strategies.just('list'), small, strategies.integers(0, 63)
+        ),
+    )
+    reads = []
+
+    @DERANDOMIZED
+    @hypothesis.given(
+        strategies.lists(
+            strategies.integers(-1000, 1000), min_size=5, max_size=5
+        ),
+        strategies.lists(action, min_size=30, max_size=120),
+    )
+    def run(offsets, actions):
+        game = _Game(offsets)
+        for name, first, second in actions:
+            getattr(game, name)(first, second)
+            game.check()
+        reads.append((game.read, game.unread, game.named))
+
+    run()
+    read, unread, named = map(sum, zip(*reads))
+    assert read > 1000 and unread > 50 and named > 50, (read, unread, named)
+
+
+def _run_net(context, count, duration_s, **variant):
+    context.net = control_net.ControlNet(count, SEED, **variant)
+    context.net.run_until(duration_s)
+
+
+@behave.given(
+    '{count:d} entries that exchange ages without a store for {for_s:g} s'
+)
+def entries_exchange(context, count, for_s):
+    _run_net(context, count, for_s)
+
+
+@behave.given(
+    '{count:d} entries whose table forgets ages, without a store for '
+    '{for_s:g} s'
+)
+def entries_forget_ages(context, count, for_s):
+    _run_net(context, count, for_s, make_tracker=variants.AgelessTracker)
+
+
+@behave.given(
+    '{count:d} entries that tell only their revision in force, without a '
+    'store for {for_s:g} s'
+)
+def entries_tell_in_force(context, count, for_s):
+    variant = variants.WithoutKnownRevision
+    _run_net(context, count, for_s, make_exchange=variant)
+
+
+@behave.then('all {count:d} entries of the control network admit work')
+def all_admit(context, count):
+    assert len(context.net.admitting()) == count
+
+
+@behave.when('{count:d} of them are cut off from the other {others:d}')
+def cut_off(context, count, others):
+    names = sorted(context.net.entries)
+    assert len(names) == count + others
+    context.minority = set(names[::2][:count])
+    context.majority = set(names) - context.minority
+    context.net.partition(context.minority)
+
+
+@behave.then(
+    'within 10 s the minority has stopped and the majority goes on for '
+    '{for_s:g} s'
+)
+def minority_stops(context, for_s):
+    net = context.net
+    begin_s = net.now_s
+    while net.now_s < begin_s + for_s:
+        net.run_until(net.now_s + 0.25)
+        admitting = net.admitting()
+        assert context.majority <= admitting, net.now_s - begin_s
+        if net.now_s - begin_s > 10:
+            assert not admitting & context.minority, net.now_s - begin_s
+
+
+@behave.then('within {for_s:g} s no entry of the control network admits work')
+def none_admits(context, for_s):
+    context.net.run_until(context.net.now_s + for_s + 0.01)
+    assert not context.net.admitting()
+
+
+@behave.then('after 10 s some entry of the minority still admits work')
+def minority_admits(context):
+    context.net.run_until(context.net.now_s + 10.01)
+    assert context.net.admitting() & context.minority
+
+
+@behave.then(
+    'after {for_s:g} s some entry of the control network still admits work'
+)
+def some_admit(context, for_s):
+    context.net.run_until(context.net.now_s + for_s + 0.01)
+    assert context.net.admitting()
+
+
+@behave.when('one entry learns of a revision whose parts nobody can fetch')
+def learns_revision(context):
+    net = context.net
+    entry = net.entries[min(net.entries)]
+    entry.tracker.offer(control_net.make_head(2), entry.clock_s(net.now_s))
+
+
+@behave.when(
+    'one entry of the minority reads the store each second for {for_s:g} s'
+)
+def one_reads(context, for_s):
+    net = context.net
+    entry = net.entries[min(context.minority)]
+    for _ in range(int(for_s)):
+        clock_s = entry.clock_s(net.now_s)
+        entry.tracker.confirm_by_store(1, clock_s, clock_s)
+        net.run_until(net.now_s + 1)
+
+
+@behave.then('all {count:d} entries of the minority admit work')
+def minority_goes_on(context, count):
+    assert len(context.net.admitting() & context.minority) == count
+
+
+@behave.then(
+    'all {count:d} entries admit work at each second of the next {for_s:d} s'
+)
+def all_go_on(context, count, for_s):
+    context.net.sent_bytes = 0
+    context.begin_s = context.net.now_s
+    for _ in range(for_s):
+        context.net.run_until(context.net.now_s + 1)
+        assert len(context.net.admitting()) == count
+
+
+@behave.then('each entry sent less than {limit:d} bytes a second of ages')
+def few_bytes(context, limit):
+    net = context.net
+    sent = net.sent_bytes / len(net.entries) / (net.now_s - context.begin_s)
+    assert sent < limit, sent
+
+
+@behave.given('two neighbours whose lists have no common digest')
+def lists_differ(context):
+    context.trackers = {}
+    context.exchanges = {}
+    for name, third in (('a', 'x'), ('b', 'y')):
+        tracked = tracker.ConfigurationTracker(name)
+        for number in range(member_lists.KEPT_LISTS + 1):
+            tracked.set_listed(['a', 'b', 'c', f'{third}{number}'])
+        context.trackers[name] = tracked
+        context.exchanges[name] = freshness.FreshnessExchange(tracked)
+    heard = tracker.PeerFreshness('c', 0, None, 2.0)
+    context.trackers['a'].hear_peer(heard, 50.0)
+
+
+@behave.when('they exchange ages three times')
+def exchange_ages(context):
+    context.sent = []
+    for now_s in (50.0, 51.0, 52.0):
+        for name, peer in (('a', 'b'), ('b', 'a')):
+            found = context.exchanges[name].messages_for([peer], now_s)
+            [(_, message)] = found
+            context.sent.append(message)
+            context.exchanges[peer].take(name, message, now_s)
+
+
+@behave.then('each has read what the other heard, by name')
+def read_by_name(context):
+    assert not context.sent[0].names
+    assert context.sent[-1].names and context.sent[-2].names
+    times = context.trackers['b'].heard.times()
+    assert 47.9 < times['c'] < 48.0
--- /dev/null
+++ b/src/godwitvalve/configuration/member_lists.py
@@ -0,0 +1,44 @@
+"""Orders in which the ages of entries travel without their names."""
+
+from __future__ import annotations
+
+from collections import abc
+import hashlib
+
+# Lists differ between entries while a change spreads; a peer that reads the
+# platform's list less often is a few changes behind.
+KEPT_LISTS = 8
+DIGEST_BYTES = 8
+
+
+def digest(names: abc.Sequence[str]) -> bytes:
+    """Return a short digest of a sorted list of entries."""
+    text = '\0'.join(names).encode()
+    return hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
+
+
+class MemberLists:
+    """The newest lists of entries that this entry has used, by digest."""
+
+    def __init__(self) -> None:
+        self._lists: dict[bytes, tuple[str, ...]] = {}
+        self.digest = b''
+        self.update(())
+
+    def update(self, instance_ids: abc.Iterable[str]) -> None:
+        """Take the list as it is now."""
+        names = tuple(sorted(instance_ids))
+        self.digest = digest(names)
+        self._lists.pop(self.digest, None)
+        self._lists[self.digest] = names
+        while len(self._lists) > KEPT_LISTS:
+            del self._lists[next(iter(self._lists))]
+
+    def find(self, list_digest: bytes) -> tuple[str, ...] | None:
+        """Return the list with a digest, or None if it is not known."""
+        return self._lists.get(list_digest)
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """The present list, sorted."""
+        return self._lists[self.digest]
--- a/src/godwitvalve/configuration/tracker.py
+++ b/src/godwitvalve/configuration/tracker.py
@@ -14,6 +14,7 @@
 import math
 from typing import NamedTuple, TypeAlias
 
+from godwitvalve.configuration import heard_table
 from godwitvalve.text import head as text_head
 
 # Section 4.9: an entry without confirmation for this long admits nothing.
@@ -62,14 +63,6 @@
     confirmed_age_s: float | None
 
 
-@dataclasses.dataclass
-class _Heard:
-    """Last report of one peer."""
-
-    revision: int
-    at_s: float
-
-
 class ConfigurationTracker:
     """Pure state about revisions; every time is monotonic seconds.
 
@@ -87,7 +80,7 @@
         self._known_revision = 0
         self._superseded_at_s = math.inf
         self._confirmed: dict[int, float] = {}
-        self._heard: dict[str, _Heard] = {}
+        self._heard = heard_table.HeardTable(instance_id)
         self._listed: frozenset[str] = frozenset()
 
     @property
@@ -175,23 +168,40 @@
     def hear_peer(self, report: PeerFreshness, now_s: float) -> None:
         """Record what a peer said."""
         at_s = now_s - max(report.report_age_s, 0.0)
-        heard = self._heard.get(report.instance_id)
-        if heard is not None and heard.at_s > at_s:
-            return
-        self._heard[report.instance_id] = _Heard(report.revision, at_s)
+        self._heard.hear(report.instance_id, at_s)
         self._learn(report.revision, now_s)
         if report.confirmed_age_s is not None:
             age_s = max(report.confirmed_age_s, 0.0)
             self._confirm(report.revision, at_s - age_s)
 
+    def hear_through(
+        self,
+        known_revision: int,
+        ages: heard_table.EncodedAges,
+        sent_s: float,
+        now_s: float,
+    ) -> bool:
+        """Record when a peer last heard of the other entries.
+
+        :param known_revision: highest revision that the peer knows to be
+            accepted. It covers what the entries of the table said, so an
+            entry with a higher revision ends the confirmation by a majority
+            at each entry that counts it.
+        :param sent_s: not later than the moment at which the peer sent it.
+        :returns: whether the ages could be read.
+        """
+        self._learn(known_revision, now_s)
+        return self._heard.merge(ages, sent_s)
+
+    @property
+    def heard(self) -> heard_table.HeardTable:
+        """When this entry last heard of each other one."""
+        return self._heard
+
     def set_listed(self, instance_ids: Iterable[str]) -> None:
         """Replace the ids of the live entries in the platform's list."""
         self._listed = frozenset(instance_ids)
-        self._heard = {
-            instance_id: heard
-            for instance_id, heard in self._heard.items()
-            if instance_id in self._listed
-        }
+        self._heard.set_listed(self._listed)
 
     def majority_heard_at_s(self) -> float:
         """Return the last moment at which more than half were heard.
@@ -204,8 +214,8 @@
         entries = self._listed | {self._instance_id}
         times = sorted(
             (
-                heard.at_s
-                for instance_id, heard in self._heard.items()
+                at_s
+                for instance_id, at_s in self._heard.times().items()
                 if instance_id in entries and instance_id != self._instance_id
             ),
             reverse=True,
--- /dev/null
+++ b/src/godwitvalve/entry/freshness.py
@@ -0,0 +1,112 @@
+"""Exchange of freshness with the neighbours in the overlay."""
+
+from __future__ import annotations
+
+from collections import abc
+import dataclasses
+
+from godwitvalve.configuration import heard_table
+from godwitvalve.configuration import tracker as trackers
+from godwitvalve.peers import messages
+
+# An age grows by up to this and the bound of the link's delay at each hop;
+# 420 entries with six links each are at most five hops apart.
+INTERVAL_S = 1.0
+# Age told by an entry that never had its revision confirmed.
+NEVER_CONFIRMED_AGE_S = 1e9
+
+
+@dataclasses.dataclass
+class _Neighbour:
+    """What the last message of a neighbour said about its lists.
+
+    :param list_digest: empty before the first message.
+    :param wants_names: it does not know this entry's list.
+    """
+
+    list_digest: bytes = b''
+    wants_names: bool = False
+
+
+class FreshnessExchange:
+    """Builds and reads the messages between overlay neighbours.
+
+    Each message goes over one link and is not passed on, so the cost of an
+    entry grows by one byte a link and second with each other entry.
+    """
+
+    def __init__(self, tracker: trackers.ConfigurationTracker) -> None:
+        self._tracker = tracker
+        self._neighbours: dict[str, _Neighbour] = {}
+
+    def messages_for(
+        self, neighbours: abc.Sequence[str], now_s: float
+    ) -> list[tuple[str, messages.HeardAges]]:
+        """Return what to send to each neighbour now."""
+        self._neighbours = {
+            each: self._neighbours.get(each, _Neighbour())
+            for each in neighbours
+        }
+        encoded: dict[tuple[bytes, bool], heard_table.EncodedAges] = {}
+        found = []
+        for each, state in self._neighbours.items():
+            kind = (state.list_digest, state.wants_names)
+            if kind not in encoded:
+                encoded[kind] = self._encode(state, now_s)
+            found.append((each, self._message(state, encoded[kind], now_s)))
+        return found
+
+    def _encode(
+        self, state: _Neighbour, now_s: float
+    ) -> heard_table.EncodedAges:
+        heard = self._tracker.heard
+        if state.wants_names and not heard.knows(state.list_digest):
+            return heard.encode_by_name(now_s)
+        return heard.encode(state.list_digest, now_s)
+
+    def _message(
+        self,
+        state: _Neighbour,
+        ages: heard_table.EncodedAges,
+        now_s: float,
+    ) -> messages.HeardAges:
+        own = self._tracker.freshness(now_s)
+        age_s = own.confirmed_age_s
+        heard = self._tracker.heard
+        told = state.list_digest
+        return messages.HeardAges(
+            own.revision,
+            NEVER_CONFIRMED_AGE_S if age_s is None else age_s,
+            0.0,
+            self._tracker.known_revision,
+            heard.list_digest,
+            told != b'' and not heard.knows(told),
+            *ages,
+        )
+
+    def take(
+        self, origin: str, message: messages.HeardAges, now_s: float
+    ) -> None:
+        """Take in the message of a neighbour."""
+        transit_s = max(message.transit_s, 0.0)
+        never = message.age_s >= NEVER_CONFIRMED_AGE_S
+        self._tracker.hear_peer(
+            trackers.PeerFreshness(
+                origin,
+                message.revision,
+                None if never else message.age_s,
+                transit_s,
+            ),
+            now_s,
+        )
+        self._tracker.hear_through(
+            message.known_revision,
+            heard_table.EncodedAges(
+                message.order_digest, message.ages, message.names
+            ),
+            now_s - transit_s,
+            now_s,
+        )
+        self._neighbours[origin] = _Neighbour(
+            message.list_digest, message.names_wanted
+        )
--- a/src/godwitvalve/entry/gossip.py
+++ b/src/godwitvalve/entry/gossip.py
@@ -9,8 +9,8 @@
 
 import msgpack
 
-from godwitvalve.configuration import tracker as trackers
 from godwitvalve.entry import context as contexts
+from godwitvalve.entry import freshness
 from godwitvalve.entry import plain_calls
 from godwitvalve.idempotency import forwarding
 from godwitvalve.limits import model as limit_model
@@ -23,10 +23,7 @@
 from godwitvalve.peers import node as peer_nodes
 from godwitvalve.text import head as text_head
 
-FRESHNESS_INTERVAL_S = 1.0
 EVIDENCE_INTERVAL_S = 1.0
-# Age told by an entry that never had its revision confirmed.
-NEVER_CONFIRMED_AGE_S = 1e9
 # Peers that are asked for parts before the object store.
 MAX_PEERS_ASKED = 2
 
@@ -68,12 +65,15 @@
         self._sender = plain_calls.CallSender(context)
         self._tasks: set[asyncio.Task[Any]] = set()
         self._announced_revision = 0
+        self._freshness = freshness.FreshnessExchange(
+            context.refresher.tracker
+        )
 
     def register(self) -> None:
         """Add the handlers of all messages."""
         node = self._context.node
         node.on(messages.HeadAnnounced, self._take_head)
-        node.on(messages.Freshness, self._take_freshness)
+        node.on(messages.HeardAges, self._take_ages)
         node.on(messages.EvidenceReport, self._take_evidence)
         node.on(messages.VerdictAnnounced, self._take_verdict)
         node.on(messages.DemandReport, self._take_demand)
@@ -84,7 +84,7 @@
     async def run(self) -> None:
         """Send reports until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._send_freshness())
+            group.create_task(self._send_ages())
             group.create_task(self._send_evidence())
             group.create_task(self._send_demand())
 
@@ -97,21 +97,16 @@
             messages.HeadAnnounced(head.revision, text_head.encode(head))
         )
 
-    async def _send_freshness(self) -> None:
+    async def _send_ages(self) -> None:
         context = self._context
         while True:
-            own = context.refresher.tracker.freshness(
-                context.clock.monotonic_s()
-            )
-            age_s = own.confirmed_age_s
-            context.node.broadcast(
-                messages.Freshness(
-                    context.instance_id,
-                    own.revision,
-                    NEVER_CONFIRMED_AGE_S if age_s is None else age_s,
-                )
-            )
-            await asyncio.sleep(FRESHNESS_INTERVAL_S)
+            neighbours = context.node.connected_instances()
+            now_s = context.clock.monotonic_s()
+            for neighbour, message in self._freshness.messages_for(
+                neighbours, now_s
+            ):
+                context.node.send(neighbour, message)
+            await asyncio.sleep(freshness.INTERVAL_S)
 
     async def _send_evidence(self) -> None:
         context = self._context
@@ -169,18 +164,10 @@
         self._announced_revision = max(self._announced_revision, head.revision)
         self._start(self._context.refresher.offer_from_peer(head))
 
-    def _take_freshness(self, origin: str, message: messages.Message) -> None:
-        assert isinstance(message, messages.Freshness)
-        if message.origin != origin:
-            return
-        never = message.age_s >= NEVER_CONFIRMED_AGE_S
-        # The node has added the time on the way to the age.
-        report = trackers.PeerFreshness(
-            origin, message.revision, None if never else message.age_s, 0.0
-        )
-        self._context.refresher.tracker.hear_peer(
-            report, self._context.clock.monotonic_s()
-        )
+    def _take_ages(self, origin: str, message: messages.Message) -> None:
+        assert isinstance(message, messages.HeardAges)
+        now_s = self._context.clock.monotonic_s()
+        self._freshness.take(origin, message, now_s)
 
     def _take_evidence(self, origin: str, message: messages.Message) -> None:
         assert isinstance(message, messages.EvidenceReport)
--- a/src/godwitvalve/peers/messages.py
+++ b/src/godwitvalve/peers/messages.py
@@ -89,6 +89,34 @@
     age_s: float
 
 
+class HeardAges(NamedTuple):
+    """What a neighbour knows of revisions and has heard of all entries.
+
+    It is sent to neighbours only, and each sends its own.
+
+    :param revision: revision in force at the sender.
+    :param age_s: seconds since the store confirmed it, at most.
+    :param transit_s: age of this message; 0 when sent, and set by the node
+        that receives it.
+    :param known_revision: highest revision known to be accepted.
+    :param list_digest: digest of the entries that the sender lists.
+    :param names_wanted: the sender does not know the receiver's list.
+    :param order_digest: digest of the list that ``ages`` follows, or empty
+        if it follows ``names``.
+    :param ages: steps of time since the sender heard of each entry.
+    """
+
+    revision: int
+    age_s: float
+    transit_s: float
+    known_revision: int
+    list_digest: bytes
+    names_wanted: bool
+    order_digest: bytes
+    ages: bytes
+    names: tuple[str, ...]
+
+
 class ForwardCall(NamedTuple):
     """A call whose key belongs to the receiving incarnation."""
 
@@ -120,6 +148,7 @@
     | DemandReport
     | MemberFact
     | Freshness
+    | HeardAges
     | ForwardCall
     | ForwardAnswer
 )
@@ -137,6 +166,7 @@
     9: Freshness,
     10: ForwardCall,
     11: ForwardAnswer,
+    12: HeardAges,
 }
 _TAG_OF = {kind: tag for tag, kind in TAGS.items()}
 
--- a/src/godwitvalve/peers/node.py
+++ b/src/godwitvalve/peers/node.py
@@ -239,4 +239,6 @@
 def _add_age(message: messages.Message, age_s: float) -> messages.Message:
     if isinstance(message, messages.Freshness):
         return message._replace(age_s=message.age_s + age_s)
+    if isinstance(message, messages.HeardAges):
+        return message._replace(transit_s=age_s)
     return message
