--- a/bench/share_network.py
+++ b/bench/share_network.py
@@ -14,6 +14,7 @@
 from typing import Protocol
 
 from godwitvalve.limits import model
+from godwitvalve.limits import shares as account_shares
 
 STEP_S = 0.05
 LIST_INTERVAL_S = 1.0
@@ -186,9 +187,17 @@
             entry.shares.update_members(listed, clock_s, clock_s)
         if self.now_s >= entry.next_report_s:
             entry.next_report_s = self.now_s + REPORT_INTERVAL_S / entry.rate
+            if self._may_skip(entry, clock_s):
+                return
             report = entry.shares.make_report(entry.demands, clock_s)
             self._send(entry.name, report)
 
+    def _may_skip(self, entry: Entry, clock_s: float) -> bool:
+        held = entry.shares
+        return isinstance(
+            held, account_shares.AccountShares
+        ) and held.may_skip_report(entry.demands, clock_s)
+
     def _send(self, sender: str, report: model.DemandReport) -> None:
         for receiver, entry in self.entries.items():
             if receiver == sender:
--- /dev/null
+++ b/features/steps/quiet_steps.py
@@ -0,0 +1,134 @@
+"""Steps for demand reports that are left out."""
+
+from __future__ import annotations
+
+import random
+
+import behave
+from bench import share_network
+from godwitvalve.limits import pace
+from godwitvalve.limits import shares
+
+ACCOUNT = 'portal'
+ROUNDING = 1e-9
+RUNS = 12
+
+
+class _Counted(share_network.ShareNetwork):
+    """Network that keeps what was sent."""
+
+    def __init__(self, seed):
+        super().__init__(seed, shares.AccountShares)
+        self.sent = []
+
+    def _send(self, sender, report):
+        self.sent.append((self.now_s, report))
+        super()._send(sender, report)
+
+
+def _fault(network, chance):
+    names = sorted(network.entries)
+    match chance.randrange(6):
+        case 0:
+            network.isolate(chance.sample(names, 2))
+        case 1:
+            network.heal()
+        case 2:
+            network.list_available = not network.list_available
+        case 3:
+            name = chance.choice(names)
+            network.stop(name)
+            network.start(name, 0.1)
+        case 4:
+            entry = network.entries[chance.choice(names)]
+            entry.demands = {ACCOUNT: chance.choice([0.0, 0.1, 1.0])}
+        case 5:
+            network.faults.loss = chance.choice([0.0, 0.2])
+
+
+@behave.then(
+    'with quiet entries under partitions, restarts and list outages the '
+    'shares sum up to at most the limit'
+)
+def sum_within_limit(context):
+    before = pace.QUIET_S_PER_ENTRY
+    context.cleanups.append(lambda: setattr(pace, 'QUIET_S_PER_ENTRY', before))
+    pace.QUIET_S_PER_ENTRY = pace.QUIET_LIMIT_S
+    fewest = 100.0
+    for seed in range(RUNS):
+        chance = random.Random(seed)
+        network = _Counted(seed)
+        for number in range(5):
+            network.start(f'e{number}', 0.1)
+        for _ in range(12):
+            _fault(network, chance)
+            for _ in network.run(chance.choice([1.0, 5.0, 15.0, 30.0])):
+                assert network.total(ACCOUNT) <= 1 + ROUNDING, seed
+        rate = len(network.sent) / network.now_s / 5
+        fewest = min(fewest, rate)
+    assert fewest < 0.9, 'no report was left out'
+
+
+@behave.given(
+    '{count:d} entries without demand that share limits for {for_s:g} s'
+)
+def quiet_entries(context, count, for_s):
+    context.shares = _Counted(1)
+    for number in range(count):
+        context.shares.start(f'e{number}')
+    for _ in context.shares.run(for_s):
+        pass
+
+
+def _last(network, for_s):
+    return [
+        report
+        for at_s, report in network.sent
+        if at_s >= network.now_s - for_s
+    ]
+
+
+@behave.then(
+    'they sent at most {limit:g} reports an entry and second in the last '
+    '{for_s:g} s'
+)
+def few_reports(context, limit, for_s):
+    network = context.shares
+    found = len(_last(network, for_s)) / for_s / len(network.entries)
+    assert found <= limit, found
+
+
+@behave.then('no report of the last {for_s:g} s names what was heard')
+def nothing_heard(context, for_s):
+    assert not any(report.heard for report in _last(context.shares, for_s))
+
+
+@behave.when('one of the quiet entries has demand for a whole limit')
+def demand_starts(context):
+    context.shares.entries['e7'].demands = {ACCOUNT: 1.0}
+
+
+@behave.then('within {for_s:g} s it may use more than half of the limit')
+def is_lent(context, for_s):
+    network = context.shares
+    for _ in network.run(for_s):
+        if network.share('e7', ACCOUNT) > 0.5:
+            return
+    raise AssertionError(network.share('e7', ACCOUNT))
+
+
+@behave.when('the list of the sharing entries fails for {for_s:g} s')
+def list_fails(context, for_s):
+    network = context.shares
+    network.list_available = False
+    context.totals = [network.total(ACCOUNT) for _ in network.run(for_s)]
+
+
+@behave.then(
+    'the shares of the {count:d} entries sum up to the whole limit at each '
+    'step'
+)
+def whole_limit(context, count):
+    assert len(context.shares.entries) == count
+    assert min(context.totals) > 1 - 1e-6, min(context.totals)
+    assert max(context.totals) < 1 + ROUNDING, max(context.totals)
--- a/src/godwitvalve/entry/gossip.py
+++ b/src/godwitvalve/entry/gossip.py
@@ -124,21 +124,26 @@
             await asyncio.sleep(EVIDENCE_INTERVAL_S)
 
     async def _send_demand(self) -> None:
-        context = self._context
         while True:
-            report = context.shares.make_report(
-                context.admission.demands(), context.clock.monotonic_s()
-            )
-            context.node.broadcast(
-                messages.DemandReport(
-                    report.origin,
-                    report.incarnation,
-                    report.sequence,
-                    msgpack.packb(report),
-                )
-            )
+            self._report_demand()
             await asyncio.sleep(account_shares.REPORT_INTERVAL_S)
 
+    def _report_demand(self) -> None:
+        context = self._context
+        demands = context.admission.demands()
+        now_s = context.clock.monotonic_s()
+        if context.shares.may_skip_report(demands, now_s):
+            return
+        report = context.shares.make_report(demands, now_s)
+        context.node.broadcast(
+            messages.DemandReport(
+                report.origin,
+                report.incarnation,
+                report.sequence,
+                msgpack.packb(report),
+            )
+        )
+
     def _greet(self, instance_id: str) -> None:
         """Tell a newly connected peer the head and all verdicts."""
         context = self._context
--- a/src/godwitvalve/limits/lending.py
+++ b/src/godwitvalve/limits/lending.py
@@ -18,6 +18,7 @@
     heard_s: float
     active: bool
     demands: dict[str, float]
+    wants_heard: bool = True
 
 
 class Lender(NamedTuple):
--- a/src/godwitvalve/limits/members.py
+++ b/src/godwitvalve/limits/members.py
@@ -11,6 +11,9 @@
 # peers, an entry gives its base share up. The configuration slice stops
 # admission after the same time.
 CONFIRM_S = 10.0
+# An entry that has read the list within this time needs no acknowledgement.
+# The rest of CONFIRM_S is enough for two reports on their way.
+LIST_FRESH_S = 5.0
 # 8 s of assumed lag of the platform's list and CONFIRM_S by a clock that
 # is 10% slow are 19 s; 24 s by one that is 10% fast are 21.8 s.
 HOLD_S = 24.0
@@ -154,6 +157,11 @@
             )
         return self._active
 
+    def wants_acknowledgement(self, now_s: float) -> bool:
+        """Tell whether this entry depends on acknowledgements by others."""
+        is_fresh = now_s - self._confirmed_s < LIST_FRESH_S
+        return not is_fresh or not self.is_active(now_s)
+
     def _last_confirmed_s(self) -> float:
         """Return when the list or a majority last named this entry.
 
--- a/src/godwitvalve/limits/model.py
+++ b/src/godwitvalve/limits/model.py
@@ -51,12 +51,15 @@
 
 
 class DemandReport(NamedTuple):
-    """What an entry tells the others once a second.
+    """What an entry tells the others.
 
     :param members_digest: digest of the listed entries that the sender
         has made room for.
     :param counted: entries among which the sender splits limits.
     :param active: whether the sender uses a base share.
+    :param heard: the listed entries that want to know it.
+    :param wants_heard: whether the sender needs acknowledgements, because
+        it waits for room or has not read the list lately.
     """
 
     origin: str
@@ -68,6 +71,7 @@
     heard: tuple[Heard, ...]
     demands: tuple[AccountDemand, ...]
     grants: tuple[Grant, ...]
+    wants_heard: bool = True
 
 
 def report_from_wire(fields: abc.Sequence[object]) -> DemandReport:
@@ -78,7 +82,7 @@
     if len(fields) != len(DemandReport._fields):
         raise ValueError(f'{len(fields)} fields')
     origin, incarnation, sequence, digest, counted, active = fields[:6]
-    heard, demands, grants = fields[6:]
+    heard, demands, grants, wants_heard = fields[6:]
     return DemandReport(
         str(origin),
         _integer(incarnation),
@@ -89,6 +93,7 @@
         tuple(_heard(item) for item in _items(heard)),
         tuple(_demand(item) for item in _items(demands)),
         tuple(_grant(item) for item in _items(grants)),
+        _boolean(wants_heard),
     )
 
 
@@ -125,6 +130,12 @@
     return value
 
 
+def _boolean(value: object) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f'boolean expected, not {type(value).__name__}')
+    return value
+
+
 def _bytes(value: object) -> bytes:
     if not isinstance(value, bytes):
         raise ValueError(f'bytes expected, not {type(value).__name__}')
--- a/src/godwitvalve/limits/shares.py
+++ b/src/godwitvalve/limits/shares.py
@@ -10,6 +10,7 @@
 from godwitvalve.limits import loans as loan_books
 from godwitvalve.limits import members as member_lists
 from godwitvalve.limits import model
+from godwitvalve.limits import pace
 
 REPORT_INTERVAL_S = 1.0
 # Two reports may be missed before an entry's demand counts as unknown.
@@ -52,6 +53,7 @@
         )
         self._peers: dict[str, lending.Peer] = {}
         self._accounts: dict[str, _Books] = {}
+        self._pace = pace.ReportPace()
 
     def update_members(
         self, listed: abc.Iterable[str], asked_s: float, now_s: float
@@ -109,7 +111,7 @@
         base = self.base(now_s)
         grants = tuple(self._grants(demands, base, now_s))
         self._acknowledge_list(now_s)
-        return model.DemandReport(
+        report = model.DemandReport(
             self._entry_id,
             self._incarnation,
             self._sequence,
@@ -120,9 +122,28 @@
             tuple(
                 model.AccountDemand(account, demand)
                 for account, demand in demands.items()
-                if demand > 0
+                if demand > pace.LEAST_DEMAND
             ),
             grants,
+            self._members.wants_acknowledgement(now_s),
+        )
+        self._pace.note(report, now_s)
+        return report
+
+    def may_skip_report(
+        self, demands: abc.Mapping[str, float], now_s: float
+    ) -> bool:
+        """Tell whether a report now would say nothing new."""
+        listed = self._members.listed
+        # Demand that is no longer fresh gets no loans.
+        peers = [
+            peer
+            for entry, peer in self._peers.items()
+            if entry in listed
+            and (peer.wants_heard or now_s - peer.heard_s < DEMAND_FRESH_S)
+        ]
+        return self._pace.may_skip(
+            self._members.digest, len(listed), demands, peers, now_s
         )
 
     def receive(self, report: model.DemandReport, now_s: float) -> None:
@@ -140,6 +161,7 @@
             now_s,
             report.active,
             {item.client_account: item.demand for item in report.demands},
+            report.wants_heard,
         )
         self._take_acknowledgement(report)
         for grant in report.grants:
@@ -181,7 +203,7 @@
         return tuple(
             model.Heard(entry, peer.incarnation, peer.sequence)
             for entry, peer in self._peers.items()
-            if entry in self._members.listed
+            if entry in self._members.listed and peer.wants_heard
         )
 
     def _acknowledge_list(self, now_s: float) -> None:
