--- a/bench/share_network.py
+++ b/bench/share_network.py
@@ -14,6 +14,7 @@
 from typing import Protocol
 
 from godwitvalve.limits import model
+from godwitvalve.limits import shares as account_shares
 
 STEP_S = 0.05
 LIST_INTERVAL_S = 1.0
@@ -204,6 +205,8 @@
                 self._connect(entry, clock_s)
             entry.next_report_s = self.now_s + REPORT_INTERVAL_S / entry.rate
             entry.shares.note_uses(entry.uses)
+            if self._may_skip(entry, clock_s):
+                return
             report = entry.shares.make_report(entry.demands, clock_s)
             self._send(entry.name, report)
 
@@ -213,6 +216,12 @@
             if frozenset((entry.name, name)) not in self.faults.cut:
                 entry.shares.note_not_running(name, clock_s)
 
+    def _may_skip(self, entry: Entry, clock_s: float) -> bool:
+        held = entry.shares
+        return isinstance(
+            held, account_shares.AccountShares
+        ) and held.may_skip_report(entry.demands, clock_s)
+
     def _send(self, sender: str, report: model.DemandReport) -> None:
         for receiver, entry in self.entries.items():
             if receiver == sender:
--- a/src/godwitvalve/limits/exchange.py
+++ b/src/godwitvalve/limits/exchange.py
@@ -61,6 +61,7 @@
             now_s,
             report.active,
             {item.client_account: item for item in report.demands},
+            report.wants_heard,
         )
 
     def forget_unlisted(self, listed: frozenset[str], now_s: float) -> None:
@@ -81,10 +82,24 @@
             if now_s - peer.heard_s < DEMAND_FRESH_S and entry in listed
         }
 
+    def waiting(
+        self, listed: frozenset[str], now_s: float
+    ) -> list[lending.Peer]:
+        """Return the listed entries that a report could say news to.
+
+        Demand that is no longer fresh gets no loans.
+        """
+        return [
+            peer
+            for entry, peer in self._peers.items()
+            if entry in listed
+            and (peer.wants_heard or now_s - peer.heard_s < DEMAND_FRESH_S)
+        ]
+
     def heard(self, listed: frozenset[str]) -> tuple[model.Heard, ...]:
         """Return what to acknowledge to the listed entries."""
         return tuple(
             model.Heard(entry, peer.incarnation, peer.sequence)
             for entry, peer in self._peers.items()
-            if entry in listed
+            if entry in listed and peer.wants_heard
         )
--- a/src/godwitvalve/limits/lending.py
+++ b/src/godwitvalve/limits/lending.py
@@ -21,6 +21,7 @@
     heard_s: float
     active: bool
     demands: dict[str, model.AccountDemand]
+    wants_heard: bool = True
 
     def demand(self, account: str) -> float:
         """Return the demand for an account."""
--- a/src/godwitvalve/limits/shares.py
+++ b/src/godwitvalve/limits/shares.py
@@ -11,6 +11,7 @@
 from godwitvalve.limits import loans as loan_books
 from godwitvalve.limits import members as member_lists
 from godwitvalve.limits import model
+from godwitvalve.limits import pace
 from godwitvalve.limits import split
 
 REPORT_INTERVAL_S = 1.0
@@ -48,6 +49,7 @@
         self._exchange = exchange.ReportExchange(incarnation)
         self._accounts: dict[str, _Books] = {}
         self._uses: dict[str, model.AccountUse] = {}
+        self._pace = pace.ReportPace()
 
     def update_members(
         self, listed: abc.Iterable[str], asked_s: float, now_s: float
@@ -115,7 +117,7 @@
         base = self.base(now_s)
         grants = tuple(self._grants(demands, base, now_s))
         self._acknowledge_list(now_s)
-        return model.DemandReport(
+        report = model.DemandReport(
             self._entry_id,
             self._exchange.incarnation,
             self._exchange.sequence,
@@ -129,6 +131,19 @@
                 if demand >= split.LEAST_LOAN
             ),
             grants,
+            self._members.wants_acknowledgement(now_s),
+        )
+        self._pace.note(report, now_s)
+        return report
+
+    def may_skip_report(
+        self, demands: abc.Mapping[str, float], now_s: float
+    ) -> bool:
+        """Tell whether a report now would say nothing new."""
+        listed = self._members.listed
+        peers = self._exchange.waiting(listed, now_s)
+        return self._pace.may_skip(
+            self._members.digest, len(listed), demands, peers, now_s
         )
 
     def receive(self, report: model.DemandReport, now_s: float) -> None:
