--- a/src/godwitvalve/entry/gossip.py
+++ b/src/godwitvalve/entry/gossip.py
@@ -111,18 +111,26 @@
     async def _send_evidence(self) -> None:
         context = self._context
         while True:
-            if context.board.active_moves():
-                report = context.board.book.report(context.clock.wall_s())
-                context.node.broadcast(
-                    messages.EvidenceReport(
-                        report.origin,
-                        report.incarnation,
-                        report.sequence,
-                        msgpack.packb(report),
-                    )
-                )
+            moves = context.board.active_moves()
+            if moves:
+                self._report_evidence({moving.service for moving in moves})
             await asyncio.sleep(EVIDENCE_INTERVAL_S)
 
+    def _report_evidence(self, services: set[str]) -> None:
+        context = self._context
+        now_wall_s = context.clock.wall_s()
+        report = context.board.book.report(now_wall_s, services)
+        if not report.buckets:
+            return
+        context.node.broadcast(
+            messages.EvidenceReport(
+                report.origin,
+                report.incarnation,
+                report.sequence,
+                msgpack.packb(report),
+            )
+        )
+
     async def _send_demand(self) -> None:
         while True:
             self._report_demand()
--- a/src/godwitvalve/moves/evidence.py
+++ b/src/godwitvalve/moves/evidence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 import math
 from typing import Any, NamedTuple
 
@@ -181,8 +182,16 @@
             del self._buckets[bucket]
             self._oldest = max(self._oldest, bucket + 1)
 
-    def report(self, now_wall_s: float) -> EvidenceReport:
-        """Return the newest evidence of this entry for the others."""
+    def report(
+        self,
+        now_wall_s: float,
+        services: Collection[str] | None = None,
+    ) -> EvidenceReport:
+        """Return the newest evidence of this entry for the others.
+
+        :param services: services with a move, the only ones whose evidence
+            is read; None for all.
+        """
         self._sequence += 1
         last = bucket_of(now_wall_s)
         room = MAX_REPORT_CELLS
@@ -190,10 +199,14 @@
         slot = (self.origin, self.incarnation)
         for bucket in range(last, last - REPORTED_BUCKETS, -1):
             held = self._buckets.get(bucket, {}).get(slot)
-            if held is None or len(held.cells) > room:
+            cells = tuple(
+                CellRow(key, cell)
+                for key, cell in (held.cells.items() if held else ())
+                if services is None or key.service in services
+            )
+            if not cells or len(cells) > room:
                 continue
-            room -= len(held.cells)
-            cells = tuple(CellRow(k, c) for k, c in held.cells.items())
+            room -= len(cells)
             rows.append(BucketRow(bucket, cells))
         return EvidenceReport(
             self.origin, self.incarnation, self._sequence, tuple(rows)
