--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -9,11 +9,15 @@
 from features.doubles import control_net
 from features.variants import control as variants
 from godwitvalve.configuration import member_lists
+from godwitvalve.configuration import refresher
 from godwitvalve.configuration import tracker
 from godwitvalve.entry import freshness
+from godwitvalve.entry import instance_watch
+from godwitvalve.moves import evidence
 from godwitvalve.peers import messages
 import hypothesis
 from hypothesis import strategies
+from standins import local_site
 
 DERANDOMIZED = hypothesis.settings(
     derandomize=True, max_examples=200, deadline=None, database=None
@@ -301,3 +305,86 @@
     assert context.sent[-1].names and context.sent[-2].names
     times = context.trackers['b'].heard.times()
     assert 47.9 < times['c'] < 48.0
+
+
+# Evidence and reads of the store.
+
+
+@behave.given(
+    'evidence of an entry about the services "{first}" and "{second}"'
+)
+def evidence_of_services(context, first, second):
+    context.book = evidence.EvidenceBook('a', 1)
+    for service in (first, second):
+        key = evidence.CellKey(service, 'v1', '/x', 'fd-1', 'e1')
+        context.book.record(key, 1000.0, failed=False, time_s=0.1)
+
+
+@behave.when('it reports to the others with a move of "{service}" alone')
+def reports_with_move(context, service):
+    context.report = context.book.report(1000.5, {service})
+
+
+@behave.then('the report holds the evidence about "{service}" alone')
+def report_holds(context, service):
+    [bucket] = context.report.buckets
+    assert [row.key.service for row in bucket.cells] == [service]
+    assert bucket.cells[0].cell.attempts == 1
+
+
+@behave.then('with a move of "{service}" alone the report is empty')
+def report_is_empty(context, service):
+    assert not context.book.report(1000.5, {service}).buckets
+
+
+_INTERVALS = (instance_watch.list_interval_s, refresher.poll_interval_s)
+
+
+@behave.then(
+    'up to {entries:d} entries read the list and the head at most '
+    '{limit:d} times a second each'
+)
+def reads_bounded(context, entries, limit):
+    for interval_s in _INTERVALS:
+        for count in range(1, entries + 1):
+            assert count / interval_s(count) <= limit + 1e-9, count
+
+
+@behave.then(
+    'no number of entries makes an entry read less often than every '
+    '{limit_s:g} s'
+)
+def reads_often(context, limit_s):
+    for interval_s in _INTERVALS:
+        assert max(map(interval_s, range(2000))) <= limit_s
+
+
+@behave.then(
+    'up to {entries:d} entries read the list each second and the head each '
+    '{head_s:g} s'
+)
+def reads_as_before(context, entries, head_s):
+    for count in range(entries + 1):
+        assert instance_watch.list_interval_s(count) == 1.0
+        assert refresher.poll_interval_s(count) == head_s
+
+
+@behave.then('the status of each entry shows growing control traffic')
+def status_shows_traffic(context):
+    site = context.site
+
+    def control(name):
+        url = f'{site.url(name)}/v1/status'
+        return local_site.http_json('GET', url)['control']
+
+    before = {name: control(name) for name in site.entry_ids()}
+    assert len(before) == 3
+
+    def has_grown():
+        return all(
+            control(name)['bytes_in'] > held['bytes_in'] > 0
+            and control(name)['bytes_out'] > held['bytes_out'] > 0
+            for name, held in before.items()
+        )
+
+    local_site.wait_until(has_grown, 'control traffic grows')
--- a/src/godwitvalve/configuration/refresher.py
+++ b/src/godwitvalve/configuration/refresher.py
@@ -17,6 +17,11 @@
 from godwitvalve.text import parts
 
 POLL_INTERVAL_S = 2.0
+# All entries together read the head at most this often; the first that
+# reads a new one announces it to the others.
+HEAD_READS_PER_S = 100.0
+# Two reads fit in the 10 s for which a confirmation lasts.
+POLL_LIMIT_S = 4.5
 # A failed fetch is tried again after this; ten tries fit in the 10 s after
 # which an entry without the newest text stops admitting.
 RETRY_INTERVAL_S = 1.0
@@ -24,6 +29,12 @@
 _LOG = setup.get('configuration')
 
 
+def poll_interval_s(entries: int) -> float:
+    """Return seconds between two reads of the head by one entry."""
+    shared_s = entries / HEAD_READS_PER_S
+    return min(POLL_LIMIT_S, max(POLL_INTERVAL_S, shared_s))
+
+
 class Refresher:
     """Polls the head row, fetches missing parts and installs them.
 
@@ -71,7 +82,8 @@
     async def _poll(self) -> None:
         while True:
             await self.poll_once()
-            await asyncio.sleep(POLL_INTERVAL_S)
+            entries = self.tracker.listed_count
+            await asyncio.sleep(poll_interval_s(entries))
 
     async def poll_once(self) -> bool:
         """Read the head row.
--- a/src/godwitvalve/configuration/tracker.py
+++ b/src/godwitvalve/configuration/tracker.py
@@ -198,6 +198,11 @@
         """When this entry last heard of each other one."""
         return self._heard
 
+    @property
+    def listed_count(self) -> int:
+        """Number of live entries in the platform's list."""
+        return len(self._listed)
+
     def set_listed(self, instance_ids: Iterable[str]) -> None:
         """Replace the ids of the live entries in the platform's list."""
         self._listed = frozenset(instance_ids)
--- a/src/godwitvalve/entry/instance_watch.py
+++ b/src/godwitvalve/entry/instance_watch.py
@@ -9,11 +9,25 @@
 from godwitvalve.logs import setup as logs
 from godwitvalve.platform import port
 
-LIST_INTERVAL_S = 1.0
+APPLY_INTERVAL_S = 1.0
+# The platform serves about 2,000 reads/s for everything. The entries
+# together read the list at most this often, and less often than every 4.5 s
+# would leave less than two tries in the 10 s of a confirmation.
+LIST_READS_PER_S = 100.0
+LIST_LIMIT_S = 4.5
 
 _LOG = logs.get('instances')
 
 
+def list_interval_s(entries: int) -> float:
+    """Return seconds between two reads of the list by one entry.
+
+    Leaving endpoints do not wait for it: their load reports tell it.
+    """
+    shared_s = entries / LIST_READS_PER_S
+    return min(LIST_LIMIT_S, max(APPLY_INTERVAL_S, shared_s))
+
+
 class InstanceWatch:
     """Task that keeps members and endpoints up to date."""
 
@@ -21,13 +35,17 @@
         self._context = context
         self._table = endpoint_table.EndpointTable()
         self._listed: list[port.ListedInstance] = []
+        self._next_read_s = 0.0
 
     async def run(self) -> None:
         """Read the list until cancelled."""
         while True:
-            await self._read_list()
+            # Two ticks are never exactly an interval apart.
+            soon_s = self._context.clock.monotonic_s() + APPLY_INTERVAL_S / 2
+            if soon_s >= self._next_read_s:
+                await self._read_list()
             self.apply()
-            await asyncio.sleep(LIST_INTERVAL_S)
+            await asyncio.sleep(APPLY_INTERVAL_S)
 
     async def _read_list(self) -> None:
         context = self._context
@@ -37,6 +55,8 @@
         except port.PlatformUnavailable as error:
             _LOG.info('The instance list was not read: %s.', error)
             return
+        entries = sum(item.kind == 'entry' for item in self._listed)
+        self._next_read_s = asked_s + list_interval_s(entries)
         context.node.update_members(self._listed)
         live = [
             item.instance_id
