--- a/src/godwitvalve/limits/pace.py
+++ b/src/godwitvalve/limits/pace.py
@@ -14,10 +14,11 @@
 from godwitvalve.limits import model
 
 # Each report reaches every entry, so the interval grows with their number:
-# up to 20 entries report each second, 160 and more each 8 s.
+# up to 20 entries report each second, 400 and more each 20 s.
 QUIET_S_PER_ENTRY = 0.05
-# Three reports fit in the 24 s for which an entry counts as running.
-QUIET_LIMIT_S = 8.0
+# Below the 24 s after which a waiting entry takes a silent one for not
+# running; while an entry waits, all that hear it report each second.
+QUIET_LIMIT_S = 20.0
 # Smoothed demand decays without an end. An entry serves less than this
 # fraction of a limit from its base share.
 LEAST_DEMAND = 1e-4
