--- a/bench/control.py
+++ b/bench/control.py
@@ -57,7 +57,7 @@
     _apply(site, text, 0)
     names = site.entry_ids()
     local_site.wait_until(
-        lambda: all(_status(site, name)['may_admit'] for name in names),
+        lambda: all(_admits(site, name) for name in names),
         f'{size} entries admit',
         START_LIMIT_S,
     )
@@ -103,6 +103,13 @@
     return local_site.http_json('GET', f'{site.url(name)}/v1/status')
 
 
+def _admits(site: small_site.SmallSite, name: str) -> bool:
+    member = site.members[name]
+    if member.process.poll() is not None:
+        raise RuntimeError(f'{name} ended: {member.log_path.read_text()}')
+    return bool(_status(site, name)['may_admit'])
+
+
 def _sample(site: small_site.SmallSite, name: str) -> Sample:
     control = _status(site, name)['control']
     process = psutil.Process(site.members[name].process.pid)
--- a/standins/local_site.py
+++ b/standins/local_site.py
@@ -21,6 +21,7 @@
 POLL_S = 0.02
 HTTP_LIMIT_S = 5.0
 KEY_BYTES = 32
+PORTS = range(12_000, 32_000)
 HOST = '127.0.0.1'
 
 
@@ -49,10 +50,17 @@
 
 
 def free_port() -> int:
-    """Return a TCP port that was free a moment ago."""
-    with contextlib.closing(socket.socket()) as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Return a TCP port that was free a moment ago.
+
+    It lies below the range from which the system gives ports to outgoing
+    connections, so that none of them takes it before it is bound.
+    """
+    while True:
+        port = secrets.choice(PORTS)
+        with contextlib.closing(socket.socket()) as probe:
+            with contextlib.suppress(OSError):
+                probe.bind((HOST, port))
+                return port
 
 
 def http_json(
