--- a/src/godwitvalve/entry/gossip.py
+++ b/src/godwitvalve/entry/gossip.py
@@ -78,6 +78,7 @@
         node.on(messages.VerdictAnnounced, self._take_verdict)
         node.on(messages.DemandReport, self._take_demand)
         node.on_connected(self._greet)
+        node.on_refused(self._note_not_running)
         node.on_request(messages.PartsWanted, self._give_parts)
         node.on_request(messages.ForwardCall, self._run_forwarded)
 
@@ -111,18 +112,26 @@
     async def _send_evidence(self) -> None:
         context = self._context
         while True:
-            if context.board.active_moves():
-                report = context.board.book.report(context.clock.wall_s())
-                context.node.broadcast(
-                    messages.EvidenceReport(
-                        report.origin,
-                        report.incarnation,
-                        report.sequence,
-                        msgpack.packb(report),
-                    )
-                )
+            moves = context.board.active_moves()
+            if moves:
+                self._report_evidence({moving.service for moving in moves})
             await asyncio.sleep(EVIDENCE_INTERVAL_S)
 
+    def _report_evidence(self, services: set[str]) -> None:
+        context = self._context
+        now_wall_s = context.clock.wall_s()
+        report = context.board.book.report(now_wall_s, services)
+        if not report.buckets:
+            return
+        context.node.broadcast(
+            messages.EvidenceReport(
+                report.origin,
+                report.incarnation,
+                report.sequence,
+                msgpack.packb(report),
+            )
+        )
+
     async def _send_demand(self) -> None:
         while True:
             self._report_demand()
@@ -159,6 +168,12 @@
                 messages.VerdictAnnounced(row.move_id, row.encode()),
             )
 
+    def _note_not_running(self, instance_id: str) -> None:
+        context = self._context
+        context.shares.note_not_running(
+            instance_id, context.clock.monotonic_s()
+        )
+
     def _take_head(self, origin: str, message: messages.Message) -> None:
         assert isinstance(message, messages.HeadAnnounced)
         try:
--- a/src/godwitvalve/entry/process.py
+++ b/src/godwitvalve/entry/process.py
@@ -23,6 +23,7 @@
 
 DRAIN_POLL_S = 0.05
 SUPERSEDED_POLL_S = 0.5
+START_POLL_S = 0.1
 # Set on the server, so that a silent caller does not hold a drain for ever.
 SHUTDOWN_LIMIT_S = 2.0
 
@@ -55,8 +56,6 @@
         await self.context.node.start()
         tasks = self._start_tasks()
         runner = await self._start_server()
-        self.context.lifecycle.begin_serving()
-        _LOG.info('Serving at %s.', self._settings.listen_address)
         stopped = asyncio.create_task(self._stopping.wait())
         await asyncio.wait(
             {stopped, *tasks}, return_when=asyncio.FIRST_COMPLETED
@@ -76,9 +75,21 @@
             move_watch.MoveWatch(self.context).run(),
             order_watch.OrderWatch(self.context, self._parts.engine).run(),
             self._stop_when_superseded(),
+            self._begin_serving(),
         )
         return [asyncio.create_task(work) for work in works]
 
+    async def _begin_serving(self) -> None:
+        """Serve once a text is in force and the others made room."""
+        context = self.context
+        while context.configuration is None or not context.shares.is_active(
+            context.clock.monotonic_s()
+        ):
+            await asyncio.sleep(START_POLL_S)
+        context.lifecycle.begin_serving()
+        _LOG.info('Serving at %s.', self._settings.listen_address)
+        await asyncio.Event().wait()
+
     async def _stop_when_superseded(self) -> None:
         """Drain once a newer process has taken over this instance's name."""
         while not self.context.node.is_superseded:
--- a/src/godwitvalve/moves/evidence.py
+++ b/src/godwitvalve/moves/evidence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 import itertools
 import math
 from typing import Any, NamedTuple
@@ -198,8 +199,16 @@
             del self._buckets[bucket]
             self._oldest = max(self._oldest, bucket + 1)
 
-    def report(self, now_wall_s: float) -> EvidenceReport:
-        """Return the newest evidence of this entry for the others."""
+    def report(
+        self,
+        now_wall_s: float,
+        services: Collection[str] | None = None,
+    ) -> EvidenceReport:
+        """Return the newest evidence of this entry for the others.
+
+        :param services: services with a move, the only ones whose evidence
+            is read; None for all.
+        """
         self._sequence += 1
         last = bucket_of(now_wall_s)
         room = MAX_REPORT_CELLS
@@ -209,8 +218,14 @@
             held = self._buckets.get(bucket, {}).get(slot)
             if held is None:
                 continue
-            chosen = itertools.islice(held.cells.items(), room)
-            cells = tuple(CellRow(key, cell) for key, cell in chosen)
+            rows_here = (
+                CellRow(key, cell)
+                for key, cell in held.cells.items()
+                if services is None or key.service in services
+            )
+            cells = tuple(itertools.islice(rows_here, room))
+            if not cells:
+                continue
             room -= len(cells)
             rows.append(BucketRow(bucket, cells))
         return EvidenceReport(
