--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -1,4 +1,4 @@
-"""Steps for endpoint choice, health, retry budget and gap deadline."""
+"""Steps for endpoint choice, health and retry budget."""
 
 from __future__ import annotations
 
@@ -10,7 +10,6 @@
 from godwitvalve.outcomes import codes
 from godwitvalve.routing import choose
 from godwitvalve.routing import endpoint as endpoint_model
-from godwitvalve.routing import gaps
 from godwitvalve.routing import health
 from godwitvalve.routing import results
 from godwitvalve.routing import retry_budget
@@ -486,32 +485,3 @@
         requests += 1
     earned = requests * retry_budget.EARNED_PER_FIRST_ATTEMPT
     assert abs(earned - debt - 1.0) < 0.11, (earned, debt)
-
-
-@behave.when('{count:d} token gaps of {gap_s:f} s are measured')
-def gaps_measured(context, count, gap_s):
-    context.gap_s = 0.0
-    context.gaps = gaps.GapTracker(context.gap_s)
-    _record_gaps(context, count, gap_s, 0.001)
-
-
-@behave.when('a minute of {count:d} token gaps of {gap_s:f} s is measured')
-def minute_of_gaps(context, count, gap_s):
-    _record_gaps(context, count, gap_s, 60.0 / count)
-
-
-def _record_gaps(context, count, gap_s, step_s):
-    for _ in range(count):
-        context.gap_s += step_s
-        context.gaps.record(gap_s, context.gap_s)
-
-
-@behave.then('the gap deadline lies between {low:f} and {high:f} s')
-def gap_deadline(context, low, high):
-    waited_s = context.gaps.deadline_s(0.0)
-    assert low - 1e-9 <= waited_s <= high + 1e-9, waited_s
-
-
-@behave.then('an unmeasured gap deadline is {wanted:f} s')
-def unmeasured_gap(context, wanted):
-    assert gaps.GapTracker(0.0).deadline_s(7.0) == 7.0 + wanted
