--- a/features/generations/relay.feature
+++ b/features/generations/relay.feature
@@ -81,6 +81,24 @@
       | lose connection          |
       | no start, 2 tokens       |
 
+  Scenario: A first attempt may begin late
+    # Guards against attempts that add to the load of slow engines.
+    Given the engine endpoints "e1, e2"
+    And "e1" generates "late start, rest"
+    When an answer of 8 tokens is relayed
+    Then the answer is whole
+    And the engine calls are "generate e1 0"
+
+  Scenario: An attempt after a loss must begin soon
+    # Guards against two slow starts that add up to more than 3 s.
+    Given the engine endpoints "e1, e2, e3"
+    And "e1" generates "3 tokens, lose failed"
+    And "e2" generates "late start, rest"
+    And "e3" generates "rest"
+    When an answer of 8 tokens is relayed
+    Then the answer is whole
+    And the engine calls are "generate e1 0; generate e2 3; generate e3 3"
+
   Scenario Outline: Wrong events of an engine never reach the caller
     # Guards against answers with missing, repeated or foreign tokens.
     Given the engine endpoints "e1, e2"
--- a/features/support/relay_fakes.py
+++ b/features/support/relay_fakes.py
@@ -72,6 +72,8 @@
             if steps[0].startswith('refuse '):
                 _, reason, sent = steps[0].split()
                 raise port.EngineLost(reason, sent == 'sent')
+            if steps[0] == 'late start':
+                await asyncio.sleep(0.4)
             if steps[0] != 'no start':
                 yield self._started(endpoint, order)
             state = _Stream(order, len(order.prefix_token_ids))
--- a/src/godwitvalve/generations/answer.py
+++ b/src/godwitvalve/generations/answer.py
@@ -67,6 +67,8 @@
             return min(left_s, self._gaps.limit_s())
         if self._attempt.resumes_stream:
             return min(left_s, self._limits.stream_resume_s)
+        if self._attempt.is_first:
+            return min(left_s, self._limits.first_attempt_s)
         return min(left_s, self._limits.first_event_s)
 
     def heartbeat_due(self) -> bool:
--- a/src/godwitvalve/generations/attempts.py
+++ b/src/godwitvalve/generations/attempts.py
@@ -36,6 +36,7 @@
     visit: visits.Visit
     order: port.GenerationOrder
     resumes_stream: bool
+    is_first: bool
 
 
 NextAttempt: TypeAlias = Attempt | results.Failed
@@ -205,7 +206,7 @@
         order = self._order(visit.identity, prefix, False)
         if not tokens.has_prefix:
             order = order._replace(prefix_token_ids=(0,) * tokens.position)
-        return Attempt(visit, order, True)
+        return Attempt(visit, order, True, False)
 
     def _elsewhere(self) -> NextAttempt:
         failure = self._exhausted()
@@ -231,4 +232,6 @@
             return self._history.none_left(codes.ResultCode.NO_ENDPOINT, True)
         known = self._tokens.has_prefix
         prefix = self._tokens.prefix() if known else ()
-        return Attempt(visit, self._order(identity, prefix, not known), False)
+        is_first = pinned is None and not self._attempts
+        order = self._order(identity, prefix, not known)
+        return Attempt(visit, order, False, is_first)
--- a/src/godwitvalve/generations/limits.py
+++ b/src/godwitvalve/generations/limits.py
@@ -11,7 +11,9 @@
     """Bounds of the relay; times in seconds.
 
     The sum of a silence deadline, a stream resume and a start elsewhere
-    stays below 3 s.
+    stays below 3 s. The first attempt has more time than one after a loss:
+    a loaded engine is slow to take an order, and another attempt would add
+    to its load.
     """
 
     gap: gaps.GapLimits = gaps.GapLimits()
@@ -19,3 +21,4 @@
     stream_resume_s: float = 0.5
     max_attempts: int = 8
     resume_validity_s: float = 3600.0
+    first_attempt_s: float = 2.0
