--- a/bench/move_runs.py
+++ b/bench/move_runs.py
@@ -21,10 +21,18 @@
 from godwitvalve.routing import endpoint
 
 ENTRIES = 6
+# Entries that merge all reports and decide. The others report, follow the
+# verdicts, and use the share of a deciding entry; with all reports alike they
+# would compute the same, and the run would take three times as long.
+_DECIDING = 2
 _TICK_S = 1.0
+# Reports arrive at the end of the tick after the one they were sent in, and
+# are judged this much later.
+_JUDGED_S = 0.25
 # Any wall time; the move starts at it.
 _EPOCH_S = 1_000_000.0
-# How long the new version is watched after ``done_by``.
+# How long the new version is watched after ``done_by``, or after the onset of
+# a fault that comes later.
 _AFTER_BAD_S = 300.0
 _AFTER_GOOD_S = 20.0
 _LOST_REPORTS = 0.02
@@ -36,8 +44,8 @@
 
     :param taken_back_s: seconds from the start, or None.
     :param done_s: when the last entry knew that it was done, or None.
-    :param blamed: requests that the version's fault failed or slowed.
-    :param since_onset: those among them that had ended at the verdict.
+    :param blamed_at_verdict: requests that the version's fault failed or
+        slowed and that had ended at the verdict.
     :param after_verdict: requests sent to a version that was taken back,
         more than 3 s after the verdict.
     :param stored: the store had the right verdict at the end.
@@ -51,7 +59,7 @@
     onset_s: float
     new_requests: int
     requests: int
-    blamed: int
+    blamed_at_verdict: int
     after_verdict: int
     stored: bool
     reason: str
@@ -120,8 +128,9 @@
 
     def run(self) -> Run:
         """Run the move to its end."""
-        after_s = _AFTER_BAD_S if self.case.is_bad else _AFTER_GOOD_S
-        end_s = self.site.move_s + after_s
+        end_s = self.site.move_s + _AFTER_GOOD_S
+        if self.case.is_bad:
+            end_s = max(self.site.move_s, self.stream.onset_s) + _AFTER_BAD_S
         at_s = 0.0
         while at_s < end_s:
             self._tick(at_s)
@@ -140,7 +149,7 @@
         self._end_requests(at_s + _TICK_S)
         self._exchange(at_s + _TICK_S)
         for entry in self.entries:
-            self._judge(entry, at_s + _TICK_S)
+            self._judge(entry, at_s + _TICK_S + _JUDGED_S)
 
     def _plan(self, at_s: float) -> None:
         now = _EPOCH_S + at_s
@@ -150,7 +159,7 @@
             indexes = self.stream.live('v2', at_s)
             live = [self._endpoints[index] for index in indexes]
         old = len(self.stream.live('v1', at_s)) if dead else len(live)
-        for entry in self.entries:
+        for entry in self.entries[:_DECIDING]:
             entry.plan = share.plan_share(
                 self.moving,
                 live,
@@ -159,7 +168,12 @@
                 now,
                 entry.keeper.verdict(self.moving.move_id),
             )
-            entry.watch.note_share(now, entry.plan.share)
+        for index, entry in enumerate(self.entries):
+            known = entry.keeper.verdict(self.moving.move_id)
+            if index >= _DECIDING:
+                entry.plan = self.entries[index % _DECIDING].plan
+            if known is move.Verdict.TAKEN_BACK:
+                entry.plan = share.ShareDecision(0.0, (), 'taken back')
         plans = [(e.plan.share, e.plan.replicas) for e in self.entries]
         self.stream.follow_load(plans, _TICK_S)
 
@@ -171,6 +185,7 @@
         version = choice.choose_version(
             self.moving, plan.share, rng.getrandbits(64)
         )
+        split = evidence.share_class(plan.share)
         if version == 'v2':
             name = rng.choice(plan.replicas)
             self._count_new(at_s)
@@ -179,9 +194,8 @@
             name = sites.endpoint_id('v1', index)
         if self._taken_back_s is None:
             self._requests += 1
-        ended = self.stream.run(at_s, number, version, name)
-        self._blamed += ended.blamed
-        heapq.heappush(self._running, ended)
+        for ended in self.stream.run(at_s, number, version, name, split):
+            heapq.heappush(self._running, ended)
 
     def _count_new(self, at_s: float) -> None:
         if self._taken_back_s is None:
@@ -192,24 +206,29 @@
     def _end_requests(self, now_s: float) -> None:
         while self._running and self._running[0].at_s < now_s:
             ended = heapq.heappop(self._running)
+            if self._taken_back_s is None:
+                self._blamed += ended.blamed
             key = evidence.CellKey(
                 'service',
                 ended.version,
                 ended.route,
                 ended.domain,
                 ended.endpoint,
+                ended.split,
             )
-            self.entries[ended.entry].book.record(
-                key,
-                _EPOCH_S + ended.at_s,
-                failed=not ended.ok,
-                time_s=ended.time_s,
-            )
+            book = self.entries[ended.entry].book
+            now = _EPOCH_S + ended.at_s
+            if not ended.is_end:
+                assert ended.time_s is not None
+                book.record_time(key, now, ended.time_s)
+                continue
+            failed = not ended.ok
+            book.record(key, now, failed=failed, time_s=ended.time_s)
 
     def _exchange(self, now_s: float) -> None:
         """Deliver what was sent before, then send the next reports."""
         for sender, report in [r[1:] for r in self._reports]:
-            for index, entry in enumerate(self.entries):
+            for index, entry in enumerate(self.entries[:_DECIDING]):
                 if index == sender or self._rng.random() < _LOST_REPORTS:
                     continue
                 entry.book.merge(report)
@@ -228,6 +247,17 @@
 
     def _judge(self, entry: _Entry, now_s: float) -> None:
         now = _EPOCH_S + now_s
+        if entry in self.entries[:_DECIDING]:
+            self._decide(entry, now)
+        known = entry.keeper.verdict(self.moving.move_id)
+        if known is move.Verdict.DONE:
+            self._done.setdefault(entry.name, now_s)
+        if known is move.Verdict.TAKEN_BACK and self._taken_back_s is None:
+            self._taken_back_s = now_s
+        if entry.keeper.pending():
+            asyncio.run(entry.keeper.flush(now_s))
+
+    def _decide(self, entry: _Entry, now: float) -> None:
         entry.watch.advance(entry.book, now)
         known = entry.keeper.verdict(self.moving.move_id)
         decided = judge.judge(
@@ -236,13 +266,6 @@
         if entry.keeper.decide(self.moving.move_id, decided, now):
             if isinstance(decided, move.TakeBack):
                 self._reason = decided.reason
-        known = entry.keeper.verdict(self.moving.move_id)
-        if known is move.Verdict.DONE:
-            self._done.setdefault(entry.name, now_s)
-        if known is move.Verdict.TAKEN_BACK and self._taken_back_s is None:
-            self._taken_back_s = now_s
-        if entry.keeper.pending():
-            asyncio.run(entry.keeper.flush(now_s))
 
     def _result(self) -> Run:
         done_s = None
@@ -286,22 +309,27 @@
     new_requests = requests = blamed = 0
     at_s = 0.0
     taken_back_s: float | None = None
-    while at_s < site.move_s + _AFTER_BAD_S and taken_back_s is None:
+    end_s = max(site.move_s, stream.onset_s) + _AFTER_BAD_S
+    while at_s < end_s and taken_back_s is None:
         part = policy.share(at_s / site.move_s)
         stream.follow_load([(part, carriers)], _TICK_S)
         for time_s in stream.arrivals(at_s, _TICK_S):
             version = 'v2' if rng.random() < part else 'v1'
             index = rng.choice(stream.live(version, time_s))
             name = sites.endpoint_id(version, index)
-            ended = stream.run(time_s, 0, version, name)
+            for ended in stream.run(time_s, 0, version, name, 0):
+                heapq.heappush(running, ended)
             requests += 1
             new_requests += version == 'v2'
-            blamed += ended.blamed
-            heapq.heappush(running, ended)
         at_s += _TICK_S
         while running and running[0].at_s < at_s:
             ended = heapq.heappop(running)
-            policy.record(ended.version == 'v2', ended.ok, ended.time_s)
+            blamed += ended.blamed
+            is_new = ended.version == 'v2'
+            if ended.is_end:
+                policy.record(is_new, ended.ok)
+            if ended.time_s is not None:
+                policy.record_time(is_new, ended.time_s)
         if policy.is_bad():
             taken_back_s = at_s
         elif at_s >= site.move_s and not case.is_bad:
--- a/bench/rows.py
+++ b/bench/rows.py
@@ -1,4 +1,4 @@
-"""Rows that the measurements print."""
+"""Rows that every measurement prints."""
 
 from __future__ import annotations
 
@@ -8,18 +8,23 @@
 
 
 class Row(NamedTuple):
-    """One measured figure.
+    """One figure of one case.
 
-    :param baseline: name of what it is compared with, or empty.
-    :param seed: seed of the run, or None where nothing is random.
+    :param baseline: the same figure of what it is compared with, or that
+        one's name if it has rows of its own.
+    :param seed: seed or range of seeds; None where nothing is random.
+    :param target: value to reach, if there is one.
+    :param met: whether it was reached, if there is a target.
     """
 
     measure: str
     value: float
     unit: str
-    baseline: str
-    seed: int | None
+    baseline: float | str | None
+    seed: int | str | None
     case: str
+    target: float | None = None
+    met: bool | None = None
 
 
 def print_rows(rows: abc.Iterable[Row]) -> None:
--- /dev/null
+++ b/src/godwitvalve/entry/order_watch.py
@@ -0,0 +1,107 @@
+"""Task that keeps model engines in the state that the text wants."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+
+from godwitvalve.configuration import in_force
+from godwitvalve.engine import port as engine_port
+from godwitvalve.entry import context as contexts
+from godwitvalve.orders import keeper as keepers
+from godwitvalve.orders import lease as leases
+from godwitvalve.peers import overlay
+from godwitvalve.routing import endpoint as endpoint_model
+
+STEP_INTERVAL_S = 2.0
+# Entries that contend for the lease of one service. All of them would
+# read the row of every service at every step.
+CONTENDERS = 3
+ROLE_SERVE = 'serve'
+
+_Wanted = tuple[endpoint_model.Endpoint, keepers.WantedState]
+
+
+class OrderWatch:
+    """Holds leases and declares the wanted state to engines.
+
+    Only engines that the text names get orders. Discovered ones are listed
+    by the platform with the version that they already run.
+    """
+
+    def __init__(
+        self, context: contexts.EntryContext, engine: engine_port.Engine
+    ) -> None:
+        self._context = context
+        self._engine = engine
+        self._held: dict[
+            str, tuple[leases.FencingLease, keepers.OrderKeeper]
+        ] = {}
+
+    async def run(self) -> None:
+        """Step until cancelled, then give the leases up."""
+        try:
+            while True:
+                await self._step()
+                await asyncio.sleep(STEP_INTERVAL_S)
+        finally:
+            for lease, _ in self._held.values():
+                await lease.release()
+
+    async def _step(self) -> None:
+        wanted = self._wanted_by_service()
+        for service in self._held.keys() - wanted.keys():
+            lease, _ = self._held.pop(service)
+            await lease.release()
+        await asyncio.gather(
+            *(self._keep(service, items) for service, items in wanted.items())
+        )
+
+    def _wanted_by_service(self) -> dict[str, list[_Wanted]]:
+        configuration = self._context.configuration
+        if configuration is None or not self._context.lifecycle.is_named():
+            return {}
+        found = {
+            service.name: list(_wanted(service))
+            for service in configuration.services.values()
+            if service.kind == 'model' and self._contends(service.name)
+        }
+        return {service: items for service, items in found.items() if items}
+
+    def _contends(self, service: str) -> bool:
+        live = (
+            member.instance_id
+            for member in self._context.node.members()
+            if member.state == 'live'
+        )
+        chosen = overlay.rendezvous(f'orders/{service}', live, CONTENDERS)
+        return self._context.instance_id in chosen
+
+    async def _keep(self, service: str, wanted: list[_Wanted]) -> None:
+        lease, keeper = self._held.setdefault(service, self._new(service))
+        keeper.set_wanted(wanted)
+        if await lease.step() is not leases.LeaseState.HELD:
+            return
+        await asyncio.gather(*map(keeper.keep, keeper.endpoint_ids()))
+
+    def _new(
+        self, service: str
+    ) -> tuple[leases.FencingLease, keepers.OrderKeeper]:
+        context = self._context
+        lease = leases.FencingLease(
+            context.platform, service, context.instance_id, context.clock
+        )
+        keeper = keepers.OrderKeeper(self._engine, lease, context.clock)
+        return lease, keeper
+
+
+def _wanted(service: in_force.ServiceInForce) -> Iterator[_Wanted]:
+    """Return named engines with the state that the text gives them."""
+    for version in service.versions:
+        if version.text.retire:
+            continue
+        state = keepers.WantedState(
+            service.name, version.name, version.text.adapter, ROLE_SERVE
+        )
+        for endpoint in version.endpoints:
+            yield endpoint, state
--- a/src/godwitvalve/entry/picker.py
+++ b/src/godwitvalve/entry/picker.py
@@ -36,6 +36,7 @@
         self.version = ''
         self._picked = 0
         self._load = 0
+        self._share_class = context.board.share_class(service)
         self._endpoint: endpoint_model.Endpoint | None = None
         self._pace_tokens = 0
         self._pace_started_s = 0.0
@@ -90,6 +91,7 @@
             attempts.classify_generation(result),
             attempts.COMPLETIONS_ROUTE,
             self._load,
+            self._share_class,
             None if self._pace_recorded else _pace_s(result),
         )
         self._endpoint = None
@@ -110,7 +112,9 @@
             return
         self._pace_recorded = True
         self._context.board.book.record_time(
-            attempts.evidence_key(self._endpoint, attempts.COMPLETIONS_ROUTE),
+            attempts.evidence_key(
+                self._endpoint, attempts.COMPLETIONS_ROUTE, self._share_class
+            ),
             self._context.clock.wall_s(),
             (now_s - self._pace_started_s) / (self._pace_tokens - 1),
         )
@@ -132,11 +136,16 @@
         board = self._context.board
         now_s = self._context.clock.monotonic_s()
         chosen = board.choose(self._service, self._request_hash, now_s)
-        if chosen is None or self._picked == 1 or not chosen.fallback:
+        if chosen is None:
+            return None
+        self._share_class = chosen.share_class
+        if self._picked == 1 or not chosen.fallback:
             return chosen
         # A retry goes to the old version: a caller meets a bad new version
         # at most once.
-        return boards.VersionChoice(chosen.fallback, None, '')
+        return chosen._replace(
+            version=chosen.fallback, allowed=None, fallback=''
+        )
 
     def _acquire(
         self,
--- a/src/godwitvalve/moves/board.py
+++ b/src/godwitvalve/moves/board.py
@@ -17,17 +17,22 @@
 from godwitvalve.moves import watch
 from godwitvalve.routing import endpoint as endpoint_model
 
+# Class of requests that no move has split.
+_NO_MOVE = evidence.share_class(0.0)
+
 
 class VersionChoice(NamedTuple):
     """Where a new request goes.
 
     :param allowed: endpoint ids that may be used, or None for all.
     :param fallback: version for a retry, empty if there is no other.
+    :param share_class: class of the share that the choice was made with.
     """
 
     version: str
     allowed: frozenset[str] | None
     fallback: str
+    share_class: int
 
 
 class MoveStatus(NamedTuple):
@@ -155,16 +160,24 @@
             return None
         item = self._watched.get(service)
         if item is None:
-            return VersionChoice(found.serving.name, None, '')
+            return VersionChoice(found.serving.name, None, '', _NO_MOVE)
         moving = item.moving
         share = item.decision.share
         if not self.keeper.may_offer(moving.move_id, now_s):
             share = 0.0
+        split = evidence.share_class(share)
         chosen = choice.choose_version(moving, share, request_hash)
         if chosen == moving.old_version:
-            return VersionChoice(chosen, None, '')
+            return VersionChoice(chosen, None, '', split)
         allowed = frozenset(item.decision.replicas)
-        return VersionChoice(chosen, allowed, moving.old_version)
+        return VersionChoice(chosen, allowed, moving.old_version, split)
+
+    def share_class(self, service: str) -> int:
+        """Return the class of the share in force of a service's move."""
+        item = self._watched.get(service)
+        if item is None:
+            return _NO_MOVE
+        return evidence.share_class(item.decision.share)
 
     def carriers(self) -> Mapping[tuple[str, str], Sequence[str]]:
         """Return the endpoints that carry a share, by service version."""
@@ -198,7 +211,10 @@
         reason = row.reason if row else ''
         if item and item.moving.move_id == version.move_id:
             share = item.decision.share
-            reason = reason or item.decision.reason
+            if not reason:
+                reason = item.decision.reason
+            elif verdict is move.Verdict.DONE and share < 1.0:
+                reason = f'{reason}; for now, {item.decision.reason}'
         elif verdict is move.Verdict.MOVING and not self.is_ready(version):
             reason = 'waits for its dependencies or weights'
         return MoveStatus(
@@ -257,7 +273,6 @@
             now_wall_s,
             self.keeper.verdict(moving.move_id),
         )
-        item.watch.note_share(now_wall_s, item.decision.share)
 
     def _group(
         self, version: str, moving: move.Move
--- a/src/godwitvalve/moves/evidence.py
+++ b/src/godwitvalve/moves/evidence.py
@@ -2,31 +2,37 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from typing import Any, NamedTuple
 
-BUCKET_S = 2.0
+BUCKET_S = 1.0
 # Bins of the time a request (or one output token) took; each bin ends 15 %
 # above where it starts, far below the factor 1.5 that has to be seen.
 BIN_RATIO = 1.15
 _LOG_RATIO = math.log(BIN_RATIO)
 _MIN_TIME_S = 1e-5
 # A report repeats the last buckets, so that a lost one is made good.
-REPORTED_BUCKETS = 4
-KEPT_BUCKETS = 30
+REPORTED_BUCKETS = 3
+KEPT_BUCKETS = 60
 # Bounds of a report and of the book, for routes and endpoints that grow.
 MAX_CELLS_A_BUCKET = 4096
 MAX_REPORT_CELLS = 1024
 
 
 class CellKey(NamedTuple):
-    """What the counts of a cell are about."""
+    """What the counts of a cell are about.
+
+    :param share_class: class of the share in force when the request was
+        given to a version, from :func:`share_class`.
+    """
 
     service: str
     version: str
     route: str
     failure_domain: str
     endpoint_id: str
+    share_class: int
 
 
 class Cell(NamedTuple):
@@ -84,6 +90,17 @@
     return int(now_wall_s // BUCKET_S)
 
 
+def share_class(share: float) -> int:
+    """Return the class of a share; those up to one half are at most 0.
+
+    Requests are compared only with others that were split alike.
+    Otherwise, after a jump of the share, quick answers and slow ones that
+    end together would have been split differently.
+    """
+    bounded = min(max(share, 0.001), 0.999)
+    return math.ceil(2 * math.log(bounded / (1 - bounded)) - 1e-9)
+
+
 def time_bin(time_s: float) -> int:
     """Return the bin of a time in seconds."""
     return math.floor(math.log(max(time_s, _MIN_TIME_S)) / _LOG_RATIO)
@@ -190,10 +207,11 @@
         slot = (self.origin, self.incarnation)
         for bucket in range(last, last - REPORTED_BUCKETS, -1):
             held = self._buckets.get(bucket, {}).get(slot)
-            if held is None or len(held.cells) > room:
+            if held is None:
                 continue
-            room -= len(held.cells)
-            cells = tuple(CellRow(k, c) for k, c in held.cells.items())
+            chosen = itertools.islice(held.cells.items(), room)
+            cells = tuple(CellRow(key, cell) for key, cell in chosen)
+            room -= len(cells)
             rows.append(BucketRow(bucket, cells))
         return EvidenceReport(
             self.origin, self.incarnation, self._sequence, tuple(rows)
@@ -248,12 +266,18 @@
 
 def _bucket_from_wire(bucket: Any, cells: Any) -> BucketRow:
     rows = (
-        CellRow(CellKey(*map(str, key)), _cell_from_wire(*cell))
+        CellRow(_key_from_wire(*key), _cell_from_wire(*cell))
         for key, cell in cells
     )
     return BucketRow(int(bucket), tuple(rows))
 
 
+def _key_from_wire(*fields: Any) -> CellKey:
+    *names, split = fields
+    service, version, route, domain, endpoint_id = map(str, names)
+    return CellKey(service, version, route, domain, endpoint_id, int(split))
+
+
 def _cell_from_wire(
     attempts: Any, failures: Any, load_sum: Any, times: Any
 ) -> Cell:
