Examine signs at a share of 0.15 and heed them while in doubt

Cause: at the load of an old replica one of three carriers takes a third of the requests, so a failure tells little; the first sign is now examined at 0.15 whatever the load, the next one at full load. Bets that start at a sign have 0.4 of the stake. The ramp begins at 0.45 of the time.

--- a/src/godwitvalve/moves/betting.py
+++ b/src/godwitvalve/moves/betting.py
@@ -87,9 +87,9 @@
     """Mixture of e-processes that start at the beginning or later.
 
     A version that turns bad late must not be protected by the good record
-    it had before. Of the stake, 0.4 is bet from the start. 0.3 is spread
+    it had before. Of the stake, 0.35 is bet from the start. 0.25 is spread
     over later epochs i with the weights ``m / ((i + m) * (i + m + 1))``,
-    and 0.3 over the signs of a change that were raised so far, the j-th
+    and 0.4 over the signs of a change that were raised so far, the j-th
     one with ``1 / (j * (j + 1))``. Both sum to 1. A sign depends on the
     past only. So this is a mixture of e-processes that start at stopping
     times, with weights of sum 1, and thereby an e-process.
@@ -102,14 +102,14 @@
     def __init__(self, odds_ratios: tuple[float, ...], horizon: int) -> None:
         self._odds_ratios = odds_ratios
         self._horizon = horizon
-        self._staked = 0.4
+        self._staked = 0.35
         stake = self._staked / len(odds_ratios)
         self._wealth = [stake for _ in odds_ratios]
 
     def _due(self, start: Start) -> float:
         epochs = 1 - self._horizon / (start.epoch + self._horizon)
         signs = 1 - 1 / (start.signs + 1)
-        return 0.4 + 0.3 * epochs + 0.3 * signs
+        return 0.35 + 0.25 * epochs + 0.4 * signs
 
     def multiply(
         self, start: Start, new: int, old: int, new_events: int, events: int
--- a/src/godwitvalve/moves/share.py
+++ b/src/godwitvalve/moves/share.py
@@ -22,7 +22,7 @@
 _BASE_SHARE = 0.015
 # Parts of the time asked for: earliest and latest start of the ramp, end
 # of the ramp, and when doubts below the limit stop holding the share.
-_RAMP_EARLIEST = 0.4
+_RAMP_EARLIEST = 0.45
 _RAMP_LATEST = 0.55
 _RAMP_END = 0.9
 _HOLD_END = 0.9
@@ -41,7 +41,6 @@
 _GOLDEN = 0.6180339887498949
 _ENOUGH_ATTEMPTS = 50
 _ENOUGH_ENDPOINTS = 2
-_DOUBT = 8.0
 
 
 class ShareDecision(NamedTuple):
@@ -85,8 +84,10 @@
     turn = _turn(moving, now_wall_s)
     limit, why = _examined(seen, part, verdict, now_wall_s)
     test = max(round(limit * old_replicas), _fewest(old_replicas))
+    quick = _turn(moving, now_wall_s, _QUICK_TURNS)
+    if limit < share and limit == _TEST_SHARE and seen.signs() % 2:
+        return ShareDecision(limit, _rotated(order, quick)[:test], why)
     if share > max(limit, test / old_replicas):
-        quick = _turn(moving, now_wall_s, _QUICK_TURNS)
         return _full_load(test, order, old_replicas, quick, why)
     if share >= 1.0:
         return ShareDecision(1.0, order, reason)
@@ -169,7 +170,7 @@
     done = verdict is move.Verdict.DONE
     if (done or part < _SIGNS_END) and seen.has_sign(now_wall_s):
         return _TEST_SHARE, 'a change is examined'
-    if not done and part < _HOLD_END and seen.doubt() >= _DOUBT:
+    if not done and part < _HOLD_END and seen.doubt() >= watch.DOUBT:
         return _DOUBT_SHARE, 'a doubt is examined'
     return 1.0, ''
 
--- a/src/godwitvalve/moves/watch.py
+++ b/src/godwitvalve/moves/watch.py
@@ -20,6 +20,8 @@
 _ROUTE_PARTS = {blocks.FAILED: 0.2, blocks.SLOW: 0.1}
 # A report takes up to a second to be sent and some time to arrive.
 GRACE_S = 1.2
+# Evidence from which a doubt is examined.
+DOUBT = 8.0
 _EPOCH_S = 30.0
 _HISTORY_BLOCKS = 2000
 
@@ -155,12 +157,17 @@
                     events[blocks.Kind(event, '')] += count
                     events[blocks.Kind(event, key.route)] += count
         self.new_attempts += total
-        self._signs.add(total, events, (bucket + 1) * evidence.BUCKET_S)
+        ended_s = (bucket + 1) * evidence.BUCKET_S
+        self._signs.add(total, events, ended_s, self.doubt() >= DOUBT)
 
     def has_sign(self, now_wall_s: float) -> bool:
         """Tell whether a change was seen that is yet to be explained."""
         return self._signs.holds(now_wall_s)
 
+    def signs(self) -> int:
+        """Return how many signs of a change there were."""
+        return self._signs.raised
+
     def doubt(self) -> float:
         """Return the greatest e-value that one suspect does not explain."""
         values = [found.least_e_value() for found in self._findings.values()]
