--- a/features/steps/peers_frames_steps.py
+++ b/features/steps/peers_frames_steps.py
@@ -35,7 +35,7 @@
     ),
     strategies.builds(messages.PartsGiven, _pairs(_BYTES)),
     strategies.builds(messages.EvidenceReport, _TEXT, _INT, _INT, _BYTES),
-    strategies.builds(messages.VerdictAnnounced, _TEXT, _TEXT, _TEXT, _FLOAT),
+    strategies.builds(messages.VerdictAnnounced, _TEXT, _BYTES),
     strategies.builds(messages.DemandReport, _TEXT, _INT, _INT, _BYTES),
     strategies.builds(
         messages.MemberFact, _TEXT, _INT, _TEXT, _TEXT, _TEXT, _TEXT
