Remember the ring positions of entries

Cause: each node computes its overlay four times a second from all members and hashed every id for both rings each time, a cost that grows with the number of entries. A change of the result was ruled out: the function is pure.

--- a/src/godwitvalve/peers/overlay.py
+++ b/src/godwitvalve/peers/overlay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import abc
+import functools
 import hashlib
 
 MAX_PEERS = 6
@@ -12,6 +13,9 @@
 _RINGS = (b'gw-ring-1', b'gw-ring-2')
 
 
+# The overlay is computed several times a second from all members; hashing
+# their ids each time would be most of its cost.
+@functools.lru_cache(maxsize=4096)
 def _position(ring: bytes, instance_id: str) -> bytes:
     return hashlib.blake2b(
         instance_id.encode(), digest_size=8, person=ring
