--- a/bench/move_runs.py
+++ b/bench/move_runs.py
@@ -1,4 +1,4 @@
-"""One seeded move, decided by the product code or by the baseline."""
+"""One seeded move, decided by the product code."""
 
 from __future__ import annotations
 
@@ -8,14 +8,15 @@
 from typing import NamedTuple
 
 from bench import memory_tables
-from bench import naive_policy
 from bench import sites
 from bench import streams
 from godwitvalve.moves import choice
 from godwitvalve.moves import evidence
+from godwitvalve.moves import evidence_rows
 from godwitvalve.moves import judge
 from godwitvalve.moves import move
 from godwitvalve.moves import share
+from godwitvalve.moves import verdict_rows
 from godwitvalve.moves import verdicts
 from godwitvalve.moves import watch
 from godwitvalve.routing import endpoint
@@ -25,7 +26,7 @@
 # verdicts, and use the share of a deciding entry; with all reports alike they
 # would compute the same, and the run would take three times as long.
 _DECIDING = 2
-_TICK_S = 1.0
+TICK_S = 1.0
 # Reports arrive at the end of the tick after the one they were sent in, and
 # are judged this much later.
 _JUDGED_S = 0.25
@@ -33,7 +34,7 @@
 _EPOCH_S = 1_000_000.0
 # How long the new version is watched after ``done_by``, or after the onset of
 # a fault that comes later.
-_AFTER_BAD_S = 300.0
+AFTER_BAD_S = 300.0
 _AFTER_GOOD_S = 20.0
 _LOST_REPORTS = 0.02
 _AFTER_VERDICT_S = 10.0
@@ -118,8 +119,10 @@
             for index in range(site.replicas)
         ]
         self._running: list[streams.Ended] = []
-        self._reports: list[tuple[float, int, evidence.EvidenceReport]] = []
-        self._rows: list[tuple[float, verdicts.VerdictRow]] = []
+        self._reports: list[
+            tuple[float, int, evidence_rows.EvidenceReport]
+        ] = []
+        self._rows: list[tuple[float, verdict_rows.VerdictRow]] = []
         self._requests = self._new_requests = 0
         self._blamed = self._after_verdict = 0
         self._taken_back_s: float | None = None
@@ -130,11 +133,11 @@
         """Run the move to its end."""
         end_s = self.site.move_s + _AFTER_GOOD_S
         if self.case.is_bad:
-            end_s = max(self.site.move_s, self.stream.onset_s) + _AFTER_BAD_S
+            end_s = max(self.site.move_s, self.stream.onset_s) + AFTER_BAD_S
         at_s = 0.0
         while at_s < end_s:
             self._tick(at_s)
-            at_s += _TICK_S
+            at_s += TICK_S
             taken_back_s = self._taken_back_s
             if taken_back_s and at_s > taken_back_s + _AFTER_VERDICT_S:
                 break
@@ -144,12 +147,12 @@
         outage = self.stream.weather.store_down
         self.tables.down = bool(outage and outage[0] <= at_s < outage[1])
         self._plan(at_s)
-        for time_s in self.stream.arrivals(at_s, _TICK_S):
+        for time_s in self.stream.arrivals(at_s, TICK_S):
             self._send(time_s)
-        self._end_requests(at_s + _TICK_S)
-        self._exchange(at_s + _TICK_S)
+        self._end_requests(at_s + TICK_S)
+        self._exchange(at_s + TICK_S)
         for entry in self.entries:
-            self._judge(entry, at_s + _TICK_S + _JUDGED_S)
+            self._judge(entry, at_s + TICK_S + _JUDGED_S)
 
     def _plan(self, at_s: float) -> None:
         now = _EPOCH_S + at_s
@@ -175,7 +178,7 @@
             if known is move.Verdict.TAKEN_BACK:
                 entry.plan = share.ShareDecision(0.0, (), 'taken back')
         plans = [(e.plan.share, e.plan.replicas) for e in self.entries]
-        self.stream.follow_load(plans, _TICK_S)
+        self.stream.follow_load(plans, TICK_S)
 
     def _send(self, at_s: float) -> None:
         rng = self._rng
@@ -185,7 +188,7 @@
         version = choice.choose_version(
             self.moving, plan.share, rng.getrandbits(64)
         )
-        split = evidence.share_class(plan.share)
+        split = evidence_rows.share_class(plan.share)
         if version == 'v2':
             name = rng.choice(plan.replicas)
             self._count_new(at_s)
@@ -208,7 +211,7 @@
             ended = heapq.heappop(self._running)
             if self._taken_back_s is None:
                 self._blamed += ended.blamed
-            key = evidence.CellKey(
+            key = evidence_rows.CellKey(
                 'service',
                 ended.version,
                 ended.route,
@@ -280,7 +283,7 @@
         )
         stored = row is not None
         if row is not None:
-            stored = verdicts.decode(row.value).verdict == verdict
+            stored = verdict_rows.decode(row.value).verdict == verdict
         return Run(
             self.site.name,
             self.case.name,
@@ -295,57 +298,3 @@
             stored,
             self._reason,
         )
-
-
-def run_naive(site: sites.Site, case: sites.Case, seed: int) -> Run:
-    """Run the baseline on the same stream."""
-    stream = streams.Stream(site, case, seed)
-    rng = random.Random(f'entries {site.name} {case.name} {seed}')
-    policy = naive_policy.NaivePolicy()
-    carriers = tuple(
-        sites.endpoint_id('v2', index) for index in range(site.replicas)
-    )
-    running: list[streams.Ended] = []
-    new_requests = requests = blamed = 0
-    at_s = 0.0
-    taken_back_s: float | None = None
-    end_s = max(site.move_s, stream.onset_s) + _AFTER_BAD_S
-    while at_s < end_s and taken_back_s is None:
-        part = policy.share(at_s / site.move_s)
-        stream.follow_load([(part, carriers)], _TICK_S)
-        for time_s in stream.arrivals(at_s, _TICK_S):
-            version = 'v2' if rng.random() < part else 'v1'
-            index = rng.choice(stream.live(version, time_s))
-            name = sites.endpoint_id(version, index)
-            for ended in stream.run(time_s, 0, version, name, 0):
-                heapq.heappush(running, ended)
-            requests += 1
-            new_requests += version == 'v2'
-        at_s += _TICK_S
-        while running and running[0].at_s < at_s:
-            ended = heapq.heappop(running)
-            blamed += ended.blamed
-            is_new = ended.version == 'v2'
-            if ended.is_end:
-                policy.record(is_new, ended.ok)
-            if ended.time_s is not None:
-                policy.record_time(is_new, ended.time_s)
-        if policy.is_bad():
-            taken_back_s = at_s
-        elif at_s >= site.move_s and not case.is_bad:
-            break
-    done_s = site.move_s if taken_back_s is None else None
-    return Run(
-        site.name,
-        case.name,
-        seed,
-        taken_back_s,
-        done_s,
-        stream.onset_s,
-        new_requests,
-        requests,
-        blamed,
-        0,
-        True,
-        '',
-    )
--- a/bench/moves.py
+++ b/bench/moves.py
@@ -12,6 +12,7 @@
 import statistics
 
 from bench import move_runs
+from bench import naive_runs
 from bench import rows
 from bench import sites
 
@@ -35,7 +36,7 @@
 def _run_pair(
     job: tuple[sites.Site, sites.Case, int],
 ) -> tuple[move_runs.Run, move_runs.Run]:
-    return move_runs.Simulation(*job).run(), move_runs.run_naive(*job)
+    return move_runs.Simulation(*job).run(), naive_runs.run_naive(*job)
 
 
 def start_case(
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -17,10 +17,12 @@
 from godwitvalve.moves import blocks
 from godwitvalve.moves import choice
 from godwitvalve.moves import evidence
+from godwitvalve.moves import evidence_rows
 from godwitvalve.moves import findings
 from godwitvalve.moves import move
 from godwitvalve.moves import pace
 from godwitvalve.moves import share
+from godwitvalve.moves import verdict_rows
 from godwitvalve.moves import verdicts
 from godwitvalve.moves import watch
 from godwitvalve.platform import port
@@ -37,7 +39,9 @@
 
 
 def _key(route='/a', domain='fd-0', name='v2-0', version='v2', split=0):
-    return evidence.CellKey('service', version, route, domain, name, split)
+    return evidence_rows.CellKey(
+        'service', version, route, domain, name, split
+    )
 
 
 def _cells(book):
@@ -49,14 +53,14 @@
 
 
 _REPORT = strategies.builds(
-    evidence.EvidenceReport,
+    evidence_rows.EvidenceReport,
     strategies.sampled_from(['a', 'b']),
     strategies.integers(1, 2),
     strategies.integers(1, 6),
     strategies.integers(0, 3).map(
         lambda bucket: (
-            evidence.BucketRow(
-                bucket, (evidence.CellRow(_key(), evidence.Cell()),)
+            evidence_rows.BucketRow(
+                bucket, (evidence_rows.CellRow(_key(), evidence_rows.Cell()),)
             ),
         )
     ),
@@ -68,9 +72,11 @@
     numbered = []
     for report in reports:
         count = ord(report.origin) % 7 + report.incarnation
-        cell = evidence.Cell(report.sequence + count, report.sequence)
+        cell = evidence_rows.Cell(report.sequence + count, report.sequence)
         rows = tuple(
-            evidence.BucketRow(row.bucket, (evidence.CellRow(_key(), cell),))
+            evidence_rows.BucketRow(
+                row.bucket, (evidence_rows.CellRow(_key(), cell),)
+            )
             for row in report.buckets
         )
         numbered.append(report._replace(buckets=rows))
@@ -116,8 +122,8 @@
 
 @behave.then('the evidence book holds the counts of the newer report')
 def holds_newer(context):
-    found = context.book.cells(evidence.bucket_of(START_S))
-    assert found == [(_key(), evidence.Cell(2, 1))], found
+    found = context.book.cells(evidence_rows.bucket_of(START_S))
+    assert found == [(_key(), evidence_rows.Cell(2, 1))], found
 
 
 @behave.when(
@@ -126,7 +132,7 @@
 def record_much(context, buckets, n):
     context.book = evidence.EvidenceBook('me', 1)
     for index in range(buckets):
-        context.last_s = START_S + index * evidence.BUCKET_S
+        context.last_s = START_S + index * evidence_rows.BUCKET_S
         context.book.record(_key(), context.last_s, failed=False)
     for index in range(n):
         key = _key(route=str(index))
@@ -148,14 +154,14 @@
     report = context.book.report(context.last_s)
     assert 0 < sum(len(row.cells) for row in report.buckets) <= n
     raw = msgpack.unpackb(msgpack.packb(report))
-    assert evidence.report_from_wire(raw) == report
+    assert evidence_rows.report_from_wire(raw) == report
 
 
 @behave.then('evidence reports of a wrong shape raise a value error')
 def wrong_shapes(context):
     for raw in (None, [], ['a', 1, 1, [[1]]], ['a', 'x', 1, []], [1, 2]):
         try:
-            evidence.report_from_wire(raw)
+            evidence_rows.report_from_wire(raw)
         except ValueError:
             continue
         raise AssertionError(raw)
@@ -189,7 +195,7 @@
         for report in reports:
             books[0].merge(report)
         seen = watch.MoveWatch(moving, 2, START_S)
-        block = blocks.Block(0, evidence.bucket_of(START_S))
+        block = blocks.Block(0, evidence_rows.bucket_of(START_S))
         limits = pace.PaceLimits()
         for bucket in books[0].buckets():
             for key, cell in books[0].cells(bucket):
@@ -279,7 +285,7 @@
             key = _key('/a', f'fd-{place}', f'{version}-{place}', version)
             block.add(
                 key,
-                evidence.Cell(count, failures),
+                evidence_rows.Cell(count, failures),
                 version == 'v2',
                 limits,
             )
@@ -489,7 +495,7 @@
 
 def _stored(context):
     row = asyncio.run(context.tables.read(verdicts.TABLE, MOVE_ID))
-    return row.version, verdicts.decode(row.value)
+    return row.version, verdict_rows.decode(row.value)
 
 
 @behave.then('the stored verdict is "{verdict}" with version {version:d}')
@@ -535,7 +541,7 @@
 
 
 _ROW = strategies.builds(
-    verdicts.VerdictRow,
+    verdict_rows.VerdictRow,
     strategies.just(MOVE_ID),
     strategies.sampled_from(list(move.Verdict)),
     strategies.sampled_from(['x', 'y']),
@@ -546,7 +552,7 @@
 
 @behave.then('merging verdicts is commutative, associative and idempotent')
 def verdicts_merge(context):
-    stronger = verdicts.stronger
+    stronger = verdict_rows.stronger
 
     @SETTINGS
     @hypothesis.given(_ROW, _ROW, _ROW)
--- a/src/godwitvalve/moves/blocks.py
+++ b/src/godwitvalve/moves/blocks.py
@@ -7,7 +7,7 @@
 import dataclasses
 from typing import NamedTuple
 
-from godwitvalve.moves import evidence
+from godwitvalve.moves import evidence_rows
 from godwitvalve.moves import pace
 
 # Events by kind and route; the route '' stands for the sum.
@@ -24,7 +24,7 @@
 _LOAD_SLACK = 3
 
 
-_LEAST_CLASS = evidence.share_class(0.02)
+_LEAST_CLASS = evidence_rows.share_class(0.02)
 
 
 class Kind(NamedTuple):
@@ -89,8 +89,8 @@
 
     def add(
         self,
-        key: evidence.CellKey,
-        cell: evidence.Cell,
+        key: evidence_rows.CellKey,
+        cell: evidence_rows.Cell,
         is_new: bool,
         limits: pace.PaceLimits,
     ) -> None:
@@ -123,7 +123,7 @@
 
     def is_old(self, bucket: int) -> bool:
         """Tell whether the requests are too far apart to be compared."""
-        age_s = (bucket - self.first_bucket) * evidence.BUCKET_S
+        age_s = (bucket - self.first_bucket) * evidence_rows.BUCKET_S
         return age_s >= _MAX_AGE_S
 
     def kinds(self) -> list[Kind]:
--- a/src/godwitvalve/moves/evidence.py
+++ b/src/godwitvalve/moves/evidence.py
@@ -3,119 +3,25 @@
 from __future__ import annotations
 
 import itertools
-import math
-from typing import Any, NamedTuple
+from typing import NamedTuple
+
+from godwitvalve.moves import evidence_rows
 
-BUCKET_S = 1.0
-# Bins of the time a request (or one output token) took; each bin ends 15 %
-# above where it starts, far below the factor 1.5 that has to be seen.
-BIN_RATIO = 1.15
-_LOG_RATIO = math.log(BIN_RATIO)
-_MIN_TIME_S = 1e-5
 # A report repeats the last buckets, so that a lost one is made good.
 REPORTED_BUCKETS = 3
 KEPT_BUCKETS = 60
-# Bounds of a report and of the book, for routes and endpoints that grow.
+# Bound of the book, for routes and endpoints that grow.
 MAX_CELLS_A_BUCKET = 4096
-MAX_REPORT_CELLS = 1024
-
-
-class CellKey(NamedTuple):
-    """What the counts of a cell are about.
-
-    :param share_class: class of the share in force when the request was
-        given to a version, from :func:`share_class`.
-    """
-
-    service: str
-    version: str
-    route: str
-    failure_domain: str
-    endpoint_id: str
-    share_class: int
-
-
-class Cell(NamedTuple):
-    """Counts of one origin for one key in one bucket.
-
-    :param load_sum: outstanding requests of the endpoint, summed over the
-        attempts at their starts.
-    :param times: (bin, count) pairs, one sample a request: seconds of a
-        plain request, or seconds per output token.
-    """
-
-    attempts: int = 0
-    failures: int = 0
-    load_sum: int = 0
-    times: tuple[tuple[int, int], ...] = ()
-
-
-class CellRow(NamedTuple):
-    """A cell on the wire."""
-
-    key: CellKey
-    cell: Cell
-
-
-class BucketRow(NamedTuple):
-    """All cells of one origin in one bucket."""
-
-    bucket: int
-    cells: tuple[CellRow, ...]
-
-
-class EvidenceReport(NamedTuple):
-    """Evidence of one entry instance.
-
-    For each bucket the highest (incarnation, sequence) of an origin holds.
-    A sequence number is never used twice by an incarnation.
-    """
-
-    origin: str
-    incarnation: int
-    sequence: int
-    buckets: tuple[BucketRow, ...]
 
 
 class _Held(NamedTuple):
     sequence: int
-    cells: dict[CellKey, Cell]
+    cells: dict[evidence_rows.CellKey, evidence_rows.Cell]
 
 
 _Slot = tuple[str, int]
 
 
-def bucket_of(now_wall_s: float) -> int:
-    """Return the bucket that holds a time."""
-    return int(now_wall_s // BUCKET_S)
-
-
-def share_class(share: float) -> int:
-    """Return the class of a share; those up to one half are at most 0.
-
-    Requests are compared only with others that were split alike.
-    Otherwise, after a jump of the share, quick answers and slow ones that
-    end together would have been split differently.
-    """
-    bounded = min(max(share, 0.001), 0.999)
-    return math.ceil(2 * math.log(bounded / (1 - bounded)) - 1e-9)
-
-
-def time_bin(time_s: float) -> int:
-    """Return the bin of a time in seconds."""
-    return math.floor(math.log(max(time_s, _MIN_TIME_S)) / _LOG_RATIO)
-
-
-def add_time(
-    times: tuple[tuple[int, int], ...], time_s: float
-) -> tuple[tuple[int, int], ...]:
-    """Return the bins with one more sample."""
-    counts = dict(times)
-    index = time_bin(time_s)
-    counts[index] = counts.get(index, 0) + 1
-    return tuple(sorted(counts.items()))
-
-
 class EvidenceBook:
     """Own evidence and that of the other entries, by bucket.
 
@@ -139,7 +45,7 @@
 
     def record(
         self,
-        key: CellKey,
+        key: evidence_rows.CellKey,
         now_wall_s: float,
         *,
         failed: bool,
@@ -153,30 +59,36 @@
             that succeeded; None if ``record_time`` was already called.
         """
         cells = self._own_cells(now_wall_s)
-        cell = cells.get(key, Cell())
+        cell = cells.get(key, evidence_rows.Cell())
         if key not in cells and len(cells) >= MAX_CELLS_A_BUCKET:
             self.dropped_cells += 1
             return
-        cells[key] = Cell(
+        cells[key] = evidence_rows.Cell(
             cell.attempts + 1,
             cell.failures + failed,
             cell.load_sum + load,
-            cell.times if time_s is None else add_time(cell.times, time_s),
+            cell.times
+            if time_s is None
+            else evidence_rows.add_time(cell.times, time_s),
         )
 
     def record_time(
-        self, key: CellKey, now_wall_s: float, time_s: float
+        self, key: evidence_rows.CellKey, now_wall_s: float, time_s: float
     ) -> None:
         """Add the pace of a running generation, once for each request."""
         cells = self._own_cells(now_wall_s)
-        cell = cells.get(key, Cell())
+        cell = cells.get(key, evidence_rows.Cell())
         if key not in cells and len(cells) >= MAX_CELLS_A_BUCKET:
             self.dropped_cells += 1
             return
-        cells[key] = cell._replace(times=add_time(cell.times, time_s))
+        cells[key] = cell._replace(
+            times=evidence_rows.add_time(cell.times, time_s)
+        )
 
-    def _own_cells(self, now_wall_s: float) -> dict[CellKey, Cell]:
-        bucket = bucket_of(now_wall_s)
+    def _own_cells(
+        self, now_wall_s: float
+    ) -> dict[evidence_rows.CellKey, evidence_rows.Cell]:
+        bucket = evidence_rows.bucket_of(now_wall_s)
         slots = self._slots(bucket)
         slot = (self.origin, self.incarnation)
         held = slots.get(slot)
@@ -198,11 +110,11 @@
             del self._buckets[bucket]
             self._oldest = max(self._oldest, bucket + 1)
 
-    def report(self, now_wall_s: float) -> EvidenceReport:
+    def report(self, now_wall_s: float) -> evidence_rows.EvidenceReport:
         """Return the newest evidence of this entry for the others."""
         self._sequence += 1
-        last = bucket_of(now_wall_s)
-        room = MAX_REPORT_CELLS
+        last = evidence_rows.bucket_of(now_wall_s)
+        room = evidence_rows.MAX_REPORT_CELLS
         rows = []
         slot = (self.origin, self.incarnation)
         for bucket in range(last, last - REPORTED_BUCKETS, -1):
@@ -210,14 +122,16 @@
             if held is None:
                 continue
             chosen = itertools.islice(held.cells.items(), room)
-            cells = tuple(CellRow(key, cell) for key, cell in chosen)
+            cells = tuple(
+                evidence_rows.CellRow(key, cell) for key, cell in chosen
+            )
             room -= len(cells)
-            rows.append(BucketRow(bucket, cells))
-        return EvidenceReport(
+            rows.append(evidence_rows.BucketRow(bucket, cells))
+        return evidence_rows.EvidenceReport(
             self.origin, self.incarnation, self._sequence, tuple(rows)
         )
 
-    def merge(self, report: EvidenceReport) -> None:
+    def merge(self, report: evidence_rows.EvidenceReport) -> None:
         """Take over a report; older or repeated ones change nothing."""
         if report.origin == self.origin:
             return
@@ -233,7 +147,9 @@
             cells = dict(rows[:MAX_CELLS_A_BUCKET])
             self._buckets[bucket][slot] = _Held(report.sequence, cells)
 
-    def cells(self, bucket: int) -> list[tuple[CellKey, Cell]]:
+    def cells(
+        self, bucket: int
+    ) -> list[tuple[evidence_rows.CellKey, evidence_rows.Cell]]:
         """Return the cells of all origins in a bucket."""
         return [
             item
@@ -244,42 +160,3 @@
     def buckets(self) -> list[int]:
         """Return the buckets that the book holds, oldest first."""
         return sorted(self._buckets)
-
-
-def report_from_wire(raw: Any) -> EvidenceReport:
-    """Build a report from what msgpack unpacked.
-
-    :raises ValueError: if the shape is wrong or a bound is exceeded.
-    """
-    try:
-        origin, incarnation, sequence, buckets = raw
-        rows = tuple(_bucket_from_wire(*row) for row in buckets)
-        report = EvidenceReport(
-            str(origin), int(incarnation), int(sequence), rows
-        )
-    except (TypeError, AttributeError) as error:
-        raise ValueError(f'evidence report has a wrong shape: {error}')
-    if sum(len(row.cells) for row in rows) > MAX_REPORT_CELLS:
-        raise ValueError('too many cells in an evidence report')
-    return report
-
-
-def _bucket_from_wire(bucket: Any, cells: Any) -> BucketRow:
-    rows = (
-        CellRow(_key_from_wire(*key), _cell_from_wire(*cell))
-        for key, cell in cells
-    )
-    return BucketRow(int(bucket), tuple(rows))
-
-
-def _key_from_wire(*fields: Any) -> CellKey:
-    *names, split = fields
-    service, version, route, domain, endpoint_id = map(str, names)
-    return CellKey(service, version, route, domain, endpoint_id, int(split))
-
-
-def _cell_from_wire(
-    attempts: Any, failures: Any, load_sum: Any, times: Any
-) -> Cell:
-    pairs = tuple((int(index), int(count)) for index, count in times)
-    return Cell(int(attempts), int(failures), int(load_sum), pairs)
--- /dev/null
+++ b/src/godwitvalve/moves/evidence_rows.py
@@ -0,0 +1,142 @@
+"""Rows of evidence and their form on the wire."""
+
+from __future__ import annotations
+
+import math
+from typing import Any, NamedTuple
+
+BUCKET_S = 1.0
+# Bins of the time a request (or one output token) took; each bin ends 15 %
+# above where it starts, far below the factor 1.5 that has to be seen.
+BIN_RATIO = 1.15
+_LOG_RATIO = math.log(BIN_RATIO)
+_MIN_TIME_S = 1e-5
+# Bound of a report, for routes and endpoints that grow.
+MAX_REPORT_CELLS = 1024
+
+
+class CellKey(NamedTuple):
+    """What the counts of a cell are about.
+
+    :param share_class: class of the share in force when the request was
+        given to a version, from :func:`share_class`.
+    """
+
+    service: str
+    version: str
+    route: str
+    failure_domain: str
+    endpoint_id: str
+    share_class: int
+
+
+class Cell(NamedTuple):
+    """Counts of one origin for one key in one bucket.
+
+    :param load_sum: outstanding requests of the endpoint, summed over the
+        attempts at their starts.
+    :param times: (bin, count) pairs, one sample a request: seconds of a
+        plain request, or seconds per output token.
+    """
+
+    attempts: int = 0
+    failures: int = 0
+    load_sum: int = 0
+    times: tuple[tuple[int, int], ...] = ()
+
+
+class CellRow(NamedTuple):
+    """A cell on the wire."""
+
+    key: CellKey
+    cell: Cell
+
+
+class BucketRow(NamedTuple):
+    """All cells of one origin in one bucket."""
+
+    bucket: int
+    cells: tuple[CellRow, ...]
+
+
+class EvidenceReport(NamedTuple):
+    """Evidence of one entry instance.
+
+    For each bucket the highest (incarnation, sequence) of an origin holds.
+    A sequence number is never used twice by an incarnation.
+    """
+
+    origin: str
+    incarnation: int
+    sequence: int
+    buckets: tuple[BucketRow, ...]
+
+
+def bucket_of(now_wall_s: float) -> int:
+    """Return the bucket that holds a time."""
+    return int(now_wall_s // BUCKET_S)
+
+
+def share_class(share: float) -> int:
+    """Return the class of a share; those up to one half are at most 0.
+
+    Requests are compared only with others that were split alike.
+    Otherwise, after a jump of the share, quick answers and slow ones that
+    end together would have been split differently.
+    """
+    bounded = min(max(share, 0.001), 0.999)
+    return math.ceil(2 * math.log(bounded / (1 - bounded)) - 1e-9)
+
+
+def time_bin(time_s: float) -> int:
+    """Return the bin of a time in seconds."""
+    return math.floor(math.log(max(time_s, _MIN_TIME_S)) / _LOG_RATIO)
+
+
+def add_time(
+    times: tuple[tuple[int, int], ...], time_s: float
+) -> tuple[tuple[int, int], ...]:
+    """Return the bins with one more sample."""
+    counts = dict(times)
+    index = time_bin(time_s)
+    counts[index] = counts.get(index, 0) + 1
+    return tuple(sorted(counts.items()))
+
+
+def report_from_wire(raw: Any) -> EvidenceReport:
+    """Build a report from what msgpack unpacked.
+
+    :raises ValueError: if the shape is wrong or a bound is exceeded.
+    """
+    try:
+        origin, incarnation, sequence, buckets = raw
+        rows = tuple(_bucket_from_wire(*row) for row in buckets)
+        report = EvidenceReport(
+            str(origin), int(incarnation), int(sequence), rows
+        )
+    except (TypeError, AttributeError) as error:
+        raise ValueError(f'evidence report has a wrong shape: {error}')
+    if sum(len(row.cells) for row in rows) > MAX_REPORT_CELLS:
+        raise ValueError('too many cells in an evidence report')
+    return report
+
+
+def _bucket_from_wire(bucket: Any, cells: Any) -> BucketRow:
+    rows = (
+        CellRow(_key_from_wire(*key), _cell_from_wire(*cell))
+        for key, cell in cells
+    )
+    return BucketRow(int(bucket), tuple(rows))
+
+
+def _key_from_wire(*fields: Any) -> CellKey:
+    *names, split = fields
+    service, version, route, domain, endpoint_id = map(str, names)
+    return CellKey(service, version, route, domain, endpoint_id, int(split))
+
+
+def _cell_from_wire(
+    attempts: Any, failures: Any, load_sum: Any, times: Any
+) -> Cell:
+    pairs = tuple((int(index), int(count)) for index, count in times)
+    return Cell(int(attempts), int(failures), int(load_sum), pairs)
--- a/src/godwitvalve/moves/share.py
+++ b/src/godwitvalve/moves/share.py
@@ -9,7 +9,7 @@
 import math
 from typing import NamedTuple
 
-from godwitvalve.moves import evidence
+from godwitvalve.moves import evidence_rows
 from godwitvalve.moves import move
 from godwitvalve.moves import watch
 from godwitvalve.routing import endpoint
@@ -192,12 +192,12 @@
         carriers = min(carriers, len(order))
         share = min(_MEAN_SHARE, carriers * alone)
         return ShareDecision(share, order[:carriers], 'small share')
-    step_s = evidence.BUCKET_S
+    step_s = evidence_rows.BUCKET_S
     pulse = math.ceil(moving.pulse_s / step_s)
     above = (alone - _BASE_SHARE) / (_MEAN_SHARE - _BASE_SHARE)
     period = math.ceil(pulse * above)
     began = math.ceil(moving.started_wall_s / step_s)
-    steps = evidence.bucket_of(now_wall_s) - began
+    steps = evidence_rows.bucket_of(now_wall_s) - began
     turn, step = divmod(steps, period)
     if step >= period - pulse:
         return _full_load(1, order, old_replicas, turn, 'small share, pulse')
--- a/src/godwitvalve/moves/signs.py
+++ b/src/godwitvalve/moves/signs.py
@@ -10,7 +10,7 @@
 import math
 
 from godwitvalve.moves import blocks
-from godwitvalve.moves import evidence
+from godwitvalve.moves import evidence_rows
 
 # Two or three failures close together raise a sign; see docs/moves.md.
 _LIMIT = {blocks.FAILED: 5.0, blocks.SLOW: 6.0}
@@ -110,9 +110,9 @@
 
     def _use(self, now_wall_s: float) -> None:
         if self.holds(now_wall_s):
-            self._left_s -= evidence.BUCKET_S
+            self._left_s -= evidence_rows.BUCKET_S
         else:
-            back_s = self._left_s + _COMES_BACK * evidence.BUCKET_S
+            back_s = self._left_s + _COMES_BACK * evidence_rows.BUCKET_S
             self._left_s = min(back_s, _MOST_HEEDED_S)
         if self._left_s <= 0:
             self._used_up = True
--- a/src/godwitvalve/moves/verdicts.py
+++ b/src/godwitvalve/moves/verdicts.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import logging
-from typing import NamedTuple
-
-import msgpack
 
 from godwitvalve.moves import move
+from godwitvalve.moves import verdict_rows
 from godwitvalve.platform import port
 
 TABLE = 'moves'
@@ -21,50 +19,6 @@
 _LOG = logging.getLogger('godwitvalve.moves')
 
 
-class VerdictRow(NamedTuple):
-    """Verdict on a move, with who found it.
-
-    Rows are ordered by verdict first; the earliest of equal verdicts holds.
-    """
-
-    move_id: str
-    verdict: int
-    reason: str
-    origin: str
-    decided_wall_s: float
-
-    def encode(self) -> bytes:
-        """Return the row as it is stored."""
-        return msgpack.packb(tuple(self))  # type: ignore[no-any-return]
-
-
-def decode(raw: bytes) -> VerdictRow:
-    """Return a stored row.
-
-    :raises ValueError: if it is no verdict row.
-    """
-    try:
-        move_id, verdict, reason, origin, decided = msgpack.unpackb(raw)
-        return VerdictRow(
-            str(move_id),
-            move.Verdict(verdict),
-            str(reason),
-            str(origin),
-            float(decided),
-        )
-    except (TypeError, msgpack.UnpackException) as error:
-        raise ValueError(f'not a verdict row: {error}')
-
-
-def stronger(one: VerdictRow, other: VerdictRow) -> VerdictRow:
-    """Return the verdict that holds: commutative and idempotent."""
-
-    def rank(row: VerdictRow) -> tuple[int, float, str, str]:
-        return (-row.verdict, row.decided_wall_s, row.origin, row.reason)
-
-    return min(one, other, key=rank)
-
-
 class VerdictKeeper:
     """Verdicts that this entry knows, and those it has yet to store.
 
@@ -78,8 +32,8 @@
     def __init__(self, tables: port.TableService, origin: str) -> None:
         self._tables = tables
         self._origin = origin
-        self._rows: dict[str, VerdictRow] = {}
-        self._stored: dict[str, tuple[int, VerdictRow]] = {}
+        self._rows: dict[str, verdict_rows.VerdictRow] = {}
+        self._stored: dict[str, tuple[int, verdict_rows.VerdictRow]] = {}
         self._confirmed: dict[str, float] = {}
         self._retry_at_s = 0.0
 
@@ -88,11 +42,11 @@
         row = self._rows.get(move_id)
         return move.Verdict(row.verdict) if row else move.Verdict.MOVING
 
-    def row(self, move_id: str) -> VerdictRow | None:
+    def row(self, move_id: str) -> verdict_rows.VerdictRow | None:
         """Return the verdict with its reason, if there is one."""
         return self._rows.get(move_id)
 
-    def rows(self) -> list[VerdictRow]:
+    def rows(self) -> list[verdict_rows.VerdictRow]:
         """Return all verdicts, to be told to peers."""
         return list(self._rows.values())
 
@@ -109,15 +63,15 @@
                 return False
         if verdict <= self.verdict(move_id):
             return False
-        row = VerdictRow(
+        row = verdict_rows.VerdictRow(
             move_id, verdict, reason[:_MAX_REASON], self._origin, now_wall_s
         )
         return self.merge(row)
 
-    def merge(self, row: VerdictRow) -> bool:
+    def merge(self, row: verdict_rows.VerdictRow) -> bool:
         """Take over a verdict; tell whether the known one changed."""
         known = self._rows.get(row.move_id)
-        held = stronger(known, row) if known else row
+        held = verdict_rows.stronger(known, row) if known else row
         if held == known:
             return False
         self._rows[row.move_id] = held
@@ -167,7 +121,7 @@
             if self._needs_write(move_id, row)
         ]
 
-    def _needs_write(self, move_id: str, row: VerdictRow) -> bool:
+    def _needs_write(self, move_id: str, row: verdict_rows.VerdictRow) -> bool:
         stored = self._stored.get(move_id)
         return stored is None or stored[1].verdict < row.verdict
 
@@ -213,6 +167,6 @@
         row = await self._tables.read(TABLE, move_id)
         if row is None:
             return
-        found = decode(row.value)
+        found = verdict_rows.decode(row.value)
         self._stored[move_id] = (row.version, found)
         self.merge(found)
--- a/src/godwitvalve/moves/watch.py
+++ b/src/godwitvalve/moves/watch.py
@@ -8,6 +8,7 @@
 from godwitvalve.moves import betting
 from godwitvalve.moves import blocks
 from godwitvalve.moves import evidence
+from godwitvalve.moves import evidence_rows
 from godwitvalve.moves import findings
 from godwitvalve.moves import move
 from godwitvalve.moves import pace
@@ -25,7 +26,7 @@
 _EPOCH_S = 30.0
 _HISTORY_BLOCKS = 2000
 
-_Cells = Iterable[tuple[evidence.CellKey, evidence.Cell]]
+_Cells = Iterable[tuple[evidence_rows.CellKey, evidence_rows.Cell]]
 
 
 class MoveWatch:
@@ -46,7 +47,7 @@
         self._routes = max(routes, 1)
         planned_s = moving.done_by_wall_s - moving.started_wall_s
         self._horizon = max(int(2 * planned_s / _EPOCH_S), 1)
-        self._next = evidence.bucket_of(now_wall_s)
+        self._next = evidence_rows.bucket_of(now_wall_s)
         self._open: dict[int, blocks.Block] = {}
         self._limits = pace.PaceLimits()
         self._history: collections.deque[findings.Record] = collections.deque(
@@ -59,14 +60,14 @@
 
     def advance(self, book: evidence.EvidenceBook, now_wall_s: float) -> None:
         """Read the buckets that are complete by now."""
-        end = evidence.bucket_of(now_wall_s - GRACE_S)
+        end = evidence_rows.bucket_of(now_wall_s - GRACE_S)
         self._next = max(self._next, end - evidence.KEPT_BUCKETS)
         while self._next < end:
             self._read(book, self._next)
             self._next += 1
 
     def _read(self, book: evidence.EvidenceBook, bucket: int) -> None:
-        self._limits.refresh(bucket * evidence.BUCKET_S)
+        self._limits.refresh(bucket * evidence_rows.BUCKET_S)
         moving = self.moving
         new = []
         old = []
@@ -118,7 +119,8 @@
         if not kinds:
             return
         elapsed_s = (
-            block.first_bucket * evidence.BUCKET_S - self.moving.started_wall_s
+            block.first_bucket * evidence_rows.BUCKET_S
+            - self.moving.started_wall_s
         )
         epoch = int(max(elapsed_s, 0.0) / _EPOCH_S)
         start = betting.Start(epoch, block.signs)
@@ -157,7 +159,7 @@
                     events[blocks.Kind(event, '')] += count
                     events[blocks.Kind(event, key.route)] += count
         self.new_attempts += total
-        ended_s = (bucket + 1) * evidence.BUCKET_S
+        ended_s = (bucket + 1) * evidence_rows.BUCKET_S
         self._signs.add(total, events, ended_s, self.doubt() >= DOUBT)
 
     def has_sign(self, now_wall_s: float) -> bool:
