--- a/src/godwitvalve/entry/build.py
+++ b/src/godwitvalve/entry/build.py
@@ -59,6 +59,7 @@
             loaded.settings.platform_url, loaded.settings.table_timeout_s
         )
         self.part_source = gossip.PeerPartSource()
+        self._claim_budget = claim_budget.ClaimBudget()
 
     def build(self, on_installed: Installed) -> contexts.EntryContext:
         """Return the context of this process."""
@@ -99,6 +100,7 @@
                 ),
             ),
             executor=self._executor(node),
+            claim_budget=self._claim_budget,
             plain=self.plain,
         )
 
@@ -137,9 +139,7 @@
             self._loaded.settings.instance_id,
             self._incarnation,
             (self._loaded.resume_key,),
-            claims.ClaimStore(
-                self.platform, claim_budget.ClaimBudget(), clock
-            ),
+            claims.ClaimStore(self.platform, self._claim_budget, clock),
             forwarding.PeerForwarder(node, clock),
             clock,
         )
--- a/src/godwitvalve/entry/gossip.py
+++ b/src/godwitvalve/entry/gossip.py
@@ -16,8 +16,8 @@
 from godwitvalve.limits import model as limit_model
 from godwitvalve.limits import shares as account_shares
 from godwitvalve.logs import setup as logs
-from godwitvalve.moves import evidence
-from godwitvalve.moves import verdicts
+from godwitvalve.moves import evidence_rows
+from godwitvalve.moves import verdict_rows
 from godwitvalve.peers import calls
 from godwitvalve.peers import messages
 from godwitvalve.peers import node as peer_nodes
@@ -192,7 +192,7 @@
     def _take_evidence(self, origin: str, message: messages.Message) -> None:
         assert isinstance(message, messages.EvidenceReport)
         try:
-            report = evidence.report_from_wire(
+            report = evidence_rows.report_from_wire(
                 messages.unpack_values(message.report)
             )
         except (ValueError, messages.MessageError) as error:
@@ -204,7 +204,7 @@
     def _take_verdict(self, origin: str, message: messages.Message) -> None:
         assert isinstance(message, messages.VerdictAnnounced)
         try:
-            row = verdicts.decode(message.row)
+            row = verdict_rows.decode(message.row)
         except ValueError as error:
             _LOG.warning('A verdict of %s is malformed: %s.', origin, error)
             return
--- a/src/godwitvalve/entry/move_watch.py
+++ b/src/godwitvalve/entry/move_watch.py
@@ -6,6 +6,7 @@
 
 from godwitvalve.configuration import in_force
 from godwitvalve.entry import context as contexts
+from godwitvalve.moves import verdict_rows
 from godwitvalve.moves import verdicts
 from godwitvalve.peers import messages
 from godwitvalve.platform import port
@@ -117,6 +118,6 @@
         return any(usable(wanted.service, name) for name in names)
 
 
-def to_message(row: verdicts.VerdictRow) -> messages.VerdictAnnounced:
+def to_message(row: verdict_rows.VerdictRow) -> messages.VerdictAnnounced:
     """Return the announcement of a verdict."""
     return messages.VerdictAnnounced(row.move_id, row.encode())
--- a/src/godwitvalve/operator_cli/verdicts.py
+++ b/src/godwitvalve/operator_cli/verdicts.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from godwitvalve.moves import move
+from godwitvalve.moves import verdict_rows
 from godwitvalve.moves import verdicts
 from godwitvalve.platform import port
 
@@ -23,7 +24,7 @@
 
 def _row(row: port.Row) -> VerdictRow:
     try:
-        found = verdicts.decode(row.value)
+        found = verdict_rows.decode(row.value)
     except ValueError:
         return VerdictRow(row.key, 'unreadable', '')
     state = move.Verdict(found.verdict).name.lower()
