--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 import dataclasses
 import statistics
 import time
@@ -16,6 +16,7 @@
 import orjson
 import pydantic
 
+from bench import rows
 from godwitvalve import clock
 from godwitvalve.configuration import refresher
 from godwitvalve.configuration import tracker
@@ -148,35 +149,24 @@
     return times, len(body)
 
 
-def _line(
-    measure: str, value: float, unit: str, base: float, case: str
-) -> None:
-    line = {
-        'measure': measure,
-        'value': round(value, 3),
-        'unit': unit,
-        'baseline': round(base, 3),
-        'seed': 0,
-        'case': case,
-    }
-    print(orjson.dumps(line).decode(), flush=True)
-
-
-def main() -> None:
-    """Measure each size."""
+def run() -> Iterator[rows.Row]:
+    """Yield bytes and processor time of one change at each size."""
     for endpoints in SIZES:
         times, sent = asyncio.run(_one_change(endpoints))
         whole_times, whole_sent = _whole(build_text(endpoints))
         case = f'{endpoints} endpoints'
-        _line('configuration_change_bytes', sent, 'bytes', whole_sent, case)
-        _line(
-            'configuration_change_cpu',
+        yield rows.Row(
+            'configuration change, bytes', sent, 'bytes', whole_sent, 0, case
+        )
+        yield rows.Row(
+            'configuration change, processor time',
             statistics.median(times) * 1000,
             'ms',
             statistics.median(whole_times) * 1000,
+            0,
             case,
         )
 
 
 if __name__ == '__main__':
-    main()
+    rows.print_rows(run())
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -316,7 +316,7 @@
 def evidence_of_services(context, first, second):
     context.book = evidence.EvidenceBook('a', 1)
     for service in (first, second):
-        key = evidence.CellKey(service, 'v1', '/x', 'fd-1', 'e1')
+        key = evidence.CellKey(service, 'v1', '/x', 'fd-1', 'e1', 0)
         context.book.record(key, 1000.0, failed=False, time_s=0.1)
 
 
--- a/src/godwitvalve/entry/attempts.py
+++ b/src/godwitvalve/entry/attempts.py
@@ -76,11 +76,13 @@
         result: results.AttemptResult,
         route: str,
         load: int,
+        share_class: int,
         time_s: float | None,
     ) -> None:
         """Record an attempt that ``Router.acquire`` began.
 
         :param load: outstanding requests of the endpoint at its start.
+        :param share_class: class of the share when the version was chosen.
         :param time_s: seconds, or seconds per output token, if measured.
         """
         context = self._context
@@ -90,7 +92,7 @@
         if failed is None:
             return
         context.board.book.record(
-            evidence_key(endpoint, route),
+            evidence_key(endpoint, route, share_class),
             context.clock.wall_s(),
             failed=failed,
             load=load,
@@ -99,7 +101,7 @@
 
 
 def evidence_key(
-    endpoint: endpoint_model.Endpoint, route: str
+    endpoint: endpoint_model.Endpoint, route: str, share_class: int
 ) -> evidence.CellKey:
     """Return the key under which evidence of an endpoint is kept."""
     return evidence.CellKey(
@@ -108,4 +110,5 @@
         route,
         endpoint.failure_domain,
         endpoint.endpoint_id,
+        share_class,
     )
--- a/src/godwitvalve/entry/plain_calls.py
+++ b/src/godwitvalve/entry/plain_calls.py
@@ -39,6 +39,11 @@
     key: str | None
 
 
+class _Picked(NamedTuple):
+    endpoint: endpoint_model.Endpoint
+    share_class: int
+
+
 class PlainCallHandler:
     """Passes calls on to plain services."""
 
@@ -205,21 +210,22 @@
         for number in range(MAX_ATTEMPTS):
             if number and not budget.try_retry(service):
                 return outcome
-            endpoint = self._pick(service, request_hash, tried)
-            if endpoint is None:
+            picked = self._pick(service, request_hash, tried)
+            if picked is None:
                 return outcome
+            endpoint = picked.endpoint
             if number:
                 reason = _retry_reason(outcome)
                 self._context.counters.count_retry(reason)
             tried.add(endpoint.endpoint_id)
-            outcome = await self._attempt(endpoint, request)
+            outcome = await self._attempt(picked, request)
             if not _may_try_again(outcome, request.repeatable):
                 return outcome
         return outcome
 
     def _pick(
         self, service: str, request_hash: int, tried: set[str]
-    ) -> endpoint_model.Endpoint | None:
+    ) -> _Picked | None:
         context = self._context
         now_s = context.clock.monotonic_s()
         chosen = context.board.choose(service, request_hash, now_s)
@@ -240,15 +246,16 @@
                 now_s,
             )
             if isinstance(picked, endpoint_model.Endpoint):
-                return picked
+                return _Picked(picked, chosen.share_class)
         return None
 
     async def _attempt(
         self,
-        endpoint: endpoint_model.Endpoint,
+        picked: _Picked,
         request: service_port.PlainRequest,
     ) -> outcomes.Outcome:
         context = self._context
+        endpoint = picked.endpoint
         load = context.router.load(endpoint.endpoint_id)
         started_s = context.clock.monotonic_s()
         outcome: outcomes.Outcome | None = None
@@ -264,6 +271,7 @@
                 attempts.classify_call(ended),
                 self._route(endpoint.service, request),
                 load,
+                picked.share_class,
                 context.clock.monotonic_s() - started_s,
             )
 
--- a/src/godwitvalve/entry/process.py
+++ b/src/godwitvalve/entry/process.py
@@ -17,10 +17,12 @@
 from godwitvalve.entry import instance_watch
 from godwitvalve.entry import load_watch
 from godwitvalve.entry import move_watch
+from godwitvalve.entry import order_watch
 from godwitvalve.logs import setup as logs
 from godwitvalve.settings import load as settings_load
 
 DRAIN_POLL_S = 0.05
+SUPERSEDED_POLL_S = 0.5
 # Set on the server, so that a silent caller does not hold a drain for ever.
 SHUTDOWN_LIMIT_S = 2.0
 
@@ -72,9 +74,19 @@
             self._instances.run(),
             load_watch.LoadWatch(self.context, self._parts.engine).run(),
             move_watch.MoveWatch(self.context).run(),
+            order_watch.OrderWatch(self.context, self._parts.engine).run(),
+            self._stop_when_superseded(),
         )
         return [asyncio.create_task(work) for work in works]
 
+    async def _stop_when_superseded(self) -> None:
+        """Drain once a newer process has taken over this instance's name."""
+        while not self.context.node.is_superseded:
+            await asyncio.sleep(SUPERSEDED_POLL_S)
+        _LOG.warning('A newer incarnation has replaced this process.')
+        self._stopping.set()
+        await asyncio.Event().wait()
+
     async def _start_server(self) -> web.AppRunner:
         runner = web.AppRunner(
             app.build(self.context),
--- a/src/godwitvalve/moves/share.py
+++ b/src/godwitvalve/moves/share.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+import functools
 import hashlib
 import itertools
 import math
@@ -24,15 +25,23 @@
 _RAMP_EARLIEST = 0.4
 _RAMP_LATEST = 0.55
 _RAMP_END = 0.9
-_HOLD_END = 0.8
+_HOLD_END = 0.9
 # Part after which a sign no longer lowers the share before ``done_by``.
 _SIGNS_END = 0.97
-# Share at which a sign or a doubt is examined: one failure tells most if
-# few of the compared requests went to the new version.
-_TEST_SHARE = 0.25
+# Share at which a sign or a doubt is examined, if one replica at the load of
+# an old one carries no more: a failure tells most if few of the compared
+# requests went to the new version.
+_TEST_SHARE = 0.15
+# Share at which a doubt below the limit of proof is examined: a fault that is
+# so mild needs many requests of both versions.
+_DOUBT_SHARE = 0.35
+# While something is examined, carriers change sooner than a pulse ends, so
+# that the evidence does not rest on one endpoint.
+_QUICK_TURNS = 10
+_GOLDEN = 0.6180339887498949
 _ENOUGH_ATTEMPTS = 50
 _ENOUGH_ENDPOINTS = 2
-_DOUBT = 20.0
+_DOUBT = 8.0
 
 
 class ShareDecision(NamedTuple):
@@ -64,7 +73,7 @@
         return ShareDecision(0.0, (), 'taken back')
     if not new_endpoints:
         return ShareDecision(0.0, (), 'the new version has no endpoint')
-    order = _spread(moving, new_endpoints)
+    order = _spread(moving.move_id, tuple(new_endpoints))
     if not old_replicas:
         return ShareDecision(1.0, order, 'the old version has no endpoint')
     if now_wall_s < moving.started_wall_s:
@@ -73,12 +82,54 @@
     if verdict is move.Verdict.MOVING and not _ramping(seen, part):
         return _small(moving, order, old_replicas, now_wall_s)
     share, reason = _ramp(seen, part, verdict), 'ramp'
-    if share > _TEST_SHARE and _examine(seen, part, verdict, now_wall_s):
-        share, reason = _TEST_SHARE, 'a change is examined'
-    carriers = max(math.ceil(share * old_replicas - 1e-9), 2)
+    turn = _turn(moving, now_wall_s)
+    limit, why = _examined(seen, part, verdict, now_wall_s)
+    test = max(round(limit * old_replicas), _fewest(old_replicas))
+    if share > max(limit, test / old_replicas):
+        quick = _turn(moving, now_wall_s, _QUICK_TURNS)
+        return _full_load(test, order, old_replicas, quick, why)
     if share >= 1.0:
-        carriers = len(order)
-    return ShareDecision(share, order[:carriers], reason)
+        return ShareDecision(1.0, order, reason)
+    # Carriers always have the load of an old replica. So the share is a
+    # multiple of what one of them takes, and changes between two of these
+    # to reach the wanted one on average.
+    wanted = share * old_replicas
+    carriers = int(wanted + (turn * _GOLDEN) % 1.0)
+    if not carriers:
+        return ShareDecision(_BASE_SHARE, _rotated(order, turn)[:2], reason)
+    return _full_load(carriers, order, old_replicas, turn, reason)
+
+
+def _fewest(old_replicas: int) -> int:
+    """Return how many carriers an examination needs at least.
+
+    Two show sooner that a fault is not one endpoint's own, where they do
+    not take too large a share.
+    """
+    return 2 if 2 / old_replicas <= _DOUBT_SHARE else 1
+
+
+def _turn(moving: move.Move, now_wall_s: float, turns_a_pulse: int = 1) -> int:
+    """Return the number of the current period of one set of carriers."""
+    length_s = max(moving.pulse_s / turns_a_pulse, move.PLAIN_PULSE_S)
+    return int((now_wall_s - moving.started_wall_s) // length_s)
+
+
+def _rotated(order: tuple[str, ...], turn: int) -> tuple[str, ...]:
+    first = turn % len(order)
+    return order[first:] + order[:first]
+
+
+def _full_load(
+    carriers: int,
+    order: tuple[str, ...],
+    old_replicas: int,
+    turn: int,
+    reason: str,
+) -> ShareDecision:
+    """Give some replicas, others in each turn, the load of an old one."""
+    share = min(carriers / old_replicas, 1.0)
+    return ShareDecision(share, _rotated(order, turn)[:carriers], reason)
 
 
 def _ramping(seen: watch.MoveWatch, part: float) -> bool:
@@ -93,7 +144,6 @@
     enough = (
         seen.new_attempts >= _ENOUGH_ATTEMPTS
         and len(seen.new_endpoints) >= _ENOUGH_ENDPOINTS
-        and seen.doubt() < _DOUBT
     )
     if not enough and part < _RAMP_LATEST:
         return False
@@ -109,17 +159,19 @@
     return SMALL_SHARE + (1.0 - SMALL_SHARE) * max(climbed, 0.0)
 
 
-def _examine(
+def _examined(
     seen: watch.MoveWatch,
     part: float,
     verdict: move.Verdict,
     now_wall_s: float,
-) -> bool:
-    if verdict is move.Verdict.DONE:
-        return seen.has_sign(now_wall_s)
-    if part < _HOLD_END and seen.doubt() >= _DOUBT:
-        return True
-    return part < _SIGNS_END and seen.has_sign(now_wall_s)
+) -> tuple[float, str]:
+    """Return the greatest share that the evidence allows, and why."""
+    done = verdict is move.Verdict.DONE
+    if (done or part < _SIGNS_END) and seen.has_sign(now_wall_s):
+        return _TEST_SHARE, 'a change is examined'
+    if not done and part < _HOLD_END and seen.doubt() >= _DOUBT:
+        return _DOUBT_SHARE, 'a doubt is examined'
+    return 1.0, ''
 
 
 def _small(
@@ -146,19 +198,19 @@
     began = math.ceil(moving.started_wall_s / step_s)
     steps = evidence.bucket_of(now_wall_s) - began
     turn, step = divmod(steps, period)
-    rotated = order[turn % len(order) :] + order[: turn % len(order)]
     if step >= period - pulse:
-        return ShareDecision(alone, rotated[:1], 'small share, pulse')
-    return ShareDecision(_BASE_SHARE, rotated[:2], 'small share')
+        return _full_load(1, order, old_replicas, turn, 'small share, pulse')
+    return ShareDecision(_BASE_SHARE, _rotated(order, turn)[:2], 'small share')
 
 
+@functools.lru_cache(maxsize=64)
 def _spread(
-    moving: move.Move, endpoints: Sequence[endpoint.Endpoint]
+    move_id: str, endpoints: tuple[endpoint.Endpoint, ...]
 ) -> tuple[str, ...]:
     """Return endpoint ids in an order that alternates failure domains."""
 
     def place(one: endpoint.Endpoint) -> bytes:
-        joined = f'{moving.move_id} {one.endpoint_id}'.encode()
+        joined = f'{move_id} {one.endpoint_id}'.encode()
         return hashlib.blake2b(joined, digest_size=8).digest()
 
     by_domain: dict[str, list[str]] = {}
--- a/src/godwitvalve/peers/messages.py
+++ b/src/godwitvalve/peers/messages.py
@@ -138,6 +138,18 @@
     replayed: bool
 
 
+class ReportsRefused(NamedTuple):
+    """Request to leave out the periodic reports of an origin."""
+
+    origin: str
+
+
+class ReportsWanted(NamedTuple):
+    """Request for the periodic reports of all origins."""
+
+    wanted: bool = True
+
+
 Message: TypeAlias = (
     Heartbeat
     | HeadAnnounced
@@ -151,6 +163,8 @@
     | HeardAges
     | ForwardCall
     | ForwardAnswer
+    | ReportsRefused
+    | ReportsWanted
 )
 
 # Tags are part of the protocol: they are added, never reused.
@@ -166,7 +180,9 @@
     9: Freshness,
     10: ForwardCall,
     11: ForwardAnswer,
-    12: HeardAges,
+    12: ReportsRefused,
+    13: ReportsWanted,
+    14: HeardAges,
 }
 _TAG_OF = {kind: tag for tag, kind in TAGS.items()}
 
--- a/standins/local_site.py
+++ b/standins/local_site.py
@@ -22,6 +22,7 @@
 HTTP_LIMIT_S = 5.0
 KEY_BYTES = 32
 PORTS = range(12_000, 32_000)
+_given_ports: set[int] = set()
 HOST = '127.0.0.1'
 
 
@@ -53,10 +54,14 @@
     """Return a TCP port that was free a moment ago.
 
     It lies below the range from which the system gives ports to outgoing
-    connections, so that none of them takes it before it is bound.
+    connections, so that none of them takes it before it is bound, and is
+    given once by this process.
     """
     while True:
         port = secrets.choice(PORTS)
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
         with contextlib.closing(socket.socket()) as probe:
             with contextlib.suppress(OSError):
                 probe.bind((HOST, port))
