--- a/bench/main.py
+++ b/bench/main.py
@@ -16,11 +16,13 @@
 from bench import resume
 from bench import routing
 from bench import rows
+from bench import whole_entry
 
 # A measurement is added here; its function returns rows.
 MEASUREMENTS: dict[str, Callable[[], Iterable[rows.Row]]] = {
     'moves': moves.run,
     'resume': resume.run,
+    'whole_entry': whole_entry.run,
     'limits': limits.run,
     'routing': routing.run,
     'configuration': configuration.run,
--- a/bench/resume.py
+++ b/bench/resume.py
@@ -178,13 +178,13 @@
             site.apply(text, 0)
             for name in site.entry_ids():
                 site.wait_ready(name)
-            _warm_up(site)
+            warm_up(site)
             return asyncio.run(_measure(site, case))
         finally:
             site.stop()
 
 
-def _warm_up(site: small_site.SmallSite) -> None:
+def warm_up(site: small_site.SmallSite) -> None:
     """Wait until every entry serves the model."""
     headers = {'Authorization': f'Bearer {small_site.CREDENTIAL}'}
     body: dict[str, Any] = {
--- a/src/godwitvalve/entry/build.py
+++ b/src/godwitvalve/entry/build.py
@@ -13,7 +13,7 @@
 from godwitvalve.configuration import tracker as trackers
 from godwitvalve.engine import http_adapter as engine_adapter
 from godwitvalve.entry import context as contexts
-from godwitvalve.entry import gossip
+from godwitvalve.entry import part_source
 from godwitvalve.generations import limits as relay_limits
 from godwitvalve.generations import relay as relays
 from godwitvalve.idempotency import budget as claim_budget
@@ -58,7 +58,7 @@
         self.platform = platform_adapter.HttpPlatform(
             loaded.settings.platform_url, loaded.settings.table_timeout_s
         )
-        self.part_source = gossip.PeerPartSource()
+        self.part_source = part_source.PeerPartSource()
         self._claim_budget = claim_budget.ClaimBudget()
 
     def build(self, on_installed: Installed) -> contexts.EntryContext:
--- a/src/godwitvalve/entry/gossip.py
+++ b/src/godwitvalve/entry/gossip.py
@@ -3,66 +3,34 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine, Mapping
-import itertools
+from collections.abc import Coroutine
 from typing import Any
 
 import msgpack
 
+from godwitvalve.entry import call_sender
 from godwitvalve.entry import context as contexts
 from godwitvalve.entry import freshness
-from godwitvalve.entry import plain_calls
 from godwitvalve.idempotency import forwarding
 from godwitvalve.limits import model as limit_model
 from godwitvalve.limits import shares as account_shares
 from godwitvalve.logs import setup as logs
 from godwitvalve.moves import evidence_rows
 from godwitvalve.moves import verdict_rows
-from godwitvalve.peers import calls
 from godwitvalve.peers import messages
-from godwitvalve.peers import node as peer_nodes
 from godwitvalve.text import head as text_head
 
 EVIDENCE_INTERVAL_S = 1.0
-# Peers that are asked for parts before the object store.
-MAX_PEERS_ASKED = 2
 
 _LOG = logs.get('gossip')
 
 
-class PeerPartSource:
-    """Fetches parts of the text from connected entries."""
-
-    def __init__(self) -> None:
-        self.node: peer_nodes.PeerNode | None = None
-
-    async def fetch_parts(self, hashes: frozenset[str]) -> Mapping[str, bytes]:
-        """Return those parts, by content hash, that a peer could give."""
-        found: dict[str, bytes] = {}
-        if self.node is None:
-            return found
-        connected = self.node.connected_instances()
-        for instance_id in itertools.islice(connected, MAX_PEERS_ASKED):
-            missing = tuple(sorted(hashes - found.keys()))
-            if not missing:
-                break
-            try:
-                answer = await self.node.call(
-                    instance_id, messages.PartsWanted(missing)
-                )
-            except (calls.PeerUnreachable, messages.MessageError):
-                continue
-            if isinstance(answer, messages.PartsGiven):
-                found.update(answer.parts)
-        return found
-
-
 class Gossip:
     """Sends this entry's reports and takes in those of its peers."""
 
     def __init__(self, context: contexts.EntryContext) -> None:
         self._context = context
-        self._sender = plain_calls.CallSender(context)
+        self._sender = call_sender.CallSender(context)
         self._tasks: set[asyncio.Task[Any]] = set()
         self._announced_revision = 0
         self._freshness = freshness.FreshnessExchange(
--- /dev/null
+++ b/src/godwitvalve/entry/part_source.py
@@ -0,0 +1,40 @@
+"""Fetches parts of the text from other entries."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import itertools
+
+from godwitvalve.peers import calls
+from godwitvalve.peers import messages
+from godwitvalve.peers import node as peer_nodes
+
+# Peers that are asked for parts before the object store.
+MAX_PEERS_ASKED = 2
+
+
+class PeerPartSource:
+    """Fetches parts of the text from connected entries."""
+
+    def __init__(self) -> None:
+        self.node: peer_nodes.PeerNode | None = None
+
+    async def fetch_parts(self, hashes: frozenset[str]) -> Mapping[str, bytes]:
+        """Return those parts, by content hash, that a peer could give."""
+        found: dict[str, bytes] = {}
+        if self.node is None:
+            return found
+        connected = self.node.connected_instances()
+        for instance_id in itertools.islice(connected, MAX_PEERS_ASKED):
+            missing = tuple(sorted(hashes - found.keys()))
+            if not missing:
+                break
+            try:
+                answer = await self.node.call(
+                    instance_id, messages.PartsWanted(missing)
+                )
+            except (calls.PeerUnreachable, messages.MessageError):
+                continue
+            if isinstance(answer, messages.PartsGiven):
+                found.update(answer.parts)
+        return found
--- a/src/godwitvalve/entry/plain_calls.py
+++ b/src/godwitvalve/entry/plain_calls.py
@@ -9,15 +9,12 @@
 
 from godwitvalve.configuration import in_force
 from godwitvalve.entry import answers
-from godwitvalve.entry import attempts
+from godwitvalve.entry import call_sender
 from godwitvalve.entry import context as contexts
 from godwitvalve.entry import gate
 from godwitvalve.idempotency import once
-from godwitvalve.moves import choice
 from godwitvalve.outcomes import codes
 from godwitvalve.outcomes import outcome as outcomes
-from godwitvalve.routing import choose
-from godwitvalve.routing import endpoint as endpoint_model
 from godwitvalve.services import port as service_port
 
 PREFIX = '/v1/services/'
@@ -25,7 +22,6 @@
 DEADLINE_HEADER = 'X-Deadline-Wall-S'
 DEFAULT_DEADLINE_S = 30.0
 ADMISSION_WAIT_S = 2.0
-MAX_ATTEMPTS = 3
 _REPEATABLE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
 # The credential of the caller is not the service's business.
 _DROPPED_HEADERS = frozenset(('authorization',))
@@ -39,17 +35,12 @@
     key: str | None
 
 
-class _Picked(NamedTuple):
-    endpoint: endpoint_model.Endpoint
-    share_class: int
-
-
 class PlainCallHandler:
     """Passes calls on to plain services."""
 
     def __init__(self, context: contexts.EntryContext) -> None:
         self._context = context
-        self._sender = CallSender(context)
+        self._sender = call_sender.CallSender(context)
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answer one call."""
@@ -171,134 +162,6 @@
                 return answers.problem_answer(self._context, failure)
 
 
-class CallSender:
-    """Sends a call to an endpoint, and to another one if it did not run.
-
-    A repeatable call is also tried again after an unknown outcome.
-    """
-
-    def __init__(self, context: contexts.EntryContext) -> None:
-        self._context = context
-        self._recorder = attempts.AttemptRecorder(context)
-
-    def bind(self, call: once.OnceCall) -> once.SendFunction:
-        """Return the function that sends a call with a key."""
-
-        async def send() -> outcomes.Outcome:
-            return await self.send(
-                call.client_account, call.service, call.request, call.key
-            )
-
-        return send
-
-    async def send(
-        self,
-        account: str,
-        service: str,
-        request: service_port.PlainRequest,
-        key: str = '',
-    ) -> outcomes.Outcome:
-        """Send a call within the retry budget."""
-        budget = self._context.budget
-        budget.first_attempt(service)
-        tried: set[str] = set()
-        outcome: outcomes.Outcome = outcomes.NotRun(
-            codes.ResultCode.NO_ENDPOINT
-        )
-        seed = key.encode() or request.target.encode() + request.body
-        request_hash = choice.request_hash(account, seed)
-        for number in range(MAX_ATTEMPTS):
-            if number and not budget.try_retry(service):
-                return outcome
-            picked = self._pick(service, request_hash, tried)
-            if picked is None:
-                return outcome
-            endpoint = picked.endpoint
-            if number:
-                reason = _retry_reason(outcome)
-                self._context.counters.count_retry(reason)
-            tried.add(endpoint.endpoint_id)
-            outcome = await self._attempt(picked, request)
-            if not _may_try_again(outcome, request.repeatable):
-                return outcome
-        return outcome
-
-    def _pick(
-        self, service: str, request_hash: int, tried: set[str]
-    ) -> _Picked | None:
-        context = self._context
-        now_s = context.clock.monotonic_s()
-        chosen = context.board.choose(service, request_hash, now_s)
-        if chosen is None:
-            return None
-        versions = [(chosen.version, chosen.allowed)]
-        if chosen.fallback:
-            versions.append((chosen.fallback, None))
-        if tried:
-            # A retry goes to the old version first: a caller meets a bad
-            # new version at most once.
-            versions.reverse()
-        for version, allowed in versions:
-            picked = context.router.acquire(
-                choose.RouteRequest(
-                    service, version, allowed, frozenset(tried)
-                ),
-                now_s,
-            )
-            if isinstance(picked, endpoint_model.Endpoint):
-                return _Picked(picked, chosen.share_class)
-        return None
-
-    async def _attempt(
-        self,
-        picked: _Picked,
-        request: service_port.PlainRequest,
-    ) -> outcomes.Outcome:
-        context = self._context
-        endpoint = picked.endpoint
-        load = context.router.load(endpoint.endpoint_id)
-        started_s = context.clock.monotonic_s()
-        outcome: outcomes.Outcome | None = None
-        try:
-            outcome = await context.plain.send(
-                endpoint, request, outcomes.SendAttempt()
-            )
-            return outcome
-        finally:
-            ended = outcome or outcomes.NotRun(codes.ResultCode.DRAINING)
-            self._recorder.record(
-                endpoint,
-                attempts.classify_call(ended),
-                self._route(endpoint.service, request),
-                load,
-                picked.share_class,
-                context.clock.monotonic_s() - started_s,
-            )
-
-    def _route(self, service: str, request: service_port.PlainRequest) -> str:
-        configuration = self._context.configuration
-        found = configuration.service(service) if configuration else None
-        path = urllib.parse.unquote(request.target.partition('?')[0])
-        route = found.route(request.method, path) if found else None
-        return f'{route.method} {route.path}' if route else 'other'
-
-
-def _may_try_again(outcome: outcomes.Outcome, repeatable: bool) -> bool:
-    match outcome:
-        case outcomes.NotRun(codes.ResultCode.CONNECT_FAILED):
-            return True
-        case outcomes.Unknown():
-            return repeatable
-    return False
-
-
-def _retry_reason(outcome: outcomes.Outcome) -> str:
-    match outcome:
-        case outcomes.NotRun(code) | outcomes.Unknown(code):
-            return code.name.lower()
-    return 'none'
-
-
 def _target(request: web.Request, service: str) -> str:
     raw = request.raw_path.removeprefix(f'{PREFIX}{service}')
     return raw if raw.startswith('/') else f'/{raw}'
