--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -14,6 +14,7 @@
 from godwitvalve.entry import freshness
 from godwitvalve.entry import instance_watch
 from godwitvalve.moves import evidence
+from godwitvalve.moves import evidence_rows
 from godwitvalve.peers import messages
 import hypothesis
 from hypothesis import strategies
@@ -316,7 +317,7 @@
 def evidence_of_services(context, first, second):
     context.book = evidence.EvidenceBook('a', 1)
     for service in (first, second):
-        key = evidence.CellKey(service, 'v1', '/x', 'fd-1', 'e1', 0)
+        key = evidence_rows.CellKey(service, 'v1', '/x', 'fd-1', 'e1', 0)
         context.book.record(key, 1000.0, failed=False, time_s=0.1)
 
 
--- a/features/steps/operator_cli_steps.py
+++ b/features/steps/operator_cli_steps.py
@@ -16,7 +16,7 @@
 from features.support import platform_standin
 from features.support import texts
 from godwitvalve.moves import move
-from godwitvalve.moves import verdicts
+from godwitvalve.moves import verdict_rows
 from godwitvalve.operator_cli import main
 from godwitvalve.operator_cli import publish
 from godwitvalve.operator_cli import stored
@@ -289,7 +289,7 @@
 
 @behave.given('the verdict row "{key}" says "{verdict}" because "{reason}"')
 def verdict_row(context, key, verdict, reason):
-    row = verdicts.VerdictRow(
+    row = verdict_rows.VerdictRow(
         key, move.Verdict[verdict.upper()], reason, 'entry-1', 1.0
     )
     value = row.encode()
--- a/src/godwitvalve/entry/attempts.py
+++ b/src/godwitvalve/entry/attempts.py
@@ -4,7 +4,7 @@
 
 from godwitvalve.entry import context as contexts
 from godwitvalve.generations import plan
-from godwitvalve.moves import evidence
+from godwitvalve.moves import evidence_rows
 from godwitvalve.outcomes import codes
 from godwitvalve.outcomes import outcome as outcomes
 from godwitvalve.routing import endpoint as endpoint_model
@@ -102,9 +102,9 @@
 
 def evidence_key(
     endpoint: endpoint_model.Endpoint, route: str, share_class: int
-) -> evidence.CellKey:
+) -> evidence_rows.CellKey:
     """Return the key under which evidence of an endpoint is kept."""
-    return evidence.CellKey(
+    return evidence_rows.CellKey(
         endpoint.service,
         endpoint.version,
         route,
--- a/src/godwitvalve/entry/context.py
+++ b/src/godwitvalve/entry/context.py
@@ -8,6 +8,7 @@
 from godwitvalve.configuration import in_force
 from godwitvalve.configuration import refresher as refreshers
 from godwitvalve.generations import relay as relays
+from godwitvalve.idempotency import budget as claim_budgets
 from godwitvalve.idempotency import executor as executors
 from godwitvalve.lifecycle import lifecycle as lifecycles
 from godwitvalve.limits import admission as admissions
@@ -44,6 +45,7 @@
     admission: admissions.Admission
     relay: relays.Relay
     executor: executors.OnceExecutor
+    claim_budget: claim_budgets.ClaimBudget
     plain: service_port.PlainService
 
     @property
--- a/src/godwitvalve/entry/gossip.py
+++ b/src/godwitvalve/entry/gossip.py
@@ -16,8 +16,8 @@
 from godwitvalve.limits import model as limit_model
 from godwitvalve.limits import shares as account_shares
 from godwitvalve.logs import setup as logs
-from godwitvalve.moves import evidence
-from godwitvalve.moves import verdicts
+from godwitvalve.moves import evidence_rows
+from godwitvalve.moves import verdict_rows
 from godwitvalve.peers import calls
 from godwitvalve.peers import messages
 from godwitvalve.peers import node as peer_nodes
@@ -78,6 +78,7 @@
         node.on(messages.VerdictAnnounced, self._take_verdict)
         node.on(messages.DemandReport, self._take_demand)
         node.on_connected(self._greet)
+        node.on_refused(self._note_not_running)
         node.on_request(messages.PartsWanted, self._give_parts)
         node.on_request(messages.ForwardCall, self._run_forwarded)
 
@@ -167,6 +168,12 @@
                 messages.VerdictAnnounced(row.move_id, row.encode()),
             )
 
+    def _note_not_running(self, instance_id: str) -> None:
+        context = self._context
+        context.shares.note_not_running(
+            instance_id, context.clock.monotonic_s()
+        )
+
     def _take_head(self, origin: str, message: messages.Message) -> None:
         assert isinstance(message, messages.HeadAnnounced)
         try:
@@ -185,7 +192,7 @@
     def _take_evidence(self, origin: str, message: messages.Message) -> None:
         assert isinstance(message, messages.EvidenceReport)
         try:
-            report = evidence.report_from_wire(
+            report = evidence_rows.report_from_wire(
                 messages.unpack_values(message.report)
             )
         except (ValueError, messages.MessageError) as error:
@@ -197,7 +204,7 @@
     def _take_verdict(self, origin: str, message: messages.Message) -> None:
         assert isinstance(message, messages.VerdictAnnounced)
         try:
-            row = verdicts.decode(message.row)
+            row = verdict_rows.decode(message.row)
         except ValueError as error:
             _LOG.warning('A verdict of %s is malformed: %s.', origin, error)
             return
--- a/src/godwitvalve/entry/instance_watch.py
+++ b/src/godwitvalve/entry/instance_watch.py
@@ -16,6 +16,10 @@
 LIST_READS_PER_S = 100.0
 LIST_LIMIT_S = 4.5
 
+# Claims a second over all entries; with their outcomes twice as many writes
+# of the several hundred that the table service takes.
+CLAIMS_PER_S = 100.0
+
 _LOG = logs.get('instances')
 
 
@@ -58,14 +62,17 @@
         entries = sum(item.kind == 'entry' for item in self._listed)
         self._next_read_s = asked_s + list_interval_s(entries)
         context.node.update_members(self._listed)
-        live = [
-            item.instance_id
-            for item in self._listed
-            if item.kind == 'entry' and item.state == 'live'
-        ]
-        context.refresher.tracker.set_listed(live)
+        # Each client-chosen key costs one claim and one outcome.
+        context.claim_budget.set_rate(CLAIMS_PER_S / max(entries, 1))
+        listed = [item for item in self._listed if item.kind == 'entry']
+        context.refresher.tracker.set_listed(
+            item.instance_id for item in listed if item.state == 'live'
+        )
+        # An entry that is leaving still admits, so it keeps its share.
         context.shares.update_members(
-            live, asked_s, context.clock.monotonic_s()
+            [item.instance_id for item in listed],
+            asked_s,
+            context.clock.monotonic_s(),
         )
 
     def apply(self) -> None:
--- a/src/godwitvalve/moves/board.py
+++ b/src/godwitvalve/moves/board.py
@@ -9,6 +9,7 @@
 from godwitvalve.configuration import in_force
 from godwitvalve.moves import choice
 from godwitvalve.moves import evidence
+from godwitvalve.moves import evidence_rows
 from godwitvalve.moves import judge
 from godwitvalve.moves import move
 from godwitvalve.moves import share as shares
@@ -18,7 +19,7 @@
 from godwitvalve.routing import endpoint as endpoint_model
 
 # Class of requests that no move has split.
-_NO_MOVE = evidence.share_class(0.0)
+_NO_MOVE = evidence_rows.share_class(0.0)
 
 
 class VersionChoice(NamedTuple):
@@ -165,7 +166,7 @@
         share = item.decision.share
         if not self.keeper.may_offer(moving.move_id, now_s):
             share = 0.0
-        split = evidence.share_class(share)
+        split = evidence_rows.share_class(share)
         chosen = choice.choose_version(moving, share, request_hash)
         if chosen == moving.old_version:
             return VersionChoice(chosen, None, '', split)
@@ -177,7 +178,7 @@
         item = self._watched.get(service)
         if item is None:
             return _NO_MOVE
-        return evidence.share_class(item.decision.share)
+        return evidence_rows.share_class(item.decision.share)
 
     def carriers(self) -> Mapping[tuple[str, str], Sequence[str]]:
         """Return the endpoints that carry a share, by service version."""
--- a/src/godwitvalve/peers/connector.py
+++ b/src/godwitvalve/peers/connector.py
@@ -46,6 +46,7 @@
         receive: link_model.Receiver,
         connected: LinkHandler,
         disconnected: LinkHandler,
+        on_refused: abc.Callable[[str], None],
     ) -> None:
         self.links = links_model.LinkTable()
         self._membership = membership
@@ -56,6 +57,7 @@
         self._receive = receive
         self._connected = connected
         self._disconnected = disconnected
+        self._on_refused = on_refused
         self._reach = reach.Reachability()
         self._wanted_since_s: dict[str, float] = {}
         self._dialling: dict[
@@ -146,7 +148,9 @@
     async def _dial(
         self, instance_id: str, is_overlay: bool
     ) -> link_model.PeerLink | None:
-        for address in self._membership.peer_addresses(instance_id):
+        addresses = self._membership.peer_addresses(instance_id)
+        refusals = 0
+        for address in addresses:
             hello = self._hello(is_overlay)
             try:
                 connection = await connect.dial(
@@ -154,6 +158,7 @@
                 )
             except (OSError, TimeoutError, handshake.HandshakeError) as error:
                 _LOG.info('Cannot reach %s. %s', instance_id, error)
+                refusals += isinstance(error, ConnectionRefusedError)
                 continue
             if connection.peer.instance_id != instance_id:
                 connection.writer.transport.abort()
@@ -161,6 +166,9 @@
             self._reach.succeeded(instance_id)
             return self._adopt(connection)
         self._reach.failed(instance_id, self._clock.monotonic_s())
+        if addresses and refusals == len(addresses):
+            # Only a refusal proves that no process listens there.
+            self._on_refused(instance_id)
         return None
 
     def _adopt(
--- a/src/godwitvalve/peers/node.py
+++ b/src/godwitvalve/peers/node.py
@@ -72,6 +72,7 @@
             self._receive,
             self._connected,
             self._disconnected,
+            self._refused,
         )
         self._links = self._connector.links
         self._filter = flood.FloodFilter()
@@ -82,6 +83,7 @@
         self._sequence = 0
         self._handlers: dict[type[messages.Message], list[Handler]] = {}
         self._connected_handlers: list[ConnectedHandler] = []
+        self._refused_handlers: list[ConnectedHandler] = []
 
     async def start(self) -> None:
         """Listen for peers and begin to connect to them."""
@@ -132,6 +134,10 @@
         """Add a handler that is told of each new overlay link."""
         self._connected_handlers.append(handler)
 
+    def on_refused(self, handler: ConnectedHandler) -> None:
+        """Add a handler that is told of peers that refuse connections."""
+        self._refused_handlers.append(handler)
+
     def announce_leaving(self) -> None:
         """Tell all instances that this one is draining."""
         self._spread(self._membership.leave(), None)
@@ -252,6 +258,10 @@
         for handler in self._connected_handlers:
             self._guard(handler, link.peer.instance_id)
 
+    def _refused(self, instance_id: str) -> None:
+        for handler in self._refused_handlers:
+            self._guard(handler, instance_id)
+
     def _disconnected(self, link: link_model.PeerLink) -> None:
         self._tree.link_closed(link)
         for other in self._links.overlay():
