--- a/features/steps/peers_frames_steps.py
+++ b/features/steps/peers_frames_steps.py
@@ -41,6 +41,18 @@
         messages.MemberFact, _TEXT, _INT, _TEXT, _TEXT, _TEXT, _TEXT
     ),
     strategies.builds(messages.Freshness, _TEXT, _INT, _FLOAT),
+    strategies.builds(
+        messages.HeardAges,
+        _INT,
+        _FLOAT,
+        _FLOAT,
+        _INT,
+        _BYTES,
+        strategies.booleans(),
+        _BYTES,
+        _BYTES,
+        strategies.lists(_TEXT, max_size=3).map(tuple),
+    ),
     strategies.builds(
         messages.ForwardCall,
         _INT,
--- a/src/godwitvalve/limits/pace.py
+++ b/src/godwitvalve/limits/pace.py
@@ -12,6 +12,7 @@
 
 from godwitvalve.limits import lending
 from godwitvalve.limits import model
+from godwitvalve.limits import split
 
 # Each report reaches every entry, so the interval grows with their number:
 # up to 20 entries report each second, 400 and more each 20 s.
@@ -19,9 +20,6 @@
 # Below the 24 s after which a waiting entry takes a silent one for not
 # running; while an entry waits, all that hear it report each second.
 QUIET_LIMIT_S = 20.0
-# Smoothed demand decays without an end. An entry serves less than this
-# fraction of a limit from its base share.
-LEAST_DEMAND = 1e-4
 
 
 def quiet_interval_s(entries: int) -> float:
@@ -61,7 +59,7 @@
             return False
         if said.members_digest != members_digest:
             return False
-        if any(demand > LEAST_DEMAND for demand in demands.values()):
+        if any(demand >= split.LEAST_LOAN for demand in demands.values()):
             return False
         return not any(
             peer.wants_heard or any(peer.demands.values()) for peer in peers
