Resume answers of a service that the text no longer names

Cause: a resume was checked against the services in force like a new request, so an answer whose service was dropped from the text was refused with 4002 once its entry died, although its engine still ran. Ruled out: the endpoints, which are kept for 30 minutes. Before: the new scenario failed with 4002; after: the answer is whole. A resume id is sealed and bound to its service, so the check adds nothing there.

--- a/features/steps/system_steps.py
+++ b/features/steps/system_steps.py
@@ -210,6 +210,16 @@
     context.site.set_faults(context.engine, end_early=True)
 
 
+@behave.when('a text without the model service is in force everywhere')
+def drop_model(context):
+    site = context.site
+    text = small_site.build_text({'v1': small_site.version()})
+    del text['services'][small_site.MODEL]
+    applied = site.apply(text, 1)
+    assert applied.returncode == 0, applied.stderr
+    _wait_in_force(context, site.entry_ids(), 2)
+
+
 def _answers(context):
     found = []
     for caller in context.callers:
--- a/features/system/whole_answers.feature
+++ b/features/system/whole_answers.feature
@@ -61,6 +61,15 @@
     And the busy engine gets SIGKILL
     Then the caller's answer is whole and as one engine would write it
 
+  Scenario: The text drops the service in the middle of an answer
+    # Guards against a resume that is refused because its version is gone
+    # from the text although its endpoints still run.
+    Given a small site with 3 engines
+    When a caller asks for an answer of 1200 tokens
+    And a text without the model service is in force everywhere
+    And the busy entry instance gets SIGKILL
+    Then the caller's answer is whole and as one engine would write it
+
   Scenario: No replica of the version is left
     # Guards against a mixture of two versions.
     Given a small site with 1 engines
--- a/src/godwitvalve/entry/completions.py
+++ b/src/godwitvalve/entry/completions.py
@@ -69,11 +69,12 @@
         parsed = requests.parse(body)
         if isinstance(parsed, outcomes.NotRun):
             return parsed
-        service = gate.find_service(
-            context, configuration, parsed.model, 'model'
-        )
-        if isinstance(service, outcomes.NotRun):
-            return service
+        if last_event_id is None:
+            service = gate.find_service(
+                context, configuration, parsed.model, 'model'
+            )
+            if isinstance(service, outcomes.NotRun):
+                return service
         return plan.plan_generation(
             parsed,
             last_event_id,
