Count a request as in flight from its arrival

Cause: the drain counted a request once it was admitted, so one whose body was still arriving, or that waited for a slot, was cut when the last address answer lapsed. Ruled out: the server's own shutdown, which waits 2 s for handlers.

--- a/features/steps/system_steps.py
+++ b/features/steps/system_steps.py
@@ -4,6 +4,7 @@
 
 import json
 import signal
+import socket
 import tempfile
 import threading
 import time
@@ -514,6 +515,50 @@
     assert process.wait(30) == 0, process.returncode
 
 
+@behave.given(
+    'entry instance "{name}" whose addresses are valid for {valid_s:f} s'
+)
+def short_addresses(context, name, valid_s):
+    site = context.site
+    site.start_entry(name, 'fd-1', address_validity_s=valid_s)
+    site.wait_ready(name)
+    address = site.members[name].address
+
+    def answers():
+        return _get(address, '/v1/services/portal/cases/1')[0] == 200
+
+    local_site.wait_until(answers, f'{name} serves')
+    context.entry = name
+
+
+@behave.when('half of a request is sent to it')
+def half_request(context):
+    body = json.dumps(COMPLAINT).encode()
+    head = (
+        'GET /v1/services/portal/cases/17 HTTP/1.1\r\nHost: x\r\n'
+        f'Authorization: Bearer {small_site.CREDENTIAL}\r\n'
+        f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n'
+    )
+    member = context.site.members[context.entry]
+    context.socket = socket.create_connection((local_site.HOST, member.port))
+    context.cleanups.append(context.socket.close)
+    context.socket.settimeout(ANSWER_LIMIT_S)
+    half = len(body) // 2
+    context.socket.sendall(head.encode() + body[:half])
+    context.rest = body[half:]
+
+
+@behave.when('the other half of the request is sent')
+def other_half(context):
+    context.socket.sendall(context.rest)
+
+
+@behave.then('the request is answered with status {status:d}')
+def answered_with(context, status):
+    first_line = context.socket.makefile('rb').readline()
+    assert first_line.split()[1:2] == [str(status).encode()], first_line
+
+
 @behave.when('its last address answer has lapsed')
 def address_lapsed(context):
     address = context.site.members[context.entry].address
--- a/features/system/operations.feature
+++ b/features/system/operations.feature
@@ -18,6 +18,17 @@
     Then it refuses a new call with code 2000 and names another address
     And the caller's answer is whole without a reconnect
 
+  Scenario: A request that is still arriving when the drain begins is served
+    # Guards against a drain that counts a request only once it is admitted.
+    Given a small site with 1 engines
+    And entry instance "entry-4" whose addresses are valid for 0.5 s
+    When half of a request is sent to it
+    And the busy entry instance gets SIGTERM
+    And 5 seconds have passed
+    And the other half of the request is sent
+    Then the request is answered with status 200
+    And the stopped entry instance ends with exit code 0
+
   Scenario: A leaving endpoint gets no new work although the list lags
     # Guards against routing by the lagging list alone.
     Given a small site with 1 engines
--- a/src/godwitvalve/entry/completions.py
+++ b/src/godwitvalve/entry/completions.py
@@ -38,6 +38,10 @@
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answer one request."""
+        with self._context.lifecycle.request():
+            return await self._handle(request)
+
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
         prepared = await self._prepare(request)
         if not isinstance(prepared, plan.Generation):
             return answers.problem_answer(self._context, prepared)
@@ -113,14 +117,12 @@
                 generation.client_account, generation.request.digest()
             ),
         )
-        context.lifecycle.request_started()
         answer = _Answer(context, request, generation, picker)
         try:
             stream = context.relay.run(generation, picker)
             async with contextlib.aclosing(stream):
                 return await answer.send(stream)
         finally:
-            context.lifecycle.request_finished()
             if admitted is not None:
                 prompt_tokens = (
                     len(generation.request.prompt) / CHARACTERS_PER_TOKEN
--- a/src/godwitvalve/entry/plain_calls.py
+++ b/src/godwitvalve/entry/plain_calls.py
@@ -44,6 +44,10 @@
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answer one call."""
+        with self._context.lifecycle.request():
+            return await self._handle(request)
+
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
         call = await self._prepare(request)
         if isinstance(call, outcomes.NotRun):
             return answers.problem_answer(self._context, call)
@@ -55,11 +59,7 @@
             return answers.problem_answer(context, admitted)
         async with admitted:
             context.counters.count_request(call.service.name)
-            context.lifecycle.request_started()
-            try:
-                return self._answer(await self._run(call))
-            finally:
-                context.lifecycle.request_finished()
+            return self._answer(await self._run(call))
 
     async def _prepare(
         self, request: web.Request
--- a/src/godwitvalve/lifecycle/lifecycle.py
+++ b/src/godwitvalve/lifecycle/lifecycle.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import abc
+import contextlib
 from typing import Any
 
 import transitions
@@ -98,6 +99,15 @@
             return now_wall_s < self._answers_until_wall_s
         return bool(self.state == SERVING)
 
+    @contextlib.contextmanager
+    def request(self) -> abc.Iterator[None]:
+        """Count a request in flight, from its arrival to its last byte."""
+        self.request_started()
+        try:
+            yield
+        finally:
+            self.request_finished()
+
     def request_started(self) -> None:
         """Count a request in flight."""
         self._running += 1
