Do not count unnoticeable times as slow

Ruled out: the old version's load after the move, which is not compared. Times up to 10 ms of a request or of an output token are now never slow.

--- a/features/moves/evidence.feature
+++ b/features/moves/evidence.feature
@@ -23,3 +23,14 @@
   Scenario: An evidence report of a wrong shape is refused
     # Guards against an exception of another kind on bytes from a peer.
     Then evidence reports of a wrong shape raise a value error
+
+  Scenario Outline: A change that no caller notices is not slow
+    # Guards against a good version of a quick service that is held at a
+    # small share because of noise of a few milliseconds.
+    Given an old version whose requests take 2 ms
+    Then a request of <ms> ms of the new version counts as <verdict>
+
+    Examples:
+      | ms | verdict  |
+      | 6  | not slow |
+      | 50 | slow     |
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -711,3 +711,20 @@
 @behave.then('evidence in sum alone does not prove it')
 def sum_does_not(context):
     assert not context.proofs[1]
+
+
+@behave.given('an old version whose requests take {old_ms:d} ms')
+def old_pace(context, old_ms):
+    context.limits = pace.PaceLimits()
+    times = ((evidence_rows.time_bin(old_ms / 1000), 100),)
+    context.limits.add('GET /', times)
+    context.limits.refresh(0.0)
+
+
+@behave.then(
+    'a request of {new_ms:d} ms of the new version counts as {verdict}'
+)
+def counts_as(context, new_ms, verdict):
+    times = ((evidence_rows.time_bin(new_ms / 1000), 1),)
+    slow = context.limits.slow_count('GET /', times)
+    assert slow == (verdict == 'slow'), slow
--- a/src/godwitvalve/moves/pace.py
+++ b/src/godwitvalve/moves/pace.py
@@ -4,10 +4,16 @@
 
 import collections
 
+from godwitvalve.moves import evidence_rows
+
 # A tenth of the old version's answers count as slow. With more of them,
 # slow answers of the old version hide those of the new one.
 _SLOW_FRACTION = 0.1
 _MIN_SAMPLES = 30
+# Seconds of a request, or of an output token, that no caller notices. Below
+# this, noise of the machine alone doubles a time.
+_UNNOTICED_S = 0.01
+_UNNOTICED_BIN = evidence_rows.time_bin(_UNNOTICED_S)
 _GENERATION_S = 60.0
 
 
@@ -40,7 +46,7 @@
         for route, counts in self._current.items():
             merged = counts + self._previous.get(route, collections.Counter())
             if merged.total() >= _MIN_SAMPLES:
-                self._limits[route] = _upper_bin(merged)
+                self._limits[route] = max(_upper_bin(merged), _UNNOTICED_BIN)
         for route in list(self._current):
             if self._current[route].total() >= _MIN_SAMPLES:
                 self._previous[route] = self._current.pop(route)
