--- a/features/support/entry_double.py
+++ b/features/doubles/entry_double.py
@@ -7,7 +7,7 @@
 import time
 
 from aiohttp import web
-from features.support import relay_fakes
+from features.doubles import relay_fakes
 import orjson
 
 from godwitvalve import clock
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -8,8 +8,8 @@
 import socket
 
 import behave
-from features.support import entry_double
-from features.support import relay_fakes
+from features.doubles import entry_double
+from features.doubles import relay_fakes
 import hypothesis
 from hypothesis import strategies
 import orjson
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -8,8 +8,8 @@
 import re
 
 import behave
-from features.support import memory_platform
-from features.support import texts
+from features.doubles import memory_platform
+from features.doubles import texts
 from godwitvalve.configuration import in_force
 from godwitvalve.configuration import refresher
 from godwitvalve.configuration import routes
--- a/features/steps/engine_steps.py
+++ b/features/steps/engine_steps.py
@@ -9,7 +9,7 @@
 import time
 
 import behave
-from features.support import engine_process
+from features.doubles import engine_process
 import hypothesis
 from hypothesis import strategies
 import orjson
--- a/features/steps/generations_process_steps.py
+++ b/features/steps/generations_process_steps.py
@@ -7,8 +7,8 @@
 import time
 
 import behave
-from features.support import engine_process
-from features.support import relay_fakes
+from features.doubles import engine_process
+from features.doubles import relay_fakes
 
 from godwitvalve import clock
 from godwitvalve.engine import http_adapter
--- a/features/steps/generations_relay_steps.py
+++ b/features/steps/generations_relay_steps.py
@@ -7,7 +7,7 @@
 import time
 
 import behave
-from features.support import relay_fakes
+from features.doubles import relay_fakes
 
 from godwitvalve import clock
 from godwitvalve.generations import digest
--- a/features/steps/generations_sequence_steps.py
+++ b/features/steps/generations_sequence_steps.py
@@ -6,7 +6,7 @@
 import sys
 
 import behave
-from features.support import naive_sequence
+from features.models import naive_sequence
 import hypothesis
 from hypothesis import strategies
 
--- a/features/steps/operator_cli_steps.py
+++ b/features/steps/operator_cli_steps.py
@@ -12,9 +12,9 @@
 from unittest import mock
 
 import behave
-from features.support import memory_platform
-from features.support import platform_standin
-from features.support import texts
+from features.doubles import memory_platform
+from features.doubles import platform_standin
+from features.doubles import texts
 from godwitvalve.moves import move
 from godwitvalve.moves import verdict_rows
 from godwitvalve.operator_cli import main
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -9,7 +9,7 @@
 import time
 
 import behave
-from features.support import platform_standin
+from features.doubles import platform_standin
 from godwitvalve.platform import http_adapter
 from godwitvalve.platform import port
 
--- a/features/steps/text_steps.py
+++ b/features/steps/text_steps.py
@@ -9,7 +9,7 @@
 import re
 
 import behave
-from features.support import texts
+from features.doubles import texts
 from godwitvalve.text import check
 from godwitvalve.text import dependencies
 from godwitvalve.text import diff
--- a/src/godwitvalve/moves/board.py
+++ b/src/godwitvalve/moves/board.py
@@ -72,7 +72,6 @@
         self._endpoints: dict[
             tuple[str, str], list[endpoint_model.Endpoint]
         ] = {}
-        self._live: dict[tuple[str, str], int] = {}
         self._ready: set[str] = set()
         self._successions: dict[str, succession.Succession] = {}
         self._watched: dict[str, _Watched] = {}
