Drop an unused field and build verdict announcements in one place

The route label of a plain call was computed and never read; the sender computes its own. Gossip built the announcement of a verdict beside the function that does it. make check is clean; two system scenarios of plain calls were run, not the whole suite.

--- a/src/godwitvalve/entry/gossip.py
+++ b/src/godwitvalve/entry/gossip.py
@@ -11,6 +11,7 @@
 from godwitvalve.entry import call_sender
 from godwitvalve.entry import context as contexts
 from godwitvalve.entry import freshness
+from godwitvalve.entry import move_watch
 from godwitvalve.idempotency import forwarding
 from godwitvalve.limits import model as limit_model
 from godwitvalve.limits import shares as account_shares
@@ -133,7 +134,7 @@
         for row in context.board.keeper.rows():
             context.node.send(
                 instance_id,
-                messages.VerdictAnnounced(row.move_id, row.encode()),
+                move_watch.to_message(row),
             )
 
     def _note_not_running(self, instance_id: str) -> None:
--- a/src/godwitvalve/entry/plain_calls.py
+++ b/src/godwitvalve/entry/plain_calls.py
@@ -30,7 +30,6 @@
 class _PlainCall(NamedTuple):
     account: str
     service: in_force.ServiceInForce
-    route: str
     request: service_port.PlainRequest
     key: str | None
 
@@ -118,10 +117,7 @@
             repeatable,
             deadline_wall_s,
         )
-        label = f'{route.method} {route.path}' if route else 'GET other'
-        return _PlainCall(
-            account, service, label, plain, None if repeatable else key
-        )
+        return _PlainCall(account, service, plain, None if repeatable else key)
 
     def _deadline_wall_s(self, request: web.Request) -> float | None:
         latest_wall_s = self._context.clock.wall_s() + DEFAULT_DEADLINE_S
