--- a/src/godwitvalve/entry/completions.py
+++ b/src/godwitvalve/entry/completions.py
@@ -16,7 +16,6 @@
 from godwitvalve.generations import requests
 from godwitvalve.generations import results
 from godwitvalve.moves import choice
-from godwitvalve.outcomes import codes
 from godwitvalve.outcomes import outcome as outcomes
 
 if TYPE_CHECKING:
@@ -66,10 +65,9 @@
         account = gate.authenticate(configuration, request)
         if isinstance(account, outcomes.NotRun):
             return account
-        try:
-            body = await request.read()
-        except web.HTTPRequestEntityTooLarge:
-            return outcomes.NotRun(codes.ResultCode.BODY_TOO_LARGE)
+        body = await gate.read_body(request)
+        if isinstance(body, outcomes.NotRun):
+            return body
         parsed = requests.parse(body)
         if isinstance(parsed, outcomes.NotRun):
             return parsed
--- a/src/godwitvalve/entry/gate.py
+++ b/src/godwitvalve/entry/gate.py
@@ -56,6 +56,14 @@
     return account
 
 
+async def read_body(request: web.Request) -> bytes | outcomes.NotRun:
+    """Return the body of a request unless it is too large."""
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge:
+        return outcomes.NotRun(codes.ResultCode.BODY_TOO_LARGE)
+
+
 def find_service(
     context: contexts.EntryContext,
     configuration: in_force.InForceConfiguration,
--- a/src/godwitvalve/entry/plain_calls.py
+++ b/src/godwitvalve/entry/plain_calls.py
@@ -74,10 +74,9 @@
         service = gate.find_service(context, configuration, name, 'plain')
         if isinstance(service, outcomes.NotRun):
             return service
-        try:
-            body = await request.read()
-        except web.HTTPRequestEntityTooLarge:
-            return outcomes.NotRun(codes.ResultCode.BODY_TOO_LARGE)
+        body = await gate.read_body(request)
+        if isinstance(body, outcomes.NotRun):
+            return body
         return self._plan(request, account.name, service, body)
 
     def _plan(
