--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -20,7 +20,7 @@
 from godwitvalve import clock
 from godwitvalve.configuration import refresher
 from godwitvalve.configuration import tracker
-from godwitvalve.platform import port
+from godwitvalve.store import port
 from godwitvalve.text import head as text_head
 from godwitvalve.text import model
 from godwitvalve.text import parts
--- a/bench/peer_process.py
+++ b/bench/peer_process.py
@@ -20,7 +20,7 @@
 from godwitvalve.peers import membership
 from godwitvalve.peers import messages
 from godwitvalve.peers import node as node_model
-from godwitvalve.platform import port as platform_port
+from godwitvalve.store import port as store_port
 
 KEY = b'key of a measurement, not secret'
 
@@ -119,8 +119,8 @@
         )
 
 
-def _listed(name: str, address: str) -> platform_port.ListedInstance:
-    return platform_port.ListedInstance(
+def _listed(name: str, address: str) -> store_port.ListedInstance:
+    return store_port.ListedInstance(
         name, 'entry', '', address, 'fd-1', '', '', 'live'
     )
 
--- a/features/doubles/memory_platform.py
+++ b/features/doubles/memory_platform.py
@@ -4,7 +4,7 @@
 
 import collections
 
-from godwitvalve.platform import port
+from godwitvalve.store import port
 from godwitvalve.text import head as text_head
 from godwitvalve.text import model
 from godwitvalve.text import parts
--- a/features/doubles/peer_net.py
+++ b/features/doubles/peer_net.py
@@ -8,7 +8,7 @@
 from godwitvalve import clock
 from godwitvalve.peers import messages
 from godwitvalve.peers import node
-from godwitvalve.platform import port
+from godwitvalve.store import port
 
 KEY = b'k' * 32
 
--- a/features/doubles/tables.py
+++ b/features/doubles/tables.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from godwitvalve.platform import port
+from godwitvalve.store import port
 
 
 class MemoryTables:
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -14,7 +14,7 @@
 from godwitvalve.configuration import refresher
 from godwitvalve.configuration import routes
 from godwitvalve.configuration import tracker
-from godwitvalve.platform import port
+from godwitvalve.store import port
 from godwitvalve.text import check
 from godwitvalve.text import head as text_head
 from godwitvalve.text import parts
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -25,8 +25,8 @@
 from godwitvalve.moves import verdict_rows
 from godwitvalve.moves import verdicts
 from godwitvalve.moves import watch
-from godwitvalve.platform import port
 from godwitvalve.routing import endpoint
+from godwitvalve.store import port
 import hypothesis
 from hypothesis import strategies
 import msgpack
--- a/features/steps/operator_cli_steps.py
+++ b/features/steps/operator_cli_steps.py
@@ -20,8 +20,8 @@
 from godwitvalve.operator_cli import main
 from godwitvalve.operator_cli import publish
 from godwitvalve.operator_cli import stored
-from godwitvalve.platform import http_adapter
-from godwitvalve.platform import port
+from godwitvalve.store import http_adapter
+from godwitvalve.store import port
 from godwitvalve.text import check
 from godwitvalve.text import head as text_head
 import orjson
--- a/features/steps/peers_overlay_steps.py
+++ b/features/steps/peers_overlay_steps.py
@@ -11,7 +11,7 @@
 from godwitvalve.peers import membership
 from godwitvalve.peers import messages
 from godwitvalve.peers import overlay
-from godwitvalve.platform import port
+from godwitvalve.store import port
 import hypothesis
 from hypothesis import strategies
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -10,8 +10,8 @@
 
 import behave
 from features.doubles import platform_standin
-from godwitvalve.platform import http_adapter
-from godwitvalve.platform import port
+from godwitvalve.store import http_adapter
+from godwitvalve.store import port
 
 TIMEOUT_S = 0.3
 CONDITION_LIMIT_S = 10.0
--- a/features/variants/orders.py
+++ b/features/variants/orders.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from godwitvalve.orders import lease
-from godwitvalve.platform import port
+from godwitvalve.store import port
 
 
 class UncheckedLease(lease.FencingLease):
--- a/src/godwitvalve/configuration/fetcher.py
+++ b/src/godwitvalve/configuration/fetcher.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from godwitvalve.logs import setup
-from godwitvalve.platform import port
+from godwitvalve.store import port
 from godwitvalve.text import parts
 
 # Peers hold the parts in memory, so a slow answer means a lost peer.
--- a/src/godwitvalve/configuration/refresher.py
+++ b/src/godwitvalve/configuration/refresher.py
@@ -12,7 +12,7 @@
 from godwitvalve.configuration import in_force
 from godwitvalve.configuration import tracker as trackers
 from godwitvalve.logs import setup
-from godwitvalve.platform import port
+from godwitvalve.store import port
 from godwitvalve.text import head as text_head
 from godwitvalve.text import parts
 
--- a/src/godwitvalve/entry/build.py
+++ b/src/godwitvalve/entry/build.py
@@ -30,11 +30,11 @@
 from godwitvalve.moves import verdicts
 from godwitvalve.peers import membership
 from godwitvalve.peers import node as peer_nodes
-from godwitvalve.platform import http_adapter as platform_adapter
 from godwitvalve.routing import retry_budget
 from godwitvalve.routing import router as routers
 from godwitvalve.services import http as service_adapter
 from godwitvalve.settings import load as settings_load
+from godwitvalve.store import http_adapter as platform_adapter
 
 Installed: TypeAlias = Callable[[in_force.InForceConfiguration], None]
 
--- a/src/godwitvalve/entry/context.py
+++ b/src/godwitvalve/entry/context.py
@@ -16,11 +16,11 @@
 from godwitvalve.metrics import counters as metric_counters
 from godwitvalve.moves import board as boards
 from godwitvalve.peers import node as peer_nodes
-from godwitvalve.platform import http_adapter as platform_adapter
 from godwitvalve.routing import retry_budget
 from godwitvalve.routing import router as routers
 from godwitvalve.services import port as service_port
 from godwitvalve.settings import load as settings_load
+from godwitvalve.store import http_adapter as platform_adapter
 
 
 @dataclasses.dataclass
--- a/src/godwitvalve/entry/endpoint_table.py
+++ b/src/godwitvalve/entry/endpoint_table.py
@@ -7,9 +7,9 @@
 
 from godwitvalve.configuration import in_force
 from godwitvalve.generations import plan
-from godwitvalve.platform import port
 from godwitvalve.routing import endpoint as endpoint_model
 from godwitvalve.routing import subset
+from godwitvalve.store import port
 
 # Endpoints of one service version that one entry uses. At full size a
 # model has about 320 replicas.
--- a/src/godwitvalve/entry/instance_watch.py
+++ b/src/godwitvalve/entry/instance_watch.py
@@ -7,7 +7,7 @@
 from godwitvalve.entry import context as contexts
 from godwitvalve.entry import endpoint_table
 from godwitvalve.logs import setup as logs
-from godwitvalve.platform import port
+from godwitvalve.store import port
 
 APPLY_INTERVAL_S = 1.0
 # The platform serves about 2,000 reads/s for everything. The entries
--- a/src/godwitvalve/entry/move_watch.py
+++ b/src/godwitvalve/entry/move_watch.py
@@ -9,7 +9,7 @@
 from godwitvalve.moves import verdict_rows
 from godwitvalve.moves import verdicts
 from godwitvalve.peers import messages
-from godwitvalve.platform import port
+from godwitvalve.store import port
 from godwitvalve.text import dependencies
 
 STEP_INTERVAL_S = 0.5
--- a/src/godwitvalve/idempotency/claims.py
+++ b/src/godwitvalve/idempotency/claims.py
@@ -12,7 +12,7 @@
 from godwitvalve.idempotency import keys
 from godwitvalve.outcomes import codes
 from godwitvalve.outcomes import outcome as outcome_model
-from godwitvalve.platform import port as platform_port
+from godwitvalve.store import port as store_port
 
 TABLE = 'claims'
 _NONCE_BYTES = 16
@@ -58,7 +58,7 @@
 
     def __init__(
         self,
-        tables: platform_port.TableService,
+        tables: store_port.TableService,
         budget: budget_model.ClaimBudget,
         clock: clock_model.Clock,
     ) -> None:
@@ -112,10 +112,10 @@
                 result = await self._write(
                     scope, decision.expected_version, record
                 )
-                if not isinstance(result, platform_port.Conflict):
+                if not isinstance(result, store_port.Conflict):
                     return result
                 current, version = _parse(result.current)
-        except platform_port.PlatformUnavailable as error:
+        except store_port.PlatformUnavailable as error:
             return _not_run(codes.ResultCode.STORE_UNAVAILABLE, str(error))
         return _not_run(
             codes.ResultCode.STORE_UNAVAILABLE, 'the claim row kept changing'
@@ -126,7 +126,7 @@
         scope: keys.KeyScope,
         expected_version: int,
         record: claim_record.ClaimRecord,
-    ) -> Claimed | ClaimFailed | platform_port.Conflict:
+    ) -> Claimed | ClaimFailed | store_port.Conflict:
         written = await self._tables.compare_and_set(
             TABLE,
             claim_record.row_key(scope),
@@ -134,15 +134,15 @@
             claim_record.pack(record),
         )
         match written:
-            case platform_port.Written(version):
+            case store_port.Written(version):
                 return Claimed(record, version)
-            case platform_port.WriteUnknown(reason):
+            case store_port.WriteUnknown(reason):
                 return await self._read_back(
                     scope, expected_version, record, reason
                 )
-            case platform_port.WriteRefused(reason):
+            case store_port.WriteRefused(reason):
                 return _not_run(codes.ResultCode.STORE_UNAVAILABLE, reason)
-            case platform_port.Conflict():
+            case store_port.Conflict():
                 return written
 
     async def _read_back(
@@ -151,16 +151,16 @@
         expected_version: int,
         record: claim_record.ClaimRecord,
         reason: str,
-    ) -> Claimed | ClaimFailed | platform_port.Conflict:
+    ) -> Claimed | ClaimFailed | store_port.Conflict:
         try:
             row = await self._tables.read(TABLE, claim_record.row_key(scope))
             current, version = _parse(row)
-        except platform_port.PlatformUnavailable as error:
+        except store_port.PlatformUnavailable as error:
             return _claim_unknown(f'{reason}; {error}')
         if claim_record.is_own_write(current, record.nonce):
             return Claimed(record, version)
         if version != expected_version:
-            return platform_port.Conflict(row)
+            return store_port.Conflict(row)
         # The write may still arrive. This incarnation remembers that it
         # sent nothing, so the row it would leave can be claimed again.
         return _claim_unknown(reason)
@@ -184,15 +184,15 @@
         written = await self._tables.compare_and_set(
             TABLE, claim_record.row_key(scope), claimed.version, value
         )
-        return isinstance(written, platform_port.Written)
+        return isinstance(written, store_port.Written)
 
 
 def _parse(
-    row: platform_port.Row | None,
+    row: store_port.Row | None,
 ) -> tuple[claim_record.ClaimRecord | None, int]:
     if row is None:
         return None, 0
     try:
         return claim_record.unpack(row.value), row.version
     except ValueError as error:
-        raise platform_port.PlatformUnavailable(str(error)) from error
+        raise store_port.PlatformUnavailable(str(error)) from error
--- a/src/godwitvalve/idempotency/executor.py
+++ b/src/godwitvalve/idempotency/executor.py
@@ -15,7 +15,7 @@
 from godwitvalve.logs import setup as logs
 from godwitvalve.outcomes import codes
 from godwitvalve.outcomes import outcome as outcome_model
-from godwitvalve.platform import port as platform_port
+from godwitvalve.store import port as store_port
 
 _LOG = logs.get('idempotency')
 # The send ends at the same deadline and may then say "not run".
@@ -241,7 +241,7 @@
         """Return an outcome written since the claim was read."""
         try:
             record, _ = await self._claims.read(call.scope)
-        except platform_port.PlatformUnavailable:
+        except store_port.PlatformUnavailable:
             return otherwise
         if record is None or record.outcome is None:
             return otherwise
--- a/src/godwitvalve/moves/verdicts.py
+++ b/src/godwitvalve/moves/verdicts.py
@@ -6,7 +6,7 @@
 
 from godwitvalve.moves import move
 from godwitvalve.moves import verdict_rows
-from godwitvalve.platform import port
+from godwitvalve.store import port
 
 TABLE = 'moves'
 # A running move is offered only while its verdict was confirmed so lately,
--- a/src/godwitvalve/operator_cli/apply.py
+++ b/src/godwitvalve/operator_cli/apply.py
@@ -13,8 +13,8 @@
 from godwitvalve.operator_cli import options
 from godwitvalve.operator_cli import publish
 from godwitvalve.operator_cli import stored
-from godwitvalve.platform import http_adapter
-from godwitvalve.platform import port
+from godwitvalve.store import http_adapter
+from godwitvalve.store import port
 from godwitvalve.text import diff
 from godwitvalve.text import head as text_head
 from godwitvalve.text import model
--- a/src/godwitvalve/operator_cli/entries.py
+++ b/src/godwitvalve/operator_cli/entries.py
@@ -9,7 +9,7 @@
 import aiohttp
 import pydantic
 
-from godwitvalve.platform import port
+from godwitvalve.store import port
 
 # Seconds to wait for one entry instance.
 ENTRY_TIMEOUT_S = 2.0
--- a/src/godwitvalve/operator_cli/publish.py
+++ b/src/godwitvalve/operator_cli/publish.py
@@ -8,7 +8,7 @@
 
 from godwitvalve import clock as clocks
 from godwitvalve.operator_cli import stored
-from godwitvalve.platform import port
+from godwitvalve.store import port
 from godwitvalve.text import head as text_head
 from godwitvalve.text import model
 from godwitvalve.text import parts
--- a/src/godwitvalve/operator_cli/reading.py
+++ b/src/godwitvalve/operator_cli/reading.py
@@ -8,8 +8,8 @@
 
 from godwitvalve.operator_cli import options
 from godwitvalve.operator_cli import stored
-from godwitvalve.platform import http_adapter
-from godwitvalve.platform import port
+from godwitvalve.store import http_adapter
+from godwitvalve.store import port
 
 _Result = TypeVar('_Result')
 
--- a/src/godwitvalve/operator_cli/status.py
+++ b/src/godwitvalve/operator_cli/status.py
@@ -11,7 +11,7 @@
 from godwitvalve.operator_cli import reading
 from godwitvalve.operator_cli import stored
 from godwitvalve.operator_cli import verdicts
-from godwitvalve.platform import http_adapter
+from godwitvalve.store import http_adapter
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/godwitvalve/operator_cli/stored.py
+++ b/src/godwitvalve/operator_cli/stored.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple, Protocol
 
-from godwitvalve.platform import port
+from godwitvalve.store import port
 from godwitvalve.text import head as text_head
 from godwitvalve.text import model
 from godwitvalve.text import parts
--- a/src/godwitvalve/operator_cli/verdicts.py
+++ b/src/godwitvalve/operator_cli/verdicts.py
@@ -7,7 +7,7 @@
 from godwitvalve.moves import move
 from godwitvalve.moves import verdict_rows
 from godwitvalve.moves import verdicts
-from godwitvalve.platform import port
+from godwitvalve.store import port
 
 
 class VerdictRow(NamedTuple):
--- a/src/godwitvalve/orders/lease.py
+++ b/src/godwitvalve/orders/lease.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from godwitvalve import clock as clocks
-from godwitvalve.platform import port
+from godwitvalve.store import port
 
 TABLE = 'leases'
 LEASE_S = 10.0
--- a/src/godwitvalve/peers/membership.py
+++ b/src/godwitvalve/peers/membership.py
@@ -8,7 +8,7 @@
 
 from godwitvalve.peers import handshake
 from godwitvalve.peers import messages
-from godwitvalve.platform import port as platform_port
+from godwitvalve.store import port as store_port
 
 LIVE = 'live'
 LEAVING = 'leaving'
@@ -55,7 +55,7 @@
         self.own = own
         self.is_superseded = False
         self._heard: dict[str, _Heard] = {}
-        self._listed: dict[str, platform_port.ListedInstance] = {}
+        self._listed: dict[str, store_port.ListedInstance] = {}
         self._was_listed: set[str] = set()
         self._listed_as_leaving: dict[str, int] = {}
 
@@ -65,7 +65,7 @@
         return self.own
 
     def update_listed(
-        self, listed: abc.Iterable[platform_port.ListedInstance]
+        self, listed: abc.Iterable[store_port.ListedInstance]
     ) -> None:
         """Take the platform's list as it is now."""
         self._listed = {
@@ -190,7 +190,7 @@
     return _RANK[fact.state] > _RANK[known.state]
 
 
-def _listed_member(listed: platform_port.ListedInstance) -> Member:
+def _listed_member(listed: store_port.ListedInstance) -> Member:
     return Member(
         listed.instance_id,
         0,
--- a/src/godwitvalve/peers/node.py
+++ b/src/godwitvalve/peers/node.py
@@ -17,7 +17,7 @@
 from godwitvalve.peers import messages
 from godwitvalve.peers import traffic as traffic_model
 from godwitvalve.peers import tree
-from godwitvalve.platform import port as platform_port
+from godwitvalve.store import port as store_port
 
 CALL_LIMIT_S = 5.0
 # Sent again and again by every instance; a later one replaces an earlier.
@@ -96,9 +96,7 @@
         """Close all connections."""
         await self._connector.close()
 
-    def update_members(
-        self, listed: list[platform_port.ListedInstance]
-    ) -> None:
+    def update_members(self, listed: list[store_port.ListedInstance]) -> None:
         """Take the platform's list as it is now."""
         self._membership.update_listed(listed)
 
--- a/src/godwitvalve/platform/answers.py
+++ b/src/godwitvalve/store/answers.py
@@ -9,7 +9,7 @@
 import orjson
 import pydantic
 
-from godwitvalve.platform import port
+from godwitvalve.store import port
 
 _Decoded = TypeVar('_Decoded')
 
--- a/src/godwitvalve/platform/http_adapter.py
+++ b/src/godwitvalve/store/http_adapter.py
@@ -10,8 +10,8 @@
 import aiohttp
 import orjson
 
-from godwitvalve.platform import answers
-from godwitvalve.platform import port
+from godwitvalve.store import answers
+from godwitvalve.store import port
 
 DEFAULT_TIMEOUT_S = 1.0
 # An answer above this size is treated as damaged rather than read whole.
