--- /dev/null
+++ b/src/godwitvalve/fleet/registry.py
@@ -0,0 +1,113 @@
+"""Endpoints that are listed now, across outages of the platform's store."""
+
+from __future__ import annotations
+
+from collections import abc
+
+from godwitvalve.fleet import endpoints
+
+# Rows that lapsed while the store was away come back within 2 s of its
+# return; the rest of the time is for the change to be heard.
+RETURN_LIMIT_S = 2.3
+
+
+class EndpointRegistry:
+    """Endpoints by id.
+
+    Load pattern: the store comes back after an outage in which leases
+    lapsed, so that all rows of a service are missing for up to 2 s. Taking
+    them as gone at once would refuse every request of the service.
+    """
+
+    def __init__(self) -> None:
+        self._listed: dict[str, endpoints.FleetEndpoint] = {}
+        self._row_versions: dict[str, int] = {}
+        self._missing_until_s: dict[str, float] = {}
+        self._trusted_from_s = 0.0
+        self.is_store_away = True
+
+    def store_lost(self) -> None:
+        """Note that the store does not answer."""
+        self.is_store_away = True
+
+    def store_regained(self, now_s: float) -> None:
+        """Note that the store answers again.
+
+        :param now_s: monotonic seconds.
+        """
+        if self.is_store_away:
+            self.is_store_away = False
+            self._trusted_from_s = now_s + RETURN_LIMIT_S
+
+    def update(
+        self, endpoint: endpoints.FleetEndpoint, row_version: int
+    ) -> bool:
+        """Take a row; tell whether it was news."""
+        endpoint_id = endpoint.endpoint_id
+        if row_version < self._row_versions.get(endpoint_id, 0):
+            return False
+        is_news = self._listed.get(endpoint_id) != endpoint
+        self._row_versions[endpoint_id] = row_version
+        self._listed[endpoint_id] = endpoint
+        self._missing_until_s.pop(endpoint_id, None)
+        return is_news
+
+    def remove(self, endpoint_id: str, row_version: int, now_s: float) -> bool:
+        """Take the removal of a row; tell whether it counts at once."""
+        if row_version < self._row_versions.get(endpoint_id, 0):
+            return False
+        if endpoint_id not in self._listed:
+            return False
+        if now_s < self._trusted_from_s:
+            self._missing_until_s.setdefault(endpoint_id, self._trusted_from_s)
+            return False
+        self._forget(endpoint_id)
+        return True
+
+    def replace(
+        self,
+        rows: abc.Mapping[str, tuple[endpoints.FleetEndpoint, int]],
+        version: int,
+        now_s: float,
+    ) -> None:
+        """Take all rows as of a version of the store."""
+        for endpoint, row_version in rows.values():
+            self.update(endpoint, row_version)
+        for endpoint_id in [each for each in self._listed if each not in rows]:
+            self.remove(endpoint_id, version, now_s)
+
+    def expire(self, now_s: float) -> list[str]:
+        """Drop rows that did not come back; return their ids."""
+        gone = [
+            endpoint_id
+            for endpoint_id, until_s in self._missing_until_s.items()
+            if until_s <= now_s
+        ]
+        for endpoint_id in gone:
+            self._forget(endpoint_id)
+        return gone
+
+    def _forget(self, endpoint_id: str) -> None:
+        self._listed.pop(endpoint_id, None)
+        self._row_versions.pop(endpoint_id, None)
+        self._missing_until_s.pop(endpoint_id, None)
+
+    def get(self, endpoint_id: str) -> endpoints.FleetEndpoint | None:
+        """Return an endpoint that is listed."""
+        return self._listed.get(endpoint_id)
+
+    def ids(self) -> abc.Set[str]:
+        """Return the ids of all listed endpoints."""
+        return self._listed.keys()
+
+    def all(self) -> abc.Collection[endpoints.FleetEndpoint]:
+        """Return all listed endpoints."""
+        return self._listed.values()
+
+    def usable(self, service: str) -> list[endpoints.FleetEndpoint]:
+        """Return the endpoints of a service that do not leave."""
+        return [
+            endpoint
+            for endpoint in self._listed.values()
+            if endpoint.service == service and not endpoint.is_leaving
+        ]
--- /dev/null
+++ b/src/godwitvalve/forwarding/calls.py
@@ -0,0 +1,258 @@
+"""Sends plain calls until one answer can be returned."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+from godwitvalve.fleet import endpoints
+from godwitvalve.fleet import routes
+from godwitvalve.forwarding import context as contexts
+from godwitvalve.forwarding import exchange as exchanges
+from godwitvalve.forwarding import policy
+from godwitvalve.forwarding import replies
+from godwitvalve.logs import setup as logs
+from godwitvalve.outcomes import codes
+from godwitvalve.placement import choose
+from godwitvalve.platform import headers as wire
+
+# Share of the objective after which a second endpoint is asked, if the
+# call may be repeated: it still answers in time, as calls take 45 ms.
+HEDGE_SHARE = 0.5
+# No call is asked twice sooner than this, about the slowest in 20.
+SHORTEST_HEDGE_S = 0.08
+
+_LOG = logs.get('forwarding')
+
+
+class CallOrder(NamedTuple):
+    """A call with what it may do.
+
+    :param deadline_s: seconds of the event loop's clock.
+    """
+
+    request: exchanges.CallerRequest
+    route: routes.Route
+    service: str
+    account: str
+    urgency: int | None
+    deadline_s: float
+
+
+class CallRun:
+    """One plain call from arrival to its end."""
+
+    def __init__(
+        self, context: contexts.ForwardingContext, order: CallOrder
+    ) -> None:
+        self._context = context
+        self._order = order
+        self._loop = asyncio.get_running_loop()
+        self._tried: set[str] = set()
+        self._sends = 0
+        self._runs = 0
+        self._fallback: exchanges.Answered | None = None
+        self._running: set[asyncio.Task[exchanges.PlainOutcome]] = set()
+
+    @property
+    def _is_repeatable(self) -> bool:
+        return self._order.route.kind is routes.RequestKind.REPEATABLE
+
+    async def run(self) -> replies.Reply:
+        """Return the end of the call; never later than its deadline."""
+        try:
+            async with asyncio.timeout_at(self._order.deadline_s):
+                return await self._until_end()
+        except asyncio.TimeoutError:
+            return self._at_deadline()
+        finally:
+            for task in self._running:
+                task.cancel()
+
+    def _at_deadline(self) -> replies.Reply:
+        if self._fallback is not None:
+            return self._fallback
+        if self._runs or self._running:
+            return replies.Failure(codes.ResultCode.OUTCOME_UNKNOWN, True)
+        return replies.Refusal(
+            codes.ResultCode.OVERLOADED, policy.BUSY_RETRY_AFTER_S
+        )
+
+    async def _until_end(self) -> replies.Reply:
+        if not self._start():
+            return replies.Refusal(
+                codes.ResultCode.NO_ENDPOINT, policy.ABSENT_RETRY_AFTER_S
+            )
+        while True:
+            ended = await self._next_end()
+            if ended is None:
+                self._hedge()
+                continue
+            step = policy.after_send(ended, self._progress())
+            match step:
+                case policy.End(reply):
+                    if self._running and not _is_success(reply):
+                        continue
+                    return reply
+                case policy.SendAgain(reason):
+                    if self._running:
+                        continue
+                    reply_now = self._send_again(reason)
+                    if reply_now is not None:
+                        return reply_now
+
+    def _send_again(self, reason: str) -> replies.Reply | None:
+        if len(self._tried) >= len(
+            self._context.candidates(self._order.service)
+        ):
+            self._tried.clear()
+        if self._start():
+            self._context.budget.try_retry(self._order.service)
+            self._note_retry(reason)
+            return None
+        return policy.give_up(
+            self._progress(),
+            codes.ResultCode.NO_ENDPOINT,
+            policy.ABSENT_RETRY_AFTER_S,
+        ).reply
+
+    def _note_retry(self, reason: str) -> None:
+        self._context.counters.count_retry(reason)
+        _LOG.info(
+            'A call is sent again.',
+            extra={
+                'request_id': self._order.request.facts.request_id,
+                'reason': reason,
+                'sends': self._sends,
+            },
+        )
+
+    def _progress(self) -> policy.Progress:
+        left_s = self._order.deadline_s - self._loop.time()
+        return policy.Progress(
+            self._is_repeatable,
+            self._sends,
+            self._runs,
+            self._order.route.max_endpoints,
+            left_s > policy.SHORTEST_SEND_S,
+            self._context.budget.balance(self._order.service) >= 1.0,
+            self._fallback,
+        )
+
+    async def _next_end(self) -> exchanges.PlainOutcome | None:
+        """Wait for the end of a send, or until it is time to hedge."""
+        can_hedge = (
+            self._is_repeatable
+            and len(self._running) == 1
+            and self._runs + 1 < self._order.route.max_endpoints
+        )
+        wait_s = None
+        if can_hedge:
+            objective_s = self._order.route.objective_ms / 1000
+            wait_s = max(objective_s * HEDGE_SHARE, SHORTEST_HEDGE_S)
+        done, _ = await asyncio.wait(
+            self._running,
+            timeout=wait_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if not done:
+            return None
+        task = done.pop()
+        self._running.discard(task)
+        outcome = task.result()
+        self._count(outcome)
+        return outcome
+
+    def _count(self, outcome: exchanges.PlainOutcome) -> None:
+        self._sends += 1
+        match outcome:
+            case exchanges.Lost():
+                self._runs += 1
+            case exchanges.Answered(head):
+                self._runs += 1
+                if head.status >= 500 and self._fallback is None:
+                    self._fallback = outcome
+
+    def _hedge(self) -> None:
+        if not self._context.budget.try_retry(self._order.service):
+            return
+        if self._start():
+            self._note_retry('no answer yet')
+
+    def _start(self) -> bool:
+        """Start a send; tell whether there is an endpoint for it."""
+        context = self._context
+        endpoint = choose.choose_call(
+            context.candidates(self._order.service),
+            context.book,
+            self._tried,
+            context.failure_domain,
+            self._loop.time(),
+            context.rng,
+        )
+        if endpoint is None:
+            return False
+        self._tried.add(endpoint.endpoint_id)
+        self._running.add(asyncio.create_task(self._send(endpoint)))
+        return True
+
+    async def _send(
+        self, endpoint: endpoints.FleetEndpoint
+    ) -> exchanges.PlainOutcome:
+        order = self._order
+        notes = self._context.book.notes(endpoint.endpoint_id)
+        facts = wire.SendFacts(
+            endpoint.endpoint_id,
+            (order.deadline_s - self._loop.time()) * 1000,
+            order.account,
+            order.urgency,
+        )
+        exchange = exchanges.Exchange(endpoint, self._context.pool)
+        notes.calls += 1
+        try:
+            outcome = await exchanges.send_plain(
+                exchange, order.request, facts
+            )
+        finally:
+            notes.calls -= 1
+        self._note_outcome(endpoint, outcome)
+        return outcome
+
+    def _note_outcome(
+        self,
+        endpoint: endpoints.FleetEndpoint,
+        outcome: exchanges.PlainOutcome,
+    ) -> None:
+        book = self._context.book
+        now_s = self._loop.time()
+        match outcome:
+            case exchanges.Answered(head) if head.status < 500:
+                book.succeeded(endpoint.endpoint_id, head.facts.load, now_s)
+                return
+            case exchanges.Answered(head):
+                # One failure in seven is usual; it says little about the
+                # endpoint.
+                book.reported(endpoint.endpoint_id, head.facts.load, now_s)
+            case exchanges.Declined(status, load):
+                book.reported(endpoint.endpoint_id, load, now_s)
+                if status == 421:
+                    book.failed(endpoint.endpoint_id, now_s)
+            case exchanges.NotSent() | exchanges.Lost():
+                book.failed(endpoint.endpoint_id, now_s)
+        _LOG.info(
+            'A send failed.',
+            extra={
+                'request_id': self._order.request.facts.request_id,
+                'endpoint_id': endpoint.endpoint_id,
+                'outcome': type(outcome).__name__,
+                'reason': getattr(outcome, 'reason', '')
+                or getattr(outcome, 'status', ''),
+                'listed_endpoints': len(
+                    self._context.candidates(self._order.service)
+                ),
+            },
+        )
+
+
+def _is_success(reply: replies.Reply) -> bool:
+    return isinstance(reply, exchanges.Answered) and reply.head.status < 500
--- /dev/null
+++ b/src/godwitvalve/forwarding/context.py
@@ -0,0 +1,48 @@
+"""What the forwarding of requests works with."""
+
+from __future__ import annotations
+
+from collections import abc
+import dataclasses
+import random
+
+from godwitvalve.fleet import endpoints
+from godwitvalve.fleet import routes
+from godwitvalve.fleet import state as states
+from godwitvalve.forwarding import counters as counter_model
+from godwitvalve.forwarding import pool as pools
+from godwitvalve.placement import book as books
+from godwitvalve.placement import choose
+from godwitvalve.routing import retry_budget
+
+
+@dataclasses.dataclass(frozen=True)
+class ForwardingContext:
+    """Shared parts of one entry instance.
+
+    :param elsewhere: returns what other entries have placed.
+    :param placed: called when a stream of this entry begins or ends.
+    """
+
+    failure_domain: str
+    state: states.FleetState
+    pool: pools.ChannelPool
+    book: books.EndpointBook
+    budget: retry_budget.RetryBudget
+    counters: counter_model.ForwardingCounters
+    elsewhere: abc.Callable[[], choose.Elsewhere]
+    placed: abc.Callable[[], None]
+    rng: random.Random = dataclasses.field(default_factory=random.Random)
+
+    def pick_service(self, route: routes.Route) -> str | None:
+        """Draw a service by the weights of a route."""
+        if not route.services:
+            return None
+        return self.rng.choices(
+            [each.service for each in route.services],
+            [each.weight for each in route.services],
+        )[0]
+
+    def candidates(self, service: str) -> list[endpoints.FleetEndpoint]:
+        """Return the endpoints of a service that do not leave."""
+        return self.state.registry.usable(service)
--- /dev/null
+++ b/src/godwitvalve/forwarding/counters.py
@@ -0,0 +1,85 @@
+"""Metrics of forwarded requests."""
+
+from __future__ import annotations
+
+from aioprometheus import collectors
+
+from godwitvalve.outcomes import codes
+
+# Bounds of the latency histograms in seconds: around the objectives of
+# plain calls (0.2 s) and of first events (4.5 s).
+LATENCY_BOUNDS_S = [
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.4,
+    0.8,
+    1.5,
+    3.0,
+    4.5,
+    8.0,
+    16.0,
+]
+
+
+class ForwardingCounters:
+    """Counters and histograms of one entry instance.
+
+    :param instance_id: constant label of each metric.
+    """
+
+    def __init__(self, instance_id: str) -> None:
+        self.registry = collectors.Registry()
+        labels = {'instance': instance_id}
+        self._requests = self._counter(
+            'godwitvalve_requests_total', 'Requests by service.', labels
+        )
+        self._retries = self._counter(
+            'godwitvalve_retries_total', 'Sends after the first.', labels
+        )
+        self._refusals = self._counter(
+            'godwitvalve_refusals_total', 'Own refusals by code.', labels
+        )
+        self._latency = collectors.Histogram(
+            'godwitvalve_answer_seconds',
+            'Time to the whole answer of a call.',
+            const_labels=labels,
+            registry=self.registry,
+            buckets=LATENCY_BOUNDS_S,
+        )
+        self._first_event = collectors.Histogram(
+            'godwitvalve_first_event_seconds',
+            'Time to the first event of a stream.',
+            const_labels=labels,
+            registry=self.registry,
+            buckets=LATENCY_BOUNDS_S,
+        )
+
+    def _counter(
+        self, name: str, text: str, labels: dict[str, str]
+    ) -> collectors.Counter:
+        return collectors.Counter(
+            name, text, const_labels=labels, registry=self.registry
+        )
+
+    def count_request(self, service: str) -> None:
+        """Count a request that has a service."""
+        self._requests.inc({'service': service})
+
+    def count_retry(self, reason: str) -> None:
+        """Count a send after the first one."""
+        self._retries.inc({'reason': reason})
+
+    def count_refusal(self, code: codes.ResultCode) -> None:
+        """Count an answer in this system's own name."""
+        self._refusals.inc({'code': str(code.value), 'reason': code.name})
+
+    def observe_answer(self, route: str, seconds: float) -> None:
+        """Record the time to a whole answer."""
+        self._latency.observe({'route': route}, seconds)
+
+    def observe_first_event(self, route: str, seconds: float) -> None:
+        """Record the time to the first event of a stream."""
+        self._first_event.observe({'route': route}, seconds)
--- /dev/null
+++ b/src/godwitvalve/forwarding/gaps.py
@@ -0,0 +1,44 @@
+"""How long an endpoint may be silent before its stream goes on elsewhere."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+Awaited = TypeVar('Awaited')
+
+# How often a silent stream is looked at.
+POLL_S = 0.05
+# Share of the longest pause that is in time. The rest is for the copy at
+# another endpoint, which gives its next event within 0.1 s.
+GAP_SHARE = 0.6
+# A prompt that is read beside a stream spreads its events to 0.2 s; below
+# this, sound streams would be moved.
+SHORTEST_GAP_S = 0.4
+
+
+class GapWatch:
+    """Tells silence from a slow stream.
+
+    Load pattern: all endpoints of a zone go dark at once and send no
+    reset. Streams with events show it by their gap; those whose prompt is
+    still read follow once another stream at their endpoint showed it.
+
+    :param max_gap_s: longest pause between events that is in time.
+    """
+
+    def __init__(self, max_gap_s: float) -> None:
+        self._limit_s = max(max_gap_s * GAP_SHARE, SHORTEST_GAP_S)
+
+    def is_silent(
+        self, quiet_s: float, has_events: bool, others_are_silent: bool
+    ) -> bool:
+        """Tell whether a stream should go on at another endpoint.
+
+        :param quiet_s: time since the last event, or since the send.
+        :param has_events: whether this run has sent an event.
+        :param others_are_silent: whether another stream at the endpoint
+            fell silent after this one was last heard.
+        """
+        if has_events:
+            return quiet_s > self._limit_s
+        return others_are_silent
--- /dev/null
+++ b/src/godwitvalve/forwarding/pool.py
@@ -0,0 +1,68 @@
+"""Connections to endpoints that are kept between requests."""
+
+from __future__ import annotations
+
+import asyncio
+
+from godwitvalve.fleet import endpoints
+from godwitvalve.forwarding import channel as channels
+
+# Busy plain endpoints have 6 slots; more idle connections would only count
+# against the connections that an endpoint accepts from all callers.
+MAX_IDLE_AN_ENDPOINT = 8
+
+
+class ChannelPool:
+    """Idle connections by endpoint, the last used one first."""
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[channels.EndpointChannel]] = {}
+        self.opened = 0
+
+    async def take(
+        self, endpoint: endpoints.FleetEndpoint
+    ) -> channels.EndpointChannel:
+        """Return an idle connection or open one.
+
+        :raises ConnectFailed: if none can be opened.
+        """
+        now_s = asyncio.get_running_loop().time()
+        idle = self._idle.get(endpoint.endpoint_id, [])
+        while idle:
+            channel = idle.pop()
+            if channel.is_reusable(now_s):
+                return channel
+            channel.close()
+        self.opened += 1
+        return await channels.connect(endpoint.address)
+
+    def give_back(
+        self, endpoint_id: str, channel: channels.EndpointChannel
+    ) -> None:
+        """Keep a connection whose answer is whole."""
+        now_s = asyncio.get_running_loop().time()
+        if not channel.is_reusable(now_s):
+            channel.close()
+            return
+        idle = self._idle.setdefault(endpoint_id, [])
+        idle.append(channel)
+        if len(idle) > MAX_IDLE_AN_ENDPOINT:
+            idle.pop(0).close()
+
+    def drop(self, endpoint_id: str) -> None:
+        """Close the idle connections of an endpoint that is gone."""
+        for channel in self._idle.pop(endpoint_id, []):
+            channel.close()
+
+    def prune(self) -> None:
+        """Close the connections that were idle for too long."""
+        now_s = asyncio.get_running_loop().time()
+        for endpoint_id, idle in list(self._idle.items()):
+            kept = [each for each in idle if each.is_reusable(now_s)]
+            for channel in idle:
+                if channel not in kept:
+                    channel.close()
+            if kept:
+                self._idle[endpoint_id] = kept
+            else:
+                del self._idle[endpoint_id]
--- /dev/null
+++ b/src/godwitvalve/forwarding/streams.py
@@ -0,0 +1,418 @@
+"""Relays event streams and goes on at another endpoint after a loss."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+import dataclasses
+from typing import Protocol, TypeAlias
+
+from godwitvalve.fleet import endpoints
+from godwitvalve.forwarding import calls
+from godwitvalve.forwarding import channel as channels
+from godwitvalve.forwarding import context as contexts
+from godwitvalve.forwarding import events
+from godwitvalve.forwarding import exchange as exchanges
+from godwitvalve.forwarding import gaps
+from godwitvalve.forwarding import policy
+from godwitvalve.forwarding import replies
+from godwitvalve.logs import setup as logs
+from godwitvalve.outcomes import codes
+from godwitvalve.placement import choose
+from godwitvalve.platform import headers as wire
+
+_LOG = logs.get('forwarding')
+
+
+class Sink(Protocol):
+    """Where the events of a stream go."""
+
+    async def start(self, head: exchanges.AnswerHead) -> None:
+        """Send status and headers."""
+
+    async def send(self, content: bytes) -> None:
+        """Send whole events."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Whole:
+    """The stream came to its end."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Interrupted:
+    """The run was lost.
+
+    :param may_have_run: whether the endpoint may have begun it.
+    """
+
+    reason: str
+    may_have_run: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Rejected:
+    """The endpoint answered with something else than a stream."""
+
+    answer: exchanges.Answered
+
+
+RunEnd: TypeAlias = Whole | Interrupted | Rejected | exchanges.Declined
+
+
+@dataclasses.dataclass
+class _Run:
+    """One run at one endpoint."""
+
+    endpoint: endpoints.FleetEndpoint
+    backup: endpoints.FleetEndpoint | None
+    memory_source: str
+    began_s: float
+    has_events: bool = False
+
+
+class StreamRun:
+    """One stream from arrival to its end."""
+
+    def __init__(
+        self,
+        context: contexts.ForwardingContext,
+        order: calls.CallOrder,
+        sink: Sink,
+    ) -> None:
+        self._context = context
+        self._order = order
+        self._sink = sink
+        self._loop = asyncio.get_running_loop()
+        self._began_s = self._loop.time()
+        self._splitter = events.EventSplitter(order.request.facts.last_event)
+        self._gaps = gaps.GapWatch(order.route.max_gap_ms / 1000)
+        self._tried: set[str] = set()
+        self._sends = 0
+        self._runs = 0
+        self._is_started = False
+        self._last_run: _Run | None = None
+        self._rejection: exchanges.Answered | None = None
+
+    async def run(self) -> replies.Reply:
+        """Return the end of the stream; never later than its deadline."""
+        try:
+            async with asyncio.timeout_at(self._order.deadline_s):
+                return await self._until_end()
+        except asyncio.TimeoutError:
+            if self._is_started:
+                return replies.Streamed(False)
+            if self._runs or self._sends:
+                return replies.Failure(codes.ResultCode.OUTCOME_UNKNOWN, True)
+            return replies.Refusal(
+                codes.ResultCode.OVERLOADED, policy.ABSENT_RETRY_AFTER_S
+            )
+
+    async def _until_end(self) -> replies.Reply:
+        while True:
+            run = self._next_run()
+            if run is None:
+                return self._give_up(
+                    codes.ResultCode.NO_ENDPOINT, policy.ABSENT_RETRY_AFTER_S
+                )
+            end = await self._attempt(run)
+            self._sends += 1
+            self._note_end(run, end)
+            match end:
+                case Whole():
+                    return replies.Streamed(True)
+                case Rejected(answer):
+                    if answer.head.status < 500 and not self._is_started:
+                        return answer
+                    self._runs += 1
+                    self._rejection = answer
+                case Interrupted(_, may_have_run):
+                    self._runs += may_have_run
+                case exchanges.Declined():
+                    pass
+            if not self._may_go_on():
+                return self._give_up(
+                    codes.ResultCode.OVERLOADED, policy.BUSY_RETRY_AFTER_S
+                )
+            self._context.counters.count_retry(_reason(end))
+
+    def _may_go_on(self) -> bool:
+        left_s = self._order.deadline_s - self._loop.time()
+        if left_s < policy.SHORTEST_SEND_S or self._sends >= policy.MAX_SENDS:
+            return False
+        if self._runs >= self._order.route.max_endpoints:
+            return False
+        if self._runs and not self._order.route.is_resumable:
+            return False
+        return self._context.budget.try_retry(self._order.service, True)
+
+    def _give_up(
+        self, code: codes.ResultCode, retry_after_s: float
+    ) -> replies.Reply:
+        if self._is_started:
+            return replies.Streamed(False)
+        if self._rejection is not None:
+            return self._rejection
+        if self._runs:
+            return replies.Failure(codes.ResultCode.OUTCOME_UNKNOWN)
+        return replies.Refusal(code, retry_after_s)
+
+    def _next_run(self) -> _Run | None:
+        now_s = self._loop.time()
+        copy = self._copy_run(now_s)
+        if copy is not None:
+            return copy
+        context = self._context
+        candidates = context.candidates(self._order.service)
+        if len(self._tried) >= len(candidates):
+            self._tried.clear()
+        endpoint = choose.choose_stream(
+            candidates,
+            context.book,
+            context.elsewhere(),
+            self._tried,
+            context.failure_domain,
+            now_s,
+            context.rng,
+        )
+        if endpoint is None:
+            return None
+        return _Run(endpoint, self._backup_for(endpoint, now_s), '', now_s)
+
+    def _copy_run(self, now_s: float) -> _Run | None:
+        """Return a run at the endpoint that keeps a copy of the last one."""
+        last = self._last_run
+        if last is None or last.backup is None:
+            return None
+        self._last_run = None
+        listed = self._context.state.registry.get(last.backup.endpoint_id)
+        if listed is None:
+            return None
+        request_id = self._order.request.facts.request_id
+        return _Run(
+            listed,
+            self._backup_for(listed, now_s),
+            f'{listed.address}/{request_id}',
+            now_s,
+        )
+
+    def _backup_for(
+        self, endpoint: endpoints.FleetEndpoint, now_s: float
+    ) -> endpoints.FleetEndpoint | None:
+        context = self._context
+        configuration = context.state.configuration
+        service = (
+            configuration.services.get(self._order.service)
+            if configuration
+            else None
+        )
+        if (
+            service is None
+            or service.engine is None
+            or not service.engine.has_backups
+            or not self._order.route.is_resumable
+        ):
+            return None
+        return choose.choose_backup(
+            context.candidates(self._order.service),
+            endpoint,
+            context.book,
+            context.elsewhere(),
+            now_s,
+            context.rng,
+        )
+
+    async def _attempt(self, run: _Run) -> RunEnd:
+        self._tried.add(run.endpoint.endpoint_id)
+        exchange = exchanges.Exchange(run.endpoint, self._context.pool)
+        with self._placed(run):
+            try:
+                return await self._relay(run, exchange)
+            except channels.ConnectFailed as error:
+                return Interrupted(str(error), False)
+            except channels.ChannelBroken as error:
+                return Interrupted(error.reason, exchange.is_sent)
+            except events.StreamDamaged as error:
+                return Interrupted(str(error), True)
+            finally:
+                exchange.abandon()
+                self._splitter.discard_partial()
+
+    def _placed(self, run: _Run) -> _Placed:
+        return _Placed(self._context, run)
+
+    async def _relay(self, run: _Run, exchange: exchanges.Exchange) -> RunEnd:
+        head = await self._watched(
+            run, asyncio.create_task(exchange.open(*self._sending(run)))
+        )
+        if head is None:
+            return Interrupted('silent', True)
+        now_s = self._loop.time()
+        self._context.book.reported(
+            run.endpoint.endpoint_id, head.facts.load, now_s
+        )
+        if head.facts.is_not_run:
+            return exchanges.Declined(head.status, head.facts.load)
+        if head.facts.is_encoded:
+            return Interrupted('encoded answer', True)
+        if head.status != 200:
+            body = b''.join([chunk async for chunk in exchange.chunks()])
+            return Rejected(exchanges.Answered(head, body))
+        chunks = exchange.chunks()
+        while True:
+            chunk = await self._watched(
+                run, asyncio.create_task(_next_chunk(chunks))
+            )
+            if chunk is None:
+                return Interrupted('silent', True)
+            if not chunk:
+                break
+            await self._pass_on(run, head, chunk)
+        if self._splitter.has_partial:
+            return Interrupted('ended inside an event', True)
+        if not self._is_started:
+            await self._start(head)
+        return Whole()
+
+    def _sending(
+        self, run: _Run
+    ) -> tuple[exchanges.CallerRequest, wire.SendFacts]:
+        order = self._order
+        return order.request, wire.SendFacts(
+            run.endpoint.endpoint_id,
+            (order.deadline_s - self._loop.time()) * 1000,
+            order.account,
+            order.urgency,
+            self._splitter.last_event,
+            run.backup.address if run.backup else '',
+            run.memory_source,
+        )
+
+    async def _watched(
+        self, run: _Run, task: asyncio.Task[gaps.Awaited]
+    ) -> gaps.Awaited | None:
+        """Wait for a task; None if the endpoint is silent for too long."""
+        since_s = self._loop.time()
+        try:
+            while True:
+                await asyncio.wait({task}, timeout=gaps.POLL_S)
+                if task.done():
+                    return task.result()
+                if self._is_silent(run, since_s):
+                    return None
+        finally:
+            if not task.done():
+                task.cancel()
+
+    def _is_silent(self, run: _Run, since_s: float) -> bool:
+        now_s = self._loop.time()
+        notes = self._context.book.notes(run.endpoint.endpoint_id)
+        if not self._gaps.is_silent(
+            now_s - since_s, run.has_events, notes.silent_since_s > since_s
+        ):
+            return False
+        if not self._order.route.is_resumable:
+            return False
+        if self._runs + 1 >= self._order.route.max_endpoints:
+            return False
+        self._context.book.fell_silent(run.endpoint.endpoint_id, now_s)
+        return True
+
+    async def _pass_on(
+        self, run: _Run, head: exchanges.AnswerHead, chunk: bytes
+    ) -> None:
+        whole = self._splitter.feed(chunk)
+        if not whole:
+            return
+        if not run.has_events:
+            self._note_first_event(run)
+        if not self._is_started:
+            await self._start(head)
+        await self._sink.send(b''.join(event.content for event in whole))
+
+    async def _start(self, head: exchanges.AnswerHead) -> None:
+        self._is_started = True
+        await self._sink.start(head)
+        self._context.counters.observe_first_event(
+            self._order.route.name, self._loop.time() - self._began_s
+        )
+
+    def _note_first_event(self, run: _Run) -> None:
+        run.has_events = True
+        self._context.book.notes(run.endpoint.endpoint_id).starting -= 1
+        self._context.book.succeeded(
+            run.endpoint.endpoint_id, None, self._loop.time()
+        )
+        self._context.placed()
+
+    def _note_end(self, run: _Run, end: RunEnd) -> None:
+        self._last_run = None
+        match end:
+            case Whole():
+                return
+            case Interrupted():
+                self._last_run = run if end.may_have_run else None
+                self._context.book.failed(
+                    run.endpoint.endpoint_id, self._loop.time()
+                )
+            case _:
+                pass
+        _LOG.info(
+            'A run of a stream ended early.',
+            extra={
+                'request_id': self._order.request.facts.request_id,
+                'endpoint_id': run.endpoint.endpoint_id,
+                'outcome': type(end).__name__,
+                'reason': _reason(end),
+                'last_event': self._splitter.last_event,
+                'memory_source': run.memory_source,
+                'run_s': round(self._loop.time() - run.began_s, 3),
+            },
+        )
+
+
+class _Placed:
+    """Counts a run at its endpoint and its backup while it lasts."""
+
+    def __init__(self, context: contexts.ForwardingContext, run: _Run) -> None:
+        self._context = context
+        self._run = run
+
+    def __enter__(self) -> None:
+        notes = self._context.book.notes(self._run.endpoint.endpoint_id)
+        notes.streams += 1
+        notes.starting += 1
+        if self._run.backup is not None:
+            backup = self._run.backup.endpoint_id
+            self._context.book.notes(backup).backups += 1
+        self._context.placed()
+
+    def __exit__(self, *details: object) -> None:
+        notes = self._context.book.notes(self._run.endpoint.endpoint_id)
+        notes.streams -= 1
+        if not self._run.has_events:
+            notes.starting -= 1
+        if self._run.backup is not None:
+            backup = self._run.backup.endpoint_id
+            self._context.book.notes(backup).backups -= 1
+        self._context.placed()
+
+
+async def _next_chunk(chunks: abc.AsyncIterator[bytes]) -> bytes:
+    """Return the next bytes, or none at the end of the body."""
+    async for chunk in chunks:
+        if chunk:
+            return chunk
+    return b''
+
+
+def _reason(end: RunEnd) -> str:
+    match end:
+        case Interrupted(reason):
+            return 'connect failed' if not end.may_have_run else reason
+        case exchanges.Declined(status):
+            return f'declined {status}'
+        case Rejected(answer):
+            return f'status {answer.head.status}'
+        case Whole():
+            return 'whole'
--- /dev/null
+++ b/src/godwitvalve/gossip/members.py
@@ -0,0 +1,152 @@
+"""Which entry instances are alive, by their own beats."""
+
+from __future__ import annotations
+
+from collections import abc
+import random
+
+import msgspec
+
+from godwitvalve.placement import choose
+
+SERVING = 0
+STARTING = 1
+LEAVING = 2
+
+# Beats come every 0.25 s; three lost datagrams in a row are rare. An
+# address that is dead costs its caller a second.
+SILENCE_LIMIT_S = 1.1
+# In a large fleet a beat passes through others and takes two rounds more.
+RELAYED_SILENCE_LIMIT_S = 2.0
+# Up to this many others, each beat goes to all of them directly.
+DIRECT_MEMBERS = 16
+# Beats a round in a larger fleet, and foreign records in each datagram:
+# 6 datagrams of 1.2 KB four times a second.
+FANOUT = 6
+RECORDS_A_DATAGRAM = 8
+# Members without a beat for this long are forgotten.
+FORGET_S = 60.0
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """What an entry instance says about itself.
+
+    :param started_wall_ms: Unix milliseconds of its start.
+    :param beat: grows with each record of one start.
+    :param peer_address: ``IP:port`` for datagrams.
+    :param placements: streams, starting ones and backups by endpoint.
+    """
+
+    instance_id: str
+    started_wall_ms: int
+    beat: int
+    state: int
+    caller_address: str
+    peer_address: str
+    failure_domain: str
+    configuration_version: int
+    placements: dict[str, tuple[int, int, int]] = {}
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return what tells newer records from older ones."""
+        return self.started_wall_ms, self.beat
+
+
+class Members:
+    """Newest record of each entry instance.
+
+    :param own_id: this instance.
+    :param started_s: monotonic seconds of the start.
+    """
+
+    def __init__(self, own_id: str) -> None:
+        self._own_id = own_id
+        self._records: dict[str, Record] = {}
+        self._heard_s: dict[str, float] = {}
+        self._fresh: set[str] = set()
+
+    def take(self, record: Record, now_s: float) -> bool:
+        """Take a record; tell whether it was news."""
+        if record.instance_id == self._own_id:
+            return False
+        known = self._records.get(record.instance_id)
+        if known is not None and record.order <= known.order:
+            return False
+        self._records[record.instance_id] = record
+        self._heard_s[record.instance_id] = now_s
+        self._fresh.add(record.instance_id)
+        return True
+
+    def learn_address(self, record: Record) -> None:
+        """Take a stored record, which says nothing about being alive."""
+        if record.instance_id == self._own_id:
+            return
+        known = self._records.get(record.instance_id)
+        if known is None or record.order > known.order:
+            self._records[record.instance_id] = record
+            self._heard_s.setdefault(record.instance_id, -FORGET_S)
+
+    @property
+    def silence_limit_s(self) -> float:
+        """Return how long a live member may be silent."""
+        if len(self._records) <= DIRECT_MEMBERS:
+            return SILENCE_LIMIT_S
+        return RELAYED_SILENCE_LIMIT_S
+
+    def alive(self, now_s: float) -> list[Record]:
+        """Return the records of the others that beat."""
+        oldest_s = now_s - self.silence_limit_s
+        return [
+            record
+            for instance_id, record in self._records.items()
+            if self._heard_s[instance_id] >= oldest_s
+        ]
+
+    def known_count(self) -> int:
+        """Return how many others were ever heard of."""
+        return len(self._records)
+
+    def peer_addresses(self, rng: random.Random) -> list[str]:
+        """Return where the next round of beats goes."""
+        addresses = [each.peer_address for each in self._records.values()]
+        if len(addresses) <= DIRECT_MEMBERS:
+            return addresses
+        return rng.sample(addresses, FANOUT)
+
+    def relayed(self, rng: random.Random) -> list[Record]:
+        """Return records of others for one datagram, fresh ones first."""
+        if len(self._records) <= DIRECT_MEMBERS:
+            return []
+        fresh = [each for each in self._fresh if each in self._records]
+        rng.shuffle(fresh)
+        return [self._records[each] for each in fresh[:RECORDS_A_DATAGRAM]]
+
+    def round_ended(self) -> None:
+        """Begin to collect the records of the next round."""
+        self._fresh.clear()
+
+    def forget_silent(self, now_s: float) -> None:
+        """Forget members that have been silent for a minute."""
+        silent = [
+            instance_id
+            for instance_id, heard_s in self._heard_s.items()
+            if now_s - heard_s > 2 * FORGET_S
+        ]
+        for instance_id in silent:
+            del self._records[instance_id], self._heard_s[instance_id]
+            self._fresh.discard(instance_id)
+
+
+def total_placements(
+    records: abc.Iterable[Record],
+) -> dict[str, choose.Placements]:
+    """Add up what other entries placed, by endpoint."""
+    totals: dict[str, choose.Placements] = {}
+    for record in records:
+        for endpoint_id, placed in record.placements.items():
+            before = totals.get(endpoint_id, choose.Placements())
+            totals[endpoint_id] = choose.Placements(
+                *(a + b for a, b in zip(before, placed))
+            )
+    return totals
--- /dev/null
+++ b/src/godwitvalve/gossip/node.py
@@ -0,0 +1,126 @@
+"""Exchanges records with the other entry instances over datagrams."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+import random
+import time
+from typing import cast
+
+import msgspec
+
+from godwitvalve.gossip import members as member_model
+from godwitvalve.logs import setup as logs
+
+BEAT_PERIOD_S = 0.25
+# Changes of placements within this time leave in one datagram.
+NEWS_DELAY_S = 0.02
+# A datagram that fits an Ethernet frame.
+MAX_DATAGRAM_BYTES = 1400
+
+_LOG = logs.get('gossip')
+_DECODER = msgspec.msgpack.Decoder(list[member_model.Record])
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode(records: abc.Sequence[member_model.Record]) -> bytes:
+    """Encode the own record and as many others as fit."""
+    content = _ENCODER.encode(records)
+    while len(content) > MAX_DATAGRAM_BYTES and len(records) > 1:
+        records = records[: max(1, len(records) // 2)]
+        content = _ENCODER.encode(records)
+    return content
+
+
+class GossipNode(asyncio.DatagramProtocol):
+    """Sends beats and takes those of others.
+
+    :param own_record: returns the record of this instance as it is now.
+    :param seeds: ``IP:port`` of peers that may be up already.
+    """
+
+    def __init__(
+        self,
+        members: member_model.Members,
+        own_record: abc.Callable[[int], member_model.Record],
+        seeds: abc.Sequence[str],
+    ) -> None:
+        self._members = members
+        self._own_record = own_record
+        self._seeds = seeds
+        self._beat = 0
+        self._rng = random.Random()
+        self._transport: asyncio.DatagramTransport | None = None
+        self._news: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take records; damaged datagrams are logged and dropped."""
+        try:
+            records = _DECODER.decode(data)
+        except msgspec.DecodeError as error:
+            _LOG.warning(
+                'A datagram cannot be read.',
+                extra={'sender': addr[0], 'reason': str(error)},
+            )
+            return
+        now_s = time.monotonic()
+        for record in records:
+            self._members.take(record, now_s)
+
+    def error_received(self, exc: Exception) -> None:
+        """Note that a datagram was not delivered; beats are sent anew."""
+        _LOG.debug('A datagram was refused.', extra={'reason': str(exc)})
+
+    def news(self) -> None:
+        """Send a beat soon: something changed here."""
+        if self._news is None and self._transport is not None:
+            loop = asyncio.get_running_loop()
+            self._news = loop.call_later(NEWS_DELAY_S, self._send_news)
+
+    def _send_news(self) -> None:
+        self._news = None
+        self.send_beat()
+
+    def send_beat(self) -> None:
+        """Send the own record, and fresh ones of others in a large fleet."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._beat += 1
+        own = self._own_record(self._beat)
+        for address in self._members.peer_addresses(self._rng):
+            self._send(own, address)
+
+    def _send(self, own: member_model.Record, address: str) -> None:
+        assert self._transport is not None
+        host, _, port = address.rpartition(':')
+        relayed = self._members.relayed(self._rng)
+        self._transport.sendto(encode([own, *relayed]), (host, int(port)))
+
+    def send_to_seeds(self) -> None:
+        """Send the own record to the seeds, which pass it on."""
+        if self._transport is None:
+            return
+        self._beat += 1
+        own = self._own_record(self._beat)
+        for address in self._seeds:
+            self._send(own, address)
+
+    async def run(self) -> None:
+        """Beat until cancelled."""
+        while True:
+            if not self._members.alive(time.monotonic()):
+                self.send_to_seeds()
+            self.send_beat()
+            self._members.round_ended()
+            self._members.forget_silent(time.monotonic())
+            await asyncio.sleep(BEAT_PERIOD_S)
+
+    def close(self) -> None:
+        """Stop sending."""
+        if self._transport is not None:
+            self._transport.close()
--- /dev/null
+++ b/src/godwitvalve/ingress/answers.py
@@ -0,0 +1,30 @@
+"""Answers that this system gives callers in its own name."""
+
+from __future__ import annotations
+
+from aiohttp import web
+import orjson
+
+from godwitvalve.outcomes import codes
+from godwitvalve.outcomes import problem
+
+# Spreads the return of callers that were refused together.
+RETRY_SPREAD = 0.5
+
+
+def refuse(
+    code: codes.ResultCode, status: int, retry_after_s: float | None = None
+) -> web.Response:
+    """Build an answer with problem details.
+
+    :param retry_after_s: seconds until the caller may come back.
+    """
+    headers = {}
+    if retry_after_s is not None:
+        headers['Retry-After'] = f'{retry_after_s:.2f}'
+    return web.Response(
+        status=status,
+        body=orjson.dumps({**problem.describe(code), 'status': status}),
+        headers=headers,
+        content_type=problem.CONTENT_TYPE,
+    )
--- /dev/null
+++ b/src/godwitvalve/ingress/control.py
@@ -0,0 +1,59 @@
+"""Interface for other entry instances and for metrics."""
+
+from __future__ import annotations
+
+from aiohttp import web
+from aioprometheus import renderer
+import msgspec
+
+from godwitvalve.fleet import endpoints
+from godwitvalve.fleet import state as states
+from godwitvalve.forwarding import context as contexts
+
+STATE_PATH = '/fleet/state'
+METRICS_PATH = '/metrics'
+
+
+class SharedState(msgspec.Struct, array_like=True):
+    """What an entry instance that missed changes needs."""
+
+    configuration: bytes
+    listed: list[endpoints.FleetEndpoint]
+
+
+class ControlHandler:
+    """Serves the control address."""
+
+    def __init__(
+        self,
+        context: contexts.ForwardingContext,
+        state: states.FleetState,
+    ) -> None:
+        self._context = context
+        self._state = state
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a request."""
+        match request.path:
+            case path if path == STATE_PATH:
+                return self._shared_state()
+            case path if path == METRICS_PATH:
+                return self._metrics(request)
+            case _:
+                return web.Response(status=404)
+
+    def _shared_state(self) -> web.Response:
+        configuration = self._state.configuration
+        if configuration is None:
+            return web.Response(status=503)
+        shared = SharedState(
+            configuration.source, list(self._state.registry.all())
+        )
+        return web.Response(body=msgspec.msgpack.encode(shared))
+
+    def _metrics(self, request: web.BaseRequest) -> web.Response:
+        content, headers = renderer.render(
+            self._context.counters.registry,
+            request.headers.getall('Accept', []),
+        )
+        return web.Response(body=content, headers=headers)
--- /dev/null
+++ b/src/godwitvalve/ingress/directory.py
@@ -0,0 +1,34 @@
+"""Which entry instances a caller should use."""
+
+from __future__ import annotations
+
+from collections import abc
+import random
+
+from godwitvalve.gossip import members as member_model
+
+# Short, as the address of a dead entry costs its caller a second.
+ADDRESS_VALIDITY_S = 1.0
+# Some callers keep an answer for three times its validity.
+LONGEST_KEPT = 3.0
+# How long other entries may go on naming one that has begun to leave.
+LEAVING_HEARD_S = 0.5
+
+
+def choose_addresses(
+    own: member_model.Record,
+    others: abc.Iterable[member_model.Record],
+    rng: random.Random,
+) -> list[str]:
+    """Return the caller addresses of the entries that serve.
+
+    Load pattern: entries are killed, cut off or stopped one after the
+    other; callers pick one address at random for each new connection.
+    """
+    addresses = [
+        record.caller_address
+        for record in (own, *others)
+        if record.state == member_model.SERVING
+    ]
+    rng.shuffle(addresses)
+    return addresses
--- /dev/null
+++ b/src/godwitvalve/ingress/handler.py
@@ -0,0 +1,301 @@
+"""Handles requests of the platform's callers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import NamedTuple
+
+from aiohttp import web
+
+from godwitvalve.fleet import routes
+from godwitvalve.forwarding import calls
+from godwitvalve.forwarding import context as contexts
+from godwitvalve.forwarding import exchange as exchanges
+from godwitvalve.forwarding import replies
+from godwitvalve.forwarding import streams
+from godwitvalve.ingress import answers
+from godwitvalve.lifecycle import lifecycle as lifecycles
+from godwitvalve.logs import setup as logs
+from godwitvalve.outcomes import codes
+from godwitvalve.platform import headers as wire
+
+# The answer leaves this long before the limit of its route, so that it is
+# with the caller in time.
+ANSWER_MARGIN_S = 0.03
+NOT_READY_RETRY_AFTER_S = 0.3
+DRAINING_RETRY_AFTER_S = 0.05
+# A stream lasts about 6 s and a stop at most 8 s.
+STREAMS_AFTER_STOP_S = 1.2
+
+_LOG = logs.get('ingress')
+
+
+class Admitted(NamedTuple):
+    """A request that a route allows."""
+
+    route: routes.Route
+    account: routes.AccountFacts | None
+
+
+class CallerStream:
+    """Passes events on to a caller."""
+
+    def __init__(self, request: web.BaseRequest, is_closing: bool) -> None:
+        self._request = request
+        self._is_closing = is_closing
+        self.response: web.StreamResponse | None = None
+
+    async def start(self, head: exchanges.AnswerHead) -> None:
+        """Send status and headers."""
+        self.response = web.StreamResponse(status=head.status)
+        _copy_headers(self.response, head)
+        if self._is_closing:
+            self.response.force_close()
+        self.response.enable_chunked_encoding()
+        await self.response.prepare(self._request)
+
+    async def send(self, content: bytes) -> None:
+        """Send whole events."""
+        assert self.response is not None
+        await self.response.write(content)
+
+    def break_off(self) -> None:
+        """Reset the connection, so that the answer looks incomplete."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+
+def _copy_headers(
+    response: web.StreamResponse, head: exchanges.AnswerHead
+) -> None:
+    for name, value in wire.to_caller(head.headers):
+        response.headers.add(name, value)
+
+
+class IngressHandler:
+    """Serves one request after the other of each connection."""
+
+    def __init__(
+        self,
+        context: contexts.ForwardingContext,
+        lifecycle: lifecycles.Lifecycle,
+    ) -> None:
+        self._context = context
+        self._lifecycle = lifecycle
+        self._stopping_since_s: float | None = None
+
+    def begin_drain(self) -> None:
+        """Refuse streams soon and calls once no caller should come."""
+        self._stopping_since_s = time.monotonic()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a request."""
+        arrived_s = asyncio.get_running_loop().time()
+        with self._lifecycle.request():
+            response = await self._answer(request, arrived_s)
+        if self._stopping_since_s is not None and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _answer(
+        self, request: web.BaseRequest, arrived_s: float
+    ) -> web.StreamResponse:
+        facts = wire.read_caller(request.raw_headers)
+        admitted = self._admit(request, facts)
+        if isinstance(admitted, web.StreamResponse):
+            return admitted
+        configuration = self._context.state.configuration
+        assert configuration is not None
+        body = await _read_body(request, configuration.limits.max_body_bytes)
+        if body is None:
+            return answers.refuse(codes.ResultCode.BODY_TOO_LARGE, 413)
+        service = self._context.pick_service(admitted.route)
+        if service is None:
+            return answers.refuse(
+                codes.ResultCode.NO_ENDPOINT, 503, NOT_READY_RETRY_AFTER_S
+            )
+        order = _order(request, facts, body, admitted, service, arrived_s)
+        self._context.budget.first_attempt(service)
+        self._context.counters.count_request(service)
+        return await self._forward(request, order, arrived_s)
+
+    def _admit(
+        self, request: web.BaseRequest, facts: wire.CallerFacts
+    ) -> Admitted | web.StreamResponse:
+        configuration = self._context.state.configuration
+        if configuration is None:
+            return self._refuse(
+                facts,
+                codes.ResultCode.NOT_READY,
+                503,
+                NOT_READY_RETRY_AFTER_S,
+            )
+        path = request.raw_path.partition('?')[0]
+        host = request.headers.get('Host', '').partition(':')[0]
+        route = configuration.route(host, path)
+        if route is None:
+            return self._refuse(facts, codes.ResultCode.UNKNOWN_ROUTE, 404)
+        if not self._accepts(route):
+            return self._refuse(
+                facts, codes.ResultCode.DRAINING, 503, DRAINING_RETRY_AFTER_S
+            )
+        if route.is_public or not configuration.has_accounts:
+            return Admitted(route, None)
+        account = configuration.account(facts.key)
+        if account is None:
+            return self._refuse(facts, codes.ResultCode.UNAUTHENTICATED, 401)
+        return Admitted(route, account)
+
+    def _accepts(self, route: routes.Route) -> bool:
+        if self._stopping_since_s is None:
+            return True
+        since_s = time.monotonic() - self._stopping_since_s
+        if route.kind is routes.RequestKind.STREAM:
+            return since_s < STREAMS_AFTER_STOP_S
+        return self._lifecycle.accepts_new_work(time.time())
+
+    def _refuse(
+        self,
+        facts: wire.CallerFacts,
+        code: codes.ResultCode,
+        status: int,
+        retry_after_s: float | None = None,
+    ) -> web.Response:
+        self._context.counters.count_refusal(code)
+        _LOG.info(
+            'A request is refused.',
+            extra={
+                'request_id': facts.request_id,
+                'code': code.name,
+                'status': status,
+                'configuration_version': self._context.state.version,
+            },
+        )
+        return answers.refuse(code, status, retry_after_s)
+
+    async def _forward(
+        self,
+        request: web.BaseRequest,
+        order: calls.CallOrder,
+        arrived_s: float,
+    ) -> web.StreamResponse:
+        sink = CallerStream(request, self._stopping_since_s is not None)
+        reply: replies.Reply | None = None
+        try:
+            if order.route.kind is routes.RequestKind.STREAM:
+                run = streams.StreamRun(self._context, order, sink)
+                reply = await run.run()
+            else:
+                reply = await calls.CallRun(self._context, order).run()
+            return await self._respond(order, sink, reply)
+        finally:
+            self._log_end(order, reply, arrived_s)
+
+    async def _respond(
+        self,
+        order: calls.CallOrder,
+        sink: CallerStream,
+        reply: replies.Reply,
+    ) -> web.StreamResponse:
+        match reply:
+            case exchanges.Answered(head, body):
+                response = web.Response(status=head.status, body=body)
+                response.headers.popall('Content-Type', None)
+                _copy_headers(response, head)
+                return response
+            case replies.Refusal(code, retry_after_s):
+                return self._refuse(
+                    order.request.facts, code, 503, retry_after_s
+                )
+            case replies.Failure(code, is_late):
+                return self._refuse(
+                    order.request.facts, code, 504 if is_late else 502
+                )
+            case replies.Streamed(is_whole):
+                assert sink.response is not None
+                if is_whole:
+                    await sink.response.write_eof()
+                else:
+                    sink.break_off()
+                return sink.response
+
+    def _log_end(
+        self,
+        order: calls.CallOrder,
+        reply: replies.Reply | None,
+        arrived_s: float,
+    ) -> None:
+        taken_s = asyncio.get_running_loop().time() - arrived_s
+        outcome, detail = _outcome(reply)
+        if outcome == 'answered':
+            self._context.counters.observe_answer(order.route.name, taken_s)
+        _LOG.info(
+            'A request ended.',
+            extra={
+                'request_id': order.request.facts.request_id,
+                'route': order.route.name,
+                'service': order.service,
+                'outcome': outcome,
+                'detail': detail,
+                'taken_ms': round(taken_s * 1000, 1),
+                'configuration_version': self._context.state.version,
+            },
+        )
+
+
+def _outcome(reply: replies.Reply | None) -> tuple[str, str]:
+    match reply:
+        case None:
+            return 'left by its caller', ''
+        case exchanges.Answered(head):
+            return 'answered', str(head.status)
+        case replies.Refusal(code):
+            return 'refused', code.name
+        case replies.Failure(code, is_late):
+            return 'late' if is_late else 'failed', code.name
+        case replies.Streamed(is_whole):
+            return 'streamed' if is_whole else 'broken off', ''
+
+
+def _order(
+    request: web.BaseRequest,
+    facts: wire.CallerFacts,
+    body: bytes,
+    admitted: Admitted,
+    service: str,
+    arrived_s: float,
+) -> calls.CallOrder:
+    route, account = admitted
+    limit_ms = min(route.limit_ms, facts.wait_ms or route.limit_ms)
+    priority = route.priority
+    if account is not None and account.priority is not None:
+        priority = account.priority
+    return calls.CallOrder(
+        exchanges.CallerRequest(
+            request.method,
+            request.raw_path,
+            request.raw_headers,
+            body,
+            facts,
+        ),
+        route,
+        service,
+        account.name if account else '',
+        priority if route.kind is routes.RequestKind.STREAM else None,
+        arrived_s + limit_ms / 1000 - ANSWER_MARGIN_S,
+    )
+
+
+async def _read_body(
+    request: web.BaseRequest, limit_bytes: int
+) -> bytes | None:
+    """Return the body, or None if it is larger than the limit."""
+    if not request.body_exists:
+        return b''
+    body = bytearray()
+    async for chunk in request.content.iter_any():
+        body += chunk
+        if len(body) > limit_bytes:
+            return None
+    return bytes(body)
--- /dev/null
+++ b/src/godwitvalve/ingress/main.py
@@ -0,0 +1,35 @@
+"""Runs one entry instance on the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+from godwitvalve.ingress import process
+from godwitvalve.logs import setup as logs
+from godwitvalve.platform import settings as wire_settings
+
+EXIT_BAD_SETTINGS = 2
+
+
+async def _serve(settings: wire_settings.FleetSettings) -> None:
+    await process.FleetEntry(settings).run()
+
+
+def main() -> int:
+    """Serve callers until SIGTERM, then drain and stop.
+
+    :returns: exit code.
+    """
+    try:
+        settings = wire_settings.load()
+    except wire_settings.SettingsError as error:
+        sys.stderr.write(f'{error}\n')
+        return EXIT_BAD_SETTINGS
+    logs.configure('INFO', settings.instance_id)
+    asyncio.run(_serve(settings))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/godwitvalve/ingress/process.py
@@ -0,0 +1,254 @@
+"""Life of one entry process on the platform: start, serve, drain, stop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+
+from aiohttp import web
+
+from godwitvalve.fleet import follow
+from godwitvalve.fleet import readers
+from godwitvalve.fleet import state as states
+from godwitvalve.forwarding import context as contexts
+from godwitvalve.forwarding import counters as counter_model
+from godwitvalve.forwarding import pool as pools
+from godwitvalve.gossip import members as member_model
+from godwitvalve.gossip import node as gossip_nodes
+from godwitvalve.ingress import control
+from godwitvalve.ingress import directory
+from godwitvalve.ingress import handler as handlers
+from godwitvalve.ingress import membership
+from godwitvalve.ingress import servers
+from godwitvalve.lifecycle import lifecycle as lifecycles
+from godwitvalve.logs import setup as logs
+from godwitvalve.placement import book as books
+from godwitvalve.placement import choose
+from godwitvalve.platform import configuration as wire_configuration
+from godwitvalve.platform import directory as wire_directory
+from godwitvalve.platform import endpoints as wire_endpoints
+from godwitvalve.platform import settings as wire_settings
+from godwitvalve.platform import store as stores
+from godwitvalve.routing import retry_budget
+
+# Registrations come in groups when a zone restarts; a pause lets one call
+# read them together, and leaves most of the 2 s for a leaving endpoint.
+ENDPOINTS_PAUSE_S = 0.3
+MEMBERS_PAUSE_S = 1.0
+UPKEEP_PERIOD_S = 0.25
+DRAIN_POLL_S = 0.05
+# Time between the last answer and SIGKILL.
+STOP_MARGIN_S = 0.4
+# Share of the retries that all entries may make, left to clock and count
+# differences between them.
+BUDGET_SHARE = 0.6
+
+_LOG = logs.get('entry')
+
+
+class FleetEntry:
+    """One entry instance."""
+
+    def __init__(self, settings: wire_settings.FleetSettings) -> None:
+        self._settings = settings
+        self._started_wall_ms = int(time.time() * 1000)
+        self._state = states.FleetState()
+        self._store = stores.StoreClient(settings.store_address)
+        self._members = member_model.Members(settings.instance_id)
+        self._lifecycle = lifecycles.Lifecycle(
+            directory.LEAVING_HEARD_S
+            + directory.ADDRESS_VALIDITY_S * directory.LONGEST_KEPT
+        )
+        self._context = contexts.ForwardingContext(
+            settings.failure_domain,
+            self._state,
+            pools.ChannelPool(),
+            books.EndpointBook(),
+            retry_budget.RetryBudget(
+                burst_retries=settings.retry_budget_burst / 10,
+                earned_per_first_attempt=(
+                    settings.retry_budget_ratio * BUDGET_SHARE
+                ),
+            ),
+            counter_model.ForwardingCounters(settings.instance_id),
+            self._elsewhere,
+            self._placed,
+        )
+        self._handler = handlers.IngressHandler(self._context, self._lifecycle)
+        self._gossip = gossip_nodes.GossipNode(
+            self._members,
+            self._own_record,
+            membership.seed_peers(settings),
+        )
+        self._configuration = readers.ConfigurationReader(
+            self._state, self._configured
+        )
+        self._endpoints = readers.EndpointReader(
+            self._state, self._endpoint_gone
+        )
+        self._sync = membership.PeerSync(
+            settings,
+            self._state,
+            self._members,
+            self._configuration,
+        )
+        self._rng = random.Random()
+        self._stopping = asyncio.Event()
+
+    def _elsewhere(self) -> choose.Elsewhere:
+        now_s = time.monotonic()
+        return member_model.total_placements(self._members.alive(now_s))
+
+    def _placed(self) -> None:
+        self._gossip.news()
+
+    def _configured(self) -> None:
+        self._lifecycle.begin_serving()
+        self._gossip.news()
+
+    def _endpoint_gone(self, endpoint_id: str) -> None:
+        self._context.pool.drop(endpoint_id)
+        self._context.book.forget(endpoint_id)
+
+    def _own_record(self, beat: int) -> member_model.Record:
+        states_by_name = {
+            lifecycles.STARTING: member_model.STARTING,
+            lifecycles.SERVING: member_model.SERVING,
+        }
+        return member_model.Record(
+            self._settings.instance_id,
+            self._started_wall_ms,
+            beat,
+            states_by_name.get(self._lifecycle.state, member_model.LEAVING),
+            self._settings.caller_address,
+            membership.peer_address(self._settings),
+            self._settings.failure_domain,
+            self._state.version,
+            self._context.book.placements(),
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then drain."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        _LOG.info('Started.', extra={'settings': self._settings.instance_id})
+        await membership.open_socket(self._settings, self._gossip)
+        runners = await self._listen()
+        tasks = [asyncio.create_task(work) for work in self._works()]
+        stopped = asyncio.create_task(self._stopping.wait())
+        await asyncio.wait(
+            {stopped, *tasks}, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in tasks:
+            if task.done():
+                _LOG.error('A task ended.', extra={'task': repr(task)})
+        await self._drain()
+        for task in tasks:
+            task.cancel()
+        self._gossip.close()
+        await self._store.close()
+        for runner in runners:
+            await runner.cleanup()
+        _LOG.info('Stopped.')
+
+    def _works(self) -> list[asyncio._CoroutineLike[None]]:
+        follow_configuration = follow.TableFollower(
+            self._store, wire_configuration.TABLE, self._configuration
+        )
+        follow_endpoints = follow.TableFollower(
+            self._store,
+            wire_endpoints.TABLE,
+            self._endpoints,
+            ENDPOINTS_PAUSE_S,
+        )
+        follow_members = follow.TableFollower(
+            self._store,
+            membership.TABLE,
+            membership.MemberReader(self._members),
+            MEMBERS_PAUSE_S,
+        )
+        return [
+            follow_configuration.run(),
+            follow_endpoints.run(),
+            follow_members.run(),
+            membership.register(self._store, self._own_record),
+            self._gossip.run(),
+            self._sync.run(),
+            self._upkeep(),
+        ]
+
+    async def _listen(self) -> list[web.ServerRunner]:
+        settings = self._settings
+        controls = control.ControlHandler(self._context, self._state)
+        return [
+            await servers.listen(
+                settings.caller_address, self._handler.handle
+            ),
+            await servers.listen(settings.readiness_address, self._ready),
+            await servers.listen(settings.directory_address, self._resolve),
+            await servers.listen(settings.control_address, controls.handle),
+        ]
+
+    async def _ready(self, request: web.BaseRequest) -> web.StreamResponse:
+        is_ready = (
+            request.path == wire_directory.READY_PATH
+            and self._lifecycle.is_named()
+        )
+        return web.Response(status=200 if is_ready else 503)
+
+    async def _resolve(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != wire_directory.RESOLVE_PATH:
+            return web.Response(status=404)
+        addresses = directory.choose_addresses(
+            self._own_record(0),
+            self._members.alive(time.monotonic()),
+            self._rng,
+        )
+        if not addresses:
+            return web.Response(status=503)
+        body = wire_directory.encode_addresses(
+            addresses, directory.ADDRESS_VALIDITY_S
+        )
+        return web.Response(body=body, content_type='application/json')
+
+    async def _upkeep(self) -> None:
+        while True:
+            await asyncio.sleep(UPKEEP_PERIOD_S)
+            self._endpoints.expire()
+            self._context.pool.prune()
+
+    def _reload(self) -> None:
+        """Check the settings file again; addresses need a new start."""
+        try:
+            settings = wire_settings.load()
+        except wire_settings.SettingsError as error:
+            _LOG.error('Settings are refused.', extra={'reason': str(error)})
+            return
+        changed = [
+            name
+            for name in settings.__struct_fields__
+            if getattr(settings, name) != getattr(self._settings, name)
+        ]
+        _LOG.info('Settings were read again.', extra={'changed': changed})
+
+    async def _drain(self) -> None:
+        """Leave the directory, then wait for the requests in flight."""
+        stop_s = time.monotonic() + self._settings.stop_limit_s
+        self._lifecycle.begin_drain(time.time())
+        self._handler.begin_drain()
+        self._gossip.send_beat()
+        _LOG.info(
+            'A drain begins.', extra={'in_flight': self._lifecycle.running}
+        )
+        while not self._lifecycle.stop(time.time()):
+            if time.monotonic() > stop_s - STOP_MARGIN_S:
+                _LOG.warning(
+                    'The stop limit cuts requests.',
+                    extra={'in_flight': self._lifecycle.running},
+                )
+                return
+            await asyncio.sleep(DRAIN_POLL_S)
--- /dev/null
+++ b/src/godwitvalve/ingress/servers.py
@@ -0,0 +1,36 @@
+"""Listening sockets of an entry instance."""
+
+from __future__ import annotations
+
+from collections import abc
+
+from aiohttp import web
+
+# Callers keep connections for four fifths of the limit that operators
+# set; the longest one seen is 15 s.
+KEEP_CONNECTION_S = 75.0
+MAX_LINE_BYTES = 64 * 1024
+BACKLOG = 1024
+
+Handler = abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]
+
+
+async def listen(address: str, handler: Handler) -> web.ServerRunner:
+    """Serve an address.
+
+    :param address: ``IP:port``.
+    """
+    server = web.Server(
+        handler,
+        access_log=None,
+        handler_cancellation=True,
+        keepalive_timeout=KEEP_CONNECTION_S,
+        max_line_size=MAX_LINE_BYTES,
+        max_field_size=MAX_LINE_BYTES,
+    )
+    runner = web.ServerRunner(server, shutdown_timeout=0.1)
+    await runner.setup()
+    host, _, port = address.rpartition(':')
+    site = web.TCPSite(runner, host, int(port), backlog=BACKLOG)
+    await site.start()
+    return runner
--- /dev/null
+++ b/src/godwitvalve/platform/configuration.py
@@ -0,0 +1,135 @@
+"""Decodes the operator's configuration."""
+
+from __future__ import annotations
+
+import msgspec
+
+from godwitvalve.fleet import routes
+
+TABLE = 'op'
+KEY = 'config'
+
+_KINDS = {
+    'idempotent': routes.RequestKind.REPEATABLE,
+    'non_idempotent': routes.RequestKind.ONCE,
+    'streaming': routes.RequestKind.STREAM,
+}
+
+
+class DamagedConfiguration(Exception):
+    """The stored configuration cannot be decoded."""
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float
+    # Rank of the route; 0 is the most urgent.
+    priority: int = 5
+    service: str | None = None
+    traffic_split: list[_Split] = []
+    # Number of endpoints, not of sends.
+    max_attempts: int = 1
+    public: bool = False
+    stream_resume: bool = False
+    gap_target_ms: float = 0.0
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    kv_capacity_tokens: int
+    backups: bool = False
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = '/'
+    max_connections: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+def _route(raw: _Route) -> routes.Route:
+    services = tuple(
+        routes.WeightedService(split.service, split.weight)
+        for split in raw.traffic_split
+        if split.weight > 0
+    )
+    if not services and raw.service is not None:
+        services = (routes.WeightedService(raw.service, 1.0),)
+    return routes.Route(
+        raw.name,
+        raw.host,
+        raw.prefix,
+        _KINDS.get(raw.kind, routes.RequestKind.ONCE),
+        raw.timeout_ms,
+        raw.target_latency_ms,
+        raw.priority,
+        services,
+        raw.max_attempts,
+        raw.public,
+        raw.stream_resume,
+        raw.gap_target_ms,
+    )
+
+
+def _service(raw: _Service) -> routes.ServiceFacts:
+    engine = None
+    if raw.engine is not None:
+        engine = routes.EngineFacts(
+            raw.engine.slots, raw.engine.kv_capacity_tokens, raw.engine.backups
+        )
+    return routes.ServiceFacts(
+        raw.name, raw.health_path, raw.max_connections, engine
+    )
+
+
+def decode(content: bytes) -> routes.Configuration:
+    """Decode a configuration.
+
+    :raises DamagedConfiguration: if its bytes are not one.
+    """
+    try:
+        raw = msgspec.json.decode(content, type=_Configuration)
+    except msgspec.DecodeError as error:
+        raise DamagedConfiguration(str(error)) from error
+    return routes.Configuration(
+        raw.version,
+        [_route(route) for route in raw.routes],
+        [_service(service) for service in raw.services],
+        {
+            key: routes.AccountFacts(tenant.name, tenant.priority)
+            for tenant in raw.tenants
+            for key in tenant.api_keys
+        },
+        routes.CallerLimits(
+            raw.limits.max_header_bytes, raw.limits.max_body_bytes
+        ),
+        content,
+    )
--- /dev/null
+++ b/src/godwitvalve/platform/headers.py
@@ -0,0 +1,215 @@
+"""Headers of requests from callers and of answers from endpoints."""
+
+from __future__ import annotations
+
+from collections import abc
+from typing import NamedTuple
+
+from godwitvalve.services import headers as header_rules
+
+RawHeaders = abc.Sequence[tuple[bytes, bytes]]
+
+# Set by this system alone; what a caller sends under these names is dropped.
+_OWN_REQUEST_HEADERS = frozenset(
+    {
+        b'api-key',
+        b'tenant',
+        b'deadline-ms',
+        b'expected-instance',
+        b'expected-version',
+        b'request-priority',
+        b'kv-hold',
+        b'kv-backup',
+        b'kv-from',
+        b'kv-fetch',
+        b'pin-ms',
+        b'last-event-id',
+    }
+)
+_FRAMING = frozenset(
+    {name.encode() for name in header_rules.HOP_BY_HOP}
+    | {b'content-length', b'expect'}
+)
+_URGENCIES = 10
+
+
+class CallerFacts(NamedTuple):
+    """What a caller says about its request.
+
+    :param wait_ms: how long the caller will wait, or None.
+    :param last_event: id of the last event that the caller has.
+    :param prompt_tokens: tokens of the prompt; 0 if not told.
+    :param max_output_tokens: 0 if not told.
+    """
+
+    request_id: str
+    wait_ms: float | None
+    key: str
+    last_event: int
+    prompt_tokens: int
+    max_output_tokens: int
+
+
+class SendFacts(NamedTuple):
+    """What is said to an endpoint about one send.
+
+    :param remaining_ms: milliseconds until the deadline.
+    :param last_event: the answer goes on after this event; 0 from the start.
+    :param backup_address: endpoint that gets a copy of the run's memory.
+    :param memory_source: address and name of such a copy to go on from.
+    """
+
+    endpoint_id: str
+    remaining_ms: float
+    account: str
+    urgency: int | None = None
+    last_event: int = 0
+    backup_address: str = ''
+    memory_source: str = ''
+
+
+class EndpointLoad(NamedTuple):
+    """Requests at an endpoint when it answered."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class AnswerFacts(NamedTuple):
+    """What the headers of an endpoint's answer say.
+
+    :param is_not_run: whether the endpoint states that it did not run the
+        request.
+    :param is_encoded: whether the body is not the endpoint's own bytes.
+    :param idle_limit_s: after this the endpoint closes an idle connection.
+    """
+
+    request_id: str
+    is_not_run: bool
+    is_encoded: bool
+    is_closing: bool
+    idle_limit_s: float | None
+    load: EndpointLoad | None
+
+
+def _texts(headers: RawHeaders) -> dict[str, str]:
+    return {
+        name.decode('latin-1').lower(): value.decode('latin-1').strip()
+        for name, value in headers
+    }
+
+
+def _whole_number(text: str) -> int:
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
+def _milliseconds(text: str | None) -> float | None:
+    try:
+        value = float(text) if text is not None else None
+    except ValueError:
+        return None
+    return value if value is not None and 0 <= value < 1e9 else None
+
+
+def read_caller(headers: RawHeaders) -> CallerFacts:
+    """Read the headers of a caller's request."""
+    texts = _texts(headers)
+    prompt, _, output = texts.get('token-usage', '').partition(',')
+    return CallerFacts(
+        texts.get('request-id', ''),
+        _milliseconds(texts.get('deadline-ms')),
+        texts.get('api-key', ''),
+        _whole_number(texts.get('last-event-id', '')),
+        _whole_number(prompt.strip()),
+        _whole_number(output.strip()),
+    )
+
+
+def _connection_names(headers: RawHeaders) -> set[bytes]:
+    return {
+        name.strip().lower()
+        for key, value in headers
+        if key.lower() == b'connection'
+        for name in value.split(b',')
+    }
+
+
+def _own(facts: SendFacts) -> abc.Iterator[tuple[str, str]]:
+    yield 'Expected-Instance', facts.endpoint_id
+    yield 'Deadline-Ms', str(max(int(facts.remaining_ms), 1))
+    if facts.account:
+        yield 'Tenant', facts.account
+    if facts.urgency is not None:
+        yield (
+            'Request-Priority',
+            str(min(max(facts.urgency, 0), _URGENCIES - 1)),
+        )
+    if facts.last_event or facts.memory_source:
+        yield 'Last-Event-Id', str(facts.last_event)
+    if facts.backup_address:
+        yield 'Kv-Backup', facts.backup_address
+    if facts.memory_source:
+        yield 'Kv-From', facts.memory_source
+
+
+def to_endpoint(
+    headers: RawHeaders, facts: SendFacts, body_bytes: int
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers that an endpoint gets.
+
+    :param headers: headers of the caller.
+    :param body_bytes: length of the body.
+    """
+    dropped = _connection_names(headers) | _OWN_REQUEST_HEADERS | _FRAMING
+    kept = [
+        (name, value) for name, value in headers if name.lower() not in dropped
+    ]
+    added = [
+        (name.encode(), value.encode('latin-1')) for name, value in _own(facts)
+    ]
+    had_length = any(
+        name.lower() in (b'content-length', b'transfer-encoding')
+        for name, _ in headers
+    )
+    if body_bytes or had_length:
+        added.append((b'Content-Length', str(body_bytes).encode()))
+    return kept + added
+
+
+def to_caller(headers: RawHeaders) -> list[tuple[str, str]]:
+    """Return the headers of an endpoint's answer that its caller gets."""
+    dropped = _connection_names(headers) | _FRAMING
+    return [
+        (name.decode('latin-1'), value.decode('latin-1'))
+        for name, value in headers
+        if name.lower() not in dropped
+    ]
+
+
+def _idle_limit_s(keep_alive: str) -> float | None:
+    for item in keep_alive.split(','):
+        name, _, value = item.strip().partition('=')
+        if name.lower() == 'timeout' and value.isdigit():
+            return float(value)
+    return None
+
+
+def _load(text: str) -> EndpointLoad | None:
+    numbers = [item.strip() for item in text.split(',')]
+    if len(numbers) != 3 or not all(item.isdigit() for item in numbers):
+        return None
+    return EndpointLoad(*map(int, numbers))
+
+
+def read_answer(headers: RawHeaders) -> AnswerFacts:
+    """Read the headers of an endpoint's answer."""
+    texts = _texts(headers)
+    return AnswerFacts(
+        texts.get('request-id', ''),
+        'not-executed' in texts,
+        'content-encoding' in texts,
+        'close' in texts.get('connection', '').lower(),
+        _idle_limit_s(texts.get('keep-alive', '')),
+        _load(texts.get('server-load', '')),
+    )
--- /dev/null
+++ b/src/godwitvalve/platform/settings.py
@@ -0,0 +1,102 @@
+"""Settings of an entry instance, as the deployment template renders them."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+
+import msgspec
+
+# The platform names the settings file in this variable.
+SETTINGS_VARIABLE = 'GODWITVALVE_BOOT'
+
+
+class SettingsError(Exception):
+    """The settings file cannot be used."""
+
+
+class FleetSettings(msgspec.Struct, frozen=True):
+    """Checked settings; addresses are ``IP:port``.
+
+    ``peer_ports`` holds the first and the last port that entry instances
+    may use among themselves. ``stop_limit_s`` is the time between SIGTERM
+    and SIGKILL.
+    """
+
+    instance_id: str
+    failure_domain: str
+    region: str
+    ip: str
+    caller_address: str
+    readiness_address: str
+    directory_address: str
+    control_address: str
+    peer_ports: tuple[int, int]
+    store_address: str
+    seed_addresses: list[str] = []
+    memory_limit_mb: float = 150.0
+    descriptor_limit: int = 1024
+    stop_limit_s: float = 8.0
+    address_validity_limit_s: float = 5.0
+    retry_budget_ratio: float = 0.8
+    retry_budget_burst: float = 150.0
+    retry_budget_window_s: float = 10.0
+
+
+def _address_errors(raw: dict[str, object]) -> list[str]:
+    return [
+        f'{name}: {value!r} is not IP:port'
+        for name, value in raw.items()
+        if name.endswith('_address')
+        and (
+            not isinstance(value, str)
+            or not value.rpartition(':')[0]
+            or not value.rpartition(':')[2].isdigit()
+        )
+    ]
+
+
+def _field_errors(raw: dict[str, object]) -> list[str]:
+    """Return one line for each field that is missing or of another type."""
+    errors = []
+    for field in msgspec.structs.fields(FleetSettings):
+        if field.name not in raw:
+            if field.required:
+                errors.append(f'{field.name}: missing')
+            continue
+        try:
+            msgspec.convert(raw[field.name], field.type)
+        except msgspec.ValidationError as error:
+            errors.append(f'{field.name}: {error}')
+    return errors
+
+
+def decode(content: bytes) -> FleetSettings:
+    """Check the content of a settings file.
+
+    :raises SettingsError: with one line for each error.
+    """
+    try:
+        raw = msgspec.json.decode(content)
+    except msgspec.DecodeError as error:
+        raise SettingsError(f'(file): not JSON: {error}') from error
+    if not isinstance(raw, dict):
+        raise SettingsError('(file): not an object')
+    errors = _field_errors(raw) or _address_errors(raw)
+    if errors:
+        raise SettingsError('\n'.join(errors))
+    return msgspec.convert(raw, FleetSettings)
+
+
+def load() -> FleetSettings:
+    """Read the settings file that the platform names.
+
+    :raises SettingsError: if it is missing or has errors.
+    """
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError(f'{SETTINGS_VARIABLE} is not set')
+    try:
+        return decode(pathlib.Path(path).read_bytes())
+    except OSError as error:
+        raise SettingsError(f'{path}: {error.strerror}') from error
--- /dev/null
+++ b/src/godwitvalve/platform/store.py
@@ -0,0 +1,189 @@
+"""Client of the platform's metadata store."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import binascii
+from typing import NamedTuple
+from urllib import parse
+
+import aiohttp
+import msgspec
+
+from godwitvalve.forwarding import sockets
+
+# The store answers in 4 ms; the slowest outages multiply that by 60.
+CALL_LIMIT_S = 1.0
+# An outage of a second shows at the next call, not after the whole wait.
+FEED_MARGIN_S = 1.5
+
+
+class StoreUnavailable(Exception):
+    """No usable answer came; a write may have taken effect."""
+
+
+class HistoryGone(Exception):
+    """The store no longer holds the changes after the asked version."""
+
+
+class StoredRow(NamedTuple):
+    """A row; ``version`` orders all writes, ``value`` is None if deleted."""
+
+    key: str
+    version: int
+    value: bytes | None
+
+
+class RowsAnswer(NamedTuple):
+    """Rows as of ``version``, the newest one of the whole store."""
+
+    rows: list[StoredRow]
+    version: int
+    has_more: bool
+
+
+class _WireRow(msgspec.Struct):
+    key: str
+    ver: int
+    value: str | None = None
+    deleted: bool = False
+
+
+class _WireRows(msgspec.Struct):
+    ver: int
+    rows: list[_WireRow] = []
+    has_more: bool = False
+
+
+_DECODER = msgspec.json.Decoder(_WireRows)
+
+
+def _row(raw: _WireRow) -> StoredRow:
+    if raw.deleted or raw.value is None:
+        return StoredRow(raw.key, raw.ver, None)
+    return StoredRow(raw.key, raw.ver, base64.b64decode(raw.value))
+
+
+def _rows_answer(body: bytes) -> RowsAnswer:
+    try:
+        raw = _DECODER.decode(body)
+        rows = [_row(row) for row in raw.rows]
+    except (msgspec.DecodeError, binascii.Error) as error:
+        raise StoreUnavailable(f'damaged answer: {error}') from error
+    return RowsAnswer(rows, raw.ver, raw.has_more)
+
+
+class StoreClient:
+    """Calls the store; each call has a time limit.
+
+    :param address: ``IP:port`` of the store.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._base_url = f'http://{address}'
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(
+                    limit=0, socket_factory=sockets.create
+                )
+            )
+        return self._session
+
+    async def _call(
+        self, method: str, target: str, body: bytes | None, limit_s: float
+    ) -> tuple[int, bytes]:
+        try:
+            async with self._open().request(
+                method,
+                self._base_url + target,
+                data=body,
+                timeout=aiohttp.ClientTimeout(total=limit_s),
+            ) as answer:
+                return answer.status, await answer.read()
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
+            reason = f'{method} {target}: {type(error).__name__}'
+            raise StoreUnavailable(reason) from error
+
+    async def rows(self, table: str, part: str = '') -> RowsAnswer:
+        """Return all rows of a part of a table.
+
+        :raises StoreUnavailable: if no usable answer came.
+        """
+        found: list[StoredRow] = []
+        start = ''
+        while True:
+            query = parse.urlencode(
+                {'table': table, 'part': part, 'from': start}
+            )
+            status, body = await self._call(
+                'GET', f'/rows-get?{query}', None, CALL_LIMIT_S
+            )
+            if status != 200:
+                raise StoreUnavailable(f'rows of {table}: status {status}')
+            answer = _rows_answer(body)
+            found += answer.rows
+            if not answer.has_more or not answer.rows:
+                return RowsAnswer(found, answer.version, False)
+            # The smallest key above the last one.
+            start = answer.rows[-1].key + '\0'
+
+    async def changes(
+        self, table: str, after_version: int, wait_s: float
+    ) -> RowsAnswer:
+        """Wait for changes of a table.
+
+        :param wait_s: seconds after which an empty answer comes.
+        :raises HistoryGone: if the table must be read anew.
+        :raises StoreUnavailable: if no usable answer came.
+        """
+        query = parse.urlencode(
+            {
+                'table': table,
+                'after': after_version,
+                'wait_ms': int(wait_s * 1000),
+            }
+        )
+        status, body = await self._call(
+            'GET', f'/rows-feed?{query}', None, wait_s + FEED_MARGIN_S
+        )
+        if status == 410:
+            raise HistoryGone
+        if status != 200:
+            raise StoreUnavailable(f'changes of {table}: status {status}')
+        return _rows_answer(body)
+
+    async def write(
+        self, table: str, key: str, expected_version: int | None, value: bytes
+    ) -> bool:
+        """Write one row; tell whether the expected version was there.
+
+        :param expected_version: 0 if the row must be absent, None for any.
+        :raises StoreUnavailable: if the outcome is not known.
+        """
+        row = {'table': table, 'part': '', 'key': key}
+        expected = (
+            []
+            if expected_version is None
+            else [{**row, 'ver': expected_version}]
+        )
+        encoded = base64.b64encode(value).decode()
+        body = msgspec.json.encode(
+            {
+                'expected_rev': expected,
+                'writes': [{**row, 'value': encoded}],
+                'remove': [],
+            }
+        )
+        status, _ = await self._call('POST', '/rows-tx', body, CALL_LIMIT_S)
+        if status not in (200, 412):
+            raise StoreUnavailable(f'write of {table}: status {status}')
+        return status == 200
--- a/src/godwitvalve/routing/retry_budget.py
+++ b/src/godwitvalve/routing/retry_budget.py
@@ -16,20 +16,24 @@
 
     Over a run of ``n`` requests at most ``1.1 * n`` attempts are made,
     plus the burst and the debt once.
+
+    :param earned_per_first_attempt: retries that one request adds.
     """
 
     def __init__(
         self,
         burst_retries: float = BURST_RETRIES,
         resume_debt_retries: float = RESUME_DEBT_RETRIES,
+        earned_per_first_attempt: float = EARNED_PER_FIRST_ATTEMPT,
     ) -> None:
+        self._earned = earned_per_first_attempt
         self._burst_retries = burst_retries
         self._debt_retries = resume_debt_retries
         self._balances: dict[str, float] = {}
 
     def first_attempt(self, service: str) -> None:
         """Earn a part of a retry."""
-        balance = self.balance(service) + EARNED_PER_FIRST_ATTEMPT
+        balance = self.balance(service) + self._earned
         self._balances[service] = min(balance, self._burst_retries)
 
     def try_retry(self, service: str, for_resume: bool = False) -> bool:
