Leave out endpoints whose address another start answers at

An endpoint that answers 421 is left out until its row changes, and the other entries are told. The retries that need no request are divided among the live entries. Ruled out: a longer pause after a failure, as the id never comes back.

--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -23,6 +23,7 @@
         self._listed: dict[str, endpoints.FleetEndpoint] = {}
         self._row_versions: dict[str, int] = {}
         self._missing_until_s: dict[str, float] = {}
+        self._replaced: set[str] = set()
         self._trusted_from_s = 0.0
         self.is_store_away = True
 
@@ -47,6 +48,8 @@
         if row_version < self._row_versions.get(endpoint_id, 0):
             return False
         is_news = self._listed.get(endpoint_id) != endpoint
+        if is_news:
+            self._replaced.discard(endpoint_id)
         self._row_versions[endpoint_id] = row_version
         self._listed[endpoint_id] = endpoint
         self._missing_until_s.pop(endpoint_id, None)
@@ -87,11 +90,38 @@
             self._forget(endpoint_id)
         return gone
 
+    def mark_replaced(self, endpoint_id: str, started_wall_ms: int) -> bool:
+        """Note that another start answers at an endpoint's address.
+
+        Load pattern: a zone restarts while the store is away or before its
+        rows lapse. Each entry would try every endpoint of the zone with
+        each request, and every try counts against the retry budget.
+
+        :param started_wall_ms: start that was meant; the same id may have
+            started again.
+        :returns: whether the endpoint was usable until now.
+        """
+        listed = self._listed.get(endpoint_id)
+        if listed is None or listed.started_wall_ms != started_wall_ms:
+            return False
+        if endpoint_id in self._replaced:
+            return False
+        self._replaced.add(endpoint_id)
+        return True
+
     def _forget(self, endpoint_id: str) -> None:
+        self._replaced.discard(endpoint_id)
         self._listed.pop(endpoint_id, None)
         self._row_versions.pop(endpoint_id, None)
         self._missing_until_s.pop(endpoint_id, None)
 
+    def replaced(self) -> list[tuple[str, int]]:
+        """Return id and start of the listed endpoints that were replaced."""
+        return [
+            (endpoint_id, self._listed[endpoint_id].started_wall_ms)
+            for endpoint_id in sorted(self._replaced)
+        ]
+
     def get(self, endpoint_id: str) -> endpoints.FleetEndpoint | None:
         """Return an endpoint that is listed."""
         return self._listed.get(endpoint_id)
@@ -109,5 +139,7 @@
         return [
             endpoint
             for endpoint in self._listed.values()
-            if endpoint.service == service and not endpoint.is_leaving
+            if endpoint.service == service
+            and not endpoint.is_leaving
+            and endpoint.endpoint_id not in self._replaced
         ]
--- a/src/godwitvalve/forwarding/calls.py
+++ b/src/godwitvalve/forwarding/calls.py
@@ -235,8 +235,8 @@
                 book.reported(endpoint.endpoint_id, head.facts.load, now_s)
             case exchanges.Declined(status, load):
                 book.reported(endpoint.endpoint_id, load, now_s)
-                if status == 421:
-                    book.failed(endpoint.endpoint_id, now_s)
+                if status == policy.MISDIRECTED:
+                    self._context.note_replaced(endpoint)
             case exchanges.NotSent() | exchanges.Lost():
                 book.failed(endpoint.endpoint_id, now_s)
         _LOG.info(
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -43,6 +43,14 @@
             [each.weight for each in route.services],
         )[0]
 
+    def note_replaced(self, endpoint: endpoints.FleetEndpoint) -> None:
+        """Leave out an endpoint whose address another one answers at."""
+        if self.state.registry.mark_replaced(
+            endpoint.endpoint_id, endpoint.started_wall_ms
+        ):
+            self.pool.drop(endpoint.endpoint_id)
+            self.placed()
+
     def candidates(self, service: str) -> list[endpoints.FleetEndpoint]:
         """Return the endpoints of a service that do not leave."""
         return self.state.registry.usable(service)
--- a/src/godwitvalve/forwarding/policy.py
+++ b/src/godwitvalve/forwarding/policy.py
@@ -12,6 +12,8 @@
 # Sends that an endpoint did not run cost 2 ms each; a request that a few
 # endpoints decline meets a service that is full.
 MAX_SENDS = 6
+# Status with which an endpoint says that it is not the expected one.
+MISDIRECTED = 421
 # Slots of a full plain service become free within a call, about 45 ms.
 BUSY_RETRY_AFTER_S = 0.15
 # A service without endpoints gets one back after a crash of about 1 s.
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -355,6 +355,8 @@
                 self._context.book.failed(
                     run.endpoint.endpoint_id, self._loop.time()
                 )
+            case exchanges.Declined(policy.MISDIRECTED):
+                self._context.note_replaced(run.endpoint)
             case _:
                 pass
         _LOG.info(
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -35,6 +35,7 @@
     :param beat: grows with each record of one start.
     :param peer_address: ``IP:port`` for datagrams.
     :param placements: streams, starting ones and backups by endpoint.
+    :param replaced: listed endpoints at whose address another one answers.
     """
 
     instance_id: str
@@ -46,6 +47,7 @@
     failure_domain: str
     configuration_version: int
     placements: dict[str, tuple[int, int, int]] = {}
+    replaced: list[tuple[str, int]] = []
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/godwitvalve/gossip/node.py
+++ b/src/godwitvalve/gossip/node.py
@@ -38,6 +38,7 @@
 
     :param own_record: returns the record of this instance as it is now.
     :param seeds: ``IP:port`` of peers that may be up already.
+    :param on_record: called with each record that is news.
     """
 
     def __init__(
@@ -45,10 +46,12 @@
         members: member_model.Members,
         own_record: abc.Callable[[int], member_model.Record],
         seeds: abc.Sequence[str],
+        on_record: abc.Callable[[member_model.Record], None],
     ) -> None:
         self._members = members
         self._own_record = own_record
         self._seeds = seeds
+        self._on_record = on_record
         self._beat = 0
         self._rng = random.Random()
         self._transport: asyncio.DatagramTransport | None = None
@@ -70,7 +73,8 @@
             return
         now_s = time.monotonic()
         for record in records:
-            self._members.take(record, now_s)
+            if self._members.take(record, now_s):
+                self._on_record(record)
 
     def error_received(self, exc: Exception) -> None:
         """Note that a datagram was not delivered; beats are sent anew."""
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -41,6 +41,8 @@
 DRAIN_POLL_S = 0.05
 # Time between the last answer and SIGKILL.
 STOP_MARGIN_S = 0.4
+# Replaced endpoints in one record: those of a zone of a small fleet.
+MAX_REPLACED_TOLD = 16
 # Share of the retries that all entries may make, left to clock and count
 # differences between them.
 BUDGET_SHARE = 0.6
@@ -67,7 +69,6 @@
             pools.ChannelPool(),
             books.EndpointBook(),
             retry_budget.RetryBudget(
-                burst_retries=settings.retry_budget_burst / 10,
                 earned_per_first_attempt=(
                     settings.retry_budget_ratio * BUDGET_SHARE
                 ),
@@ -81,6 +82,7 @@
             self._members,
             self._own_record,
             membership.seed_peers(settings),
+            self._heard,
         )
         self._configuration = readers.ConfigurationReader(
             self._state, self._configured
@@ -127,8 +129,13 @@
             self._settings.failure_domain,
             self._state.version,
             self._context.book.placements(),
+            self._state.registry.replaced()[:MAX_REPLACED_TOLD],
         )
 
+    def _heard(self, record: member_model.Record) -> None:
+        for endpoint_id, started_wall_ms in record.replaced:
+            self._state.registry.mark_replaced(endpoint_id, started_wall_ms)
+
     async def run(self) -> None:
         """Serve until SIGTERM, then drain."""
         loop = asyncio.get_running_loop()
@@ -220,6 +227,17 @@
             await asyncio.sleep(UPKEEP_PERIOD_S)
             self._endpoints.expire()
             self._context.pool.prune()
+            self._divide_budget()
+
+    def _divide_budget(self) -> None:
+        """Divide the retries that need no request among the entries.
+
+        A quarter can be used at once, and as many borrowed by streams;
+        the rest covers entries that do not hear of one another.
+        """
+        entries = 1 + len(self._members.alive(time.monotonic()))
+        share = self._settings.retry_budget_burst / entries / 4
+        self._context.budget.resize(share, share)
 
     def _reload(self) -> None:
         """Check the settings file again; addresses need a new start."""
--- a/src/godwitvalve/routing/retry_budget.py
+++ b/src/godwitvalve/routing/retry_budget.py
@@ -31,6 +31,13 @@
         self._debt_retries = resume_debt_retries
         self._balances: dict[str, float] = {}
 
+    def resize(self, burst_retries: float, resume_debt_retries: float) -> None:
+        """Change the bounds; balances above the burst are cut."""
+        self._burst_retries = burst_retries
+        self._debt_retries = resume_debt_retries
+        for service, balance in self._balances.items():
+            self._balances[service] = min(balance, burst_retries)
+
     def first_attempt(self, service: str) -> None:
         """Earn a part of a retry."""
         balance = self.balance(service) + self._earned
