Send a repeated stream to the endpoint that read its prompt

Sessions of running streams travel with the beats; one row an entry in the store serves the callers that come back after all entries were killed.

--- a/src/godwitvalve/fleet/follow.py
+++ b/src/godwitvalve/fleet/follow.py
@@ -14,9 +14,9 @@
 # keepalive probes meanwhile.
 FEED_WAIT_S = 8.0
 # First and longest pause after a failed call. A store that is down for
-# seconds is asked about twice a second by each entry.
+# seconds is asked about each second by each entry and table.
 FIRST_PAUSE_S = 0.1
-LONGEST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 0.8
 
 _LOG = logs.get('fleet')
 
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -13,6 +13,7 @@
 from godwitvalve.forwarding import pool as pools
 from godwitvalve.placement import book as books
 from godwitvalve.placement import choose
+from godwitvalve.placement import sessions as session_model
 from godwitvalve.routing import retry_budget
 
 
@@ -30,6 +31,7 @@
     book: books.EndpointBook
     budget: retry_budget.RetryBudget
     counters: counter_model.ForwardingCounters
+    sessions: session_model.SessionTable
     elsewhere: abc.Callable[[], choose.Elsewhere]
     placed: abc.Callable[[], None]
     rng: random.Random = dataclasses.field(default_factory=random.Random)
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -96,6 +96,18 @@
 
     async def run(self) -> replies.Reply:
         """Return the end of the stream; never later than its deadline."""
+        reply: replies.Reply | None = None
+        try:
+            reply = await self._until_deadline()
+            return reply
+        finally:
+            self._context.sessions.end(
+                self._order.request.facts.session,
+                reply == replies.Streamed(True),
+                self._loop.time(),
+            )
+
+    async def _until_deadline(self) -> replies.Reply:
         try:
             async with asyncio.timeout_at(self._order.deadline_s):
                 return await self._until_end()
@@ -174,6 +186,7 @@
             context.failure_domain,
             now_s,
             context.rng,
+            context.sessions.find(self._order.request.facts.session, now_s),
         )
         if endpoint is None:
             return None
@@ -224,6 +237,9 @@
 
     async def _attempt(self, run: _Run) -> RunEnd:
         self._tried.add(run.endpoint.endpoint_id)
+        self._context.sessions.begin(
+            self._order.request.facts.session, run.endpoint.endpoint_id
+        )
         exchange = exchanges.Exchange(run.endpoint, self._context.pool)
         with self._placed(run):
             try:
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -35,6 +35,7 @@
     :param beat: grows with each record of one start.
     :param peer_address: ``IP:port`` for datagrams.
     :param placements: streams, starting ones and backups by endpoint.
+    :param sessions: endpoint of each running stream by its session.
     :param replaced: listed endpoints at whose address another one answers.
     """
 
@@ -48,6 +49,7 @@
     configuration_version: int
     placements: dict[str, tuple[int, int, int]] = {}
     replaced: list[tuple[str, int]] = []
+    sessions: dict[str, str] = {}
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -22,10 +22,12 @@
 from godwitvalve.ingress import handler as handlers
 from godwitvalve.ingress import membership
 from godwitvalve.ingress import servers
+from godwitvalve.ingress import session_rows
 from godwitvalve.lifecycle import lifecycle as lifecycles
 from godwitvalve.logs import setup as logs
 from godwitvalve.placement import book as books
 from godwitvalve.placement import choose
+from godwitvalve.placement import sessions as session_model
 from godwitvalve.platform import configuration as wire_configuration
 from godwitvalve.platform import directory as wire_directory
 from godwitvalve.platform import endpoints as wire_endpoints
@@ -74,6 +76,7 @@
                 ),
             ),
             counter_model.ForwardingCounters(settings.instance_id),
+            session_model.SessionTable(),
             self._elsewhere,
             self._placed,
         )
@@ -130,9 +133,11 @@
             self._state.version,
             self._context.book.placements(),
             self._state.registry.replaced()[:MAX_REPLACED_TOLD],
+            self._context.sessions.running(),
         )
 
     def _heard(self, record: member_model.Record) -> None:
+        self._context.sessions.learn(record.sessions, time.monotonic())
         for endpoint_id, started_wall_ms in record.replaced:
             self._state.registry.mark_replaced(endpoint_id, started_wall_ms)
 
@@ -184,6 +189,11 @@
             follow_members.run(),
             membership.register(self._store, self._own_record),
             self._gossip.run(),
+            session_rows.SessionRows(
+                self._store,
+                self._context.sessions,
+                self._settings.instance_id,
+            ).run(),
             self._sync.run(),
             self._upkeep(),
         ]
@@ -227,6 +237,7 @@
             await asyncio.sleep(UPKEEP_PERIOD_S)
             self._endpoints.expire()
             self._context.pool.prune()
+            self._context.sessions.expire(time.monotonic())
             self._divide_budget()
 
     def _divide_budget(self) -> None:
--- /dev/null
+++ b/src/godwitvalve/ingress/session_rows.py
@@ -0,0 +1,88 @@
+"""Keeps the sessions of running streams in the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import msgspec
+
+from godwitvalve.logs import setup as logs
+from godwitvalve.placement import sessions as session_model
+from godwitvalve.platform import store as stores
+
+# One row an entry, so that nothing grows with the number of requests.
+TABLE = 'sessions'
+# A stream runs for six seconds; one write a second and entry keeps most
+# of the running ones at a small share of the store's writes.
+WRITE_PERIOD_S = 1.0
+# The rows matter only to callers that come back right after a restart.
+READ_LIMIT_S = 5.0
+READ_PAUSE_S = 0.3
+
+_LOG = logs.get('sessions')
+
+
+class SessionRows:
+    """Reads what earlier starts wrote, then writes what changes."""
+
+    def __init__(
+        self,
+        store: stores.StoreClient,
+        table: session_model.SessionTable,
+        instance_id: str,
+    ) -> None:
+        self._store = store
+        self._table = table
+        self._instance_id = instance_id
+        self._written: dict[str, str] = {}
+
+    async def run(self) -> None:
+        """Read once, then write until cancelled."""
+        await self._read()
+        while True:
+            await asyncio.sleep(WRITE_PERIOD_S)
+            running = self._table.running()
+            if running != self._written:
+                await self._write(running)
+
+    async def _read(self) -> None:
+        deadline_s = time.monotonic() + READ_LIMIT_S
+        while time.monotonic() < deadline_s:
+            try:
+                answer = await self._store.rows(TABLE)
+            except stores.StoreUnavailable as error:
+                _LOG.info(
+                    'Sessions are not read yet.', extra={'reason': str(error)}
+                )
+                await asyncio.sleep(READ_PAUSE_S)
+                continue
+            self._take(answer.rows)
+            return
+
+    def _take(self, rows: list[stores.StoredRow]) -> None:
+        now_s = time.monotonic()
+        for row in rows:
+            try:
+                self._table.learn(
+                    msgspec.json.decode(
+                        row.value or b'{}', type=dict[str, str]
+                    ),
+                    now_s,
+                )
+            except msgspec.DecodeError as error:
+                _LOG.warning(
+                    'A row holds no sessions.',
+                    extra={'key': row.key, 'reason': str(error)},
+                )
+
+    async def _write(self, running: dict[str, str]) -> None:
+        try:
+            await self._store.write(
+                TABLE, self._instance_id, None, msgspec.json.encode(running)
+            )
+            self._written = running
+        except stores.StoreUnavailable as error:
+            _LOG.info(
+                'Sessions are not written.', extra={'reason': str(error)}
+            )
--- a/src/godwitvalve/placement/choose.py
+++ b/src/godwitvalve/placement/choose.py
@@ -16,6 +16,9 @@
 # A kept copy takes memory but no step time.
 BACKUP_COST = 0.3
 FAR_STREAM_COST = 0.1
+# An endpoint that has read the prompt saves a second of its time; one with
+# more streams than this beside it would delay all of them.
+SESSION_SAVING = 3.0
 
 
 class Placements(NamedTuple):
@@ -113,12 +116,15 @@
     own_domain: str,
     now_s: float,
     rng: random.Random,
+    session_endpoint: str | None = None,
 ) -> endpoints.FleetEndpoint | None:
     """Choose the endpoint of a stream.
 
     Load pattern: prompts of 8,000 tokens, each read for a second, from
     entries that each start one every two seconds. Two on one endpoint make
     both late, so the streams of other entries count like own ones.
+
+    :param session_endpoint: endpoint that read the prompt before.
     """
     usable = _preferred(candidates, book, tried, now_s)
     return min(
@@ -129,7 +135,8 @@
                 book.notes(each.endpoint_id),
                 elsewhere.get(each.endpoint_id, Placements()),
                 own_domain,
-            ),
+            )
+            - SESSION_SAVING * (each.endpoint_id == session_endpoint),
             rng.random(),
         ),
         default=None,
--- a/src/godwitvalve/platform/headers.py
+++ b/src/godwitvalve/platform/headers.py
@@ -40,6 +40,8 @@
     :param last_event: id of the last event that the caller has.
     :param prompt_tokens: tokens of the prompt; 0 if not told.
     :param max_output_tokens: 0 if not told.
+    :param session: id of the prompt's last part, which no other session
+        has; empty if not told.
     """
 
     request_id: str
@@ -48,6 +50,7 @@
     last_event: int
     prompt_tokens: int
     max_output_tokens: int
+    session: str
 
 
 class SendFacts(NamedTuple):
@@ -123,9 +126,14 @@
         _whole_number(texts.get('last-event-id', '')),
         _whole_number(prompt.strip()),
         _whole_number(output.strip()),
+        _last_part(texts.get('prompt-prefix', '')),
     )
 
 
+def _last_part(parts: str) -> str:
+    return parts.rpartition(',')[2].partition(':')[0].strip()
+
+
 def _connection_names(headers: RawHeaders) -> set[bytes]:
     return {
         name.strip().lower()
