Find dark endpoints while prompts are read; adopt restarts in an outage

Cause 1: endpoints of a zone go dark; a stream whose prompt is read there has no gap that shows it and noticed after 3 s (first event late). It now asks for a connection each 0.7 s, and silence that another entry found is told by the beats. Cause 2: a zone restarts while the store is down; its new ids cannot be read, and the rest of the service takes the load. The start that answers a health probe at the address before the address may be given to another service is used, told to the others, and dropped if the store does not list it after its return.

--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -24,6 +24,7 @@
         self._row_versions: dict[str, int] = {}
         self._missing_until_s: dict[str, float] = {}
         self._replaced: set[str] = set()
+        self._adopted: set[str] = set()
         self._trusted_from_s = 0.0
         self.is_store_away = True
 
@@ -36,9 +37,12 @@
 
         :param now_s: monotonic seconds.
         """
-        if self.is_store_away:
-            self.is_store_away = False
-            self._trusted_from_s = now_s + RETURN_LIMIT_S
+        if not self.is_store_away:
+            return
+        self.is_store_away = False
+        self._trusted_from_s = now_s + RETURN_LIMIT_S
+        for endpoint_id in self._adopted:
+            self._missing_until_s[endpoint_id] = self._trusted_from_s
 
     def update(
         self, endpoint: endpoints.FleetEndpoint, row_version: int
@@ -53,8 +57,41 @@
         self._row_versions[endpoint_id] = row_version
         self._listed[endpoint_id] = endpoint
         self._missing_until_s.pop(endpoint_id, None)
+        self._adopted.discard(endpoint_id)
+        if is_news:
+            self._replace_others(endpoint)
         return is_news
 
+    def adopt(self, endpoint: endpoints.FleetEndpoint) -> bool:
+        """Use an endpoint that is not listed because the store is away.
+
+        :returns: whether it was unknown.
+        """
+        if not self.is_store_away or endpoint.endpoint_id in self._listed:
+            return False
+        self._listed[endpoint.endpoint_id] = endpoint
+        self._row_versions[endpoint.endpoint_id] = 0
+        self._adopted.add(endpoint.endpoint_id)
+        self._replace_others(endpoint)
+        return True
+
+    def adopted(self) -> list[endpoints.FleetEndpoint]:
+        """Return the endpoints that are used without being listed."""
+        return [self._listed[each] for each in sorted(self._adopted)]
+
+    def _replace_others(self, endpoint: endpoints.FleetEndpoint) -> None:
+        """Mark earlier starts at an address: one of them is left."""
+        for other_id, other in self._listed.items():
+            if (
+                other.address == endpoint.address
+                and other_id != endpoint.endpoint_id
+                and (
+                    endpoint.endpoint_id in self._adopted
+                    or other.started_wall_ms <= endpoint.started_wall_ms
+                )
+            ):
+                self._replaced.add(other_id)
+
     def remove(self, endpoint_id: str, row_version: int, now_s: float) -> bool:
         """Take the removal of a row; tell whether it counts at once."""
         if row_version < self._row_versions.get(endpoint_id, 0):
@@ -111,10 +148,15 @@
 
     def _forget(self, endpoint_id: str) -> None:
         self._replaced.discard(endpoint_id)
+        self._adopted.discard(endpoint_id)
         self._listed.pop(endpoint_id, None)
         self._row_versions.pop(endpoint_id, None)
         self._missing_until_s.pop(endpoint_id, None)
 
+    def is_replaced(self, endpoint_id: str) -> bool:
+        """Tell whether another start answers at an endpoint's address."""
+        return endpoint_id in self._replaced
+
     def replaced(self) -> list[tuple[str, int]]:
         """Return id and start of the listed endpoints that were replaced."""
         return [
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -21,6 +21,8 @@
 class ForwardingContext:
     """Shared parts of one entry instance.
 
+    :param lost: called with an endpoint whose connection was lost, and
+        when it was last heard on the loop's clock.
     :param elsewhere: returns what other entries have placed.
     :param placed: called when a stream of this entry begins or ends.
     """
@@ -32,6 +34,7 @@
     budget: retry_budget.RetryBudget
     counters: counter_model.ForwardingCounters
     sessions: session_model.SessionTable
+    lost: abc.Callable[[endpoints.FleetEndpoint, float], None]
     elsewhere: abc.Callable[[], choose.Elsewhere]
     placed: abc.Callable[[], None]
     rng: random.Random = dataclasses.field(default_factory=random.Random)
--- a/src/godwitvalve/forwarding/gaps.py
+++ b/src/godwitvalve/forwarding/gaps.py
@@ -16,6 +16,11 @@
 SHORTEST_GAP_S = 0.4
 
 
+# While a prompt is read nothing is sent for about a second. A connection
+# attempt each 0.7 s falls into every outage of 1.2 s.
+CHECK_PERIOD_S = 0.7
+
+
 class GapWatch:
     """Tells silence from a slow stream.
 
@@ -29,16 +34,23 @@
     def __init__(self, max_gap_s: float) -> None:
         self._limit_s = max(max_gap_s * GAP_SHARE, SHORTEST_GAP_S)
 
+    def is_check_due(self, quiet_s: float, has_events: bool) -> bool:
+        """Tell whether to ask the endpoint for a connection.
+
+        :param quiet_s: time since the send or the last check.
+        """
+        return not has_events and quiet_s > CHECK_PERIOD_S
+
     def is_silent(
-        self, quiet_s: float, has_events: bool, others_are_silent: bool
+        self, quiet_s: float, has_events: bool, is_known_lost: bool
     ) -> bool:
         """Tell whether a stream should go on at another endpoint.
 
         :param quiet_s: time since the last event, or since the send.
         :param has_events: whether this run has sent an event.
-        :param others_are_silent: whether another stream at the endpoint
-            fell silent after this one was last heard.
+        :param is_known_lost: whether another stream at the endpoint fell
+            silent meanwhile, or another start has its address.
         """
         if has_events:
             return quiet_s > self._limit_s
-        return others_are_silent
+        return is_known_lost
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -15,6 +15,7 @@
 from godwitvalve.forwarding import exchange as exchanges
 from godwitvalve.forwarding import gaps
 from godwitvalve.forwarding import policy
+from godwitvalve.forwarding import probes
 from godwitvalve.forwarding import replies
 from godwitvalve.logs import setup as logs
 from godwitvalve.outcomes import codes
@@ -69,6 +70,8 @@
     memory_source: str
     began_s: float
     has_events: bool = False
+    last_heard_s: float = 0.0
+    checked_s: float = 0.0
 
 
 class StreamRun:
@@ -251,6 +254,7 @@
             except events.StreamDamaged as error:
                 return Interrupted(str(error), True)
             finally:
+                run.last_heard_s = exchange.last_bytes_s
                 exchange.abandon()
                 self._splitter.discard_partial()
 
@@ -316,6 +320,11 @@
                     return task.result()
                 if self._is_silent(run, since_s):
                     return None
+                if self._is_check_due(run, since_s) and not (
+                    await probes.accepts_connections(run.endpoint.address)
+                ):
+                    if not task.done() and self._can_move(run):
+                        return None
         finally:
             if not task.done():
                 task.cancel()
@@ -323,15 +332,33 @@
     def _is_silent(self, run: _Run, since_s: float) -> bool:
         now_s = self._loop.time()
         notes = self._context.book.notes(run.endpoint.endpoint_id)
-        if not self._gaps.is_silent(
-            now_s - since_s, run.has_events, notes.silent_since_s > since_s
-        ):
-            return False
-        if not self._order.route.is_resumable:
-            return False
-        if self._runs + 1 >= self._order.route.max_endpoints:
+        is_known_lost = max(
+            notes.silent_since_s, notes.heard_silent_s
+        ) > since_s or self._context.state.registry.is_replaced(
+            run.endpoint.endpoint_id
+        )
+        return self._gaps.is_silent(
+            now_s - since_s, run.has_events, is_known_lost
+        ) and self._can_move(run)
+
+    def _is_check_due(self, run: _Run, since_s: float) -> bool:
+        now_s = self._loop.time()
+        is_due = self._gaps.is_check_due(
+            now_s - max(since_s, run.checked_s), run.has_events
+        )
+        if is_due:
+            run.checked_s = now_s
+        return is_due
+
+    def _can_move(self, run: _Run) -> bool:
+        """Tell whether a silent run may go on elsewhere; note it if so."""
+        route = self._order.route
+        if not route.is_resumable or self._runs + 1 >= route.max_endpoints:
             return False
-        self._context.book.fell_silent(run.endpoint.endpoint_id, now_s)
+        self._context.book.fell_silent(
+            run.endpoint.endpoint_id, self._loop.time()
+        )
+        self._context.placed()
         return True
 
     async def _pass_on(
@@ -371,6 +398,8 @@
                 self._context.book.failed(
                     run.endpoint.endpoint_id, self._loop.time()
                 )
+                if run.has_events:
+                    self._context.lost(run.endpoint, run.last_heard_s)
             case exchanges.Declined(policy.MISDIRECTED):
                 self._context.note_replaced(run.endpoint)
             case _:
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from godwitvalve.fleet import endpoints
 from godwitvalve.placement import choose
 
 SERVING = 0
@@ -36,6 +37,8 @@
     :param peer_address: ``IP:port`` for datagrams.
     :param placements: streams, starting ones and backups by endpoint.
     :param sessions: endpoint of each running stream by its session.
+    :param silent: endpoints that fell silent within the last moments.
+    :param adopted: endpoints that are used without being listed.
     :param replaced: listed endpoints at whose address another one answers.
     """
 
@@ -50,6 +53,8 @@
     placements: dict[str, tuple[int, int, int]] = {}
     replaced: list[tuple[str, int]] = []
     sessions: dict[str, str] = {}
+    silent: list[str] = []
+    adopted: list[endpoints.FleetEndpoint] = []
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -9,12 +9,14 @@
 
 from aiohttp import web
 
+from godwitvalve.fleet import endpoints as endpoint_model
 from godwitvalve.fleet import follow
 from godwitvalve.fleet import readers
 from godwitvalve.fleet import state as states
 from godwitvalve.forwarding import context as contexts
 from godwitvalve.forwarding import counters as counter_model
 from godwitvalve.forwarding import pool as pools
+from godwitvalve.forwarding import successors
 from godwitvalve.gossip import members as member_model
 from godwitvalve.gossip import node as gossip_nodes
 from godwitvalve.ingress import control
@@ -45,6 +47,9 @@
 STOP_MARGIN_S = 0.4
 # Replaced endpoints in one record: those of a zone of a small fleet.
 MAX_REPLACED_TOLD = 16
+# The store answers in 4 ms; in an outage of 60 times that it is as good
+# as away.
+STORE_PING_LIMIT_S = 0.25
 # Share of the retries that all entries may make, left to clock and count
 # differences between them.
 BUDGET_SHARE = 0.6
@@ -65,6 +70,12 @@
             directory.LEAVING_HEARD_S
             + directory.ADDRESS_VALIDITY_S * directory.LONGEST_KEPT
         )
+        self._successors = successors.SuccessorSearch(
+            self._state,
+            settings.address_reuse_s,
+            self._ask_store,
+            self._adopt,
+        )
         self._context = contexts.ForwardingContext(
             settings.failure_domain,
             self._state,
@@ -77,6 +88,7 @@
             ),
             counter_model.ForwardingCounters(settings.instance_id),
             session_model.SessionTable(),
+            self._successors.lost,
             self._elsewhere,
             self._placed,
         )
@@ -106,6 +118,24 @@
         now_s = time.monotonic()
         return member_model.total_placements(self._members.alive(now_s))
 
+    async def _ask_store(self) -> bool:
+        """Tell whether the store answers; an outage may not show yet."""
+        if self._state.registry.is_store_away:
+            return False
+        try:
+            await self._store.rows(
+                membership.TABLE, limit_s=STORE_PING_LIMIT_S
+            )
+        except stores.StoreUnavailable as error:
+            self._endpoints.lost()
+            _LOG.info('The store is away.', extra={'reason': str(error)})
+            return False
+        return True
+
+    def _adopt(self, endpoint: endpoint_model.FleetEndpoint) -> None:
+        if self._state.registry.adopt(endpoint):
+            self._gossip.news()
+
     def _placed(self) -> None:
         self._gossip.news()
 
@@ -134,10 +164,17 @@
             self._context.book.placements(),
             self._state.registry.replaced()[:MAX_REPLACED_TOLD],
             self._context.sessions.running(),
+            self._context.book.silent(time.monotonic()),
+            self._state.registry.adopted()[:MAX_REPLACED_TOLD],
         )
 
     def _heard(self, record: member_model.Record) -> None:
-        self._context.sessions.learn(record.sessions, time.monotonic())
+        now_s = time.monotonic()
+        self._context.sessions.learn(record.sessions, now_s)
+        for endpoint_id in record.silent:
+            self._context.book.heard_silent(endpoint_id, now_s)
+        for endpoint in record.adopted:
+            self._state.registry.adopt(endpoint)
         for endpoint_id, started_wall_ms in record.replaced:
             self._state.registry.mark_replaced(endpoint_id, started_wall_ms)
 
@@ -161,6 +198,7 @@
         await self._drain()
         for task in tasks:
             task.cancel()
+        self._successors.stop()
         self._gossip.close()
         await self._store.close()
         for runner in runners:
--- a/src/godwitvalve/placement/book.py
+++ b/src/godwitvalve/placement/book.py
@@ -13,6 +13,8 @@
 # within 1.2 s to 4.5 s, so a replica is asked again about each second.
 FIRST_EJECTION_S = 0.25
 LONGEST_EJECTION_S = 2.0
+# How long other entries are told that an endpoint fell silent.
+SILENCE_NEWS_S = 0.6
 
 
 @dataclasses.dataclass
@@ -32,7 +34,8 @@
     backups: int = 0
     failures: int = 0
     out_until_s: float = 0.0
-    silent_since_s: float = 0.0
+    silent_since_s: float = float('-inf')
+    heard_silent_s: float = float('-inf')
     load: wire.EndpointLoad | None = None
     load_until_s: float = 0.0
 
@@ -64,7 +67,6 @@
         notes = self.notes(endpoint_id)
         notes.failures = 0
         notes.out_until_s = 0.0
-        notes.silent_since_s = 0.0
         self.reported(endpoint_id, load, now_s)
 
     def reported(
@@ -88,6 +90,22 @@
         self.failed(endpoint_id, now_s)
         self.notes(endpoint_id).silent_since_s = now_s
 
+    def heard_silent(self, endpoint_id: str, now_s: float) -> None:
+        """Note that another entry found an endpoint silent."""
+        notes = self.notes(endpoint_id)
+        if now_s - notes.silent_since_s < SILENCE_NEWS_S:
+            return
+        notes.heard_silent_s = now_s
+        notes.out_until_s = max(notes.out_until_s, now_s + FIRST_EJECTION_S)
+
+    def silent(self, now_s: float) -> list[str]:
+        """Return the endpoints that fell silent lately."""
+        return [
+            endpoint_id
+            for endpoint_id, notes in self._notes.items()
+            if now_s - notes.silent_since_s < SILENCE_NEWS_S
+        ]
+
     def placements(self) -> dict[str, tuple[int, int, int]]:
         """Return streams, starting ones and backups by endpoint."""
         return {
--- a/src/godwitvalve/platform/headers.py
+++ b/src/godwitvalve/platform/headers.py
@@ -210,6 +210,11 @@
     return EndpointLoad(*map(int, numbers))
 
 
+def read_identity(headers: RawHeaders) -> str:
+    """Return the id of the endpoint that answered, or nothing."""
+    return _texts(headers).get('instance-id', '')
+
+
 def read_answer(headers: RawHeaders) -> AnswerFacts:
     """Read the headers of an endpoint's answer."""
     texts = _texts(headers)
--- a/src/godwitvalve/platform/settings.py
+++ b/src/godwitvalve/platform/settings.py
@@ -20,7 +20,8 @@
 
     ``peer_ports`` holds the first and the last port that entry instances
     may use among themselves. ``stop_limit_s`` is the time between SIGTERM
-    and SIGKILL.
+    and SIGKILL. ``address_reuse_s`` is how long the address of an ended
+    endpoint is not given to another service.
     """
 
     instance_id: str
@@ -38,6 +39,7 @@
     descriptor_limit: int = 1024
     stop_limit_s: float = 8.0
     address_validity_limit_s: float = 5.0
+    address_reuse_s: float = 0.0
     retry_budget_ratio: float = 0.8
     retry_budget_burst: float = 150.0
     retry_budget_window_s: float = 10.0
--- a/src/godwitvalve/platform/store.py
+++ b/src/godwitvalve/platform/store.py
@@ -113,9 +113,12 @@
             reason = f'{method} {target}: {type(error).__name__}'
             raise StoreUnavailable(reason) from error
 
-    async def rows(self, table: str, part: str = '') -> RowsAnswer:
+    async def rows(
+        self, table: str, part: str = '', limit_s: float = CALL_LIMIT_S
+    ) -> RowsAnswer:
         """Return all rows of a part of a table.
 
+        :param limit_s: seconds for each call.
         :raises StoreUnavailable: if no usable answer came.
         """
         found: list[StoredRow] = []
@@ -125,7 +128,7 @@
                 {'table': table, 'part': part, 'from': start}
             )
             status, body = await self._call(
-                'GET', f'/rows-get?{query}', None, CALL_LIMIT_S
+                'GET', f'/rows-get?{query}', None, limit_s
             )
             if status != 200:
                 raise StoreUnavailable(f'rows of {table}: status {status}')
