--- a/features/doubles/forwarding_site.py
+++ b/features/doubles/forwarding_site.py
@@ -14,6 +14,7 @@
 from godwitvalve.forwarding import pool
 from godwitvalve.forwarding import streams
 from godwitvalve.placement import book
+from godwitvalve.placement import pace
 from godwitvalve.placement import sessions
 from godwitvalve.platform import headers
 from godwitvalve.routing import retry_budget
@@ -91,6 +92,7 @@
             retry_budget.RetryBudget(),
             counters.ForwardingCounters('test'),
             sessions.SessionTable(),
+            pace.PaceBook(),
             lambda endpoint, heard_s: self.lost.append(endpoint),
             dict,
             lambda: None,
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -13,6 +13,7 @@
 from godwitvalve.forwarding import pool as pools
 from godwitvalve.placement import book as books
 from godwitvalve.placement import choose
+from godwitvalve.placement import pace as pace_model
 from godwitvalve.placement import sessions as session_model
 from godwitvalve.routing import retry_budget
 
@@ -34,6 +35,7 @@
     budget: retry_budget.RetryBudget
     counters: counter_model.ForwardingCounters
     sessions: session_model.SessionTable
+    pace: pace_model.PaceBook
     lost: abc.Callable[[endpoints.FleetEndpoint, float], None]
     elsewhere: abc.Callable[[], choose.Elsewhere]
     placed: abc.Callable[[], None]
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -20,8 +20,12 @@
 from godwitvalve.logs import setup as logs
 from godwitvalve.outcomes import codes
 from godwitvalve.placement import choose
+from godwitvalve.placement import pace as pace_model
 from godwitvalve.platform import headers as wire
 
+# Shorter streams say little about the time from event to event.
+MIN_PACED_EVENTS = 10
+
 _LOG = logs.get('forwarding')
 
 
@@ -70,6 +74,7 @@
     memory_source: str
     began_s: float
     has_events: bool = False
+    first_event_s: float = 0.0
     last_heard_s: float = 0.0
     checked_s: float = 0.0
 
@@ -124,6 +129,11 @@
             )
 
     async def _until_end(self) -> replies.Reply:
+        if not self._can_finish():
+            return replies.Refusal(
+                codes.ResultCode.DEADLINE_BEFORE_SEND,
+                policy.FULL_RETRY_AFTER_S,
+            )
         while True:
             if not await self._wait_for_room():
                 return self._give_up(
@@ -155,6 +165,41 @@
                 )
             self._context.counters.count_retry(_reason(end))
 
+    def _can_finish(self) -> bool:
+        facts = self._order.request.facts
+        now_s = self._loop.time()
+        is_read = self._context.sessions.find(facts.session, now_s)
+        return self._context.pace.can_finish(
+            self._order.service,
+            0 if is_read else facts.prompt_tokens,
+            facts.max_output_tokens,
+            facts.last_event,
+            (self._order.deadline_s - now_s) * 1000,
+        )
+
+    def _observe_pace(self, run: _Run) -> None:
+        """Note the pace of a whole stream that one run read and gave."""
+        facts = self._order.request.facts
+        events_made = self._splitter.last_event
+        if (
+            run.memory_source
+            or facts.last_event
+            or events_made < MIN_PACED_EVENTS
+            or not facts.prompt_tokens
+            or not facts.max_output_tokens
+        ):
+            return
+        read_s = run.first_event_s - run.began_s
+        given_s = self._loop.time() - run.first_event_s
+        self._context.pace.observe(
+            self._order.service,
+            pace_model.Pace(
+                read_s * 1000 / facts.prompt_tokens,
+                given_s * 1000 / (events_made - 1),
+                events_made / facts.max_output_tokens,
+            ),
+        )
+
     def _may_go_on(self, end: RunEnd) -> bool:
         left_s = self._order.deadline_s - self._loop.time()
         if left_s < policy.SHORTEST_SEND_S:
@@ -413,6 +458,7 @@
 
     def _note_first_event(self, run: _Run) -> None:
         run.has_events = True
+        run.first_event_s = self._loop.time()
         self._context.book.notes(run.endpoint.endpoint_id).starting -= 1
         self._context.book.succeeded(
             run.endpoint.endpoint_id, None, self._loop.time()
@@ -423,6 +469,7 @@
         self._last_run = None
         match end:
             case Whole():
+                self._observe_pace(run)
                 return
             case Interrupted():
                 self._last_run = run if end.may_have_run else None
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -11,6 +11,7 @@
 
 from godwitvalve.fleet import endpoints
 from godwitvalve.placement import choose
+from godwitvalve.placement import pace
 
 SERVING = 0
 STARTING = 1
@@ -45,6 +46,7 @@
     :param sessions: endpoint of each running stream by its session.
     :param silent: endpoints that fell silent within the last moments.
     :param adopted: endpoints that are used without being listed.
+    :param paces: pace of each service.
     :param replaced: listed endpoints at whose address another one answers.
     """
 
@@ -61,6 +63,7 @@
     sessions: dict[str, str] = {}
     silent: list[str] = []
     adopted: list[endpoints.FleetEndpoint] = []
+    paces: dict[str, pace.Pace] = {}
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -29,6 +29,7 @@
 from godwitvalve.logs import setup as logs
 from godwitvalve.placement import book as books
 from godwitvalve.placement import choose
+from godwitvalve.placement import pace as pace_model
 from godwitvalve.placement import sessions as session_model
 from godwitvalve.platform import configuration as wire_configuration
 from godwitvalve.platform import directory as wire_directory
@@ -88,6 +89,7 @@
             ),
             counter_model.ForwardingCounters(settings.instance_id),
             session_model.SessionTable(),
+            pace_model.PaceBook(),
             self._successors.lost,
             self._elsewhere,
             self._placed,
@@ -166,6 +168,7 @@
             self._context.sessions.running(),
             self._context.book.silent(time.monotonic()),
             self._state.registry.adopted()[:MAX_REPLACED_TOLD],
+            self._context.pace.all(),
         )
 
     def _heard(self, record: member_model.Record) -> None:
@@ -173,6 +176,8 @@
         self._context.sessions.learn(record.sessions, now_s)
         for endpoint_id in record.silent:
             self._context.book.heard_silent(endpoint_id, now_s)
+        for service, pace in record.paces.items():
+            self._context.pace.learn(service, pace)
         for endpoint in record.adopted:
             self._state.registry.adopt(endpoint)
         for endpoint_id, started_wall_ms in record.replaced:
