--- /dev/null
+++ b/features/steps/ingress_steps.py
@@ -0,0 +1,379 @@
+"""Steps for entry instances on the users' platform."""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import json
+import pathlib
+import re
+import signal
+import tempfile
+import threading
+import time
+import urllib.error
+import urllib.request
+
+import behave
+from standins.fleet import site as fleet_site
+from standins import local_site
+
+EVENTS = 50
+SOURCES = pathlib.Path(__file__).resolve().parents[2] / 'src/godwitvalve'
+
+
+def _fleet(context):
+    folder = tempfile.TemporaryDirectory()
+    context.cleanups.append(folder.cleanup)
+    context.fleet = fleet_site.FleetSite(pathlib.Path(folder.name))
+    context.cleanups.append(context.fleet.stop)
+    return context.fleet
+
+
+@behave.given(
+    'a fleet with {entries:d} entries, {models:d} model endpoints '
+    'and {plain:d} plain endpoint'
+)
+def fleet_with(context, entries, models, plain):
+    fleet = _fleet(context)
+    fleet.operate('op', 'config', fleet_site.configuration(5))
+    for number in range(models):
+        fleet.start_replica(f'm{number}', 'model', f'fd-{number}')
+    for number in range(plain):
+        fleet.start_replica(f'p{number}', 'desk', f'fd-{number}')
+    context.entries = [f'entry-{number}' for number in range(entries)]
+    for number, name in enumerate(context.entries):
+        fleet.start_entry(name, f'fd-{number}')
+    for name in context.entries:
+        fleet_site.wait_ready(fleet, name)
+
+
+@behave.given('a fleet without a configuration and {entries:d} entries')
+def bare_fleet(context, entries):
+    fleet = _fleet(context)
+    context.entries = [f'entry-{number}' for number in range(entries)]
+    for name in context.entries:
+        fleet.start_entry(name, 'fd-0')
+
+
+class _Summary(threading.Thread):
+    """A caller that reads a stream."""
+
+    def __init__(self, address, request_id):
+        super().__init__(daemon=True)
+        self.content = b''
+        self.is_whole = False
+        self._address = address
+        self._request_id = request_id
+        self.connection = None
+
+    def run(self):
+        self.connection = http.client.HTTPConnection(self._address, timeout=10)
+        self.connection.request(
+            'POST',
+            fleet_site.STREAM_PREFIX + 'x',
+            b'month',
+            {
+                'Host': fleet_site.HOST,
+                'Request-Id': self._request_id,
+                'Api-Key': fleet_site.KEY,
+                'Deadline-Ms': '9000',
+                'Token-Usage': '10,50',
+                'Prompt-Prefix': f'aa:5,{self._request_id}:5',
+            },
+        )
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            answer = self.connection.getresponse()
+            while chunk := answer.read1(1000):
+                self.content += chunk
+            self.is_whole = True
+
+    def wait_for(self, events):
+        local_site.wait_until(
+            lambda: self.content.count(b'id: ') >= events, 'events', 5.0
+        )
+
+
+def _summary(context, entry='entry-0'):
+    context.summary = _Summary(context.fleet.addresses[entry], 's-1')
+    context.summary.start()
+    return context.summary
+
+
+@behave.when('a caller asks for a summary')
+def asks_summary(context):
+    _summary(context)
+
+
+@behave.then('the summary is whole')
+def summary_whole(context):
+    context.summary.join(10)
+    expected = b''.join(
+        b'id: %d\ndata: token\n\n' % number for number in range(1, EVENTS + 1)
+    )
+    assert context.summary.is_whole
+    assert context.summary.content == expected, context.summary.content
+
+
+@behave.when('the endpoint of a summary is killed in the middle')
+def kill_endpoint(context):
+    _summary(context).wait_for(10)
+    running = next(name for name in ('m0', 'm1') if context.fleet.runs(name))
+    context.fleet.signal(running, signal.SIGKILL)
+
+
+@behave.when('an entry is told to stop in the middle of a summary')
+def stop_entry(context):
+    _summary(context).wait_for(5)
+    context.stopped_s = time.monotonic()
+    context.fleet.signal('entry-0', signal.SIGTERM)
+    time.sleep(0.4)
+    context.ready_status = _status(
+        f'http://{context.fleet.port_address("entry-0", 1)}/readyz'
+    )
+    context.named = _named(context, 'entry-1')
+
+
+def _status(url):
+    try:
+        with urllib.request.urlopen(url, timeout=2) as answer:
+            return answer.status
+    except urllib.error.HTTPError as error:
+        return error.code
+
+
+def _named(context, entry):
+    url = f'http://{context.fleet.port_address(entry, 2)}/resolve?name=x'
+    return local_site.http_json('GET', url)['addresses']
+
+
+@behave.then('the entry was not ready and not named meanwhile')
+def not_named(context):
+    assert context.ready_status == 503
+    assert context.named == [context.fleet.addresses['entry-1']]
+
+
+@behave.then('the entry ended with code 0 within {limit_s:d} s')
+def entry_ended(context, limit_s):
+    left_s = context.stopped_s + limit_s - time.monotonic()
+    assert context.fleet.wait('entry-0', left_s) == 0
+
+
+@behave.when('an entry is killed')
+def kill_entry(context):
+    local_site.wait_until(
+        lambda: len(_named(context, 'entry-1')) == 2, 'both are named'
+    )
+    context.fleet.signal('entry-0', signal.SIGKILL)
+
+
+@behave.then('the other entry names only itself within {limit_s:d} s')
+def names_itself(context, limit_s):
+    own = [context.fleet.addresses['entry-1']]
+    local_site.wait_until(
+        lambda: _named(context, 'entry-1') == own, 'named', limit_s
+    )
+
+
+@behave.when('a caller leaves in the middle of a summary')
+def caller_leaves(context):
+    summary = _summary(context)
+    summary.wait_for(5)
+    summary.connection.sock.close()
+    summary.connection.close()
+
+
+@behave.then('the entry has no request in flight within {limit_ms:d} ms')
+def nothing_in_flight(context, limit_ms):
+    def has_left():
+        return any(
+            line.get('outcome') == 'left by its caller'
+            for line in context.fleet.log('entry-0')
+        )
+
+    local_site.wait_until(has_left, 'left', limit_ms / 1000)
+
+
+def _complain(context, entry='entry-0', path='x', request_id='c-1'):
+    url = (
+        f'http://{context.fleet.addresses[entry]}'
+        f'{fleet_site.CALL_PREFIX}{path}'
+    )
+    request = urllib.request.Request(url, b'noise', method='POST')
+    for name, value in (
+        ('Host', fleet_site.HOST),
+        ('Request-Id', request_id),
+        ('Api-Key', fleet_site.KEY),
+        ('Deadline-Ms', '4000'),
+    ):
+        request.add_header(name, value)
+    try:
+        with urllib.request.urlopen(request, timeout=5) as answer:
+            return answer.status, answer.headers, answer.read()
+    except urllib.error.HTTPError as error:
+        return error.code, error.headers, error.read()
+
+
+@behave.when('a caller sends a complaint')
+def sends_complaint(context):
+    context.answer = _complain(context)
+
+
+@behave.then("the complaint ran once and its answer is the endpoint's own")
+def complaint_ran(context):
+    status, headers, body = context.answer
+    assert (status, body) == (200, b'done noise'), context.answer
+    assert headers['Response-Signature'] == 'signed-p0'
+    assert context.fleet.runs('p0') == [['c-1', 'acme', '', 'noise']]
+
+
+@behave.then('a complaint gets status {status:d} with a time to come back')
+def complaint_refused(context, status):
+    def answered():
+        context.answer = _complain(context)
+        return True
+
+    local_site.wait_until(answered, 'the entry listens')
+    assert context.answer[0] == status, context.answer
+    assert float(context.answer[1]['Retry-After']) > 0
+
+
+@behave.when('the operator removes the key and adds a route')
+def change_configuration(context):
+    changed = fleet_site.configuration(9)
+    changed['tenants'] = [{'name': 'acme', 'api_keys': ['another']}]
+    changed['routes'].append(
+        {
+            **fleet_site.route('r-n', '/new/', 'non_idempotent', 'desk'),
+            'public': True,
+        }
+    )
+    context.fleet.operate('op', 'config', changed)
+    context.changed_s = time.monotonic()
+
+
+@behave.when('the operator removes the key and an older version is written')
+def change_and_revert(context):
+    change_configuration(context)
+    refuse_key(context, 2)
+    context.fleet.operate('op', 'config', fleet_site.configuration(7))
+
+
+@behave.when('the store forgets its history and the key is removed')
+def forget_history(context):
+    context.fleet.post('store', '/standin/faults', {'forget': True})
+    change_configuration(context)
+
+
+@behave.then(
+    'all entries refuse the key and know the route within {limit_s:d} s'
+)
+def refuse_key(context, limit_s):
+    for name in context.entries:
+        local_site.wait_until(
+            lambda name=name: _complain(context, name)[0] == 401,
+            f'{name} refuses the key',
+            context.changed_s + limit_s - time.monotonic(),
+        )
+        url = f'http://{context.fleet.addresses[name]}/new/x'
+        request = urllib.request.Request(url, b'n', method='POST')
+        request.add_header('Host', fleet_site.HOST)
+        request.add_header('Request-Id', 'n-1')
+        with urllib.request.urlopen(request, timeout=5) as answer:
+            assert answer.status == 200
+
+
+@behave.then('all entries refuse the key for {span_s:d} s')
+def go_on_refusing(context, span_s):
+    until_s = time.monotonic() + span_s
+    while time.monotonic() < until_s:
+        for name in context.entries:
+            assert _complain(context, name)[0] == 401
+        time.sleep(0.05)
+
+
+@behave.when('the store is away and another entry starts')
+def start_in_outage(context):
+    context.fleet.post('store', '/standin/faults', {'mode': 'busy'})
+    context.fleet.start_entry('entry-9', 'fd-1')
+    fleet_site.wait_ready(context.fleet, 'entry-9')
+
+
+@behave.then('the new entry serves a complaint')
+def new_entry_serves(context):
+    context.answer = _complain(context, 'entry-9')
+    complaint_ran(context)
+
+
+@behave.when('rows of endpoints hold other things')
+def damaged_rows(context):
+    address = context.fleet.addresses['p0']
+    for number, value in enumerate(
+        (
+            7,
+            {},
+            {'service': 'desk'},
+            {'service': 3, 'address': address, 'zone': 'z', 'state': 'ready'},
+            {'service': 'desk', 'address': 'x', 'zone': '', 'state': 'ready'},
+            {'service': 'desk', 'address': address, 'zone': '', 'state': '?'},
+        )
+    ):
+        context.fleet.operate('servers', f'odd-{number}', value)
+    time.sleep(0.6)
+
+
+@behave.when('the plain endpoint loses the answer to a complaint')
+def lose_answer(context):
+    context.fleet.post('p0', '/standin/faults', {'mode': 'lost'})
+    context.answer = _complain(context)
+
+
+@behave.then('the complaint gets status {status:d} and ran once')
+def complaint_failed(context, status):
+    assert context.answer[0] == status, context.answer
+    assert not json.loads(context.answer[2])['not_run']
+    assert len(context.fleet.runs('p0')) == 1
+
+
+@behave.then('the log names the endpoint and the reason for its id')
+def log_explains(context):
+    lines = [
+        line
+        for line in context.fleet.log('entry-0')
+        if line.get('request_id') == 'c-1'
+    ]
+    assert any(
+        line.get('endpoint_id') == 'p0' and line.get('reason')
+        for line in lines
+    ), lines
+    assert lines[-1]['outcome'] == 'failed', lines
+
+
+@behave.then('the metrics count the refusal')
+def metrics_count(context):
+    url = f'http://{context.fleet.port_address("entry-0", 3)}/metrics'
+    with urllib.request.urlopen(url, timeout=2) as answer:
+        text = answer.read().decode()
+    assert re.search(r'refusals_total\{.*OUTCOME_UNKNOWN.*\} 1', text), text
+
+
+# Names of headers, rows and fields that only the wire uses.
+WIRE_NAMES = re.compile(
+    r"""['"](kv-\w+|deadline-ms|expected-instance|api-key|tenants?|"""
+    r"""traffic_split|target_latency_ms|gap_target_ms|token-usage|"""
+    r"""prompt-prefix|not-executed|server-load|expected_rev|ttl_s)['"]""",
+    re.IGNORECASE,
+)
+
+
+@behave.then(
+    "no module outside the adapter uses a name of the platform's wire"
+)
+def names_stay_in_adapter(context):
+    found = [
+        (path.name, match[0])
+        for path in SOURCES.rglob('*.py')
+        if path.parent.name != 'platform'
+        for match in WIRE_NAMES.finditer(path.read_text())
+    ]
+    assert not found, found
--- /dev/null
+++ b/standins/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the users' platform: its store and its endpoints."""
--- /dev/null
+++ b/standins/fleet/replica.py
@@ -0,0 +1,118 @@
+"""An endpoint of the platform: ``python -m standins.fleet.replica``."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Annotated, Any
+
+from aiohttp import web
+import typer
+
+from standins.fleet import serving
+
+WORK_S = 0.02
+
+
+class Replica:
+    """Runs plain calls and streams of numbered events.
+
+    :param events: events of each stream.
+    :param gap_s: seconds between events.
+    """
+
+    def __init__(self, endpoint_id: str, events: int, gap_s: float) -> None:
+        self.endpoint_id = endpoint_id
+        self.events = events
+        self.gap_s = gap_s
+        self.runs: list[list[str]] = []
+        self.mode = 'sound'
+
+    def app(self) -> web.Application:
+        """Return the application."""
+        app = web.Application()
+        app.add_routes(
+            [
+                web.get('/healthz', self._health),
+                web.get('/standin/runs', self._told_runs),
+                web.post('/standin/faults', self._set_mode),
+                web.route('*', '/{path:.*}', self._serve),
+            ]
+        )
+        return app
+
+    async def _health(self, request: web.Request) -> web.Response:
+        return web.Response(headers={'Instance-Id': self.endpoint_id})
+
+    async def _told_runs(self, request: web.Request) -> web.Response:
+        return web.json_response(self.runs)
+
+    async def _set_mode(self, request: web.Request) -> web.Response:
+        self.mode = (await request.json())['mode']
+        return web.json_response({})
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        headers = request.headers
+        marks = {
+            'Request-Id': headers.get('Request-Id', ''),
+            'Response-Signature': f'signed-{self.endpoint_id}',
+        }
+        if headers.get('Expected-Instance') != self.endpoint_id:
+            return web.Response(
+                status=421,
+                headers={**marks, 'Instance-Id': self.endpoint_id},
+            )
+        if self.mode == 'full':
+            return web.Response(
+                status=503, headers={**marks, 'Not-Executed': '1'}
+            )
+        body = await request.read()
+        self.runs.append(
+            [
+                marks['Request-Id'],
+                headers.get('Tenant', ''),
+                headers.get('Last-Event-Id', ''),
+                body.decode(),
+            ]
+        )
+        if 'Token-Usage' in headers:
+            return await self._stream(request, marks)
+        await asyncio.sleep(WORK_S)
+        if self.mode == 'lost':
+            assert request.transport is not None
+            request.transport.abort()
+        return web.Response(body=b'done ' + body, headers=marks)
+
+    async def _stream(
+        self, request: web.Request, marks: dict[str, str]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=marks)
+        response.content_type = 'text/event-stream'
+        await response.prepare(request)
+        last = int(request.headers.get('Last-Event-Id', '0'))
+        for number in range(last + 1, self.events + 1):
+            await asyncio.sleep(self.gap_s)
+            await response.write(b'id: %d\ndata: token\n\n' % number)
+        return response
+
+
+def main(
+    endpoint_id: Annotated[str, typer.Option()],
+    port: Annotated[int, typer.Option(min=0, max=65535)] = 0,
+    events: int = 50,
+    gap_ms: float = 20.0,
+) -> None:
+    """Serve an endpoint on a loopback port.
+
+    :param port: TCP port; 0 picks a free one.
+    :param events: events of each stream.
+    :param gap_ms: milliseconds between events.
+    """
+
+    def build() -> Any:
+        return Replica(endpoint_id, events, gap_ms / 1000).app()
+
+    asyncio.run(serving.serve(build, port))
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- /dev/null
+++ b/standins/fleet/site.py
@@ -0,0 +1,210 @@
+"""Starts a fleet as processes: store, endpoints and entry instances."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+from typing import Any
+
+from standins import local_site
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+HOST = 'fleet.example'
+KEY = 'key-of-acme'
+STREAM_PREFIX = '/summaries/'
+CALL_PREFIX = '/complaints/'
+
+
+def route(name: str, prefix: str, kind: str, service: str) -> dict[str, Any]:
+    """Return a route of the operator's configuration."""
+    return {
+        'name': name,
+        'host': HOST,
+        'prefix': prefix,
+        'kind': kind,
+        'timeout_ms': 10000,
+        'target_latency_ms': 1000,
+        'priority': 1,
+        'service': service,
+        'max_attempts': 3,
+        'stream_resume': kind == 'streaming',
+        'gap_target_ms': 700,
+    }
+
+
+def configuration(version: int) -> dict[str, Any]:
+    """Return a configuration with a model and a plain service."""
+    engine = {'slots': 8, 'kv_capacity_tokens': 10000, 'backups': True}
+    return {
+        'version': version,
+        'routes': [
+            route('r-s', STREAM_PREFIX, 'streaming', 'model'),
+            route('r-c', CALL_PREFIX, 'non_idempotent', 'desk'),
+        ],
+        'services': [
+            {'name': 'model', 'health_path': '/healthz', 'engine': engine},
+            {'name': 'desk', 'health_path': '/healthz'},
+        ],
+        'limits': {'max_header_bytes': 16384, 'max_body_bytes': 1048576},
+        'tenants': [{'name': 'acme', 'api_keys': [KEY]}],
+    }
+
+
+class FleetSite:
+    """Processes of one fleet; ``stop`` ends all that were started.
+
+    :param folder: folder for settings and logs.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.processes: dict[str, subprocess.Popen[str]] = {}
+        self.addresses: dict[str, str] = {}
+        self._ports = [local_site.free_port() for _ in range(5)]
+        self._entries = 0
+        self.store = self._start('store', ['standins.fleet.store'])
+
+    def _start(self, name: str, command: list[str]) -> str:
+        process = subprocess.Popen(
+            [sys.executable, '-m', *command],
+            stdout=subprocess.PIPE,
+            text=True,
+            cwd=ROOT,
+            env=self._environment(),
+        )
+        self.processes[name] = process
+        assert process.stdout is not None
+        port = int(process.stdout.readline().split()[-1])
+        self.addresses[name] = f'127.0.0.1:{port}'
+        return self.addresses[name]
+
+    @staticmethod
+    def _environment() -> dict[str, str]:
+        paths = os.pathsep.join((str(ROOT / 'src'), str(ROOT)))
+        return {**os.environ, 'PYTHONPATH': paths}
+
+    def operate(self, table: str, key: str, value: Any = None) -> None:
+        """Write a row as the operator or an endpoint; None removes it."""
+        row = {'table': table, 'part': '', 'key': key}
+        if value is not None:
+            row['value'] = json.dumps(value)
+        self.post('store', '/standin/rows', row)
+
+    def post(self, name: str, path: str, body: Any) -> Any:
+        """Send JSON to a stand-in."""
+        url = f'http://{self.addresses[name]}{path}'
+        return local_site.http_json('POST', url, body)
+
+    def start_replica(
+        self,
+        name: str,
+        service: str,
+        domain: str,
+        *options: str,
+        port: int = 0,
+    ) -> None:
+        """Start an endpoint and register it."""
+        command = ['standins.fleet.replica', f'--endpoint-id={name}']
+        self._start(name, [*command, f'--port={port}', *options])
+        self.register(name, service, domain)
+
+    def register(
+        self, name: str, service: str, domain: str, state: str = 'ready'
+    ) -> None:
+        """Write the row of an endpoint."""
+        self.operate(
+            'servers',
+            name,
+            {
+                'service': service,
+                'address': self.addresses[name],
+                'zone': domain,
+                'version': 'v1',
+                'slots': 8,
+                'state': state,
+                'born': 1,
+            },
+        )
+
+    def start_entry(self, name: str, domain: str) -> str:
+        """Start an entry instance on a loopback address of its own."""
+        self._entries += 1
+        ip = f'127.0.7.{self._entries}'
+        front, ready, directory, control, peers = self._ports
+        settings = {
+            'instance_id': name,
+            'failure_domain': domain,
+            'region': 'region-1',
+            'ip': ip,
+            'caller_address': f'{ip}:{front}',
+            'readiness_address': f'{ip}:{ready}',
+            'directory_address': f'{ip}:{directory}',
+            'control_address': f'{ip}:{control}',
+            'peer_ports': [peers, peers + 10],
+            'seed_addresses': [f'127.0.7.1:{control}'],
+            'store_address': self.store,
+            'address_reuse_s': 2.0,
+        }
+        path = self.folder / f'{name}.json'
+        path.write_text(json.dumps(settings))
+        with (self.folder / f'{name}.log').open('a') as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, '-m', 'godwitvalve.ingress.main'],
+                stdout=log,
+                stderr=log,
+                text=True,
+                cwd=ROOT,
+                env={**self._environment(), 'GODWITVALVE_BOOT': str(path)},
+            )
+        self.addresses[name] = f'{ip}:{front}'
+        return self.addresses[name]
+
+    def port_address(self, name: str, number: int) -> str:
+        """Return an entry's address for callers, readiness and so on."""
+        ip = self.addresses[name].partition(':')[0]
+        return f'{ip}:{self._ports[number]}'
+
+    def log(self, name: str) -> list[dict[str, Any]]:
+        """Return the log lines of an entry."""
+        lines = (self.folder / f'{name}.log').read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith('{')]
+
+    def runs(self, name: str) -> list[list[str]]:
+        """Return the runs of an endpoint."""
+        url = f'http://{self.addresses[name]}/standin/runs'
+        found: list[list[str]] = local_site.http_json('GET', url)
+        return found
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process of this site."""
+        self.processes[name].send_signal(number)
+
+    def wait(self, name: str, limit_s: float) -> int:
+        """Wait for the end of a process; return its exit code."""
+        return self.processes[name].wait(limit_s)
+
+    def stop(self) -> None:
+        """End all processes."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+            if process.stdout is not None:
+                process.stdout.close()
+
+
+def wait_ready(site: FleetSite, name: str) -> None:
+    """Wait until an entry is ready and has its endpoints."""
+    url = f'http://{site.port_address(name, 1)}/readyz'
+
+    def is_ready() -> bool:
+        return local_site.http_json('GET', url) is None
+
+    local_site.wait_until(is_ready, f'{name} is ready')
+    time.sleep(0.5)
--- /dev/null
+++ b/standins/fleet/store.py
@@ -0,0 +1,184 @@
+"""The platform's metadata store: ``python -m standins.fleet.store``."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from typing import Annotated, Any
+
+from aiohttp import web
+import typer
+
+from standins.fleet import serving
+
+MAX_ROWS = 500
+HISTORY_ROWS = 10_000
+
+
+class Store:
+    """Rows by table and key, with the changes of all tables in order."""
+
+    def __init__(self) -> None:
+        self.version = 1
+        self.rows: dict[tuple[str, str, str], dict[str, Any]] = {}
+        self.changes: list[dict[str, Any]] = []
+        self.oldest = 0
+        self.mode = 'up'
+        self.changed = asyncio.Condition()
+
+    async def write(
+        self, writes: list[dict[str, Any]], removed: list[dict[str, Any]]
+    ) -> None:
+        """Apply writes and removals as one change."""
+        self.version += 1
+        for row in writes:
+            self._put({**row, 'ver': self.version})
+        for row in removed:
+            self.rows.pop(_key(row), None)
+            self.changes.append({**row, 'ver': self.version, 'deleted': True})
+        del self.changes[:-HISTORY_ROWS]
+        async with self.changed:
+            self.changed.notify_all()
+
+    def _put(self, row: dict[str, Any]) -> None:
+        self.rows[_key(row)] = row
+        self.changes.append(row)
+
+    def conflicts(self, expected: list[dict[str, Any]]) -> bool:
+        """Tell whether a row has another version than expected."""
+        return any(
+            self.rows.get(_key(each), {}).get('ver', 0) != each['ver']
+            for each in expected
+        )
+
+    def since(self, table: str, after: int) -> list[dict[str, Any]]:
+        """Return the changes of a table after a version."""
+        return [
+            row
+            for row in self.changes
+            if row['ver'] > after and row['table'] == table
+        ]
+
+
+def _key(row: dict[str, Any]) -> tuple[str, str, str]:
+    return row['table'], row.get('part', ''), row['key']
+
+
+class StoreServer:
+    """HTTP interface of the store, with faults under ``/standin``."""
+
+    def __init__(self) -> None:
+        self.store = Store()
+
+    def app(self) -> web.Application:
+        """Return the application."""
+        app = web.Application(middlewares=[self._faults])
+        app.add_routes(
+            [
+                web.get('/rows-get', self._get),
+                web.get('/rows-feed', self._feed),
+                web.post('/rows-tx', self._transact),
+                web.post('/standin/rows', self._operator),
+                web.post('/standin/faults', self._set_mode),
+                web.get('/standin/rows', self._all),
+            ]
+        )
+        return app
+
+    @web.middleware
+    async def _faults(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        if not request.path.startswith('/standin'):
+            if self.store.mode == 'busy':
+                return web.Response(status=503)
+            if self.store.mode == 'silent':
+                await asyncio.sleep(3600)
+        response: web.StreamResponse = await handler(request)
+        return response
+
+    def _answer(self, rows: list[dict[str, Any]], more: bool) -> web.Response:
+        return web.json_response(
+            {
+                'rows': rows,
+                'has_more': more,
+                'ver': self.store.version,
+                'now_ms': 0,
+            }
+        )
+
+    async def _get(self, request: web.Request) -> web.Response:
+        query = request.query
+        table, part = query['table'], query.get('part', '')
+        found = sorted(
+            (
+                row
+                for (its_table, its_part, key), row in self.store.rows.items()
+                if (its_table, its_part) == (table, part)
+                and key >= query.get('from', '')
+            ),
+            key=lambda row: row['key'].encode(),
+        )
+        return self._answer(found[:MAX_ROWS], len(found) > MAX_ROWS)
+
+    async def _feed(self, request: web.Request) -> web.Response:
+        table = request.query['table']
+        after = int(request.query['after'])
+        if after < self.store.oldest:
+            return web.Response(status=410)
+        wait_s = int(request.query.get('wait_ms', '0')) / 1000
+        try:
+            async with asyncio.timeout(wait_s), self.store.changed:
+                await self.store.changed.wait_for(
+                    lambda: bool(self.store.since(table, after))
+                )
+        except asyncio.TimeoutError:
+            pass
+        if self.store.mode != 'up':
+            return web.Response(status=503)
+        return self._answer(self.store.since(table, after), False)
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        tables = {row['table'] for row in body['writes'] + body['remove']}
+        if tables & {'op', 'servers'}:
+            return web.Response(status=403)
+        if self.store.conflicts(body['expected_rev']):
+            return web.json_response({'rows': []}, status=412)
+        await self.store.write(body['writes'], body['remove'])
+        return web.json_response({'ver': self.store.version})
+
+    async def _operator(self, request: web.Request) -> web.Response:
+        """Write or remove rows of any table; values are plain text."""
+        body = await request.json()
+        value = body.pop('value', None)
+        if value is None:
+            await self.store.write([], [body])
+        else:
+            encoded = base64.b64encode(value.encode()).decode()
+            await self.store.write([{**body, 'value': encoded}], [])
+        return web.json_response({'ver': self.store.version})
+
+    async def _set_mode(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        self.store.mode = body.get('mode', self.store.mode)
+        if body.get('forget'):
+            self.store.oldest = self.store.version + 1
+        async with self.store.changed:
+            self.store.changed.notify_all()
+        return web.json_response({})
+
+    async def _all(self, request: web.Request) -> web.Response:
+        return web.json_response(list(self.store.rows.values()))
+
+
+def main(port: Annotated[int, typer.Option(min=0, max=65535)] = 0) -> None:
+    """Serve the store on a loopback port.
+
+    :param port: TCP port; 0 picks a free one.
+    """
+    asyncio.run(serving.serve(lambda: StoreServer().app(), port))
+
+
+if __name__ == '__main__':
+    typer.run(main)
