--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -79,6 +79,21 @@
     checked_s: float = 0.0
 
 
+@dataclasses.dataclass
+class StreamTimes:
+    """Times of one stream for its log line, in seconds.
+
+    :param first_event_s: from arrival to the first event; 0 if none came.
+    :param longest_gap_s: longest time between events that were passed on.
+    :param sends: endpoints that the stream was sent to.
+    """
+
+    first_event_s: float = 0.0
+    longest_gap_s: float = 0.0
+    sends: int = 0
+    last_sent_s: float = 0.0
+
+
 class StreamRun:
     """One stream from arrival to its end."""
 
@@ -93,6 +108,7 @@
         self._sink = sink
         self._loop = asyncio.get_running_loop()
         self._began_s = self._loop.time()
+        self.times = StreamTimes()
         self._splitter = events.EventSplitter(order.request.facts.last_event)
         self._gaps = gaps.GapWatch(order.route.max_gap_ms / 1000)
         self._tried: set[str] = set()
@@ -318,6 +334,7 @@
 
     async def _attempt(self, run: _Run) -> RunEnd:
         self._tried.add(run.endpoint.endpoint_id)
+        self.times.sends += 1
         self._context.sessions.begin(
             self._order.request.facts.session, run.endpoint.endpoint_id
         )
@@ -447,8 +464,19 @@
             self._note_first_event(run)
         if not self._is_started:
             await self._start(head)
+        self._note_sent()
         await self._sink.send(b''.join(event.content for event in whole))
 
+    def _note_sent(self) -> None:
+        now_s = self._loop.time()
+        times = self.times
+        if times.last_sent_s:
+            gap_s = now_s - times.last_sent_s
+            times.longest_gap_s = max(times.longest_gap_s, gap_s)
+        else:
+            times.first_event_s = now_s - self._began_s
+        times.last_sent_s = now_s
+
     async def _start(self, head: exchanges.AnswerHead) -> None:
         self._is_started = True
         await self._sink.start(head)
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -182,15 +182,17 @@
     ) -> web.StreamResponse:
         sink = CallerStream(request, self._stopping_since_s is not None)
         reply: replies.Reply | None = None
+        times: streams.StreamTimes | None = None
         try:
             if order.route.kind is routes.RequestKind.STREAM:
                 run = streams.StreamRun(self._context, order, sink)
+                times = run.times
                 reply = await run.run()
             else:
                 reply = await calls.CallRun(self._context, order).run()
             return await self._respond(order, sink, reply)
         finally:
-            self._log_end(order, reply, arrived_s)
+            self._log_end(order, reply, arrived_s, times)
 
     async def _respond(
         self,
@@ -225,6 +227,7 @@
         order: calls.CallOrder,
         reply: replies.Reply | None,
         arrived_s: float,
+        times: streams.StreamTimes | None,
     ) -> None:
         taken_s = asyncio.get_running_loop().time() - arrived_s
         outcome, detail = _outcome(reply)
@@ -240,10 +243,21 @@
                 'detail': detail,
                 'taken_ms': round(taken_s * 1000, 1),
                 'configuration_version': self._context.state.version,
+                **_stream_fields(times),
             },
         )
 
 
+def _stream_fields(times: streams.StreamTimes | None) -> dict[str, float]:
+    if times is None:
+        return {}
+    return {
+        'first_event_ms': round(times.first_event_s * 1000),
+        'longest_gap_ms': round(times.longest_gap_s * 1000),
+        'sends': times.sends,
+    }
+
+
 def _outcome(reply: replies.Reply | None) -> tuple[str, str]:
     match reply:
         case None:
