--- a/src/godwitvalve/fleet/follow.py
+++ b/src/godwitvalve/fleet/follow.py
@@ -40,8 +40,8 @@
 class TableFollower:
     """Reads a table once and then its changes, for ever.
 
-    :param pause_s: pause between two calls, which lets changes that come
-        together be read by one call.
+    :param pause_s: returns the pause between two calls, which lets changes
+        that come together be read by one call.
     """
 
     def __init__(
@@ -49,7 +49,7 @@
         store: stores.StoreClient,
         table: str,
         reader: TableReader,
-        pause_s: float = 0.0,
+        pause_s: abc.Callable[[], float] = float,
     ) -> None:
         self._store = store
         self._table = table
@@ -74,8 +74,7 @@
                 await asyncio.sleep(next(retry_pauses_s))
                 continue
             retry_pauses_s = _pauses()
-            if self._pause_s:
-                await asyncio.sleep(self._pause_s)
+            await asyncio.sleep(self._pause_s())
 
     async def _step(self) -> None:
         if self._version is None:
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -41,6 +41,8 @@
 # Registrations come in groups when a zone restarts; a pause lets one call
 # read them together, and leaves most of the 2 s for a leaving endpoint.
 ENDPOINTS_PAUSE_S = 0.5
+# In a large fleet each change is read by every entry.
+LARGE_FLEET_PAUSE_S = 1.0
 UPKEEP_PERIOD_S = 0.25
 DRAIN_POLL_S = 0.05
 # Time between the last answer and SIGKILL.
@@ -222,7 +224,7 @@
             self._store,
             wire_endpoints.TABLE,
             self._endpoints,
-            ENDPOINTS_PAUSE_S,
+            self._endpoints_pause_s,
         )
         return [
             follow_configuration.run(),
@@ -241,6 +243,11 @@
             self._upkeep(),
         ]
 
+    def _endpoints_pause_s(self) -> float:
+        if self._members.known_count() > member_model.DIRECT_MEMBERS:
+            return LARGE_FLEET_PAUSE_S
+        return ENDPOINTS_PAUSE_S
+
     async def _listen(self) -> list[web.ServerRunner]:
         settings = self._settings
         controls = control.ControlHandler(self._context, self._state)
