--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SOURCES := src standins bench features scripts
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
-.PHONY: install format check test demo bench
+.PHONY: install format check test demo demo-platform bench
 
 # A shared VENV belongs to another checkout and is used as it is.
 ifeq ($(VENV),.venv)
@@ -33,5 +33,8 @@
 demo: install
 	$(PYTHON) scripts/demo.py
 
+demo-platform: install
+	$(PYTHON) scripts/demo_platform.py
+
 bench: install
 	$(PYTHON) -m bench.main
--- a/features/ingress/fleet.feature
+++ b/features/ingress/fleet.feature
@@ -78,6 +78,16 @@
     And the log names the endpoint and the reason for its id
     And the metrics count the refusal
 
+  Scenario: Operators see what the store holds
+    # Guards against asking a damaged store what is in force.
+    Given a fleet with 1 entries, 2 model endpoints and 1 plain endpoint
+    When rows of endpoints hold other things
+    Then the operator command shows version 5, 3 endpoints and 6 damaged rows
+
+  Scenario: Bad settings are all told at once
+    # Guards against an entry that starts with half of its settings.
+    Then settings without an address and with a wrong number name both errors
+
   Scenario: Only the adapter knows the platform's names
     # Guards against names of the wire that spread through the code.
     Then no module outside the adapter uses a name of the platform's wire
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -5,9 +5,12 @@
 import contextlib
 import http.client
 import json
+import os
 import pathlib
 import re
 import signal
+import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -15,6 +18,7 @@
 import urllib.request
 
 import behave
+from godwitvalve.platform import settings
 from standins.fleet import site as fleet_site
 from standins import local_site
 
@@ -357,6 +361,56 @@
     assert re.search(r'refusals_total\{.*OUTCOME_UNKNOWN.*\} 1', text), text
 
 
+@behave.then(
+    'the operator command shows version {version:d}, '
+    '{count:d} endpoints and {damaged:d} damaged rows'
+)
+def operator_sees(context, version, count, damaged):
+    ran = subprocess.run(
+        [
+            sys.executable,
+            '-m',
+            'godwitvalve.operator_cli.main',
+            'fleet',
+            f'--store={context.fleet.store}',
+            '--json',
+        ],
+        capture_output=True,
+        text=True,
+        env={**os.environ, 'PYTHONPATH': str(SOURCES.parent)},
+    )
+    assert ran.returncode == 0, ran.stderr
+    seen = json.loads(ran.stdout)
+    assert seen['configuration_version'] == version
+    assert sum(each['count'] for each in seen['endpoints']) == count, seen
+    assert len(seen['damaged_rows']) == damaged, seen
+
+
+@behave.then(
+    'settings without an address and with a wrong number name both errors'
+)
+def settings_errors(context):
+    raw = {
+        'instance_id': 'e',
+        'failure_domain': 'f',
+        'region': 'r',
+        'ip': '127.0.0.1',
+        'readiness_address': '127.0.0.1:1',
+        'directory_address': '127.0.0.1:2',
+        'control_address': '127.0.0.1:3',
+        'peer_ports': [4, 5],
+        'store_address': '127.0.0.1:6',
+        'stop_limit_s': 'soon',
+    }
+    try:
+        settings.decode(json.dumps(raw).encode())
+    except settings.SettingsError as error:
+        named = {line.partition(':')[0] for line in str(error).splitlines()}
+        assert named == {'caller_address', 'stop_limit_s'}, named
+        return
+    raise AssertionError('the settings were accepted')
+
+
 # Names of headers, rows and fields that only the wire uses.
 WIRE_NAMES = re.compile(
     r"""['"](kv-\w+|deadline-ms|expected-instance|api-key|tenants?|"""
--- a/src/godwitvalve/forwarding/calls.py
+++ b/src/godwitvalve/forwarding/calls.py
@@ -48,6 +48,7 @@
         self._context = context
         self._order = order
         self._loop = asyncio.get_running_loop()
+        self.endpoints: list[str] = []
         self._tried: set[str] = set()
         self._sends = 0
         self._runs = 0
@@ -193,6 +194,7 @@
         if endpoint is None:
             return False
         self._tried.add(endpoint.endpoint_id)
+        self.endpoints.append(endpoint.endpoint_id)
         self._running.add(asyncio.create_task(self._send(endpoint)))
         return True
 
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -86,13 +86,13 @@
 
     :param first_event_s: from arrival to the first event; 0 if none came.
     :param longest_gap_s: longest time between events that were passed on.
-    :param sends: endpoints that the stream was sent to.
+    :param endpoints: ids of the endpoints it was sent to, in order.
     """
 
     first_event_s: float = 0.0
     longest_gap_s: float = 0.0
-    sends: int = 0
     last_sent_s: float = 0.0
+    endpoints: list[str] = dataclasses.field(default_factory=list)
 
 
 class StreamRun:
@@ -335,7 +335,7 @@
 
     async def _attempt(self, run: _Run) -> RunEnd:
         self._tried.add(run.endpoint.endpoint_id)
-        self.times.sends += 1
+        self.times.endpoints.append(run.endpoint.endpoint_id)
         self._context.sessions.begin(
             self._order.request.facts.session, run.endpoint.endpoint_id
         )
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from aiohttp import web
 
@@ -182,17 +182,16 @@
     ) -> web.StreamResponse:
         sink = CallerStream(request, self._stopping_since_s is not None)
         reply: replies.Reply | None = None
-        times: streams.StreamTimes | None = None
+        run: streams.StreamRun | calls.CallRun
+        if order.route.kind is routes.RequestKind.STREAM:
+            run = streams.StreamRun(self._context, order, sink)
+        else:
+            run = calls.CallRun(self._context, order)
         try:
-            if order.route.kind is routes.RequestKind.STREAM:
-                run = streams.StreamRun(self._context, order, sink)
-                times = run.times
-                reply = await run.run()
-            else:
-                reply = await calls.CallRun(self._context, order).run()
+            reply = await run.run()
             return await self._respond(order, sink, reply)
         finally:
-            self._log_end(order, reply, arrived_s, times)
+            self._log_end(order, reply, arrived_s, run)
 
     async def _respond(
         self,
@@ -227,7 +226,7 @@
         order: calls.CallOrder,
         reply: replies.Reply | None,
         arrived_s: float,
-        times: streams.StreamTimes | None,
+        run: streams.StreamRun | calls.CallRun,
     ) -> None:
         taken_s = asyncio.get_running_loop().time() - arrived_s
         outcome, detail = _outcome(reply)
@@ -243,19 +242,22 @@
                 'detail': detail,
                 'taken_ms': round(taken_s * 1000, 1),
                 'configuration_version': self._context.state.version,
-                **_stream_fields(times),
+                'limit_ms': round((order.deadline_s - arrived_s) * 1000),
+                **_run_fields(run),
             },
         )
 
 
-def _stream_fields(times: streams.StreamTimes | None) -> dict[str, float]:
-    if times is None:
-        return {}
-    return {
-        'first_event_ms': round(times.first_event_s * 1000),
-        'longest_gap_ms': round(times.longest_gap_s * 1000),
-        'sends': times.sends,
-    }
+def _run_fields(run: streams.StreamRun | calls.CallRun) -> dict[str, Any]:
+    match run:
+        case calls.CallRun(endpoints=tried):
+            return {'endpoints': tried}
+        case streams.StreamRun(times=times):
+            return {
+                'endpoints': times.endpoints,
+                'first_event_ms': round(times.first_event_s * 1000),
+                'longest_gap_ms': round(times.longest_gap_s * 1000),
+            }
 
 
 def _outcome(reply: replies.Reply | None) -> tuple[str, str]:
--- /dev/null
+++ b/src/godwitvalve/operator_cli/fleet.py
@@ -0,0 +1,100 @@
+"""``godwitvalve fleet``: what the users' platform holds for the entries."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from typing import Annotated, NamedTuple
+
+import typer
+
+from godwitvalve.fleet import endpoints
+from godwitvalve.fleet import routes
+from godwitvalve.operator_cli import options
+from godwitvalve.platform import configuration as wire_configuration
+from godwitvalve.platform import endpoints as wire_endpoints
+from godwitvalve.platform import store as stores
+
+StoreAddress = Annotated[
+    str,
+    typer.Option(
+        '--store',
+        envvar='GODWITVALVE_STORE',
+        help='IP:port of the platform store.',
+    ),
+]
+
+
+class _Held(NamedTuple):
+    configuration: routes.Configuration | None
+    endpoints: list[endpoints.FleetEndpoint]
+    damaged: list[str]
+
+
+async def _read(address: str) -> _Held:
+    store = stores.StoreClient(address)
+    try:
+        operator_rows = await store.rows(wire_configuration.TABLE)
+        endpoint_rows = await store.rows(wire_endpoints.TABLE)
+    finally:
+        await store.close()
+    configuration = None
+    for row in operator_rows.rows:
+        if row.key == wire_configuration.KEY and row.value is not None:
+            configuration = wire_configuration.decode(row.value)
+    listed: list[endpoints.FleetEndpoint] = []
+    damaged: list[str] = []
+    for row in endpoint_rows.rows:
+        try:
+            listed.append(wire_endpoints.decode(row.key, row.value or b''))
+        except wire_endpoints.DamagedRow as error:
+            damaged.append(f'{row.key}: {error}')
+    return _Held(configuration, listed, damaged)
+
+
+def _summary(held: _Held) -> dict[str, object]:
+    counts = collections.Counter(
+        (each.service, each.failure_domain, each.is_leaving)
+        for each in held.endpoints
+    )
+    configuration = held.configuration
+    return {
+        'configuration_version': configuration.version
+        if configuration
+        else None,
+        'services': sorted(configuration.services) if configuration else [],
+        'endpoints': [
+            {
+                'service': service,
+                'failure_domain': domain,
+                'state': 'leaving' if is_leaving else 'live',
+                'count': count,
+            }
+            for (service, domain, is_leaving), count in sorted(counts.items())
+        ],
+        'damaged_rows': held.damaged,
+    }
+
+
+def fleet(store: StoreAddress, as_json: options.AsJson = False) -> None:
+    """Print configuration version and endpoints; changes nothing."""
+    try:
+        held = asyncio.run(_read(store))
+    except stores.StoreUnavailable as error:
+        options.fail(options.ExitCode.STORE_UNAVAILABLE, str(error))
+    except wire_configuration.DamagedConfiguration as error:
+        options.fail(options.ExitCode.REJECTED, f'Configuration: {error}')
+    summary = _summary(held)
+    if as_json:
+        options.print_json(summary)
+        return
+    version = summary['configuration_version']
+    print(f'configuration {version}' if version else 'no configuration')
+    for each in held.endpoints:
+        state = 'leaving' if each.is_leaving else 'live'
+        print(
+            f'{each.service} {each.failure_domain} {each.endpoint_id} '
+            f'{each.address} {state}'
+        )
+    for line in held.damaged:
+        print(f'damaged row {line}')
--- a/src/godwitvalve/operator_cli/main.py
+++ b/src/godwitvalve/operator_cli/main.py
@@ -8,6 +8,7 @@
 from godwitvalve.operator_cli import check
 from godwitvalve.operator_cli import diff
 from godwitvalve.operator_cli import explain
+from godwitvalve.operator_cli import fleet
 from godwitvalve.operator_cli import show
 from godwitvalve.operator_cli import status
 
@@ -18,6 +19,7 @@
 app.command()(show.show)
 app.command()(status.status)
 app.command()(explain.explain)
+app.command()(fleet.fleet)
 
 
 def main() -> None:
