Drop unused settings and fields; split the stream relay; spread returns

Callers that were refused together come back spread over half of the wait that they are told. The types of a run move to forwarding/runs.py.

--- a/features/doubles/forwarding_site.py
+++ b/features/doubles/forwarding_site.py
@@ -101,9 +101,9 @@
     @staticmethod
     def _configuration():
         facts = routes.ServiceFacts(
-            SERVICE, '/healthz', 10, routes.EngineFacts(8, 1000, True)
+            SERVICE, '/healthz', routes.EngineFacts(True)
         )
-        limits = routes.CallerLimits(16384, 1 << 20)
+        limits = routes.CallerLimits(1 << 20)
         return routes.Configuration(1, [], [facts], {}, limits, b'')
 
     def order(self, its_route, wait_s=1.4, last_event=0):
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -393,7 +393,6 @@
     raw = {
         'instance_id': 'e',
         'failure_domain': 'f',
-        'region': 'r',
         'ip': '127.0.0.1',
         'readiness_address': '127.0.0.1:1',
         'directory_address': '127.0.0.1:2',
--- a/src/godwitvalve/fleet/routes.py
+++ b/src/godwitvalve/fleet/routes.py
@@ -51,8 +51,6 @@
 class EngineFacts(NamedTuple):
     """What the endpoints of a model service offer."""
 
-    slots: int
-    memory_tokens: int
     has_backups: bool
 
 
@@ -61,7 +59,6 @@
 
     name: str
     health_path: str
-    max_connections: int
     engine: EngineFacts | None
 
 
@@ -75,7 +72,6 @@
 class CallerLimits(NamedTuple):
     """Bounds on what callers may send."""
 
-    max_header_bytes: int
     max_body_bytes: int
 
 
--- a/src/godwitvalve/forwarding/pool.py
+++ b/src/godwitvalve/forwarding/pool.py
@@ -17,7 +17,6 @@
 
     def __init__(self) -> None:
         self._idle: dict[str, list[channels.EndpointChannel]] = {}
-        self.opened = 0
 
     async def take(
         self, endpoint: endpoints.FleetEndpoint
@@ -33,7 +32,6 @@
             if channel.is_reusable(now_s):
                 return channel
             channel.close()
-        self.opened += 1
         return await channels.connect(endpoint.address)
 
     def give_back(
--- /dev/null
+++ b/src/godwitvalve/forwarding/runs.py
@@ -0,0 +1,115 @@
+"""Runs of a stream at endpoints, and how they end."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Protocol, TypeAlias
+
+from godwitvalve.fleet import endpoints
+from godwitvalve.forwarding import context as contexts
+from godwitvalve.forwarding import exchange as exchanges
+
+
+class Sink(Protocol):
+    """Where the events of a stream go."""
+
+    async def start(self, head: exchanges.AnswerHead) -> None:
+        """Send status and headers."""
+
+    async def send(self, content: bytes) -> None:
+        """Send whole events."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Whole:
+    """The stream came to its end."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Interrupted:
+    """The run was lost.
+
+    :param may_have_run: whether the endpoint may have begun it.
+    """
+
+    reason: str
+    may_have_run: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Rejected:
+    """The endpoint answered with something else than a stream."""
+
+    answer: exchanges.Answered
+
+
+RunEnd: TypeAlias = Whole | Interrupted | Rejected | exchanges.Declined
+
+
+@dataclasses.dataclass
+class Run:
+    """One run at one endpoint."""
+
+    endpoint: endpoints.FleetEndpoint
+    backup: endpoints.FleetEndpoint | None
+    memory_source: str
+    began_s: float
+    has_events: bool = False
+    first_event_s: float = 0.0
+    last_heard_s: float = 0.0
+    checked_s: float = 0.0
+
+
+@dataclasses.dataclass
+class StreamTimes:
+    """Times of one stream for its log line, in seconds.
+
+    :param first_event_s: from arrival to the first event; 0 if none came.
+    :param longest_gap_s: longest time between events that were passed on.
+    :param endpoints: ids of the endpoints it was sent to, in order.
+    """
+
+    first_event_s: float = 0.0
+    longest_gap_s: float = 0.0
+    last_sent_s: float = 0.0
+    endpoints: list[str] = dataclasses.field(default_factory=list)
+
+
+class PlacedRun:
+    """Counts a run at its endpoint and its backup while it lasts."""
+
+    def __init__(self, context: contexts.ForwardingContext, run: Run) -> None:
+        self._context = context
+        self._run = run
+
+    def __enter__(self) -> None:
+        notes = self._context.book.notes(self._run.endpoint.endpoint_id)
+        notes.streams += 1
+        notes.starting += 1
+        if self._run.backup is not None:
+            backup = self._run.backup.endpoint_id
+            self._context.book.notes(backup).backups += 1
+        self._context.placed()
+
+    def __exit__(self, *details: object) -> None:
+        notes = self._context.book.notes(self._run.endpoint.endpoint_id)
+        notes.streams -= 1
+        if not self._run.has_events:
+            notes.starting -= 1
+        if self._run.backup is not None:
+            backup = self._run.backup.endpoint_id
+            self._context.book.notes(backup).backups -= 1
+        self._context.placed()
+
+
+def reason_of(end: RunEnd) -> str:
+    """Return the end of a run as a label of logs and counters."""
+    match end:
+        case Interrupted(reason):
+            return 'connect failed' if not end.may_have_run else reason
+        case exchanges.Declined(status):
+            return f'declined {status}'
+        case Rejected(answer):
+            return f'status {answer.head.status}'
+        case Whole():
+            return 'whole'
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -4,8 +4,6 @@
 
 import asyncio
 from collections import abc
-import dataclasses
-from typing import Protocol, TypeAlias
 
 from godwitvalve.fleet import endpoints
 from godwitvalve.forwarding import calls
@@ -17,6 +15,7 @@
 from godwitvalve.forwarding import policy
 from godwitvalve.forwarding import probes
 from godwitvalve.forwarding import replies
+from godwitvalve.forwarding import runs
 from godwitvalve.logs import setup as logs
 from godwitvalve.outcomes import codes
 from godwitvalve.placement import book as books
@@ -30,71 +29,6 @@
 _LOG = logs.get('forwarding')
 
 
-class Sink(Protocol):
-    """Where the events of a stream go."""
-
-    async def start(self, head: exchanges.AnswerHead) -> None:
-        """Send status and headers."""
-
-    async def send(self, content: bytes) -> None:
-        """Send whole events."""
-
-
-@dataclasses.dataclass(frozen=True)
-class Whole:
-    """The stream came to its end."""
-
-
-@dataclasses.dataclass(frozen=True)
-class Interrupted:
-    """The run was lost.
-
-    :param may_have_run: whether the endpoint may have begun it.
-    """
-
-    reason: str
-    may_have_run: bool
-
-
-@dataclasses.dataclass(frozen=True)
-class Rejected:
-    """The endpoint answered with something else than a stream."""
-
-    answer: exchanges.Answered
-
-
-RunEnd: TypeAlias = Whole | Interrupted | Rejected | exchanges.Declined
-
-
-@dataclasses.dataclass
-class _Run:
-    """One run at one endpoint."""
-
-    endpoint: endpoints.FleetEndpoint
-    backup: endpoints.FleetEndpoint | None
-    memory_source: str
-    began_s: float
-    has_events: bool = False
-    first_event_s: float = 0.0
-    last_heard_s: float = 0.0
-    checked_s: float = 0.0
-
-
-@dataclasses.dataclass
-class StreamTimes:
-    """Times of one stream for its log line, in seconds.
-
-    :param first_event_s: from arrival to the first event; 0 if none came.
-    :param longest_gap_s: longest time between events that were passed on.
-    :param endpoints: ids of the endpoints it was sent to, in order.
-    """
-
-    first_event_s: float = 0.0
-    longest_gap_s: float = 0.0
-    last_sent_s: float = 0.0
-    endpoints: list[str] = dataclasses.field(default_factory=list)
-
-
 class StreamRun:
     """One stream from arrival to its end."""
 
@@ -102,21 +36,21 @@
         self,
         context: contexts.ForwardingContext,
         order: calls.CallOrder,
-        sink: Sink,
+        sink: runs.Sink,
     ) -> None:
         self._context = context
         self._order = order
         self._sink = sink
         self._loop = asyncio.get_running_loop()
         self._began_s = self._loop.time()
-        self.times = StreamTimes()
+        self.times = runs.StreamTimes()
         self._splitter = events.EventSplitter(order.request.facts.last_event)
         self._gaps = gaps.GapWatch(order.route.max_gap_ms / 1000)
         self._tried: set[str] = set()
         self._current: exchanges.Exchange | None = None
         self._runs = 0
         self._is_started = False
-        self._last_run: _Run | None = None
+        self._last_run: runs.Run | None = None
         self._rejection: exchanges.Answered | None = None
 
     async def run(self) -> replies.Reply:
@@ -165,14 +99,14 @@
             self._current = None
             self._note_end(run, end)
             match end:
-                case Whole():
+                case runs.Whole():
                     return replies.Streamed(True)
-                case Rejected(answer):
+                case runs.Rejected(answer):
                     if answer.head.status < 500 and not self._is_started:
                         return answer
                     self._runs += 1
                     self._rejection = answer
-                case Interrupted(_, may_have_run):
+                case runs.Interrupted(_, may_have_run):
                     self._runs += may_have_run
                 case exchanges.Declined():
                     pass
@@ -180,7 +114,7 @@
                 return self._give_up(
                     codes.ResultCode.OVERLOADED, policy.BUSY_RETRY_AFTER_S
                 )
-            self._context.counters.count_retry(_reason(end))
+            self._context.counters.count_retry(runs.reason_of(end))
 
     def _can_finish(self) -> bool:
         facts = self._order.request.facts
@@ -194,7 +128,7 @@
             (self._order.deadline_s - now_s) * 1000,
         )
 
-    def _observe_pace(self, run: _Run) -> None:
+    def _observe_pace(self, run: runs.Run) -> None:
         """Note the pace of a whole stream that one run read and gave."""
         facts = self._order.request.facts
         events_made = self._splitter.last_event
@@ -217,7 +151,7 @@
             ),
         )
 
-    def _may_go_on(self, end: RunEnd) -> bool:
+    def _may_go_on(self, end: runs.RunEnd) -> bool:
         left_s = self._order.deadline_s - self._loop.time()
         if left_s < policy.SHORTEST_SEND_S:
             return False
@@ -225,7 +159,7 @@
             return False
         if self._runs and not self._order.route.is_resumable:
             return False
-        if isinstance(end, Interrupted) and not end.may_have_run:
+        if isinstance(end, runs.Interrupted) and not end.may_have_run:
             # Nothing arrived, so nothing counts as a repeat.
             return True
         return self._context.budget.try_retry(self._order.service, True)
@@ -269,7 +203,7 @@
             return replies.Failure(codes.ResultCode.OUTCOME_UNKNOWN)
         return replies.Refusal(code, retry_after_s)
 
-    def _next_run(self) -> _Run | None:
+    def _next_run(self) -> runs.Run | None:
         now_s = self._loop.time()
         copy = self._copy_run(now_s)
         if copy is not None:
@@ -288,9 +222,9 @@
         )
         if endpoint is None:
             return None
-        return _Run(endpoint, self._backup_for(endpoint, now_s), '', now_s)
+        return runs.Run(endpoint, self._backup_for(endpoint, now_s), '', now_s)
 
-    def _copy_run(self, now_s: float) -> _Run | None:
+    def _copy_run(self, now_s: float) -> runs.Run | None:
         """Return a run at the endpoint that keeps a copy of the last one."""
         last = self._last_run
         if last is None or last.backup is None:
@@ -300,7 +234,7 @@
         if listed is None:
             return None
         request_id = self._order.request.facts.request_id
-        return _Run(
+        return runs.Run(
             listed,
             self._backup_for(listed, now_s),
             f'{listed.address}/{request_id}',
@@ -333,34 +267,36 @@
             context.rng,
         )
 
-    async def _attempt(self, run: _Run) -> RunEnd:
+    async def _attempt(self, run: runs.Run) -> runs.RunEnd:
         self._tried.add(run.endpoint.endpoint_id)
         self.times.endpoints.append(run.endpoint.endpoint_id)
         self._context.sessions.begin(
             self._order.request.facts.session, run.endpoint.endpoint_id
         )
         exchange = exchanges.Exchange(run.endpoint, self._context.pool)
-        with _Placed(self._context, run):
+        with runs.PlacedRun(self._context, run):
             try:
                 self._current = exchange
                 return await self._relay(run, exchange)
             except channels.ConnectFailed as error:
-                return Interrupted(str(error), False)
+                return runs.Interrupted(str(error), False)
             except channels.ChannelBroken as error:
-                return Interrupted(error.reason, exchange.is_sent)
+                return runs.Interrupted(error.reason, exchange.is_sent)
             except events.StreamDamaged as error:
-                return Interrupted(str(error), True)
+                return runs.Interrupted(str(error), True)
             finally:
                 run.last_heard_s = exchange.last_bytes_s
                 exchange.abandon()
                 self._splitter.discard_partial()
 
-    async def _relay(self, run: _Run, exchange: exchanges.Exchange) -> RunEnd:
+    async def _relay(
+        self, run: runs.Run, exchange: exchanges.Exchange
+    ) -> runs.RunEnd:
         head = await self._watched(
             run, asyncio.create_task(exchange.open(*self._sending(run)))
         )
         if head is None:
-            return Interrupted('silent', True)
+            return runs.Interrupted('silent', True)
         now_s = self._loop.time()
         self._context.book.reported(
             run.endpoint.endpoint_id, head.facts.load, now_s
@@ -368,28 +304,28 @@
         if head.facts.is_not_run:
             return exchanges.Declined(head.status, head.facts.load)
         if head.facts.is_encoded:
-            return Interrupted('encoded answer', True)
+            return runs.Interrupted('encoded answer', True)
         if head.status != 200:
             body = b''.join([chunk async for chunk in exchange.chunks()])
-            return Rejected(exchanges.Answered(head, body))
+            return runs.Rejected(exchanges.Answered(head, body))
         chunks = exchange.chunks()
         while True:
             chunk = await self._watched(
                 run, asyncio.create_task(_next_chunk(chunks))
             )
             if chunk is None:
-                return Interrupted('silent', True)
+                return runs.Interrupted('silent', True)
             if not chunk:
                 break
             await self._pass_on(run, head, chunk)
         if self._splitter.has_partial:
-            return Interrupted('ended inside an event', True)
+            return runs.Interrupted('ended inside an event', True)
         if not self._is_started:
             await self._start(head)
-        return Whole()
+        return runs.Whole()
 
     def _sending(
-        self, run: _Run
+        self, run: runs.Run
     ) -> tuple[exchanges.CallerRequest, wire.SendFacts]:
         order = self._order
         return order.request, wire.SendFacts(
@@ -403,7 +339,7 @@
         )
 
     async def _watched(
-        self, run: _Run, task: asyncio.Task[gaps.Awaited]
+        self, run: runs.Run, task: asyncio.Task[gaps.Awaited]
     ) -> gaps.Awaited | None:
         """Wait for a task; None if the endpoint is silent for too long."""
         since_s = self._loop.time()
@@ -423,7 +359,7 @@
             if not task.done():
                 task.cancel()
 
-    def _is_silent(self, run: _Run, since_s: float) -> bool:
+    def _is_silent(self, run: runs.Run, since_s: float) -> bool:
         now_s = self._loop.time()
         notes = self._context.book.notes(run.endpoint.endpoint_id)
         is_known_lost = max(
@@ -435,7 +371,7 @@
             now_s - since_s, run.has_events, is_known_lost
         ) and self._can_move(run)
 
-    def _is_check_due(self, run: _Run, since_s: float) -> bool:
+    def _is_check_due(self, run: runs.Run, since_s: float) -> bool:
         now_s = self._loop.time()
         is_due = self._gaps.is_check_due(
             now_s - max(since_s, run.checked_s), run.has_events
@@ -444,7 +380,7 @@
             run.checked_s = now_s
         return is_due
 
-    def _can_move(self, run: _Run) -> bool:
+    def _can_move(self, run: runs.Run) -> bool:
         """Tell whether a silent run may go on elsewhere; note it if so."""
         route = self._order.route
         if not route.is_resumable or self._runs + 1 >= route.max_endpoints:
@@ -456,7 +392,7 @@
         return True
 
     async def _pass_on(
-        self, run: _Run, head: exchanges.AnswerHead, chunk: bytes
+        self, run: runs.Run, head: exchanges.AnswerHead, chunk: bytes
     ) -> None:
         whole = self._splitter.feed(chunk)
         if not whole:
@@ -485,7 +421,7 @@
             self._order.route.name, self._loop.time() - self._began_s
         )
 
-    def _note_first_event(self, run: _Run) -> None:
+    def _note_first_event(self, run: runs.Run) -> None:
         run.has_events = True
         run.first_event_s = self._loop.time()
         self._context.book.notes(run.endpoint.endpoint_id).starting -= 1
@@ -494,7 +430,7 @@
         )
         self._context.placed()
 
-    def _note_interruption(self, run: _Run, end: Interrupted) -> None:
+    def _note_interruption(self, run: runs.Run, end: runs.Interrupted) -> None:
         """Take a refused connection as a loss of the endpoint.
 
         A single broken stream may be a fault of that stream alone.
@@ -507,13 +443,13 @@
             book.was_lost(run.endpoint.endpoint_id, now_s)
             self._context.placed()
 
-    def _note_end(self, run: _Run, end: RunEnd) -> None:
+    def _note_end(self, run: runs.Run, end: runs.RunEnd) -> None:
         self._last_run = None
         match end:
-            case Whole():
+            case runs.Whole():
                 self._observe_pace(run)
                 return
-            case Interrupted():
+            case runs.Interrupted():
                 # Before its first event a run has nothing to copy.
                 self._last_run = run if run.has_events else None
                 self._note_interruption(run, end)
@@ -529,7 +465,7 @@
                 'request_id': self._order.request.facts.request_id,
                 'endpoint_id': run.endpoint.endpoint_id,
                 'outcome': type(end).__name__,
-                'reason': _reason(end),
+                'reason': runs.reason_of(end),
                 'last_event': self._splitter.last_event,
                 'memory_source': run.memory_source,
                 'run_s': round(self._loop.time() - run.began_s, 3),
@@ -537,48 +473,9 @@
         )
 
 
-class _Placed:
-    """Counts a run at its endpoint and its backup while it lasts."""
-
-    def __init__(self, context: contexts.ForwardingContext, run: _Run) -> None:
-        self._context = context
-        self._run = run
-
-    def __enter__(self) -> None:
-        notes = self._context.book.notes(self._run.endpoint.endpoint_id)
-        notes.streams += 1
-        notes.starting += 1
-        if self._run.backup is not None:
-            backup = self._run.backup.endpoint_id
-            self._context.book.notes(backup).backups += 1
-        self._context.placed()
-
-    def __exit__(self, *details: object) -> None:
-        notes = self._context.book.notes(self._run.endpoint.endpoint_id)
-        notes.streams -= 1
-        if not self._run.has_events:
-            notes.starting -= 1
-        if self._run.backup is not None:
-            backup = self._run.backup.endpoint_id
-            self._context.book.notes(backup).backups -= 1
-        self._context.placed()
-
-
 async def _next_chunk(chunks: abc.AsyncIterator[bytes]) -> bytes:
     """Return the next bytes, or none at the end of the body."""
     async for chunk in chunks:
         if chunk:
             return chunk
     return b''
-
-
-def _reason(end: RunEnd) -> str:
-    match end:
-        case Interrupted(reason):
-            return 'connect failed' if not end.may_have_run else reason
-        case exchanges.Declined(status):
-            return f'declined {status}'
-        case Rejected(answer):
-            return f'status {answer.head.status}'
-        case Whole():
-            return 'whole'
--- a/src/godwitvalve/ingress/answers.py
+++ b/src/godwitvalve/ingress/answers.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import random
+
 from aiohttp import web
 import orjson
 
 from godwitvalve.outcomes import codes
 from godwitvalve.outcomes import problem
 
-# Spreads the return of callers that were refused together.
+# Share of the wait by which callers that were refused together are spread.
 RETRY_SPREAD = 0.5
 
 
@@ -21,7 +23,8 @@
     """
     headers = {}
     if retry_after_s is not None:
-        headers['Retry-After'] = f'{retry_after_s:.2f}'
+        spread_s = retry_after_s * random.uniform(1.0, 1.0 + RETRY_SPREAD)
+        headers['Retry-After'] = f'{spread_s:.2f}'
     return web.Response(
         status=status,
         body=orjson.dumps({**problem.describe(code), 'status': status}),
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -277,9 +277,11 @@
         )
         if not addresses:
             return web.Response(status=503)
-        body = wire_directory.encode_addresses(
-            addresses, directory.ADDRESS_VALIDITY_S
+        validity_s = min(
+            directory.ADDRESS_VALIDITY_S,
+            self._settings.address_validity_limit_s,
         )
+        body = wire_directory.encode_addresses(addresses, validity_s)
         return web.Response(body=body, content_type='application/json')
 
     async def _upkeep(self) -> None:
--- a/src/godwitvalve/placement/book.py
+++ b/src/godwitvalve/placement/book.py
@@ -62,10 +62,6 @@
         if notes and not (notes.calls or notes.streams or notes.backups):
             del self._notes[endpoint_id]
 
-    def ids(self) -> list[str]:
-        """Return the ids of all endpoints with notes."""
-        return list(self._notes)
-
     def succeeded(
         self, endpoint_id: str, load: wire.EndpointLoad | None, now_s: float
     ) -> None:
--- a/src/godwitvalve/platform/configuration.py
+++ b/src/godwitvalve/platform/configuration.py
@@ -44,20 +44,17 @@
 
 
 class _Engine(msgspec.Struct):
-    slots: int
-    kv_capacity_tokens: int
+    # Whether an endpoint takes copies of the memory of others' runs.
     backups: bool = False
 
 
 class _Service(msgspec.Struct):
     name: str
     health_path: str = '/'
-    max_connections: int = 100
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16384
     max_body_bytes: int = 4194304
 
 
@@ -102,12 +99,8 @@
 def _service(raw: _Service) -> routes.ServiceFacts:
     engine = None
     if raw.engine is not None:
-        engine = routes.EngineFacts(
-            raw.engine.slots, raw.engine.kv_capacity_tokens, raw.engine.backups
-        )
-    return routes.ServiceFacts(
-        raw.name, raw.health_path, raw.max_connections, engine
-    )
+        engine = routes.EngineFacts(raw.engine.backups)
+    return routes.ServiceFacts(raw.name, raw.health_path, engine)
 
 
 def decode(content: bytes) -> routes.Configuration:
@@ -128,8 +121,6 @@
             for tenant in raw.tenants
             for key in tenant.api_keys
         },
-        routes.CallerLimits(
-            raw.limits.max_header_bytes, raw.limits.max_body_bytes
-        ),
+        routes.CallerLimits(raw.limits.max_body_bytes),
         content,
     )
--- a/src/godwitvalve/platform/settings.py
+++ b/src/godwitvalve/platform/settings.py
@@ -26,7 +26,6 @@
 
     instance_id: str
     failure_domain: str
-    region: str
     ip: str
     caller_address: str
     readiness_address: str
@@ -35,14 +34,11 @@
     peer_ports: tuple[int, int]
     store_address: str
     seed_addresses: list[str] = []
-    memory_limit_mb: float = 150.0
-    descriptor_limit: int = 1024
     stop_limit_s: float = 8.0
     address_validity_limit_s: float = 5.0
     address_reuse_s: float = 0.0
     retry_budget_ratio: float = 0.8
     retry_budget_burst: float = 150.0
-    retry_budget_window_s: float = 10.0
 
 
 def _address_errors(raw: dict[str, object]) -> list[str]:
--- a/standins/fleet/site.py
+++ b/standins/fleet/site.py
@@ -139,7 +139,6 @@
         settings = {
             'instance_id': name,
             'failure_domain': domain,
-            'region': 'region-1',
             'ip': ip,
             'caller_address': f'{ip}:{front}',
             'readiness_address': f'{ip}:{ready}',
