--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -109,11 +109,14 @@
         assert configuration is not None
         body = await _read_body(request, configuration.limits.max_body_bytes)
         if body is None:
-            return answers.refuse(codes.ResultCode.BODY_TOO_LARGE, 413)
+            return self._refuse(facts, codes.ResultCode.BODY_TOO_LARGE, 413)
         service = self._context.pick_service(admitted.route)
         if service is None:
-            return answers.refuse(
-                codes.ResultCode.NO_ENDPOINT, 503, NOT_READY_RETRY_AFTER_S
+            return self._refuse(
+                facts,
+                codes.ResultCode.NO_ENDPOINT,
+                503,
+                NOT_READY_RETRY_AFTER_S,
             )
         order = _order(request, facts, body, admitted, service, arrived_s)
         self._context.budget.first_attempt(service)
