Reuse the header rule for connection names; drop an unused condition

platform/headers.py repeated services/headers.named_by_connection. The store client's write took a condition that no caller gives. An answer of the directory built the whole record of this entry to learn its own address.

Behaviour is unchanged.

--- a/src/godwitvalve/ingress/directory.py
+++ b/src/godwitvalve/ingress/directory.py
@@ -16,7 +16,7 @@
 
 
 def choose_addresses(
-    own: member_model.Record,
+    own_address: str | None,
     others: abc.Iterable[member_model.Record],
     rng: random.Random,
 ) -> list[str]:
@@ -24,11 +24,15 @@
 
     Load pattern: entries are killed, cut off or stopped one after the
     other; callers pick one address at random for each new connection.
+
+    :param own_address: address of this entry, or None if it does not serve.
     """
     addresses = [
         record.caller_address
-        for record in (own, *others)
+        for record in others
         if record.state == member_model.SERVING
     ]
+    if own_address is not None:
+        addresses.append(own_address)
     rng.shuffle(addresses)
     return addresses
--- a/src/godwitvalve/ingress/membership.py
+++ b/src/godwitvalve/ingress/membership.py
@@ -103,7 +103,7 @@
     async def _register(self) -> None:
         record = self._own_record(0)
         await self._store.write(
-            TABLE, record.instance_id, None, _ENCODER.encode(record)
+            TABLE, record.instance_id, _ENCODER.encode(record)
         )
         _LOG.info('This instance is registered.')
 
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -270,8 +270,13 @@
     async def _resolve(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path != wire_directory.RESOLVE_PATH:
             return web.Response(status=404)
+        own_address = (
+            self._settings.caller_address
+            if self._lifecycle.is_named()
+            else None
+        )
         addresses = directory.choose_addresses(
-            self._own_record(0),
+            own_address,
             self._members.alive(time.monotonic()),
             self._rng,
         )
--- a/src/godwitvalve/ingress/session_rows.py
+++ b/src/godwitvalve/ingress/session_rows.py
@@ -89,7 +89,7 @@
     async def _write(self, running: dict[str, str]) -> None:
         try:
             await self._store.write(
-                TABLE, self._instance_id, None, msgspec.json.encode(running)
+                TABLE, self._instance_id, msgspec.json.encode(running)
             )
             self._written = running
         except stores.StoreUnavailable as error:
--- a/src/godwitvalve/platform/headers.py
+++ b/src/godwitvalve/platform/headers.py
@@ -137,11 +137,13 @@
 
 
 def _connection_names(headers: RawHeaders) -> set[bytes]:
+    decoded = (
+        (name.decode('latin-1'), value.decode('latin-1'))
+        for name, value in headers
+    )
     return {
-        name.strip().lower()
-        for key, value in headers
-        if key.lower() == b'connection'
-        for name in value.split(b',')
+        name.encode('latin-1')
+        for name in header_rules.named_by_connection(decoded)
     }
 
 
--- a/src/godwitvalve/platform/store.py
+++ b/src/godwitvalve/platform/store.py
@@ -164,29 +164,20 @@
             raise StoreUnavailable(f'changes of {table}: status {status}')
         return _rows_answer(body)
 
-    async def write(
-        self, table: str, key: str, expected_version: int | None, value: bytes
-    ) -> bool:
-        """Write one row; tell whether the expected version was there.
+    async def write(self, table: str, key: str, value: bytes) -> None:
+        """Write one row, whatever it held before.
 
-        :param expected_version: 0 if the row must be absent, None for any.
         :raises StoreUnavailable: if the outcome is not known.
         """
         row = {'table': table, 'part': '', 'key': key}
-        expected = (
-            []
-            if expected_version is None
-            else [{**row, 'ver': expected_version}]
-        )
         encoded = base64.b64encode(value).decode()
         body = msgspec.json.encode(
             {
-                'expected_rev': expected,
+                'expected_rev': [],
                 'writes': [{**row, 'value': encoded}],
                 'remove': [],
             }
         )
         status, _ = await self._call('POST', '/rows-tx', body, CALL_LIMIT_S)
-        if status not in (200, 412):
+        if status != 200:
             raise StoreUnavailable(f'write of {table}: status {status}')
-        return status == 200
--- a/src/godwitvalve/services/headers.py
+++ b/src/godwitvalve/services/headers.py
@@ -26,7 +26,8 @@
 Headers = tuple[tuple[str, str], ...]
 
 
-def _named_by_connection(headers: abc.Iterable[tuple[str, str]]) -> set[str]:
+def named_by_connection(headers: abc.Iterable[tuple[str, str]]) -> set[str]:
+    """Return the names of headers that concern one connection only."""
     return {
         name.strip().lower()
         for key, value in headers
@@ -36,7 +37,7 @@
 
 
 def _without(headers: Headers, dropped: frozenset[str]) -> Headers:
-    named = _named_by_connection(headers)
+    named = named_by_connection(headers)
     return tuple(
         (key, value)
         for key, value in headers
