--- a/features/doubles/forwarding_site.py
+++ b/features/doubles/forwarding_site.py
@@ -17,6 +17,8 @@
 from godwitvalve.placement import pace
 from godwitvalve.placement import sessions
 from godwitvalve.platform import headers
+from godwitvalve.rollouts import board
+from godwitvalve.rollouts import orders
 from godwitvalve.routing import retry_budget
 
 SERVICE = 'summaries'
@@ -96,6 +98,7 @@
             lambda endpoint, heard_s: self.lost.append(endpoint),
             dict,
             lambda: None,
+            board.RolloutBoard(orders.ExposureLimits(0.1, 50.0)),
         )
 
     @staticmethod
--- /dev/null
+++ b/features/models/rollout_simulation.py
@@ -0,0 +1,259 @@
+"""Seeded roll-outs of a service behind several entry instances."""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import itertools
+import random
+from typing import NamedTuple
+
+from godwitvalve.fleet import endpoints
+from godwitvalve.fleet import routes
+from godwitvalve.rollouts import board
+from godwitvalve.rollouts import orders
+
+LIMITS = orders.ExposureLimits(0.1, 50.0)
+ROUTES = ('a', 'b', 'c')
+BEAT_S = 0.25
+NEWS_DELAY_S = 0.1
+ANNOUNCED_S = 0.05
+RECORD_S = 5.0
+
+
+class Case(NamedTuple):
+    """How a new version behaves.
+
+    :param usual_failures: share of failures of either version.
+    :param failures: further share of failures of the new version.
+    :param slower: times that its answers take.
+    :param from_s: seconds from the order to the first bad answer.
+    :param route: the only route with bad answers, or all.
+    """
+
+    usual_failures: float = 0.0
+    failures: float = 0.0
+    slower: float = 1.0
+    from_s: float = 0.0
+    route: str = ''
+
+
+class Size(NamedTuple):
+    """Traffic and endpoints of a service.
+
+    :param answer_s: usual time to the answer or the first event.
+    """
+
+    requests_per_s: float
+    entries: int
+    endpoints: int
+    duration_s: float
+    answer_s: float
+    settle_s: float
+
+
+QUIET = Size(3.0, 9, 9, 15.0, 1.2, 6.0)
+PLAIN = Size(20.0, 9, 3, 15.0, 0.045, 0.5)
+GROWN = Size(18.0, 12, 71, 15.0, 1.2, 6.0)
+GROWN_PLAIN = Size(137.0, 12, 4, 15.0, 0.03, 0.5)
+
+
+@dataclasses.dataclass
+class Result:
+    """What became of a roll-out.
+
+    :param sent: requests to the service within the time asked for.
+    :param sent_new: those of them to the new version.
+    :param bad_answers: bad answers of the new version.
+    :param completed_s: seconds from the order; None if not completed.
+    :param taken_back_s: seconds from the order; None if not taken back.
+    """
+
+    sent: int = 0
+    sent_new: int = 0
+    bad_answers: int = 0
+    completed_s: float | None = None
+    taken_back_s: float | None = None
+
+    @property
+    def allowed(self) -> float:
+        """Return how many requests a bad version may get."""
+        return LIMITS.share * self.sent + LIMITS.slack
+
+
+class _Timer:
+    def __init__(self, act):
+        self.act = act
+
+    def cancel(self):
+        self.act = None
+
+
+class Simulation:
+    """One roll-out; the order comes after a while of usual traffic."""
+
+    def __init__(self, size: Size, case: Case, seed: int, naive=False):
+        self._size = size
+        self._case = case
+        self._rng = random.Random(seed)
+        self._naive = naive
+        self._now_s = 0.0
+        self._queue = []
+        self._order = itertools.count()
+        self._boards = [
+            board.RolloutBoard(LIMITS) for _ in range(size.entries)
+        ]
+        self._listed = [
+            endpoints.FleetEndpoint(
+                f'{version}-{number}',
+                's',
+                'x:1',
+                f'fd-{number % 3}',
+                version,
+                8,
+                False,
+                1,
+            )
+            for version in ('v1', 'v2')
+            for number in range(size.endpoints)
+        ]
+        self.result = Result()
+
+    def _at(self, delay_s, act):
+        entry = (self._now_s + delay_s, next(self._order), act)
+        heapq.heappush(self._queue, entry)
+
+    def _call_later(self, delay_s, act):
+        timer = _Timer(act)
+        self._at(delay_s, lambda: timer.act and timer.act())
+        return timer
+
+    def run(self) -> Result:
+        """Play until the time asked for is over."""
+        self._at(0.0, self._arrive)
+        self._at(RECORD_S, self._begin)
+        end_s = RECORD_S + self._size.duration_s
+        while self._queue and self._queue[0][0] < end_s:
+            self._now_s, _, act = heapq.heappop(self._queue)
+            act()
+        return self.result
+
+    @property
+    def _elapsed_s(self):
+        return self._now_s - RECORD_S
+
+    def _begin(self):
+        order = orders.RolloutOrder('s', 'v2', self._size.duration_s, 7)
+        for number, each in enumerate(self._boards):
+            found = each.take_order(order, self._now_s)
+            self._at(ANNOUNCED_S, lambda f=found: self._announce(f))
+            self._at(
+                self._rng.random() * BEAT_S, lambda n=number: self._beat(n)
+            )
+
+    @staticmethod
+    def _announce(found):
+        found.is_announced = True
+
+    def _beat(self, number):
+        own = self._boards[number]
+        (found,) = own.all()
+        found.review(self._listed, self._size.settle_s, self._now_s)
+        if found.wanted() is orders.RolloutState.COMPLETED:
+            found.enter(orders.RolloutState.COMPLETED, 'test')
+            self.result.completed_s = self._elapsed_s
+        taken_back = found.state is orders.RolloutState.DOUBTED
+        if taken_back and self.result.taken_back_s is None:
+            self.result.taken_back_s = self._elapsed_s
+        # A copy, as counts go on changing until the news arrive.
+        told = own.news(self._now_s)[0]
+        told = dataclass_copy(told)
+        self._at(NEWS_DELAY_S, lambda: self._tell(number, told))
+        self._at(BEAT_S, lambda: self._beat(number))
+
+    def _tell(self, number, told):
+        for other, each in enumerate(self._boards):
+            if other != number:
+                origin = (f'entry-{number}', 1)
+                each.hear(origin, told, self._now_s, NEWS_DELAY_S)
+
+    def _arrive(self):
+        self._at(
+            self._rng.expovariate(self._size.requests_per_s), self._arrive
+        )
+        own = self._rng.choice(self._boards)
+        usable = self._usable(own)
+        if not usable:
+            return
+        endpoint = self._rng.choice(usable)
+        route = self._rng.choice(ROUTES)
+        is_new = endpoint.version == 'v2'
+        if self._elapsed_s > 0:
+            self.result.sent += 1
+            self.result.sent_new += is_new
+        trial = own.begin(
+            endpoint,
+            _route(route, self._size.answer_s * 4),
+            self._call_later,
+            self._now_s,
+        )
+        self._answer(trial, is_new, route)
+
+    def _usable(self, own):
+        if self._elapsed_s <= 0:
+            return [each for each in self._listed if each.version == 'v1']
+        if self._naive:
+            share = self._elapsed_s / self._size.duration_s
+            version = 'v2' if self._rng.random() < share else 'v1'
+            return [each for each in self._listed if each.version == version]
+        return own.choose('s', self._listed, self._rng.random())
+
+    def _answer(self, trial, is_new, route):
+        case = self._case
+        fails = self._rng.random() < case.usual_failures
+        time_s = self._size.answer_s * self._rng.lognormvariate(0.0, 0.3)
+        is_bad = (
+            is_new
+            and self._elapsed_s >= case.from_s
+            and case.route in ('', route)
+        )
+        if is_bad and self._rng.random() < case.failures:
+            fails = True
+            self.result.bad_answers += 1
+        if is_bad and case.slower > 1.0:
+            time_s *= case.slower
+            self.result.bad_answers += 1
+        self._at(time_s, lambda: trial.answered(fails))
+
+
+def dataclass_copy(told):
+    """Return news whose counts no longer change."""
+    return type(told)(
+        *(getattr(told, name) for name in told.__struct_fields__[:-1]),
+        board.tallies.total([told.tally]),
+    )
+
+
+def _route(name, objective_s):
+    return routes.Route(
+        name,
+        'h',
+        '/',
+        routes.RequestKind.ONCE,
+        9000.0,
+        objective_s * 1000,
+        1,
+        (),
+        1,
+        True,
+        False,
+        700.0,
+    )
+
+
+def play(size, case, count, naive=False):
+    """Return the results of seeded roll-outs."""
+    return [
+        Simulation(size, case, seed, naive).run()
+        for seed in range(100, 100 + count)
+    ]
--- a/features/steps/gossip_members_steps.py
+++ b/features/steps/gossip_members_steps.py
@@ -176,7 +176,7 @@
 @behave.then('generated datagrams never end the exchange')
 def fuzzed(context):
     view = members.Members('own')
-    exchange = node.GossipNode(view, record, (), lambda _: None)
+    exchange = node.GossipNode(view, record, (), lambda *_: None)
     good = node.encode(
         [members.AgedRecord(0, record(name)) for name in ('e1', 'e2')]
     )
--- /dev/null
+++ b/features/steps/rollouts_steps.py
@@ -0,0 +1,274 @@
+"""Steps for roll-outs."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import behave
+from features.models import rollout_simulation as simulation
+from godwitvalve.fleet import endpoints
+from godwitvalve.platform import rollouts as wire_rollouts
+from godwitvalve.platform import store as stores
+from godwitvalve.rollouts import board
+from godwitvalve.rollouts import keeper
+from godwitvalve.rollouts import orders
+
+SIZES = {
+    'quiet': simulation.QUIET,
+    'plain': simulation.PLAIN,
+    'grown': simulation.GROWN,
+    'grown plain': simulation.GROWN_PLAIN,
+}
+CASES = {
+    'is sound': simulation.Case(),
+    'fails like the old one': simulation.Case(usual_failures=0.1),
+    'fails from the start': simulation.Case(failures=0.4),
+    'is slow from the start': simulation.Case(slower=8.0),
+    'fails after a while': simulation.Case(failures=0.4, from_s=3.0),
+    'fails on one route': simulation.Case(failures=0.5, route='b'),
+}
+LISTED = [
+    endpoints.FleetEndpoint(version, 's', 'x:1', 'fd', version, 8, False, 1)
+    for version in ('v1', 'v2')
+]
+ORDER = orders.RolloutOrder('s', 'v2', 15.0, 7)
+
+
+@behave.when(
+    '{count:d} roll-outs of a {size} service run in which the version {case}'
+)
+def run_rollouts(context, count, size, case):
+    context.results = simulation.play(SIZES[size], CASES[case], count)
+
+
+@behave.when(
+    '{count:d} naive roll-outs of a {size} service run in which the '
+    'version {case}'
+)
+def run_naive(context, count, size, case):
+    context.results = simulation.play(
+        SIZES[size], CASES[case], count, naive=True
+    )
+
+
+def _exceeding(context):
+    return [
+        (each.sent_new, each.allowed)
+        for each in context.results
+        if each.sent_new > each.allowed
+    ]
+
+
+@behave.then('none of them exceeds the allowed exposure')
+def none_exceeds(context):
+    assert not _exceeding(context), _exceeding(context)
+
+
+@behave.then('all of them exceed the allowed exposure')
+def all_exceed(context):
+    assert len(_exceeding(context)) == len(context.results)
+
+
+@behave.then('at least {least:d} of them are taken back in time')
+def taken_back(context, least):
+    found = [each.taken_back_s for each in context.results]
+    assert sum(each is not None for each in found) >= least, found
+
+
+@behave.then('at least {least:d} of them are completed in time')
+def completed(context, least):
+    found = [each.completed_s for each in context.results]
+    assert sum(each is not None for each in found) >= least, found
+
+
+def _board():
+    return board.RolloutBoard(simulation.LIMITS)
+
+
+@behave.given('a roll-out that entry "a" takes back')
+def taken_back_at(context):
+    context.boards = {'a': _board(), 'b': _board()}
+    found = context.boards['a'].take_order(ORDER, 0.0)
+    found.is_announced = True
+    found.review(LISTED, 0.0, 14.0)
+    context.old_news = context.boards['a'].news(0.0)[0]
+    assert _new_share(context.boards['a']) > 0
+    found.enter(orders.RolloutState.DOUBTED, 'test')
+
+
+def _new_share(its_board):
+    draws = [number / 10 for number in range(10)]
+    return sum(
+        each.version == 'v2'
+        for draw in draws
+        for each in its_board.choose('s', LISTED, draw)
+    )
+
+
+@behave.when('entry "b" hears of it')
+def hears(context):
+    told = context.boards['a'].news(15.0)[0]
+    assert context.boards['b'].hear(('a', 1), told, 15.0, 0.1)
+
+
+@behave.when('entry "a" hears old news of a running roll-out')
+def hears_old(context):
+    assert not context.boards['a'].hear(('b', 1), context.old_news, 15.0, 0.1)
+
+
+@behave.then('"{name}" sends nothing to the new version')
+def sends_nothing(context, name):
+    its_board = context.boards[name]
+    (found,) = its_board.all()
+    found.review(LISTED, 0.0, 15.0)
+    assert not _new_share(its_board)
+    assert not its_board.allows(LISTED[1])
+
+
+@behave.when('the operator asks again')
+def asks_again(context):
+    found = context.boards['a'].take_order(ORDER._replace(row_version=9), 20.0)
+    found.is_announced = True
+    found.review(LISTED, 0.0, 34.0)
+
+
+@behave.then('"a" may send to the new version')
+def may_send(context):
+    assert _new_share(context.boards['a']) > 0
+
+
+class MemoryStore:
+    """Rows of one table; the next write may lose its answer."""
+
+    def __init__(self):
+        self.version = 1
+        self.rows_by_key = {}
+        self.loses_answer = False
+        self.now_ms = 1000
+
+    async def rows(self, table):
+        await asyncio.sleep(0)
+        found = list(self.rows_by_key.values())
+        return stores.RowsAnswer(found, self.version, False, self.now_ms)
+
+    async def write_if(self, table, key, value, expected_version):
+        await asyncio.sleep(0)
+        known = self.rows_by_key.get(key)
+        if (known.version if known else 0) != expected_version:
+            return False
+        self.version += 1
+        self.rows_by_key[key] = stores.StoredRow(key, self.version, value)
+        if self.loses_answer:
+            self.loses_answer = False
+            raise stores.StoreUnavailable('answer lost')
+        return True
+
+    def state(self):
+        (row,) = self.rows_by_key.values()
+        return wire_rollouts.decode_status(row.value, row.version).state
+
+
+class Entry:
+    """Board and keeper of one entry before a store."""
+
+    def __init__(self, store):
+        self.board = _board()
+        self.rollout = self.board.take_order(ORDER, time.monotonic())
+        self._keeper = keeper.StatusKeeper(
+            store, self.board, lambda: 0, lambda: None
+        )
+
+    async def settle(self):
+        if self.rollout.wanted() is not None:
+            await self._keeper._settle(self.rollout)
+
+    def want(self, state):
+        if state is orders.RolloutState.COMPLETED:
+            # Sound and nearly over.
+            self.rollout.began_s -= 14.5
+            self.rollout.review(LISTED, 0.0, time.monotonic())
+        else:
+            self.rollout.enter(orders.RolloutState.DOUBTED, 'test')
+
+
+@behave.given('a store with a running roll-out')
+def running(context):
+    context.store = MemoryStore()
+    context.entries = [Entry(context.store) for _ in range(2)]
+    for each in context.entries:
+        asyncio.run(each.settle())
+    assert context.store.state() is orders.RolloutState.RUNNING
+
+
+def _settle_all(context):
+    async def settle():
+        await asyncio.gather(*(each.settle() for each in context.entries))
+
+    asyncio.run(settle())
+
+
+@behave.when(
+    'one entry completes it and another takes it back at the same time'
+)
+def race(context):
+    context.entries[0].want(orders.RolloutState.COMPLETED)
+    context.entries[1].want(orders.RolloutState.TAKEN_BACK)
+    assert context.entries[0].rollout.wanted() is not None
+    _settle_all(context)
+
+
+@behave.when('an entry completes it and the answer is lost')
+def lose_answer(context):
+    context.entries[0].want(orders.RolloutState.COMPLETED)
+    context.store.loses_answer = True
+    asyncio.run(context.entries[0].settle())
+    assert context.entries[0].rollout.state is orders.RolloutState.RUNNING
+
+
+@behave.when('another entry wants to take it back')
+def other_wants(context):
+    context.entries[1].want(orders.RolloutState.TAKEN_BACK)
+
+
+@behave.then('the store holds one end and both entries follow it')
+def one_end(context):
+    _settle_all(context)
+    held = context.store.state()
+    assert held.is_final
+    assert {each.rollout.state for each in context.entries} == {held}
+
+
+@behave.then('the store holds "completed" and both entries follow it')
+def completed_end(context):
+    one_end(context)
+    assert context.store.state() is orders.RolloutState.COMPLETED
+
+
+@behave.when('an entry that knows nothing starts {span_s:d} s later')
+def starts_later(context, span_s):
+    context.store.now_ms += span_s * 1000
+    context.late = Entry(context.store)
+    asyncio.run(context.late.settle())
+
+
+@behave.then('it takes the roll-out as {span_s:d} s old')
+def as_old(context, span_s):
+    elapsed_s = context.late.rollout.elapsed_s(time.monotonic())
+    assert span_s <= elapsed_s < span_s + 0.5, elapsed_s
+    assert context.late.rollout.is_announced
+
+
+@behave.then('rows that are no orders or no status are refused')
+def damaged(context):
+    rows = (b'7', b'{', b'{"service": "s"}', b'{"state": "?", "to": "v"}')
+    for row in rows:
+        for decode in (
+            wire_rollouts.decode_order,
+            wire_rollouts.decode_status,
+        ):
+            try:
+                decode(row, 1)
+            except wire_rollouts.DamagedRollout:
+                continue
+            raise AssertionError(row)
--- a/src/godwitvalve/fleet/readers.py
+++ b/src/godwitvalve/fleet/readers.py
@@ -10,7 +10,9 @@
 from godwitvalve.logs import setup as logs
 from godwitvalve.platform import configuration as wire_configuration
 from godwitvalve.platform import endpoints as wire_endpoints
+from godwitvalve.platform import rollouts as wire_rollouts
 from godwitvalve.platform import store as stores
+from godwitvalve.rollouts import orders
 
 _LOG = logs.get('fleet')
 
@@ -28,10 +30,6 @@
         self._state = state
         self._on_change = on_change
 
-    def take_all(self, rows: list[stores.StoredRow], version: int) -> None:
-        """Take all rows of the operator's table."""
-        self.take_changes(rows)
-
     def take_changes(self, rows: list[stores.StoredRow]) -> None:
         """Take the newest configuration among changed rows."""
         for row in rows:
@@ -61,11 +59,57 @@
         self._on_change()
         return True
 
+
+class OrderReader:
+    """Takes the operator's roll-outs.
+
+    :param on_order: called with each order that is read.
+    """
+
+    def __init__(
+        self, on_order: abc.Callable[[orders.RolloutOrder], None]
+    ) -> None:
+        self._on_order = on_order
+
+    def take_changes(self, rows: list[stores.StoredRow]) -> None:
+        """Take the orders among changed rows."""
+        for row in rows:
+            if not wire_rollouts.is_order(row.key) or row.value is None:
+                continue
+            try:
+                order = wire_rollouts.decode_order(row.value, row.version)
+            except wire_rollouts.DamagedRollout as error:
+                _LOG.error(
+                    'An order cannot be read.',
+                    extra={'key': row.key, 'reason': str(error)},
+                )
+                continue
+            self._on_order(order)
+
+
+class OperatorReader:
+    """Takes the operator's table: configurations and roll-outs."""
+
+    def __init__(
+        self, configuration: ConfigurationReader, order: OrderReader
+    ) -> None:
+        self._configuration = configuration
+        self._order = order
+
+    def take_all(self, rows: list[stores.StoredRow], version: int) -> None:
+        """Take all rows of the operator's table."""
+        self.take_changes(rows)
+
+    def take_changes(self, rows: list[stores.StoredRow]) -> None:
+        """Take changed rows in order."""
+        self._configuration.take_changes(rows)
+        self._order.take_changes(rows)
+
     def lost(self) -> None:
-        """Nothing depends on the store for a configuration in force."""
+        """Nothing depends on the store for what is in force."""
 
     def regained(self) -> None:
-        """Nothing depends on the store for a configuration in force."""
+        """Nothing depends on the store for what is in force."""
 
 
 class EndpointReader:
--- a/src/godwitvalve/forwarding/calls.py
+++ b/src/godwitvalve/forwarding/calls.py
@@ -49,6 +49,8 @@
         self._order = order
         self._loop = asyncio.get_running_loop()
         self.endpoints: list[str] = []
+        # Decides for a version while the service moves to another one.
+        self._draw = context.rng.random()
         self._tried: set[str] = set()
         self._sends = 0
         self._runs = 0
@@ -102,8 +104,13 @@
                     if reply_now is not None:
                         return reply_now
 
+    def _listed(self) -> list[endpoints.FleetEndpoint]:
+        return self._context.candidates(self._order.service, self._draw)
+
     async def _send_again(self, reason: str) -> replies.Reply | None:
-        listed = self._context.candidates(self._order.service)
+        # What failed once is not tried on a version that is not proved.
+        self._draw = 1.0
+        listed = self._listed()
         if all(each.endpoint_id in self._tried for each in listed):
             self._tried.clear()
             await asyncio.sleep(policy.FULL_CALL_PAUSE_S)
@@ -184,7 +191,7 @@
         """Start a send; tell whether there is an endpoint for it."""
         context = self._context
         endpoint = choose.choose_call(
-            context.candidates(self._order.service),
+            self._listed(),
             context.book,
             self._tried,
             context.failure_domain,
@@ -210,13 +217,19 @@
             order.urgency,
         )
         exchange = exchanges.Exchange(endpoint, self._context.pool)
+        trial = self._context.rollouts.begin(
+            endpoint, order.route, self._loop.call_later, self._loop.time()
+        )
         notes.calls += 1
         try:
             outcome = await exchanges.send_plain(
                 exchange, order.request, facts
             )
+            if isinstance(outcome, exchanges.Answered):
+                trial.answered(outcome.head.status >= 500)
         finally:
             notes.calls -= 1
+            trial.close()
         self._note_outcome(endpoint, outcome)
         return outcome
 
@@ -251,9 +264,7 @@
                 'outcome': type(outcome).__name__,
                 'reason': getattr(outcome, 'reason', '')
                 or getattr(outcome, 'status', ''),
-                'listed_endpoints': len(
-                    self._context.candidates(self._order.service)
-                ),
+                'listed_endpoints': len(self._listed()),
             },
         )
 
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -15,6 +15,7 @@
 from godwitvalve.placement import choose
 from godwitvalve.placement import pace as pace_model
 from godwitvalve.placement import sessions as session_model
+from godwitvalve.rollouts import board as rollout_boards
 from godwitvalve.routing import retry_budget
 
 
@@ -39,6 +40,7 @@
     lost: abc.Callable[[endpoints.FleetEndpoint, float], None]
     elsewhere: abc.Callable[[], choose.Elsewhere]
     placed: abc.Callable[[], None]
+    rollouts: rollout_boards.RolloutBoard
     rng: random.Random = dataclasses.field(default_factory=random.Random)
 
     def pick_service(self, route: routes.Route) -> str | None:
@@ -58,6 +60,13 @@
             self.pool.drop(endpoint.endpoint_id)
             self.placed()
 
-    def candidates(self, service: str) -> list[endpoints.FleetEndpoint]:
-        """Return the endpoints of a service that do not leave."""
-        return self.state.registry.usable(service)
+    def candidates(
+        self, service: str, draw: float
+    ) -> list[endpoints.FleetEndpoint]:
+        """Return the endpoints that a request may go to.
+
+        :param draw: number from 0 to 1 that decides for a version while
+            the service moves to another one; 1 for the old version.
+        """
+        listed = self.state.registry.usable(service)
+        return self.rollouts.choose(service, listed, draw)
--- a/src/godwitvalve/forwarding/runs.py
+++ b/src/godwitvalve/forwarding/runs.py
@@ -8,6 +8,7 @@
 from godwitvalve.fleet import endpoints
 from godwitvalve.forwarding import context as contexts
 from godwitvalve.forwarding import exchange as exchanges
+from godwitvalve.rollouts import trial as trials
 
 
 class Sink(Protocol):
@@ -58,6 +59,7 @@
     first_event_s: float = 0.0
     last_heard_s: float = 0.0
     checked_s: float = 0.0
+    trial: trials.Trial | None = None
 
 
 @dataclasses.dataclass
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -47,6 +47,8 @@
         self._splitter = events.EventSplitter(order.request.facts.last_event)
         self._gaps = gaps.GapWatch(order.route.max_gap_ms / 1000)
         self._tried: set[str] = set()
+        # Decides for a version while the service moves to another one.
+        self._draw = context.rng.random()
         self._current: exchanges.Exchange | None = None
         self._runs = 0
         self._is_started = False
@@ -114,6 +116,8 @@
                 return self._give_up(
                     codes.ResultCode.OVERLOADED, policy.BUSY_RETRY_AFTER_S
                 )
+            # What failed once is not tried on a version that is not proved.
+            self._draw = 1.0
             self._context.counters.count_retry(runs.reason_of(end))
 
     def _can_finish(self) -> bool:
@@ -164,6 +168,9 @@
             return True
         return self._context.budget.try_retry(self._order.service, True)
 
+    def _listed(self) -> list[endpoints.FleetEndpoint]:
+        return self._context.candidates(self._order.service, self._draw)
+
     async def _wait_for_room(self) -> bool:
         """Pause once every endpoint was tried; tell whether to go on.
 
@@ -171,7 +178,7 @@
         no memory for more streams until one of theirs ends. Asking all of
         them in a row only adds to the repeats that the budget allows.
         """
-        listed = self._context.candidates(self._order.service)
+        listed = self._listed()
         if not listed or not all(
             each.endpoint_id in self._tried for each in listed
         ):
@@ -209,9 +216,8 @@
         if copy is not None:
             return copy
         context = self._context
-        candidates = context.candidates(self._order.service)
         endpoint = choose.choose_stream(
-            candidates,
+            self._listed(),
             context.book,
             context.elsewhere(),
             self._tried,
@@ -231,7 +237,7 @@
             return None
         self._last_run = None
         listed = self._context.state.registry.get(last.backup.endpoint_id)
-        if listed is None:
+        if listed is None or not self._context.rollouts.allows(listed):
             return None
         request_id = self._order.request.facts.request_id
         return runs.Run(
@@ -259,7 +265,7 @@
         ):
             return None
         return choose.choose_backup(
-            context.candidates(self._order.service),
+            self._listed(),
             endpoint,
             context.book,
             context.elsewhere(),
@@ -274,6 +280,12 @@
             self._order.request.facts.session, run.endpoint.endpoint_id
         )
         exchange = exchanges.Exchange(run.endpoint, self._context.pool)
+        run.trial = self._context.rollouts.begin(
+            run.endpoint,
+            self._order.route,
+            self._loop.call_later,
+            self._loop.time(),
+        )
         with runs.PlacedRun(self._context, run):
             try:
                 self._current = exchange
@@ -288,6 +300,8 @@
                 run.last_heard_s = exchange.last_bytes_s
                 exchange.abandon()
                 self._splitter.discard_partial()
+                if run.trial:
+                    run.trial.close()
 
     async def _relay(
         self, run: runs.Run, exchange: exchanges.Exchange
@@ -307,6 +321,8 @@
             return runs.Interrupted('encoded answer', True)
         if head.status != 200:
             body = b''.join([chunk async for chunk in exchange.chunks()])
+            if run.trial:
+                run.trial.answered(head.status >= 500)
             return runs.Rejected(exchanges.Answered(head, body))
         chunks = exchange.chunks()
         while True:
@@ -423,6 +439,8 @@
 
     def _note_first_event(self, run: runs.Run) -> None:
         run.has_events = True
+        if run.trial:
+            run.trial.answered(False)
         run.first_event_s = self._loop.time()
         self._context.book.notes(run.endpoint.endpoint_id).starting -= 1
         self._context.book.succeeded(
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -12,6 +12,7 @@
 from godwitvalve.fleet import endpoints
 from godwitvalve.placement import choose
 from godwitvalve.placement import pace
+from godwitvalve.rollouts import news as rollout_news
 
 SERVING = 0
 STARTING = 1
@@ -50,6 +51,7 @@
     :param lost: endpoints that it lost within the last moments.
     :param adopted: endpoints that are used without being listed.
     :param paces: pace of each service.
+    :param rollouts: what it knows about the operator's orders.
     :param replaced: listed endpoints at whose address another one answers.
     """
 
@@ -67,6 +69,7 @@
     lost: list[str] = []
     adopted: list[endpoints.FleetEndpoint] = []
     paces: dict[str, pace.Pace] = {}
+    rollouts: list[rollout_news.RolloutNews] = []
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/godwitvalve/gossip/node.py
+++ b/src/godwitvalve/gossip/node.py
@@ -38,7 +38,8 @@
 
     :param own_record: returns the record of this instance as it is now.
     :param seeds: ``IP:port`` of peers that may be up already.
-    :param on_record: called with each record that is news.
+    :param on_record: called with each record that is news and the seconds
+        since its member sent it.
     """
 
     def __init__(
@@ -46,7 +47,7 @@
         members: member_model.Members,
         own_record: abc.Callable[[int], member_model.Record],
         seeds: abc.Sequence[str],
-        on_record: abc.Callable[[member_model.Record], None],
+        on_record: abc.Callable[[member_model.Record, float], None],
     ) -> None:
         self._members = members
         self._own_record = own_record
@@ -74,7 +75,7 @@
         now_s = time.monotonic()
         for age_ms, record in records:
             if self._members.take(record, now_s, age_ms / 1000):
-                self._on_record(record)
+                self._on_record(record, age_ms / 1000)
 
     def error_received(self, exc: Exception) -> None:
         """Note that a datagram was not delivered; beats are sent anew."""
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -36,6 +36,10 @@
 from godwitvalve.platform import endpoints as wire_endpoints
 from godwitvalve.platform import settings as wire_settings
 from godwitvalve.platform import store as stores
+from godwitvalve.rollouts import board as rollout_boards
+from godwitvalve.rollouts import keeper as rollout_keeper
+from godwitvalve.rollouts import orders as rollout_orders
+from godwitvalve.rollouts import plan as rollout_plan
 from godwitvalve.routing import retry_budget
 
 # Registrations come in groups when a zone restarts; a pause lets one call
@@ -83,6 +87,11 @@
             self._ask_store,
             self._adopt,
         )
+        self._rollouts = rollout_boards.RolloutBoard(
+            rollout_orders.ExposureLimits(
+                settings.exposure_share, settings.exposure_slack
+            )
+        )
         self._context = contexts.ForwardingContext(
             settings.failure_domain,
             self._state,
@@ -99,6 +108,7 @@
             self._successors.lost,
             self._elsewhere,
             self._placed,
+            self._rollouts,
         )
         self._handler = handlers.IngressHandler(self._context, self._lifecycle)
         self._gossip = gossip_nodes.GossipNode(
@@ -175,10 +185,15 @@
             self._context.book.lost(time.monotonic())[:MAX_REPLACED_TOLD],
             self._state.registry.adopted()[:MAX_REPLACED_TOLD],
             self._context.pace.all(),
+            self._rollouts.news(time.monotonic()),
         )
 
-    def _heard(self, record: member_model.Record) -> None:
+    def _heard(self, record: member_model.Record, age_s: float) -> None:
         now_s = time.monotonic()
+        origin = (record.instance_id, record.started_wall_ms)
+        for told in record.rollouts:
+            if self._rollouts.hear(origin, told, now_s, age_s):
+                self._gossip.news()
         self._context.sessions.learn(record.sessions, now_s)
         for endpoint_id in record.lost:
             self._context.book.heard_lost(endpoint_id, now_s)
@@ -217,8 +232,12 @@
         _LOG.info('Stopped.')
 
     def _works(self) -> list[asyncio._CoroutineLike[None]]:
-        follow_configuration = follow.TableFollower(
-            self._store, wire_configuration.TABLE, self._configuration
+        follow_operator = follow.TableFollower(
+            self._store,
+            wire_configuration.TABLE,
+            readers.OperatorReader(
+                self._configuration, readers.OrderReader(self._ordered)
+            ),
         )
         follow_endpoints = follow.TableFollower(
             self._store,
@@ -227,7 +246,7 @@
             self._endpoints_pause_s,
         )
         return [
-            follow_configuration.run(),
+            follow_operator.run(),
             follow_endpoints.run(),
             membership.MemberRows(
                 self._store, self._members, self._own_record
@@ -241,6 +260,9 @@
             ).run(),
             self._sync.run(),
             self._upkeep(),
+            rollout_keeper.StatusKeeper(
+                self._store, self._rollouts, self._turn, self._gossip.news
+            ).run(),
         ]
 
     def _endpoints_pause_s(self) -> float:
@@ -296,6 +318,7 @@
             self._context.pool.prune()
             self._context.sessions.expire(time.monotonic())
             self._divide_budget()
+            self._review_rollouts()
 
     def _divide_budget(self) -> None:
         """Divide the retries that need no request among the entries.
@@ -310,6 +333,32 @@
             max(share, LEAST_RETRIES), max(share, LEAST_BORROWED_RETRIES)
         )
 
+    def _ordered(self, order: rollout_orders.RolloutOrder) -> None:
+        self._rollouts.take_order(order, time.monotonic())
+
+    def _turn(self) -> int:
+        """Return the place of this entry among those that are alive."""
+        own_id = self._settings.instance_id
+        alive = self._members.alive(time.monotonic())
+        return sum(each.instance_id < own_id for each in alive)
+
+    def _review_rollouts(self) -> None:
+        configuration = self._state.configuration
+        for each in self._rollouts.all():
+            service = each.order.service
+            facts = (
+                configuration.services.get(service) if configuration else None
+            )
+            is_model = facts is not None and facts.engine is not None
+            settle_s = (
+                rollout_plan.STREAM_SETTLE_S
+                if is_model
+                else rollout_plan.CALL_SETTLE_S
+            )
+            listed = self._state.registry.usable(service)
+            if each.review(listed, settle_s, time.monotonic()):
+                self._gossip.news()
+
     def _reload(self) -> None:
         """Check the settings file again; addresses need a new start."""
         try:
--- a/src/godwitvalve/platform/settings.py
+++ b/src/godwitvalve/platform/settings.py
@@ -21,7 +21,9 @@
     ``peer_ports`` holds the first and the last port that entry instances
     may use among themselves. ``stop_limit_s`` is the time between SIGTERM
     and SIGKILL. ``address_reuse_s`` is how long the address of an ended
-    endpoint is not given to another service.
+    endpoint is not given to another service. A version that turns out bad
+    may get ``exposure_share`` of the requests for its service and
+    ``exposure_slack`` more.
     """
 
     instance_id: str
@@ -39,6 +41,8 @@
     address_reuse_s: float = 0.0
     retry_budget_ratio: float = 0.8
     retry_budget_burst: float = 150.0
+    exposure_share: float = 0.1
+    exposure_slack: float = 50.0
 
 
 def _address_errors(raw: dict[str, object]) -> list[str]:
--- a/src/godwitvalve/platform/store.py
+++ b/src/godwitvalve/platform/store.py
@@ -36,11 +36,15 @@
 
 
 class RowsAnswer(NamedTuple):
-    """Rows as of ``version``, the newest one of the whole store."""
+    """Rows as of ``version``, the newest one of the whole store.
+
+    :param now_ms: the store's steady clock.
+    """
 
     rows: list[StoredRow]
     version: int
     has_more: bool
+    now_ms: int
 
 
 class _WireRow(msgspec.Struct):
@@ -54,6 +58,7 @@
     ver: int
     rows: list[_WireRow] = []
     has_more: bool = False
+    now_ms: int = 0
 
 
 _DECODER = msgspec.json.Decoder(_WireRows)
@@ -71,7 +76,7 @@
         rows = [_row(row) for row in raw.rows]
     except (msgspec.DecodeError, binascii.Error) as error:
         raise StoreUnavailable(f'damaged answer: {error}') from error
-    return RowsAnswer(rows, raw.ver, raw.has_more)
+    return RowsAnswer(rows, raw.ver, raw.has_more, raw.now_ms)
 
 
 class StoreClient:
@@ -135,7 +140,7 @@
             answer = _rows_answer(body)
             found += answer.rows
             if not answer.has_more or not answer.rows:
-                return RowsAnswer(found, answer.version, False)
+                return answer._replace(rows=found, has_more=False)
             # The smallest key above the last one.
             start = answer.rows[-1].key + '\0'
 
@@ -167,17 +172,40 @@
     async def write(self, table: str, key: str, value: bytes) -> None:
         """Write one row, whatever it held before.
 
+        :raises StoreUnavailable: if the outcome is not known.
+        """
+        status = await self._transact(table, key, value, [])
+        if status != 200:
+            raise StoreUnavailable(f'write of {table}: status {status}')
+
+    async def write_if(
+        self, table: str, key: str, value: bytes, expected_version: int
+    ) -> bool:
+        """Write one row if its version is the expected one.
+
+        :param expected_version: 0 if the row must not exist.
+        :returns: whether the row was written.
         :raises StoreUnavailable: if the outcome is not known.
         """
         row = {'table': table, 'part': '', 'key': key}
+        status = await self._transact(
+            table, key, value, [{**row, 'ver': expected_version}]
+        )
+        if status not in (200, 412):
+            raise StoreUnavailable(f'write of {table}: status {status}')
+        return status == 200
+
+    async def _transact(
+        self,
+        table: str,
+        key: str,
+        value: bytes,
+        expected: list[dict[str, object]],
+    ) -> int:
         encoded = base64.b64encode(value).decode()
+        row = {'table': table, 'part': '', 'key': key, 'value': encoded}
         body = msgspec.json.encode(
-            {
-                'expected_rev': [],
-                'writes': [{**row, 'value': encoded}],
-                'remove': [],
-            }
+            {'expected_rev': expected, 'writes': [row], 'remove': []}
         )
         status, _ = await self._call('POST', '/rows-tx', body, CALL_LIMIT_S)
-        if status != 200:
-            raise StoreUnavailable(f'write of {table}: status {status}')
+        return status
--- /dev/null
+++ b/src/godwitvalve/rollouts/board.py
@@ -0,0 +1,139 @@
+"""All roll-outs that an entry instance knows of."""
+
+from __future__ import annotations
+
+from collections import abc
+
+from godwitvalve.fleet import endpoints
+from godwitvalve.fleet import routes
+from godwitvalve.logs import setup as logs
+from godwitvalve.rollouts import news as news_model
+from godwitvalve.rollouts import orders
+from godwitvalve.rollouts import records
+from godwitvalve.rollouts import rollout as rollouts
+from godwitvalve.rollouts import tally as tallies
+from godwitvalve.rollouts import trial as trials
+
+# Others are told of an order that ended for this long; the store and the
+# memory of each entry keep it.
+TOLD_AFTER_END_S = 20.0
+
+_LOG = logs.get('rollouts')
+
+
+class RolloutBoard:
+    """The newest order of each service.
+
+    :param limits: exposure that a bad version may have.
+    """
+
+    def __init__(self, limits: orders.ExposureLimits) -> None:
+        self._limits = limits
+        self._by_service: dict[str, rollouts.Rollout] = {}
+        self._records: dict[str, records.Record] = {}
+
+    def all(self) -> abc.Collection[rollouts.Rollout]:
+        """Return the newest roll-out of each service."""
+        return self._by_service.values()
+
+    def take_order(
+        self, order: orders.RolloutOrder, now_s: float
+    ) -> rollouts.Rollout | None:
+        """Take an order; return its roll-out if it is the newest."""
+        known = self._by_service.get(order.service)
+        if known is not None:
+            if known.order.row_version == order.row_version:
+                return known
+            if known.order.row_version > order.row_version:
+                return None
+        record = self._records.get(order.service)
+        found = rollouts.Rollout(
+            order,
+            now_s,
+            self._limits,
+            record.recent(now_s) if record else tallies.Tally(routes={}),
+        )
+        self._by_service[order.service] = found
+        _LOG.info(
+            'A roll-out is asked for.',
+            extra={
+                'service': order.service,
+                'version': order.version,
+                'duration_s': order.duration_s,
+                'order': order.row_version,
+            },
+        )
+        return found
+
+    def hear(
+        self,
+        origin: tuple[str, int],
+        told: news_model.RolloutNews,
+        now_s: float,
+        age_s: float,
+    ) -> bool:
+        """Take another entry's news; tell whether a state changed."""
+        order = orders.RolloutOrder(
+            told.service,
+            told.version,
+            told.duration_ms / 1000,
+            told.row_version,
+        )
+        found = self.take_order(order, now_s)
+        return found is not None and found.hear(origin, told, now_s, age_s)
+
+    def choose(
+        self,
+        service: str,
+        listed: list[endpoints.FleetEndpoint],
+        draw: float,
+    ) -> list[endpoints.FleetEndpoint]:
+        """Return the endpoints that a request may go to."""
+        found = self._by_service.get(service)
+        return listed if found is None else found.choose(listed, draw)
+
+    def allows(self, endpoint: endpoints.FleetEndpoint) -> bool:
+        """Tell whether an endpoint may get requests at all."""
+        found = self._by_service.get(endpoint.service)
+        return found is None or found.allows(endpoint)
+
+    def begin(
+        self,
+        endpoint: endpoints.FleetEndpoint,
+        route: routes.Route,
+        call_later: trials.CallLater,
+        now_s: float,
+    ) -> trials.Trial:
+        """Count a send.
+
+        Without an order it counts as one of the version that an order will
+        replace.
+        """
+        found = self._by_service.get(endpoint.service)
+        if found is None or found.state.is_final:
+            return trials.Trial(
+                self._record(endpoint.service).current(now_s),
+                route.name,
+                None,
+                route.objective_ms,
+                call_later,
+            )
+        return trials.Trial(
+            found.own,
+            route.name,
+            endpoint.endpoint_id if found.is_new(endpoint) else None,
+            route.objective_ms,
+            call_later,
+        )
+
+    def _record(self, service: str) -> records.Record:
+        return self._records.setdefault(service, records.Record())
+
+    def news(self, now_s: float) -> list[news_model.RolloutNews]:
+        """Return what the other entries are told now."""
+        return [
+            each.news(now_s)
+            for each in self._by_service.values()
+            if not each.state.is_final
+            or each.elapsed_s(now_s) < each.order.duration_s + TOLD_AFTER_END_S
+        ]
--- /dev/null
+++ b/src/godwitvalve/rollouts/keeper.py
@@ -0,0 +1,133 @@
+"""Writes the state of roll-outs to the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+import time
+
+from godwitvalve.logs import setup as logs
+from godwitvalve.platform import rollouts as wire_rollouts
+from godwitvalve.platform import store as stores
+from godwitvalve.rollouts import board as boards
+from godwitvalve.rollouts import orders
+from godwitvalve.rollouts import rollout as rollouts
+
+PERIOD_S = 0.2
+# The live entry with the smallest id writes; each further one waits this
+# much longer, in case those before it do not reach the store.
+TURN_S = 0.8
+LONGEST_TURN_S = 4.0
+
+_LOG = logs.get('rollouts')
+
+
+class StatusKeeper:
+    """Brings the state that an entry wants into the store.
+
+    The status row is written under the condition that it is unchanged
+    since it was read, and only over a state that may be followed by the
+    wanted one. So a lost answer, a late write or two writers cannot turn a
+    final state into another one.
+
+    :param turn: returns the place of this entry among the live ones.
+    :param on_change: called after each change that others should hear of.
+    """
+
+    def __init__(
+        self,
+        store: stores.StoreClient,
+        board: boards.RolloutBoard,
+        turn: abc.Callable[[], int],
+        on_change: abc.Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._board = board
+        self._turn = turn
+        self._on_change = on_change
+        self._wanted_since_s: dict[tuple[str, int, int], float] = {}
+
+    async def run(self) -> None:
+        """Compare wanted and stored states until cancelled."""
+        while True:
+            await asyncio.sleep(PERIOD_S)
+            for each in list(self._board.all()):
+                if self._is_due(each, time.monotonic()):
+                    await self._settle(each)
+
+    def _is_due(self, each: rollouts.Rollout, now_s: float) -> bool:
+        wanted = each.wanted()
+        if wanted is None:
+            return False
+        order = each.order
+        key = (order.service, order.row_version, int(wanted))
+        since_s = self._wanted_since_s.setdefault(key, now_s)
+        return now_s - since_s >= min(self._turn() * TURN_S, LONGEST_TURN_S)
+
+    async def _settle(self, each: rollouts.Rollout) -> None:
+        try:
+            answer = await self._store.rows(wire_rollouts.STATUS_TABLE)
+            began_at_s = time.monotonic()
+            status = self._status(each, answer)
+            wanted = each.wanted()
+            if status.order_version == each.order.row_version:
+                told_s = began_at_s - (answer.now_ms - status.began_ms) / 1000
+                each.began_s = min(each.began_s, told_s)
+                each.is_announced = True
+                each.enter(status.state, 'store')
+            if wanted is None or status.state.is_final:
+                self._on_change()
+                return
+            elapsed_ms = int(each.elapsed_s(began_at_s) * 1000)
+            written = await self._write(
+                each, wanted, answer.now_ms - elapsed_ms, status.row_version
+            )
+        except stores.StoreUnavailable as error:
+            _LOG.warning(
+                'A roll-out is not settled.',
+                extra={
+                    'service': each.order.service,
+                    'reason': str(error),
+                },
+            )
+            return
+        if written:
+            each.is_announced = True
+            each.enter(wanted, 'written')
+        self._on_change()
+
+    def _status(
+        self, each: rollouts.Rollout, answer: stores.RowsAnswer
+    ) -> orders.RolloutStatus:
+        """Return what is stored; a running state of no order if nothing."""
+        key = wire_rollouts.status_key(each.order.service)
+        nothing = orders.RolloutStatus(0, orders.RolloutState.RUNNING, 0, 0)
+        row = next((row for row in answer.rows if row.key == key), None)
+        if row is None or row.value is None:
+            return nothing
+        try:
+            status = wire_rollouts.decode_status(row.value, row.version)
+        except wire_rollouts.DamagedRollout as error:
+            _LOG.warning(
+                'A status of a roll-out is damaged.',
+                extra={'key': key, 'reason': str(error)},
+            )
+            return nothing._replace(row_version=row.version)
+        if status.order_version != each.order.row_version:
+            # The end of an earlier order.
+            return nothing._replace(row_version=row.version)
+        return status
+
+    async def _write(
+        self,
+        each: rollouts.Rollout,
+        state: orders.RolloutState,
+        began_ms: int,
+        row_version: int,
+    ) -> bool:
+        return await self._store.write_if(
+            wire_rollouts.STATUS_TABLE,
+            wire_rollouts.status_key(each.order.service),
+            wire_rollouts.encode_status(each.order, state, began_ms),
+            row_version,
+        )
--- /dev/null
+++ b/src/godwitvalve/rollouts/news.py
@@ -0,0 +1,26 @@
+"""What entry instances tell one another about roll-outs."""
+
+from __future__ import annotations
+
+import msgspec
+
+from godwitvalve.rollouts import orders
+from godwitvalve.rollouts import tally as tallies
+
+
+class RolloutNews(msgspec.Struct, frozen=True, array_like=True):
+    """One entry's knowledge of one order.
+
+    :param elapsed_ms: milliseconds since the order was first seen.
+    :param state: the state that holds at the sender.
+    :param is_announced: whether the store is known to hold a status.
+    """
+
+    service: str
+    version: str
+    duration_ms: int
+    row_version: int
+    elapsed_ms: int
+    state: orders.RolloutState
+    is_announced: bool
+    tally: tallies.Tally
--- /dev/null
+++ b/src/godwitvalve/rollouts/tally.py
@@ -0,0 +1,92 @@
+"""Counts of answers of both versions, by route and entry."""
+
+from __future__ import annotations
+
+from collections import abc
+import itertools
+
+import msgspec
+
+# Endpoints named in one record; two tell that a fault is not one
+# endpoint's own.
+MAX_FAILING_TOLD = 4
+
+
+class VersionCounts(msgspec.Struct, array_like=True):
+    """Answers of one version on one route.
+
+    :param ended: answers that succeeded or failed.
+    :param timed: answers whose time is known to be in time or slow.
+    """
+
+    ended: int = 0
+    failed: int = 0
+    timed: int = 0
+    slow: int = 0
+
+    def add(self, other: VersionCounts) -> None:
+        """Add the counts of another entry."""
+        self.ended += other.ended
+        self.failed += other.failed
+        self.timed += other.timed
+        self.slow += other.slow
+
+
+class RouteCounts(msgspec.Struct, array_like=True):
+    """Answers of the new and the old version on one route."""
+
+    new: VersionCounts = msgspec.field(default_factory=VersionCounts)
+    old: VersionCounts = msgspec.field(default_factory=VersionCounts)
+
+    def add(self, other: RouteCounts) -> None:
+        """Add the counts of another entry."""
+        self.new.add(other.new)
+        self.old.add(other.old)
+
+
+class Tally(msgspec.Struct, array_like=True):
+    """What one entry counted for one order; counts only grow.
+
+    :param sent_new: sends to the new version.
+    :param sent: sends to either version.
+    :param failing: endpoints of the new version with failed or slow
+        answers.
+    """
+
+    sent_new: int = 0
+    sent: int = 0
+    routes: dict[str, RouteCounts] = {}
+    failing: list[str] = []
+
+    def counts(self, route: str, is_new: bool) -> VersionCounts:
+        """Return the counts of a version on a route, to be changed."""
+        counts = self.routes.setdefault(route, RouteCounts())
+        return counts.new if is_new else counts.old
+
+    def note_failing(self, endpoint_id: str) -> None:
+        """Note an endpoint of the new version that failed or was slow."""
+        if len(self.failing) < MAX_FAILING_TOLD:
+            if endpoint_id not in self.failing:
+                self.failing.append(endpoint_id)
+
+
+def total(tallies: abc.Iterable[Tally]) -> Tally:
+    """Add up the tallies of several entries."""
+    summed = Tally(routes={})
+    failing: set[str] = set()
+    for tally in tallies:
+        summed.sent_new += tally.sent_new
+        summed.sent += tally.sent
+        failing.update(tally.failing)
+        for route, counts in tally.routes.items():
+            summed.routes.setdefault(route, RouteCounts()).add(counts)
+    summed.failing = sorted(failing)
+    return summed
+
+
+def in_sum(routes: abc.Mapping[str, RouteCounts]) -> RouteCounts:
+    """Return the counts of all routes together."""
+    summed = RouteCounts()
+    for counts in itertools.chain(routes.values()):
+        summed.add(counts)
+    return summed
