Pass tables of the store on between entries of a large fleet

Two of six beats leave the failure domain (four and a half before). Ruled out: longer pauses between reads, which the bound for leaving endpoints forbids.

--- a/features/gossip/members.feature
+++ b/features/gossip/members.feature
@@ -28,6 +28,7 @@
     # Guards against beats to everybody at 420 entries.
     Given members that heard 420 entries at 0.0 s
     Then beats go to 6 addresses
+    And 2 of them are in other failure domains
     And a datagram of theirs fits 1400 bytes
 
   Scenario: Beats reach a large fleet in time through others
--- /dev/null
+++ b/features/steps/fleet_relay_steps.py
@@ -0,0 +1,250 @@
+"""Steps for tables that are passed on between entries."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+
+import behave
+from godwitvalve.fleet import endpoints
+from godwitvalve.fleet import follow
+from godwitvalve.fleet import registry
+from godwitvalve.fleet import relay
+from godwitvalve.fleet import sources
+from godwitvalve.gossip import members
+from godwitvalve.platform import store as stores
+
+
+def _record(name):
+    return members.Record(
+        name,
+        1,
+        1,
+        members.SERVING,
+        'x:1',
+        'x:2',
+        name.partition('-')[0],
+        1,
+    )
+
+
+@behave.given('{count:d} live entries in the failure domains "{names}"')
+def live_entries(context, count, names):
+    domains = itertools.cycle(names.split(', '))
+    context.records = [
+        _record(f'{next(domains)}-{number // len(names.split(", "))}')
+        for number in range(count)
+    ]
+    context.chosen = {
+        each.instance_id: _choice(each).choose(_others(context, each), 0.0)
+        for each in context.records
+    }
+
+
+def _choice(record):
+    return sources.SourceChoice(record.instance_id, record.failure_domain)
+
+
+def _others(context, record):
+    return [each for each in context.records if each is not record]
+
+
+@behave.then(
+    '{count:d} of them ask the store and the others one of their own domain'
+)
+def ask_store(context, count):
+    at_store = [each for each, found in context.chosen.items() if not found]
+    assert len(at_store) == count, at_store
+    for name, found in context.chosen.items():
+        if found is not None:
+            assert found.failure_domain == name.partition('-')[0]
+            assert context.chosen[found.instance_id] is None
+
+
+@behave.when('all sources of the entry "{name}" fail one after the other')
+def sources_fail(context, name):
+    own = next(each for each in context.records if each.instance_id == name)
+    choice = _choice(own)
+    context.asked = []
+    while found := choice.choose(_others(context, own), 1.0):
+        context.asked.append(found.failure_domain)
+        choice.failed(found.instance_id, 1.0)
+
+
+@behave.then('"{name}" asked one of each failure domain and then the store')
+def asked_each(context, name):
+    assert context.asked[0] == name.partition('-')[0]
+    assert sorted(context.asked) == ['a', 'b', 'c', 'd']
+
+
+def _rows(text, version):
+    return [
+        stores.StoredRow(key, version, value.encode())
+        for key, _, value in (
+            each.partition('=') for each in text.split(', ') if each
+        )
+    ]
+
+
+def _take(context, rows, version, is_whole):
+    answer = sources.TableAnswer(rows, version, time.monotonic())
+    asyncio.run(context.relay.take(answer, is_whole))
+
+
+@behave.given('a relay that read "{text}" at version {version:d}')
+def relay_read(context, text, version):
+    context.relay = relay.TableRelay()
+    _take(context, _rows(text, version), version, True)
+
+
+@behave.when('it takes "{text}" and the removal of "{key}" at version {to:d}')
+def relay_takes(context, text, key, to):
+    gone = stores.StoredRow(key, to, None)
+    _take(context, [*_rows(text, to - 1), gone], to, False)
+
+
+def _text(rows):
+    return ', '.join(
+        f'{row.key} gone'
+        if row.value is None
+        else f'{row.key}={row.value.decode()}'
+        for row in rows
+    )
+
+
+@behave.then('a reader at version {version:d} gets "{text}"')
+@behave.then('a reader at version {version:d} gets ""')
+def reader_gets(context, version, text=''):
+    assert _text(context.relay.since(version).rows) == text
+
+
+@behave.then('a reader without a version gets "{text}"')
+def reader_gets_all(context, text):
+    assert _text(context.relay.whole().rows) == text
+
+
+@behave.then('a reader at version {version:d} must read the table anew')
+def reads_anew(context, version):
+    try:
+        context.relay.since(version)
+    except stores.HistoryGone:
+        return
+    raise AssertionError('changes were returned')
+
+
+@behave.when('its store is silent for {span_s:d} s')
+def silent(context, span_s):
+    context.now_s = time.monotonic() + span_s
+
+
+@behave.then(
+    'a reader at version {version:d} gets an answer at once that tells its age'
+)
+def answer_at_once(context, version):
+    began_s = time.monotonic()
+    answer = asyncio.run(context.relay.changes(version, 1.0, context.now_s))
+    assert time.monotonic() - began_s < 0.5
+    assert context.now_s - answer.confirmed_s >= 2.0
+
+
+class _Source:
+    """Gives one change a call up to a version, then fails."""
+
+    def __init__(self, last):
+        self.last = last
+
+    async def rows(self, table):
+        await asyncio.sleep(0)
+        return self._answer(10)
+
+    async def changes(self, table, after, wait_s):
+        await asyncio.sleep(0)
+        if after >= self.last:
+            raise stores.StoreUnavailable('frozen')
+        return self._answer(after + 1)
+
+    @staticmethod
+    def _answer(version):
+        row = stores.StoredRow(f'k{version}', version, b'')
+        return sources.TableAnswer([row], version, time.monotonic())
+
+
+class _Sources:
+    def __init__(self):
+        self.left = [('first', _Source(11)), ('second', _Source(14))]
+
+    def choose(self):
+        if not self.left:
+            raise asyncio.CancelledError
+        name, source = self.left[0]
+        return source, name
+
+    def wait_s(self):
+        return 0.0
+
+    def failed(self, instance_id):
+        self.left.pop(0)
+
+
+class _Reader:
+    def __init__(self):
+        self.versions = []
+
+    def take_all(self, rows, version):
+        self.take_changes(rows)
+
+    def take_changes(self, rows):
+        self.versions += [row.version for row in rows]
+
+    def lost(self):
+        raise AssertionError('the store was not asked')
+
+    def regained(self, trusted_from_s):
+        pass
+
+    def trusted_from_s(self):
+        return float('-inf')
+
+
+@behave.given('a follower whose first source stops after version 11')
+def follower(context):
+    context.reader = _Reader()
+    its_follower = follow.TableFollower(
+        _Sources(), 't', context.reader, relay.TableRelay()
+    )
+    try:
+        asyncio.run(its_follower.run())
+    except asyncio.CancelledError:
+        return
+
+
+@behave.then('it has taken the versions 10 to 14 once each')
+def taken_once(context):
+    assert context.reader.versions == [10, 11, 12, 13, 14]
+
+
+@behave.given('a registry that never saw an outage')
+def calm_registry(context):
+    context.registry = registry.EndpointRegistry()
+    context.registry.store_regained(-100.0)
+    context.registry.update(
+        endpoints.FleetEndpoint('e', 's', 'x:1', 'fd', 'v1', 8, False, 1), 1
+    )
+
+
+@behave.when(
+    'another entry tells that removals are not trusted for {span_s:d} s'
+)
+def told_distrust(context, span_s):
+    context.registry.store_regained(10.0, 10.0 + span_s)
+
+
+@behave.when('the row of an endpoint is removed')
+def row_lapses(context):
+    context.registry.remove('e', 2, 10.5)
+
+
+@behave.then('the endpoint is still used')
+def still_used(context):
+    assert context.registry.usable('s')
--- a/features/steps/gossip_members_steps.py
+++ b/features/steps/gossip_members_steps.py
@@ -15,6 +15,11 @@
 )
 
 
+def domain(name):
+    """Return one of four failure domains."""
+    return f'fd-{sum(map(ord, name)) % 4}'
+
+
 def record(name, beat=1, started_ms=1):
     return members.Record(
         name,
@@ -23,7 +28,7 @@
         members.SERVING,
         f'{name}:80',
         f'{name}:90',
-        'fd-1',
+        domain(name),
         3,
         {'i-0123456789': (2, 1, 1)},
     )
@@ -31,21 +36,21 @@
 
 @behave.given('members that heard "{names}" at {now_s:g} s')
 def members_heard(context, names, now_s):
-    context.members = members.Members('own')
+    context.members = members.Members('own', 'fd-1')
     for name in names.split(', '):
         context.members.take(record(name, 5), now_s)
 
 
 @behave.given('members that heard {count:d} entries at {now_s:g} s')
 def many_heard(context, count, now_s):
-    context.members = members.Members('own')
+    context.members = members.Members('own', 'fd-1')
     for number in range(count):
         context.members.take(record(f'entry-{number}'), now_s)
 
 
 @behave.given('members that know the address of "{name}" from the store')
 def members_stored(context, name):
-    context.members = members.Members('own')
+    context.members = members.Members('own', 'fd-1')
     context.members.learn_address(record(name))
 
 
@@ -81,6 +86,13 @@
     assert len(found) == count, found
 
 
+@behave.then('{count:d} of them are in other failure domains')
+def far_beats(context, count):
+    found = context.members.peer_addresses(random.Random(1))
+    far = [each for each in found if domain(each[:-3]) != 'fd-1']
+    assert len(far) == count, found
+
+
 @behave.then('a datagram of theirs fits {limit:d} bytes')
 def datagram_fits(context, limit):
     relayed = context.members.relayed(0.0, random.Random(1))
@@ -95,7 +107,9 @@
         self.rng = random.Random(seed)
         self.names = [f'e{number}' for number in range(count)]
         self.loss = loss
-        self.views = {name: members.Members(name) for name in self.names}
+        self.views = {
+            name: members.Members(name, domain(name)) for name in self.names
+        }
         self.beat = 0
         self.stopped = set()
         for view in self.views.values():
@@ -175,7 +189,7 @@
 
 @behave.then('generated datagrams never end the exchange')
 def fuzzed(context):
-    view = members.Members('own')
+    view = members.Members('own', 'fd-1')
     exchange = node.GossipNode(view, record, (), lambda *_: None)
     good = node.encode(
         [members.AgedRecord(0, record(name)) for name in ('e1', 'e2')]
--- a/src/godwitvalve/fleet/follow.py
+++ b/src/godwitvalve/fleet/follow.py
@@ -7,12 +7,11 @@
 import random
 from typing import Protocol
 
+from godwitvalve.fleet import relay as relays
+from godwitvalve.fleet import sources
 from godwitvalve.logs import setup as logs
 from godwitvalve.platform import store as stores
 
-# An idle wait costs one call; the store's connection is watched by
-# keepalive probes meanwhile.
-FEED_WAIT_S = 8.0
 # First and longest pause after a failed call. A store that is down for
 # seconds is asked about each second by each entry and table.
 FIRST_PAUSE_S = 0.1
@@ -33,27 +32,49 @@
     def lost(self) -> None:
         """Note that the store does not answer."""
 
-    def regained(self) -> None:
-        """Note that the store answers."""
+    def regained(self, trusted_from_s: float) -> None:
+        """Note that the store answers.
+
+        :param trusted_from_s: removals are not trusted before this.
+        """
+
+    def trusted_from_s(self) -> float:
+        """Return from when on removals are trusted."""
+
+
+class Sources(Protocol):
+    """Tells where to read."""
+
+    def choose(self) -> tuple[sources.TableSource, str]:
+        """Return a source and the id of its entry, empty for the store."""
+
+    def wait_s(self) -> float:
+        """Return how long a call may wait for changes."""
+
+    def failed(self, instance_id: str) -> None:
+        """Note that an entry does not pass on fresh rows."""
 
 
 class TableFollower:
     """Reads a table once and then its changes, for ever.
 
+    :param relay: what was read, for other entries.
     :param pause_s: returns the pause between two calls, which lets changes
         that come together be read by one call.
     """
 
     def __init__(
         self,
-        store: stores.StoreClient,
+        its_sources: Sources,
         table: str,
         reader: TableReader,
+        relay: relays.TableRelay,
         pause_s: abc.Callable[[], float] = float,
     ) -> None:
-        self._store = store
+        self._sources = its_sources
         self._table = table
         self._reader = reader
+        self._relay = relay
         self._pause_s = pause_s
         self._version: int | None = None
         self._newest_seen = 0
@@ -63,37 +84,57 @@
         """Follow the table until cancelled."""
         retry_pauses_s = _pauses()
         while True:
+            source, instance_id = self._sources.choose()
             try:
-                await self._step()
+                await self._step(source)
             except stores.HistoryGone:
                 _LOG.info('History is gone.', extra={'table': self._table})
                 self._version = None
                 continue
             except stores.StoreUnavailable as error:
+                if instance_id:
+                    self._note_failed(instance_id, str(error))
+                    continue
                 self._note_lost(str(error))
                 await asyncio.sleep(next(retry_pauses_s))
                 continue
             retry_pauses_s = _pauses()
             await asyncio.sleep(self._pause_s())
 
-    async def _step(self) -> None:
+    def _note_failed(self, instance_id: str, reason: str) -> None:
+        self._sources.failed(instance_id)
+        _LOG.info(
+            'An entry passes on no fresh table.',
+            extra={
+                'table': self._table,
+                'entry': instance_id,
+                'reason': reason,
+            },
+        )
+
+    async def _step(self, source: sources.TableSource) -> None:
         if self._version is None:
-            answer = await self._store.rows(self._table)
-            self._note_regained()
+            answer = await source.rows(self._table)
             if answer.version < self._newest_seen:
                 # A reader behind the newest version; asked again.
                 raise stores.StoreUnavailable('rows are out of date')
+            self._note_regained(answer)
             self._reader.take_all(answer.rows, answer.version)
+            await self._relay.take(self._with_trust(answer), True)
         else:
-            answer = await self._store.changes(
-                self._table, self._version, FEED_WAIT_S
+            answer = await source.changes(
+                self._table, self._version, self._sources.wait_s()
             )
-            self._note_regained()
+            self._note_regained(answer)
             if answer.rows:
                 self._reader.take_changes(answer.rows)
+            await self._relay.take(self._with_trust(answer), False)
         self._version = max(answer.version, self._version or 0)
         self._newest_seen = max(self._newest_seen, answer.version)
 
+    def _with_trust(self, answer: sources.TableAnswer) -> sources.TableAnswer:
+        return answer._replace(trusted_from_s=self._reader.trusted_from_s())
+
     def _note_lost(self, reason: str) -> None:
         self._reader.lost()
         if not self._is_away:
@@ -103,8 +144,8 @@
                 extra={'table': self._table, 'reason': reason},
             )
 
-    def _note_regained(self) -> None:
-        self._reader.regained()
+    def _note_regained(self, answer: sources.TableAnswer) -> None:
+        self._reader.regained(answer.trusted_from_s)
         if self._is_away:
             self._is_away = False
             _LOG.info('The store answers again.', extra={'table': self._table})
--- a/src/godwitvalve/fleet/readers.py
+++ b/src/godwitvalve/fleet/readers.py
@@ -108,9 +108,13 @@
     def lost(self) -> None:
         """Nothing depends on the store for what is in force."""
 
-    def regained(self) -> None:
+    def regained(self, trusted_from_s: float) -> None:
         """Nothing depends on the store for what is in force."""
 
+    def trusted_from_s(self) -> float:
+        """Return a time that has passed: rows of operators do not lapse."""
+        return float('-inf')
+
 
 class EndpointReader:
     """Keeps the registry of endpoints.
@@ -174,9 +178,16 @@
         """Note that rows may lapse without their endpoints being gone."""
         self._registry.store_lost()
 
-    def regained(self) -> None:
-        """Note that lapsed rows are about to come back."""
-        self._registry.store_regained(time.monotonic())
+    def regained(self, trusted_from_s: float) -> None:
+        """Note that lapsed rows are about to come back.
+
+        :param trusted_from_s: removals are not trusted before this.
+        """
+        self._registry.store_regained(time.monotonic(), trusted_from_s)
+
+    def trusted_from_s(self) -> float:
+        """Return from when on removals are trusted."""
+        return self._registry.trusted_from_s
 
 
 def _decode(row: stores.StoredRow) -> endpoints.FleetEndpoint | None:
--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -25,24 +25,29 @@
         self._missing_until_s: dict[str, float] = {}
         self._replaced: set[str] = set()
         self._adopted: set[str] = set()
-        self._trusted_from_s = 0.0
+        self.trusted_from_s = 0.0
         self.is_store_away = True
 
     def store_lost(self) -> None:
         """Note that the store does not answer."""
         self.is_store_away = True
 
-    def store_regained(self, now_s: float) -> None:
+    def store_regained(
+        self, now_s: float, trusted_from_s: float = float('-inf')
+    ) -> None:
         """Note that the store answers again.
 
         :param now_s: monotonic seconds.
+        :param trusted_from_s: removals are not trusted before this, as
+            another entry tells that saw an outage.
         """
+        self.trusted_from_s = max(self.trusted_from_s, trusted_from_s)
         if not self.is_store_away:
             return
         self.is_store_away = False
-        self._trusted_from_s = now_s + RETURN_LIMIT_S
+        self.trusted_from_s = now_s + RETURN_LIMIT_S
         for endpoint_id in self._adopted:
-            self._missing_until_s[endpoint_id] = self._trusted_from_s
+            self._missing_until_s[endpoint_id] = self.trusted_from_s
 
     def update(
         self, endpoint: endpoints.FleetEndpoint, row_version: int
@@ -98,8 +103,8 @@
             return False
         if endpoint_id not in self._listed:
             return False
-        if now_s < self._trusted_from_s:
-            self._missing_until_s.setdefault(endpoint_id, self._trusted_from_s)
+        if now_s < self.trusted_from_s:
+            self._missing_until_s.setdefault(endpoint_id, self.trusted_from_s)
             return False
         self._forget(endpoint_id)
         return True
--- /dev/null
+++ b/src/godwitvalve/fleet/relay.py
@@ -0,0 +1,108 @@
+"""What an entry knows of a table, to be passed on to other entries."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+
+from godwitvalve.fleet import sources
+from godwitvalve.platform import store as stores
+
+# Removed rows are kept for entries that lack a few changes; a zone of the
+# largest fleet has fewer endpoints. Others read the table anew.
+MAX_REMOVED = 4096
+
+
+class TableRelay:
+    """Newest rows of a table and how far back changes are known.
+
+    Load pattern: each of 58 entries reads each change of 71 endpoints from
+    the store, which prices calls. One entry of each failure domain reads
+    them and passes them on.
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.confirmed_s = float('-inf')
+        self.trusted_from_s = float('-inf')
+        self._complete_from = 0
+        self._rows: dict[str, stores.StoredRow] = {}
+        self._removed: dict[str, stores.StoredRow] = {}
+        self._changed = asyncio.Condition()
+
+    async def take(self, answer: sources.TableAnswer, is_whole: bool) -> None:
+        """Take an answer of the store or of another entry.
+
+        :param is_whole: whether it holds the whole table.
+        """
+        if is_whole:
+            self._rows.clear()
+            self._removed.clear()
+            self._complete_from = answer.version
+        for row in answer.rows:
+            self._put(row)
+        has_news = answer.version > self.version
+        self.version = max(self.version, answer.version)
+        self.confirmed_s = max(self.confirmed_s, answer.confirmed_s)
+        self.trusted_from_s = max(self.trusted_from_s, answer.trusted_from_s)
+        if has_news or answer.rows:
+            async with self._changed:
+                self._changed.notify_all()
+
+    def _put(self, row: stores.StoredRow) -> None:
+        if row.value is not None:
+            self._rows[row.key] = row
+            self._removed.pop(row.key, None)
+            return
+        self._rows.pop(row.key, None)
+        self._removed.pop(row.key, None)
+        self._removed[row.key] = row
+        while len(self._removed) > MAX_REMOVED:
+            oldest = self._removed.pop(next(iter(self._removed)))
+            self._complete_from = oldest.version
+
+    def whole(self) -> sources.TableAnswer:
+        """Return the whole table as it is known.
+
+        :raises StoreUnavailable: if it was never read.
+        """
+        if not self.version:
+            raise stores.StoreUnavailable('the table was never read')
+        return self._answer(list(self._rows.values()))
+
+    def since(self, after_version: int) -> sources.TableAnswer:
+        """Return the rows that changed after a version.
+
+        :raises HistoryGone: if the table must be read anew.
+        """
+        if after_version < self._complete_from:
+            raise stores.HistoryGone
+        known: abc.Iterable[stores.StoredRow] = (
+            *self._rows.values(),
+            *self._removed.values(),
+        )
+        changed = [row for row in known if row.version > after_version]
+        return self._answer(sorted(changed, key=lambda row: row.version))
+
+    def _answer(self, rows: list[stores.StoredRow]) -> sources.TableAnswer:
+        return sources.TableAnswer(
+            rows, self.version, self.confirmed_s, self.trusted_from_s
+        )
+
+    async def changes(
+        self, after_version: int, wait_s: float, now_s: float
+    ) -> sources.TableAnswer:
+        """Wait for changes after a version, or until this gets stale.
+
+        :raises HistoryGone: if the table must be read anew.
+        """
+        fresh_s = self.confirmed_s + sources.STALE_S - now_s
+        try:
+            async with asyncio.timeout(max(min(wait_s, fresh_s), 0.0)):
+                async with self._changed:
+                    await self._changed.wait_for(
+                        lambda: bool(self.since(after_version).rows)
+                    )
+        except asyncio.TimeoutError:
+            pass
+        return self.since(after_version)
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -30,8 +30,10 @@
 # such datagrams to each, 40 a second at an entry of the largest fleet here.
 NEWS_MEMBERS = 96
 # Beats a round in a larger fleet, and foreign records in each datagram:
-# 6 datagrams of 1.2 KB four times a second.
+# 6 datagrams of 1.2 KB four times a second. Bytes between failure domains
+# are priced, so two of them leave the own domain.
 FANOUT = 6
+FAR_FANOUT = 2
 RECORDS_A_DATAGRAM = 8
 # How often one entry passes a record on. With each of 87 entries passing
 # it on three times it reaches all of them, and a last beat dies out.
@@ -88,11 +90,12 @@
     """Newest record of each entry instance.
 
     :param own_id: this instance.
-    :param started_s: monotonic seconds of the start.
+    :param own_domain: its failure domain.
     """
 
-    def __init__(self, own_id: str) -> None:
+    def __init__(self, own_id: str, own_domain: str) -> None:
         self._own_id = own_id
+        self._own_domain = own_domain
         self._records: dict[str, Record] = {}
         self._heard_s: dict[str, float] = {}
         # How often the newest record of each member was passed on.
@@ -144,10 +147,18 @@
 
     def peer_addresses(self, rng: random.Random) -> list[str]:
         """Return where the next round of beats goes."""
-        addresses = [each.peer_address for each in self._records.values()]
-        if len(addresses) <= DIRECT_MEMBERS:
-            return addresses
-        return rng.sample(addresses, FANOUT)
+        near: list[str] = []
+        far: list[str] = []
+        for each in self._records.values():
+            is_near = each.failure_domain == self._own_domain
+            (near if is_near else far).append(each.peer_address)
+        if len(self._records) <= DIRECT_MEMBERS:
+            return near + far
+        far_count = max(min(FAR_FANOUT, len(far)), FANOUT - len(near))
+        return [
+            *rng.sample(near, min(FANOUT - far_count, len(near))),
+            *rng.sample(far, min(far_count, len(far))),
+        ]
 
     def news_addresses(self, now_s: float, rng: random.Random) -> list[str]:
         """Return where news of placements go: to the live members.
--- a/src/godwitvalve/ingress/control.py
+++ b/src/godwitvalve/ingress/control.py
@@ -9,6 +9,7 @@
 from godwitvalve.fleet import endpoints
 from godwitvalve.fleet import state as states
 from godwitvalve.forwarding import context as contexts
+from godwitvalve.ingress import peer_tables
 
 STATE_PATH = '/fleet/state'
 METRICS_PATH = '/metrics'
@@ -28,15 +29,19 @@
         self,
         context: contexts.ForwardingContext,
         state: states.FleetState,
+        relay_server: peer_tables.RelayServer,
     ) -> None:
         self._context = context
         self._state = state
+        self._relay_server = relay_server
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request."""
         match request.path:
             case path if path == STATE_PATH:
                 return self._shared_state()
+            case path if path == peer_tables.PATH:
+                return await self._relay_server.answer(request)
             case path if path == METRICS_PATH:
                 return self._metrics(request)
             case _:
--- /dev/null
+++ b/src/godwitvalve/ingress/peer_tables.py
@@ -0,0 +1,189 @@
+"""Tables of the platform's store, passed on between entries."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+import time
+
+import aiohttp
+from aiohttp import web
+import msgspec
+
+from godwitvalve.fleet import relay as relays
+from godwitvalve.fleet import sources
+from godwitvalve.forwarding import sockets
+from godwitvalve.gossip import members as member_model
+from godwitvalve.platform import store as stores
+
+PATH = '/fleet/table'
+# Beyond the wait itself; entries answer one another in milliseconds.
+ANSWER_MARGIN_S = 0.5
+
+
+class _TableMessage(msgspec.Struct, array_like=True):
+    """A table on its way; ages, as clocks of machines differ.
+
+    :param age_ms: milliseconds since the store confirmed it.
+    :param distrust_ms: milliseconds for which removals are not trusted.
+    """
+
+    version: int
+    age_ms: int
+    distrust_ms: int
+    rows: list[stores.StoredRow]
+
+
+class RelayServer:
+    """Answers other entries from what this one knows."""
+
+    def __init__(self, tables: abc.Mapping[str, relays.TableRelay]) -> None:
+        self._tables = tables
+
+    async def answer(self, request: web.BaseRequest) -> web.Response:
+        """Answer a request for a table or its changes."""
+        relay = self._tables.get(request.query.get('table', ''))
+        after = request.query.get('after', '')
+        wait_ms = request.query.get('wait_ms', '0')
+        if relay is None or not wait_ms.isdigit():
+            return web.Response(status=404)
+        now_s = time.monotonic()
+        try:
+            answer = (
+                await relay.changes(int(after), int(wait_ms) / 1000, now_s)
+                if after.isdigit()
+                else relay.whole()
+            )
+        except stores.HistoryGone:
+            return web.Response(status=410)
+        except stores.StoreUnavailable:
+            return web.Response(status=503)
+        now_s = time.monotonic()
+        message = _TableMessage(
+            answer.version,
+            int((now_s - answer.confirmed_s) * 1000),
+            max(int((answer.trusted_from_s - now_s) * 1000), 0)
+            if answer.trusted_from_s > now_s
+            else 0,
+            answer.rows,
+        )
+        return web.Response(body=msgspec.msgpack.encode(message))
+
+
+class PeerSource:
+    """Another entry as the source of a table.
+
+    :param address: ``IP:port`` of its control interface.
+    """
+
+    def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
+        self._url = f'http://{address}{PATH}'
+        self._session = session
+
+    async def rows(self, table: str) -> sources.TableAnswer:
+        """Return the whole table.
+
+        :raises StoreUnavailable: if no fresh answer came.
+        """
+        return await self._ask({'table': table}, 0.0)
+
+    async def changes(
+        self, table: str, after_version: int, wait_s: float
+    ) -> sources.TableAnswer:
+        """Wait for changes of a table.
+
+        :raises HistoryGone: if the table must be read anew.
+        :raises StoreUnavailable: if no fresh answer came.
+        """
+        query = {
+            'table': table,
+            'after': str(after_version),
+            'wait_ms': str(int(wait_s * 1000)),
+        }
+        return await self._ask(query, wait_s)
+
+    async def _ask(
+        self, query: dict[str, str], wait_s: float
+    ) -> sources.TableAnswer:
+        limit = aiohttp.ClientTimeout(total=wait_s + ANSWER_MARGIN_S)
+        try:
+            async with self._session.get(
+                self._url, params=query, timeout=limit
+            ) as answer:
+                content = await answer.read()
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
+            reason = f'{self._url}: {type(error).__name__}'
+            raise stores.StoreUnavailable(reason) from error
+        if answer.status == 410:
+            raise stores.HistoryGone
+        if answer.status != 200:
+            raise stores.StoreUnavailable(f'{self._url}: {answer.status}')
+        try:
+            message = msgspec.msgpack.decode(content, type=_TableMessage)
+        except msgspec.DecodeError as error:
+            raise stores.StoreUnavailable(str(error)) from error
+        return self._take(message)
+
+    def _take(self, message: _TableMessage) -> sources.TableAnswer:
+        now_s = time.monotonic()
+        if message.age_ms > sources.STALE_S * 1000:
+            raise stores.StoreUnavailable(f'stale for {message.age_ms} ms')
+        return sources.TableAnswer(
+            message.rows,
+            message.version,
+            now_s - message.age_ms / 1000,
+            now_s + message.distrust_ms / 1000
+            if message.distrust_ms
+            else float('-inf'),
+        )
+
+
+class PeerSources:
+    """Chooses the source of each call; the store in a small fleet.
+
+    :param alive: returns the records of the other live entries.
+    :param control_port: port of the control interface, alike everywhere.
+    """
+
+    def __init__(
+        self,
+        store: stores.StoreClient,
+        choice: sources.SourceChoice,
+        alive: abc.Callable[[], list[member_model.Record]],
+        control_port: int,
+    ) -> None:
+        self._store = sources.StoreSource(store)
+        self._choice = choice
+        self._alive = alive
+        self._control_port = control_port
+        self._session: aiohttp.ClientSession | None = None
+
+    def choose(self) -> tuple[sources.TableSource, str]:
+        """Return a source and the id of its entry, empty for the store."""
+        record = self._choice.choose(self._alive(), time.monotonic())
+        if record is None:
+            return self._store, ''
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(
+                    limit=0, socket_factory=sockets.create
+                )
+            )
+        host = record.peer_address.rpartition(':')[0]
+        source = PeerSource(f'{host}:{self._control_port}', self._session)
+        return source, record.instance_id
+
+    def wait_s(self) -> float:
+        """Return how long a call may wait for changes."""
+        if len(self._alive()) < member_model.DIRECT_MEMBERS:
+            return sources.STORE_WAIT_S
+        return sources.RELAYED_WAIT_S
+
+    def failed(self, instance_id: str) -> None:
+        """Note that an entry does not pass on fresh rows."""
+        self._choice.failed(instance_id, time.monotonic())
+
+    async def close(self) -> None:
+        """Close the connections to other entries."""
+        if self._session is not None:
+            await self._session.close()
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -12,6 +12,8 @@
 from godwitvalve.fleet import endpoints as endpoint_model
 from godwitvalve.fleet import follow
 from godwitvalve.fleet import readers
+from godwitvalve.fleet import relay as relays
+from godwitvalve.fleet import sources
 from godwitvalve.fleet import state as states
 from godwitvalve.forwarding import context as contexts
 from godwitvalve.forwarding import counters as counter_model
@@ -23,6 +25,7 @@
 from godwitvalve.ingress import directory
 from godwitvalve.ingress import handler as handlers
 from godwitvalve.ingress import membership
+from godwitvalve.ingress import peer_tables
 from godwitvalve.ingress import servers
 from godwitvalve.ingress import session_rows
 from godwitvalve.lifecycle import lifecycle as lifecycles
@@ -45,8 +48,9 @@
 # Registrations come in groups when a zone restarts; a pause lets one call
 # read them together, and leaves most of the 2 s for a leaving endpoint.
 ENDPOINTS_PAUSE_S = 0.5
-# In a large fleet each change is read by every entry.
-LARGE_FLEET_PAUSE_S = 1.0
+# In a large fleet changes come through another entry, which takes a second
+# if that one is lost.
+LARGE_FLEET_PAUSE_S = 0.3
 UPKEEP_PERIOD_S = 0.25
 DRAIN_POLL_S = 0.05
 # Time between the last answer and SIGKILL.
@@ -76,7 +80,9 @@
         self._started_wall_ms = int(time.time() * 1000)
         self._state = states.FleetState()
         self._store = stores.StoreClient(settings.store_address)
-        self._members = member_model.Members(settings.instance_id)
+        self._members = member_model.Members(
+            settings.instance_id, settings.failure_domain
+        )
         self._lifecycle = lifecycles.Lifecycle(
             directory.LEAVING_HEARD_S
             + directory.ADDRESS_VALIDITY_S * directory.LONGEST_KEPT
@@ -130,6 +136,18 @@
             self._configuration,
         )
         self._rng = random.Random()
+        self._relays = {
+            table: relays.TableRelay()
+            for table in (wire_configuration.TABLE, wire_endpoints.TABLE)
+        }
+        self._sources = peer_tables.PeerSources(
+            self._store,
+            sources.SourceChoice(
+                settings.instance_id, settings.failure_domain
+            ),
+            lambda: self._members.alive(time.monotonic()),
+            int(settings.control_address.rpartition(':')[2]),
+        )
         self._stopping = asyncio.Event()
 
     def _elsewhere(self) -> choose.Elsewhere:
@@ -226,6 +244,7 @@
             task.cancel()
         self._successors.stop()
         self._gossip.close()
+        await self._sources.close()
         await self._store.close()
         for runner in runners:
             await runner.cleanup()
@@ -233,16 +252,18 @@
 
     def _works(self) -> list[asyncio._CoroutineLike[None]]:
         follow_operator = follow.TableFollower(
-            self._store,
+            self._sources,
             wire_configuration.TABLE,
             readers.OperatorReader(
                 self._configuration, readers.OrderReader(self._ordered)
             ),
+            self._relays[wire_configuration.TABLE],
         )
         follow_endpoints = follow.TableFollower(
-            self._store,
+            self._sources,
             wire_endpoints.TABLE,
             self._endpoints,
+            self._relays[wire_endpoints.TABLE],
             self._endpoints_pause_s,
         )
         return [
@@ -272,7 +293,11 @@
 
     async def _listen(self) -> list[web.ServerRunner]:
         settings = self._settings
-        controls = control.ControlHandler(self._context, self._state)
+        controls = control.ControlHandler(
+            self._context,
+            self._state,
+            peer_tables.RelayServer(self._relays),
+        )
         return [
             await servers.listen(
                 settings.caller_address, self._handler.handle
