--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SOURCES := src standins bench features scripts
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
-.PHONY: install format check test demo demo-platform bench
+.PHONY: install format check test demo demo-platform bench soak
 
 # A shared VENV belongs to another checkout and is used as it is.
 ifeq ($(VENV),.venv)
@@ -38,3 +38,11 @@
 
 bench: install
 	$(PYTHON) -m bench.main
+
+# Faults against the real programs; SEED=0 draws a fresh seed.
+SEED ?= 0
+S ?= 20
+COUNT ?= 1
+soak: install
+	$(PYTHON) -m standins.soak.run --seed $(SEED) --seconds $(S) \
+		--count $(COUNT)
--- a/features/ingress/fleet.feature
+++ b/features/ingress/fleet.feature
@@ -70,6 +70,19 @@
     And a caller sends a complaint
     Then the complaint ran once and its answer is the endpoint's own
 
+  Scenario: A bad version is taken back
+    # Guards against an order that nobody follows, and callers that meet a
+    # bad version again and again.
+    Given a fleet with 2 entries, 1 model endpoints and 1 plain endpoint
+    When the operator moves complaints to a version that fails within 6 s
+    Then the store tells "rolled_back" and 20 complaints go to the old version
+
+  Scenario: A good version takes over in time
+    # Guards against a version that waits for ever.
+    Given a fleet with 2 entries, 1 model endpoints and 1 plain endpoint
+    When the operator moves complaints to a version that works within 6 s
+    Then the store tells "completed" and 20 complaints go to the new version
+
   Scenario: A failed request is explained by its id
     # Guards against logs that do not tell why a request failed.
     Given a fleet with 1 entries, 1 model endpoints and 1 plain endpoint
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import base64
 import contextlib
 import http.client
+import itertools
 import json
 import os
 import pathlib
@@ -23,6 +25,8 @@
 from standins import local_site
 
 EVENTS = 50
+# Endpoints of complaints: the old version and the new one.
+RUNNERS = ('p0', 'n0', 'n1')
 SOURCES = pathlib.Path(__file__).resolve().parents[2] / 'src/godwitvalve'
 
 
@@ -309,6 +313,68 @@
     complaint_ran(context)
 
 
+@behave.when(
+    'the operator moves complaints to a version that {what} within '
+    '{duration_s:d} s'
+)
+def roll_out(context, what, duration_s):
+    fleet = context.fleet
+    for name in ('n0', 'n1'):
+        fleet.start_process(
+            name, ['standins.fleet.replica', f'--endpoint-id={name}']
+        )
+        if what == 'fails':
+            fleet.post(name, '/standin/faults', {'mode': 'error'})
+        fleet.register(name, 'desk', 'fd-0', version='v2')
+    fleet.operate(
+        'op',
+        'rollout/desk',
+        {'service': 'desk', 'to': 'v2', 'duration_s': duration_s},
+    )
+    until_s = time.monotonic() + duration_s
+    context.numbers = itertools.count()
+    while time.monotonic() < until_s and _rollout_state(context) in (
+        None,
+        'running',
+    ):
+        _complain_anew(context)
+
+
+def _complain_anew(context):
+    number = next(context.numbers)
+    entry = context.entries[number % len(context.entries)]
+    _complain(context, entry, request_id=f'r-{number}')
+    time.sleep(0.02)
+
+
+def _rollout_state(context):
+    rows = local_site.http_json(
+        'GET', f'http://{context.fleet.addresses["store"]}/standin/rows'
+    )
+    for row in rows:
+        if (row['table'], row['key']) == ('status', 'rollout/desk'):
+            return json.loads(base64.b64decode(row['value']))['state']
+    return None
+
+
+@behave.then(
+    'the store tells "{state}" and {count:d} complaints go to the '
+    '{which} version'
+)
+def rolled_out(context, state, count, which):
+    assert _rollout_state(context) == state
+    time.sleep(0.5)
+    before = {name: len(context.fleet.runs(name)) for name in RUNNERS}
+    for _ in range(count):
+        _complain_anew(context)
+    grown = {
+        name
+        for name in RUNNERS
+        if len(context.fleet.runs(name)) > before[name]
+    }
+    assert grown == ({'p0'} if which == 'old' else {'n0', 'n1'}), grown
+
+
 @behave.when('rows of endpoints hold other things')
 def damaged_rows(context):
     address = context.fleet.addresses['p0']
--- a/standins/fleet/replica.py
+++ b/standins/fleet/replica.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import Annotated, Any
 
 from aiohttp import web
@@ -77,6 +78,8 @@
         if 'Token-Usage' in headers:
             return await self._stream(request, marks)
         await asyncio.sleep(WORK_S)
+        if self.mode == 'error':
+            return web.Response(status=500, headers=marks)
         if self.mode == 'lost':
             assert request.transport is not None
             request.transport.abort()
@@ -87,11 +90,13 @@
     ) -> web.StreamResponse:
         response = web.StreamResponse(headers=marks)
         response.content_type = 'text/event-stream'
-        await response.prepare(request)
         last = int(request.headers.get('Last-Event-Id', '0'))
-        for number in range(last + 1, self.events + 1):
-            await asyncio.sleep(self.gap_s)
-            await response.write(b'id: %d\ndata: token\n\n' % number)
+        # A caller that left ends its stream.
+        with contextlib.suppress(ConnectionResetError):
+            await response.prepare(request)
+            for number in range(last + 1, self.events + 1):
+                await asyncio.sleep(self.gap_s)
+                await response.write(b'id: %d\ndata: token\n\n' % number)
         return response
 
 
--- a/standins/fleet/site.py
+++ b/standins/fleet/site.py
@@ -67,9 +67,10 @@
         self.addresses: dict[str, str] = {}
         self._ports = [local_site.free_port() for _ in range(5)]
         self._entries = 0
-        self.store = self._start('store', ['standins.fleet.store'])
+        self.store = self.start_process('store', ['standins.fleet.store'])
 
-    def _start(self, name: str, command: list[str]) -> str:
+    def start_process(self, name: str, command: list[str]) -> str:
+        """Start a stand-in that prints its port; return its address."""
         process = subprocess.Popen(
             [sys.executable, '-m', *command],
             stdout=subprocess.PIPE,
@@ -110,21 +111,30 @@
     ) -> None:
         """Start an endpoint and register it."""
         command = ['standins.fleet.replica', f'--endpoint-id={name}']
-        self._start(name, [*command, f'--port={port}', *options])
+        self.start_process(name, [*command, f'--port={port}', *options])
         self.register(name, service, domain)
 
     def register(
-        self, name: str, service: str, domain: str, state: str = 'ready'
+        self,
+        name: str,
+        service: str,
+        domain: str,
+        state: str = 'ready',
+        address: str = '',
+        version: str = 'v1',
     ) -> None:
-        """Write the row of an endpoint."""
+        """Write the row of an endpoint.
+
+        :param address: where entries find it, if not at its own address.
+        """
         self.operate(
             'servers',
             name,
             {
                 'service': service,
-                'address': self.addresses[name],
+                'address': address or self.addresses[name],
                 'zone': domain,
-                'version': 'v1',
+                'version': version,
                 'slots': 8,
                 'state': state,
                 'born': 1,
@@ -149,8 +159,17 @@
             'store_address': self.store,
             'address_reuse_s': 2.0,
         }
-        path = self.folder / f'{name}.json'
-        path.write_text(json.dumps(settings))
+        self._settings_path(name).write_text(json.dumps(settings))
+        self.addresses[name] = f'{ip}:{front}'
+        self.restart_entry(name)
+        return self.addresses[name]
+
+    def _settings_path(self, name: str) -> pathlib.Path:
+        return self.folder / f'{name}.json'
+
+    def restart_entry(self, name: str) -> None:
+        """Start an entry with the settings that it had."""
+        path = self._settings_path(name)
         with (self.folder / f'{name}.log').open('a') as log:
             self.processes[name] = subprocess.Popen(
                 [sys.executable, '-m', 'godwitvalve.ingress.main'],
@@ -160,8 +179,6 @@
                 cwd=ROOT,
                 env={**self._environment(), 'GODWITVALVE_BOOT': str(path)},
             )
-        self.addresses[name] = f'{ip}:{front}'
-        return self.addresses[name]
 
     def port_address(self, name: str, number: int) -> str:
         """Return an entry's address for callers, readiness and so on."""
--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import time
 from typing import Annotated, Any
 
 from aiohttp import web
@@ -103,7 +104,7 @@
                 'rows': rows,
                 'has_more': more,
                 'ver': self.store.version,
-                'now_ms': 0,
+                'now_ms': int(time.monotonic() * 1000),
             }
         )
 
--- /dev/null
+++ b/standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of the entries: real processes, faults from outside."""
