Serve a roll-out to the version that already runs everywhere

Cause: without an endpoint of another version, requests beyond the allowed exposure were refused; an order for the running version has none from the start. Found by reading; the scenario failed first.

--- a/features/rollouts/rollouts.feature
+++ b/features/rollouts/rollouts.feature
@@ -59,6 +59,11 @@
     When the operator asks again
     Then "a" may send to the new version
 
+  Scenario: The version that is asked for already runs everywhere
+    # Guards against refusing everything, as there is no old version.
+    When an order names the only version and 1000 requests are sent
+    Then all of them had an endpoint
+
   Scenario: Two entries want different ends
     # Guards against a status that is completed and later rolled back.
     Given a store with a running roll-out
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -138,6 +138,24 @@
     assert _new_share(context.boards['a']) > 0
 
 
+@behave.when('an order names the only version and {count:d} requests are sent')
+def only_version(context, count):
+    its_board = _board()
+    found = its_board.take_order(ORDER, 0.0)
+    found.is_announced = True
+    context.chosen = []
+    for number in range(count):
+        found.review(LISTED[1:], 0.0, number / 100)
+        context.chosen.append(its_board.choose('s', LISTED[1:], 0.5))
+        found.own.sent += 1
+        found.own.sent_new += 1
+
+
+@behave.then('all of them had an endpoint')
+def all_had_endpoint(context):
+    assert all(context.chosen)
+
+
 class MemoryStore:
     """Rows of one table; the next write may lose its answer."""
 
--- a/src/godwitvalve/rollouts/rollout.py
+++ b/src/godwitvalve/rollouts/rollout.py
@@ -44,6 +44,7 @@
         self._limits = limits
         self._judge = judges.Judge()
         self._view = _NO_VIEW
+        self._had_old = False
         self._progress = plan.Progress(_NO_VIEW, None)
         # By instance and start, as counts of an earlier start stay true.
         self._told: dict[tuple[str, int], news_model.RolloutNews] = {}
@@ -70,7 +71,7 @@
         """Return the endpoints of the version that a request gets.
 
         :param draw: number from 0 to 1 that decides for a version; 1 means
-            the old one as long as it has requests.
+            the old one unless the new one gets everything.
         """
         new = [each for each in listed if self.is_new(each)]
         old = [each for each in listed if not self.is_new(each)]
@@ -81,10 +82,17 @@
         if self.share >= 1.0:
             return new or old
         if not old:
-            has_exposure = plan.exposure_left(self._view, self._limits) > 0
-            return new if has_exposure else []
+            return new if self._may_expose() else []
         return self._carriers(new, len(old)) if draw < self.share else old
 
+    def _may_expose(self) -> bool:
+        """Tell whether the new version serves while no old one is there.
+
+        An order for the version that already runs has no old one at all.
+        """
+        has_exposure = plan.exposure_left(self._view, self._limits) > 0
+        return has_exposure or not self._had_old
+
     def _carriers(
         self, new: list[endpoints.FleetEndpoint], old_count: int
     ) -> list[endpoints.FleetEndpoint]:
@@ -164,6 +172,7 @@
             sum(each.slots for each in new),
             sum(each.slots for each in listed if not self.is_new(each)),
         )
+        self._had_old |= self._view.old_slots > 0
         self._progress = plan.Progress(self._view, self._judge.blame(len(new)))
         if self.state is not orders.RolloutState.RUNNING:
             return False
