--- a/features/models/rollout_simulation.py
+++ b/features/models/rollout_simulation.py
@@ -165,9 +165,7 @@
         taken_back = found.state is orders.RolloutState.DOUBTED
         if taken_back and self.result.taken_back_s is None:
             self.result.taken_back_s = self._elapsed_s
-        # A copy, as counts go on changing until the news arrive.
-        told = own.news(self._now_s)[0]
-        told = dataclass_copy(told)
+        told = frozen_news(own.news(self._now_s)[0])
         self._at(NEWS_DELAY_S, lambda: self._tell(number, told))
         self._at(BEAT_S, lambda: self._beat(number))
 
@@ -226,8 +224,8 @@
         self._at(time_s, lambda: trial.answered(fails))
 
 
-def dataclass_copy(told):
-    """Return news whose counts no longer change."""
+def frozen_news(told):
+    """Return news whose counts do not change until they arrive."""
     return type(told)(
         *(getattr(told, name) for name in told.__struct_fields__[:-1]),
         board.tallies.total([told.tally]),
