Bound what an endpoint can send instead of an answer

Cause: interim answers were read without end and without yielding, bodies of errors to a stream and of skipped answers had no limit, a plain answer had 8 MiB each whatever their number, and any byte of a stream counted as progress, so a stalled one stayed until its deadline. An attempt that ended at its deadline did not count against the endpoint.

Only new events are progress; comments are skipped within a limit; an attempt that held a request past its objective up to the end is a failure of its endpoint. Chunks that arrived together are read at once.

The second attempt of a request no longer uses a connection that carried the first: a late copy of the first answer has the same id. The scenario of the stale answer therefore gives its two calls ids of their own, as callers do.

Ruled out: telling a body of one-byte chunks from a long answer; the hedged attempt or the deadline ends it.

--- a/features/doubles/forwarding_site.py
+++ b/features/doubles/forwarding_site.py
@@ -7,6 +7,7 @@
 from godwitvalve.fleet import endpoints
 from godwitvalve.fleet import routes
 from godwitvalve.fleet import state
+from godwitvalve.forwarding import answer_memory
 from godwitvalve.forwarding import calls
 from godwitvalve.forwarding import context
 from godwitvalve.forwarding import counters
@@ -64,8 +65,11 @@
     The first endpoint is chosen first.
     """
 
-    def __init__(self, scripted):
+    def __init__(self, scripted, memory=None):
         self.scripted = scripted
+        self.memory = memory or answer_memory.AnswerMemory(
+            answer_memory.limit_for(128)
+        )
         self.lost = []
         self.state = state.FleetState()
         self.state.registry.mark_store_available(-100.0)
@@ -92,7 +96,7 @@
         self.context = context.ForwardingContext(
             'fd-0',
             self.state,
-            pool.ChannelPool(),
+            pool.ChannelPool(self.memory),
             self.tracker,
             retry_budget.RetryBudget(),
             counters.ForwardingCounters('test'),
@@ -114,29 +118,42 @@
         limits = routes.CallerLimits(1 << 20)
         return routes.Configuration(1, [], [facts], {}, limits, b'')
 
-    def routed_request(self, its_route, wait_s=1.4, last_event=0):
+    def routed_request(
+        self, its_route, wait_s=1.4, last_event=0, request_id=REQUEST_ID
+    ):
         """Return a routed request with default contents."""
         request = exchange.CallerRequest(
             'POST',
             '/p/x?y=1',
             (
                 (b'Host', b'h.example'),
-                (b'Request-Id', REQUEST_ID.encode()),
+                (b'Request-Id', request_id.encode()),
                 (b'Kv-From', b'10.0.0.1:1/other'),
             ),
             b'body',
-            headers.CallerFacts(REQUEST_ID, None, '', last_event, 0, 0, 'ab'),
+            headers.CallerFacts(request_id, None, '', last_event, 0, 0, 'ab'),
         )
         deadline_s = asyncio.get_running_loop().time() + wait_s
         return calls.RoutedRequest(
             request, its_route, SERVICE, 'acme', 1, deadline_s
         )
 
-    async def call(self, its_route, wait_s=1.4):
+    async def call(self, its_route, wait_s=1.4, request_id=REQUEST_ID):
         """Forward a plain call and return its reply."""
-        routed = self.routed_request(its_route, wait_s)
+        routed = self.routed_request(its_route, wait_s, 0, request_id)
         return await calls.CallForwarder(self.context, routed).run()
 
+    async def send_to(self, endpoint_id, wait_s, request_id):
+        """Send a plain call once to one endpoint; return its outcome."""
+        routed = self.routed_request(None, wait_s, 0, request_id)
+        attempt = exchange.Exchange(
+            self.state.registry.get(endpoint_id), self.context.pool
+        )
+        facts = headers.SendFacts(endpoint_id, wait_s * 1000, '')
+        return await asyncio.wait_for(
+            exchange.send_plain(attempt, routed.request, facts), wait_s
+        )
+
     async def stream(self, its_route, wait_s=3.0, last_event=0):
         """Forward a stream; return its reply and the sink."""
         sink = Recorder()
--- a/features/doubles/scripted_endpoint.py
+++ b/features/doubles/scripted_endpoint.py
@@ -84,6 +84,24 @@
         return True
 
 
+class ResumingEndpoint(ScriptedEndpoint):
+    """Sends the events after the one that a request names.
+
+    :param last: id of the last event of the stream.
+    """
+
+    def __init__(self, last):
+        super().__init__()
+        self._last = last
+
+    async def _play(self, script, head, reader, writer):
+        found = re.search(rb'last-event-id: *([0-9]+)', head, re.IGNORECASE)
+        first = int(found[1]) + 1 if found else 1
+        events = [event(number) for number in range(first, self._last + 1)]
+        rest = [STREAM_HEAD, *events, STREAM_END]
+        return await super()._play(rest, head, reader, writer)
+
+
 def answer(body=b'fine', status=b'200 OK', extra=b''):
     """Return the bytes of a complete answer."""
     return (
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -127,7 +127,7 @@
     async def act(site):
         await site.call(REPEATABLE)
         await asyncio.sleep(0.15)
-        return await site.call(REPEATABLE)
+        return await site.call(REPEATABLE, request_id='req-2')
 
     context.reply = _run_site(context, act)
 
--- a/src/godwitvalve/forwarding/attempts.py
+++ b/src/godwitvalve/forwarding/attempts.py
@@ -54,6 +54,8 @@
     :param backup: endpoint that holds a copy of the attempt's state.
     :param memory_source: copy that the attempt continues from, as
         ``address/request id``; empty if there is none.
+    :param progress_s: when the attempt began, got its head or passed on
+        its last new event.
     :param last_check_s: time of the last connection check.
     """
 
@@ -64,6 +66,7 @@
     has_events: bool = False
     first_event_s: float = 0.0
     last_activity_s: float = 0.0
+    progress_s: float = 0.0
     last_check_s: float = 0.0
     observation: observations.Observation | None = None
 
--- a/src/godwitvalve/forwarding/calls.py
+++ b/src/godwitvalve/forwarding/calls.py
@@ -222,6 +222,7 @@
         observation = self._context.rollouts.observe(
             endpoint, routed.route, self._loop.call_later, self._loop.time()
         )
+        began_s = self._loop.time()
         stats.calls += 1
         try:
             outcome = await exchanges.send_plain(
@@ -229,12 +230,31 @@
             )
             if isinstance(outcome, exchanges.Answered):
                 observation.record_answer(outcome.head.status >= 500)
+        except asyncio.CancelledError:
+            self._record_stall(endpoint, exchange.is_sent, began_s)
+            raise
         finally:
             stats.calls -= 1
             observation.close()
         self._record_outcome(endpoint, outcome)
         return outcome
 
+    def _record_stall(
+        self,
+        endpoint: endpoints.FleetEndpoint,
+        is_sent: bool,
+        began_s: float,
+    ) -> None:
+        """Record a failure if the call ends after its objective."""
+        now_s = self._loop.time()
+        if (
+            is_sent
+            and now_s - began_s > self._routed.route.objective_ms / 1000
+        ):
+            self._context.endpoint_tracker.record_failure(
+                endpoint.endpoint_id, now_s
+            )
+
     def _record_outcome(
         self,
         endpoint: endpoints.FleetEndpoint,
--- a/src/godwitvalve/forwarding/channel.py
+++ b/src/godwitvalve/forwarding/channel.py
@@ -3,16 +3,30 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from typing import Any, cast
 
 import h11
 
+from godwitvalve.forwarding import answer_memory
 from godwitvalve.forwarding import sockets
 
 # Above this many buffered bytes, reading from the endpoint pauses until the
 # caller's side has consumed them.
-PAUSE_READING_BYTES = 256 * 1024
+PAUSE_READING_BYTES = 64 * 1024
+READ_BYTES = 16 * 1024
 MAX_HEAD_BYTES = 64 * 1024
+# Endpoints send at most one interim answer before the final one.
+MAX_INTERIM_ANSWERS = 8
+# A head is sent at once; the limit leaves time for two retransmissions.
+HEAD_LIMIT_S = 2.0
+# Parsing this many events takes about a millisecond. Other requests run in
+# between if an endpoint sends faster than its bytes are parsed.
+EVENTS_PER_TURN = 32
+# Requests of which a connection keeps the ids. A plain call is attempted
+# again at the same endpoint within a second, in which a connection carries
+# at most some twenty others.
+MAX_CARRIED_IDS = 64
 # A live endpoint accepts within a few ms. A dead machine does not answer a
 # SYN, and one with a full accept queue answers after a second.
 CONNECT_LIMIT_S = 0.3
@@ -38,10 +52,16 @@
     """No connection was established, so nothing was sent."""
 
 
-class EndpointChannel(asyncio.Protocol):
-    """HTTP/1.1 client connection that carries one request at a time."""
+class EndpointChannel(asyncio.BufferedProtocol):
+    """HTTP/1.1 client connection that carries one request at a time.
 
-    def __init__(self) -> None:
+    :param memory: counts the bytes of answers that are not complete.
+    """
+
+    # Shared by all connections, as received bytes are copied at once.
+    _read_buffer = memoryview(bytearray(READ_BYTES))
+
+    def __init__(self, memory: answer_memory.AnswerMemory) -> None:
         self.request_count = 0
         self.last_activity_s = 0.0
         self._idle_until_s = 0.0
@@ -54,6 +74,16 @@
         self._is_lost = False
         self._is_paused = False
         self._buffered_bytes = 0
+        self._kept_bytes = 0
+        self._memory = memory
+        self._carried_ids: collections.deque[str] = collections.deque(
+            maxlen=MAX_CARRIED_IDS
+        )
+        self._events_in_turn = 0
+        # Event that was parsed and is not returned yet.
+        self._parsed_event: Any = None
+        self._is_given_up = False
+        self._lost_reason = 'connection lost'
         self._wakeup: asyncio.Future[None] | None = None
         self._loop = asyncio.get_running_loop()
 
@@ -64,14 +94,21 @@
         if sock is not None:
             sockets.tune(sock)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next bytes."""
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse bytes; bytes without an open request abort the connection."""
         self.last_activity_s = self._loop.time()
+        if self._is_lost:
+            return
         if not self._is_busy:
             self.abort()
             return
-        self._parser.receive_data(data)
-        self._buffered_bytes += len(data)
+        self._parser.receive_data(bytes(self._read_buffer[:nbytes]))
+        self._buffered_bytes += nbytes
+        self._update_memory()
         if (
             self._buffered_bytes > PAUSE_READING_BYTES
             and self._transport is not None
@@ -90,6 +127,23 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake the task that waits for an answer."""
         self._is_lost = True
+        self._memory.release(self)
+        self._wake()
+
+    def keep(self, size_bytes: int) -> None:
+        """Count bytes that were read and that their reader still keeps."""
+        self._kept_bytes = size_bytes
+        self._update_memory()
+
+    def _update_memory(self) -> None:
+        if not self._is_lost:
+            self._memory.hold(self, self._buffered_bytes + self._kept_bytes)
+
+    def abort_for_memory(self) -> None:
+        """Give up the answer, as too many bytes are held for answers."""
+        self._is_given_up = True
+        self._lost_reason = 'answer memory exhausted'
+        self.abort()
         self._wake()
 
     def _wake(self) -> None:
@@ -103,7 +157,17 @@
         """
         return not self._is_lost and now_s < self._idle_until_s
 
-    def begin(self, request: h11.Request, body: bytes) -> None:
+    def has_carried(self, request_id: str) -> bool:
+        """Tell whether a late answer may exist that has this id.
+
+        A second attempt of a request has the id of the first one, so a late
+        copy of the first answer can't be told from the second answer.
+        """
+        return request_id in self._carried_ids
+
+    def begin(
+        self, request: h11.Request, body: bytes, request_id: str = ''
+    ) -> None:
         """Write a request.
 
         :raises ChannelBroken: if the connection is already lost, so that
@@ -112,6 +176,8 @@
         if self._is_lost or self._transport is None:
             raise ChannelBroken('closed before the request')
         self.request_count += 1
+        if request_id:
+            self._carried_ids.append(request_id)
         self._is_busy = True
         content = self._encode(request, body)
         self.last_activity_s = self._loop.time()
@@ -140,28 +206,96 @@
         if is_ended:
             self._parser.receive_data(b'')
 
+    async def read_head(self) -> h11.Response:
+        """Return the head of the answer, without interim answers.
+
+        :raises ChannelBroken: if the connection ends before, or if the
+            bytes are no head, or not within ``HEAD_LIMIT_S`` of the first.
+        """
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
+            await self._wait_for_bytes()
+            try:
+                async with asyncio.timeout(HEAD_LIMIT_S):
+                    event = await self.next_event()
+            except asyncio.TimeoutError as error:
+                raise ChannelBroken('incomplete head') from error
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise ChannelBroken('damaged answer')
+        raise ChannelBroken('too many interim answers')
+
+    async def _wait_for_bytes(self) -> None:
+        while not self._is_lost:
+            unread, is_ended = self._parser.trailing_data
+            if unread or is_ended:
+                return
+            await self._wait()
+
+    async def _wait(self) -> None:
+        self._events_in_turn = 0
+        self._resume_reading()
+        self._wakeup = self._loop.create_future()
+        await self._wakeup
+
     async def next_event(self) -> Any:
         """Return the next ``h11`` event of the answer.
 
         :raises ChannelBroken: if the connection ends before the answer.
         """
-        while True:
-            try:
-                event = self._parser.next_event()
-            except h11.RemoteProtocolError as error:
-                raise ChannelBroken('damaged answer') from error
-            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-                raise ChannelBroken('ended early')
-            if event is not h11.NEED_DATA:
-                return event
+        self._events_in_turn += 1
+        if self._events_in_turn > EVENTS_PER_TURN:
+            self._events_in_turn = 0
+            await asyncio.sleep(0)
+        while (event := self._parse()) is h11.NEED_DATA:
             if self._is_lost:
-                raise ChannelBroken('connection lost')
-            self._resume_reading()
-            self._wakeup = self._loop.create_future()
-            await self._wakeup
+                raise ChannelBroken(self._lost_reason)
+            await self._wait()
+        return event
+
+    def _parse(self) -> Any:
+        """Return the next event, or ``h11.NEED_DATA``."""
+        if self._is_given_up:
+            raise ChannelBroken(self._lost_reason)
+        if self._parsed_event not in (None, h11.NEED_DATA):
+            event, self._parsed_event = self._parsed_event, None
+            return event
+        try:
+            event = self._parser.next_event()
+        except h11.RemoteProtocolError as error:
+            raise ChannelBroken('damaged answer') from error
+        if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+            raise ChannelBroken('ended early')
+        return event
+
+    async def read_data(self) -> bytes:
+        """Return the next bytes of the body, or b'' at its end.
+
+        Joins the chunks that have arrived, as an endpoint may send each
+        byte in a chunk of its own.
+
+        :raises ChannelBroken: if the connection ends before the body.
+        """
+        event = await self.next_event()
+        if isinstance(event, h11.EndOfMessage):
+            return b''
+        parts = [bytes(event.data)]
+        while len(parts) < EVENTS_PER_TURN:
+            try:
+                event = self._parse()
+            except ChannelBroken:
+                # Raised again by the next call.
+                break
+            if not isinstance(event, h11.Data):
+                self._parsed_event = event
+                break
+            parts.append(bytes(event.data))
+        return b''.join(parts)
 
     def _resume_reading(self) -> None:
-        self._buffered_bytes = 0
+        unread, _ = self._parser.trailing_data
+        self._buffered_bytes = len(unread)
+        self._update_memory()
         if self._is_paused and self._transport is not None:
             self._is_paused = False
             self._transport.resume_reading()
@@ -172,6 +306,8 @@
         :param idle_limit_s: limit that the endpoint stated, or None.
         """
         self._is_busy = False
+        self._buffered_bytes = self._kept_bytes = 0
+        self._memory.release(self)
         if idle_limit_s is not None:
             self._idle_limit_s = idle_limit_s
         unread, is_ended = self._parser.trailing_data
@@ -191,20 +327,25 @@
     def close(self) -> None:
         """Close after the bytes that are still to be written."""
         self._is_lost = True
+        self._memory.release(self)
         if self._transport is not None:
             self._transport.close()
 
     def abort(self) -> None:
         """Reset the connection, so that the endpoint cancels the request."""
         self._is_lost = True
+        self._memory.release(self)
         if self._transport is not None:
             self._transport.abort()
 
 
-async def connect(address: str) -> EndpointChannel:
+async def connect(
+    address: str, memory: answer_memory.AnswerMemory
+) -> EndpointChannel:
     """Open a connection.
 
     :param address: ``IP:port``.
+    :param memory: counts the bytes of the connection's answers.
     :raises ConnectFailed: if none is established within the limit.
     """
     host, _, port = address.rpartition(':')
@@ -212,7 +353,7 @@
     try:
         async with asyncio.timeout(CONNECT_LIMIT_S):
             _, channel = await loop.create_connection(
-                EndpointChannel, host, int(port)
+                lambda: EndpointChannel(memory), host, int(port)
             )
     except (OSError, asyncio.TimeoutError) as error:
         reason = f'{address}: {type(error).__name__}'
--- a/src/godwitvalve/forwarding/events.py
+++ b/src/godwitvalve/forwarding/events.py
@@ -8,8 +8,16 @@
 
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
 _EVENT_ID = re.compile(rb'^id: ?([0-9]+)\r?$', re.MULTILINE)
+_FIELD = re.compile(rb'^[^:\r\n]', re.MULTILINE)
 # Events of the known kinds of requests are under 1 KB.
 MAX_EVENT_BYTES = 1024 * 1024
+# Comments and repeated events between two new events. Comments that keep a
+# connection open come about every second.
+MAX_SKIPPED_BYTES = 64 * 1024
+# Least count for one comment or blank line, for the work it makes.
+MIN_SKIPPED_BYTES = 64
+# Length of the longest event end, less one.
+_EVENT_END_OVERLAP = 3
 
 
 class StreamDamaged(Exception):
@@ -31,7 +39,9 @@
 
     def __init__(self, last_event: int) -> None:
         self.last_event = last_event
-        self._partial = b''
+        self._partial = bytearray()
+        self._last_repeated = 0
+        self._skipped_bytes = 0
 
     @property
     def has_partial(self) -> bool:
@@ -39,33 +49,63 @@
         return bool(self._partial.strip())
 
     def discard_partial(self) -> None:
-        """Discard an event that was cut off."""
-        self._partial = b''
+        """Discard an event that was cut off, at the end of an attempt."""
+        self._partial.clear()
+        self._last_repeated = 0
+        self._skipped_bytes = 0
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that ``data`` completes, without repeats.
 
-        :raises StreamDamaged: if an event has no id or one is missing.
+        Comments and blank lines between events are skipped.
+
+        :raises StreamDamaged: if an event has no id, one is missing, or too
+            many bytes bring no new event.
         """
+        searched_bytes = max(len(self._partial) - _EVENT_END_OVERLAP, 0)
         self._partial += data
-        return list(self._complete_events())
-
-    def _complete_events(self) -> abc.Iterator[StreamEvent]:
-        while end := _EVENT_END.search(self._partial):
-            content = self._partial[: end.end()]
-            self._partial = self._partial[end.end() :]
-            event_id = _identify(content)
-            if event_id <= self.last_event:
-                continue
-            if event_id != self.last_event + 1:
-                raise StreamDamaged(
-                    f'event {event_id} after {self.last_event}'
-                )
-            self.last_event = event_id
-            yield StreamEvent(event_id, content)
+        return list(self._complete_events(searched_bytes))
+
+    def _complete_events(
+        self, searched_bytes: int
+    ) -> abc.Iterator[StreamEvent]:
+        begin = 0
+        try:
+            while end := _EVENT_END.search(
+                self._partial, max(begin, searched_bytes)
+            ):
+                content = bytes(self._partial[begin : end.end()])
+                begin = end.end()
+                if self._is_new(content):
+                    yield StreamEvent(self.last_event, content)
+        finally:
+            del self._partial[:begin]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise StreamDamaged('event too large')
 
+    def _is_new(self, content: bytes) -> bool:
+        """Tell whether the bytes are the event after the last one."""
+        if _FIELD.search(content) is None:
+            self._skip(len(content))
+            return False
+        event_id = _identify(content)
+        if event_id > self.last_event + 1:
+            raise StreamDamaged(f'event {event_id} after {self.last_event}')
+        if event_id <= self.last_event:
+            # An endpoint that starts over sends each earlier event once.
+            if event_id <= self._last_repeated:
+                self._skip(len(content))
+            self._last_repeated = max(self._last_repeated, event_id)
+            return False
+        self.last_event = event_id
+        self._skipped_bytes = 0
+        return True
+
+    def _skip(self, size_bytes: int) -> None:
+        self._skipped_bytes += max(size_bytes, MIN_SKIPPED_BYTES)
+        if self._skipped_bytes > MAX_SKIPPED_BYTES:
+            raise StreamDamaged('too many bytes without a new event')
+
 
 def _identify(content: bytes) -> int:
     found = _EVENT_ID.search(content)
--- a/src/godwitvalve/forwarding/exchange.py
+++ b/src/godwitvalve/forwarding/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import abc
 import dataclasses
 from typing import NamedTuple, TypeAlias
@@ -15,6 +16,10 @@
 
 # A plain answer is buffered completely before its caller gets a byte.
 MAX_PLAIN_ANSWER_BYTES = 8 * 1024 * 1024
+# Limits of an answer to an earlier request that is skipped. Such answers
+# have already left the endpoint, so the rest arrives at once.
+MAX_SKIPPED_BYTES = 64 * 1024
+SKIP_LIMIT_S = 0.5
 # Limit of the answers read from a reused connection, as answers to earlier
 # requests may precede the expected one.
 MAX_ANSWERS_READ = 3
@@ -103,7 +108,8 @@
         :raises ChannelBroken: if no answer came; ``is_sent`` tells whether
             the request may have run.
         """
-        channel = await self._pool.acquire(self.endpoint)
+        request_id = request.facts.request_id
+        channel = await self._pool.acquire(self.endpoint, request_id)
         self._channel = channel
         sent = h11.Request(
             method=request.method,
@@ -113,13 +119,20 @@
             ),
         )
         is_reused = channel.request_count > 0
-        channel.begin(sent, request.body)
+        channel.begin(sent, request.body, request_id)
         self.is_sent = True
         for _ in range(MAX_ANSWERS_READ):
             head = await self._read_head(channel)
-            if head.facts.request_id in ('', request.facts.request_id):
+            if head.facts.request_id == request_id:
                 self.head = head
                 return head
+            if not head.facts.request_id:
+                # On a new connection, a decline can only be for this
+                # request; otherwise the answer may be for an earlier one.
+                if head.facts.is_not_run and not is_reused:
+                    self.head = head
+                    return head
+                raise channels.ChannelBroken('answer without request id')
             if not is_reused:
                 break
             await self._skip_body(channel)
@@ -129,18 +142,39 @@
     async def _read_head(
         self, channel: channels.EndpointChannel
     ) -> AnswerHead:
-        while True:
-            event = await channel.next_event()
-            if isinstance(event, h11.Response):
-                headers = event.headers.raw_items()
-                facts = wire.read_answer(event.status_code, headers)
-                return AnswerHead(event.status_code, headers, facts)
-            if not isinstance(event, h11.InformationalResponse):
-                raise channels.ChannelBroken('damaged answer')
+        head = await channel.read_head()
+        headers = head.headers.raw_items()
+        facts = wire.read_answer(head.status_code, headers)
+        return AnswerHead(head.status_code, headers, facts)
 
     async def _skip_body(self, channel: channels.EndpointChannel) -> None:
-        while not isinstance(await channel.next_event(), h11.EndOfMessage):
-            pass
+        skipped_bytes = 0
+        try:
+            async with asyncio.timeout(SKIP_LIMIT_S):
+                while skipped_bytes <= MAX_SKIPPED_BYTES:
+                    skipped = await channel.read_data()
+                    if not skipped:
+                        return
+                    skipped_bytes += len(skipped)
+        except asyncio.TimeoutError as error:
+            raise channels.ChannelBroken(
+                'answer to another request did not end'
+            ) from error
+        raise channels.ChannelBroken('answer to another request too large')
+
+    async def read_body(self, limit_bytes: int) -> bytes:
+        """Return the complete body.
+
+        :raises ChannelBroken: if it ends early or exceeds the limit.
+        """
+        assert self._channel is not None
+        body = bytearray()
+        async for chunk in self.chunks():
+            body += chunk
+            if len(body) > limit_bytes:
+                raise channels.ChannelBroken('answer too large')
+            self._channel.keep(len(body))
+        return bytes(body)
 
     async def chunks(self) -> abc.AsyncIterator[bytes]:
         """Yield the body; a normal end means that it is complete.
@@ -148,11 +182,8 @@
         :raises ChannelBroken: if the answer ends early.
         """
         assert self._channel is not None and self.head is not None
-        while True:
-            event = await self._channel.next_event()
-            if isinstance(event, h11.EndOfMessage):
-                break
-            yield bytes(event.data)
+        while chunk := await self._channel.read_data():
+            yield chunk
         self._is_done = True
         facts = self.head.facts
         self._channel.finish(facts.idle_limit_s, facts.is_closing)
@@ -170,11 +201,7 @@
     """Send a request once and read its complete answer."""
     try:
         head = await exchange.open(request, facts)
-        body = bytearray()
-        async for chunk in exchange.chunks():
-            body += chunk
-            if len(body) > MAX_PLAIN_ANSWER_BYTES:
-                return Lost('answer too large')
+        body = await exchange.read_body(MAX_PLAIN_ANSWER_BYTES)
     except channels.ConnectFailed as error:
         return NotSent(str(error))
     except channels.ChannelBroken as error:
@@ -187,6 +214,4 @@
         return Lost('encoded answer')
     if head.facts.is_not_run:
         return Declined(head.status, head.facts.load)
-    if head.facts.request_id != request.facts.request_id:
-        return Lost('answer without request id')
-    return Answered(head, bytes(body))
+    return Answered(head, body)
--- a/src/godwitvalve/forwarding/gaps.py
+++ b/src/godwitvalve/forwarding/gaps.py
@@ -29,10 +29,19 @@
     endpoint detected it.
 
     :param max_gap_s: allowed gap between events.
+    :param objective_s: time within which the first event is due.
     """
 
-    def __init__(self, max_gap_s: float) -> None:
+    def __init__(self, max_gap_s: float, objective_s: float) -> None:
         self._limit_s = max(max_gap_s * GAP_LIMIT_SHARE, MIN_GAP_LIMIT_S)
+        self._objective_s = objective_s
+
+    def is_stalled(self, idle_s: float, has_events: bool) -> bool:
+        """Tell whether the endpoint held up a request that ends now.
+
+        :param idle_s: time since the last new event.
+        """
+        return idle_s > (self._limit_s if has_events else self._objective_s)
 
     def is_check_due(self, idle_s: float, has_events: bool) -> bool:
         """Tell whether to check that the endpoint accepts connections.
@@ -46,8 +55,8 @@
     ) -> bool:
         """Tell whether a stream should continue at another endpoint.
 
-        :param idle_s: time since the last data, or since the request was
-            sent.
+        :param idle_s: time since the last new event; other bytes are no
+            progress.
         :param has_events: whether this attempt has received an event.
         :param is_reported_lost: whether another stream found the endpoint
             unresponsive meanwhile, or the endpoint was replaced.
--- a/src/godwitvalve/forwarding/pool.py
+++ b/src/godwitvalve/forwarding/pool.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from godwitvalve.fleet import endpoints
+from godwitvalve.forwarding import answer_memory
 from godwitvalve.forwarding import channel as channels
 
 # Plain endpoints serve 6 calls at once. More idle connections would only
@@ -13,26 +14,35 @@
 
 
 class ChannelPool:
-    """Idle connections by endpoint; the last used one is taken first."""
+    """Idle connections by endpoint; the last used one is taken first.
 
-    def __init__(self) -> None:
+    :param memory: counts the bytes of unfinished answers.
+    """
+
+    def __init__(self, memory: answer_memory.AnswerMemory) -> None:
+        self._memory = memory
         self._idle: dict[str, list[channels.EndpointChannel]] = {}
 
     async def acquire(
-        self, endpoint: endpoints.FleetEndpoint
+        self, endpoint: endpoints.FleetEndpoint, request_id: str
     ) -> channels.EndpointChannel:
         """Return an idle connection or open a new one.
 
+        A connection that already carried the request is not used again: a
+        late copy of its first answer would be taken for the second one.
+
         :raises ConnectFailed: if none can be opened.
         """
         now_s = asyncio.get_running_loop().time()
         idle = self._idle.get(endpoint.endpoint_id, [])
         while idle:
             channel = idle.pop()
-            if channel.is_reusable(now_s):
+            if channel.is_reusable(now_s) and not channel.has_carried(
+                request_id
+            ):
                 return channel
             channel.close()
-        return await channels.connect(endpoint.address)
+        return await channels.connect(endpoint.address, self._memory)
 
     def release(
         self, endpoint_id: str, channel: channels.EndpointChannel
--- a/src/godwitvalve/forwarding/probes.py
+++ b/src/godwitvalve/forwarding/probes.py
@@ -6,16 +6,23 @@
 
 import h11
 
+from godwitvalve.forwarding import answer_memory
 from godwitvalve.forwarding import channel as channels
 from godwitvalve.platform import headers as wire
 
 PROBE_LIMIT_S = 0.4
+# A probe reads one head; at most one runs for each lost endpoint.
+PROBE_MEMORY_BYTES = 128 * 1024
+
+
+def _probe_memory() -> answer_memory.AnswerMemory:
+    return answer_memory.AnswerMemory(PROBE_MEMORY_BYTES)
 
 
 async def accepts_connections(address: str) -> bool:
     """Tell whether an endpoint accepts a connection."""
     try:
-        channel = await channels.connect(address)
+        channel = await channels.connect(address, _probe_memory())
     except channels.ConnectFailed:
         return False
     channel.close()
@@ -27,7 +34,7 @@
     channel: channels.EndpointChannel | None = None
     try:
         async with asyncio.timeout(PROBE_LIMIT_S):
-            channel = await channels.connect(address)
+            channel = await channels.connect(address, _probe_memory())
             channel.begin(
                 h11.Request(
                     method='GET',
@@ -36,7 +43,7 @@
                 ),
                 b'',
             )
-            event = await channel.next_event()
+            head = await channel.read_head()
     except (
         channels.ConnectFailed,
         channels.ChannelBroken,
@@ -46,6 +53,6 @@
     finally:
         if channel is not None:
             channel.close()
-    if not isinstance(event, h11.Response) or event.status_code != 200:
+    if head.status_code != 200:
         return ''
-    return wire.read_identity(event.headers.raw_items())
+    return wire.read_identity(head.headers.raw_items())
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -25,6 +25,10 @@
 
 # Shorter streams give no reliable time per event.
 MIN_EVENTS_FOR_SPEED = 10
+# Limits of the body of an answer other than 200. Endpoints send such answers
+# at once, with bodies of a few hundred bytes.
+MAX_ERROR_BODY_BYTES = 64 * 1024
+ERROR_BODY_LIMIT_S = 1.0
 
 _LOG = logs.get('forwarding')
 
@@ -45,7 +49,9 @@
         self._began_s = self._loop.time()
         self.times = attempts.StreamTimes()
         self._splitter = events.EventSplitter(routed.request.facts.last_event)
-        self._gap_monitor = gaps.GapMonitor(routed.route.max_gap_ms / 1000)
+        self._gap_monitor = gaps.GapMonitor(
+            routed.route.max_gap_ms / 1000, routed.route.objective_ms / 1000
+        )
         self._tried_ids: set[str] = set()
         # Selects the version during a roll-out.
         self._draw = context.rng.random()
@@ -294,6 +300,7 @@
             self._routed.request.facts.session, attempt.endpoint.endpoint_id
         )
         exchange = exchanges.Exchange(attempt.endpoint, self._context.pool)
+        attempt.progress_s = self._loop.time()
         attempt.observation = self._context.rollouts.observe(
             attempt.endpoint,
             self._routed.route,
@@ -327,6 +334,7 @@
         if head is None:
             return attempts.Interrupted('silent', True)
         now_s = self._loop.time()
+        attempt.progress_s = now_s
         self._context.endpoint_tracker.record_load(
             attempt.endpoint.endpoint_id, head.facts.load, now_s
         )
@@ -335,10 +343,7 @@
         if head.facts.is_encoded:
             return attempts.Interrupted('encoded answer', True)
         if head.status != 200:
-            body = b''.join([chunk async for chunk in exchange.chunks()])
-            if attempt.observation:
-                attempt.observation.record_answer(head.status >= 500)
-            return attempts.Rejected(exchanges.Answered(head, body))
+            return await self._read_rejection(attempt, exchange, head)
         chunks = exchange.chunks()
         while True:
             chunk = await self._await_responsive(
@@ -348,13 +353,32 @@
                 return attempts.Interrupted('silent', True)
             if not chunk:
                 break
-            await self._forward_events(attempt, head, chunk)
+            is_progress = await self._forward_events(attempt, head, chunk)
+            if not is_progress and self._is_unresponsive(
+                attempt, attempt.progress_s
+            ):
+                return attempts.Interrupted('no new event', True)
         if self._splitter.has_partial:
             return attempts.Interrupted('ended inside an event', True)
         if not self._is_started:
             await self._start_answer(head)
         return attempts.Completed()
 
+    async def _read_rejection(
+        self,
+        attempt: attempts.StreamAttempt,
+        exchange: exchanges.Exchange,
+        head: exchanges.AnswerHead,
+    ) -> attempts.AttemptEnd:
+        if attempt.observation:
+            attempt.observation.record_answer(head.status >= 500)
+        try:
+            async with asyncio.timeout(ERROR_BODY_LIMIT_S):
+                body = await exchange.read_body(MAX_ERROR_BODY_BYTES)
+        except asyncio.TimeoutError:
+            return attempts.Interrupted('incomplete error answer', True)
+        return attempts.Rejected(exchanges.Answered(head, body))
+
     def _request_for(
         self, attempt: attempts.StreamAttempt
     ) -> tuple[exchanges.CallerRequest, wire.SendFacts]:
@@ -373,7 +397,7 @@
         self, attempt: attempts.StreamAttempt, task: asyncio.Task[gaps.Awaited]
     ) -> gaps.Awaited | None:
         """Wait for a task; None if the endpoint is unresponsive."""
-        since_s = self._loop.time()
+        since_s = attempt.progress_s
         try:
             while True:
                 await asyncio.wait({task}, timeout=gaps.POLL_PERIOD_S)
@@ -386,6 +410,9 @@
                 ):
                     if not task.done() and self._declare_lost(attempt):
                         return None
+        except asyncio.CancelledError:
+            self._record_stall(attempt)
+            raise
         finally:
             if not task.done():
                 task.cancel()
@@ -406,6 +433,14 @@
             now_s - since_s, attempt.has_events, is_reported_lost
         ) and self._declare_lost(attempt)
 
+    def _record_stall(self, attempt: attempts.StreamAttempt) -> None:
+        """Record a failure if the endpoint held the request up to its end."""
+        idle_s = self._loop.time() - attempt.progress_s
+        if self._gap_monitor.is_stalled(idle_s, attempt.has_events):
+            self._context.endpoint_tracker.record_failure(
+                attempt.endpoint.endpoint_id, self._loop.time()
+            )
+
     def _is_check_due(
         self, attempt: attempts.StreamAttempt, since_s: float
     ) -> bool:
@@ -436,16 +471,19 @@
         attempt: attempts.StreamAttempt,
         head: exchanges.AnswerHead,
         chunk: bytes,
-    ) -> None:
+    ) -> bool:
+        """Pass on the events that a chunk completes; tell if there are any."""
         complete = self._splitter.feed(chunk)
         if not complete:
-            return
+            return False
         if not attempt.has_events:
             self._record_first_event(attempt)
         if not self._is_started:
             await self._start_answer(head)
         self._record_sent()
         await self._sink.send(b''.join(event.content for event in complete))
+        attempt.progress_s = self._loop.time()
+        return True
 
     def _record_sent(self) -> None:
         now_s = self._loop.time()
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -15,6 +15,7 @@
 from godwitvalve.fleet import relay as relays
 from godwitvalve.fleet import sources
 from godwitvalve.fleet import state as states
+from godwitvalve.forwarding import answer_memory
 from godwitvalve.forwarding import context as contexts
 from godwitvalve.forwarding import counters as counter_model
 from godwitvalve.forwarding import pool as pools
@@ -103,7 +104,11 @@
         self._context = contexts.ForwardingContext(
             settings.failure_domain,
             self._state,
-            pools.ChannelPool(),
+            pools.ChannelPool(
+                answer_memory.AnswerMemory(
+                    answer_memory.limit_for(settings.memory_mb)
+                )
+            ),
             trackers.EndpointTracker(),
             retry_budget.RetryBudget(
                 earned_per_first_attempt=(
--- a/src/godwitvalve/platform/settings.py
+++ b/src/godwitvalve/platform/settings.py
@@ -23,7 +23,8 @@
     and SIGKILL. ``address_reuse_s`` is the time for which the platform does
     not assign the address of an ended endpoint to another service. A bad
     version may receive at most ``exposure_share`` of the requests for its
-    service plus ``exposure_slack`` requests.
+    service plus ``exposure_slack`` requests. ``memory_mb`` is the memory of
+    the machine.
     """
 
     instance_id: str
@@ -43,6 +44,7 @@
     retry_budget_burst: float = 150.0
     exposure_share: float = 0.1
     exposure_slack: float = 50.0
+    memory_mb: float = 128.0
 
 
 def _address_errors(raw: dict[str, object]) -> list[str]:
