Bound the answers of the store and of other entries

Cause: bodies were read without a limit, and 256 KiB of interim answers were parsed at once, which kept the event loop busy for 0.15 to 0.17 s.

--- a/src/godwitvalve/forwarding/sockets.py
+++ b/src/godwitvalve/forwarding/sockets.py
@@ -14,6 +14,9 @@
 # failure domains are 2 ms apart, and two lost packets are retransmitted
 # within 1 s.
 UNACKNOWLEDGED_LIMIT_MS = 2000
+# Bounds what is parsed at once if a store or an entry sends without end. The
+# kernel doubles it; answers of the store are mostly below 10 KB.
+RECEIVE_BUFFER_BYTES = 32 * 1024
 
 
 def tune(sock: socket.socket) -> None:
@@ -40,5 +43,8 @@
     family, kind, protocol, *_ = address
     sock = socket.socket(family, kind, protocol)
     sock.setblocking(False)
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+    )
     tune(sock)
     return sock
--- a/src/godwitvalve/ingress/membership.py
+++ b/src/godwitvalve/ingress/membership.py
@@ -17,6 +17,7 @@
 from godwitvalve.gossip import node as gossip_nodes
 from godwitvalve.ingress import control
 from godwitvalve.logs import setup as logs
+from godwitvalve.platform import bodies
 from godwitvalve.platform import settings as wire_settings
 from godwitvalve.platform import store as stores
 
@@ -164,7 +165,7 @@
         url = f'http://{host}:{self._port}{control.STATE_PATH}'
         try:
             async with session.get(url) as answer:
-                content = await answer.read()
+                content = await bodies.read(answer)
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
             _LOG.warning(
                 'Could not read the state of a peer.',
--- a/src/godwitvalve/ingress/peer_tables.py
+++ b/src/godwitvalve/ingress/peer_tables.py
@@ -14,6 +14,7 @@
 from godwitvalve.fleet import sources
 from godwitvalve.forwarding import sockets
 from godwitvalve.gossip import members as member_model
+from godwitvalve.platform import bodies
 from godwitvalve.platform import store as stores
 
 TABLE_PATH = '/fleet/table'
@@ -111,7 +112,7 @@
             async with self._session.get(
                 self._url, params=query, timeout=timeout
             ) as answer:
-                content = await answer.read()
+                content = await bodies.read(answer)
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
             reason = f'{self._url}: {type(error).__name__}'
             raise stores.StoreUnavailable(reason) from error
--- a/src/godwitvalve/platform/store.py
+++ b/src/godwitvalve/platform/store.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from godwitvalve.forwarding import sockets
+from godwitvalve.platform import bodies
 
 # The store answers in 4 ms; degraded, it takes up to 60 times as long.
 CALL_TIMEOUT_S = 1.0
@@ -115,7 +116,7 @@
                 data=body,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as answer:
-                return answer.status, await answer.read()
+                return answer.status, await bodies.read(answer)
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
             reason = f'{method} {target}: {type(error).__name__}'
             raise StoreUnavailable(reason) from error
