Take only proven answers for an endpoint's own

Cause: an answer without an id counted as the current one also on a reused connection, so a late refusal made a running call count as not run; an endpoint's 429 or 503 without its statement went to the caller, who takes it as "not run"; a stream that names neither a length nor chunks was complete when its connection closed, as it also does when the engine crashes.

--- a/features/steps/forwarding_policy_steps.py
+++ b/features/steps/forwarding_policy_steps.py
@@ -15,7 +15,7 @@
 SETTINGS = hypothesis.settings(
     derandomize=True, max_examples=500, deadline=None, database=None
 )
-_FACTS = headers.AnswerFacts('r', False, False, False, None, None)
+_FACTS = headers.read_answer(200, ((b'Request-Id', b'r'),))
 
 
 def answered(status):
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -13,6 +13,8 @@
 from godwitvalve.forwarding import replies
 
 COMPLETE = scripted_endpoint.answer()
+# After the request was sent again, which is 30 ms after the first decline.
+LATE_COPY_S = 0.045
 CALL_SCRIPTS = {
     'complete': [COMPLETE],
     'reset': ['reset'],
@@ -35,6 +37,34 @@
         b' it',
         'close',
     ],
+    'unframed reset': [
+        b'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n\r\nall of',
+        0.02,
+        'reset',
+    ],
+    'refused without proof': [
+        scripted_endpoint.answer(b'', b'503 Service Unavailable')
+    ],
+    'throttled without proof': [
+        scripted_endpoint.answer(b'', b'429 Too Many Requests')
+    ],
+    'late refusal first': [
+        scripted_endpoint.DECLINED.replace(b'Request-Id: {id}\r\n', b''),
+        0.05,
+        scripted_endpoint.answer(b'second'),
+    ],
+    'late answer first': [
+        scripted_endpoint.answer(b'first').replace(
+            b'Request-Id: {id}\r\n', b''
+        ),
+        0.05,
+        scripted_endpoint.answer(b'second'),
+    ],
+    'declined twice': [
+        scripted_endpoint.DECLINED,
+        LATE_COPY_S,
+        scripted_endpoint.DECLINED,
+    ],
 }
 NON_REPEATABLE = forwarding_site.route(routes.RequestKind.ONCE)
 REPEATABLE = forwarding_site.route(
@@ -46,8 +76,28 @@
 def stream_script(text):
     """Return the actions of words such as ``head 1 2 crash``."""
     actions = []
+    is_framed = True
     for word in text.split():
         match word:
+            case 'unframed':
+                is_framed = False
+                actions.append(
+                    scripted_endpoint.STREAM_HEAD.replace(
+                        b'Transfer-Encoding: chunked\r\n', b''
+                    )
+                )
+            case 'unnamed':
+                actions.append(
+                    scripted_endpoint.STREAM_HEAD.replace(
+                        b'Request-Id: {id}\r\n', b''
+                    )
+                )
+            case 'unproven':
+                actions.append(
+                    scripted_endpoint.answer(b'', b'503 Service Unavailable')
+                )
+            case 'end' if not is_framed:
+                actions.append('close')
             case 'head':
                 actions.append(scripted_endpoint.STREAM_HEAD)
             case 'half':
@@ -60,6 +110,10 @@
                 actions.append('hang')
             case 'declined':
                 actions.append(scripted_endpoint.DECLINED)
+            case number if not is_framed:
+                actions.append(
+                    b'id: %s\ndata: t%s\n\n' % (2 * (number.encode(),))
+                )
             case number:
                 actions.append(scripted_endpoint.event(int(number)))
     return actions
@@ -132,6 +186,16 @@
     context.reply = _run_site(context, act)
 
 
+@behave.when('two non-repeatable calls are made one after the other')
+def two_non_repeatable_calls(context):
+    async def act(site):
+        await site.call(NON_REPEATABLE)
+        await asyncio.sleep(0.05)
+        return await site.call(NON_REPEATABLE, request_id='req-2')
+
+    context.reply = _run_site(context, act)
+
+
 @behave.when('a non-repeatable call is made')
 def non_repeatable_call(context):
     context.reply = _run_site(context, lambda site: site.call(NON_REPEATABLE))
@@ -178,6 +242,11 @@
     assert context.reply.is_late
 
 
+@behave.then('the outcome of the stream is unknown')
+def stream_outcome_unknown(context):
+    assert isinstance(context.reply, replies.Failure), context.reply
+
+
 @behave.then('the call is refused as not run')
 @behave.then('the stream is refused as not run')
 def refused(context):
--- a/src/godwitvalve/forwarding/exchange.py
+++ b/src/godwitvalve/forwarding/exchange.py
@@ -214,4 +214,6 @@
         return Lost('encoded answer')
     if head.facts.is_not_run:
         return Declined(head.status, head.facts.load)
+    if head.facts.is_unproven_refusal:
+        return Lost(f'status {head.status} without proof')
     return Answered(head, body)
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -340,6 +340,10 @@
         )
         if head.facts.is_not_run:
             return exchanges.Declined(head.status, head.facts.load)
+        if head.facts.is_unproven_refusal:
+            return attempts.Interrupted(
+                f'status {head.status} without proof', True
+            )
         if head.facts.is_encoded:
             return attempts.Interrupted('encoded answer', True)
         if head.status != 200:
@@ -360,6 +364,9 @@
                 return attempts.Interrupted('no new event', True)
         if self._splitter.has_partial:
             return attempts.Interrupted('ended inside an event', True)
+        if not head.facts.is_framed:
+            # An endpoint that crashes closes its connections as well.
+            return attempts.Interrupted('ended without framing', True)
         if not self._is_started:
             await self._start_answer(head)
         return attempts.Completed()
--- a/src/godwitvalve/platform/headers.py
+++ b/src/godwitvalve/platform/headers.py
@@ -33,6 +33,8 @@
 _PRIORITY_LEVELS = 10
 # Status of an endpoint that is not the expected one; the request did not run.
 MISDIRECTED = 421
+# Callers take these as a promise that the request did not run.
+_NOT_RUN_STATUSES = frozenset({408, MISDIRECTED, 429, 503})
 
 
 class CallerFacts(NamedTuple):
@@ -93,6 +95,10 @@
 
     :param is_not_run: whether the endpoint states that it did not run the
         request.
+    :param is_unproven_refusal: whether callers would take the status as "not
+        run" although the endpoint does not state that.
+    :param is_framed: whether the head tells where the body ends; otherwise
+        it ends with the connection.
     :param is_encoded: whether the body has a content encoding and so is not
         the bytes that the endpoint produced.
     :param is_closing: whether the endpoint closes the connection after the
@@ -103,6 +109,8 @@
 
     request_id: str
     is_not_run: bool
+    is_unproven_refusal: bool
+    is_framed: bool
     is_encoded: bool
     is_closing: bool
     idle_limit_s: float | None
@@ -238,9 +246,12 @@
 def read_answer(status: int, headers: RawHeaders) -> AnswerFacts:
     """Read the status and headers of an endpoint's answer."""
     values = _decode_headers(headers)
+    is_not_run = 'not-executed' in values or status == MISDIRECTED
     return AnswerFacts(
         values.get('request-id', ''),
-        'not-executed' in values or status == MISDIRECTED,
+        is_not_run,
+        status in _NOT_RUN_STATUSES and not is_not_run,
+        'content-length' in values or 'transfer-encoding' in values,
         'content-encoding' in values,
         'close' in values.get('connection', '').lower(),
         _parse_idle_limit_s(values.get('keep-alive', '')),
