Forget what left before a restart, and accept restarts after clock steps

Cause: a starting entry read the configuration of any newer entry, also of one that lags; its first read of the store counted as the end of an outage, so endpoints that another entry still listed stayed for 2.3 s; an entry whose clock was set back before its start was ignored by the others; rows of entries were dated 60 s after the machine's start and so removed at once on a machine that runs for longer.

Change: the newest configuration is read; only an outage that was seen delays removals; another start of an entry is judged by when its records were sent.

--- a/features/fleet/registry.feature
+++ b/features/fleet/registry.feature
@@ -23,6 +23,21 @@
     When the row of "a" is removed at 20.0 s
     Then "b" are usable at 20.0 s
 
+  Scenario: An endpoint that left before a start is not used
+    # Guards against a restarted entry that keeps an endpoint which another
+    # entry still listed, although the store answers and does not list it.
+    Given a registry that started with "a, b" from another entry
+    When the store answers for the first time at 10.0 s and lists "a"
+    Then "a" are usable at 10.0 s
+
+  Scenario: A start during an outage trusts no removal at once
+    # Guards against refusing requests when an entry starts in an outage in
+    # which rows expired.
+    Given a registry that started with "a, b" from another entry
+    When the store fails first, then answers at 10.0 s and lists "a"
+    Then "a, b" are usable at 10.0 s
+    And "a" are usable at 12.4 s
+
   Scenario: A replaced endpoint is not usable
     # Guards against repeated attempts at every endpoint of a restarted
     # failure domain, which exhaust the retry budget.
--- a/features/gossip/members.feature
+++ b/features/gossip/members.feature
@@ -24,6 +24,32 @@
     When a heartbeat of a restarted "e2" arrives at 5.0 s
     Then "e2" are alive at 5.0 s
 
+  Scenario: A stored record is kept on a machine that runs for days
+    # Guards against removing a stored address before a heartbeat was sent to
+    # it, as the monotonic clock does not start at the read.
+    Given members that received heartbeats of "e1" at 90000.0 s
+    When the record of "e2" is read from the store at 90000.0 s
+    And expired members are removed at 90000.5 s
+    Then heartbeats go to 2 addresses
+    And "e1" are alive at 90000.5 s
+
+  Scenario: An entry that starts again after its clock was set back is alive
+    # Guards against ignoring an entry whose start looks older than its last
+    # one, for as long as the clock was set back.
+    Given members that received heartbeats of "e1, e2" at 0.0 s
+    When a heartbeat of "e2", whose clock was set back, arrives at 0.5 s
+    Then the start of "e2" is 1
+    When a heartbeat of "e2", whose clock was set back, arrives at 2.0 s
+    Then "e2" are alive at 2.0 s
+    When a record of "e2" from before its clock was set back arrives at 2.1 s, sent at 0.2 s
+    Then the start of "e2" is 0
+
+  Scenario: A starting entry reads the newest configuration
+    # Guards against installing the configuration of an entry that lags
+    # behind, in which a withdrawn key is valid.
+    Then an entry at version 0 reads from "e1" of "5, 9, 7"
+    And an entry at version 9 reads from none of "5, 9, 7"
+
   Scenario: The cost of a heartbeat does not grow with the fleet
     # Guards against heartbeats to all members in a fleet of 420 entries.
     Given members that received heartbeats of 420 entries at 0.0 s
--- a/features/steps/fleet_registry_steps.py
+++ b/features/steps/fleet_registry_steps.py
@@ -36,6 +36,30 @@
         _write(context, endpoint(name))
 
 
+@behave.given('a registry that started with "{names}" from another entry')
+def started_from_peer(context, names):
+    context.registry = registry.EndpointRegistry()
+    for name in names.split(', '):
+        context.registry.update(endpoint(name), 0)
+
+
+@behave.when(
+    'the store answers for the first time at {now_s:g} s and lists "{names}"'
+)
+def first_answer(context, now_s, names):
+    context.registry.mark_store_available(now_s)
+    rows = {name: (endpoint(name), 1) for name in names.split(', ')}
+    context.registry.apply_snapshot(rows, 1, now_s)
+
+
+@behave.when(
+    'the store fails first, then answers at {now_s:g} s and lists "{names}"'
+)
+def first_answer_after_failure(context, now_s, names):
+    context.registry.mark_store_unavailable()
+    first_answer(context, now_s, names)
+
+
 @behave.when('the store is unavailable and returns at {now_s:g} s')
 def store_returns(context, now_s):
     context.registry.mark_store_unavailable()
--- a/features/steps/gossip_members_steps.py
+++ b/features/steps/gossip_members_steps.py
@@ -7,8 +7,10 @@
 import behave
 from godwitvalve.gossip import members
 from godwitvalve.gossip import node
+from godwitvalve.ingress import membership
 import hypothesis
 from hypothesis import strategies
+import msgspec
 
 SETTINGS = hypothesis.settings(
     derandomize=True, max_examples=300, deadline=None, database=None
@@ -53,7 +55,7 @@
 @behave.given('members that read the record of "{name}" from the store')
 def members_stored(context, name):
     context.members = members.Members('own', 'fd-1')
-    context.members.add_stored(record(name))
+    context.members.add_stored(record(name), 0.0)
 
 
 @behave.when('a heartbeat of "{name}" arrives at {now_s:g} s')
@@ -71,6 +73,64 @@
     assert context.members.merge(record(name, 1, 2), now_s)
 
 
+@behave.when('the record of "{name}" is read from the store at {now_s:g} s')
+def stored_later(context, name, now_s):
+    context.members.add_stored(record(name), now_s)
+
+
+@behave.when('expired members are removed at {now_s:g} s')
+def expired_removed(context, now_s):
+    context.members.remove_expired(now_s)
+
+
+@behave.when(
+    'a heartbeat of "{name}", whose clock was set back, arrives at {now_s:g} s'
+)
+def heartbeat_after_clock_step(context, name, now_s):
+    context.members.merge(record(name, 1, 0), now_s)
+
+
+@behave.when(
+    'a record of "{name}" from before its clock was set back arrives at '
+    '{now_s:g} s, sent at {sent_s:g} s'
+)
+def record_before_clock_step(context, name, now_s, sent_s):
+    context.members.merge(record(name, 9, 1), now_s, now_s - sent_s)
+
+
+@behave.then('the start of "{name}" is {started_ms:d}')
+def start_is(context, name, started_ms):
+    found = {
+        each.instance_id: each.started_wall_ms
+        for each in context.members.alive(float('-inf'))
+    }
+    assert found[name] == started_ms, found
+
+
+@behave.then('an entry at version {own:d} reads from "{name}" of "{versions}"')
+def reads_from(context, own, name, versions):
+    records = [
+        msgspec.structs.replace(
+            record(f'e{position}'), configuration_version=int(version)
+        )
+        for position, version in enumerate(versions.split(', '))
+    ]
+    for seed in range(20):
+        chosen = membership.choose_peer(records, own, random.Random(seed))
+        assert chosen is not None and chosen.instance_id == name, chosen
+
+
+@behave.then('an entry at version {own:d} reads from none of "{versions}"')
+def reads_from_none(context, own, versions):
+    records = [
+        msgspec.structs.replace(
+            record(f'e{position}'), configuration_version=int(version)
+        )
+        for position, version in enumerate(versions.split(', '))
+    ]
+    assert membership.choose_peer(records, own, random.Random(1)) is None
+
+
 @behave.then('"{names}" are alive at {now_s:g} s')
 def are_alive(context, names, now_s):
     found = {each.instance_id for each in context.members.alive(now_s)}
--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -27,10 +27,12 @@
         self._provisional: set[str] = set()
         self.trusted_from_s = 0.0
         self.is_store_unavailable = True
+        self._has_seen_outage = False
 
     def mark_store_unavailable(self) -> None:
         """Record that the store does not answer."""
         self.is_store_unavailable = True
+        self._has_seen_outage = True
 
     def mark_store_available(
         self, now_s: float, trusted_from_s: float = float('-inf')
@@ -45,6 +47,10 @@
         if not self.is_store_unavailable:
             return
         self.is_store_unavailable = False
+        if not self._has_seen_outage:
+            # The first read after a start: endpoints that another entry
+            # listed and the store does not have left.
+            return
         self.trusted_from_s = now_s + REREGISTRATION_S
         for endpoint_id in self._provisional:
             self._missing_until_s[endpoint_id] = self.trusted_from_s
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -111,21 +111,42 @@
         if record.instance_id == self._own_id:
             return False
         known = self._records.get(record.instance_id)
-        if known is not None and record.order <= known.order:
+        if known is not None and not self._is_newer(
+            record, known, now_s - age_s
+        ):
             return False
         self._records[record.instance_id] = record
         self._last_seen_s[record.instance_id] = now_s - age_s
         self._relay_counts[record.instance_id] = 0
         return True
 
-    def add_stored(self, record: Record) -> None:
-        """Add a record from the store; it is no sign that a member lives."""
+    def _is_newer(self, record: Record, known: Record, sent_s: float) -> bool:
+        """Tell whether a record replaces the known one of the same entry.
+
+        The clock of a machine may be set back before its entry starts
+        again. The records of such a start are accepted once the earlier
+        start has sent nothing for as long as a live entry never does.
+        """
+        if record.started_wall_ms == known.started_wall_ms:
+            return record.heartbeat > known.heartbeat
+        last_seen_s = self._last_seen_s[record.instance_id]
+        if record.started_wall_ms > known.started_wall_ms:
+            return sent_s >= last_seen_s
+        return sent_s > last_seen_s + self.heartbeat_timeout_s
+
+    def add_stored(self, record: Record, now_s: float) -> None:
+        """Add a record from the store; it is no sign that a member lives.
+
+        :param now_s: monotonic seconds.
+        """
         if record.instance_id == self._own_id:
             return
         known = self._records.get(record.instance_id)
         if known is None or record.order > known.order:
             self._records[record.instance_id] = record
-            self._last_seen_s.setdefault(record.instance_id, -RETENTION_S)
+            self._last_seen_s.setdefault(
+                record.instance_id, now_s - RETENTION_S
+            )
 
     @property
     def heartbeat_timeout_s(self) -> float:
--- a/src/godwitvalve/ingress/membership.py
+++ b/src/godwitvalve/ingress/membership.py
@@ -115,7 +115,9 @@
         answer = await self._store.rows(TABLE)
         for row in answer.rows:
             try:
-                self._members.add_stored(_DECODER.decode(row.value or b''))
+                self._members.add_stored(
+                    _DECODER.decode(row.value or b''), time.monotonic()
+                )
             except msgspec.DecodeError as error:
                 _LOG.warning(
                     'Skipped an entry row that cannot be decoded.',
@@ -123,6 +125,26 @@
                 )
 
 
+def choose_peer(
+    alive: abc.Sequence[member_model.Record],
+    own_version: int,
+    rng: random.Random,
+) -> member_model.Record | None:
+    """Return an entry with the newest configuration, if it is newer.
+
+    An entry that starts while the store is down must not install an older
+    configuration first, in which a withdrawn key is still valid.
+    """
+    newest = max(
+        (each.configuration_version for each in alive), default=own_version
+    )
+    if newest <= own_version:
+        return None
+    return rng.choice(
+        [each for each in alive if each.configuration_version == newest]
+    )
+
+
 class PeerSync:
     """Reads a newer configuration from another entry.
 
@@ -153,14 +175,13 @@
                 await self._sync_once(session)
 
     async def _sync_once(self, session: aiohttp.ClientSession) -> None:
-        ahead = [
-            record
-            for record in self._members.alive(time.monotonic())
-            if record.configuration_version > self._state.version
-        ]
-        if not ahead:
+        record = choose_peer(
+            self._members.alive(time.monotonic()),
+            self._state.version,
+            self._rng,
+        )
+        if record is None:
             return
-        record = self._rng.choice(ahead)
         host = record.peer_address.rpartition(':')[0]
         url = f'http://{host}:{self._port}{control.STATE_PATH}'
         try:
