Let callers see that an answer broke off, and drain by the steady clock

Cause: a broken stream closed its connection normally, which an HTTP/1.0 caller takes as the end (and a sound one got a 500, as chunks are forbidden there); the end of a drain followed the time of day, which may jump.

Change: such connections are reset, also when the handler fails or is cancelled; the lifecycle gets monotonic seconds.

--- a/src/godwitvalve/forwarding/sockets.py
+++ b/src/godwitvalve/forwarding/sockets.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
-from typing import Any
+import struct
+from typing import Any, cast
 
 # A peer that is powered off or disconnected sends no reset. The kernel
 # probes an idle connection each second and ends it after the second probe
@@ -17,6 +19,8 @@
 # Bounds what is parsed at once if a store or an entry sends without end. The
 # kernel doubles it; answers of the store are mostly below 10 KB.
 RECEIVE_BUFFER_BYTES = 32 * 1024
+# Linger on, for 0 s: closing drops unsent bytes and sends a reset.
+_LINGER_NONE = struct.pack('ii', 1, 0)
 
 
 def tune(sock: socket.socket) -> None:
@@ -35,6 +39,14 @@
     )
 
 
+def reset(transport: asyncio.BaseTransport) -> None:
+    """Close a connection with a reset instead of a normal end."""
+    sock = transport.get_extra_info('socket')
+    if sock is not None and not transport.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
+    cast(asyncio.Transport, transport).abort()
+
+
 def create(address: Any) -> socket.socket:
     """Create a non-blocking socket for a resolved address.
 
@@ -43,8 +55,6 @@
     family, kind, protocol, *_ = address
     sock = socket.socket(family, kind, protocol)
     sock.setblocking(False)
-    sock.setsockopt(
-        socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-    )
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     tune(sock)
     return sock
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -6,6 +6,7 @@
 import time
 from typing import Any, NamedTuple
 
+import aiohttp
 from aiohttp import web
 
 from godwitvalve.fleet import routes
@@ -13,6 +14,7 @@
 from godwitvalve.forwarding import context as contexts
 from godwitvalve.forwarding import exchange as exchanges
 from godwitvalve.forwarding import replies
+from godwitvalve.forwarding import sockets
 from godwitvalve.forwarding import streams
 from godwitvalve.ingress import refusals
 from godwitvalve.lifecycle import lifecycle as lifecycles
@@ -53,7 +55,11 @@
         _copy_headers(self.response, head)
         if self._is_closing:
             self.response.force_close()
-        self.response.enable_chunked_encoding()
+        if self._request.version >= aiohttp.HttpVersion11:
+            self.response.enable_chunked_encoding()
+        else:
+            # The end of the connection ends the answer.
+            self.response.force_close()
         await self.response.prepare(self._request)
 
     async def send(self, content: bytes) -> None:
@@ -62,9 +68,12 @@
         await self.response.write(content)
 
     def abort(self) -> None:
-        """Reset the connection, which marks the answer as incomplete."""
+        """Reset the connection, which marks the answer as incomplete.
+
+        Without a reset, an answer that has no chunks would look complete.
+        """
         if self._request.transport is not None:
-            self._request.transport.abort()
+            sockets.reset(self._request.transport)
 
 
 def _copy_headers(
@@ -89,6 +98,7 @@
     def begin_drain(self) -> None:
         """Refuse streams soon, and calls once cached addresses expired."""
         self._draining_since_s = time.monotonic()
+        self._lifecycle.begin_drain(self._draining_since_s)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request from a caller."""
@@ -142,7 +152,7 @@
         route = configuration.route(host, path)
         if route is None:
             return self._refuse(facts, codes.ResultCode.UNKNOWN_ROUTE, 404)
-        if not self._accepts(route):
+        if not self.accepts(route):
             return self._refuse(
                 facts, codes.ResultCode.DRAINING, 503, DRAINING_RETRY_AFTER_S
             )
@@ -153,13 +163,14 @@
             return self._refuse(facts, codes.ResultCode.UNAUTHENTICATED, 401)
         return Admitted(route, account)
 
-    def _accepts(self, route: routes.Route) -> bool:
+    def accepts(self, route: routes.Route) -> bool:
+        """Tell whether new requests of a route are accepted now."""
         if self._draining_since_s is None:
             return True
         draining_s = time.monotonic() - self._draining_since_s
         if route.kind is routes.RequestKind.STREAM:
             return draining_s < STREAM_ACCEPT_PERIOD_S
-        return self._lifecycle.accepts_requests(time.time())
+        return self._lifecycle.accepts_requests(time.monotonic())
 
     def _refuse(
         self,
@@ -196,6 +207,10 @@
         try:
             reply = await forwarder.run()
             return await self._respond(routed, sink, reply)
+        except BaseException:
+            if sink.response is not None:
+                sink.abort()
+            raise
         finally:
             self._log_end(routed, reply, arrived_s, forwarder)
 
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -470,14 +470,13 @@
         Requests that still run shortly before the stop limit are interrupted.
         """
         stop_s = time.monotonic() + self._settings.stop_limit_s
-        self._lifecycle.begin_drain(time.time())
         self._handler.begin_drain()
         self._gossip.send_heartbeat()
         _LOG.info(
             'Drain started.',
             extra={'in_flight': self._lifecycle.requests_in_flight},
         )
-        while not self._lifecycle.stop(time.time()):
+        while not self._lifecycle.stop(time.monotonic()):
             if time.monotonic() > stop_s - STOP_MARGIN_S:
                 _LOG.warning(
                     'Stop limit reached; interrupting requests.',
--- a/src/godwitvalve/lifecycle/lifecycle.py
+++ b/src/godwitvalve/lifecycle/lifecycle.py
@@ -42,7 +42,7 @@
 
     def __init__(self, peer_answer_lifetime_s: float = 0.0) -> None:
         self._peer_answer_lifetime_s = peer_answer_lifetime_s
-        self._answers_valid_until_wall_s = 0.0
+        self._answers_valid_until_s = 0.0
         self._requests_in_flight = 0
         self._listeners: list[Listener] = []
         self._machine: Any = transitions.Machine(
@@ -59,11 +59,6 @@
         """Return the number of requests in flight."""
         return self._requests_in_flight
 
-    @property
-    def accepts_until_wall_s(self) -> float:
-        """Return when the last recorded address answer expires."""
-        return self._answers_valid_until_wall_s
-
     def on_change(self, listener: Listener) -> None:
         """Call a function with the new state after each change."""
         self._listeners.append(listener)
@@ -73,40 +68,38 @@
         if self.state == STARTING:
             self._machine.dispatch('to_serving')
 
-    def begin_drain(self, now_wall_s: float) -> None:
+    def begin_drain(self, now_s: float) -> None:
         """Start to drain; no effect if draining or stopped.
 
-        :param now_wall_s: Unix seconds.
+        :param now_s: seconds of the clock that all calls use.
         """
         if self.state not in (STARTING, SERVING):
             return
         if self.state == SERVING:
-            self.record_address_answer(
-                now_wall_s + self._peer_answer_lifetime_s
-            )
+            self.record_address_answer(now_s + self._peer_answer_lifetime_s)
         self._machine.dispatch('to_draining')
 
-    def record_address_answer(self, valid_until_wall_s: float) -> None:
+    def record_address_answer(self, valid_until_s: float) -> None:
         """Record an address answer that names this instance.
 
-        :param valid_until_wall_s: Unix seconds when the answer expires.
+        :param valid_until_s: seconds at which the answer expires.
         """
-        self._answers_valid_until_wall_s = max(
-            self._answers_valid_until_wall_s, valid_until_wall_s
+        self._answers_valid_until_s = max(
+            self._answers_valid_until_s, valid_until_s
         )
 
     def is_advertised(self) -> bool:
         """Tell whether new address answers may name this instance."""
         return self.state == SERVING
 
-    def accepts_requests(self, now_wall_s: float) -> bool:
+    def accepts_requests(self, now_s: float) -> bool:
         """Tell whether new requests are accepted.
 
         A draining instance accepts them until the last address answer that
         names it expires, as callers may use its address until then.
         """
         if self.state == DRAINING:
-            return now_wall_s < self._answers_valid_until_wall_s
+            return now_s < self._answers_valid_until_s
         return bool(self.state == SERVING)
 
     @contextlib.contextmanager
@@ -126,22 +119,22 @@
         """Count a request as finished."""
         self._requests_in_flight -= 1
 
-    def is_drained(self, now_wall_s: float) -> bool:
+    def is_drained(self, now_s: float) -> bool:
         """Tell whether a stop interrupts no request."""
         if self.state == STOPPED:
             return True
         if self.state != DRAINING:
             return False
         return not self._requests_in_flight and not self.accepts_requests(
-            now_wall_s
+            now_s
         )
 
-    def stop(self, now_wall_s: float) -> bool:
+    def stop(self, now_s: float) -> bool:
         """Change to ``stopped`` if drained.
 
         :returns: whether the instance is stopped.
         """
-        if not self.is_drained(now_wall_s):
+        if not self.is_drained(now_s):
             return False
         if self.state == DRAINING:
             self._machine.dispatch('to_stopped')
