Refuse to relay a table that was not read yet

Cause: an entry that started in an outage answered GET /fleet/table with an error, as its last confirmation is minus infinity. It answers 503 now; the scenario failed with OverflowError before.

--- a/features/fleet/relay.feature
+++ b/features/fleet/relay.feature
@@ -30,6 +30,12 @@
     Given a relay that read "x=1, y=2" at version 10
     Then a reader at version 7 must read the whole table again
 
+  Scenario: A table that was not read yet is not relayed
+    # Guards against an error in the middle of an answer: an entry that
+    # started in an outage has no time at which the store confirmed its rows.
+    Given a relay that has read nothing
+    Then readers with and without a version get status 503
+
   Scenario: A reader does not wait for changes of a stale table
     # Guards against waiting at an entry that cannot reach the store.
     Given a relay that read "x=1" at version 10
--- a/features/steps/fleet_relay_steps.py
+++ b/features/steps/fleet_relay_steps.py
@@ -6,6 +6,7 @@
 import itertools
 import time
 
+from aiohttp import test_utils
 import behave
 from godwitvalve.fleet import endpoints
 from godwitvalve.fleet import follower
@@ -13,6 +14,7 @@
 from godwitvalve.fleet import relay
 from godwitvalve.fleet import sources
 from godwitvalve.gossip import members
+from godwitvalve.ingress import peer_tables
 from godwitvalve.platform import store as stores
 
 
@@ -105,6 +107,22 @@
     _update(context, _rows(text, version), version, True)
 
 
+@behave.given('a relay that has read nothing')
+def empty_relay(context):
+    context.relay = relay.TableRelay()
+
+
+@behave.then('readers with and without a version get status {status:d}')
+def readers_get_status(context, status):
+    server = peer_tables.RelayServer({'servers': context.relay})
+    for query in ('?table=servers', '?table=servers&after=0&wait_ms=0'):
+        request = test_utils.make_mocked_request(
+            'GET', peer_tables.TABLE_PATH + query
+        )
+        answer = asyncio.run(server.handle(request))
+        assert answer.status == status, answer.status
+
+
 @behave.when(
     'it receives "{text}" and the removal of "{key}" at version {to:d}'
 )
--- a/src/godwitvalve/fleet/relay.py
+++ b/src/godwitvalve/fleet/relay.py
@@ -69,14 +69,13 @@
 
         :raises StoreUnavailable: if it was not read yet.
         """
-        if not self.version:
-            raise stores.StoreUnavailable('table was not read yet')
         return self._answer(list(self._rows.values()))
 
     def since(self, after_version: int) -> sources.TableAnswer:
         """Return the rows that changed after a version.
 
         :raises HistoryExpired: if the whole table must be read again.
+        :raises StoreUnavailable: if it was not read yet.
         """
         if after_version < self._history_from:
             raise stores.HistoryExpired
@@ -88,6 +87,8 @@
         return self._answer(sorted(changed, key=lambda row: row.version))
 
     def _answer(self, rows: list[stores.StoredRow]) -> sources.TableAnswer:
+        if self.confirmed_s == float('-inf'):
+            raise stores.StoreUnavailable('table was not read yet')
         return sources.TableAnswer(
             rows, self.version, self.confirmed_s, self.trusted_from_s
         )
@@ -98,6 +99,7 @@
         """Wait for changes after a version, or until the table is stale.
 
         :raises HistoryExpired: if the whole table must be read again.
+        :raises StoreUnavailable: if it was not read yet.
         """
         fresh_s = self.confirmed_s + sources.STALE_S - now_s
         try:
