Ask the store without a wait after an outage

Cause: an entry that was cut off from the store waited up to 8 s for the first change after it was back and counted that answer as the end of the outage. The removal in it was not trusted for 2.3 s, in which an endpoint that had left got a request (DRAIN, 2386 ms after its removal, bound 2000 ms).

Ruled out: the restart of another entry at the same time; only the entry that had been cut off was late.

--- a/features/fleet/relay.feature
+++ b/features/fleet/relay.feature
@@ -53,6 +53,13 @@
     Given a follower whose first source stops after version 11
     Then it has applied the versions 10 to 14 once each
 
+  Scenario: A follower learns at once that the store is back
+    # Guards against counting the first change after an outage as its end:
+    # the removal in that change would not be trusted, and an endpoint that
+    # left would receive requests for 2.3 s more.
+    Given a follower whose store fails once
+    Then its next call does not wait for changes and the one after it does
+
   Scenario: Removals after an outage that only another entry saw
     # Guards against removing endpoints whose rows expired: the store was
     # unavailable for a moment, and the rows are written again within 2 s.
--- a/features/steps/fleet_relay_steps.py
+++ b/features/steps/fleet_relay_steps.py
@@ -8,11 +8,13 @@
 
 from aiohttp import test_utils
 import behave
+from godwitvalve.fleet import consumers
 from godwitvalve.fleet import endpoints
 from godwitvalve.fleet import follower
 from godwitvalve.fleet import registry
 from godwitvalve.fleet import relay
 from godwitvalve.fleet import sources
+from godwitvalve.fleet import state as states
 from godwitvalve.gossip import members
 from godwitvalve.ingress import peer_tables
 from godwitvalve.platform import store as stores
@@ -234,6 +236,55 @@
         self.remaining.pop(0)
 
 
+class _FailingStore:
+    """Records the waits; the first call for changes fails."""
+
+    def __init__(self):
+        self.waits_s = []
+
+    async def rows(self, table):
+        return sources.TableAnswer([], 10, time.monotonic())
+
+    async def changes(self, table, after, wait_s):
+        self.waits_s.append(wait_s)
+        if len(self.waits_s) == 1:
+            raise stores.StoreUnavailable('down')
+        if len(self.waits_s) > 3:
+            raise asyncio.CancelledError
+        return sources.TableAnswer([], 10, time.monotonic())
+
+    def choose(self):
+        return self, ''
+
+    def wait_s(self, table):
+        return 8.0
+
+    def mark_failed(self, instance_id):
+        raise AssertionError('no entry was asked')
+
+
+@behave.given('a follower whose store fails once')
+def following_failing_store(context):
+    context.store = _FailingStore()
+    table_follower = follower.TableFollower(
+        context.store,
+        'servers',
+        consumers.EndpointConsumer(states.FleetState(), lambda _: None),
+        relay.TableRelay(),
+    )
+    try:
+        asyncio.run(table_follower.run())
+    except asyncio.CancelledError:
+        return
+
+
+@behave.then(
+    'its next call does not wait for changes and the one after it does'
+)
+def waits_after_outage(context):
+    assert context.store.waits_s[:3] == [8.0, 0.0, 8.0], context.store.waits_s
+
+
 class _Consumer:
     def __init__(self):
         self.versions = []
--- a/src/godwitvalve/fleet/follower.py
+++ b/src/godwitvalve/fleet/follower.py
@@ -128,9 +128,14 @@
             self._consumer.apply_snapshot(answer.rows, answer.version)
             await self._relay.update(self._with_trust(answer), True)
         else:
-            answer = await source.changes(
-                self._table, self._version, self._sources.wait_s(self._table)
+            # After an outage, an answer at once tells when the store is back;
+            # removals are not trusted for some time from then.
+            wait_s = (
+                0.0
+                if self._is_store_unavailable
+                else self._sources.wait_s(self._table)
             )
+            answer = await source.changes(self._table, self._version, wait_s)
             self._mark_available(answer)
             if answer.rows:
                 self._consumer.apply_changes(answer.rows)
