Share a full service fairly between client accounts

Load pattern: one account sends five times its share to a service whose endpoints are full, another one little. Calls were declined alike, and the retry budget, which all share, ended those of the small account as well.

Change: a call that all endpoints declined limits the calls in flight at its entry to what they accepted. While the limit lasts, the next turn goes to the account with the fewest calls in flight, within it by the priority of the route. A call that can't end in time is refused at once, or when its turn comes, as not run, with the expected wait as Retry-After. A service that is not full has no limit.

--- a/features/doubles/forwarding_site.py
+++ b/features/doubles/forwarding_site.py
@@ -18,6 +18,7 @@
 from godwitvalve.placement import speed
 from godwitvalve.placement import tracker
 from godwitvalve.platform import headers
+from godwitvalve.queueing import turns as turn_model
 from godwitvalve.rollouts import orders
 from godwitvalve.rollouts import registry as rollout_registries
 from godwitvalve.routing import retry_budget
@@ -65,7 +66,7 @@
     The first endpoint is chosen first.
     """
 
-    def __init__(self, scripted, memory=None):
+    def __init__(self, scripted, memory=None, turns=None):
         self.scripted = scripted
         self.memory = memory or answer_memory.AnswerMemory(
             answer_memory.limit_for(128)
@@ -108,6 +109,7 @@
             rollout_registries.RolloutRegistry(
                 orders.ExposureLimits(0.1, 50.0)
             ),
+            turns or turn_model.Turns(),
         )
 
     @staticmethod
@@ -119,7 +121,12 @@
         return routes.Configuration(1, [], [facts], {}, limits, b'')
 
     def routed_request(
-        self, its_route, wait_s=1.4, last_event=0, request_id=REQUEST_ID
+        self,
+        its_route,
+        wait_s=1.4,
+        last_event=0,
+        request_id=REQUEST_ID,
+        account='acme',
     ):
         """Return a routed request with default contents."""
         request = exchange.CallerRequest(
@@ -135,12 +142,14 @@
         )
         deadline_s = asyncio.get_running_loop().time() + wait_s
         return calls.RoutedRequest(
-            request, its_route, SERVICE, 'acme', 1, deadline_s
+            request, its_route, SERVICE, account, 1, deadline_s
         )
 
-    async def call(self, its_route, wait_s=1.4, request_id=REQUEST_ID):
+    async def call(
+        self, its_route, wait_s=1.4, request_id=REQUEST_ID, account='acme'
+    ):
         """Forward a plain call and return its reply."""
-        routed = self.routed_request(its_route, wait_s, 0, request_id)
+        routed = self.routed_request(its_route, wait_s, 0, request_id, account)
         return await calls.CallForwarder(self.context, routed).run()
 
     async def send_to(self, endpoint_id, wait_s, request_id):
--- a/features/doubles/monitor.py
+++ b/features/doubles/monitor.py
@@ -18,6 +18,9 @@
 class Monitor:
     """Greatest delay and growth while it runs.
 
+    A delay is the processor time that the event loop's thread takes between
+    two turns of the monitor, so that other busy processes do not add to it.
+
     :param answer_bytes: returns the bytes that are held for answers.
     """
 
@@ -30,9 +33,9 @@
 
     async def run(self):
         while True:
-            before_s = time.monotonic()
+            before_s = time.thread_time()
             await asyncio.sleep(TICK_S)
-            delay_s = time.monotonic() - before_s - TICK_S
+            delay_s = time.thread_time() - before_s
             self.delay_s = max(self.delay_s, delay_s)
             grown_bytes = _resident_bytes() - self._before_bytes
             self.grown_bytes = max(self.grown_bytes, grown_bytes)
--- a/src/godwitvalve/forwarding/calls.py
+++ b/src/godwitvalve/forwarding/calls.py
@@ -15,6 +15,7 @@
 from godwitvalve.outcomes import codes
 from godwitvalve.placement import choose
 from godwitvalve.platform import headers as wire
+from godwitvalve.queueing import turns
 
 # Share of the latency objective after which a repeatable call is also sent
 # to a second endpoint. Calls take 45 ms, so the second one is still in time.
@@ -84,6 +85,22 @@
         )
 
     async def _forward(self) -> replies.Reply:
+        try:
+            turn = await self._context.turns.at(self._routed.service).begin(
+                self._routed.account,
+                self._routed.route.priority,
+                self._routed.deadline_s - policy.MIN_ATTEMPT_S,
+            )
+        except turns.TurnRefused as refused:
+            return replies.Refusal(
+                codes.ResultCode.OVERLOADED, refused.retry_after_s
+            )
+        try:
+            return await self._forward_in_turn(turn)
+        finally:
+            turn.end()
+
+    async def _forward_in_turn(self, turn: turns.Turn) -> replies.Reply:
         if not self._start():
             return replies.Refusal(
                 codes.ResultCode.NO_ENDPOINT, policy.NO_ENDPOINT_RETRY_AFTER_S
@@ -102,20 +119,32 @@
                 case policy.Retry(reason):
                     if self._running:
                         continue
-                    final_reply = await self._retry(reason)
+                    final_reply = await self._retry(reason, turn)
                     if final_reply is not None:
                         return final_reply
 
     def _candidates(self) -> list[endpoints.FleetEndpoint]:
         return self._context.candidates(self._routed.service, self._draw)
 
-    async def _retry(self, reason: str) -> replies.Reply | None:
+    async def _retry(
+        self, reason: str, turn: turns.Turn
+    ) -> replies.Reply | None:
         # Retries use the old version; the new one is not proven yet.
         self._draw = 1.0
         candidates = self._candidates()
         if all(each.endpoint_id in self._tried_ids for each in candidates):
             self._tried_ids.clear()
-            await asyncio.sleep(policy.FULL_CALL_PAUSE_S)
+            if reason == policy.DECLINED:
+                try:
+                    await turn.wait_again()
+                except turns.TurnRefused as refused:
+                    return policy.give_up(
+                        self._progress(),
+                        codes.ResultCode.OVERLOADED,
+                        refused.retry_after_s,
+                    ).reply
+            else:
+                await asyncio.sleep(policy.FULL_CALL_PAUSE_S)
         if self._start():
             self._context.budget.try_retry(self._routed.service)
             self._record_retry(reason)
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -15,6 +15,7 @@
 from godwitvalve.placement import sessions as session_model
 from godwitvalve.placement import speed as speed_model
 from godwitvalve.placement import tracker as trackers
+from godwitvalve.queueing import turns as turn_model
 from godwitvalve.rollouts import registry as rollout_registries
 from godwitvalve.routing import retry_budget
 
@@ -42,6 +43,9 @@
     remote_placements: abc.Callable[[], choose.RemotePlacements]
     on_placement_changed: abc.Callable[[], None]
     rollouts: rollout_registries.RolloutRegistry
+    turns: turn_model.Turns = dataclasses.field(
+        default_factory=turn_model.Turns
+    )
     rng: random.Random = dataclasses.field(default_factory=random.Random)
 
     def pick_service(self, route: routes.Route) -> str | None:
--- a/src/godwitvalve/forwarding/policy.py
+++ b/src/godwitvalve/forwarding/policy.py
@@ -27,6 +27,8 @@
 FULL_RETRY_AFTER_S = 0.5
 # Endpoints return about 1 s after a crash.
 NO_ENDPOINT_RETRY_AFTER_S = 0.5
+# Reason of a retry after an endpoint stated that it did not run the request.
+DECLINED = 'declined'
 # With less time left, no endpoint can answer a call.
 MIN_ATTEMPT_S = 0.01
 
@@ -118,7 +120,7 @@
             )
         case exchanges.Declined():
             if _may_retry(progress):
-                return Retry('declined')
+                return Retry(DECLINED)
             return give_up(
                 progress, codes.ResultCode.OVERLOADED, BUSY_RETRY_AFTER_S
             )
--- /dev/null
+++ b/src/godwitvalve/queueing/turns.py
@@ -0,0 +1,150 @@
+"""Lets the calls of an entry wait for their turn at full services."""
+
+from __future__ import annotations
+
+import asyncio
+
+from godwitvalve.logs import setup as logs
+from godwitvalve.queueing import fair_queue
+
+_LOG = logs.get('queueing')
+
+
+class TurnRefused(Exception):
+    """A call would not get its turn in time.
+
+    :param retry_after_s: seconds after which it may.
+    """
+
+    def __init__(self, retry_after_s: float) -> None:
+        super().__init__(f'retry after {retry_after_s:.2f} s')
+        self.retry_after_s = retry_after_s
+
+
+class Turn:
+    """A call that runs or waits; ``end`` must be called once.
+
+    :param granted: done once a waiting call may run.
+    """
+
+    def __init__(
+        self,
+        queue: ServiceTurns,
+        account: str,
+        priority: int,
+        deadline_s: float,
+        began_s: float,
+    ) -> None:
+        self._queue = queue
+        self.deadline_s = deadline_s
+        self.began_s = began_s
+        self.account = account
+        self.priority = priority
+        self.is_running = True
+        self.granted: asyncio.Future[None] | None = None
+
+    async def wait_again(self) -> None:
+        """Wait for another turn after all endpoints declined the call.
+
+        :raises TurnRefused: if the call can't end in time any more.
+        """
+        await self._queue.requeue(self)
+
+    def end(self) -> None:
+        """End the call, or its wait."""
+        self._queue.end(self)
+
+
+class ServiceTurns:
+    """Turns at one service."""
+
+    def __init__(self, service: str) -> None:
+        self._service = service
+        self._loop = asyncio.get_running_loop()
+        self._queue: fair_queue.FairQueue[Turn] = fair_queue.FairQueue()
+        self._probing: asyncio.TimerHandle | None = None
+
+    async def begin(
+        self, account: str, priority: int, deadline_s: float
+    ) -> Turn:
+        """Return a turn, at once unless the service is full.
+
+        :param deadline_s: seconds of the event loop's clock.
+        :raises TurnRefused: if the call would wait beyond its deadline.
+        """
+        now_s = self._loop.time()
+        turn = Turn(self, account, priority, deadline_s, now_s)
+        match self._queue.arrive(account, priority, turn, now_s, deadline_s):
+            case fair_queue.Refused(retry_after_s):
+                raise TurnRefused(retry_after_s)
+            case fair_queue.Queued():
+                try:
+                    await self._wait(turn)
+                except (asyncio.CancelledError, TurnRefused):
+                    turn.end()
+                    raise
+        return turn
+
+    async def requeue(self, turn: Turn) -> None:
+        """Put a declined call back and wait for its next turn."""
+        self._queue.decline(
+            turn.account,
+            turn.priority,
+            turn,
+            self._loop.time(),
+            turn.deadline_s,
+        )
+        _LOG.debug('The service is full.', extra={'service': self._service})
+        await self._wait(turn)
+
+    async def _wait(self, turn: Turn) -> None:
+        turn.is_running = False
+        turn.granted = self._loop.create_future()
+        self._schedule_probe()
+        await turn.granted
+
+    def end(self, turn: Turn) -> None:
+        """End a call and grant the turns that become free."""
+        now_s = self._loop.time()
+        if turn.is_running:
+            self._grant(
+                self._queue.finish(turn.account, now_s, now_s - turn.began_s)
+            )
+        else:
+            self._queue.cancel(turn.account, turn)
+
+    def _grant(self, turns: fair_queue.Turns[Turn]) -> None:
+        # A call that was cancelled just now ends its turn itself.
+        for turn in turns.started:
+            turn.is_running = True
+            turn.began_s = self._loop.time()
+            if turn.granted is not None and not turn.granted.done():
+                turn.granted.set_result(None)
+        for turn in turns.refused:
+            if turn.granted is not None and not turn.granted.done():
+                turn.granted.set_exception(TurnRefused(self._queue.call_s))
+
+    def _schedule_probe(self) -> None:
+        if self._probing is None:
+            self._probing = self._loop.call_later(
+                fair_queue.PROBE_PERIOD_S, self._probe
+            )
+
+    def _probe(self) -> None:
+        self._probing = None
+        self._grant(self._queue.probe(self._loop.time()))
+        if not self._queue.is_idle:
+            self._schedule_probe()
+
+
+class Turns:
+    """Turns at all services of an entry."""
+
+    def __init__(self) -> None:
+        self._services: dict[str, ServiceTurns] = {}
+
+    def at(self, service: str) -> ServiceTurns:
+        """Return the turns at a service."""
+        if service not in self._services:
+            self._services[service] = ServiceTurns(service)
+        return self._services[service]
