Give each call to a plain service its own connection

Cause: repeatable calls of the own interface shared connections, and the answers of plain services carry no id. A service that sent an answer again gave the next caller the case status of another (scenario "A late copy of an answer does not reach the next caller": /cases/7 for /cases/8).

Price: one connection a call, as calls that run once had before. The variant without the guard against second writes keeps its connections.

--- a/features/doubles/raw_endpoint.py
+++ b/features/doubles/raw_endpoint.py
@@ -31,3 +31,28 @@
             pass
         finally:
             writer.close()
+
+
+class LateCopyEndpoint(RawEndpoint):
+    """Answers with the target; sends each answer again before the next."""
+
+    def __init__(self):
+        super().__init__(b'')
+
+    async def _serve(self, reader, writer):
+        last = b''
+        try:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                target = head.split(b' ')[1]
+                answer = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s' % (
+                    len(target),
+                    target,
+                )
+                writer.write(last + answer)
+                last = answer
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
--- a/features/doubles/resending.py
+++ b/features/doubles/resending.py
@@ -11,7 +11,10 @@
 
 
 class ResendingService(http.HttpPlainService):
-    """Adapter that counts each write of a request as a new attempt."""
+    """Adapter that keeps connections and counts each write as an attempt."""
+
+    def _new_session(self, force_close):
+        return super()._new_session(force_close=False)
 
     async def _before_write(self, session, context, params):
         context.trace_request_ctx.attempt = outcome.SendAttempt()
--- a/features/services/services.feature
+++ b/features/services/services.feature
@@ -30,7 +30,7 @@
     # Guards against aiohttp's own retry on a closed pooled connection, which
     # would run a call twice.
     Given a running plain service
-    And a <method> was answered on a pooled connection
+    And a <method> was answered before
     And the plain service has the fault "lose_answers" set to true
     When a repeatable <method> to "/cases/7" is sent
     Then the service outcome is OUTCOME_UNKNOWN
@@ -47,11 +47,20 @@
     # Shows that the outline above detects a request that is sent twice.
     Given a running plain service
     And an adapter that lets aiohttp repeat requests
-    And a PUT was answered on a pooled connection
+    And a PUT was answered before
     And the plain service has the fault "lose_answers" set to true
     When a repeatable PUT to "/cases/7" is sent
     Then the service ran 3 calls
 
+  Scenario: A late copy of an answer does not reach the next caller
+    # Guards against the case status of another resident: a service may send
+    # an answer again on a connection that is in use for the next request,
+    # and its answers carry no id.
+    Given a plain service that repeats its last answer before the next one
+    When a repeatable GET to "/cases/7" is sent
+    And a repeatable GET to "/cases/8" is sent
+    Then the service answered "/cases/8"
+
   Scenario: A call is unknown if the service is killed while it runs
     # Guards against "not run" for a call that had started.
     Given a running plain service
--- a/features/steps/services_steps.py
+++ b/features/steps/services_steps.py
@@ -90,6 +90,23 @@
     )
 
 
+@behave.given(
+    'a plain service that repeats its last answer before the next one'
+)
+def late_copy_service(context):
+    context.raw = raw_endpoint.LateCopyEndpoint()
+    number = aio.run(context, context.raw.start())
+    context.cleanups.append(lambda: aio.run(context, context.raw.close()))
+    _use_port(context, number)
+
+
+@behave.then('the service answered "{text}"')
+def service_answered(context, text):
+    assert context.service_outcome.body == text.encode(), (
+        context.service_outcome
+    )
+
+
 @behave.given('a plain service whose answer is too long')
 def long_answer_service(context):
     size = http.MAX_ANSWER_BYTES + 1
@@ -136,7 +153,7 @@
     _send(context, _request(method, target, repeatable=True))
 
 
-@behave.given('a {method} was answered on a pooled connection')
+@behave.given('a {method} was answered before')
 def answered_before(context, method):
     _send(context, _request(method, '/cases/7', repeatable=True))
     assert isinstance(context.service_outcome, outcome.Completed)
--- a/src/godwitvalve/services/http.py
+++ b/src/godwitvalve/services/http.py
@@ -48,23 +48,23 @@
 class HttpPlainService:
     """Sends requests with aiohttp.
 
-    Each request that must not be repeated opens its own connection: the
-    endpoint may close an idle one just as the request is written, which
-    would give a request that never ran an unknown outcome.
+    Each request opens its own connection. Answers carry no id, so on a
+    connection that was in use before, a late copy of an answer would be taken
+    for the next one. The endpoint may also close an idle connection just as
+    the request is written, which would give a request that never ran an
+    unknown outcome.
 
     :param clock: clock for deadlines.
     """
 
     def __init__(self, clock: clock_model.Clock) -> None:
         self._clock = clock
-        self._pooled: aiohttp.ClientSession | None = None
-        self._single: aiohttp.ClientSession | None = None
+        self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
         """Close all connections."""
-        for session in (self._pooled, self._single):
-            if session is not None:
-                await session.close()
+        if self._session is not None:
+            await self._session.close()
 
     async def send(
         self,
@@ -108,7 +108,7 @@
         url = yarl.URL(
             f'http://{endpoint.address}{request.target}', encoded=True
         )
-        async with self._session(request.repeatable).request(
+        async with self._get_session().request(
             request.method,
             url,
             headers=header_rules.to_endpoint(request.headers),
@@ -141,7 +141,7 @@
         try:
             async with (
                 asyncio.timeout(LOAD_LIMIT_S),
-                self._session(False).get(
+                self._get_session().get(
                     f'http://{endpoint.address}/load',
                     trace_request_ctx=exchange,
                 ) as answer,
@@ -159,14 +159,10 @@
         ) as error:
             raise port.ServiceUnavailable(str(error)) from error
 
-    def _session(self, repeatable: bool) -> aiohttp.ClientSession:
-        if repeatable:
-            if self._pooled is None:
-                self._pooled = self._new_session(force_close=False)
-            return self._pooled
-        if self._single is None:
-            self._single = self._new_session(force_close=True)
-        return self._single
+    def _get_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = self._new_session(force_close=True)
+        return self._session
 
     def _new_session(self, force_close: bool) -> aiohttp.ClientSession:
         hooks = aiohttp.TraceConfig()
