Read the list of another entry although an endpoint is known already

Cause: an entry that started in an outage of the store and heard of one restarted endpoint first did not read the endpoints of another entry, and refused every call with NO_ENDPOINT until the store was back.

Also: an endpoint that held a request until its deadline is logged; a flood of tiny chunks gets at most half of the processor. Found under load 15: the flooding endpoints of the tests shared the interpreter lock with the entry, and three scenarios failed there; they run in a process of their own now, at up to 64 MB/s for each connection.

--- a/features/doubles/flooding_endpoint.py
+++ b/features/doubles/flooding_endpoint.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import contextlib
+import multiprocessing
 import socket
 import threading
 import time
 
 POLL_S = 0.05
+# A process of its own keeps the flood from the interpreter lock of the test.
+_PROCESSES = multiprocessing.get_context('fork')
 
 
 class FloodingEndpoint:
-    """Serves each connection in a thread of its own.
+    """Serves each connection in a thread of a process of its own.
 
     The first ``complete_answers`` requests of a connection get a complete
     answer. The next one gets ``prefix`` and then ``piece`` until the caller
@@ -33,37 +37,39 @@
         self._request_end = request_end
         self._listener = socket.create_server(('127.0.0.1', 0))
         self._listener.settimeout(POLL_S)
-        self._is_stopping = False
-        self._threads = []
-        self.sent_bytes = 0
-        self.requests = 0
-        self.open_connections = 0
+        self._sent_bytes = _PROCESSES.Value('q', 0)
+        self._open_connections = _PROCESSES.Value('q', 0)
+        self._process = None
         host, port = self._listener.getsockname()
         self.address = f'{host}:{port}'
 
+    @property
+    def sent_bytes(self):
+        return self._sent_bytes.value
+
+    @property
+    def open_connections(self):
+        return self._open_connections.value
+
     async def start(self):
-        self._run(self._accept)
+        self._process = _PROCESSES.Process(target=self._accept, daemon=True)
+        self._process.start()
+        self._listener.close()
         return self
 
     async def stop(self):
-        self._is_stopping = True
-        for thread in self._threads:
-            thread.join(2)
-        self._listener.close()
-
-    def _run(self, target, *arguments):
-        thread = threading.Thread(target=target, args=arguments, daemon=True)
-        self._threads.append(thread)
-        thread.start()
+        self._process.kill()
+        self._process.join()
 
     def _accept(self):
-        while not self._is_stopping:
-            try:
+        while True:
+            with contextlib.suppress(TimeoutError):
                 connection, _ = self._listener.accept()
-            except TimeoutError:
-                continue
-            self.open_connections += 1
-            self._run(self._serve, connection)
+                with self._open_connections.get_lock():
+                    self._open_connections.value += 1
+                threading.Thread(
+                    target=self._serve, args=(connection,), daemon=True
+                ).start()
 
     def _serve(self, connection):
         try:
@@ -76,7 +82,8 @@
         except OSError:
             pass
         finally:
-            self.open_connections -= 1
+            with self._open_connections.get_lock():
+                self._open_connections.value -= 1
 
     def _answer(self, connection):
         for answer in self._complete_answers:
@@ -84,26 +91,25 @@
             connection.sendall(answer.replace(b'{id}', request_id))
         request_id = self._read_request(connection)
         self._send(connection, self._prefix.replace(b'{id}', request_id))
-        while not self._is_stopping:
+        while True:
             self._send(connection, self._piece)
             if self._pause_s:
                 time.sleep(self._pause_s)
 
     def _send(self, connection, content):
         unsent = memoryview(content)
-        while unsent and not self._is_stopping:
+        while unsent:
             try:
                 count = connection.send(unsent)
             except TimeoutError:
                 continue
-            self.sent_bytes += count
+            with self._sent_bytes.get_lock():
+                self._sent_bytes.value += count
             unsent = unsent[count:]
 
     def _read_request(self, connection):
         received = b''
-        while (
-            not received.endswith(self._request_end) and not self._is_stopping
-        ):
+        while not received.endswith(self._request_end) and True:
             try:
                 data = connection.recv(65536)
             except TimeoutError:
@@ -111,7 +117,6 @@
             if not data:
                 raise ConnectionResetError
             received += data
-        self.requests += 1
         for line in received.lower().split(b'\r\n'):
             if line.startswith(b'request-id:'):
                 return line.partition(b':')[2].strip()
--- a/features/fleet/registry.feature
+++ b/features/fleet/registry.feature
@@ -30,6 +30,17 @@
     When the store answers for the first time at 10.0 s and lists "a"
     Then "a" are usable at 10.0 s
 
+  Scenario: A report of one endpoint does not hide the list of an entry
+    # Guards against refusing every request of a service: an entry that starts
+    # in an outage may hear of a restarted endpoint before it reads the list
+    # of all endpoints from another entry.
+    Given an empty registry
+    When "c" is reported as restarted
+    And another entry lists "a, b"
+    Then "a, b, c" are usable at 1.0 s
+    When another entry lists "d"
+    Then "a, b, c" are usable at 1.0 s
+
   Scenario: A start during an outage trusts no removal at once
     # Guards against refusing requests when an entry starts in an outage in
     # which rows expired.
--- a/features/steps/fleet_registry_steps.py
+++ b/features/steps/fleet_registry_steps.py
@@ -36,11 +36,27 @@
         _write(context, endpoint(name))
 
 
+@behave.given('an empty registry')
+def empty_registry(context):
+    context.registry = registry.EndpointRegistry()
+
+
+@behave.when('"{name}" is reported as restarted')
+def reported_restarted(context, name):
+    context.registry.add_provisional(endpoint(name))
+
+
+@behave.when('another entry lists "{names}"')
+def peer_lists(context, names):
+    context.registry.load_listed(
+        [endpoint(each) for each in names.split(', ')]
+    )
+
+
 @behave.given('a registry that started with "{names}" from another entry')
 def started_from_peer(context, names):
     context.registry = registry.EndpointRegistry()
-    for name in names.split(', '):
-        context.registry.update(endpoint(name), 0)
+    peer_lists(context, names)
 
 
 @behave.when(
--- a/features/steps/forwarding_endless_steps.py
+++ b/features/steps/forwarding_endless_steps.py
@@ -17,6 +17,8 @@
 
 MIB = 1024 * 1024
 FAST_PIECE_BYTES = 64 * 1024
+# At most 64 MB/s for each connection.
+FAST_PAUSE_S = 0.001
 SLOW_PAUSE_S = 0.02
 NON_REPEATABLE = forwarding_site.route(
     routes.RequestKind.ONCE, objective_ms=400.0
@@ -83,7 +85,7 @@
         )
     copies = FAST_PIECE_BYTES // len(piece)
     return flooding_endpoint.FloodingEndpoint(
-        prefix, piece * copies, 0.0, complete_answers
+        prefix, piece * copies, FAST_PAUSE_S, complete_answers
     )
 
 
--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -28,6 +28,7 @@
         self.trusted_from_s = 0.0
         self.is_store_unavailable = True
         self._has_seen_outage = False
+        self._is_loaded = False
 
     def mark_store_unavailable(self) -> None:
         """Record that the store does not answer."""
@@ -73,6 +74,20 @@
             self._mark_predecessors_replaced(endpoint)
         return is_changed
 
+    def load_listed(
+        self, listed: abc.Iterable[endpoints.FleetEndpoint]
+    ) -> None:
+        """Add the endpoints that another entry lists.
+
+        No effect once a list or the table was read. Endpoints that are known
+        from reports do not count: they are only a few of all.
+        """
+        if self._is_loaded:
+            return
+        self._is_loaded = True
+        for endpoint in listed:
+            self.update(endpoint, 0)
+
     def add_provisional(self, endpoint: endpoints.FleetEndpoint) -> bool:
         """Add an endpoint that is not listed because of a store outage.
 
@@ -130,6 +145,7 @@
         now_s: float,
     ) -> None:
         """Replace the endpoints with all rows as of a store version."""
+        self._is_loaded = True
         for endpoint, row_version in rows.values():
             self.update(endpoint, row_version)
         for endpoint_id in [
--- a/src/godwitvalve/forwarding/calls.py
+++ b/src/godwitvalve/forwarding/calls.py
@@ -276,13 +276,20 @@
     ) -> None:
         """Record a failure if the call ends after its objective."""
         now_s = self._loop.time()
-        if (
-            is_sent
-            and now_s - began_s > self._routed.route.objective_ms / 1000
-        ):
-            self._context.endpoint_tracker.record_failure(
-                endpoint.endpoint_id, now_s
-            )
+        held_s = now_s - began_s
+        if not is_sent or held_s <= self._routed.route.objective_ms / 1000:
+            return
+        self._context.endpoint_tracker.record_failure(
+            endpoint.endpoint_id, now_s
+        )
+        _LOG.info(
+            'Endpoint held a request until it ended.',
+            extra={
+                'request_id': self._routed.request.facts.request_id,
+                'endpoint_id': endpoint.endpoint_id,
+                'idle_s': round(held_s, 3),
+            },
+        )
 
     def _record_outcome(
         self,
--- a/src/godwitvalve/forwarding/channel.py
+++ b/src/godwitvalve/forwarding/channel.py
@@ -20,9 +20,11 @@
 MAX_INTERIM_ANSWERS = 8
 # A head is sent at once; the limit leaves time for two retransmissions.
 HEAD_LIMIT_S = 2.0
-# Parsing this many events takes about a millisecond. Other requests run in
-# between if an endpoint sends faster than its bytes are parsed.
+# Parsing this many events takes about a millisecond. If an endpoint sends
+# faster than its bytes are parsed, other requests run in between, and it gets
+# at most half of the processor.
 EVENTS_PER_TURN = 32
+TURN_PAUSE_S = 0.001
 # Requests of which a connection keeps the ids. A plain call is attempted
 # again at the same endpoint within a second, in which a connection carries
 # at most some twenty others.
@@ -246,7 +248,7 @@
         self._events_in_turn += 1
         if self._events_in_turn > EVENTS_PER_TURN:
             self._events_in_turn = 0
-            await asyncio.sleep(0)
+            await asyncio.sleep(TURN_PAUSE_S)
         while (event := self._parse()) is h11.NEED_DATA:
             if self._is_lost:
                 raise ChannelBroken(self._lost_reason)
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -447,6 +447,14 @@
             self._context.endpoint_tracker.record_failure(
                 attempt.endpoint.endpoint_id, self._loop.time()
             )
+            _LOG.info(
+                'Endpoint held a request until it ended.',
+                extra={
+                    'request_id': self._routed.request.facts.request_id,
+                    'endpoint_id': attempt.endpoint.endpoint_id,
+                    'idle_s': round(idle_s, 3),
+                },
+            )
 
     def _is_check_due(
         self, attempt: attempts.StreamAttempt, since_s: float
--- a/src/godwitvalve/ingress/membership.py
+++ b/src/godwitvalve/ingress/membership.py
@@ -207,7 +207,5 @@
                 extra={'peer': peer, 'reason': str(error)},
             )
             return
-        if not self._state.registry.ids():
-            for endpoint in shared.listed:
-                self._state.registry.update(endpoint, 0)
+        self._state.registry.load_listed(shared.listed)
         self._configuration.apply_content(shared.configuration, peer)
