--- a/features/rollouts/rollouts.feature
+++ b/features/rollouts/rollouts.feature
@@ -22,6 +22,17 @@
       | large plain | fails after a while      | 6     | 6     |
       | large plain | fails on one route       | 6     | 6     |
 
+  Scenario Outline: The exposure is limited if nothing is found: <size>
+    # Guards against the requests of the last part, which all go to the new
+    # version: one that fails only under load shows nothing before.
+    When <count> roll-outs of a <size> service run in which the version fails at the end
+    Then none of them exceeds the allowed exposure
+
+    Examples:
+      | size        | count |
+      | plain       | 20    |
+      | large plain | 6     |
+
   Scenario Outline: Good versions are completed in time: <size> <case>
     # Guards against a rollback because of failures that both versions have.
     When <count> roll-outs of a <size> service run in which the version <case>
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -26,6 +26,7 @@
     'fails from the start': simulation.Case(failures=0.4),
     'is slow from the start': simulation.Case(slower=8.0),
     'fails after a while': simulation.Case(failures=0.4, from_s=3.0),
+    'fails at the end': simulation.Case(failures=0.1, from_s=14.0),
     'fails on one route': simulation.Case(failures=0.5, route='b'),
 }
 LISTED = [
--- a/src/godwitvalve/rollouts/plan.py
+++ b/src/godwitvalve/rollouts/plan.py
@@ -19,7 +19,7 @@
 # Earliest and latest fraction of the ordered duration from which the new
 # version receives all requests.
 FULL_SHARE_EARLIEST = 0.5
-FULL_SHARE_LATEST = 0.86
+FULL_SHARE_LATEST = 0.9
 # Fraction of the ordered duration from which weaker evidence is enough for a
 # rollback.
 LATE_ROLLBACK_FROM = 0.85
@@ -29,6 +29,11 @@
 # Fraction of the allowed exposure that an unproven version may use; the rest
 # covers requests that other entries send in the same second.
 SAFE_EXPOSURE = 0.7
+# The same fraction where the last requests are reserved.
+SAFE_RESERVED_EXPOSURE = 0.75
+# Largest fraction of the ordered duration whose requests are reserved. For a
+# model it is about half, which would leave too few requests to compare.
+MAX_RESERVED_FRACTION = 0.2
 # Slots that the new version needs, relative to those of the old one.
 MIN_SLOT_RATIO = 0.6
 
@@ -81,7 +86,20 @@
 def remaining_exposure(
     view: RolloutView, limits: orders.ExposureLimits
 ) -> float:
-    """Return how many more requests an unproven version may get."""
+    """Return how many more requests an unproven version may get.
+
+    Load pattern: a version that fails only under load, or late, shows
+    nothing while it is compared. The last requests of the ordered duration,
+    which all go to the new version, are reserved if they are few. The limit
+    then also holds for a version that is not found to be bad.
+    """
+    reserved_fraction = 1.0 - view.full_share_from
+    if reserved_fraction <= MAX_RESERVED_FRACTION:
+        expected = view.sent / max(view.elapsed_fraction, 0.05)
+        unreserved = limits.slack - expected * (
+            reserved_fraction - limits.share
+        )
+        return SAFE_RESERVED_EXPOSURE * unreserved - view.sent_new
     allowed = limits.share * view.sent + limits.slack
     return SAFE_EXPOSURE * allowed - view.sent_new
 
