Estimate the wait for a turn also at an entry with little traffic

Cause: the wait was estimated from the calls that ended within a second. An entry that had ended none refused a call for 2 s although a slot was free within 50 ms. The rate is at least that of the calls in flight now.

The scenario "A call at an entry with little traffic waits for a free slot" fails before (refused, 2.0 s). The calls of the queue's scenarios take 0.4 s now instead of none, so the times in one of them follow. Also renames the calls whose wait ends (NextCalls), as Turns was the name of two classes.

--- a/features/queueing/fair_queue.feature
+++ b/features/queueing/fair_queue.feature
@@ -25,8 +25,14 @@
     Given a queue with 4 running calls of "a" and a declined one
     When 10 calls of "a" end and start within 1 s
     And 3 calls of "a" arrive
-    Then a call of "a" with 0.4 s left is refused for 0.5 s
-    And a call of "b" with 0.4 s left waits
+    Then a call of "a" with 0.8 s left is refused for 0.5 s
+    And a call of "b" with 0.8 s left waits
+
+  Scenario: A call at an entry with little traffic waits for a free slot
+    # Guards against a refusal while slots become free: an entry that ended no
+    # call within a second knows no rate.
+    Given a queue with 1 running calls of "a" and a declined one
+    Then a call of "b" with 1.0 s left waits
 
   Scenario: The limit rises until the service declines again
     # Guards against a service that stays limited after its endpoints return.
--- a/features/steps/queueing_steps.py
+++ b/features/steps/queueing_steps.py
@@ -20,6 +20,7 @@
     derandomize=True, max_examples=300, deadline=None, database=None
 )
 LONG_S = 1e6
+CALL_S = 0.4
 CALL_LIMIT_S = 1.0
 ROUTE = forwarding_site.route(routes.RequestKind.ONCE, objective_ms=400.0)
 
@@ -53,16 +54,16 @@
         self.waiting += 1
         self.queue.decline(account, 0, ticket, self.now_s, self.now_s + LONG_S)
 
-    def _begin(self, turns):
-        self.waiting -= len(turns.refused)
-        for account, priority, _ in turns.started:
+    def _begin(self, calls):
+        self.waiting -= len(calls.refused)
+        for account, priority, _ in calls.started:
             self.running[account] += 1
             self.waiting -= 1
             self.turns.append((account, priority))
 
     def finish(self, account):
         self.running[account] -= 1
-        self._begin(self.queue.finish(account, self.now_s, 0.0))
+        self._begin(self.queue.finish(account, self.now_s, CALL_S))
 
     def probe(self):
         self._begin(self.queue.probe(self.now_s))
--- a/src/godwitvalve/queueing/fair_queue.py
+++ b/src/godwitvalve/queueing/fair_queue.py
@@ -49,7 +49,7 @@
 Admission: TypeAlias = Started | Queued | Refused
 
 
-class Turns(NamedTuple, Generic[Ticket]):
+class NextCalls(NamedTuple, Generic[Ticket]):
     """Calls that no longer wait.
 
     :param started: their turn is now.
@@ -136,7 +136,7 @@
 
     def finish(
         self, account: str, now_s: float, taken_s: float
-    ) -> Turns[Ticket]:
+    ) -> NextCalls[Ticket]:
         """End a call; return the calls whose turn it is now.
 
         :param taken_s: seconds since its turn.
@@ -155,16 +155,16 @@
         heapq.heapify(kept)
         self._set_waiting(account, kept)
 
-    def probe(self, now_s: float) -> Turns[Ticket]:
+    def probe(self, now_s: float) -> NextCalls[Ticket]:
         """Raise the limit if nothing was declined; return the next calls.
 
         Has to be called every ``PROBE_PERIOD_S``.
         """
         if self._limit is None:
-            return Turns([], [])
+            return NextCalls([], [])
         if not self._waiting and now_s - self._declined_s > FREE_AFTER_S:
             self._limit = None
-            return Turns([], [])
+            return NextCalls([], [])
         if now_s - self._declined_s >= HOLD_S:
             self._limit += 1.0
         return self._next_turns(now_s)
@@ -188,8 +188,8 @@
         else:
             self._waiting.pop(account, None)
 
-    def _next_turns(self, now_s: float) -> Turns[Ticket]:
-        turns: Turns[Ticket] = Turns([], [])
+    def _next_turns(self, now_s: float) -> NextCalls[Ticket]:
+        found: NextCalls[Ticket] = NextCalls([], [])
         while self._waiting and self._has_room():
             account = min(
                 self._waiting,
@@ -202,11 +202,11 @@
             first = heapq.heappop(entries)
             self._set_waiting(account, entries)
             if now_s + self.call_s > first.deadline_s:
-                turns.refused.append(first.ticket)
+                found.refused.append(first.ticket)
                 continue
             self._running[account] += 1
-            turns.started.append(first.ticket)
-        return turns
+            found.started.append(first.ticket)
+        return found
 
     def _forget_ends(self, now_s: float) -> None:
         while self._ended_s and self._ended_s[0] < now_s - RATE_PERIOD_S:
@@ -225,6 +225,7 @@
             for other, entries in self._waiting.items()
             if other != account
         )
-        # Without an ended call in the period, a single one is assumed.
-        rate = max(len(self._ended_s), 1) / RATE_PERIOD_S
+        # An entry with few calls has ended none in the period.
+        possible_rate = (self._limit or 1.0) / max(self.call_s, PROBE_PERIOD_S)
+        rate = max(len(self._ended_s) / RATE_PERIOD_S, possible_rate)
         return (position + ahead) / rate
--- a/src/godwitvalve/queueing/turns.py
+++ b/src/godwitvalve/queueing/turns.py
@@ -113,14 +113,14 @@
         else:
             self._queue.cancel(turn.account, turn)
 
-    def _grant(self, turns: fair_queue.Turns[Turn]) -> None:
+    def _grant(self, calls: fair_queue.NextCalls[Turn]) -> None:
         # A call that was cancelled just now ends its turn itself.
-        for turn in turns.started:
+        for turn in calls.started:
             turn.is_running = True
             turn.began_s = self._loop.time()
             if turn.granted is not None and not turn.granted.done():
                 turn.granted.set_result(None)
-        for turn in turns.refused:
+        for turn in calls.refused:
             if turn.granted is not None and not turn.granted.done():
                 turn.granted.set_exception(TurnRefused(self._queue.call_s))
 
