--- a/src/godwitvalve/forwarding/probes.py
+++ b/src/godwitvalve/forwarding/probes.py
@@ -11,7 +11,7 @@
 from godwitvalve.platform import headers as wire
 
 PROBE_LIMIT_S = 0.4
-# A probe reads one head; at most one runs for each lost endpoint.
+# A probe reads at most one head.
 PROBE_MEMORY_BYTES = 128 * 1024
 
 
