Count attempts by the state of their endpoint

Each attempt is counted in godwitvalve_sends_total by the state of its endpoint, and one at an endpoint that is not usable is logged.

--- a/features/forwarding/calls.feature
+++ b/features/forwarding/calls.feature
@@ -95,3 +95,12 @@
     And the endpoint received "tenant: acme"
     And the endpoint received "deadline-ms: "
     And the endpoint did not receive "kv-from"
+
+  Scenario: Attempts are counted by the state of their endpoint
+    # Guards against requests at endpoints that have gone which no log line
+    # and no metric shows.
+    Given an endpoint that plays "complete" and "complete"
+    And the row of endpoint 1 expired in an outage of the store
+    When a non-repeatable call is made
+    Then the caller gets status 200 and the body "fine"
+    And 1 attempt was made at endpoints in the state "missing"
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+from aioprometheus import renderer
 import behave
 from features.doubles import forwarding_site
 from features.doubles import scripted_endpoint
@@ -156,6 +157,8 @@
             for each in scripted:
                 await each.stop()
         site = forwarding_site.ForwardingSite(scripted)
+        if 'prepare' in context:
+            context.prepare(site)
         started_s = time.monotonic()
         try:
             result = await act(site)
@@ -171,6 +174,19 @@
     return asyncio.run(run())
 
 
+@behave.given(
+    'the row of endpoint {number:d} expired in an outage of the store'
+)
+def row_expired(context, number):
+    def prepare(site):
+        registry = site.state.registry
+        registry.mark_store_unavailable()
+        registry.mark_store_available(time.monotonic())
+        registry.remove(f'e{number - 1}', 2, time.monotonic())
+
+    context.prepare = prepare
+
+
 @behave.when('a repeatable call is made')
 def repeatable_call(context):
     context.reply = _run_site(context, lambda site: site.call(REPEATABLE))
@@ -330,3 +346,16 @@
 @behave.then('the connection to endpoint {number:d} was closed')
 def connection_closed(context, number):
     assert context.scripted[number - 1].closed_by_peer == 1
+
+
+@behave.then('{count:d} attempt was made at endpoints in the state "{state}"')
+def attempts_in_state(context, count, state):
+    registry = context.site.context.counters.registry
+    content, _ = renderer.render(registry, [])
+    found = [
+        line.rpartition(' ')[2]
+        for line in content.decode().splitlines()
+        if line.startswith('godwitvalve_sends_total')
+        and f'state="{state}"' in line
+    ]
+    assert found == [str(count)], content
--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import abc
+import enum
 
 from godwitvalve.fleet import endpoints
 
@@ -11,6 +12,17 @@
 REREGISTRATION_S = 2.3
 
 
+class EndpointState(enum.Enum):
+    """What the registry knows about an endpoint."""
+
+    USABLE = 'usable'
+    LEAVING = 'leaving'
+    # Its row is missing, and removals are not trusted yet.
+    MISSING = 'missing'
+    REPLACED = 'replaced'
+    UNKNOWN = 'unknown'
+
+
 class EndpointRegistry:
     """Endpoints by id.
 
@@ -206,6 +218,19 @@
         """Return a known endpoint."""
         return self._endpoints.get(endpoint_id)
 
+    def state_of(self, endpoint_id: str) -> EndpointState:
+        """Return the state of an endpoint."""
+        endpoint = self._endpoints.get(endpoint_id)
+        if endpoint is None:
+            return EndpointState.UNKNOWN
+        if endpoint.is_leaving:
+            return EndpointState.LEAVING
+        if endpoint_id in self._replaced:
+            return EndpointState.REPLACED
+        if endpoint_id in self._missing_until_s:
+            return EndpointState.MISSING
+        return EndpointState.USABLE
+
     def ids(self) -> abc.Set[str]:
         """Return the ids of all known endpoints."""
         return self._endpoints.keys()
--- a/src/godwitvalve/forwarding/calls.py
+++ b/src/godwitvalve/forwarding/calls.py
@@ -247,6 +247,7 @@
             routed.account,
             routed.urgency,
         )
+        self._context.record_send(endpoint, routed.request.facts.request_id)
         exchange = exchanges.Exchange(endpoint, self._context.pool)
         observation = self._context.rollouts.observe(
             endpoint, routed.route, self._loop.call_later, self._loop.time()
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -7,10 +7,12 @@
 import random
 
 from godwitvalve.fleet import endpoints
+from godwitvalve.fleet import registry as registries
 from godwitvalve.fleet import routes
 from godwitvalve.fleet import state as states
 from godwitvalve.forwarding import counters as counter_model
 from godwitvalve.forwarding import pool as pools
+from godwitvalve.logs import setup as logs
 from godwitvalve.placement import choose
 from godwitvalve.placement import sessions as session_model
 from godwitvalve.placement import speed as speed_model
@@ -19,6 +21,8 @@
 from godwitvalve.rollouts import registry as rollout_registries
 from godwitvalve.routing import retry_budget
 
+_LOG = logs.get('forwarding')
+
 
 @dataclasses.dataclass(frozen=True)
 class ForwardingContext:
@@ -65,6 +69,22 @@
             self.pool.drop(endpoint.endpoint_id)
             self.on_placement_changed()
 
+    def record_send(
+        self, endpoint: endpoints.FleetEndpoint, request_id: str
+    ) -> None:
+        """Count an attempt; log one at an endpoint that is not usable."""
+        state = self.state.registry.state_of(endpoint.endpoint_id)
+        self.counters.count_send(state)
+        if state is not registries.EndpointState.USABLE:
+            _LOG.warning(
+                'Sending a request to an endpoint that is not usable.',
+                extra={
+                    'request_id': request_id,
+                    'endpoint_id': endpoint.endpoint_id,
+                    'state': state.value,
+                },
+            )
+
     def candidates(
         self, service: str, draw: float
     ) -> list[endpoints.FleetEndpoint]:
--- a/src/godwitvalve/forwarding/counters.py
+++ b/src/godwitvalve/forwarding/counters.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from aioprometheus import collectors
 
-from godwitvalve.outcomes import codes
+if TYPE_CHECKING:
+    from godwitvalve.fleet import registry
+    from godwitvalve.outcomes import codes
 
 # Bucket bounds of the latency histograms, around the objectives of plain
 # calls (0.2 s) and of first events (4.5 s).
@@ -39,6 +43,11 @@
         self._retries = self._counter(
             'godwitvalve_retries_total', 'Sends after the first.', labels
         )
+        self._sends = self._counter(
+            'godwitvalve_sends_total',
+            'Attempts by the state of their endpoint.',
+            labels,
+        )
         self._refusals = self._counter(
             'godwitvalve_refusals_total', 'Own refusals by code.', labels
         )
@@ -72,6 +81,10 @@
         """Count an attempt after the first one."""
         self._retries.inc({'reason': reason})
 
+    def count_send(self, state: registry.EndpointState) -> None:
+        """Count an attempt at an endpoint in a state."""
+        self._sends.inc({'state': state.value})
+
     def count_refusal(self, code: codes.ResultCode) -> None:
         """Count an answer of this entry in place of an endpoint's."""
         self._refusals.inc({'code': str(code.value), 'reason': code.name})
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -299,6 +299,9 @@
         self._context.sessions.begin(
             self._routed.request.facts.session, attempt.endpoint.endpoint_id
         )
+        self._context.record_send(
+            attempt.endpoint, self._routed.request.facts.request_id
+        )
         exchange = exchanges.Exchange(attempt.endpoint, self._context.pool)
         attempt.progress_s = self._loop.time()
         attempt.observation = self._context.rollouts.observe(
