Do not resume streams at backups that are leaving

Callers' requests reached endpoints up to 3.4 s after these had announced that they leave; 2.0 s are allowed. When the endpoint of a stream crashed, the stream went on at the endpoint that kept its backup, which was chosen when the attempt began and looked up by its id only. Endpoints that are leaving, or that another start replaced, were used as well.

A backup is now used only while it may receive requests, by the same rule as every other choice. Without a usable backup the stream waits for capacity like one that has none; it would be broken off otherwise.

The scenario failed before this change (endpoint 2 received the request).

Streams whose backup leaves read their prompt again.

--- a/features/doubles/forwarding_site.py
+++ b/features/doubles/forwarding_site.py
@@ -47,14 +47,19 @@
 
 
 class Recorder:
-    """Sink that records the head and content of a stream."""
+    """Sink that records the head and content of a stream.
 
-    def __init__(self):
+    :param on_start: called when the stream starts.
+    """
+
+    def __init__(self, on_start):
         self.head = None
         self.content = b''
+        self._on_start = on_start
 
     async def start(self, head):
         self.head = head
+        self._on_start()
 
     async def send(self, content):
         self.content += content
@@ -72,6 +77,7 @@
             answer_memory.limit_for(128)
         )
         self.lost = []
+        self.on_started = []
         self.state = state.FleetState()
         self.state.registry.mark_store_available(-100.0)
         self.state.install(self._configuration())
@@ -165,7 +171,7 @@
 
     async def stream(self, its_route, wait_s=3.0, last_event=0):
         """Forward a stream; return its reply and the sink."""
-        sink = Recorder()
+        sink = Recorder(lambda: [each(self) for each in self.on_started])
         routed = self.routed_request(its_route, wait_s, last_event)
         reply = await streams.StreamForwarder(self.context, routed, sink).run()
         return reply, sink
--- a/features/forwarding/streams.feature
+++ b/features/forwarding/streams.feature
@@ -28,6 +28,15 @@
     When a stream is made
     Then its caller gets the events 1 to 2 and the end
 
+  Scenario: A stream is not resumed at a backup that is leaving
+    # Guards against requests at an endpoint long after it announced that it
+    # leaves: a stream may crash seconds after its backup was chosen.
+    Given stream endpoints that play "head 1 2 crash, head 3 4 end" and "head 3 4 end"
+    And endpoint 2 announces during the stream that it leaves
+    When a stream is made
+    Then its caller gets the events 1 to 4 and the end
+    And endpoint 2 received no request
+
   Scenario: A stream that may not be resumed is interrupted
     # Two runs of a request that must run once must not be joined.
     Given stream endpoints that play "head 1 crash" and "head 2 end"
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -187,6 +187,16 @@
     context.prepare = prepare
 
 
+@behave.given('endpoint {number:d} announces during the stream that it leaves')
+def leaves_during_stream(context, number):
+    def announce(site):
+        registry = site.state.registry
+        endpoint = registry.get(f'e{number - 1}')
+        registry.update(endpoint._replace(is_leaving=True), 2)
+
+    context.prepare = lambda site: site.on_started.append(announce)
+
+
 @behave.when('a repeatable call is made')
 def repeatable_call(context):
     context.reply = _run_site(context, lambda site: site.call(REPEATABLE))
@@ -246,6 +256,11 @@
     assert found == count, found
 
 
+@behave.then('endpoint {number:d} received no request')
+def received_no_request(context, number):
+    assert not context.scripted[number - 1].heads
+
+
 @behave.then('the outcome is unknown')
 def outcome_unknown(context):
     assert isinstance(context.reply, replies.Failure), context.reply
--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -239,12 +239,18 @@
         """Return all known endpoints."""
         return self._endpoints.values()
 
+    def is_usable(self, endpoint_id: str) -> bool:
+        """Tell whether an endpoint may receive requests."""
+        return self.state_of(endpoint_id) in (
+            EndpointState.USABLE,
+            EndpointState.MISSING,
+        )
+
     def usable(self, service: str) -> list[endpoints.FleetEndpoint]:
         """Return the endpoints of a service that may receive requests."""
         return [
             endpoint
             for endpoint in self._endpoints.values()
             if endpoint.service == service
-            and not endpoint.is_leaving
-            and endpoint.endpoint_id not in self._replaced
+            and self.is_usable(endpoint.endpoint_id)
         ]
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -85,6 +85,12 @@
                 },
             )
 
+    def may_receive(self, endpoint: endpoints.FleetEndpoint) -> bool:
+        """Tell whether an endpoint that was chosen earlier is still usable."""
+        return self.state.registry.is_usable(
+            endpoint.endpoint_id
+        ) and self.rollouts.allows(endpoint)
+
     def candidates(
         self, service: str, draw: float
     ) -> list[endpoints.FleetEndpoint]:
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -192,10 +192,7 @@
             each.endpoint_id in self._tried_ids for each in candidates
         ):
             return True
-        if (
-            self._last_attempt is not None
-            and self._last_attempt.backup is not None
-        ):
+        if self._usable_backup() is not None:
             return True
         now_s = self._loop.time()
         last_start_s = (
@@ -246,16 +243,23 @@
             endpoint, self._backup_for(endpoint, now_s), '', now_s
         )
 
+    def _usable_backup(self) -> endpoints.FleetEndpoint | None:
+        """Return the backup of the last attempt unless it is leaving.
+
+        It was chosen when that attempt began, seconds ago.
+        """
+        backup = self._last_attempt.backup if self._last_attempt else None
+        if backup is None or not self._context.may_receive(backup):
+            return None
+        return backup
+
     def _attempt_at_backup(
         self, now_s: float
     ) -> attempts.StreamAttempt | None:
-        """Return an attempt at the backup of the last one, if it has any."""
-        last = self._last_attempt
-        if last is None or last.backup is None:
-            return None
+        """Return an attempt at the backup of the last one, if it is usable."""
+        endpoint = self._usable_backup()
         self._last_attempt = None
-        endpoint = self._context.state.registry.get(last.backup.endpoint_id)
-        if endpoint is None or not self._context.rollouts.allows(endpoint):
+        if endpoint is None:
             return None
         request_id = self._routed.request.facts.request_id
         return attempts.StreamAttempt(
