Do not use a few endpoints whose rows are gone after an outage

After an entry lost the store, removed rows were ignored for 2.3 s, as rows that expired in an outage are written again within 2 s. The rule also applied when only this entry had lost the store, or when one of its calls had failed, although the store was well and endpoints had really left: callers' requests reached them for up to 2.6 s after their rows were gone.

In an outage of the store the rows of all endpoints expire. So endpoints whose rows are missing are used only while they are at least half of their service; a few missing rows are endpoints that left. Restarted endpoints that answered during the outage stay usable.

The new scenario failed before this change (a, b, c were usable).

--- a/features/fleet/registry.feature
+++ b/features/fleet/registry.feature
@@ -10,6 +10,19 @@
     When the row of "a" is written again
     Then "a, b" are usable at 13.0 s
 
+  Scenario: A single endpoint whose row is gone is not used after an outage
+    # Guards against requests to an endpoint that left while only this entry
+    # had lost the store: rows expire in an outage of the store itself, and
+    # then those of most endpoints are missing.
+    Given a registry with the endpoints "a, b, c"
+    When the store is unavailable and returns at 10.0 s
+    And the row of "a" is removed at 10.1 s
+    Then "b, c" are usable at 10.1 s
+    When the row of "b" is removed at 10.2 s
+    Then "a, b, c" are usable at 10.2 s
+    When the row of "b" is written again
+    Then "b, c" are usable at 10.3 s
+
   Scenario: An endpoint whose row is not written again is removed
     # Guards against sending to endpoints that ended during an outage.
     Given a registry with the endpoints "a, b"
--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -28,7 +28,9 @@
 
     Load pattern: the store returns after an outage in which leases expired,
     so that all rows of a service are missing for up to 2 s. Removing its
-    endpoints at once would refuse every request of the service.
+    endpoints at once would refuse every request of the service. If the rows
+    of only a few are missing, these have left, and none but this entry may
+    have lost the store.
     """
 
     def __init__(self) -> None:
@@ -227,7 +229,10 @@
             return EndpointState.LEAVING
         if endpoint_id in self._replaced:
             return EndpointState.REPLACED
-        if endpoint_id in self._missing_until_s:
+        if (
+            endpoint_id in self._missing_until_s
+            and endpoint_id not in self._provisional
+        ):
             return EndpointState.MISSING
         return EndpointState.USABLE
 
@@ -241,16 +246,22 @@
 
     def is_usable(self, endpoint_id: str) -> bool:
         """Tell whether an endpoint may receive requests."""
-        return self.state_of(endpoint_id) in (
-            EndpointState.USABLE,
-            EndpointState.MISSING,
+        endpoint = self._endpoints.get(endpoint_id)
+        return endpoint is not None and endpoint in self.usable(
+            endpoint.service
         )
 
     def usable(self, service: str) -> list[endpoints.FleetEndpoint]:
-        """Return the endpoints of a service that may receive requests."""
-        return [
-            endpoint
-            for endpoint in self._endpoints.values()
-            if endpoint.service == service
-            and self.is_usable(endpoint.endpoint_id)
-        ]
+        """Return the endpoints of a service that may receive requests.
+
+        Endpoints whose rows are missing are used while they are at least
+        half of the service.
+        """
+        by_state: dict[EndpointState, list[endpoints.FleetEndpoint]] = {}
+        for endpoint in self._endpoints.values():
+            if endpoint.service == service:
+                state = self.state_of(endpoint.endpoint_id)
+                by_state.setdefault(state, []).append(endpoint)
+        listed = by_state.get(EndpointState.USABLE, [])
+        missing = by_state.get(EndpointState.MISSING, [])
+        return listed + missing if len(missing) >= len(listed) else listed
