--- a/src/godwitvalve/forwarding/attempts.py
+++ b/src/godwitvalve/forwarding/attempts.py
@@ -63,6 +63,7 @@
     backup: endpoints.FleetEndpoint | None
     memory_source: str
     began_s: float
+    has_head: bool = False
     has_events: bool = False
     first_event_s: float = 0.0
     last_activity_s: float = 0.0
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -341,6 +341,7 @@
         if head is None:
             return attempts.Interrupted('silent', True)
         now_s = self._loop.time()
+        attempt.has_head = True
         attempt.progress_s = now_s
         self._context.endpoint_tracker.record_load(
             attempt.endpoint.endpoint_id, head.facts.load, now_s
@@ -579,6 +580,8 @@
                 'endpoint_id': attempt.endpoint.endpoint_id,
                 'outcome': type(end).__name__,
                 'reason': attempts.reason_label(end),
+                'has_head': attempt.has_head,
+                'segments': self._routed.request.facts.shared_segments,
                 'last_event': self._splitter.last_event,
                 'memory_source': attempt.memory_source,
                 'run_s': round(self._loop.time() - attempt.began_s, 3),
--- a/src/godwitvalve/platform/headers.py
+++ b/src/godwitvalve/platform/headers.py
@@ -48,6 +48,7 @@
     :param max_output_tokens: 0 if not stated.
     :param session: id of the last segment of the prompt, which is unique
         to the session; empty if not stated.
+    :param shared_segments: ids of the segments before the last one.
     """
 
     request_id: str
@@ -57,6 +58,7 @@
     prompt_tokens: int
     max_output_tokens: int
     session: str
+    shared_segments: tuple[str, ...] = ()
 
 
 class SendFacts(NamedTuple):
@@ -140,6 +142,7 @@
     """Read the headers of a caller's request."""
     values = _decode_headers(headers)
     prompt, _, output = values.get('token-usage', '').partition(',')
+    *shared, last = _read_segments(values.get('prompt-prefix', ''))
     return CallerFacts(
         values.get('request-id', ''),
         _parse_milliseconds(values.get('deadline-ms')),
@@ -147,12 +150,13 @@
         _parse_count(values.get('last-event-id', '')),
         _parse_count(prompt.strip()),
         _parse_count(output.strip()),
-        _last_segment(values.get('prompt-prefix', '')),
+        last,
+        tuple(shared),
     )
 
 
-def _last_segment(parts: str) -> str:
-    return parts.rpartition(',')[2].partition(':')[0].strip()
+def _read_segments(parts: str) -> list[str]:
+    return [part.partition(':')[0].strip() for part in parts.split(',')]
 
 
 def _connection_header_names(headers: RawHeaders) -> set[bytes]:
