Take a whole stream without framing as complete

A stream with neither a length nor chunks ends with its connection. Each one was taken for broken off at its end: a resumable stream was run at a second endpoint, which read the whole prompt to answer nothing, and one that may not be resumed reached its caller without an end.

So a normal end after an event completes the stream. One without any event still goes on elsewhere, as the end of a connection alone is no answer.

--- a/features/forwarding/late_answers.feature
+++ b/features/forwarding/late_answers.feature
@@ -53,15 +53,46 @@
     When a non-repeatable call is made
     Then the outcome is unknown
 
-  Scenario: A stream without framing is not complete at the end of its connection
-    # An engine that crashes closes its connections as one that has finished,
-    # so the stream must be continued after its last event.
+  Scenario: A whole stream without framing is not run a second time
+    # Guards against running each such stream at a second endpoint, which
+    # reads its prompt in vain.
     Given stream endpoints that play "unframed 1 2 end" and "head 3 4 end"
     When a stream is made
+    Then its caller gets the events 1 to 2 and the end
+    And endpoint 2 received no request
+
+  Scenario: A whole stream without framing that may not be resumed has its end
+    # Guards against breaking off an answer that is complete.
+    Given stream endpoints that play "unframed 1 2 end" and "head 3 4 end"
+    When a stream that may not be resumed is made
+    Then its caller gets the events 1 to 2 and the end
+    And endpoint 2 received no request
+
+  Scenario: A stream without framing that is reset goes on elsewhere
+    # Guards against taking a crash of the engine for the end of its answer.
+    Given stream endpoints that play "unframed 1 2 crash" and "head 3 4 end"
+    When a stream is made
     Then its caller gets the events 1 to 4 and the end
 
-  Scenario: A stream without framing that may not be resumed has no end
-    # An answer that may be cut must not look complete.
-    Given stream endpoints that play "unframed 1 end" and "head 2 end"
+  Scenario: A stream without framing that ends inside an event goes on elsewhere
+    # Guards against passing half an event or a part of the events as whole.
+    Given stream endpoints that play "unframed 1 half end" and "head 2 3 end"
+    When a stream is made
+    Then its caller gets the events 1 to 3 and the end
+
+  Scenario: A stream without framing and events goes on elsewhere
+    # Guards against taking the end of a connection for an empty answer.
+    Given stream endpoints that play "unframed end" and "head 1 2 end"
+    When a stream is made
+    Then its caller gets the events 1 to 2 and the end
+
+  Scenario Outline: A cut stream without framing that may not be resumed has no end
+    # Guards against an answer that may be cut and looks complete.
+    Given stream endpoints that play "<script>" and "head 2 end"
     When a stream that may not be resumed is made
     Then its caller gets the event 1 and no end
+
+    Examples:
+      | script              |
+      | unframed 1 crash    |
+      | unframed 1 half end |
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -101,6 +101,8 @@
                 actions.append('close')
             case 'head':
                 actions.append(scripted_endpoint.STREAM_HEAD)
+            case 'half' if not is_framed:
+                actions.append(b'id: 2\ndata: ')
             case 'half':
                 actions.append(scripted_endpoint.chunk(b'id: 2\ndata: '))
             case 'end':
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -427,10 +427,9 @@
                 return attempts.Interrupted('no new event', True)
         if self._splitter.has_partial:
             return attempts.Interrupted('ended inside an event', True, True)
-        if not head.facts.is_framed:
-            # An endpoint that crashes closes its connections as well.
-            return attempts.Interrupted('ended without framing', True, True)
         if not self._is_started:
+            if not head.facts.is_framed:
+                return attempts.Interrupted('ended without events', True, True)
             await self._start_answer(head)
         return attempts.Completed()
 
