Keep the blocks of crashing prompts in the store

After all entries had lost power or were killed at once, endpoints crashed anew, two or three after each such loss, as the evidence about segments was known to the entries only.

The two live entries with the smallest ids write the evidence of blocks to a row of their own when another endpoint crashed, and each entry reads the rows when it starts. Nothing is written while no prompt is blocked. The reader and writer of the sessions serve both tables now.

The first scenario of rows.feature cannot run on the code before, which has no rows.

--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -2,8 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
+from unittest import mock
+
 import behave
 from features.models import crash_simulation
+from godwitvalve.ingress import shared_states
+from godwitvalve.ingress import state_rows
+from godwitvalve.platform import store as stores
 from godwitvalve.quarantine import reports
 from godwitvalve.quarantine import segments
 import msgspec
@@ -153,3 +160,107 @@
     assert all(each.sound for each in context.results)
     refused = sum(each.refused_sound for each in context.results)
     assert refused == 0, context.results
+
+
+class _Table:
+    """One table of a store."""
+
+    def __init__(self):
+        self.content = {}
+        self.writes = 0
+
+    async def rows(self, table):
+        return stores.RowsAnswer(
+            [
+                stores.StoredRow(key, 1, value)
+                for key, value in self.content.items()
+            ],
+            version=1,
+            has_more=False,
+            now_ms=0,
+        )
+
+    async def write(self, table, key, value):
+        self.writes += 1
+        self.content[key] = value
+
+
+def _entry_with_rows(context, is_writer):
+    context.entry = segments.SegmentQuarantine()
+    context.rows = state_rows.StateRows(
+        context.table_double,
+        shared_states.QUARANTINE_TABLE,
+        'entry-1',
+        shared_states.QuarantineState(context.entry, lambda: is_writer),
+    )
+
+
+@behave.given('an entry that writes evidence to the store')
+def writing_entry(context):
+    context.table_double = _Table()
+    _entry_with_rows(context, True)
+
+
+@behave.given('an entry that leaves writing to others')
+def silent_entry(context):
+    context.table_double = _Table()
+    _entry_with_rows(context, False)
+
+
+@behave.when('endpoints "{names}" crash by prompts with "{parts}"')
+def endpoints_crash(context, names, parts):
+    now_s = time.monotonic()
+    for number, name in enumerate(names.split(', ')):
+        at_s = now_s - 3.0 + number
+        context.entry.record_crash(
+            SERVICE, name, parts.split(), at_s - 0.5, at_s
+        )
+
+
+@behave.when('the entry writes its row')
+def writes_row(context):
+    asyncio.run(context.rows.write_changes())
+
+
+@behave.when('an answer to "{parts}" goes on')
+def goes_on(context, parts):
+    context.entry.record_sound(SERVICE, parts.split(), time.monotonic())
+
+
+@behave.when('the time of day is set back 10 s')
+def set_back(context):
+    context.clock_offset_s = -10.0
+
+
+@behave.when('an hour passes by the clock')
+def hour_by_clock(context):
+    context.clock_offset_s = 3600.0
+
+
+@behave.when('the row is overwritten by others')
+def overwritten(context):
+    context.table_double.content['entry-1'] = b'\xff{'
+
+
+@behave.when('an entry starts and reads the rows')
+def starts_and_reads(context):
+    offset_s = getattr(context, 'clock_offset_s', 0.0)
+    now_s = time.time() + offset_s
+    _entry_with_rows(context, True)
+    with mock.patch.object(shared_states.time, 'time', lambda: now_s):
+        asyncio.run(context.rows.read())
+
+
+@behave.then('it blocks "{parts}"')
+def it_blocks(context, parts):
+    assert not context.entry.admit(SERVICE, parts.split(), time.monotonic())
+
+
+@behave.then('it admits "{parts}"')
+def it_admits(context, parts):
+    assert context.entry.admit(SERVICE, parts.split(), time.monotonic())
+
+
+@behave.then('the store got {count:d} writes')
+def store_writes(context, count):
+    assert context.table_double.writes == count, context.table_double.writes
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -28,7 +28,8 @@
 from godwitvalve.ingress import membership
 from godwitvalve.ingress import peer_tables
 from godwitvalve.ingress import servers
-from godwitvalve.ingress import session_rows
+from godwitvalve.ingress import shared_states
+from godwitvalve.ingress import state_rows
 from godwitvalve.lifecycle import lifecycle as lifecycles
 from godwitvalve.logs import setup as logs
 from godwitvalve.placement import choose
@@ -72,6 +73,9 @@
 # The store normally answers in 4 ms; one that takes 60 times as long is
 # treated as unavailable.
 STORE_PROBE_TIMEOUT_S = 0.25
+# Entries that write the evidence about crashing prompts to the store; the
+# store may reject one of them.
+QUARANTINE_WRITERS = 2
 # Share of the allowed retries that the entries use; the rest covers clock and
 # count differences between them.
 RETRY_BUDGET_SHARE = 0.6
@@ -307,11 +311,22 @@
                 self._store, self._members, self._build_record
             ).run(),
             self._gossip.run(),
-            session_rows.SessionRows(
+            state_rows.StateRows(
                 self._store,
-                self._context.sessions,
+                shared_states.SESSIONS_TABLE,
                 self._settings.instance_id,
-                self._sessions_to_store,
+                shared_states.SessionState(
+                    self._context.sessions, self._sessions_to_store
+                ),
+            ).run(),
+            state_rows.StateRows(
+                self._store,
+                shared_states.QUARANTINE_TABLE,
+                self._settings.instance_id,
+                shared_states.QuarantineState(
+                    self._context.quarantine,
+                    lambda: self._rank() < QUARANTINE_WRITERS,
+                ),
             ).run(),
             self._peer_sync.run(),
             self._maintain(),
