Report older evidence beside a prompt of many segments

A crash of a prompt with more than 12 shared segments ended the report of an entry, so that the others heard of no older crash and sent prompts that this entry blocks. Such a crash is left out of the report now; its prompts are blocked by each entry for itself. Found by reading; the new scenario failed before this change (entry 2 admitted the prompt).

--- a/features/quarantine/segments.feature
+++ b/features/quarantine/segments.feature
@@ -134,6 +134,20 @@
     And the entries exchange reports at 45.0 s
     Then entry 2 blocks "a b" at 45.0 s
 
+  Scenario: A prompt of many segments does not hide the other evidence
+    # Guards against entries that no longer hear of crashes, as one prompt
+    # has more segments than a heartbeat holds.
+    Given two entries
+    When these crashes are seen
+      | entry | at_s | endpoint | segments                  |
+      | 1     | 10.0 | e1       | a b                       |
+      | 1     | 12.0 | e2       | a b                       |
+      | 1     | 14.0 | e3       | c d e f g h i j k l m n o |
+      | 1     | 16.0 | e4       | c d e f g h i j k l m n o |
+    And the entries exchange reports at 16.1 s
+    Then entry 2 blocks "a b" at 16.1 s
+    And entry 1 blocks "c d e f g h i j k l m n o" at 16.1 s
+
   Scenario: A heartbeat with evidence fits a datagram
     # Guards against heartbeats that are cut into several packets.
     Given two entries
--- a/src/godwitvalve/quarantine/segments.py
+++ b/src/godwitvalve/quarantine/segments.py
@@ -241,9 +241,9 @@
                 -each.at_s,
             ),
         ):
+            if reported + len(crash.segments) > MAX_REPORTED_SEGMENTS:
+                continue
             reported += len(crash.segments)
-            if reported > MAX_REPORTED_SEGMENTS:
-                break
             crashes.append(
                 reports.CrashReport(
                     crash.service,
