State when a prompt may come back during a trial

A prompt that came while another one was on trial was refused with a Retry-After of 0, as the block itself had ended, and its caller came back at once. It gets the time of the next trial. Trials are kept by service and segments, as two services may have blocks of the same segments. Found by reading; the step that asks for the time is new with the method it reads.

--- a/features/quarantine/segments.feature
+++ b/features/quarantine/segments.feature
@@ -116,6 +116,7 @@
     Then entry 1 blocks "a" at 71.9 s
     And entry 1 admits "a" at 72.1 s
     And entry 1 blocks "a" at 72.2 s
+    And entry 1 admits "a" from 82.1 s
     When these crashes are seen
       | entry | at_s | endpoint | segments |
       | 1     | 74.0 | e3       | a        |
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -95,6 +95,13 @@
     assert entry.admit(SERVICE, names.split(), now_s), entry.blocks()
 
 
+@behave.then('entry {number:d} admits "{names}" from {from_s:g} s')
+def admits_from(context, number, names, from_s):
+    entry = context.entries[number - 1]
+    found_s = entry.admitted_from_s(SERVICE, names.split())
+    assert abs(found_s - from_s) < 0.01, found_s
+
+
 @behave.then('entry {number:d} blocks "{names}" at {now_s:g} s')
 def blocks(context, number, names, now_s):
     entry = context.entries[number - 1]
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -107,7 +107,7 @@
             if not self._is_admitted():
                 return self._give_up(
                     codes.ResultCode.PROMPT_QUARANTINED,
-                    self._quarantined_s(),
+                    self._time_to_admission_s(),
                 )
             if not await self._wait_for_capacity():
                 return self._give_up(
@@ -150,12 +150,17 @@
             self._routed.service, self._segments, self._loop.time()
         )
 
-    def _quarantined_s(self) -> float:
-        """Return the seconds for which the prompt is not sent."""
+    def _time_to_admission_s(self) -> float:
+        admitted_from_s = self._context.quarantine.admitted_from_s(
+            self._routed.service, self._segments
+        )
+        return max(admitted_from_s - self._loop.time(), 0.0)
+
+    def _is_blocked(self) -> bool:
         blocked_until_s = self._context.quarantine.blocked_until_s(
             self._routed.service, self._segments
         )
-        return max(blocked_until_s - self._loop.time(), 0.0)
+        return self._loop.time() < blocked_until_s
 
     async def _record_crash(
         self, attempt: attempts.StreamAttempt, end: attempts.AttemptEnd
@@ -373,10 +378,12 @@
                 return attempts.Interrupted(str(error), False)
             except channels.ChannelBroken as error:
                 return attempts.Interrupted(
-                    error.reason, exchange.is_sent, True
+                    error.reason, exchange.is_sent, is_broken_off=True
                 )
             except events.StreamDamaged as error:
-                return attempts.Interrupted(str(error), True, True)
+                return attempts.Interrupted(
+                    str(error), True, is_broken_off=True
+                )
             except _PromptQuarantined:
                 return attempts.Quarantined()
             finally:
@@ -426,10 +433,14 @@
             ):
                 return attempts.Interrupted('no new event', True)
         if self._splitter.has_partial:
-            return attempts.Interrupted('ended inside an event', True, True)
+            return attempts.Interrupted(
+                'ended inside an event', True, is_broken_off=True
+            )
         if not self._is_started:
             if not head.facts.is_framed:
-                return attempts.Interrupted('ended without events', True, True)
+                return attempts.Interrupted(
+                    'ended without events', True, is_broken_off=True
+                )
             await self._start_answer(head)
         return attempts.Completed()
 
@@ -476,7 +487,7 @@
                 await asyncio.wait({task}, timeout=gaps.POLL_PERIOD_S)
                 if task.done():
                     return task.result()
-                if not attempt.has_events and self._quarantined_s() > 0:
+                if not attempt.has_events and self._is_blocked():
                     raise _PromptQuarantined
                 if self._is_unresponsive(attempt, since_s):
                     return None
@@ -656,7 +667,7 @@
                 'outcome': type(end).__name__,
                 'reason': attempts.reason_label(end),
                 'has_head': attempt.has_head,
-                'segments': self._routed.request.facts.shared_segments,
+                'segments': self._segments,
                 'last_event': self._splitter.last_event,
                 'memory_source': attempt.memory_source,
                 'run_s': round(self._loop.time() - attempt.began_s, 3),
--- a/src/godwitvalve/quarantine/segments.py
+++ b/src/godwitvalve/quarantine/segments.py
@@ -71,7 +71,7 @@
         self._crashes: dict[tuple[str, str, frozenset[str]], Crash] = {}
         self._sound_s: dict[tuple[str, str], float] = {}
         self._blocks: dict[str, list[Block]] = {}
-        self._trial_from_s: dict[frozenset[str], float] = {}
+        self._trial_from_s: dict[tuple[str, frozenset[str]], float] = {}
 
     def record_crash(
         self,
@@ -191,6 +191,21 @@
             default=float('-inf'),
         )
 
+    def admitted_from_s(
+        self, service: str, segments: abc.Collection[str]
+    ) -> float:
+        """Return the time from which a prompt with segments may be sent."""
+        return max(
+            (
+                max(
+                    block.until_s,
+                    self._trial_from_s.get((service, block.segments), 0.0),
+                )
+                for block in self._matching(service, segments)
+            ),
+            default=float('-inf'),
+        )
+
     def admit(
         self, service: str, segments: abc.Collection[str], now_s: float
     ) -> bool:
@@ -199,13 +214,11 @@
         Once a block has ended, one prompt in each ``TRIAL_PERIOD_S`` is
         sent until one is answered or crashes its endpoint.
         """
-        matching = self._matching(service, segments)
-        for block in matching:
-            trial_from_s = self._trial_from_s.get(block.segments, 0.0)
-            if now_s < max(block.until_s, trial_from_s):
-                return False
-        for block in matching:
-            self._trial_from_s[block.segments] = now_s + TRIAL_PERIOD_S
+        if now_s < self.admitted_from_s(service, segments):
+            return False
+        for block in self._matching(service, segments):
+            key = (service, block.segments)
+            self._trial_from_s[key] = now_s + TRIAL_PERIOD_S
         return True
 
     def merge(
@@ -277,11 +290,12 @@
         if expired:
             self._review()
         blocked = {
-            block.segments
-            for block in itertools.chain.from_iterable(self._blocks.values())
+            (service, block.segments)
+            for service, blocks in self._blocks.items()
+            for block in blocks
         }
-        for segments in self._trial_from_s.keys() - blocked:
-            del self._trial_from_s[segments]
+        for ended in self._trial_from_s.keys() - blocked:
+            del self._trial_from_s[ended]
 
     def crash_count(self) -> int:
         """Return the number of crashes that are remembered."""
