Report leaving endpoints in heartbeats

The heartbeats name the leaving endpoints whose rows an entry has read, by id and start. Entries that get such a report do not use these endpoints until a row of the store says otherwise, and do not repeat the report.

The three new scenarios of registry.feature use a method that is new as well.

--- a/features/fleet/registry.feature
+++ b/features/fleet/registry.feature
@@ -62,6 +62,31 @@
     Then "a, b" are usable at 10.0 s
     And "a" are usable at 12.4 s
 
+  Scenario: An endpoint that another entry reports as leaving is not used
+    # Guards against requests to leaving endpoints by an entry that the store
+    # rejects or answers late.
+    Given a registry with the endpoints "a, b"
+    When another entry reports that the first start of "a" leaves
+    Then "b" are usable at 1.0 s
+    When the row of "a" has a later start
+    Then "a, b" are usable at 1.0 s
+    When another entry reports that the first start of "a" leaves
+    Then "a, b" are usable at 1.0 s
+
+  Scenario: A row that is read later outweighs a report of leaving
+    # Guards against avoiding an endpoint for ever because of a wrong report.
+    Given a registry with the endpoints "a, b"
+    When another entry reports that the first start of "a" leaves
+    And the row of "a" is written again
+    Then "a, b" are usable at 1.0 s
+
+  Scenario: Only announcements that were read are reported to other entries
+    # Guards against reports that entries repeat to one another for ever.
+    Given a registry with the endpoints "a, b"
+    When another entry reports that the first start of "a" leaves
+    And the row of "b" is marked as leaving
+    Then "b" are reported as leaving
+
   Scenario: A replaced endpoint is not usable
     # Guards against repeated attempts at every endpoint of a restarted
     # failure domain, which exhaust the retry budget.
--- a/features/steps/fleet_registry_steps.py
+++ b/features/steps/fleet_registry_steps.py
@@ -101,6 +101,17 @@
     context.registry.mark_replaced(name, _START_MS)
 
 
+@behave.when('another entry reports that the first start of "{name}" leaves')
+def reported_leaving(context, name):
+    context.registry.mark_leaving(name, _START_MS)
+
+
+@behave.then('"{names}" are reported as leaving')
+def are_reported_leaving(context, names):
+    found = [name for name, _ in context.registry.leaving()]
+    assert found == names.split(', '), found
+
+
 @behave.when('the row of "{name}" has a later start')
 def later_start(context, name):
     _write(context, endpoint(name, started_ms=_START_MS + 1))
--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -39,6 +39,8 @@
         self._missing_until_s: dict[str, float] = {}
         self._replaced: set[str] = set()
         self._provisional: set[str] = set()
+        # Starts of endpoints that leave, as other entries reported them.
+        self._reported_leaving: dict[str, int] = {}
         self.trusted_from_s = 0.0
         self.is_store_unavailable = True
         self._has_seen_outage = False
@@ -83,6 +85,8 @@
         self._row_versions[endpoint_id] = row_version
         self._endpoints[endpoint_id] = endpoint
         self._missing_until_s.pop(endpoint_id, None)
+        # The row decides; an entry that read a newer one reports it again.
+        self._reported_leaving.pop(endpoint_id, None)
         self._provisional.discard(endpoint_id)
         if is_changed:
             self._mark_predecessors_replaced(endpoint)
@@ -198,7 +202,33 @@
         self._replaced.add(endpoint_id)
         return True
 
+    def mark_leaving(self, endpoint_id: str, started_wall_ms: int) -> bool:
+        """Record that another entry read an endpoint's announcement.
+
+        Load pattern: the store rejects some entries for seconds, while
+        endpoints announce that they leave, and stop.
+
+        :param started_wall_ms: start of the incarnation that leaves; reports
+            about other incarnations are ignored.
+        :returns: whether the endpoint was usable until now.
+        """
+        known = self._endpoints.get(endpoint_id)
+        if known is None or known.started_wall_ms != started_wall_ms:
+            return False
+        was_usable = self.is_usable(endpoint_id)
+        self._reported_leaving[endpoint_id] = started_wall_ms
+        return was_usable
+
+    def leaving(self) -> list[tuple[str, int]]:
+        """Return id and start of the endpoints whose rows announce it."""
+        return [
+            (endpoint.endpoint_id, endpoint.started_wall_ms)
+            for endpoint in self._endpoints.values()
+            if endpoint.is_leaving
+        ]
+
     def _drop(self, endpoint_id: str) -> None:
+        self._reported_leaving.pop(endpoint_id, None)
         self._replaced.discard(endpoint_id)
         self._provisional.discard(endpoint_id)
         self._endpoints.pop(endpoint_id, None)
@@ -225,7 +255,8 @@
         endpoint = self._endpoints.get(endpoint_id)
         if endpoint is None:
             return EndpointState.UNKNOWN
-        if endpoint.is_leaving:
+        reported_ms = self._reported_leaving.get(endpoint_id)
+        if endpoint.is_leaving or reported_ms == endpoint.started_wall_ms:
             return EndpointState.LEAVING
         if endpoint_id in self._replaced:
             return EndpointState.REPLACED
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -59,6 +59,7 @@
     :param speeds: speed estimates by service.
     :param rollouts: its reports about the operator's roll-outs.
     :param quarantine: its evidence about prompts that crash endpoints.
+    :param leaving: id and start of endpoints that announced that they leave.
     """
 
     instance_id: str
@@ -79,6 +80,7 @@
     quarantine: quarantine_reports.QuarantineReport = (
         quarantine_reports.QuarantineReport()
     )
+    leaving: list[tuple[str, int]] = []
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -62,7 +62,7 @@
 DRAIN_POLL_S = 0.05
 # Reserved between the last answer and SIGKILL.
 STOP_MARGIN_S = 0.4
-# Bounds the replaced, the lost and the provisional endpoints in one record,
+# Bounds the replaced, lost, provisional and leaving endpoints in one record,
 # each; covers a failure domain of a small fleet.
 MAX_REPORTED_ENDPOINTS = 16
 # The crash of a failure domain interrupts the two streams that an entry of a
@@ -236,6 +236,7 @@
             self._context.speeds.all(),
             self._rollouts.reports(time.monotonic()),
             self._context.quarantine.report(time.monotonic()),
+            self._state.registry.leaving()[:MAX_REPORTED_ENDPOINTS],
         )
 
     def _merge_record(self, record: member_model.Record, age_s: float) -> None:
@@ -256,6 +257,15 @@
             self._state.registry.add_provisional(endpoint)
         for endpoint_id, started_wall_ms in record.replaced:
             self._state.registry.mark_replaced(endpoint_id, started_wall_ms)
+        for endpoint_id, started_wall_ms in record.leaving:
+            if self._state.registry.mark_leaving(endpoint_id, started_wall_ms):
+                _LOG.info(
+                    'Another entry reports that an endpoint leaves.',
+                    extra={
+                        'endpoint_id': endpoint_id,
+                        'entry': record.instance_id,
+                    },
+                )
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain and stop."""
