Name the state of an endpoint that the store lists

An endpoint whose row is missing may be usable, so the state of the others is named listed, in the metric and the log line as well.

--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -15,7 +15,7 @@
 class EndpointState(enum.Enum):
     """What the registry knows about an endpoint."""
 
-    USABLE = 'usable'
+    LISTED = 'listed'
     LEAVING = 'leaving'
     # Its row is missing, and removals are not trusted yet.
     MISSING = 'missing'
@@ -265,7 +265,7 @@
             and endpoint_id not in self._provisional
         ):
             return EndpointState.MISSING
-        return EndpointState.USABLE
+        return EndpointState.LISTED
 
     def ids(self) -> abc.Set[str]:
         """Return the ids of all known endpoints."""
@@ -293,6 +293,6 @@
             if endpoint.service == service:
                 state = self.state_of(endpoint.endpoint_id)
                 by_state.setdefault(state, []).append(endpoint)
-        listed = by_state.get(EndpointState.USABLE, [])
+        listed = by_state.get(EndpointState.LISTED, [])
         missing = by_state.get(EndpointState.MISSING, [])
         return listed + missing if len(missing) >= len(listed) else listed
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -76,12 +76,12 @@
     def record_send(
         self, endpoint: endpoints.FleetEndpoint, request_id: str
     ) -> None:
-        """Count an attempt; log one at an endpoint that is not usable."""
+        """Count an attempt; log one at an endpoint that is not listed."""
         state = self.state.registry.state_of(endpoint.endpoint_id)
         self.counters.count_send(state)
-        if state is not registries.EndpointState.USABLE:
+        if state is not registries.EndpointState.LISTED:
             _LOG.warning(
-                'Sending a request to an endpoint that is not usable.',
+                'Sending a request to an endpoint that is not listed.',
                 extra={
                     'request_id': request_id,
                     'endpoint_id': endpoint.endpoint_id,
