Read, log and report the limits that endpoints state

Logs and metrics could not tell whether requests beyond a limit are first or later attempts, and of which entry. Answers that state Server-Limit are decoded, the newest observation of each endpoint is kept and reported in heartbeats, changes are logged at a bounded rate, and attempts at endpoints with a limit are counted. Nothing follows from a limit yet.

--- /dev/null
+++ b/src/godwitvalve/endpoint_limits/reports.py
@@ -0,0 +1,19 @@
+"""What entries tell one another about the limits of endpoints."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class LimitReport(NamedTuple):
+    """The limit that an endpoint stated in an answer to the reporting entry.
+
+    :param started_wall_ms: start of the incarnation that answered.
+    :param requests_per_s: None if the answer stated no limit any more.
+    :param age_ms: milliseconds since the answer.
+    """
+
+    endpoint_id: str
+    started_wall_ms: int
+    requests_per_s: float | None
+    age_ms: int
--- a/src/godwitvalve/forwarding/calls.py
+++ b/src/godwitvalve/forwarding/calls.py
@@ -248,7 +248,9 @@
             routed.urgency,
         )
         self._context.record_send(endpoint, routed.request.facts.request_id)
-        exchange = exchanges.Exchange(endpoint, self._context.pool)
+        exchange = exchanges.Exchange(
+            endpoint, self._context.pool, self._context.record_head
+        )
         observation = self._context.rollouts.observe(
             endpoint, routed.route, self._loop.call_later, self._loop.time()
         )
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -2,21 +2,25 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import abc
 import dataclasses
 import random
 
+from godwitvalve.endpoint_limits import limiter as limiters
 from godwitvalve.fleet import endpoints
 from godwitvalve.fleet import registry as registries
 from godwitvalve.fleet import routes
 from godwitvalve.fleet import state as states
 from godwitvalve.forwarding import counters as counter_model
+from godwitvalve.forwarding import exchange as exchanges
 from godwitvalve.forwarding import pool as pools
 from godwitvalve.logs import setup as logs
 from godwitvalve.placement import choose
 from godwitvalve.placement import sessions as session_model
 from godwitvalve.placement import speed as speed_model
 from godwitvalve.placement import tracker as trackers
+from godwitvalve.platform import headers as wire
 from godwitvalve.quarantine import segments as segment_model
 from godwitvalve.queueing import turns as turn_model
 from godwitvalve.rollouts import registry as rollout_registries
@@ -54,6 +58,9 @@
     quarantine: segment_model.SegmentQuarantine = dataclasses.field(
         default_factory=segment_model.SegmentQuarantine
     )
+    limiter: limiters.EndpointLimiter = dataclasses.field(
+        default_factory=limiters.EndpointLimiter
+    )
     rng: random.Random = dataclasses.field(default_factory=random.Random)
 
     def pick_service(self, route: routes.Route) -> str | None:
@@ -79,6 +86,8 @@
         """Count an attempt; log one at an endpoint that is not listed."""
         state = self.state.registry.state_of(endpoint.endpoint_id)
         self.counters.count_send(state)
+        if self.limiter.table.requests_per_s(endpoint) is not None:
+            self.counters.count_limited_send(endpoint.service)
         if state is not registries.EndpointState.LISTED:
             _LOG.warning(
                 'Sending a request to an endpoint that is not listed.',
@@ -89,6 +98,17 @@
                 },
             )
 
+    def record_head(
+        self, endpoint: endpoints.FleetEndpoint, head: exchanges.AnswerHead
+    ) -> None:
+        """Record what the head of an answer states about its endpoint."""
+        # Another endpoint answered at the address.
+        if head.status == wire.MISDIRECTED:
+            return
+        now_s = asyncio.get_running_loop().time()
+        self.limiter.observe(endpoint, head.facts.limit, now_s)
+        self.counters.set_limited_endpoints(self.limiter.table.limited_count())
+
     def record_crash(
         self,
         endpoint: endpoints.FleetEndpoint,
--- a/src/godwitvalve/forwarding/counters.py
+++ b/src/godwitvalve/forwarding/counters.py
@@ -48,6 +48,17 @@
             'Attempts by the state of their endpoint.',
             labels,
         )
+        self._limited_sends = self._counter(
+            'godwitvalve_limited_sends_total',
+            'Attempts at endpoints that state a request limit.',
+            labels,
+        )
+        self._limited_endpoints = collectors.Gauge(
+            'godwitvalve_limited_endpoints',
+            'Endpoints that state a request limit.',
+            const_labels=labels,
+            registry=self.registry,
+        )
         self._crashes = self._counter(
             'godwitvalve_answer_crashes_total',
             'Endpoints that crashed as they began an answer.',
@@ -90,6 +101,14 @@
         """Count an attempt at an endpoint in a state."""
         self._sends.inc({'state': state.value})
 
+    def count_limited_send(self, service: str) -> None:
+        """Count an attempt at an endpoint that states a limit."""
+        self._limited_sends.inc({'service': service})
+
+    def set_limited_endpoints(self, count: int) -> None:
+        """Set the number of endpoints that state a limit."""
+        self._limited_endpoints.set({}, count)
+
     def count_crash(self, service: str) -> None:
         """Count an endpoint that crashed as it began an answer."""
         self._crashes.inc({'service': service})
--- a/src/godwitvalve/forwarding/exchange.py
+++ b/src/godwitvalve/forwarding/exchange.py
@@ -80,14 +80,21 @@
 
 
 class Exchange:
-    """A request in flight whose answer is read in chunks."""
+    """A request in flight whose answer is read in chunks.
+
+    :param on_head: called with the head of the answer to the request.
+    """
 
     def __init__(
         self,
         endpoint: endpoints.FleetEndpoint,
         pool: pools.ChannelPool,
+        on_head: abc.Callable[
+            [endpoints.FleetEndpoint, AnswerHead], None
+        ] = lambda endpoint, head: None,
     ) -> None:
         self.endpoint = endpoint
+        self._on_head = on_head
         self.is_sent = False
         self.head: AnswerHead | None = None
         self._pool = pool
@@ -124,14 +131,12 @@
         for _ in range(MAX_ANSWERS_READ):
             head = await self._read_head(channel)
             if head.facts.request_id == request_id:
-                self.head = head
-                return head
+                return self._accept(head)
             if not head.facts.request_id:
                 # On a new connection, a decline can only be for this
                 # request; otherwise the answer may be for an earlier one.
                 if head.facts.is_not_run and not is_reused:
-                    self.head = head
-                    return head
+                    return self._accept(head)
                 raise channels.ChannelBroken('answer without request id')
             if not is_reused:
                 break
@@ -139,6 +144,11 @@
             channel.skip_answer(sent, request.body)
         raise channels.ChannelBroken('answer to another request')
 
+    def _accept(self, head: AnswerHead) -> AnswerHead:
+        self.head = head
+        self._on_head(self.endpoint, head)
+        return head
+
     async def _read_head(
         self, channel: channels.EndpointChannel
     ) -> AnswerHead:
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -362,7 +362,11 @@
         self._context.record_send(
             attempt.endpoint, self._routed.request.facts.request_id
         )
-        exchange = exchanges.Exchange(attempt.endpoint, self._context.pool)
+        exchange = exchanges.Exchange(
+            attempt.endpoint,
+            self._context.pool,
+            self._context.record_head,
+        )
         attempt.progress_s = self._loop.time()
         attempt.observation = self._context.rollouts.observe(
             attempt.endpoint,
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from godwitvalve.endpoint_limits import reports as limit_reports
 from godwitvalve.fleet import endpoints
 from godwitvalve.placement import choose
 from godwitvalve.placement import speed
@@ -60,6 +61,7 @@
     :param rollouts: its reports about the operator's roll-outs.
     :param quarantine: its evidence about prompts that crash endpoints.
     :param leaving: id and start of endpoints that announced that they leave.
+    :param limits: request limits that endpoints stated in answers to it.
     """
 
     instance_id: str
@@ -81,6 +83,7 @@
         quarantine_reports.QuarantineReport()
     )
     leaving: list[tuple[str, int]] = []
+    limits: list[limit_reports.LimitReport] = []
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from godwitvalve.endpoint_limits import limiter as limiters
 from godwitvalve.fleet import consumers
 from godwitvalve.fleet import endpoints as endpoint_model
 from godwitvalve.fleet import follower
@@ -130,6 +131,7 @@
             self._remote_placements,
             self._on_placement,
             self._rollouts,
+            limiter=limiters.EndpointLimiter(self._on_placement),
         )
         self._handler = handlers.IngressHandler(self._context, self._lifecycle)
         self._gossip = gossip_nodes.GossipNode(
@@ -237,6 +239,7 @@
             self._rollouts.reports(time.monotonic()),
             self._context.quarantine.report(time.monotonic()),
             self._state.registry.leaving()[:MAX_REPORTED_ENDPOINTS],
+            self._context.limiter.table.reports(time.monotonic()),
         )
 
     def _merge_record(self, record: member_model.Record, age_s: float) -> None:
@@ -255,6 +258,14 @@
             self._context.speeds.add_received(service, estimate)
         for endpoint in record.provisional:
             self._state.registry.add_provisional(endpoint)
+        for limit in record.limits:
+            self._context.limiter.merge(
+                record.instance_id,
+                self._state.registry.get(limit.endpoint_id),
+                limit,
+                now_s - age_s,
+                now_s,
+            )
         for endpoint_id, started_wall_ms in record.replaced:
             self._state.registry.mark_replaced(endpoint_id, started_wall_ms)
         for endpoint_id, started_wall_ms in record.leaving:
@@ -434,6 +445,7 @@
             self._context.pool.prune()
             self._context.sessions.expire(time.monotonic())
             self._context.quarantine.expire(time.monotonic())
+            self._context.limiter.keep_only(self._state.registry.ids())
             self._resize_retry_budget()
             self._review_rollouts()
 
--- a/src/godwitvalve/platform/headers.py
+++ b/src/godwitvalve/platform/headers.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections import abc
+import re
 from typing import NamedTuple
 
+from godwitvalve.endpoint_limits import statements
 from godwitvalve.services import headers as header_rules
 
 RawHeaders = abc.Sequence[tuple[bytes, bytes]]
@@ -35,6 +37,11 @@
 MISDIRECTED = 421
 # Callers take these as a promise that the request did not run.
 _NOT_RUN_STATUSES = frozenset({408, MISDIRECTED, 429, 503})
+_LIMIT_HEADER = b'server-limit'
+_LIMIT = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+')
+# Bounds what is kept of an invalid limit for the log, and the numbers that
+# are read.
+MAX_LIMIT_CHARS = 40
 
 
 class CallerFacts(NamedTuple):
@@ -107,6 +114,8 @@
         answer.
     :param idle_limit_s: seconds after which the endpoint closes an idle
         connection, or None if it states none.
+    :param limit: requests a second that the endpoint takes from all
+        entries.
     """
 
     request_id: str
@@ -117,6 +126,7 @@
     is_closing: bool
     idle_limit_s: float | None
     load: EndpointLoad | None
+    limit: statements.LimitStatement
 
 
 def _decode_headers(headers: RawHeaders) -> dict[str, str]:
@@ -242,6 +252,25 @@
     return EndpointLoad(*map(int, numbers))
 
 
+def _read_limit(headers: RawHeaders) -> statements.LimitStatement:
+    """Return the stated limit; of several numbers the lowest."""
+    stated = [
+        value.decode('latin-1')
+        for name, value in headers
+        if name.lower() == _LIMIT_HEADER
+    ]
+    if not stated:
+        return statements.Unlimited()
+    numbers = [
+        float(text)
+        for text in map(str.strip, ','.join(stated).split(','))
+        if len(text) <= MAX_LIMIT_CHARS and _LIMIT.fullmatch(text)
+    ]
+    if not numbers:
+        return statements.Unreadable(','.join(stated)[:MAX_LIMIT_CHARS])
+    return statements.Limited(min(numbers))
+
+
 def read_identity(headers: RawHeaders) -> str:
     """Return the id of the endpoint that answered; empty if not stated."""
     return _decode_headers(headers).get('instance-id', '')
@@ -260,4 +289,5 @@
         'close' in values.get('connection', '').lower(),
         _parse_idle_limit_s(values.get('keep-alive', '')),
         _parse_load(values.get('server-load', '')),
+        _read_limit(headers),
     )
