Reproduce endpoints that get more requests than their limit

Three scenarios with real processes fail: an endpoint that states a limit of 2 requests/s gets half of 40 complaints/s, whether or not another endpoint has slots to spare, and nothing is refused if both have a limit.

--- a/standins/fleet/replica.py
+++ b/standins/fleet/replica.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import time
 from typing import Annotated, Any
 
 from aiohttp import web
@@ -27,6 +28,9 @@
         self.gap_s = gap_s
         self.runs: list[list[str]] = []
         self.mode = 'sound'
+        self.arrivals_s: list[float] = []
+        # Stated in each answer if it is not empty.
+        self.limit = ''
 
     def app(self) -> web.Application:
         """Return the application with all routes."""
@@ -35,7 +39,9 @@
             [
                 web.get('/healthz', self._health),
                 web.get('/standin/runs', self._get_runs),
+                web.get('/standin/arrivals', self._get_arrivals),
                 web.post('/standin/faults', self._set_mode),
+                web.post('/standin/limit', self._set_limit),
                 web.route('*', '/{path:.*}', self._serve),
             ]
         )
@@ -47,6 +53,13 @@
     async def _get_runs(self, request: web.Request) -> web.Response:
         return web.json_response(self.runs)
 
+    async def _get_arrivals(self, request: web.Request) -> web.Response:
+        return web.json_response(self.arrivals_s)
+
+    async def _set_limit(self, request: web.Request) -> web.Response:
+        self.limit = (await request.json())['limit']
+        return web.json_response({})
+
     async def _set_mode(self, request: web.Request) -> web.Response:
         self.mode = (await request.json())['mode']
         return web.json_response({})
@@ -57,6 +70,9 @@
             'Request-Id': headers.get('Request-Id', ''),
             'Response-Signature': f'signed-{self.endpoint_id}',
         }
+        self.arrivals_s.append(time.monotonic())
+        if self.limit:
+            response_headers['Server-Limit'] = self.limit
         if headers.get('Expected-Instance') != self.endpoint_id:
             return web.Response(
                 status=421,
--- a/standins/fleet/site.py
+++ b/standins/fleet/site.py
@@ -199,6 +199,12 @@
         runs: list[list[str]] = local_site.http_json('GET', url)
         return runs
 
+    def arrivals_s(self, name: str) -> list[float]:
+        """Return when requests arrived at an endpoint, monotonic seconds."""
+        url = f'http://{self.addresses[name]}/standin/arrivals'
+        arrivals_s: list[float] = local_site.http_json('GET', url)
+        return arrivals_s
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process of this site."""
         self.processes[name].send_signal(number)
