Keep to the limits that endpoints state, over all entries

Endpoints in need state how many requests a second they take from all entries together, and got two to four times as many: endpoints were chosen by their load, and one with a limit neither rejects what exceeds it nor reports a higher load. No entry exceeded a limit by itself, so a limit that each keeps for itself would have changed little.

Each request to an endpoint with a limit now needs a permit, whatever kind of attempt it is. One serving entry, found by rendezvous hashing, issues those of an endpoint from a token bucket; the others ask it over UDP. This holds at any number of entries and with any distribution of the traffic, where equal shares do not: at 420 entries their first requests exceed a limit of 4 requests/s, and one entry with all the traffic can use a hundredth of it. Endpoints without a limit come first; what no endpoint may take is refused at once, with return times that follow one another at the rate of the limits. One request in ten may go to an endpoint that got none for 2 s, to learn whether its limit has ended.

--- a/features/gossip/members.feature
+++ b/features/gossip/members.feature
@@ -66,3 +66,19 @@
   Scenario: Damaged datagrams are dropped
     # Guards against a process that ends because of invalid input.
     Then generated datagrams never end the exchange
+
+  Scenario Outline: Entries that reach few others use a part of a limit
+    # Guards against two halves of a partitioned fleet that each use the whole
+    # limit of an endpoint, and against a lost failure domain that takes its
+    # part of the limit with it.
+    Given <entries> other entries of which <silent> have been silent for <silence> s
+    Then this entry may use <share> of a limit
+
+    Examples:
+      | entries | silent | silence | share |
+      | 0       | 0      | 5       | 1.0   |
+      | 8       | 0      | 5       | 1.0   |
+      | 8       | 3      | 5       | 1.0   |
+      | 9       | 5      | 5       | 0.5   |
+      | 9       | 9      | 5       | 0.1   |
+      | 9       | 9      | 60      | 1.0   |
--- a/features/ingress/fleet.feature
+++ b/features/ingress/fleet.feature
@@ -121,6 +121,10 @@
     # against operators who find the errors one by one.
     Then settings without an address and with a wrong number report both errors
 
+  Scenario: A single port for entries among themselves is reported
+    # Guards against an entry that ends when it opens its second socket.
+    Then settings with one port for entries report "peer_ports"
+
   Scenario: Only the platform adapter uses the names of its wire format
     # Guards against header and field names of the platform that spread
     # through the code.
--- a/features/steps/endpoint_limits_steps.py
+++ b/features/steps/endpoint_limits_steps.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
+import random
 
 import behave
+from features.models import permit_simulation
 from godwitvalve.endpoint_limits import limiter
+from godwitvalve.endpoint_limits import permits
 from godwitvalve.fleet import endpoints
 from godwitvalve.platform import headers
 import msgspec
@@ -180,7 +184,7 @@
 @behave.when('"e" is removed')
 def is_removed(context):
     for each in context.limiters.values():
-        each.keep_only(set())
+        each.expire(set(), 100.0)
 
 
 @behave.when('{count:d} endpoints state limits to "{entry}"')
@@ -216,3 +220,172 @@
         context.limiters[entry].table.reports(1000.0)
     )
     assert len(content) <= count, len(content)
+
+
+def _run(entries, rate, senders, limit, length_s=30.0, prepare=None):
+    simulation = permit_simulation.PermitSimulation(
+        11, entries, limit, rate, senders
+    )
+    if prepare:
+        prepare(simulation)
+    simulation.run(length_s)
+    return simulation
+
+
+@behave.when(
+    '{entries:d} entries send {rate:d} requests/s from {senders:d} of them '
+    'to an endpoint with a limit of {limit:g}'
+)
+def entries_send(context, entries, rate, senders, limit):
+    context.limit = limit
+    context.length_s = 30.0
+    context.simulation = _run(entries, rate, senders, limit)
+
+
+def _restart_all(simulation):
+    for number, each in enumerate(simulation.entries):
+        simulation.restart(each, 5.0 + 2.0 * number, 6.5 + 2.0 * number)
+
+
+def _lose_all_but_one(simulation):
+    for each in simulation.entries[1:]:
+        simulation.restart(each, 10.0, 1000.0)
+
+
+EVENTS = {
+    'the coordinator restarts': lambda simulation: simulation.restart(
+        simulation.coordinator(), 10.0, 14.0
+    ),
+    'all restart one by one': _restart_all,
+    'the fleet is cut in halves': lambda simulation: simulation.partition(
+        10.0
+    ),
+    'all but one are lost': _lose_all_but_one,
+}
+
+
+@behave.when(
+    '{entries:d} entries send 200 requests/s to an endpoint with a limit of '
+    '{limit:g} while {event}'
+)
+def entries_send_while(context, entries, limit, event):
+    context.limit = limit
+    context.length_s = 30.0
+    context.simulation = _run(entries, 200, None, limit, prepare=EVENTS[event])
+
+
+@behave.then('it gets at most 1.5 times the limit and 5 requests in any 4 s')
+def keeps_rule(context):
+    arrivals_s = context.simulation.arrivals_s
+    found = permit_simulation.most_in_window(arrivals_s)
+    allowed = 1.5 * permit_simulation.WINDOW_S * context.limit + 5
+    assert 0 < found <= allowed, found
+
+
+@behave.then('at least {percent:d} in 100 of the limit are used')
+def limit_is_used(context, percent):
+    found = len(context.simulation.arrivals_s)
+    allowed = context.limit * context.length_s
+    assert found >= allowed * percent / 100, (found, allowed)
+
+
+@behave.then('at most {count:d} questions/s are asked')
+def few_questions(context, count):
+    found = context.simulation.questions / context.length_s
+    assert found <= count, found
+
+
+@behave.then('equal shares of {entries:d} entries exceed a limit of {limit:g}')
+def equal_shares_exceed(context, entries, limit):
+    arrivals_s = permit_simulation.equal_shares(
+        11, entries, limit, 800, entries, 30.0
+    )
+    found = permit_simulation.most_in_window(arrivals_s)
+    assert found > 1.5 * permit_simulation.WINDOW_S * limit + 5, found
+    context.limit = limit
+
+
+@behave.then(
+    'equal shares of {entries:d} entries use less than {percent:d} in 100 of '
+    'it if one sends'
+)
+def equal_shares_waste(context, entries, percent):
+    arrivals_s = permit_simulation.equal_shares(
+        11, entries, context.limit, 800, 1, 300.0
+    )
+    assert len(arrivals_s) < context.limit * 300 * percent / 100
+
+
+@behave.when(
+    'an endpoint with a limit of {before:g} states a limit of {after:g} '
+    'after {at_s:d} s'
+)
+def limit_changes(context, before, after, at_s):
+    simulation = permit_simulation.PermitSimulation(11, 6, before, 200)
+    simulation.run(at_s)
+    simulation.state_limit(after)
+    simulation.run(20.0)
+    context.simulation = simulation
+
+
+@behave.then(
+    'it gets at most {count:d} requests in any 4 s from {from_s:d} s on'
+)
+def few_from(context, count, from_s):
+    late_s = [each for each in context.simulation.arrivals_s if each > from_s]
+    found = permit_simulation.most_in_window(late_s)
+    assert 0 < found <= count, found
+
+
+@behave.when(
+    '{entries:d} entries each ask every {period_ms:d} ms for {seconds:d} s '
+    'to confirm a limit of {limit:g}'
+)
+def entries_confirm(context, entries, period_ms, seconds, limit):
+    issuer = permits.PermitIssuer()
+    count = entries * seconds * 1000 // period_ms
+    context.granted = sum(
+        issuer.request(('e', 1), limit, True, number * seconds / count)
+        == permits.Granted()
+        for number in range(count)
+    )
+
+
+@behave.then('at most {most:d} and at least {least:d} permits are granted')
+def granted_between(context, most, least):
+    assert least <= context.granted <= most, context.granted
+
+
+@behave.when('{count:d} callers are refused at once by a limit of {limit:g}')
+def callers_refused(context, count, limit):
+    single = limiter.EndpointLimiter(rng=random.Random(11))
+    endpoint = limited_endpoint()
+    single.observe(endpoint, statement(f'{limit:g}'), 0.0)
+    context.waits_s = [
+        single.retry_after_s(endpoint.service, [endpoint], 100.0)
+        for _ in range(count)
+    ]
+
+
+@behave.then(
+    'their return times are at least {gap_ms:d} ms apart up to {limit_s:d} s'
+)
+def returns_apart(context, gap_ms, limit_s):
+    found = sorted(context.waits_s)
+    assert found[-1] <= limit_s, found[-1]
+    gaps_s = [after - before for before, after in itertools.pairwise(found)]
+    assert min(gaps_s) * 1000 >= gap_ms, min(gaps_s)
+
+
+@behave.then('no return time is later than {limit_s:d} s')
+def no_later(context, limit_s):
+    assert max(context.waits_s) <= limit_s, max(context.waits_s)
+
+
+@behave.then(
+    'the return times of the last {count:d} are spread over at least '
+    '{seconds:d} s'
+)
+def returns_spread(context, count, seconds):
+    last = context.waits_s[-count:]
+    assert max(last) - min(last) >= seconds
--- a/features/steps/gossip_members_steps.py
+++ b/features/steps/gossip_members_steps.py
@@ -273,3 +273,20 @@
         exchange.datagram_received(datagram, ('127.0.0.1', 1))
 
     check()
+
+
+@behave.given(
+    '{entries:d} other entries of which {silent:d} have been silent for '
+    '{silence_s:d} s'
+)
+def entries_silent(context, entries, silent, silence_s):
+    context.members = members.Members('own', 'fd-1')
+    for number in range(entries):
+        seen_s = 100.0 - (silence_s if number < silent else 0.1)
+        context.members.merge(record(f'entry-{number}'), seen_s)
+
+
+@behave.then('this entry may use {share:g} of a limit')
+def may_use(context, share):
+    found = context.members.reachable_share(100.0)
+    assert abs(found - share) < 1e-6, found
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -490,6 +490,32 @@
     raise AssertionError('the settings were accepted')
 
 
+@behave.then('settings with one port for entries report "{name}"')
+def single_port(context, name):
+    raw = {
+        **dict.fromkeys(
+            (
+                'caller_address',
+                'readiness_address',
+                'directory_address',
+                'control_address',
+                'store_address',
+            ),
+            '127.0.0.1:1',
+        ),
+        'instance_id': 'e',
+        'failure_domain': 'f',
+        'ip': '127.0.0.1',
+        'peer_ports': [4, 4],
+    }
+    try:
+        settings.decode(json.dumps(raw).encode())
+    except settings.SettingsError as error:
+        assert str(error).startswith(f'{name}:'), error
+    else:
+        raise AssertionError('no error')
+
+
 # Header, row and field names that only the platform's wire format uses.
 WIRE_NAMES = re.compile(
     r"""['"](kv-\w+|deadline-ms|expected-instance|api-key|tenants?|"""
--- a/src/godwitvalve/endpoint_limits/limiter.py
+++ b/src/godwitvalve/endpoint_limits/limiter.py
@@ -1,29 +1,86 @@
-"""Request limits that endpoints state, as one entry knows them."""
+"""Request limits that endpoints state, as one entry keeps to them."""
 
 from __future__ import annotations
 
+import asyncio
 from collections import abc
+import random
+from typing import NamedTuple, Protocol
 
 from godwitvalve.endpoint_limits import change_log
+from godwitvalve.endpoint_limits import messages
+from godwitvalve.endpoint_limits import permits
 from godwitvalve.endpoint_limits import reports
+from godwitvalve.endpoint_limits import returns
 from godwitvalve.endpoint_limits import statements
 from godwitvalve.endpoint_limits import table
+from godwitvalve.endpoint_limits import view as views
 from godwitvalve.fleet import endpoints
+from godwitvalve.limits import demand
+from godwitvalve.routing import subset
+
+# Share of the requests that may be sent to an endpoint only to confirm its
+# limit. Otherwise few streams would go to endpoints without a limit while
+# most endpoints have one.
+CONFIRMATION_SHARE = 0.1
+# An entry that does not answer is not asked again for this long. It counts as
+# dead 1.1 s after its last heartbeat, and another one answers then.
+UNANSWERED_PAUSE_S = 0.3
+
+
+class Coordinators(NamedTuple):
+    """Entries that issue permits.
+
+    :param hosts: IP of each serving entry by its id; empty for this one.
+    :param share: part of the limits that this entry may issue; below 1 while
+        it does not reach most of the others.
+    """
+
+    hosts: abc.Mapping[str, str]
+    share: float = 1.0
+
+
+class PermitSource(Protocol):
+    """Asks other entries for permits."""
+
+    async def ask(
+        self, host: str, question: messages.PermitRequest
+    ) -> messages.PermitAnswer | None:
+        """Return the answer of the entry at an IP; None if there is none."""
+
+
+def _alone() -> Coordinators:
+    return Coordinators({'': ''})
 
 
 class EndpointLimiter:
-    """Knows the limits of all endpoints.
+    """Knows the limits of all endpoints and obtains permits for them.
+
+    One serving entry, chosen by rendezvous hashing, issues the permits for
+    an endpoint, so that all entries together keep to its limit.
 
+    :param coordinators: returns the entries that issue permits.
     :param on_change: called when other entries should learn at once of a
         limit that an answer stated.
     """
 
     def __init__(
-        self, on_change: abc.Callable[[], None] = lambda: None
+        self,
+        coordinators: abc.Callable[[], Coordinators] = _alone,
+        on_change: abc.Callable[[], None] = lambda: None,
+        rng: random.Random | None = None,
     ) -> None:
         self.table = table.LimitTable()
+        self.source: PermitSource | None = None
+        self._coordinators = coordinators
         self._on_change = on_change
         self._change_log = change_log.ChangeLog()
+        self._issuer = permits.PermitIssuer()
+        self._rng = rng or random.Random()
+        # When to ask for a permit again, by endpoint id.
+        self._ask_again_s: dict[str, float] = {}
+        self._granted: dict[str, demand.DemandMeter] = {}
+        self._returns: dict[str, returns.ReturnSchedule] = {}
 
     def observe(
         self,
@@ -64,7 +121,152 @@
             change = table.LimitChange(before_per_s, after_per_s)
             self._change_log.record(endpoint, change, origin, now_s)
 
-    def keep_only(self, endpoint_ids: abc.Container[str]) -> None:
-        """Drop what is known about endpoints that are gone."""
+    def may_confirm(self) -> bool:
+        """Draw whether a request may be sent to confirm a limit."""
+        return self._rng.random() < CONFIRMATION_SHARE
+
+    def view(
+        self,
+        candidates: abc.Iterable[endpoints.FleetEndpoint],
+        may_confirm: bool,
+        now_s: float,
+    ) -> views.LimitView:
+        """Return the limits of candidates.
+
+        :param may_confirm: whether the request may confirm a limit.
+        """
+        limited: set[str] = set()
+        unconfirmed: set[str] = set()
+        for endpoint in candidates:
+            known = self.table.observation(endpoint)
+            if known is None or known.requests_per_s is None:
+                continue
+            limited.add(endpoint.endpoint_id)
+            age_s = now_s - known.observed_s
+            if may_confirm and age_s > permits.CONFIRMATION_PERIOD_S:
+                unconfirmed.add(endpoint.endpoint_id)
+        exhausted = {
+            each
+            for each in limited
+            if self._ask_again_s.get(each, float('-inf')) > now_s
+        }
+        return views.LimitView(limited, exhausted, unconfirmed - exhausted)
+
+    async def acquire(
+        self, endpoint: endpoints.FleetEndpoint, is_confirmation: bool
+    ) -> bool:
+        """Obtain a permit for one request; tell whether it was granted."""
+        loop = asyncio.get_running_loop()
+        question = self.question(endpoint, is_confirmation)
+        if question is None:
+            return True
+        host = self.coordinator(endpoint)
+        answer: messages.PermitAnswer | None = None
+        if not host:
+            answer = self.decide(question, loop.time())
+        elif self.source is not None:
+            answer = await self.source.ask(host, question)
+        return self.apply_answer(endpoint, answer, loop.time())
+
+    def question(
+        self, endpoint: endpoints.FleetEndpoint, is_confirmation: bool
+    ) -> messages.PermitRequest | None:
+        """Return the question to ask; None if the endpoint has no limit."""
+        requests_per_s = self.table.requests_per_s(endpoint)
+        if requests_per_s is None:
+            return None
+        return messages.PermitRequest(
+            0,
+            endpoint.endpoint_id,
+            endpoint.started_wall_ms,
+            requests_per_s,
+            is_confirmation,
+        )
+
+    def coordinator(self, endpoint: endpoints.FleetEndpoint) -> str:
+        """Return the IP of the entry to ask; empty for this one."""
+        hosts = self._coordinators().hosts
+        chosen = max(
+            hosts, key=lambda each: subset.score(each, endpoint.endpoint_id)
+        )
+        return hosts[chosen]
+
+    def apply_answer(
+        self,
+        endpoint: endpoints.FleetEndpoint,
+        answer: messages.PermitAnswer | None,
+        now_s: float,
+    ) -> bool:
+        """Record an answer; tell whether it grants the permit."""
+        wait_s = answer.wait_ms / 1000 if answer else UNANSWERED_PAUSE_S
+        if wait_s <= 0:
+            self._meter(endpoint.service, now_s).add(1.0, now_s)
+            return True
+        self._ask_again_s[endpoint.endpoint_id] = now_s + wait_s
+        return False
+
+    def decide(
+        self, question: messages.PermitRequest, now_s: float
+    ) -> messages.PermitAnswer:
+        """Decide on a request to an endpoint that this entry coordinates."""
+        decision = self._issuer.request(
+            (question.endpoint_id, question.started_wall_ms),
+            question.requests_per_s * self._coordinators().share,
+            question.is_confirmation,
+            now_s,
+        )
+        match decision:
+            case permits.Granted():
+                return messages.PermitAnswer(question.number, 0)
+            case permits.Denied(wait_s):
+                wait_ms = max(int(wait_s * 1000), 1)
+                return messages.PermitAnswer(question.number, wait_ms)
+
+    def retry_after_s(
+        self,
+        service: str,
+        candidates: abc.Iterable[endpoints.FleetEndpoint],
+        now_s: float,
+    ) -> float | None:
+        """Return when a request that no candidate may take can come back.
+
+        :returns: seconds, or None if no candidate has a limit.
+        """
+        limits_per_s = {
+            each.endpoint_id: limit_per_s
+            for each in candidates
+            if (limit_per_s := self.table.requests_per_s(each)) is not None
+        }
+        if not limits_per_s:
+            return None
+        first_s = min(
+            self._ask_again_s.get(each, 0.0) for each in limits_per_s
+        )
+        equal_share = sum(limits_per_s.values()) / len(
+            self._coordinators().hosts
+        )
+        own_per_s = self._meter(service, now_s).rate_per_s(now_s)
+        schedule = self._returns.setdefault(service, returns.ReturnSchedule())
+        return schedule.next_wait_s(
+            max(first_s, now_s),
+            max(equal_share, own_per_s),
+            now_s,
+            self._rng,
+        )
+
+    def _meter(self, service: str, now_s: float) -> demand.DemandMeter:
+        return self._granted.setdefault(service, demand.DemandMeter(now_s))
+
+    def expire(self, endpoint_ids: abc.Container[str], now_s: float) -> None:
+        """Drop what is known about endpoints that are gone.
+
+        :param endpoint_ids: ids of the endpoints that are known.
+        """
         self.table.keep_only(endpoint_ids)
         self._change_log.keep_only(endpoint_ids)
+        self._issuer.expire(now_s)
+        self._ask_again_s = {
+            endpoint_id: until_s
+            for endpoint_id, until_s in self._ask_again_s.items()
+            if until_s > now_s
+        }
--- /dev/null
+++ b/src/godwitvalve/endpoint_limits/messages.py
@@ -0,0 +1,34 @@
+"""Datagrams in which entries ask one another for permits."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class PermitRequest(msgspec.Struct, array_like=True, tag=0, frozen=True):
+    """Asks for one request to an endpoint.
+
+    :param number: returned in the answer.
+    :param requests_per_s: limit that the asking entry knows.
+    :param is_confirmation: whether the request is to confirm the limit.
+    """
+
+    number: int
+    endpoint_id: str
+    started_wall_ms: int
+    requests_per_s: float
+    is_confirmation: bool
+
+
+class PermitAnswer(msgspec.Struct, array_like=True, tag=1, frozen=True):
+    """Answers a request for a permit.
+
+    :param wait_ms: milliseconds after which to ask again; 0 grants it.
+    """
+
+    number: int
+    wait_ms: int
+
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(PermitRequest | PermitAnswer)
--- a/src/godwitvalve/forwarding/calls.py
+++ b/src/godwitvalve/forwarding/calls.py
@@ -54,6 +54,7 @@
         self.endpoints: list[str] = []
         # Selects the version during a roll-out.
         self._draw = context.rng.random()
+        self._may_confirm = context.limiter.may_confirm()
         self._tried_ids: set[str] = set()
         self._attempts = 0
         self._possible_runs = 0
@@ -101,14 +102,14 @@
             turn.end()
 
     async def _forward_in_turn(self, turn: turns.Turn) -> replies.Reply:
-        if not self._start():
-            return replies.Refusal(
-                codes.ResultCode.NO_ENDPOINT, policy.NO_ENDPOINT_RETRY_AFTER_S
+        if not await self._start_first():
+            return self._context.refusal(
+                self._routed.service, self._candidates()
             )
         while True:
             outcome = await self._next_outcome()
             if outcome is None:
-                self._hedge()
+                await self._hedge()
                 continue
             step = policy.after_attempt(outcome, self._progress())
             match step:
@@ -123,6 +124,15 @@
                     if final_reply is not None:
                         return final_reply
 
+    async def _start_first(self) -> bool:
+        if await self._start():
+            return True
+        if self._context.has_exhausted(self._candidates()):
+            # The old version may have endpoints without a limit.
+            self._draw = 1.0
+            return await self._start()
+        return False
+
     def _candidates(self) -> list[endpoints.FleetEndpoint]:
         return self._context.candidates(self._routed.service, self._draw)
 
@@ -132,7 +142,10 @@
         # Retries use the old version; the new one is not proven yet.
         self._draw = 1.0
         candidates = self._candidates()
-        if all(each.endpoint_id in self._tried_ids for each in candidates):
+        open_candidates = self._context.without_exhausted(candidates)
+        if (open_candidates or not candidates) and all(
+            each.endpoint_id in self._tried_ids for each in open_candidates
+        ):
             self._tried_ids.clear()
             if reason == policy.DECLINED:
                 try:
@@ -145,14 +158,15 @@
                     ).reply
             else:
                 await asyncio.sleep(policy.FULL_CALL_PAUSE_S)
-        if self._start():
+        if await self._start():
             self._context.budget.try_retry(self._routed.service)
             self._record_retry(reason)
             return None
+        refusal = self._context.refusal(
+            self._routed.service, self._candidates()
+        )
         return policy.give_up(
-            self._progress(),
-            codes.ResultCode.NO_ENDPOINT,
-            policy.NO_ENDPOINT_RETRY_AFTER_S,
+            self._progress(), refusal.code, refusal.retry_after_s
         ).reply
 
     def _record_retry(self, reason: str) -> None:
@@ -212,22 +226,27 @@
                 if head.status >= 500 and self._fallback is None:
                     self._fallback = outcome
 
-    def _hedge(self) -> None:
+    async def _hedge(self) -> None:
         if not self._context.budget.try_retry(self._routed.service):
             return
-        if self._start():
+        if await self._start():
             self._record_retry('no answer yet')
 
-    def _start(self) -> bool:
+    async def _start(self) -> bool:
         """Start an attempt; tell whether an endpoint was available."""
         context = self._context
-        endpoint = choose.choose_call(
-            self._candidates(),
-            context.endpoint_tracker,
-            self._tried_ids,
-            context.failure_domain,
-            self._loop.time(),
-            context.rng,
+        endpoint = await context.select(
+            self._candidates,
+            lambda candidates, limits: choose.choose_call(
+                candidates,
+                context.endpoint_tracker,
+                self._tried_ids,
+                context.failure_domain,
+                self._loop.time(),
+                context.rng,
+                limits,
+            ),
+            self._may_confirm and not self._tried_ids,
         )
         if endpoint is None:
             return False
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -6,16 +6,21 @@
 from collections import abc
 import dataclasses
 import random
+from typing import TypeAlias
 
 from godwitvalve.endpoint_limits import limiter as limiters
+from godwitvalve.endpoint_limits import view as views
 from godwitvalve.fleet import endpoints
 from godwitvalve.fleet import registry as registries
 from godwitvalve.fleet import routes
 from godwitvalve.fleet import state as states
 from godwitvalve.forwarding import counters as counter_model
 from godwitvalve.forwarding import exchange as exchanges
+from godwitvalve.forwarding import policy
 from godwitvalve.forwarding import pool as pools
+from godwitvalve.forwarding import replies
 from godwitvalve.logs import setup as logs
+from godwitvalve.outcomes import codes
 from godwitvalve.placement import choose
 from godwitvalve.placement import sessions as session_model
 from godwitvalve.placement import speed as speed_model
@@ -26,6 +31,15 @@
 from godwitvalve.rollouts import registry as rollout_registries
 from godwitvalve.routing import retry_budget
 
+# Endpoints with a limit that are asked about for one attempt. Each question
+# takes a few milliseconds, or 100 if it is not answered.
+MAX_PERMIT_QUESTIONS = 3
+
+ChooseEndpoint: TypeAlias = abc.Callable[
+    [list[endpoints.FleetEndpoint], views.LimitView],
+    endpoints.FleetEndpoint | None,
+]
+
 _LOG = logs.get('forwarding')
 
 
@@ -98,6 +112,79 @@
                 },
             )
 
+    async def select(
+        self,
+        candidates: abc.Callable[[], list[endpoints.FleetEndpoint]],
+        choose_endpoint: ChooseEndpoint,
+        may_confirm: bool = False,
+    ) -> endpoints.FleetEndpoint | None:
+        """Choose an endpoint that may take a request now.
+
+        The request must be sent at once, as a permit is used up for it.
+
+        :param choose_endpoint: chooses among candidates with their limits.
+        :param may_confirm: whether the request may confirm a limit.
+        """
+        loop = asyncio.get_running_loop()
+        for _ in range(MAX_PERMIT_QUESTIONS):
+            usable = candidates()
+            limits = self.limiter.view(usable, may_confirm, loop.time())
+            endpoint = choose_endpoint(usable, limits)
+            if endpoint is None or endpoint.endpoint_id not in limits.limited:
+                return endpoint
+            if await self.may_take(
+                endpoint, endpoint.endpoint_id in limits.unconfirmed
+            ):
+                return endpoint
+        usable = candidates()
+        limits = self.limiter.view(usable, False, loop.time())
+        return choose_endpoint(
+            usable, limits._replace(exhausted=limits.limited)
+        )
+
+    async def may_take(
+        self, endpoint: endpoints.FleetEndpoint, is_confirmation: bool = False
+    ) -> bool:
+        """Obtain a permit if an endpoint has a limit; tell if it may send."""
+        if self.limiter.table.requests_per_s(endpoint) is None:
+            return True
+        is_granted = await self.limiter.acquire(endpoint, is_confirmation)
+        self.counters.count_permit(is_granted)
+        return is_granted and self.may_receive(endpoint)
+
+    def has_exhausted(
+        self, candidates: abc.Iterable[endpoints.FleetEndpoint]
+    ) -> bool:
+        """Tell whether a candidate takes no request because of its limit."""
+        now_s = asyncio.get_running_loop().time()
+        return bool(self.limiter.view(candidates, False, now_s).exhausted)
+
+    def without_exhausted(
+        self, candidates: abc.Collection[endpoints.FleetEndpoint]
+    ) -> list[endpoints.FleetEndpoint]:
+        """Return the candidates that may have a permit to give."""
+        now_s = asyncio.get_running_loop().time()
+        limits = self.limiter.view(candidates, False, now_s)
+        return [
+            each
+            for each in candidates
+            if each.endpoint_id not in limits.exhausted
+        ]
+
+    def refusal(
+        self,
+        service: str,
+        candidates: abc.Collection[endpoints.FleetEndpoint],
+    ) -> replies.Refusal:
+        """Return the refusal of a request that no candidate may take."""
+        now_s = asyncio.get_running_loop().time()
+        wait_s = self.limiter.retry_after_s(service, candidates, now_s)
+        if wait_s is None:
+            return replies.Refusal(
+                codes.ResultCode.NO_ENDPOINT, policy.NO_ENDPOINT_RETRY_AFTER_S
+            )
+        return replies.Refusal(codes.ResultCode.ENDPOINT_LIMITS, wait_s)
+
     def record_head(
         self, endpoint: endpoints.FleetEndpoint, head: exchanges.AnswerHead
     ) -> None:
--- a/src/godwitvalve/forwarding/counters.py
+++ b/src/godwitvalve/forwarding/counters.py
@@ -53,6 +53,11 @@
             'Attempts at endpoints that state a request limit.',
             labels,
         )
+        self._permits = self._counter(
+            'godwitvalve_permits_total',
+            'Permits asked for at endpoints that state a request limit.',
+            labels,
+        )
         self._limited_endpoints = collectors.Gauge(
             'godwitvalve_limited_endpoints',
             'Endpoints that state a request limit.',
@@ -105,6 +110,10 @@
         """Count an attempt at an endpoint that states a limit."""
         self._limited_sends.inc({'service': service})
 
+    def count_permit(self, is_granted: bool) -> None:
+        """Count a permit that was asked for."""
+        self._permits.inc({'outcome': 'granted' if is_granted else 'denied'})
+
     def set_limited_endpoints(self, count: int) -> None:
         """Set the number of endpoints that state a limit."""
         self._limited_endpoints.set({}, count)
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -63,6 +63,7 @@
         self._tried_ids: set[str] = set()
         # Selects the version during a roll-out.
         self._draw = context.rng.random()
+        self._may_confirm = context.limiter.may_confirm()
         self._current_exchange: exchanges.Exchange | None = None
         self._possible_runs = 0
         self._is_started = False
@@ -113,12 +114,14 @@
                 return self._give_up(
                     codes.ResultCode.OVERLOADED, policy.FULL_RETRY_AFTER_S
                 )
-            attempt = self._next_attempt()
+            attempt = await self._next_attempt()
             if attempt is None:
-                return self._give_up(
-                    codes.ResultCode.NO_ENDPOINT,
-                    policy.NO_ENDPOINT_RETRY_AFTER_S,
+                if await self._wait_for_permits():
+                    continue
+                refusal = self._context.refusal(
+                    self._routed.service, self._candidates()
                 )
+                return self._give_up(refusal.code, refusal.retry_after_s)
             end = await self._run_attempt(attempt)
             self._current_exchange = None
             self._record_end(attempt, end)
@@ -243,13 +246,36 @@
         memory for more streams until one of theirs ends. Trying all of
         them in a row would only use up the retry budget.
         """
-        candidates = self._candidates()
+        candidates = self._context.without_exhausted(self._candidates())
         if not candidates or not all(
             each.endpoint_id in self._tried_ids for each in candidates
         ):
             return True
         if self._usable_backup() is not None:
             return True
+        if not await self._pause():
+            return False
+        self._tried_ids.clear()
+        return True
+
+    async def _wait_for_permits(self) -> bool:
+        """Pause if a limit keeps a stream from going on.
+
+        A stream that did not run is refused instead.
+
+        :returns: whether to try again.
+        """
+        if not self._context.has_exhausted(self._candidates()):
+            return False
+        if self._is_started or self._possible_runs:
+            return await self._pause()
+        # The old version may have endpoints without a limit.
+        is_new_version = self._draw < 1.0
+        self._draw = 1.0
+        return is_new_version
+
+    async def _pause(self) -> bool:
+        """Pause before another attempt; tell whether there was time to."""
         now_s = self._loop.time()
         last_start_s = (
             self._routed.deadline_s - policy.MIN_TIME_TO_FIRST_EVENT_S
@@ -263,7 +289,6 @@
         if now_s + policy.FULL_STREAM_PAUSE_S > last_start_s:
             return False
         await asyncio.sleep(policy.FULL_STREAM_PAUSE_S)
-        self._tried_ids.clear()
         return True
 
     def _give_up(
@@ -277,24 +302,30 @@
             return replies.Failure(codes.ResultCode.OUTCOME_UNKNOWN)
         return replies.Refusal(code, retry_after_s)
 
-    def _next_attempt(self) -> attempts.StreamAttempt | None:
-        now_s = self._loop.time()
-        resumed = self._attempt_at_backup(now_s)
+    async def _next_attempt(self) -> attempts.StreamAttempt | None:
+        resumed = await self._attempt_at_backup()
         if resumed is not None:
             return resumed
         context = self._context
-        endpoint = choose.choose_stream(
-            self._candidates(),
-            context.endpoint_tracker,
-            context.remote_placements(),
-            self._tried_ids,
-            context.failure_domain,
-            now_s,
-            context.rng,
-            context.sessions.find(self._routed.request.facts.session, now_s),
+        session = self._routed.request.facts.session
+        endpoint = await context.select(
+            self._candidates,
+            lambda candidates, limits: choose.choose_stream(
+                candidates,
+                context.endpoint_tracker,
+                context.remote_placements(),
+                self._tried_ids,
+                context.failure_domain,
+                self._loop.time(),
+                context.rng,
+                context.sessions.find(session, self._loop.time()),
+                limits,
+            ),
+            self._may_confirm and not self.times.endpoints,
         )
         if endpoint is None:
             return None
+        now_s = self._loop.time()
         return attempts.StreamAttempt(
             endpoint, self._backup_for(endpoint, now_s), '', now_s
         )
@@ -309,14 +340,13 @@
             return None
         return backup
 
-    def _attempt_at_backup(
-        self, now_s: float
-    ) -> attempts.StreamAttempt | None:
+    async def _attempt_at_backup(self) -> attempts.StreamAttempt | None:
         """Return an attempt at the backup of the last one, if it is usable."""
         endpoint = self._usable_backup()
         self._last_attempt = None
-        if endpoint is None:
+        if endpoint is None or not await self._context.may_take(endpoint):
             return None
+        now_s = self._loop.time()
         request_id = self._routed.request.facts.request_id
         return attempts.StreamAttempt(
             endpoint,
@@ -349,6 +379,7 @@
             context.remote_placements(),
             now_s,
             context.rng,
+            context.limiter.view(self._candidates(), False, now_s),
         )
 
     async def _run_attempt(
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -40,6 +40,9 @@
 # How often one entry relays a record. Three times suffice to reach all of 87
 # entries, and the limit ends the spread of a last heartbeat.
 RELAYS_PER_RECORD = 3
+# For this long a member without heartbeats may be partitioned from this entry
+# rather than gone.
+RECENT_S = 30.0
 # Members without a heartbeat are removed after twice this period.
 RETENTION_S = 60.0
 
@@ -174,6 +177,18 @@
             if self._last_seen_s[instance_id] >= oldest_s
         ]
 
+    def reachable_share(self, now_s: float) -> float:
+        """Return the part of a fleet-wide limit that live entries may use.
+
+        1 if most of the entries that lived lately are alive. In a smaller
+        part of a partitioned fleet it is the size of that part.
+        """
+        recent = 1 + sum(
+            now_s - each < RECENT_S for each in self._last_seen_s.values()
+        )
+        alive = 1 + len(self.alive(now_s))
+        return 1.0 if 2 * alive > recent else alive / recent
+
     def known_count(self) -> int:
         """Return the number of other members, live or not."""
         return len(self._records)
--- a/src/godwitvalve/ingress/membership.py
+++ b/src/godwitvalve/ingress/membership.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import abc
+import functools
 import random
 import socket
 import time
@@ -11,6 +12,7 @@
 import aiohttp
 import msgspec
 
+from godwitvalve.endpoint_limits import node as permit_nodes
 from godwitvalve.fleet import consumers
 from godwitvalve.fleet import state as states
 from godwitvalve.gossip import members as member_model
@@ -54,16 +56,32 @@
     ]
 
 
-async def open_socket(
-    settings: wire_settings.FleetSettings, node: gossip_nodes.GossipNode
+def permit_port(settings: wire_settings.FleetSettings) -> int:
+    """Return the port on which all entries issue permits."""
+    return settings.peer_ports[0] + 1
+
+
+async def open_sockets(
+    settings: wire_settings.FleetSettings,
+    gossip: gossip_nodes.GossipNode,
+    permits: permit_nodes.PermitNode,
 ) -> None:
-    """Bind the datagram socket of the gossip node."""
+    """Bind the datagram sockets for heartbeats and for permits."""
     loop = asyncio.get_running_loop()
-    await loop.create_datagram_endpoint(
-        lambda: node,
-        local_addr=(settings.ip, settings.peer_ports[0]),
-        family=socket.AF_INET,
-    )
+    nodes: list[tuple[asyncio.DatagramProtocol, int]] = [
+        (gossip, settings.peer_ports[0]),
+        (permits, permit_port(settings)),
+    ]
+    for node, port in nodes:
+        await loop.create_datagram_endpoint(
+            functools.partial(_same, node),
+            local_addr=(settings.ip, port),
+            family=socket.AF_INET,
+        )
+
+
+def _same(node: asyncio.DatagramProtocol) -> asyncio.DatagramProtocol:
+    return node
 
 
 class MemberRows:
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -10,6 +10,8 @@
 from aiohttp import web
 
 from godwitvalve.endpoint_limits import limiter as limiters
+from godwitvalve.endpoint_limits import messages as permit_messages
+from godwitvalve.endpoint_limits import node as permit_nodes
 from godwitvalve.fleet import consumers
 from godwitvalve.fleet import endpoints as endpoint_model
 from godwitvalve.fleet import follower
@@ -131,8 +133,14 @@
             self._remote_placements,
             self._on_placement,
             self._rollouts,
-            limiter=limiters.EndpointLimiter(self._on_placement),
+            limiter=limiters.EndpointLimiter(
+                self._coordinators, self._on_placement
+            ),
+        )
+        self._permits = permit_nodes.PermitNode(
+            membership.permit_port(settings), self._decide_permit
         )
+        self._context.limiter.source = self._permits
         self._handler = handlers.IngressHandler(self._context, self._lifecycle)
         self._gossip = gossip_nodes.GossipNode(
             self._members,
@@ -179,6 +187,25 @@
         now_s = time.monotonic()
         return member_model.total_placements(self._members.alive(now_s))
 
+    def _coordinators(self) -> limiters.Coordinators:
+        """Return the serving entries, which issue permits for endpoints."""
+        now_s = time.monotonic()
+        hosts = {
+            record.instance_id: record.peer_address.rpartition(':')[0]
+            for record in self._members.alive(now_s)
+            if record.state == member_model.SERVING
+        }
+        if self._lifecycle.is_advertised() or not hosts:
+            hosts[self._settings.instance_id] = ''
+        return limiters.Coordinators(
+            hosts, self._members.reachable_share(now_s)
+        )
+
+    def _decide_permit(
+        self, question: permit_messages.PermitRequest
+    ) -> permit_messages.PermitAnswer:
+        return self._context.limiter.decide(question, time.monotonic())
+
     async def _probe_store(self) -> bool:
         """Tell whether the store answers.
 
@@ -285,7 +312,9 @@
             loop.add_signal_handler(signal_number, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         _LOG.info('Started.', extra={'settings': self._settings.instance_id})
-        await membership.open_socket(self._settings, self._gossip)
+        await membership.open_sockets(
+            self._settings, self._gossip, self._permits
+        )
         runners = await self._listen()
         tasks = [asyncio.create_task(each) for each in self._background_work()]
         stopped = asyncio.create_task(self._stop_requested.wait())
@@ -303,6 +332,7 @@
             task.cancel()
         self._successors.stop()
         self._gossip.close()
+        self._permits.close()
         await self._sources.close()
         await self._store.close()
         for runner in runners:
@@ -445,7 +475,9 @@
             self._context.pool.prune()
             self._context.sessions.expire(time.monotonic())
             self._context.quarantine.expire(time.monotonic())
-            self._context.limiter.keep_only(self._state.registry.ids())
+            self._context.limiter.expire(
+                self._state.registry.ids(), time.monotonic()
+            )
             self._resize_retry_budget()
             self._review_rollouts()
 
--- a/src/godwitvalve/limits/buckets.py
+++ b/src/godwitvalve/limits/buckets.py
@@ -14,18 +14,28 @@
     A request whose cost exceeds the burst would otherwise always be
     refused. It is admitted once the balance reaches ``MIN_BURST``, and
     the debt delays the next request.
+
+    :param starts_full: whether the burst is admitted at once, so that the
+        first requests are not refused.
+    :param min_burst: tokens that are kept at low rates, at least
+        ``MIN_BURST``.
     """
 
-    def __init__(self, now_s: float) -> None:
+    def __init__(
+        self,
+        now_s: float,
+        starts_full: bool = True,
+        min_burst: float = MIN_BURST,
+    ) -> None:
+        self._min_burst = min_burst
         self._balance = 0.0
         self._filled_s = now_s
-        self._started = False
+        self._started = not starts_full
 
     def fill(self, rate_per_s: float, now_s: float) -> None:
         """Add the tokens earned since the last call."""
-        burst = max(MIN_BURST, rate_per_s * BURST_S)
+        burst = max(self._min_burst, rate_per_s * BURST_S)
         refill = rate_per_s * max(0.0, now_s - self._filled_s)
-        # Starts full, so that the first requests are not refused.
         if not self._started:
             self._started = True
             refill = burst
--- a/src/godwitvalve/outcomes/codes.py
+++ b/src/godwitvalve/outcomes/codes.py
@@ -27,6 +27,7 @@
     DEPENDENCY_MISSING = 2012
     KEY_BUSY = 2013
     PROMPT_QUARANTINED = 2014
+    ENDPOINT_LIMITS = 2015
 
     OUTCOME_UNKNOWN = 3000
     OWNER_UNREACHABLE = 3001
@@ -184,6 +185,14 @@
         'segment of this one.',
         'Retry at the stated time, or leave the segment out.',
     ),
+    ResultCode.ENDPOINT_LIMITS: CodeInfo(
+        503,
+        'endpoint limits',
+        True,
+        'Endpoints in need take a limited number of requests, and no other '
+        'endpoint can take this one.',
+        _RETRY,
+    ),
     ResultCode.OUTCOME_UNKNOWN: CodeInfo(
         502,
         'outcome unknown',
--- a/src/godwitvalve/placement/choose.py
+++ b/src/godwitvalve/placement/choose.py
@@ -7,6 +7,7 @@
 import random
 from typing import NamedTuple
 
+from godwitvalve.endpoint_limits import view as views
 from godwitvalve.fleet import endpoints
 from godwitvalve.placement import tracker as trackers
 
@@ -25,6 +26,10 @@
 # In streams: an endpoint that has processed the prompt saves a second. With
 # more additional streams than this, one more would delay all of them.
 SESSION_SAVING = 3.0
+# In streams: less than a prompt that is being processed. With more, the
+# memory of the endpoints without a limit fills up and they preempt streams.
+LIMITED_STREAM_COST = 2.0
+NO_LIMITS = views.LimitView()
 
 
 class Placements(NamedTuple):
@@ -43,6 +48,7 @@
     tracker: trackers.EndpointTracker,
     tried: abc.Set[str],
     now_s: float,
+    limits: views.LimitView = NO_LIMITS,
 ) -> list[endpoints.FleetEndpoint]:
     """Return the healthiest group of candidates that were not tried.
 
@@ -50,6 +56,9 @@
     tries one after the other is late, so two lost endpoints put their whole
     failure domain behind the others. If no candidate is healthy, all
     candidates that were not tried are returned.
+
+    If the limits of all healthy candidates are exhausted, those remain that
+    failed lately but do not count as down.
     """
     untried = [each for each in candidates if each.endpoint_id not in tried]
     healthy = [
@@ -59,7 +68,18 @@
     ]
     suspect = _suspect_domains(candidates, tracker, now_s)
     outside = [each for each in healthy if each.failure_domain not in suspect]
-    return outside or healthy or untried
+    preferred = outside or healthy or untried
+    permitted = [
+        each for each in preferred if each.endpoint_id not in limits.exhausted
+    ]
+    if permitted or not preferred:
+        return permitted
+    return [
+        each
+        for each in untried
+        if each.endpoint_id not in limits.exhausted
+        and tracker.stats(each.endpoint_id).down_until_s <= now_s
+    ]
 
 
 def _suspect_domains(
@@ -102,24 +122,33 @@
     own_domain: str,
     now_s: float,
     rng: random.Random,
+    limits: views.LimitView = NO_LIMITS,
 ) -> endpoints.FleetEndpoint | None:
     """Choose the endpoint of a plain call.
 
     Load pattern: several entries share a few endpoints with 6 slots each.
     The cost follows from own calls in flight and the last reported load.
     Ties are broken at random, so that entries choose different endpoints.
+    Endpoints with a limit follow those that have a slot to spare.
     """
-    usable = _preferred(candidates, tracker, tried, now_s)
-    return min(
-        usable,
-        key=lambda each: (
-            call_cost(
-                each, tracker.stats(each.endpoint_id), own_domain, now_s
-            ),
-            rng.random(),
-        ),
-        default=None,
-    )
+
+    def key(each: endpoints.FleetEndpoint) -> tuple[int, float, float]:
+        stats = tracker.stats(each.endpoint_id)
+        cost = call_cost(each, stats, own_domain, now_s)
+        return _call_rank(each, cost, limits), cost, rng.random()
+
+    usable = _preferred(candidates, tracker, tried, now_s, limits)
+    return min(usable, key=key, default=None)
+
+
+def _call_rank(
+    endpoint: endpoints.FleetEndpoint, cost: float, limits: views.LimitView
+) -> int:
+    if endpoint.endpoint_id in limits.unconfirmed:
+        return 0
+    if endpoint.endpoint_id in limits.limited:
+        return 2
+    return 1 if cost < 1.0 else 3
 
 
 def stream_cost(
@@ -152,6 +181,7 @@
     now_s: float,
     rng: random.Random,
     session_endpoint: str | None = None,
+    limits: views.LimitView = NO_LIMITS,
 ) -> endpoints.FleetEndpoint | None:
     """Choose the endpoint of a stream.
 
@@ -162,16 +192,18 @@
 
     :param session_endpoint: endpoint that processed the prompt before.
     """
-    usable = _preferred(candidates, tracker, tried, now_s)
+    usable = _preferred(candidates, tracker, tried, now_s, limits)
     return min(
         usable,
         key=lambda each: (
+            each.endpoint_id not in limits.unconfirmed,
             stream_cost(
                 each,
                 tracker.stats(each.endpoint_id),
                 remote_placements.get(each.endpoint_id, Placements()),
                 own_domain,
             )
+            + LIMITED_STREAM_COST * (each.endpoint_id in limits.limited)
             - SESSION_SAVING * (each.endpoint_id == session_endpoint),
             rng.random(),
         ),
@@ -186,11 +218,13 @@
     remote_placements: RemotePlacements,
     now_s: float,
     rng: random.Random,
+    limits: views.LimitView = NO_LIMITS,
 ) -> endpoints.FleetEndpoint | None:
     """Choose the endpoint that keeps the backup of a stream's memory.
 
     Load pattern: all endpoints of a failure domain crash or become
-    unresponsive at once. The backup is kept in another one if possible.
+    unresponsive at once. The backup is kept in another one if possible, and
+    where the stream can go on without a permit.
     """
     usable = _preferred(candidates, tracker, {running.endpoint_id}, now_s)
     other_domains = [
@@ -201,6 +235,7 @@
     return min(
         other_domains or usable,
         key=lambda each: (
+            each.endpoint_id in limits.limited,
             stream_cost(
                 each,
                 tracker.stats(each.endpoint_id),
--- a/src/godwitvalve/platform/settings.py
+++ b/src/godwitvalve/platform/settings.py
@@ -9,6 +9,8 @@
 
 # Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = 'GODWITVALVE_BOOT'
+# Heartbeats and permits use a port each.
+PEER_PORTS = 2
 
 
 class SettingsError(Exception):
@@ -19,13 +21,13 @@
     """Validated settings; addresses are ``IP:port``.
 
     ``peer_ports`` holds the first and the last port that entry instances
-    may use among themselves. ``stop_limit_s`` is the time between SIGTERM
-    and SIGKILL. ``address_reuse_s`` is the time for which the platform does
-    not assign the address of an ended endpoint to another service. A bad
-    version may receive at most ``exposure_share`` of the requests for its
-    service plus ``exposure_slack`` requests. ``memory_mb`` is the memory of
-    the machine. A configuration has to be in force ``configuration_limit_ms``
-    after it was written.
+    may use among themselves; two of them are used. ``stop_limit_s`` is the
+    time between SIGTERM and SIGKILL. ``address_reuse_s`` is the time for
+    which the platform does not assign the address of an ended endpoint to
+    another service. A bad version may receive at most ``exposure_share`` of
+    the requests for its service plus ``exposure_slack`` requests.
+    ``memory_mb`` is the memory of the machine. A configuration has to be in
+    force ``configuration_limit_ms`` after it was written.
     """
 
     instance_id: str
@@ -62,6 +64,13 @@
     ]
 
 
+def _port_errors(raw: dict[str, object]) -> list[str]:
+    first, last = msgspec.convert(raw['peer_ports'], tuple[int, int])
+    if last - first + 1 >= PEER_PORTS:
+        return []
+    return [f'peer_ports: {first} to {last} is less than {PEER_PORTS} ports']
+
+
 def _field_errors(raw: dict[str, object]) -> list[str]:
     """Return one line for each field that is missing or of another type."""
     errors = []
@@ -88,7 +97,7 @@
         raise SettingsError(f'(file): not JSON: {error}') from error
     if not isinstance(raw, dict):
         raise SettingsError('(file): not a JSON object')
-    errors = _field_errors(raw) or _address_errors(raw)
+    errors = _field_errors(raw) or _address_errors(raw) or _port_errors(raw)
     if errors:
         raise SettingsError('\n'.join(errors))
     return msgspec.convert(raw, FleetSettings)
