Do not count calls that were not sent as served by the queue

A call that is refused because of the limits of all endpoints ends its turn within milliseconds. The queue of a full service took it for one that was served, expected waits too short and let callers wait beyond their deadline. Turns end with whether an endpoint got the call, and only those count for the rate and the usual time of a call.

--- a/features/queueing/fair_queue.feature
+++ b/features/queueing/fair_queue.feature
@@ -61,3 +61,10 @@
     Given a service of 4 slots with 80 ms a call
     When "large" sends 125 calls/s and "small" 8 calls/s for 3 s in no order
     Then less than 95 in 100 calls of "small" are answered within 400 ms
+
+  Scenario: Calls that no endpoint got do not make the service look fast
+    # Guards against calls that wait beyond their deadline at a full service,
+    # as calls that are refused at once count as if they had been served.
+    Given a full service whose calls take 100 ms, with 1 in flight and 45 waiting
+    When 40 of them get their turn within a second unsent
+    Then a call with 300 ms left is refused at once
--- a/features/steps/queueing_steps.py
+++ b/features/steps/queueing_steps.py
@@ -221,7 +221,7 @@
     async def wait_again(self):
         await asyncio.sleep(0.03)
 
-    def end(self):
+    def end(self, was_sent=True):
         pass
 
 
@@ -319,3 +319,30 @@
     assert refused
     assert all(isinstance(each, replies.Refusal) for each in refused), refused
     assert all(each.retry_after_s > 0 for each in refused)
+
+
+@behave.given(
+    'a full service whose calls take {call_ms:d} ms, with 1 in flight and '
+    '{waiting:d} waiting'
+)
+def full_service(context, call_ms, waiting):
+    context.queue = fair_queue.FairQueue()
+    context.queue.arrive('acme', 0, 'first', 0.0, 9.0)
+    context.queue.finish('acme', call_ms / 1000, call_ms / 1000)
+    for number in range(2):
+        context.queue.arrive('acme', 0, f'running {number}', 0.1, 9.0)
+    context.queue.decline('acme', 0, 'running 1', 0.1, 9.0)
+    for number in range(waiting - 1):
+        context.queue.arrive('acme', 0, f'waiting {number}', 0.1, 90.0)
+
+
+@behave.when('{count:d} of them get their turn within a second unsent')
+def calls_end_unsent(context, count):
+    for number in range(count):
+        context.queue.finish('acme', 0.1 + number / count, 0.003, False)
+
+
+@behave.then('a call with {left_ms:d} ms left is refused at once')
+def refused_at_once(context, left_ms):
+    found = context.queue.arrive('acme', 0, 'late', 1.1, 1.1 + left_ms / 1000)
+    assert isinstance(found, fair_queue.Refused), found
--- a/src/godwitvalve/forwarding/calls.py
+++ b/src/godwitvalve/forwarding/calls.py
@@ -99,7 +99,7 @@
         try:
             return await self._forward_in_turn(turn)
         finally:
-            turn.end()
+            turn.end(was_sent=bool(self.endpoints))
 
     async def _forward_in_turn(self, turn: turns.Turn) -> replies.Reply:
         if not await self._start_first():
--- a/src/godwitvalve/queueing/fair_queue.py
+++ b/src/godwitvalve/queueing/fair_queue.py
@@ -135,13 +135,21 @@
         self._enqueue(account, priority, ticket, deadline_s)
 
     def finish(
-        self, account: str, now_s: float, taken_s: float
+        self,
+        account: str,
+        now_s: float,
+        taken_s: float,
+        was_sent: bool = True,
     ) -> NextCalls[Ticket]:
         """End a call; return the calls whose turn it is now.
 
         :param taken_s: seconds since its turn.
+        :param was_sent: whether an endpoint got it; only such calls show
+            how fast the service is.
         """
         self._running[account] -= 1
+        if not was_sent:
+            return self._next_turns(now_s)
         self._ended_s.append(now_s)
         self._forget_ends(now_s)
         weight = TIME_WEIGHT if self.call_s else 1.0
--- a/src/godwitvalve/queueing/turns.py
+++ b/src/godwitvalve/queueing/turns.py
@@ -50,9 +50,12 @@
         """
         await self._queue.requeue(self)
 
-    def end(self) -> None:
-        """End the call, or its wait."""
-        self._queue.end(self)
+    def end(self, was_sent: bool = True) -> None:
+        """End the call, or its wait.
+
+        :param was_sent: whether an endpoint got the call.
+        """
+        self._queue.end(self, was_sent)
 
 
 class ServiceTurns:
@@ -103,12 +106,13 @@
         self._schedule_probe()
         await turn.granted
 
-    def end(self, turn: Turn) -> None:
+    def end(self, turn: Turn, was_sent: bool) -> None:
         """End a call and grant the turns that become free."""
         now_s = self._loop.time()
         if turn.is_running:
+            taken_s = now_s - turn.began_s
             self._grant(
-                self._queue.finish(turn.account, now_s, now_s - turn.began_s)
+                self._queue.finish(turn.account, now_s, taken_s, was_sent)
             )
         else:
             self._queue.cancel(turn.account, turn)
