Test repeated refusals, errors within streams and cut heads

Operators of similar systems reported that a copy of an earlier refusal was taken for the answer to the next request, that the text of an error came in the middle of a stream, and that a head that was cut became an empty success. 40 scenarios play these at calls and streams, on new and on kept connections.

--- /dev/null
+++ b/features/forwarding/broken_answers.feature
@@ -0,0 +1,78 @@
+Feature: Repeated refusals, errors within streams and cut heads
+
+  Scenario Outline: A refusal that is repeated on a kept connection
+    # Guards against a caller that is told "not run", or a second run, because
+    # of a copy of the refusal of an earlier request.
+    Given an endpoint that refused an earlier request on a kept connection
+    And that answers the next one with "<script>"
+    When a <kind> request is sent on that connection
+    Then the endpoint got it once and the result is "<result>"
+
+    Examples:
+      | script                                    | kind           | result   |
+      | the refusal again, then the answer        | non-repeatable | answered |
+      | the refusal again, then the answer        | stream         | complete |
+      | the refusal again 50 ms later, the answer | non-repeatable | answered |
+      | the refusal again 50 ms later, the answer | stream         | complete |
+      | the refusal twice, then the answer        | non-repeatable | answered |
+      | the refusal three times, then the answer  | non-repeatable | unknown  |
+      | the refusal again, then nothing           | non-repeatable | unknown  |
+      | the refusal again, then a close           | non-repeatable | unknown  |
+      | the refusal without an id, the answer     | non-repeatable | unknown  |
+      | the refusal with 429, then a close        | non-repeatable | unknown  |
+      | the refusal with 421, then a close        | non-repeatable | unknown  |
+      | the refusal without a length, the answer  | non-repeatable | unknown  |
+      | the refusal that closes, then the answer  | non-repeatable | answered |
+      | the answer, then the refusal again        | non-repeatable | answered |
+
+  Scenario: A refusal that is repeated between two requests ends the connection
+    # Guards against a copy that waits for the next request.
+    Given an endpoint that refused an earlier request on a kept connection
+    And that repeats the refusal before the next request
+    When a non-repeatable request is sent on that connection
+    Then the endpoint got it once and the result is "answered"
+
+  Scenario Outline: A stream that broke off meets an error at the next endpoint
+    # Guards against the text of an error in the middle of a stream, and
+    # against one that ends as if it were complete.
+    Given a stream that broke off after event 1
+    And the next endpoint answers "<error>"
+    Then the stream has only events and no end
+    And with a third endpoint that is sound it has the events 1 to 3 and the end
+
+    Examples:
+      | error                                    |
+      | 400 with a text                          |
+      | 404 with a text                          |
+      | 409 without a length                     |
+      | 204                                      |
+      | 302 with a text                          |
+      | 500 with a text                          |
+      | 500 without a length                     |
+      | 500 that is cut                          |
+      | 500 whose body never ends                |
+      | 502 in chunks                            |
+      | 503 without proof                        |
+      | 503 with proof                           |
+      | 421                                      |
+      | text that is no answer                   |
+      | 200 with a text                          |
+      | 200 with a text, without a length        |
+      | 200 with the head of an error as its body |
+
+  Scenario Outline: A head that is cut is no answer
+    # Guards against a success with an empty or short body.
+    Then a call is not answered if the head <head> is cut after any byte by a <end>
+    And neither is one on a kept connection
+    And a stream has no end
+
+    Examples:
+      | head                    | end   |
+      | with a length           | close |
+      | with a length           | reset |
+      | in chunks               | close |
+      | in chunks               | reset |
+      | without framing         | close |
+      | without framing         | reset |
+      | after an interim answer | close |
+      | after an interim answer | reset |
