Take a success that ends after its head as an unknown outcome

A caller got a 200 with an empty body, framed as whole, if an endpoint ended after the head of an answer without a length: the connection of a killed process ends normally, like that of an answer that is complete. Streams without events were treated as broken off already. Plain successes without framing and body now are unknown outcomes, or are sent again if they may be repeated; 204 and Content-Length: 0 stay whole. Two scenarios failed before.

--- a/features/forwarding/broken_answers.feature
+++ b/features/forwarding/broken_answers.feature
@@ -76,3 +76,22 @@
       | without framing         | reset |
       | after an interim answer | close |
       | after an interim answer | reset |
+
+  Scenario: A success without framing and without a body is no answer
+    # Guards against an empty success of an endpoint that ended after the head
+    # of its answer.
+    Given endpoints that play "unframed empty" and "complete"
+    When a non-repeatable call is made
+    Then the outcome is unknown
+
+  Scenario: An empty answer that says so is complete
+    # Guards against unknown outcomes of calls that have no content to return.
+    Given endpoints that play "no content" and "complete"
+    When a non-repeatable call is made
+    Then the caller gets status 204 without a body
+
+  Scenario: A lookup whose answer ended after its head is repeated
+    # Guards against an empty success where another endpoint has the answer.
+    Given endpoints that play "unframed empty" and "complete"
+    When a repeatable call is made
+    Then the caller gets status 200 and the body "fine"
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -38,6 +38,11 @@
         b' it',
         'close',
     ],
+    'unframed empty': [
+        b'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n\r\n',
+        'close',
+    ],
+    'no content': [b'HTTP/1.1 204 No Content\r\nRequest-Id: {id}\r\n\r\n'],
     'unframed reset': [
         b'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n\r\nall of',
         0.02,
--- a/src/godwitvalve/forwarding/exchange.py
+++ b/src/godwitvalve/forwarding/exchange.py
@@ -23,6 +23,8 @@
 # Limit of the answers read from a reused connection, as answers to earlier
 # requests may precede the expected one.
 MAX_ANSWERS_READ = 3
+# Such an answer has neither a body nor framing.
+_NO_CONTENT = 204
 
 
 class CallerRequest(NamedTuple):
@@ -226,4 +228,12 @@
         return Declined(head.status, head.facts.load)
     if head.facts.is_unproven_refusal:
         return Lost(f'status {head.status} without proof')
+    if not body and not head.facts.is_framed and _is_success(head.status):
+        # The endpoint may have ended after the head.
+        return Lost('ended without a body')
     return Answered(head, body)
+
+
+def _is_success(status: int) -> bool:
+    """Tell whether a status is a success whose answer may have a body."""
+    return 200 <= status < 300 and status != _NO_CONTENT
