Take an answer that ends after its head as unknown at the own interface

As for the endpoints of the platform, a service that was killed after the head of an answer without a length gave its caller an empty success, and the ledger kept it as the outcome of the key. Such an answer is an unknown outcome now, other than to HEAD and with 204.

--- a/features/services/services.feature
+++ b/features/services/services.feature
@@ -103,6 +103,17 @@
     When a POST to "/complaints" is sent with key "key-00001"
     Then the service outcome is OUTCOME_UNKNOWN
 
+  Scenario: An answer that ends after its head is unknown
+    # Guards against an empty success of a service that ended after the head
+    # of its answer.
+    Given a plain service that ends its answer after the head
+    When a POST to "/complaints" is sent with key "key-00001"
+    Then the service outcome is OUTCOME_UNKNOWN
+
+  Scenario: A head that is cut after any byte is unknown
+    # Guards against a success of which only a part of the head arrived.
+    Then no cut head of a plain service gives an answer
+
   Scenario: Malformed answers raise no error
     # Guards against an uncaught exception caused by an endpoint's bytes.
     Then random answers of a plain service give an outcome
--- a/features/steps/services_steps.py
+++ b/features/steps/services_steps.py
@@ -118,6 +118,23 @@
     _raw(context, HEAD + b'Content-Length: 100\r\n\r\nonly this')
 
 
+@behave.given('a plain service that ends its answer after the head')
+def head_only_service(context):
+    _raw(context, HEAD + b'\r\n')
+
+
+@behave.then('no cut head of a plain service gives an answer')
+def cut_heads(context):
+    _raw(context, b'')
+    whole = HEAD + b'Content-Length: 4\r\n\r\n'
+    for size in range(1, len(whole)):
+        context.raw.answer = whole[:size]
+        _send(context, _request('POST', '/complaints', limit_s=2.0))
+        assert isinstance(context.service_outcome, outcome.Unknown), whole[
+            :size
+        ]
+
+
 def _request(method, target, headers=(), repeatable=False, limit_s=5.0):
     body = b'' if method in ('GET', 'DELETE') else 'noise \u00e9'.encode()
     return port.PlainRequest(
--- a/src/godwitvalve/forwarding/exchange.py
+++ b/src/godwitvalve/forwarding/exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import abc
 import dataclasses
+import http
 from typing import NamedTuple, TypeAlias
 
 import h11
@@ -23,8 +24,6 @@
 # Limit of the answers read from a reused connection, as answers to earlier
 # requests may precede the expected one.
 MAX_ANSWERS_READ = 3
-# Such an answer has neither a body nor framing.
-_NO_CONTENT = 204
 
 
 class CallerRequest(NamedTuple):
@@ -228,12 +227,20 @@
         return Declined(head.status, head.facts.load)
     if head.facts.is_unproven_refusal:
         return Lost(f'status {head.status} without proof')
-    if not body and not head.facts.is_framed and _is_success(head.status):
-        # The endpoint may have ended after the head.
-        return Lost('ended without a body')
+    if not body and _lacks_body(head, request.method):
+        return Lost('ended after its head')
     return Answered(head, body)
 
 
-def _is_success(status: int) -> bool:
-    """Tell whether a status is a success whose answer may have a body."""
-    return 200 <= status < 300 and status != _NO_CONTENT
+def _lacks_body(head: AnswerHead, method: str) -> bool:
+    """Tell whether an answer without a body may have been cut.
+
+    A success without framing ends with its connection, which an endpoint
+    that is killed closes as well.
+    """
+    return (
+        200 <= head.status < 300
+        and head.status != http.HTTPStatus.NO_CONTENT
+        and method != 'HEAD'
+        and not head.facts.is_framed
+    )
--- a/src/godwitvalve/services/http.py
+++ b/src/godwitvalve/services/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import http
 import types
 from typing import Any
 
@@ -123,6 +124,11 @@
                     codes.ResultCode.CONNECT_FAILED,
                     f'answer exceeds {MAX_ANSWER_BYTES} bytes',
                 )
+            if not body and _lacks_body(answer):
+                return attempt.fail(
+                    codes.ResultCode.CONNECT_FAILED,
+                    'answer ended after its head',
+                )
             headers = tuple((k, v) for k, v in answer.headers.items())
             return attempt.complete(
                 answer.status, header_rules.to_caller(headers), body
@@ -197,6 +203,21 @@
         exchange.attempt.mark_sent()
 
 
+def _lacks_body(answer: aiohttp.ClientResponse) -> bool:
+    """Tell whether an answer without a body may have been cut.
+
+    A success that states neither a length nor chunks ends with its
+    connection, which a service that is killed closes as well.
+    """
+    return (
+        200 <= answer.status < 300
+        and answer.status != http.HTTPStatus.NO_CONTENT
+        and answer.method != 'HEAD'
+        and 'Content-Length' not in answer.headers
+        and 'Transfer-Encoding' not in answer.headers
+    )
+
+
 async def _read_bounded(
     answer: aiohttp.ClientResponse, limit_bytes: int
 ) -> bytes | None:
