Keep using an endpoint whose confirmation was denied

An entry whose request was denied because another one had just confirmed the limit took the limit for used up, and left the endpoint alone for up to 2 s although permits were left. Such a denial now only delays the next confirmation. The new scenario failed before.

The number of endpoints with a limit is kept with the table, so that nothing is computed for each request or answer while there is none.

--- a/features/endpoint_limits/permits.feature
+++ b/features/endpoint_limits/permits.feature
@@ -66,3 +66,10 @@
     When 2000 callers are refused at once by a limit of 10
     Then no return time is later than 10 s
     And the return times of the last 1000 are spread over at least 4 s
+
+  Scenario: A confirmation that is not needed does not use up a limit
+    # Guards against an entry that leaves an endpoint alone for seconds, as
+    # another one has just confirmed its limit.
+    Given an endpoint with a limit of 10 that another request confirmed just now
+    When a request that would confirm the limit is denied
+    Then an ordinary request may be sent at once
--- a/features/steps/endpoint_limits_steps.py
+++ b/features/steps/endpoint_limits_steps.py
@@ -389,3 +389,43 @@
 def returns_spread(context, count, seconds):
     last = context.waits_s[-count:]
     assert max(last) - min(last) >= seconds
+
+
+@behave.given(
+    'an endpoint with a limit of {limit:g} that another request confirmed '
+    'just now'
+)
+def confirmed_just_now(context, limit):
+    context.limiter = limiter.EndpointLimiter()
+    context.endpoint = limited_endpoint()
+    context.limiter.observe(context.endpoint, statement(f'{limit:g}'), 0.0)
+    # The first question makes the bucket, the second one takes a permit.
+    _ask(context, False, 10.0)
+    assert _ask(context, False, 11.0)
+
+
+def _ask(context, is_confirmation, now_s):
+    """Tell whether a request may be sent."""
+    limits = context.limiter.view([context.endpoint], is_confirmation, now_s)
+    endpoint_id = context.endpoint.endpoint_id
+    if endpoint_id in limits.exhausted:
+        return False
+    question = context.limiter.question(
+        context.endpoint, endpoint_id in limits.unconfirmed
+    )
+    return context.limiter.apply_answer(
+        context.endpoint,
+        context.limiter.decide(question, now_s),
+        now_s,
+        question.is_confirmation,
+    )
+
+
+@behave.when('a request that would confirm the limit is denied')
+def confirmation_denied(context):
+    assert not _ask(context, True, 11.1)
+
+
+@behave.then('an ordinary request may be sent at once')
+def ordinary_may_be_sent(context):
+    assert _ask(context, False, 11.11)
--- a/src/godwitvalve/endpoint_limits/limiter.py
+++ b/src/godwitvalve/endpoint_limits/limiter.py
@@ -59,6 +59,8 @@
     One serving entry, chosen by rendezvous hashing, issues the permits for
     an endpoint, so that all entries together keep to its limit.
 
+    Until ``source`` is set, other entries do not answer.
+
     :param coordinators: returns the entries that issue permits.
     :param on_change: called when other entries should learn at once of a
         limit that an answer stated.
@@ -79,6 +81,7 @@
         self._rng = rng or random.Random()
         # When to ask for a permit again, by endpoint id.
         self._ask_again_s: dict[str, float] = {}
+        self._confirm_again_s: dict[str, float] = {}
         self._granted: dict[str, demand.DemandMeter] = {}
         self._returns: dict[str, returns.ReturnSchedule] = {}
 
@@ -135,22 +138,28 @@
 
         :param may_confirm: whether the request may confirm a limit.
         """
-        limited: set[str] = set()
-        unconfirmed: set[str] = set()
-        for endpoint in candidates:
-            known = self.table.observation(endpoint)
-            if known is None or known.requests_per_s is None:
-                continue
-            limited.add(endpoint.endpoint_id)
-            age_s = now_s - known.observed_s
-            if may_confirm and age_s > permits.CONFIRMATION_PERIOD_S:
-                unconfirmed.add(endpoint.endpoint_id)
+        if not self.table.limited_count():
+            return views.LimitView()
+        observations = {
+            each.endpoint_id: known
+            for each in candidates
+            if (known := self.table.observation(each)) is not None
+            and known.requests_per_s is not None
+        }
         exhausted = {
             each
-            for each in limited
-            if self._ask_again_s.get(each, float('-inf')) > now_s
+            for each in observations
+            if self._ask_again_s.get(each, 0.0) > now_s
+        }
+        unconfirmed = {
+            endpoint_id
+            for endpoint_id, known in observations.items()
+            if may_confirm
+            and endpoint_id not in exhausted
+            and now_s - known.observed_s > permits.CONFIRMATION_PERIOD_S
+            and self._confirm_again_s.get(endpoint_id, 0.0) <= now_s
         }
-        return views.LimitView(limited, exhausted, unconfirmed - exhausted)
+        return views.LimitView(observations.keys(), exhausted, unconfirmed)
 
     async def acquire(
         self, endpoint: endpoints.FleetEndpoint, is_confirmation: bool
@@ -166,7 +175,9 @@
             answer = self.decide(question, loop.time())
         elif self.source is not None:
             answer = await self.source.ask(host, question)
-        return self.apply_answer(endpoint, answer, loop.time())
+        return self.apply_answer(
+            endpoint, answer, loop.time(), is_confirmation
+        )
 
     def question(
         self, endpoint: endpoints.FleetEndpoint, is_confirmation: bool
@@ -196,13 +207,19 @@
         endpoint: endpoints.FleetEndpoint,
         answer: messages.PermitAnswer | None,
         now_s: float,
+        is_confirmation: bool = False,
     ) -> bool:
         """Record an answer; tell whether it grants the permit."""
         wait_s = answer.wait_ms / 1000 if answer else UNANSWERED_PAUSE_S
         if wait_s <= 0:
             self._meter(endpoint.service, now_s).add(1.0, now_s)
             return True
-        self._ask_again_s[endpoint.endpoint_id] = now_s + wait_s
+        # A confirmation that is not needed does not tell whether there is a
+        # permit for other requests.
+        again_s = (
+            self._confirm_again_s if is_confirmation else self._ask_again_s
+        )
+        again_s[endpoint.endpoint_id] = now_s + wait_s
         return False
 
     def decide(
@@ -265,8 +282,8 @@
         self.table.keep_only(endpoint_ids)
         self._change_log.keep_only(endpoint_ids)
         self._issuer.expire(now_s)
-        self._ask_again_s = {
-            endpoint_id: until_s
-            for endpoint_id, until_s in self._ask_again_s.items()
-            if until_s > now_s
-        }
+        for again_s in (self._ask_again_s, self._confirm_again_s):
+            for endpoint_id in [
+                each for each, until_s in again_s.items() if until_s <= now_s
+            ]:
+                del again_s[endpoint_id]
--- a/src/godwitvalve/endpoint_limits/table.py
+++ b/src/godwitvalve/endpoint_limits/table.py
@@ -72,6 +72,7 @@
 
     def __init__(self) -> None:
         self._observations: dict[str, Observation] = {}
+        self._limited: set[str] = set()
         # When a limit ended, or was last reported after it had ended.
         self._ended_s: dict[str, float] = {}
 
@@ -92,8 +93,9 @@
             case statements.Unreadable():
                 # The endpoint still has a limit, if it had one.
                 after = before
-        self._observations[endpoint.endpoint_id] = Observation(
-            endpoint.started_wall_ms, after, now_s, ''
+        self._store(
+            endpoint.endpoint_id,
+            Observation(endpoint.started_wall_ms, after, now_s, ''),
         )
         if before is not None and after is None:
             self._ended_s[endpoint.endpoint_id] = now_s
@@ -121,14 +123,24 @@
                     self._ended_s[report.endpoint_id] = received_s
                 return False
         after = report.requests_per_s
-        self._observations[report.endpoint_id] = Observation(
-            report.started_wall_ms,
-            None if after is None else _effective(after),
-            observed_s,
-            origin,
+        self._store(
+            report.endpoint_id,
+            Observation(
+                report.started_wall_ms,
+                None if after is None else _effective(after),
+                observed_s,
+                origin,
+            ),
         )
         return True
 
+    def _store(self, endpoint_id: str, observation: Observation) -> None:
+        self._observations[endpoint_id] = observation
+        if observation.requests_per_s is None:
+            self._limited.discard(endpoint_id)
+        else:
+            self._limited.add(endpoint_id)
+
     def observation(
         self, endpoint: endpoints.FleetEndpoint
     ) -> Observation | None:
@@ -171,10 +183,7 @@
 
     def limited_count(self) -> int:
         """Return the number of endpoints with a limit."""
-        return sum(
-            known.requests_per_s is not None
-            for known in self._observations.values()
-        )
+        return len(self._limited)
 
     def keep_only(self, endpoint_ids: abc.Container[str]) -> None:
         """Drop the observations of endpoints that are gone."""
@@ -183,3 +192,4 @@
         ]:
             del self._observations[endpoint_id]
             self._ended_s.pop(endpoint_id, None)
+            self._limited.discard(endpoint_id)
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -194,7 +194,6 @@
             return
         now_s = asyncio.get_running_loop().time()
         self.limiter.observe(endpoint, head.facts.limit, now_s)
-        self.counters.set_limited_endpoints(self.limiter.table.limited_count())
 
     def record_crash(
         self,
--- a/src/godwitvalve/ingress/membership.py
+++ b/src/godwitvalve/ingress/membership.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections import abc
-import functools
 import random
 import socket
 import time
@@ -67,21 +66,14 @@
     permits: permit_nodes.PermitNode,
 ) -> None:
     """Bind the datagram sockets for heartbeats and for permits."""
-    loop = asyncio.get_running_loop()
-    nodes: list[tuple[asyncio.DatagramProtocol, int]] = [
-        (gossip, settings.peer_ports[0]),
-        (permits, permit_port(settings)),
-    ]
-    for node, port in nodes:
-        await loop.create_datagram_endpoint(
-            functools.partial(_same, node),
-            local_addr=(settings.ip, port),
-            family=socket.AF_INET,
-        )
+    await _bind(gossip, settings.ip, settings.peer_ports[0])
+    await _bind(permits, settings.ip, permit_port(settings))
 
 
-def _same(node: asyncio.DatagramProtocol) -> asyncio.DatagramProtocol:
-    return node
+async def _bind(node: asyncio.DatagramProtocol, ip: str, port: int) -> None:
+    await asyncio.get_running_loop().create_datagram_endpoint(
+        lambda: node, local_addr=(ip, port), family=socket.AF_INET
+    )
 
 
 class MemberRows:
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -478,6 +478,9 @@
             self._context.limiter.expire(
                 self._state.registry.ids(), time.monotonic()
             )
+            self._context.counters.set_limited_endpoints(
+                self._context.limiter.table.limited_count()
+            )
             self._resize_retry_budget()
             self._review_rollouts()
 
