--- a/features/ingress/endpoint_limits.feature
+++ b/features/ingress/endpoint_limits.feature
@@ -32,10 +32,16 @@
     And callers send 20 complaints/s for 5 s
     Then "p0" got at least 25 requests in the last 4 s
 
-  Scenario: The limit holds while entries are stopped and started
+  Scenario Outline: The limit holds while entries are stopped and started
     # Guards against requests beyond a limit while it is not clear which
     # entries there are.
     Given a fleet with 3 entries, 1 model endpoints and 2 plain endpoint
     When "p0" states a limit of "2"
-    And callers send 40 complaints/s for 9 s while an entry is killed and started
+    And callers send 40 complaints/s for 9 s while an entry is <event>
     Then "p0" got at most 17 requests in any 4 s
+
+    Examples:
+      | event              |
+      | killed and started |
+      | frozen for 3 s     |
+      | asked to stop      |
--- a/features/steps/ingress_limits_steps.py
+++ b/features/steps/ingress_limits_steps.py
@@ -97,17 +97,38 @@
         thread.join()
 
 
+def _kill_and_start(fleet):
+    fleet.signal('entry-1', signal.SIGKILL)
+    fleet.wait('entry-1', 5)
+    time.sleep(3.0)
+    fleet.restart_entry('entry-1')
+
+
+def _freeze(fleet):
+    fleet.signal('entry-1', signal.SIGSTOP)
+    time.sleep(3.0)
+    fleet.signal('entry-1', signal.SIGCONT)
+
+
+def _stop(fleet):
+    fleet.signal('entry-1', signal.SIGTERM)
+
+
+EVENTS = {
+    'killed and started': _kill_and_start,
+    'frozen for 3 s': _freeze,
+    'asked to stop': _stop,
+}
+
+
 @behave.when(
     'callers send {rate:d} complaints/s for {seconds:d} s while an entry is '
-    'killed and started'
+    '{event}'
 )
-def send_while_killed(context, rate, seconds):
+def send_during(context, rate, seconds, event):
     threads = _send_complaints(context, rate, seconds)
     time.sleep(seconds / 3)
-    context.fleet.signal('entry-1', signal.SIGKILL)
-    context.fleet.wait('entry-1', 5)
-    time.sleep(seconds / 3)
-    context.fleet.restart_entry('entry-1')
+    EVENTS[event](context.fleet)
     for thread in threads:
         thread.join()
 
