--- a/features/steps/forwarding_broken_steps.py
+++ b/features/steps/forwarding_broken_steps.py
@@ -8,6 +8,7 @@
 import behave
 from features.doubles import forwarding_site
 from features.doubles import scripted_endpoint
+from features.steps import forwarding_steps
 from godwitvalve.fleet import routes
 from godwitvalve.forwarding import exchange
 from godwitvalve.forwarding import replies
@@ -203,13 +204,6 @@
     return reply, sink.content
 
 
-def _events(first, last):
-    return b''.join(
-        b'id: %d\ndata: t%d\n\n' % (number, number)
-        for number in range(first, last + 1)
-    )
-
-
 @behave.then('the stream has only events and no end')
 def only_events(context):
     # Attempts after these two meet the error as well.
@@ -217,7 +211,7 @@
         [[context.broken] + [context.error] * 9, [context.error] * 9], 1.6
     )
     assert reply == replies.Streamed(False), reply
-    assert content == _events(1, 1), content
+    assert content == forwarding_steps.events_between(1, 1), content
 
 
 @behave.then(
@@ -234,7 +228,7 @@
         [[context.broken], [context.error] * 9, [sound]], 3.0
     )
     assert reply == replies.Streamed(True), reply
-    assert content == _events(1, 3), content
+    assert content == forwarding_steps.events_between(1, 3), content
 
 
 @behave.then('the caller gets status {status:d} without a body')
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -343,7 +343,8 @@
     _stream(context, STREAM._replace(is_resumable=False))
 
 
-def _events(first, last):
+def events_between(first, last):
+    """Return the bytes of consecutive events."""
     return b''.join(
         b'id: %d\ndata: t%d\n\n' % (number, number)
         for number in range(first, last + 1)
@@ -421,13 +422,15 @@
 @behave.then('its caller gets the events {first:d} to {last:d} and the end')
 def complete_stream(context, first, last):
     assert context.reply == replies.Streamed(True), context.reply
-    assert context.sink.content == _events(first, last), context.sink.content
+    assert context.sink.content == events_between(first, last), (
+        context.sink.content
+    )
 
 
 @behave.then('its caller gets the event {number:d} and no end')
 def interrupted_stream(context, number):
     assert context.reply == replies.Streamed(False), context.reply
-    assert context.sink.content == _events(number, number)
+    assert context.sink.content == events_between(number, number)
 
 
 @behave.then(
