Issue permits at the lowest limit that is known

The entry that issues the permits of an endpoint took the limit that the asking entry knows. One that had not learned of a lower limit, as after a partition, got permits at the old rate, of which those of all others are a part. The lower one of both limits counts now. The new scenario failed before. The throttles of the log lines share their code.

--- a/features/endpoint_limits/permits.feature
+++ b/features/endpoint_limits/permits.feature
@@ -73,3 +73,10 @@
     Given an endpoint with a limit of 10 that another request confirmed just now
     When a request that would confirm the limit is denied
     Then an ordinary request may be sent at once
+
+  Scenario: The coordinator decides by the lowest limit that is known
+    # Guards against permits at a rate that the endpoint has lowered since, for
+    # an entry that has not learned of it.
+    Given a coordinator that knows a limit of 1
+    When entries that know a limit of 10 ask it every 50 ms for 20 s
+    Then at most 22 permits are granted
--- a/features/steps/endpoint_limits_steps.py
+++ b/features/steps/endpoint_limits_steps.py
@@ -9,6 +9,7 @@
 import behave
 from features.models import permit_simulation
 from godwitvalve.endpoint_limits import limiter
+from godwitvalve.endpoint_limits import messages
 from godwitvalve.endpoint_limits import permits
 from godwitvalve.fleet import endpoints
 from godwitvalve.platform import headers
@@ -429,3 +430,30 @@
 @behave.then('an ordinary request may be sent at once')
 def ordinary_may_be_sent(context):
     assert _ask(context, False, 11.11)
+
+
+@behave.given('a coordinator that knows a limit of {limit:g}')
+def coordinator_knows(context, limit):
+    context.limiter = limiter.EndpointLimiter()
+    context.endpoint = limited_endpoint()
+    context.limiter.observe(context.endpoint, statement(f'{limit:g}'), 0.0)
+
+
+@behave.when(
+    'entries that know a limit of {limit:g} ask it every {period_ms:d} ms '
+    'for {seconds:d} s'
+)
+def entries_ask(context, limit, period_ms, seconds):
+    question = messages.PermitRequest(
+        0, context.endpoint.endpoint_id, 1, limit, False
+    )
+    context.granted = sum(
+        context.limiter.decide(question, number * period_ms / 1000).wait_ms
+        == 0
+        for number in range(seconds * 1000 // period_ms)
+    )
+
+
+@behave.then('at most {most:d} permits are granted')
+def granted_at_most(context, most):
+    assert 0 < context.granted <= most, context.granted
--- a/src/godwitvalve/endpoint_limits/change_log.py
+++ b/src/godwitvalve/endpoint_limits/change_log.py
@@ -16,6 +16,19 @@
 _LOG = logs.get('endpoint_limits')
 
 
+def _is_due(
+    logged_s: dict[str, float],
+    endpoint_id: str,
+    period_s: float,
+    now_s: float,
+) -> bool:
+    """Tell whether a line about an endpoint may be logged, and record it."""
+    if now_s - logged_s.get(endpoint_id, float('-inf')) < period_s:
+        return False
+    logged_s[endpoint_id] = now_s
+    return True
+
+
 class ChangeLog:
     """Logs changes of limits and invalid ones, by endpoint."""
 
@@ -35,10 +48,10 @@
         :param origin: entry that reported it; empty for an answer to this
             entry.
         """
-        last_s = self._changes_s.get(endpoint.endpoint_id, float('-inf'))
-        if not change.is_notable or now_s - last_s < CHANGE_PERIOD_S:
+        if not change.is_notable or not _is_due(
+            self._changes_s, endpoint.endpoint_id, CHANGE_PERIOD_S, now_s
+        ):
             return
-        self._changes_s[endpoint.endpoint_id] = now_s
         _LOG.info(
             'The request limit of an endpoint changed.',
             extra={
@@ -79,10 +92,10 @@
         used: str,
         now_s: float,
     ) -> None:
-        last_s = self._invalid_s.get(endpoint.endpoint_id, float('-inf'))
-        if now_s - last_s < INVALID_PERIOD_S:
+        if not _is_due(
+            self._invalid_s, endpoint.endpoint_id, INVALID_PERIOD_S, now_s
+        ):
             return
-        self._invalid_s[endpoint.endpoint_id] = now_s
         _LOG.warning(
             'An endpoint stated an unusable request limit.',
             extra={
--- a/src/godwitvalve/endpoint_limits/limiter.py
+++ b/src/godwitvalve/endpoint_limits/limiter.py
@@ -225,10 +225,19 @@
     def decide(
         self, question: messages.PermitRequest, now_s: float
     ) -> messages.PermitAnswer:
-        """Decide on a request to an endpoint that this entry coordinates."""
+        """Decide on a request to an endpoint that this entry coordinates.
+
+        Of the limits that this entry and the asking one know, the lower one
+        counts.
+        """
+        incarnation = question.endpoint_id, question.started_wall_ms
+        known_per_s = self.table.known_limit(*incarnation)
+        requests_per_s = min(
+            question.requests_per_s, known_per_s or question.requests_per_s
+        )
         decision = self._issuer.request(
-            (question.endpoint_id, question.started_wall_ms),
-            question.requests_per_s * self._coordinators().share,
+            incarnation,
+            requests_per_s * self._coordinators().share,
             question.is_confirmation,
             now_s,
         )
@@ -282,8 +291,8 @@
         self.table.keep_only(endpoint_ids)
         self._change_log.keep_only(endpoint_ids)
         self._issuer.expire(now_s)
-        for again_s in (self._ask_again_s, self._confirm_again_s):
-            for endpoint_id in [
-                each for each, until_s in again_s.items() if until_s <= now_s
+        for until_s in (self._ask_again_s, self._confirm_again_s):
+            for key in [
+                each for each, at_s in until_s.items() if at_s <= now_s
             ]:
-                del again_s[endpoint_id]
+                del until_s[key]
--- a/src/godwitvalve/endpoint_limits/table.py
+++ b/src/godwitvalve/endpoint_limits/table.py
@@ -154,8 +154,16 @@
         self, endpoint: endpoints.FleetEndpoint
     ) -> float | None:
         """Return the limit of an endpoint; None if it has none."""
-        known = self.observation(endpoint)
-        return known.requests_per_s if known else None
+        return self.known_limit(endpoint.endpoint_id, endpoint.started_wall_ms)
+
+    def known_limit(
+        self, endpoint_id: str, started_wall_ms: int
+    ) -> float | None:
+        """Return the limit of an incarnation; None if it has none."""
+        known = self._observations.get(endpoint_id)
+        if known is None or known.started_wall_ms != started_wall_ms:
+            return None
+        return known.requests_per_s
 
     def reports(self, now_s: float) -> list[reports.LimitReport]:
         """Return own observations that no other entry's has replaced."""
