Do not ask a silent entry for a permit at each endpoint

A request waited 100 ms for a frozen entry at each of up to three endpoints whose permits that entry issues, longer than the objective of a call.

--- a/features/endpoint_limits/permits.feature
+++ b/features/endpoint_limits/permits.feature
@@ -80,3 +80,10 @@
     Given a coordinator that knows a limit of 1
     When entries that know a limit of 10 ask it every 50 ms for 20 s
     Then at most 22 permits are granted
+
+  Scenario: An entry that does not answer delays a request once
+    # Guards against a call that waits for a frozen entry once for each
+    # endpoint whose permits that entry issues.
+    Given 3 endpoints whose coordinator does not answer
+    When a request asks for a permit at each of them
+    Then the coordinator was asked once
--- a/features/steps/endpoint_limits_steps.py
+++ b/features/steps/endpoint_limits_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import logging
 import random
@@ -457,3 +458,41 @@
 @behave.then('at most {most:d} permits are granted')
 def granted_at_most(context, most):
     assert 0 < context.granted <= most, context.granted
+
+
+class _SilentSource:
+    """Counts questions and answers none."""
+
+    def __init__(self):
+        self.hosts = []
+
+    async def ask(self, host, question):
+        self.hosts.append(host)
+
+
+@behave.given('{count:d} endpoints whose coordinator does not answer')
+def silent_coordinator(context, count):
+    context.limiter = limiter.EndpointLimiter(
+        lambda: limiter.Coordinators({'other': '10.0.0.2'})
+    )
+    context.limiter.source = _SilentSource()
+    context.candidates = [
+        limited_endpoint(f'e{number}') for number in range(count)
+    ]
+    for each in context.candidates:
+        context.limiter.observe(each, statement('4'), 0.0)
+
+
+@behave.when('a request asks for a permit at each of them')
+def asks_each(context):
+    async def run():
+        for each in context.candidates:
+            assert not await context.limiter.acquire(each, False)
+
+    asyncio.run(run())
+
+
+@behave.then('the coordinator was asked once')
+def asked_once(context):
+    found = context.limiter.source.hosts
+    assert found == ['10.0.0.2'], found
--- a/src/godwitvalve/endpoint_limits/limiter.py
+++ b/src/godwitvalve/endpoint_limits/limiter.py
@@ -82,6 +82,8 @@
         # When to ask for a permit again, by endpoint id.
         self._ask_again_s: dict[str, float] = {}
         self._confirm_again_s: dict[str, float] = {}
+        # When to ask an entry again that did not answer, by its IP.
+        self._silent_until_s: dict[str, float] = {}
         self._granted: dict[str, demand.DemandMeter] = {}
         self._returns: dict[str, returns.ReturnSchedule] = {}
 
@@ -173,8 +175,10 @@
         answer: messages.PermitAnswer | None = None
         if not host:
             answer = self.decide(question, loop.time())
-        elif self.source is not None:
+        elif self.source and loop.time() >= self._silent_until_s.get(host, 0):
             answer = await self.source.ask(host, question)
+            if answer is None:
+                self._silent_until_s[host] = loop.time() + UNANSWERED_PAUSE_S
         return self.apply_answer(
             endpoint, answer, loop.time(), is_confirmation
         )
@@ -291,7 +295,11 @@
         self.table.keep_only(endpoint_ids)
         self._change_log.keep_only(endpoint_ids)
         self._issuer.expire(now_s)
-        for until_s in (self._ask_again_s, self._confirm_again_s):
+        for until_s in (
+            self._ask_again_s,
+            self._confirm_again_s,
+            self._silent_until_s,
+        ):
             for key in [
                 each for each, at_s in until_s.items() if at_s <= now_s
             ]:
