--- a/src/godwitvalve/forwarding/exchange.py
+++ b/src/godwitvalve/forwarding/exchange.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections import abc
 import dataclasses
-import http
 from typing import NamedTuple, TypeAlias
 
 import h11
@@ -14,6 +13,7 @@
 from godwitvalve.forwarding import channel as channels
 from godwitvalve.forwarding import pool as pools
 from godwitvalve.platform import headers as wire
+from godwitvalve.services import headers as header_rules
 
 # A plain answer is buffered completely before its caller gets a byte.
 MAX_PLAIN_ANSWER_BYTES = 8 * 1024 * 1024
@@ -227,20 +227,8 @@
         return Declined(head.status, head.facts.load)
     if head.facts.is_unproven_refusal:
         return Lost(f'status {head.status} without proof')
-    if not body and _lacks_body(head, request.method):
+    if not body and header_rules.may_be_cut(
+        request.method, head.status, head.facts.is_framed
+    ):
         return Lost('ended after its head')
     return Answered(head, body)
-
-
-def _lacks_body(head: AnswerHead, method: str) -> bool:
-    """Tell whether an answer without a body may have been cut.
-
-    A success without framing ends with its connection, which an endpoint
-    that is killed closes as well.
-    """
-    return (
-        200 <= head.status < 300
-        and head.status != http.HTTPStatus.NO_CONTENT
-        and method != 'HEAD'
-        and not head.facts.is_framed
-    )
--- a/src/godwitvalve/services/headers.py
+++ b/src/godwitvalve/services/headers.py
@@ -1,8 +1,9 @@
-"""Filters the headers forwarded between callers and plain services."""
+"""Filters forwarded headers and reads what they state about a body."""
 
 from __future__ import annotations
 
 from collections import abc
+import http
 
 # RFC 9110, section 7.6.1, and the older Keep-Alive and Proxy-* headers.
 HOP_BY_HOP = frozenset(
@@ -26,6 +27,23 @@
 Headers = tuple[tuple[str, str], ...]
 
 
+def may_be_cut(method: str, status: int, is_framed: bool) -> bool:
+    """Tell whether an answer without a body may have been cut.
+
+    A success that states neither a length nor chunks ends with its
+    connection, which a service that is killed closes as well.
+
+    :param method: method of the request.
+    :param is_framed: whether the head tells where the body ends.
+    """
+    return (
+        200 <= status < 300
+        and status != http.HTTPStatus.NO_CONTENT
+        and method != 'HEAD'
+        and not is_framed
+    )
+
+
 def named_by_connection(headers: abc.Iterable[tuple[str, str]]) -> set[str]:
     """Return the lower-case header names listed in ``Connection``."""
     return {
--- a/src/godwitvalve/services/http.py
+++ b/src/godwitvalve/services/http.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import http
 import types
 from typing import Any
 
@@ -124,7 +123,13 @@
                     codes.ResultCode.CONNECT_FAILED,
                     f'answer exceeds {MAX_ANSWER_BYTES} bytes',
                 )
-            if not body and _lacks_body(answer):
+            is_framed = (
+                'Content-Length' in answer.headers
+                or 'Transfer-Encoding' in answer.headers
+            )
+            if not body and header_rules.may_be_cut(
+                answer.method, answer.status, is_framed
+            ):
                 return attempt.fail(
                     codes.ResultCode.CONNECT_FAILED,
                     'answer ended after its head',
@@ -203,21 +208,6 @@
         exchange.attempt.mark_sent()
 
 
-def _lacks_body(answer: aiohttp.ClientResponse) -> bool:
-    """Tell whether an answer without a body may have been cut.
-
-    A success that states neither a length nor chunks ends with its
-    connection, which a service that is killed closes as well.
-    """
-    return (
-        200 <= answer.status < 300
-        and answer.status != http.HTTPStatus.NO_CONTENT
-        and answer.method != 'HEAD'
-        and 'Content-Length' not in answer.headers
-        and 'Transfer-Encoding' not in answer.headers
-    )
-
-
 async def _read_bounded(
     answer: aiohttp.ClientResponse, limit_bytes: int
 ) -> bytes | None:
