Return early for endpoints already reported as leaving

Each heartbeat repeats the report, and each time all endpoints of the service were looked at to find that the endpoint was not usable before. Behaviour is unchanged.

--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -215,6 +215,8 @@
         known = self._endpoints.get(endpoint_id)
         if known is None or known.started_wall_ms != started_wall_ms:
             return False
+        if self._reported_leaving.get(endpoint_id) == started_wall_ms:
+            return False
         was_usable = self.is_usable(endpoint_id)
         self._reported_leaving[endpoint_id] = started_wall_ms
         return was_usable
