--- a/features/models/permit_simulation.py
+++ b/features/models/permit_simulation.py
@@ -178,7 +178,7 @@
     """Return the largest number of sorted times within a window."""
     most = first = 0
     for last, time_s in enumerate(times_s):
-        while times_s[first] <= time_s - WINDOW_S:
+        while times_s[first] < time_s - WINDOW_S:
             first += 1
         most = max(most, last - first + 1)
     return most
--- a/features/steps/ingress_limits_steps.py
+++ b/features/steps/ingress_limits_steps.py
@@ -10,12 +10,12 @@
 from typing import NamedTuple
 
 import behave
+from features.models import permit_simulation
 from standins.fleet import site as fleet_site
 
 # The limit counts for an entry this long after it passed on an answer that
 # states it.
 TOLD_S = 0.5
-WINDOW_S = 4.0
 CALLERS = 8
 
 
@@ -133,23 +133,11 @@
         thread.join()
 
 
-def most_in_window(times_s):
-    """Return the largest number of times within a window."""
-    times_s = sorted(times_s)
-    return max(
-        (
-            sum(each <= start_s + WINDOW_S for each in times_s[index:])
-            for index, start_s in enumerate(times_s)
-        ),
-        default=0,
-    )
-
-
 @behave.then('"{endpoint}" got at most {count:d} requests in any 4 s')
 def got_at_most(context, endpoint, count):
     times_s = context.fleet.arrivals_s(endpoint)
     counted = [each for each in times_s if each > times_s[0] + TOLD_S]
-    found = most_in_window(counted)
+    found = permit_simulation.most_in_window(sorted(counted))
     assert 0 < found <= count, found
 
 
@@ -157,7 +145,7 @@
 def got_at_least(context, names, count):
     now_s = time.monotonic()
     found = sum(
-        each > now_s - WINDOW_S
+        each > now_s - permit_simulation.WINDOW_S
         for name in names.split(', ')
         for each in context.fleet.arrivals_s(name)
     )
