Take a header that can't be passed on as a lost answer of a service

The same fault as in the fleet, at the own interface: aiohttp's client accepts control characters and undecoded bytes in headers, and its server refuses to write them, so the caller of a call that ran got no answer at all. The outcome is unknown now.

--- a/features/services/services.feature
+++ b/features/services/services.feature
@@ -19,6 +19,19 @@
     When a POST to "/complaints" is sent with key "key-00001"
     Then the service outcome is complete with status 307
 
+  Scenario Outline: An answer with a header that can't be passed on is unknown
+    # Guards against a caller whose connection is closed without an answer, as
+    # the server refuses to write such a header.
+    Given a plain service that answers with the byte <byte> in a header
+    When a POST to "/complaints" is sent with key "key-00001"
+    Then the service outcome is OUTCOME_UNKNOWN
+
+    Examples:
+      | byte |
+      | 1    |
+      | 127  |
+      | 255  |
+
   Scenario: A refused connection is "not run"
     # Guards against an unknown outcome for a request that was never sent.
     Given a running plain service
--- a/features/steps/services_steps.py
+++ b/features/steps/services_steps.py
@@ -81,6 +81,13 @@
     )
 
 
+@behave.given(
+    'a plain service that answers with the byte {byte:d} in a header'
+)
+def byte_in_header_service(context, byte):
+    _raw(context, HEAD + b'X-Note: a%cb\r\nContent-Length: 0\r\n\r\n' % byte)
+
+
 @behave.given('a plain service that redirects')
 def redirecting_service(context):
     _raw(
--- a/src/godwitvalve/services/http.py
+++ b/src/godwitvalve/services/http.py
@@ -135,6 +135,11 @@
                     'answer ended after its head',
                 )
             headers = tuple((k, v) for k, v in answer.headers.items())
+            if not all(header_rules.may_be_sent(v) for _, v in headers):
+                return attempt.fail(
+                    codes.ResultCode.CONNECT_FAILED,
+                    'answer has a header that cannot be passed on',
+                )
             return attempt.complete(
                 answer.status, header_rules.to_caller(headers), body
             )
