Refuse rows of endpoints with values out of range or nested deeply

Operators of similar systems saw entries end again and again, or stop following the table, after another writer had left one odd row among those of the endpoints.

Cause: a row with a field nested 100,000 deep, also one that is ignored, raises RecursionError in msgspec, which nothing expected; the follower's task ended, and with it the process. Integers had no range: slots of 400 digits raise OverflowError in the cost of each call to that service, a start of 40 digits cannot be sent to other entries. Ports such as " 80", "8_0", "+80" and digits of other scripts passed, as did hosts that nothing can listen on and ids that cannot be sent in a header.

Decoding is now one function with one error of bounded length, and the ranges are part of the field types. FleetEndpoint uses the same types, so that what other entries send of endpoints is checked likewise. A row whose `sequence` or `cold_remaining_ms` has another type was not written by an endpoint and is refused as well.

A property test checks that any bytes are either a usable endpoint or an InvalidRow.

--- /dev/null
+++ b/features/platform/rows.feature
@@ -0,0 +1,50 @@
+Feature: Odd rows that another writer left in the store
+
+  Scenario Outline: An odd row of an endpoint costs that row alone
+    # Guards against entries that end, or fail each request of a service,
+    # because of one row among those of the endpoints.
+    Given rows of the endpoints "a, b"
+    And a row of an endpoint that <what>
+    When the table of endpoints is read
+    Then "a, b" are the usable endpoints
+    When only the changes of the table are read
+    Then "a, b" are the usable endpoints
+
+    Examples:
+      | what                                   |
+      | is nested deeply in an unknown field   |
+      | is nested deeply in place of its zone  |
+      | states slots of 400 digits             |
+      | states slots of 5000 digits            |
+      | states slots of 18 digits              |
+      | states slots below zero                |
+      | states a start of 40 digits            |
+      | states a start before 1970             |
+      | states a sequence of 400 digits        |
+      | states a sequence that is a text       |
+      | states the port 70000                  |
+      | states the port 0                      |
+      | states the port -1                     |
+      | states the port " 80"                  |
+      | states the port "8_0"                  |
+      | states the port "+80"                  |
+      | states the port "٨٠"                   |
+      | states the port "080"                  |
+      | states the port of 5000 digits         |
+      | states the host 0.0.0.0                |
+      | states the host 255.255.255.255        |
+      | states the host 224.0.0.1              |
+      | states the host localhost              |
+      | states a zone of a million characters  |
+      | states a zone that is not UTF-8        |
+      | states a zone with half a surrogate    |
+      | is empty                               |
+      | is not JSON                            |
+      | is a list                              |
+      | has a line break in its id             |
+      | has letters of another script in its id|
+
+  Scenario: Any bytes are a usable endpoint or an invalid row
+    # Guards against errors that a follower of the table does not expect, and
+    # against endpoints that can't be chosen, reported or sent to.
+    Then any bytes are a usable endpoint or an invalid row
--- /dev/null
+++ b/src/godwitvalve/decoding/__init__.py
@@ -0,0 +1,1 @@
+"""Decoding of content that other processes wrote."""
--- /dev/null
+++ b/src/godwitvalve/decoding/bounds.py
@@ -0,0 +1,46 @@
+"""Types of fields with the range in which their values are accepted.
+
+Integers in JSON may have hundreds of digits. Beyond 64 bits they can neither
+be sent on to other entries nor be used in floating-point arithmetic.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, TypeAlias
+
+import msgspec
+
+# An endpoint processes some hundred requests at once. One that states far
+# more would get all requests of its service.
+MAX_SLOTS = 100_000
+# The year 5138.
+MAX_UNIX_MS = 10**14
+# Limit of the store for keys.
+MAX_NAME_CHARS = 200
+
+# Addresses at which a process can listen: no broadcast, multicast or
+# unspecified ones.
+_HOST = (
+    r'(?:22[0-3]|2[01][0-9]|1[0-9]{2}|[1-9][0-9]?)'
+    r'(?:\.(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])){3}'
+)
+_PORT = (
+    r'(?:6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}'
+    r'|[1-5][0-9]{4}|[1-9][0-9]{0,3})'
+)
+
+Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+Slots: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+UnixMilliseconds: TypeAlias = Annotated[
+    int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)
+]
+# Excludes NaN and infinity.
+Amount: TypeAlias = Annotated[float, msgspec.Meta(ge=0.0, le=1e12)]
+Name: TypeAlias = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+# Sent in a header.
+Identifier: TypeAlias = Annotated[
+    str, msgspec.Meta(pattern=rf'\A[!-~]{{1,{MAX_NAME_CHARS}}}\Z')
+]
+IpPort: TypeAlias = Annotated[
+    str, msgspec.Meta(pattern=rf'\A{_HOST}:{_PORT}\Z')
+]
--- a/src/godwitvalve/fleet/endpoints.py
+++ b/src/godwitvalve/fleet/endpoints.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from godwitvalve.decoding import bounds
+
 
 class FleetEndpoint(NamedTuple):
     """One incarnation of an endpoint.
@@ -15,11 +17,11 @@
     :param started_wall_ms: Unix milliseconds of the start.
     """
 
-    endpoint_id: str
-    service: str
-    address: str
-    failure_domain: str
-    version: str
-    slots: int
+    endpoint_id: bounds.Identifier
+    service: bounds.Name
+    address: bounds.IpPort
+    failure_domain: bounds.Name
+    version: bounds.Name
+    slots: bounds.Slots
     is_leaving: bool
-    started_wall_ms: int
+    started_wall_ms: bounds.UnixMilliseconds
--- a/src/godwitvalve/platform/endpoints.py
+++ b/src/godwitvalve/platform/endpoints.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import ipaddress
-
 import msgspec
 
+from godwitvalve.decoding import bounds
+from godwitvalve.decoding import content as contents
 from godwitvalve.fleet import endpoints
 
 TABLE = 'servers'
@@ -18,25 +18,20 @@
 
 
 class _Server(msgspec.Struct):
-    service: str
-    address: str
-    zone: str
-    state: str
-    version: str = ''
-    slots: int = 1
+    service: bounds.Name
+    address: bounds.IpPort
+    zone: bounds.Name
+    state: bounds.Name
+    version: bounds.Name = ''
+    slots: bounds.Count = 1
     # When this run of the endpoint started, in Unix milliseconds.
-    born: int = 0
+    born: bounds.UnixMilliseconds = 0
+    # Not used; a row with other values here was not written by an endpoint.
+    sequence: bounds.Count = 0
+    cold_remaining_ms: bounds.Amount = 0.0
 
 
-def _check_address(address: str) -> None:
-    host, _, port = address.rpartition(':')
-    try:
-        ipaddress.IPv4Address(host)
-        is_port = 0 < int(port) < 65536
-    except ValueError as error:
-        raise InvalidRow(f'expected IPv4:port, got {address!r}') from error
-    if not is_port:
-        raise InvalidRow(f'expected a port in 1-65535, got {address!r}')
+_DECODER = msgspec.json.Decoder(_Server)
 
 
 def decode(endpoint_id: str, content: bytes) -> endpoints.FleetEndpoint:
@@ -45,21 +40,25 @@
     :raises InvalidRow: if fields are missing or have invalid values.
     """
     try:
-        raw = msgspec.json.decode(content, type=_Server)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise InvalidRow(str(error)) from error
-    if raw.state not in _STATES:
-        raise InvalidRow(
-            f'expected state "ready" or "draining", got {raw.state!r}'
+        raw = contents.decode(_DECODER, content)
+        if raw.state not in _STATES:
+            raise InvalidRow(
+                f'expected state "ready" or "draining", got {raw.state!r}'
+            )
+        return msgspec.convert(
+            (
+                endpoint_id,
+                raw.service,
+                raw.address,
+                raw.zone,
+                raw.version,
+                max(raw.slots, 1),
+                raw.state == 'draining',
+                raw.born,
+            ),
+            endpoints.FleetEndpoint,
         )
-    _check_address(raw.address)
-    return endpoints.FleetEndpoint(
-        endpoint_id,
-        raw.service,
-        raw.address,
-        raw.zone,
-        raw.version,
-        max(raw.slots, 1),
-        raw.state == 'draining',
-        raw.born,
-    )
+    except contents.InvalidContent as error:
+        raise InvalidRow(str(error)) from error
+    except msgspec.ValidationError as error:
+        raise InvalidRow(contents.describe(error)) from error
