Log an invalid row once a minute instead of at each read

An odd row among those of the endpoints was logged at each read of the table, and an invalid roll-out status five times a second. Warnings are exempt from the rate limit of the log, so such rows, or invalid datagrams, could fill it.

RepeatFilter admits one line for a key and minute, and 64 keys in all. The line about a read of the table of endpoints states how many rows are invalid.

--- a/features/platform/rows.feature
+++ b/features/platform/rows.feature
@@ -48,3 +48,12 @@
     # Guards against errors that a follower of the table does not expect, and
     # against endpoints that can't be chosen, reported or sent to.
     Then any bytes are a usable endpoint or an invalid row
+
+  Scenario: An invalid row is logged once, not at each read
+    # Guards against logs that fill up because a table is read again while an
+    # odd row stays in it.
+    Given rows of the endpoints "a, b"
+    And a row of an endpoint that states the port 70000
+    When the table of endpoints is read 50 times
+    Then the log has 1 line about it with at most 600 characters
+    And each line about the read of the table states 1 invalid row
--- a/features/steps/platform_rows_steps.py
+++ b/features/steps/platform_rows_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import logging
 
 import behave
 from godwitvalve.fleet import consumers
@@ -138,6 +139,54 @@
     assert found == set(names.split(', ')), found
 
 
+class _Lines(logging.Handler):
+    """Keeps the records of a logger."""
+
+    def __init__(self):
+        super().__init__()
+        self.records = []
+
+    def emit(self, record):
+        self.records.append(record)
+
+
+@behave.when('the table of endpoints is read {count:d} times')
+def read_table_often(context, count):
+    context.log = _Lines()
+    logger = logging.getLogger('godwitvalve.fleet')
+    logger.addHandler(context.log)
+    context.cleanups.append(lambda: logger.removeHandler(context.log))
+    context.cleanups.append(lambda: logger.setLevel(logging.NOTSET))
+    logger.setLevel(logging.INFO)
+    for _ in range(count):
+        read_table(context)
+
+
+@behave.then(
+    'the log has {count:d} line about it with at most {limit:d} characters'
+)
+def logged_lines(context, count, limit):
+    lines = [
+        ''.join(map(str, vars(record).values()))
+        for record in context.log.records
+        if getattr(record, 'endpoint_id', '') == ODD_ID
+    ]
+    assert len(lines) == count, len(lines)
+    assert all(len(each) <= limit for each in lines), lines
+
+
+@behave.then(
+    'each line about the read of the table states {count:d} invalid row'
+)
+def stated_invalid(context, count):
+    stated = {
+        record.invalid
+        for record in context.log.records
+        if hasattr(record, 'invalid')
+    }
+    assert stated == {count}, stated
+
+
 _NUMBERS = strategies.one_of(
     strategies.integers(),
     strategies.integers(-3, 3),
--- a/src/godwitvalve/endpoint_limits/node.py
+++ b/src/godwitvalve/endpoint_limits/node.py
@@ -6,11 +6,13 @@
 from collections import abc
 import itertools
 import random
+import time
 from typing import cast
 
 import msgspec
 
 from godwitvalve.endpoint_limits import messages
+from godwitvalve.logs import repeats
 from godwitvalve.logs import setup as logs
 
 # An answer takes about 3 ms between failure domains. A datagram may be lost,
@@ -38,6 +40,7 @@
         # An answer to an earlier start of this entry has another number.
         self._numbers = itertools.count(random.getrandbits(48))
         self._waiting: dict[int, asyncio.Future[messages.PermitAnswer]] = {}
+        self._logged_senders = repeats.RepeatFilter()
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -48,10 +51,11 @@
         try:
             message = messages.DECODER.decode(data)
         except msgspec.DecodeError as error:
-            _LOG.warning(
-                'Dropped an invalid datagram.',
-                extra={'sender': addr[0], 'reason': str(error)},
-            )
+            if self._logged_senders.admits(addr[0], time.monotonic()):
+                _LOG.warning(
+                    'Dropped an invalid datagram.',
+                    extra={'sender': addr[0], 'reason': str(error)},
+                )
             return
         match message:
             case messages.PermitRequest():
--- a/src/godwitvalve/fleet/consumers.py
+++ b/src/godwitvalve/fleet/consumers.py
@@ -7,6 +7,7 @@
 
 from godwitvalve.fleet import endpoints
 from godwitvalve.fleet import state as states
+from godwitvalve.logs import repeats
 from godwitvalve.logs import setup as logs
 from godwitvalve.platform import configuration as wire_configuration
 from godwitvalve.platform import endpoints as wire_endpoints
@@ -14,6 +15,9 @@
 from godwitvalve.platform import store as stores
 from godwitvalve.rollouts import orders
 
+# Of the value of a row that is invalid.
+MAX_LOGGED_BYTES = 120
+
 _LOG = logs.get('fleet')
 
 OnChange = abc.Callable[[], None]
@@ -129,6 +133,7 @@
     ) -> None:
         self._registry = state.registry
         self._on_removed = on_removed
+        self._logged_rows = repeats.RepeatFilter()
 
     def apply_snapshot(
         self, rows: list[stores.StoredRow], version: int
@@ -136,7 +141,7 @@
         """Replace the listed endpoints."""
         decoded: dict[str, tuple[endpoints.FleetEndpoint, int]] = {}
         for row in rows:
-            endpoint = _decode(row)
+            endpoint = self._decode(row)
             if endpoint is not None:
                 decoded[row.key] = (endpoint, row.version)
         before = set(self._registry.ids())
@@ -145,13 +150,17 @@
             self._notify_removed(endpoint_id, version)
         _LOG.info(
             'Read the table of endpoints.',
-            extra={'count': len(decoded), 'row_version': version},
+            extra={
+                'count': len(decoded),
+                'invalid': len(rows) - len(decoded),
+                'row_version': version,
+            },
         )
 
     def apply_changes(self, rows: list[stores.StoredRow]) -> None:
         """Apply changed rows in the order of their versions."""
         for row in rows:
-            endpoint = _decode(row)
+            endpoint = self._decode(row)
             if endpoint is None:
                 self._remove(row)
             elif self._registry.update(endpoint, row.version):
@@ -196,15 +205,19 @@
         """Return the monotonic seconds from which removals are trusted."""
         return self._registry.trusted_from_s
 
-
-def _decode(row: stores.StoredRow) -> endpoints.FleetEndpoint | None:
-    if row.value is None:
-        return None
-    try:
-        return wire_endpoints.decode(row.key, row.value)
-    except wire_endpoints.InvalidRow as error:
-        _LOG.warning(
-            'Endpoint row is invalid.',
-            extra={'endpoint_id': row.key, 'reason': str(error)},
-        )
-        return None
+    def _decode(self, row: stores.StoredRow) -> endpoints.FleetEndpoint | None:
+        if row.value is None:
+            return None
+        try:
+            return wire_endpoints.decode(row.key, row.value)
+        except wire_endpoints.InvalidRow as error:
+            if self._logged_rows.admits(row.key, time.monotonic()):
+                _LOG.warning(
+                    'Endpoint row is invalid.',
+                    extra={
+                        'endpoint_id': row.key,
+                        'reason': str(error),
+                        'value': repr(row.value[:MAX_LOGGED_BYTES]),
+                    },
+                )
+            return None
--- a/src/godwitvalve/gossip/node.py
+++ b/src/godwitvalve/gossip/node.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from godwitvalve.gossip import members as member_model
+from godwitvalve.logs import repeats
 from godwitvalve.logs import setup as logs
 
 HEARTBEAT_PERIOD_S = 0.25
@@ -56,6 +57,7 @@
         self._on_record = on_record
         self._heartbeat = 0
         self._rng = random.Random()
+        self._logged_senders = repeats.RepeatFilter()
         self._transport: asyncio.DatagramTransport | None = None
         self._update_timer: asyncio.TimerHandle | None = None
 
@@ -67,10 +69,11 @@
         try:
             records = _DECODER.decode(data)
         except msgspec.DecodeError as error:
-            _LOG.warning(
-                'Dropped an invalid datagram.',
-                extra={'sender': addr[0], 'reason': str(error)},
-            )
+            if self._logged_senders.admits(addr[0], time.monotonic()):
+                _LOG.warning(
+                    'Dropped an invalid datagram.',
+                    extra={'sender': addr[0], 'reason': str(error)},
+                )
             return
         now_s = time.monotonic()
         for age_ms, record in records:
--- a/src/godwitvalve/rollouts/status_writer.py
+++ b/src/godwitvalve/rollouts/status_writer.py
@@ -6,6 +6,7 @@
 from collections import abc
 import time
 
+from godwitvalve.logs import repeats
 from godwitvalve.logs import setup as logs
 from godwitvalve.platform import rollouts as wire_rollouts
 from godwitvalve.platform import store as stores
@@ -45,6 +46,7 @@
         self._registry = registry
         self._rank = rank
         self._on_change = on_change
+        self._logged_rows = repeats.RepeatFilter()
         self._pending_since_s: dict[tuple[str, int, int], float] = {}
 
     async def run(self) -> None:
@@ -115,10 +117,11 @@
         try:
             status = wire_rollouts.decode_status(row.value, row.version)
         except wire_rollouts.InvalidRollout as error:
-            _LOG.warning(
-                'Stored roll-out status is invalid.',
-                extra={'key': key, 'reason': str(error)},
-            )
+            if self._logged_rows.admits(key, time.monotonic()):
+                _LOG.warning(
+                    'Stored roll-out status is invalid.',
+                    extra={'key': key, 'reason': str(error)},
+                )
             return no_status._replace(row_version=row.version)
         if status.order_version != each.order.row_version:
             # The status belongs to an earlier order.
