Restart a background task that fails instead of stopping the entry

Any exception in one of nine background tasks ended the whole process: it drained, and cut what still ran. All entries read the same rows, so one that raised ended all of them, and again after each start.

Cause: FleetEntry.run waited for the first task to end and then stopped.

Each task now runs under supervise(), which logs the exception with the innermost frames of its traceback, once a minute for each kind, and starts the task again after a pause of 0.1 s that doubles up to 1 s. The steps of the maintenance are isolated from one another, and a failing announcement of the stop does not prevent the drain. An entry stops on a signal only.

--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import abc
 import random
 import signal
 import time
@@ -34,6 +35,7 @@
 from godwitvalve.ingress import shared_states
 from godwitvalve.ingress import state_rows
 from godwitvalve.lifecycle import lifecycle as lifecycles
+from godwitvalve.lifecycle import supervision
 from godwitvalve.logs import setup as logs
 from godwitvalve.placement import choose
 from godwitvalve.placement import sessions as session_model
@@ -182,6 +184,7 @@
             },
         )
         self._stop_requested = asyncio.Event()
+        self._failures = supervision.FailureLog(_LOG)
 
     def _remote_placements(self) -> choose.RemotePlacements:
         now_s = time.monotonic()
@@ -316,17 +319,13 @@
             self._settings, self._gossip, self._permits
         )
         runners = await self._listen()
-        tasks = [asyncio.create_task(each) for each in self._background_work()]
-        stopped = asyncio.create_task(self._stop_requested.wait())
-        await asyncio.wait(
-            {stopped, *tasks}, return_when=asyncio.FIRST_COMPLETED
-        )
-        for task in tasks:
-            if task.done():
-                _LOG.error(
-                    'A background task ended unexpectedly.',
-                    extra={'task': repr(task)},
-                )
+        tasks = [
+            asyncio.create_task(
+                supervision.supervise(activity, work, self._failures)
+            )
+            for activity, work in self._background_work().items()
+        ]
+        await self._stop_requested.wait()
         await self._drain()
         for task in tasks:
             task.cancel()
@@ -339,7 +338,10 @@
             await runner.cleanup()
         _LOG.info('Stopped.')
 
-    def _background_work(self) -> list[asyncio._CoroutineLike[None]]:
+    def _background_work(
+        self,
+    ) -> dict[str, abc.Callable[[], abc.Awaitable[None]]]:
+        """Return what runs until the stop, by activity for the log."""
         operator_follower = follower.TableFollower(
             self._sources,
             wire_configuration.TABLE,
@@ -355,22 +357,22 @@
             self._relays[wire_endpoints.TABLE],
             self._endpoints_read_pause_s,
         )
-        return [
-            operator_follower.run(),
-            endpoint_follower.run(),
-            membership.MemberRows(
+        return {
+            'follow the table of the operator': operator_follower.run,
+            'follow the table of endpoints': endpoint_follower.run,
+            'register and read entries': membership.MemberRows(
                 self._store, self._members, self._build_record
-            ).run(),
-            self._gossip.run(),
-            state_rows.StateRows(
+            ).run,
+            'send heartbeats': self._gossip.run,
+            'store sessions': state_rows.StateRows(
                 self._store,
                 shared_states.SESSIONS_TABLE,
                 self._settings.instance_id,
                 shared_states.SessionState(
                     self._context.sessions, self._sessions_to_store
                 ),
-            ).run(),
-            state_rows.StateRows(
+            ).run,
+            'store quarantine': state_rows.StateRows(
                 self._store,
                 shared_states.QUARANTINE_TABLE,
                 self._settings.instance_id,
@@ -378,16 +380,16 @@
                     self._context.quarantine,
                     lambda: self._rank() < QUARANTINE_WRITERS,
                 ),
-            ).run(),
-            self._peer_sync.run(),
-            self._maintain(),
-            rollout_writers.StatusWriter(
+            ).run,
+            'read configurations of peers': self._peer_sync.run,
+            'maintain': self._maintain,
+            'synchronise roll-outs': rollout_writers.StatusWriter(
                 self._store,
                 self._rollouts,
                 self._rank,
                 self._gossip.schedule_update,
-            ).run(),
-        ]
+            ).run,
+        }
 
     def _sessions_to_store(self) -> dict[str, str]:
         """Return own sessions, or in a large fleet those of the domain.
@@ -471,18 +473,29 @@
     async def _maintain(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_PERIOD_S)
-            self._endpoints.expire()
-            self._context.pool.prune()
-            self._context.sessions.expire(time.monotonic())
-            self._context.quarantine.expire(time.monotonic())
-            self._context.limiter.expire(
-                self._state.registry.ids(), time.monotonic()
-            )
-            self._context.counters.set_limited_endpoints(
-                self._context.limiter.table.limited_count()
-            )
-            self._resize_retry_budget()
-            self._review_rollouts()
+            for activity, step in (
+                ('expire endpoints', self._endpoints.expire),
+                ('prune connections', self._context.pool.prune),
+                ('expire requests', self._expire_requests),
+                ('expire limits', self._expire_limits),
+                ('resize the retry budget', self._resize_retry_budget),
+                ('review roll-outs', self._review_rollouts),
+            ):
+                with self._failures.isolate(activity):
+                    step()
+
+    def _expire_requests(self) -> None:
+        now_s = time.monotonic()
+        self._context.sessions.expire(now_s)
+        self._context.quarantine.expire(now_s)
+
+    def _expire_limits(self) -> None:
+        self._context.limiter.expire(
+            self._state.registry.ids(), time.monotonic()
+        )
+        self._context.counters.set_limited_endpoints(
+            self._context.limiter.table.limited_count()
+        )
 
     def _resize_retry_budget(self) -> None:
         """Divide the retry burst of the fleet among the live entries.
@@ -557,7 +570,8 @@
         """
         stop_s = time.monotonic() + self._settings.stop_limit_s
         self._handler.begin_drain()
-        self._gossip.send_heartbeat()
+        with self._failures.isolate('announce the stop'):
+            self._gossip.send_heartbeat()
         _LOG.info(
             'Drain started.',
             extra={'in_flight': self._lifecycle.requests_in_flight},
