Apply the other rows when one of them raises

An unexpected exception at one row, roll-out or record kept all that came after it from being applied. A follower that is restarted reads the same changes again and meets the same row, so the table was not followed any more.

Cause: the loops over rows, roll-outs and records had no boundary between their items.

Each item is isolated now, and its exception is logged with a traceback once a minute for each kind. Isolating the item rather than the batch lets the follower pass the row, as its version counts as read.

--- a/features/platform/rows.feature
+++ b/features/platform/rows.feature
@@ -57,3 +57,33 @@
     When the table of endpoints is read 50 times
     Then the log has 1 line about it with at most 600 characters
     And each line about the read of the table states 1 invalid row
+
+  Scenario: A change that raises does not keep the others from being applied
+    # Guards against a table that is no longer followed because one of its
+    # rows meets a fault of the entry itself.
+    Given rows of the endpoints "a, b, c"
+    And an entry that fails to apply "b"
+    When only the changes of the table are read
+    Then "a, c" are the usable endpoints
+    When all endpoints are removed and an exception follows each removal
+    Then no endpoint is usable
+
+  Scenario: A roll-out order that raises does not keep the others back
+    # Guards against orders that wait for ever behind an odd one.
+    Given roll-out orders for "a, b, c"
+    When applying the order for "b" raises an exception
+    Then the orders for "a, c" are applied
+
+  Scenario: A roll-out that raises does not keep the others from the store
+    # Guards against roll-outs whose end is not written because another one
+    # meets a fault.
+    Given pending roll-outs of "a, b, c" at the writer of their states
+    When synchronising "b" raises an exception
+    Then "a, c" are synchronised
+
+  Scenario: A record that raises does not keep the others from being merged
+    # Guards against entries that do not hear of one another because of one
+    # record in a datagram.
+    Given a datagram with the records of "a, b, c"
+    When applying the record of "b" raises an exception
+    Then the records of "a, c" are applied
--- a/features/steps/platform_rows_steps.py
+++ b/features/steps/platform_rows_steps.py
@@ -2,17 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import logging
 
 import behave
 from godwitvalve.fleet import consumers
 from godwitvalve.fleet import state as states
+from godwitvalve.gossip import members
+from godwitvalve.gossip import node as gossip_node
 from godwitvalve.placement import choose
 from godwitvalve.placement import tracker
 from godwitvalve.platform import endpoints as wire_endpoints
 from godwitvalve.platform import headers
 from godwitvalve.platform import store as stores
+from godwitvalve.rollouts import orders
+from godwitvalve.rollouts import registry as registries
+from godwitvalve.rollouts import status_writer
 import hypothesis
 from hypothesis import strategies
 import msgspec
@@ -187,6 +193,142 @@
     assert stated == {count}, stated
 
 
+@behave.given('an entry that fails to apply "{endpoint_id}"')
+def failing_update(context, endpoint_id):
+    update = context.state.registry.update
+
+    def failing(endpoint, row_version):
+        if endpoint.endpoint_id == endpoint_id:
+            raise LookupError('odd')
+        return update(endpoint, row_version)
+
+    context.state.registry.update = failing
+
+
+@behave.when('all endpoints are removed and an exception follows each removal')
+def remove_all(context):
+    def fail(endpoint_id):
+        raise LookupError('odd')
+
+    context.consumer._on_removed = fail
+    context.consumer.apply_changes(
+        [
+            stores.StoredRow(row.key, row.version + 10, None)
+            for row in context.rows
+        ]
+    )
+
+
+@behave.then('no endpoint is usable')
+def none_usable(context):
+    assert not context.state.registry.usable('desk')
+
+
+def _fail_for(name, applied):
+    """Return a function that keeps names and raises for one of them."""
+
+    def apply(applied_name):
+        if applied_name == name:
+            raise LookupError('odd')
+        applied.append(applied_name)
+
+    return apply
+
+
+@behave.given('roll-out orders for "{names}"')
+def rollout_orders(context, names):
+    context.rows = [
+        stores.StoredRow(
+            f'rollout/{name}',
+            number,
+            json.dumps(
+                {'service': name, 'to': 'v2', 'duration_s': 9}
+            ).encode(),
+        )
+        for number, name in enumerate(names.split(', '))
+    ]
+
+
+@behave.when('applying the order for "{name}" raises an exception')
+def order_raises(context, name):
+    context.applied = []
+    apply = _fail_for(name, context.applied)
+    consumer = consumers.OrderConsumer(lambda order: apply(order.service))
+    consumer.apply_changes(context.rows)
+
+
+@behave.then('the orders for "{names}" are applied')
+@behave.then('"{names}" are synchronised')
+@behave.then('the records of "{names}" are applied')
+def are_applied(context, names):
+    assert context.applied == names.split(', '), context.applied
+
+
+@behave.given('pending roll-outs of "{names}" at the writer of their states')
+def pending_rollouts(context, names):
+    registry = registries.RolloutRegistry(orders.ExposureLimits(0.1, 50))
+    for number, name in enumerate(names.split(', '), 1):
+        registry.add_order(orders.RolloutOrder(name, 'v2', 9.0, number), 0.0)
+    context.writer = status_writer.StatusWriter(
+        None, registry, lambda: 0, lambda: None
+    )
+
+
+@behave.when('synchronising "{name}" raises an exception')
+def synchronising_raises(context, name):
+    context.applied = []
+    apply = _fail_for(name, context.applied)
+
+    async def synchronise(each):
+        apply(each.order.service)
+
+    async def run():
+        context.writer._is_due = lambda each, now_s: True
+        context.writer._synchronise = synchronise
+        # Less than two periods.
+        await asyncio.wait(
+            {asyncio.create_task(context.writer.run())},
+            timeout=status_writer.PERIOD_S * 1.5,
+        )
+
+    asyncio.run(run())
+
+
+@behave.given('a datagram with the records of "{names}"')
+def datagram(context, names):
+    context.datagram = gossip_node.encode(
+        [
+            members.AgedRecord(
+                0,
+                members.Record(
+                    name,
+                    1,
+                    1,
+                    members.SERVING,
+                    '10.0.0.1:1',
+                    '10.0.0.1:2',
+                    'fd-1',
+                    1,
+                ),
+            )
+            for name in names.split(', ')
+        ]
+    )
+
+
+@behave.when('applying the record of "{name}" raises an exception')
+def record_raises(context, name):
+    context.applied = []
+    apply = _fail_for(name, context.applied)
+    node = gossip_node.GossipNode(
+        members.Members('own', 'fd-1'),
+        lambda heartbeat: None,
+        [],
+        lambda record, age_s: apply(record.instance_id),
+    )
+    node.datagram_received(context.datagram, ('10.0.0.1', 2))
+
+
 _NUMBERS = strategies.one_of(
     strategies.integers(),
     strategies.integers(-3, 3),
--- a/src/godwitvalve/fleet/consumers.py
+++ b/src/godwitvalve/fleet/consumers.py
@@ -7,6 +7,7 @@
 
 from godwitvalve.fleet import endpoints
 from godwitvalve.fleet import state as states
+from godwitvalve.lifecycle import supervision
 from godwitvalve.logs import repeats
 from godwitvalve.logs import setup as logs
 from godwitvalve.platform import configuration as wire_configuration
@@ -19,6 +20,7 @@
 MAX_LOGGED_BYTES = 120
 
 _LOG = logs.get('fleet')
+_FAILURES = supervision.FailureLog(_LOG)
 
 OnChange = abc.Callable[[], None]
 OnRemoved = abc.Callable[[str], None]
@@ -38,7 +40,8 @@
         """Install the newest configuration among changed rows."""
         for row in rows:
             if row.key == wire_configuration.KEY and row.value is not None:
-                self.apply_content(row.value, 'store')
+                with _FAILURES.isolate('apply a configuration'):
+                    self.apply_content(row.value, 'store')
 
     def apply_content(self, content: bytes, source: str) -> bool:
         """Decode and install a configuration.
@@ -88,7 +91,8 @@
                     extra={'key': row.key, 'reason': str(error)},
                 )
                 continue
-            self._on_order(order)
+            with _FAILURES.isolate('apply a roll-out order'):
+                self._on_order(order)
 
 
 class OperatorConsumer:
@@ -147,7 +151,8 @@
         before = set(self._registry.ids())
         self._registry.apply_snapshot(decoded, version, time.monotonic())
         for endpoint_id in before - set(self._registry.ids()):
-            self._notify_removed(endpoint_id, version)
+            with _FAILURES.isolate('apply the removal of an endpoint'):
+                self._notify_removed(endpoint_id, version)
         _LOG.info(
             'Read the table of endpoints.',
             extra={
@@ -160,18 +165,22 @@
     def apply_changes(self, rows: list[stores.StoredRow]) -> None:
         """Apply changed rows in the order of their versions."""
         for row in rows:
-            endpoint = self._decode(row)
-            if endpoint is None:
-                self._remove(row)
-            elif self._registry.update(endpoint, row.version):
-                _LOG.info(
-                    'Endpoint added or changed.',
-                    extra={
-                        'endpoint_id': row.key,
-                        'is_leaving': endpoint.is_leaving,
-                        'row_version': row.version,
-                    },
-                )
+            with _FAILURES.isolate('apply the row of an endpoint'):
+                self._apply_change(row)
+
+    def _apply_change(self, row: stores.StoredRow) -> None:
+        endpoint = self._decode(row)
+        if endpoint is None:
+            self._remove(row)
+        elif self._registry.update(endpoint, row.version):
+            _LOG.info(
+                'Endpoint added or changed.',
+                extra={
+                    'endpoint_id': row.key,
+                    'is_leaving': endpoint.is_leaving,
+                    'row_version': row.version,
+                },
+            )
 
     def _remove(self, row: stores.StoredRow) -> None:
         if self._registry.remove(row.key, row.version, time.monotonic()):
--- a/src/godwitvalve/gossip/node.py
+++ b/src/godwitvalve/gossip/node.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from godwitvalve.gossip import members as member_model
+from godwitvalve.lifecycle import supervision
 from godwitvalve.logs import repeats
 from godwitvalve.logs import setup as logs
 
@@ -21,6 +22,7 @@
 MAX_DATAGRAM_BYTES = 1400
 
 _LOG = logs.get('gossip')
+_FAILURES = supervision.FailureLog(_LOG)
 _DECODER = msgspec.msgpack.Decoder(list[member_model.AgedRecord])
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -78,7 +80,8 @@
         now_s = time.monotonic()
         for age_ms, record in records:
             if self._members.merge(record, now_s, age_ms / 1000):
-                self._on_record(record, age_ms / 1000)
+                with _FAILURES.isolate('apply the record of an entry'):
+                    self._on_record(record, age_ms / 1000)
 
     def error_received(self, exc: Exception) -> None:
         """Log an undelivered datagram; the next heartbeat replaces it."""
--- a/src/godwitvalve/rollouts/status_writer.py
+++ b/src/godwitvalve/rollouts/status_writer.py
@@ -6,6 +6,7 @@
 from collections import abc
 import time
 
+from godwitvalve.lifecycle import supervision
 from godwitvalve.logs import repeats
 from godwitvalve.logs import setup as logs
 from godwitvalve.platform import rollouts as wire_rollouts
@@ -21,6 +22,7 @@
 MAX_RANK_DELAY_S = 4.0
 
 _LOG = logs.get('rollouts')
+_FAILURES = supervision.FailureLog(_LOG)
 
 
 class StatusWriter:
@@ -54,8 +56,9 @@
         while True:
             await asyncio.sleep(PERIOD_S)
             for each in list(self._registry.all()):
-                if self._is_due(each, time.monotonic()):
-                    await self._synchronise(each)
+                with _FAILURES.isolate('synchronise a roll-out'):
+                    if self._is_due(each, time.monotonic()):
+                        await self._synchronise(each)
 
     def _is_due(self, each: rollouts.Rollout, now_s: float) -> bool:
         pending = each.pending_state()
