--- a/src/godwitvalve/fleet/consumers.py
+++ b/src/godwitvalve/fleet/consumers.py
@@ -7,6 +7,8 @@
 
 from godwitvalve.fleet import endpoints
 from godwitvalve.fleet import state as states
+from godwitvalve.lifecycle import supervision
+from godwitvalve.logs import repeats
 from godwitvalve.logs import setup as logs
 from godwitvalve.platform import configuration as wire_configuration
 from godwitvalve.platform import endpoints as wire_endpoints
@@ -14,7 +16,11 @@
 from godwitvalve.platform import store as stores
 from godwitvalve.rollouts import orders
 
+# Of the value of a row that is invalid.
+MAX_LOGGED_BYTES = 120
+
 _LOG = logs.get('fleet')
+_FAILURES = supervision.FailureLog(_LOG)
 
 OnChange = abc.Callable[[], None]
 OnRemoved = abc.Callable[[str], None]
@@ -34,7 +40,8 @@
         """Install the newest configuration among changed rows."""
         for row in rows:
             if row.key == wire_configuration.KEY and row.value is not None:
-                self.apply_content(row.value, 'store')
+                with _FAILURES.isolate('apply a configuration'):
+                    self.apply_content(row.value, 'store')
 
     def apply_content(self, content: bytes, source: str) -> bool:
         """Decode and install a configuration.
@@ -84,7 +91,8 @@
                     extra={'key': row.key, 'reason': str(error)},
                 )
                 continue
-            self._on_order(order)
+            with _FAILURES.isolate('apply a roll-out order'):
+                self._on_order(order)
 
 
 class OperatorConsumer:
@@ -129,6 +137,7 @@
     ) -> None:
         self._registry = state.registry
         self._on_removed = on_removed
+        self._logged_rows = repeats.RepeatFilter()
 
     def apply_snapshot(
         self, rows: list[stores.StoredRow], version: int
@@ -136,33 +145,42 @@
         """Replace the listed endpoints."""
         decoded: dict[str, tuple[endpoints.FleetEndpoint, int]] = {}
         for row in rows:
-            endpoint = _decode(row)
+            endpoint = self._decode(row)
             if endpoint is not None:
                 decoded[row.key] = (endpoint, row.version)
         before = set(self._registry.ids())
         self._registry.apply_snapshot(decoded, version, time.monotonic())
         for endpoint_id in before - set(self._registry.ids()):
-            self._notify_removed(endpoint_id, version)
+            with _FAILURES.isolate('apply the removal of an endpoint'):
+                self._notify_removed(endpoint_id, version)
         _LOG.info(
             'Read the table of endpoints.',
-            extra={'count': len(decoded), 'row_version': version},
+            extra={
+                'count': len(decoded),
+                'invalid': len(rows) - len(decoded),
+                'row_version': version,
+            },
         )
 
     def apply_changes(self, rows: list[stores.StoredRow]) -> None:
         """Apply changed rows in the order of their versions."""
         for row in rows:
-            endpoint = _decode(row)
-            if endpoint is None:
-                self._remove(row)
-            elif self._registry.update(endpoint, row.version):
-                _LOG.info(
-                    'Endpoint added or changed.',
-                    extra={
-                        'endpoint_id': row.key,
-                        'is_leaving': endpoint.is_leaving,
-                        'row_version': row.version,
-                    },
-                )
+            with _FAILURES.isolate('apply the row of an endpoint'):
+                self._apply_change(row)
+
+    def _apply_change(self, row: stores.StoredRow) -> None:
+        endpoint = self._decode(row)
+        if endpoint is None:
+            self._remove(row)
+        elif self._registry.update(endpoint, row.version):
+            _LOG.info(
+                'Endpoint added or changed.',
+                extra={
+                    'endpoint_id': row.key,
+                    'is_leaving': endpoint.is_leaving,
+                    'row_version': row.version,
+                },
+            )
 
     def _remove(self, row: stores.StoredRow) -> None:
         if self._registry.remove(row.key, row.version, time.monotonic()):
@@ -196,15 +214,19 @@
         """Return the monotonic seconds from which removals are trusted."""
         return self._registry.trusted_from_s
 
-
-def _decode(row: stores.StoredRow) -> endpoints.FleetEndpoint | None:
-    if row.value is None:
-        return None
-    try:
-        return wire_endpoints.decode(row.key, row.value)
-    except wire_endpoints.InvalidRow as error:
-        _LOG.warning(
-            'Endpoint row is invalid.',
-            extra={'endpoint_id': row.key, 'reason': str(error)},
-        )
-        return None
+    def _decode(self, row: stores.StoredRow) -> endpoints.FleetEndpoint | None:
+        if row.value is None:
+            return None
+        try:
+            return wire_endpoints.decode(row.key, row.value)
+        except wire_endpoints.InvalidRow as error:
+            if self._logged_rows.admits(row.key, time.monotonic()):
+                _LOG.warning(
+                    'Endpoint row is invalid.',
+                    extra={
+                        'endpoint_id': row.key,
+                        'reason': str(error),
+                        'value': repr(row.value[:MAX_LOGGED_BYTES]),
+                    },
+                )
+            return None
--- a/src/godwitvalve/gossip/node.py
+++ b/src/godwitvalve/gossip/node.py
@@ -11,6 +11,8 @@
 import msgspec
 
 from godwitvalve.gossip import members as member_model
+from godwitvalve.lifecycle import supervision
+from godwitvalve.logs import repeats
 from godwitvalve.logs import setup as logs
 
 HEARTBEAT_PERIOD_S = 0.25
@@ -20,6 +22,7 @@
 MAX_DATAGRAM_BYTES = 1400
 
 _LOG = logs.get('gossip')
+_FAILURES = supervision.FailureLog(_LOG)
 _DECODER = msgspec.msgpack.Decoder(list[member_model.AgedRecord])
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -56,6 +59,7 @@
         self._on_record = on_record
         self._heartbeat = 0
         self._rng = random.Random()
+        self._logged_senders = repeats.RepeatFilter()
         self._transport: asyncio.DatagramTransport | None = None
         self._update_timer: asyncio.TimerHandle | None = None
 
@@ -67,15 +71,17 @@
         try:
             records = _DECODER.decode(data)
         except msgspec.DecodeError as error:
-            _LOG.warning(
-                'Dropped an invalid datagram.',
-                extra={'sender': addr[0], 'reason': str(error)},
-            )
+            if self._logged_senders.admits(addr[0], time.monotonic()):
+                _LOG.warning(
+                    'Dropped an invalid datagram.',
+                    extra={'sender': addr[0], 'reason': str(error)},
+                )
             return
         now_s = time.monotonic()
         for age_ms, record in records:
             if self._members.merge(record, now_s, age_ms / 1000):
-                self._on_record(record, age_ms / 1000)
+                with _FAILURES.isolate('apply the record of an entry'):
+                    self._on_record(record, age_ms / 1000)
 
     def error_received(self, exc: Exception) -> None:
         """Log an undelivered datagram; the next heartbeat replaces it."""
--- a/src/godwitvalve/rollouts/status_writer.py
+++ b/src/godwitvalve/rollouts/status_writer.py
@@ -6,6 +6,8 @@
 from collections import abc
 import time
 
+from godwitvalve.lifecycle import supervision
+from godwitvalve.logs import repeats
 from godwitvalve.logs import setup as logs
 from godwitvalve.platform import rollouts as wire_rollouts
 from godwitvalve.platform import store as stores
@@ -20,6 +22,7 @@
 MAX_RANK_DELAY_S = 4.0
 
 _LOG = logs.get('rollouts')
+_FAILURES = supervision.FailureLog(_LOG)
 
 
 class StatusWriter:
@@ -45,6 +48,7 @@
         self._registry = registry
         self._rank = rank
         self._on_change = on_change
+        self._logged_rows = repeats.RepeatFilter()
         self._pending_since_s: dict[tuple[str, int, int], float] = {}
 
     async def run(self) -> None:
@@ -52,8 +56,9 @@
         while True:
             await asyncio.sleep(PERIOD_S)
             for each in list(self._registry.all()):
-                if self._is_due(each, time.monotonic()):
-                    await self._synchronise(each)
+                with _FAILURES.isolate('synchronise a roll-out'):
+                    if self._is_due(each, time.monotonic()):
+                        await self._synchronise(each)
 
     def _is_due(self, each: rollouts.Rollout, now_s: float) -> bool:
         pending = each.pending_state()
@@ -115,10 +120,11 @@
         try:
             status = wire_rollouts.decode_status(row.value, row.version)
         except wire_rollouts.InvalidRollout as error:
-            _LOG.warning(
-                'Stored roll-out status is invalid.',
-                extra={'key': key, 'reason': str(error)},
-            )
+            if self._logged_rows.admits(key, time.monotonic()):
+                _LOG.warning(
+                    'Stored roll-out status is invalid.',
+                    extra={'key': key, 'reason': str(error)},
+                )
             return no_status._replace(row_version=row.version)
         if status.order_version != each.order.row_version:
             # The status belongs to an earlier order.
