Refuse requests that cannot end before a planned stop

Cause: a draining entry accepted calls until the last cached address had expired and streams for 1.2 s, whatever time they could take. Nothing compared this time with the time left before SIGKILL; it only happened to fit the timeouts of the known deployments.

Evidence: with a stop limit of 5 s and calls of 2.7 s, before the fix all four calls sent 3 s after SIGTERM (once and repeatable, new and kept connections) failed: Result(request_id='once-3-new', kind='once', sent_after_s=3.0, status=0, body=b'', is_closing=False, taken_s=1.83, error='RemoteDisconnected') and a call whose body arrived 2.5 s after SIGTERM: Result(request_id='late-body', kind='once', sent_after_s=2.5, status=0, body=b'', is_closing=False, taken_s=2.34, error='RemoteDisconnected')

The stop is now stored as deadlines, and a request is accepted only if its own deadline lies before them. That is decided again once the body is read, as this is the last moment before the request is passed on. A stream may take until its deadline in theory, so what counts is the time that streams take at busy endpoints; without an own observation it is the deadline. The estimate used so far is that of the fastest endpoint.

The settings of test entries and the work of endpoint stand-ins can be chosen now.

--- /dev/null
+++ b/features/steps/ingress_grace_steps.py
@@ -0,0 +1,294 @@
+"""Steps for requests that arrive during a planned stop."""
+
+from __future__ import annotations
+
+import http.client
+import itertools
+import json
+import pathlib
+import signal
+import subprocess
+import tempfile
+import threading
+import time
+from typing import NamedTuple
+
+import behave
+from standins.fleet import site as fleet_site
+
+LOOKUP_PREFIX = '/lookups/'
+EVENTS = 50
+PREFIXES = {
+    'once': fleet_site.CALL_PREFIX,
+    'repeatable': LOOKUP_PREFIX,
+    'stream': fleet_site.STREAM_PREFIX,
+}
+# A connection that is closed this soon after a request was sent crossed the
+# request; the rules of the platform state the time.
+CROSSING_S = 0.2
+
+
+class Result(NamedTuple):
+    """End of one request; ``status`` is 0 if it got no complete answer."""
+
+    request_id: str
+    kind: str
+    sent_after_s: float
+    status: int
+    body: bytes
+    is_closing: bool
+    taken_s: float
+    error: str
+
+
+class Caller(threading.Thread):
+    """Sends one request at a given time of the stop.
+
+    :param kept: connection to use; None for a new one.
+    """
+
+    def __init__(self, context, request_id, kind, at_s, kept=None):
+        super().__init__(daemon=True)
+        self._context = context
+        self._request_id = request_id
+        self._kind = kind
+        self._at_s = at_s
+        self._connection = kept
+        self.result = None
+
+    def run(self):
+        remaining_s = self._context.stopped_s + self._at_s - time.monotonic()
+        time.sleep(max(remaining_s, 0.0))
+        connection = self._connection or _connect(self._context)
+        sent_s = time.monotonic()
+        answer, body, error = None, b'', ''
+        try:
+            self._send(connection)
+            answer = connection.getresponse()
+            body = answer.read()
+        except (OSError, http.client.HTTPException) as failure:
+            error = type(failure).__name__
+        is_whole = answer is not None and not error
+        self.result = Result(
+            self._request_id,
+            self._kind,
+            round(sent_s - self._context.stopped_s, 2),
+            answer.status if is_whole else 0,
+            body,
+            is_whole and answer.will_close,
+            round(time.monotonic() - sent_s, 2),
+            error,
+        )
+
+    def _send(self, connection):
+        connection.request(
+            'POST',
+            f'{PREFIXES[self._kind]}x',
+            b'noise',
+            _headers(self._request_id, self._kind),
+        )
+
+
+def _connect(context):
+    return http.client.HTTPConnection(
+        context.fleet.addresses['entry-0'], timeout=15
+    )
+
+
+def _headers(request_id, kind):
+    headers = {
+        'Host': fleet_site.HOST,
+        'Request-Id': request_id,
+        'Api-Key': fleet_site.KEY,
+        'Deadline-Ms': '20000',
+    }
+    if kind == 'stream':
+        headers['Token-Usage'] = f'10,{EVENTS}'
+        headers['Prompt-Prefix'] = f'aa:5,{request_id}:5'
+    return headers
+
+
+def _kept_connection(context):
+    """Return a connection that was used for a request before."""
+    connection = _connect(context)
+    connection.request('GET', '/unknown', headers={'Host': fleet_site.HOST})
+    answer = connection.getresponse()
+    answer.read()
+    assert answer.status == 404 and not answer.will_close
+    return connection
+
+
+def _configuration(timeout_ms, version=5):
+    configuration = fleet_site.configuration(version)
+    stream, call = configuration['routes']
+    stream['timeout_ms'] = 20000
+    call['timeout_ms'] = timeout_ms
+    lookup = fleet_site.route('r-l', LOOKUP_PREFIX, 'idempotent', 'desk')
+    configuration['routes'].append({**lookup, 'timeout_ms': timeout_ms})
+    return configuration
+
+
+@behave.given('an entry that is killed {limit_s:g} s after its stop signal')
+def entry_with_limit(context, limit_s):
+    folder = tempfile.TemporaryDirectory()
+    context.cleanups.append(folder.cleanup)
+    context.fleet = fleet_site.FleetSite(pathlib.Path(folder.name))
+    context.cleanups.append(context.fleet.stop)
+    context.stop_limit_s = limit_s
+
+
+@behave.given(
+    'calls that take {work_ms:d} ms of {timeout_ms:d} ms and streams of '
+    '{stream_ms:d} ms'
+)
+def slow_endpoints(context, work_ms, timeout_ms, stream_ms):
+    fleet = context.fleet
+    fleet.write_row('op', 'config', _configuration(timeout_ms))
+    fleet.start_replica('p0', 'desk', 'fd-0', f'--work-ms={work_ms}')
+    gap_ms = stream_ms / EVENTS
+    fleet.start_replica('m0', 'model', 'fd-0', f'--gap-ms={gap_ms}')
+    fleet.start_entry('entry-0', 'fd-0', stop_limit_s=context.stop_limit_s)
+    fleet_site.wait_ready(fleet, 'entry-0')
+    # The entry learns from complete streams how long they take.
+    context.stopped_s = time.monotonic()
+    warm_up = Caller(context, 'warm-up', 'stream', 0.0)
+    warm_up.run()
+    assert warm_up.result.status == 200, warm_up.result
+
+
+def _stop_and_kill(context):
+    """Stop the entry as the platform does, with SIGKILL at the limit."""
+    context.stopped_s = time.monotonic()
+    context.fleet.signal('entry-0', signal.SIGTERM)
+
+    def kill():
+        process = context.fleet.processes['entry-0']
+        try:
+            process.wait(context.stop_limit_s)
+        except subprocess.TimeoutExpired:
+            process.kill()
+
+    killer = threading.Thread(target=kill, daemon=True)
+    killer.start()
+    context.cleanups.append(killer.join)
+
+
+def _play(context, callers):
+    context.stopped_s = time.monotonic()
+    _stop_and_kill(context)
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join(20)
+    context.results = [caller.result for caller in callers]
+
+
+@behave.when('requests of all kinds arrive in each second of the stop')
+def in_each_second(context):
+    seconds = range(int(context.stop_limit_s))
+    callers = [
+        Caller(
+            context,
+            f'{kind}-{at_s}-{"kept" if is_kept else "new"}',
+            kind,
+            at_s,
+            _kept_connection(context) if is_kept else None,
+        )
+        for at_s, kind, is_kept in itertools.product(
+            seconds, PREFIXES, (False, True)
+        )
+    ]
+    _play(context, callers)
+
+
+class SlowBody(Caller):
+    """Sends the end of a request's body at a given time of the stop."""
+
+    def begin(self):
+        connection = _connect(self._context)
+        connection.putrequest(
+            'POST', f'{PREFIXES[self._kind]}x', skip_host=True
+        )
+        headers = _headers(self._request_id, self._kind)
+        for name, value in (*headers.items(), ('Content-Length', '5')):
+            connection.putheader(name, value)
+        connection.endheaders(b'noi')
+        self._connection = connection
+
+    def _send(self, connection):
+        connection.send(b'se')
+
+
+@behave.when('the body of a call is complete {at_s:g} s after the stop signal')
+def body_late(context, at_s):
+    caller = SlowBody(context, 'late-body', 'once', at_s)
+    caller.begin()
+    time.sleep(0.3)
+    _play(context, [caller])
+
+
+def _runs(context):
+    return {
+        run[0] for name in ('p0', 'm0') for run in context.fleet.runs(name)
+    }
+
+
+def _is_complete(result):
+    if result.status != 200:
+        return False
+    if result.kind == 'stream':
+        return result.body.endswith(b'id: %d\ndata: token\n\n' % EVENTS)
+    return result.body == b'done noise'
+
+
+def _is_refused(result):
+    return (
+        result.status == 503
+        and json.loads(result.body)['not_run']
+        and result.is_closing
+    )
+
+
+def _has_crossed_close(context, result):
+    """Tell whether a request met a connection that was being closed."""
+    return (
+        bool(result.error)
+        and result.taken_s <= CROSSING_S
+        and result.request_id not in _runs(context)
+    )
+
+
+@behave.then('each request got its complete answer or was refused as not run')
+def answered_or_refused(context):
+    cut = [
+        result
+        for result in context.results
+        if not _is_complete(result)
+        and not _is_refused(result)
+        and not _has_crossed_close(context, result)
+    ]
+    assert not cut, '\n'.join(map(str, cut))
+
+
+@behave.then('the requests at {at_s:d} s got their complete answers')
+def answered_at(context, at_s):
+    results = [
+        each for each in context.results if int(each.sent_after_s) == at_s
+    ]
+    assert results and all(map(_is_complete, results)), results
+
+
+@behave.then('no endpoint ran a refused request')
+def refused_not_run(context):
+    refused = {
+        result.request_id for result in context.results if _is_refused(result)
+    }
+    assert refused
+    assert not refused & _runs(context), refused & _runs(context)
+
+
+@behave.then('the process ended with code 0 before it was killed')
+def ended_in_time(context):
+    killed_s = context.stopped_s + context.stop_limit_s
+    remaining_s = max(killed_s - time.monotonic(), 0.0)
+    assert context.fleet.wait('entry-0', remaining_s + 1.0) == 0
--- a/features/steps/ingress_stops_steps.py
+++ b/features/steps/ingress_stops_steps.py
@@ -16,7 +16,9 @@
 from features.steps import ingress_steps
 from godwitvalve.fleet import routes
 from godwitvalve.ingress import handler
+from godwitvalve.lifecycle import drain
 from godwitvalve.lifecycle import lifecycle
+from godwitvalve.platform import headers
 from standins.fleet import site as fleet_site
 from standins import local_site
 
@@ -326,7 +328,7 @@
     stages = lifecycle.Lifecycle(drain_ms / 1000)
     stages.begin_serving()
     context.handler = handler.IngressHandler(None, stages)
-    context.handler.begin_drain()
+    context.handler.begin_drain(drain.schedule(time.monotonic(), 8.0))
 
 
 @behave.when('{time_ms:d} ms pass')
@@ -337,8 +339,9 @@
 def _accepts_with_clock_step(context, step_s):
     stepped_s = time.time() + step_s
     route = forwarding_site.route(routes.RequestKind.ONCE)
+    facts = headers.CallerFacts('step', None, '', 0, 0, 0, '')
     with mock.patch('time.time', lambda: stepped_s):
-        return context.handler.accepts(route)
+        return context.handler.accepts(route, facts, time.monotonic())
 
 
 @behave.then('it accepts calls although the clock is set forward {step_s:d} s')
--- a/features/steps/speed_steps.py
+++ b/features/steps/speed_steps.py
@@ -21,6 +21,13 @@
     context.speeds.observe('s', context.estimate)
 
 
+@behave.given('an estimate of another entry only')
+def estimate_of_another(context):
+    context.speeds = speed.SpeedEstimates()
+    received = speed.SpeedEstimate(0.13, 30.0, EVENTS_PER_TOKEN)
+    context.speeds.add_received('s', received)
+
+
 @behave.given('no estimate')
 def no_estimate(context):
     context.speeds = speed.SpeedEstimates()
@@ -63,3 +70,27 @@
 def rest_can_complete(context, events, left_ms):
     last_event = int(MAX_OUTPUT * EVENTS_PER_TOKEN) - events
     assert _can_finish(context, 0, last_event, left_ms)
+
+
+def _expected_s(context, tokens, last_event):
+    return context.speeds.expected_s('s', tokens, MAX_OUTPUT, last_event)
+
+
+@behave.then('a stream of {tokens:d} tokens is expected to take {time_s:g} s')
+def expected_to_take(context, tokens, time_s):
+    assert round(_expected_s(context, tokens, 0), 1) == time_s
+
+
+@behave.then(
+    'a stream of {tokens:d} tokens after event {event:d} is expected to take '
+    '{time_s:g} s'
+)
+def resumed_expected_to_take(context, tokens, event, time_s):
+    assert round(_expected_s(context, tokens, event), 1) == time_s
+
+
+@behave.then(
+    'a stream of {tokens:d} tokens is expected to take an unknown time'
+)
+def expected_unknown(context, tokens):
+    assert _expected_s(context, tokens, 0) is None
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -17,6 +17,7 @@
 from godwitvalve.forwarding import sockets
 from godwitvalve.forwarding import streams
 from godwitvalve.ingress import refusals
+from godwitvalve.lifecycle import drain
 from godwitvalve.lifecycle import lifecycle as lifecycles
 from godwitvalve.logs import setup as logs
 from godwitvalve.outcomes import codes
@@ -27,8 +28,8 @@
 ANSWER_MARGIN_S = 0.03
 NOT_READY_RETRY_AFTER_S = 0.3
 DRAINING_RETRY_AFTER_S = 0.05
-# How long streams are accepted during a drain: a stream lasts about 6 s and
-# a stop at most 8 s.
+# How long streams are accepted during a drain at most. How long one takes is
+# an estimate, and it takes longer if it has to go on at another endpoint.
 STREAM_ACCEPT_PERIOD_S = 1.2
 
 _LOG = logs.get('ingress')
@@ -93,19 +94,22 @@
     ) -> None:
         self._context = context
         self._lifecycle = lifecycle
-        self._draining_since_s: float | None = None
+        self._stop: drain.StopSchedule | None = None
 
-    def begin_drain(self) -> None:
-        """Refuse streams soon, and calls once cached addresses expired."""
-        self._draining_since_s = time.monotonic()
-        self._lifecycle.begin_drain(self._draining_since_s)
+    def begin_drain(self, stop: drain.StopSchedule) -> None:
+        """Refuse what can't end before the stop.
+
+        Streams are refused soon, and calls once cached addresses expired.
+        """
+        self._stop = stop
+        self._lifecycle.begin_drain(stop.began_s)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request from a caller."""
         arrived_s = asyncio.get_running_loop().time()
         with self._lifecycle.request():
             response = await self._answer(request, arrived_s)
-        if self._draining_since_s is not None and not response.prepared:
+        if self._stop is not None and not response.prepared:
             response.force_close()
         return response
 
@@ -113,7 +117,7 @@
         self, request: web.BaseRequest, arrived_s: float
     ) -> web.StreamResponse:
         facts = wire.read_caller(request.raw_headers)
-        admitted = self._admit(request, facts)
+        admitted = self._admit(request, facts, arrived_s)
         if isinstance(admitted, web.StreamResponse):
             return admitted
         configuration = self._context.state.configuration
@@ -121,6 +125,8 @@
         body = await _read_body(request, configuration.limits.max_body_bytes)
         if body is None:
             return self._refuse(facts, codes.ResultCode.BODY_TOO_LARGE, 413)
+        if not self._can_end(admitted.route, facts, arrived_s):
+            return self._refuse_draining(facts)
         service = self._context.pick_service(admitted.route)
         if service is None:
             return self._refuse(
@@ -137,7 +143,10 @@
         return await self._forward(request, routed, arrived_s)
 
     def _admit(
-        self, request: web.BaseRequest, facts: wire.CallerFacts
+        self,
+        request: web.BaseRequest,
+        facts: wire.CallerFacts,
+        arrived_s: float,
     ) -> Admitted | web.StreamResponse:
         configuration = self._context.state.configuration
         if configuration is None:
@@ -152,10 +161,8 @@
         route = configuration.route(host, path)
         if route is None:
             return self._refuse(facts, codes.ResultCode.UNKNOWN_ROUTE, 404)
-        if not self.accepts(route):
-            return self._refuse(
-                facts, codes.ResultCode.DRAINING, 503, DRAINING_RETRY_AFTER_S
-            )
+        if not self.accepts(route, facts, arrived_s):
+            return self._refuse_draining(facts)
         if route.is_public or not configuration.has_accounts:
             return Admitted(route, None)
         account = configuration.account(facts.key)
@@ -163,14 +170,60 @@
             return self._refuse(facts, codes.ResultCode.UNAUTHENTICATED, 401)
         return Admitted(route, account)
 
-    def accepts(self, route: routes.Route) -> bool:
-        """Tell whether new requests of a route are accepted now."""
-        if self._draining_since_s is None:
+    def accepts(
+        self, route: routes.Route, facts: wire.CallerFacts, arrived_s: float
+    ) -> bool:
+        """Tell whether a request that arrives is accepted.
+
+        :param arrived_s: seconds of the event loop's clock.
+        """
+        if self._stop is None:
             return True
-        draining_s = time.monotonic() - self._draining_since_s
         if route.kind is routes.RequestKind.STREAM:
-            return draining_s < STREAM_ACCEPT_PERIOD_S
-        return self._lifecycle.accepts_requests(time.monotonic())
+            accept_until_s = self._stop.began_s + STREAM_ACCEPT_PERIOD_S
+            is_accepted = time.monotonic() < accept_until_s
+        else:
+            is_accepted = self._lifecycle.accepts_requests(time.monotonic())
+        return is_accepted and self._can_end(route, facts, arrived_s)
+
+    def _can_end(
+        self, route: routes.Route, facts: wire.CallerFacts, arrived_s: float
+    ) -> bool:
+        """Tell whether a request that was not sent ends before the stop."""
+        if self._stop is None:
+            return True
+        expected_s = None
+        if route.kind is routes.RequestKind.STREAM:
+            expected_s = self._expected_stream_s(route, facts)
+        return drain.admits(
+            self._stop,
+            time.monotonic(),
+            _deadline_s(route, facts, arrived_s),
+            expected_s,
+        )
+
+    def _expected_stream_s(
+        self, route: routes.Route, facts: wire.CallerFacts
+    ) -> float | None:
+        """Return the longest expectation of the services of a route."""
+        expected_s = [
+            self._context.speeds.expected_s(
+                each.service,
+                facts.prompt_tokens,
+                facts.max_output_tokens,
+                facts.last_event,
+            )
+            for each in route.services
+        ]
+        known_s = [each for each in expected_s if each is not None]
+        if not known_s or len(known_s) < len(expected_s):
+            return None
+        return max(known_s)
+
+    def _refuse_draining(self, facts: wire.CallerFacts) -> web.Response:
+        return self._refuse(
+            facts, codes.ResultCode.DRAINING, 503, DRAINING_RETRY_AFTER_S
+        )
 
     def _refuse(
         self,
@@ -197,7 +250,7 @@
         routed: calls.RoutedRequest,
         arrived_s: float,
     ) -> web.StreamResponse:
-        sink = CallerStream(request, self._draining_since_s is not None)
+        sink = CallerStream(request, self._stop is not None)
         reply: replies.Reply | None = None
         forwarder: streams.StreamForwarder | calls.CallForwarder
         if routed.route.kind is routes.RequestKind.STREAM:
@@ -297,6 +350,13 @@
             return 'streamed' if is_complete else 'broken off', ''
 
 
+def _deadline_s(
+    route: routes.Route, facts: wire.CallerFacts, arrived_s: float
+) -> float:
+    limit_ms = min(route.limit_ms, facts.wait_ms or route.limit_ms)
+    return arrived_s + limit_ms / 1000 - ANSWER_MARGIN_S
+
+
 def _route_request(
     request: web.BaseRequest,
     facts: wire.CallerFacts,
@@ -306,7 +366,6 @@
     arrived_s: float,
 ) -> calls.RoutedRequest:
     route, account = admitted
-    limit_ms = min(route.limit_ms, facts.wait_ms or route.limit_ms)
     priority = route.priority
     if account is not None and account.priority is not None:
         priority = account.priority
@@ -322,7 +381,7 @@
         service,
         account.name if account else '',
         priority if route.kind is routes.RequestKind.STREAM else None,
-        arrived_s + limit_ms / 1000 - ANSWER_MARGIN_S,
+        _deadline_s(route, facts, arrived_s),
     )
 
 
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -33,6 +33,7 @@
 from godwitvalve.ingress import servers
 from godwitvalve.ingress import shared_states
 from godwitvalve.ingress import state_rows
+from godwitvalve.lifecycle import drain
 from godwitvalve.lifecycle import lifecycle as lifecycles
 from godwitvalve.logs import setup as logs
 from godwitvalve.placement import choose
@@ -63,8 +64,6 @@
 CONFIGURATION_SPREAD_S = 1.0
 MIN_CONFIGURATION_WAIT_S = 0.5
 DRAIN_POLL_S = 0.05
-# Reserved between the last answer and SIGKILL.
-STOP_MARGIN_S = 0.4
 # Bounds the replaced, lost, provisional and leaving endpoints in one record,
 # each; covers a failure domain of a small fleet.
 MAX_REPORTED_ENDPOINTS = 16
@@ -555,15 +554,15 @@
 
         Requests that still run shortly before the stop limit are interrupted.
         """
-        stop_s = time.monotonic() + self._settings.stop_limit_s
-        self._handler.begin_drain()
+        stop = drain.schedule(time.monotonic(), self._settings.stop_limit_s)
+        self._handler.begin_drain(stop)
         self._gossip.send_heartbeat()
         _LOG.info(
             'Drain started.',
             extra={'in_flight': self._lifecycle.requests_in_flight},
         )
         while not self._lifecycle.stop(time.monotonic()):
-            if time.monotonic() > stop_s - STOP_MARGIN_S:
+            if time.monotonic() > stop.cut_by_s:
                 _LOG.warning(
                     'Stop limit reached; interrupting requests.',
                     extra={'in_flight': self._lifecycle.requests_in_flight},
--- a/src/godwitvalve/placement/speed.py
+++ b/src/godwitvalve/placement/speed.py
@@ -12,6 +12,9 @@
 NEEDED_SHARE = 0.85
 # Shortest output of a kind of request, as a share of the average.
 SHORT_OUTPUT_SHARE = 0.7
+# Smoothing factor for faster observations in the estimate of busy endpoints;
+# slower ones are used at once.
+FASTER_SHARE = 0.05
 
 
 class SpeedEstimate(NamedTuple):
@@ -33,14 +36,24 @@
     return before + SLOWER_SHARE * (observed - before)
 
 
+def _slowest(before: float, observed: float) -> float:
+    if observed > before:
+        return observed
+    return before + FASTER_SHARE * (observed - before)
+
+
 class SpeedEstimates:
     """Speed estimates by service, from completed streams."""
 
     def __init__(self) -> None:
         self._estimates: dict[str, SpeedEstimate] = {}
+        # Those of busy endpoints, from the streams of this entry.
+        self._busy: dict[str, SpeedEstimate] = {}
 
     def observe(self, service: str, observed: SpeedEstimate) -> None:
-        """Update the estimate from a stream that one endpoint completed."""
+        """Update the estimates from a stream that one endpoint completed."""
+        busy = self._busy.get(service, observed)
+        self._busy[service] = SpeedEstimate(*map(_slowest, busy, observed))
         before = self._estimates.get(service)
         if before is None:
             self._estimates[service] = observed
@@ -91,3 +104,26 @@
             + max(events - last_event, 0.0) * estimate.event_ms
         )
         return left_ms >= needed_ms * NEEDED_SHARE
+
+    def expected_s(
+        self,
+        service: str,
+        prompt_tokens: int,
+        max_output_tokens: int,
+        last_event: int,
+    ) -> float | None:
+        """Return how long a stream takes at a busy endpoint, in seconds.
+
+        :param prompt_tokens: tokens to process; 0 if unknown.
+        :param max_output_tokens: 0 if unknown.
+        :param last_event: number of the last event that the caller has.
+        :returns: None if this entry has not seen any stream of the service.
+        """
+        busy = self._busy.get(service)
+        if busy is None or not prompt_tokens or not max_output_tokens:
+            return None
+        events = max_output_tokens * busy.events_per_token
+        return (
+            prompt_tokens * busy.prompt_token_ms
+            + max(events - last_event, 0.0) * busy.event_ms
+        ) / 1000
--- a/standins/fleet/replica.py
+++ b/standins/fleet/replica.py
@@ -12,20 +12,22 @@
 
 from standins.fleet import serving
 
-WORK_S = 0.02
-
 
 class Replica:
     """Serves plain calls and streams of numbered events.
 
     :param events: number of events in each stream.
     :param gap_s: seconds between events.
+    :param work_s: seconds that a plain call takes.
     """
 
-    def __init__(self, endpoint_id: str, events: int, gap_s: float) -> None:
+    def __init__(
+        self, endpoint_id: str, events: int, gap_s: float, work_s: float
+    ) -> None:
         self.endpoint_id = endpoint_id
         self.events = events
         self.gap_s = gap_s
+        self.work_s = work_s
         self.runs: list[list[str]] = []
         self.mode = 'sound'
         self.arrivals_s: list[float] = []
@@ -93,7 +95,7 @@
         )
         if 'Token-Usage' in headers:
             return await self._stream(request, response_headers)
-        await asyncio.sleep(WORK_S)
+        await asyncio.sleep(self.work_s)
         if self.mode == 'error':
             return web.Response(status=500, headers=response_headers)
         if self.mode == 'lost':
@@ -121,16 +123,20 @@
     port: Annotated[int, typer.Option(min=0, max=65535)] = 0,
     events: int = 50,
     gap_ms: float = 20.0,
+    work_ms: float = 20.0,
 ) -> None:
     """Serve an endpoint on a loopback port.
 
     :param port: TCP port; 0 picks a free one.
     :param events: number of events in each stream.
     :param gap_ms: milliseconds between events.
+    :param work_ms: milliseconds that a plain call takes.
     """
 
     def build() -> Any:
-        return Replica(endpoint_id, events, gap_ms / 1000).app()
+        return Replica(
+            endpoint_id, events, gap_ms / 1000, work_ms / 1000
+        ).app()
 
     asyncio.run(serving.serve(build, port))
 
--- a/standins/fleet/site.py
+++ b/standins/fleet/site.py
@@ -141,8 +141,11 @@
             },
         )
 
-    def start_entry(self, name: str, domain: str) -> str:
-        """Start an entry instance on its own loopback address."""
+    def start_entry(self, name: str, domain: str, **changes: Any) -> str:
+        """Start an entry instance on its own loopback address.
+
+        :param changes: settings that differ from the usual ones.
+        """
         self._entries += 1
         ip = f'127.0.7.{self._entries}'
         caller, readiness, directory, control, peer = self._ports
@@ -158,6 +161,7 @@
             'seed_addresses': [f'127.0.7.1:{control}'],
             'store_address': self.store,
             'address_reuse_s': 2.0,
+            **changes,
         }
         self._settings_path(name).write_text(json.dumps(settings))
         self.addresses[name] = f'{ip}:{caller}'
