Count and log requests without a complete answer by reason

A stream that this entry broke off, a request that ended by an exception and a caller that left could not be told apart: the reason was dropped where the stream was given up, and every request without a reply was logged as left by its caller.

Each of them now has one log line with a reason and is counted in godwitvalve_incomplete_answers_total. The server cancels the handler both when the caller leaves and when it interrupts the request at the stop limit, and has closed the connection in either case, so the process tells the handler before it interrupts requests. Decisions are unchanged.

--- /dev/null
+++ b/features/ingress/incomplete_answers.feature
@@ -0,0 +1,35 @@
+Feature: Requests that end without a complete answer
+
+  Scenario Outline: The reason of a cut answer is counted and logged
+    # Guards against answers that are cut without a trace of why, and against
+    # taking a cut of this entry for a caller that left.
+    Given stream endpoints that play
+      | scripts  |
+      | <first>  |
+      | <second> |
+      | <third>  |
+    And the condition "<condition>" at the caller port
+    When a caller asks for a stream
+    Then its answer is cut
+    And the reason "<reason>" is counted and logged once, and no other
+
+    Examples:
+      | first                | second                       | third                        | condition             | reason        |
+      | head 1 crash         | head 2 end                   | head 2 end                   | no retries            | retry budget  |
+      | head 1 crash         | head 2 end                   | head 2 end                   | one attempt           | not retryable |
+      | head 1 crash         | head 2 end                   | head 2 end                   | endpoints removed     | no endpoint   |
+      | head 1 die, declined | declined, declined, declined | declined, declined, declined | none                  | no capacity   |
+      | head 1 die           | head 2 end                   | head 2 end                   | permits used up       | no permit     |
+      | head 1 die           | head 2 die                   | head 3 end                   | none                  | quarantined   |
+      | head 1 hang          | head 2 end                   | head 2 end                   | not resumable         | deadline      |
+      | head 1 hang          | head 2 end                   | head 2 end                   | interrupted by a stop | stop limit    |
+      | head 1 hang          | head 2 end                   | head 2 end                   | caller leaves         | caller left   |
+      | head 1 crash         | head 2 end                   | head 2 end                   | second attempt raises | exception     |
+
+  Scenario: A complete answer has no such reason
+    # Guards against counts of answers that were not cut.
+    Given stream endpoints that play "head 1 crash" and "head 2 end"
+    And the condition "none" at the caller port
+    When a caller asks for a stream
+    Then its answer is complete
+    And no reason is counted
--- a/src/godwitvalve/forwarding/counters.py
+++ b/src/godwitvalve/forwarding/counters.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from godwitvalve.fleet import registry
+    from godwitvalve.forwarding import replies
     from godwitvalve.outcomes import codes
 
 # Bucket bounds of the latency histograms, around the objectives of plain
@@ -72,6 +73,11 @@
         self._refusals = self._counter(
             'godwitvalve_refusals_total', 'Own refusals by code.', labels
         )
+        self._incomplete = self._counter(
+            'godwitvalve_incomplete_answers_total',
+            'Requests that ended without a complete answer by reason.',
+            labels,
+        )
         self._latency = collectors.Histogram(
             'godwitvalve_answer_seconds',
             'Time to the whole answer of a call.',
@@ -126,6 +132,10 @@
         """Count an answer of this entry in place of an endpoint's."""
         self._refusals.inc({'code': str(code.value), 'reason': code.name})
 
+    def count_incomplete(self, reason: replies.IncompleteReason) -> None:
+        """Count a request that ended without a complete answer."""
+        self._incomplete.inc({'reason': reason.value})
+
     def observe_answer(self, route: str, seconds: float) -> None:
         """Record the time to a complete answer."""
         self._latency.observe({'route': route}, seconds)
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -88,12 +88,15 @@
             async with asyncio.timeout_at(self._routed.deadline_s):
                 return await self._forward()
         except asyncio.TimeoutError:
+            reason = replies.IncompleteReason.DEADLINE
             if self._is_started:
-                return replies.Streamed(False)
+                return replies.Streamed(False, reason)
             if self._possible_runs or (
                 self._current_exchange and self._current_exchange.is_sent
             ):
-                return replies.Failure(codes.ResultCode.OUTCOME_UNKNOWN, True)
+                return replies.Failure(
+                    codes.ResultCode.OUTCOME_UNKNOWN, True, reason
+                )
             return replies.Refusal(
                 codes.ResultCode.OVERLOADED, policy.NO_ENDPOINT_RETRY_AFTER_S
             )
@@ -109,10 +112,15 @@
                 return self._give_up(
                     codes.ResultCode.PROMPT_QUARANTINED,
                     self._time_to_admission_s(),
+                    replies.IncompleteReason.QUARANTINED,
                 )
             if not await self._wait_for_capacity():
                 return self._give_up(
-                    codes.ResultCode.OVERLOADED, policy.FULL_RETRY_AFTER_S
+                    codes.ResultCode.OVERLOADED,
+                    policy.FULL_RETRY_AFTER_S,
+                    replies.IncompleteReason.NO_PERMIT
+                    if self._context.has_exhausted(self._candidates())
+                    else replies.IncompleteReason.NO_CAPACITY,
                 )
             attempt = await self._next_attempt()
             if attempt is None:
@@ -121,7 +129,13 @@
                 refusal = self._context.refusal(
                     self._routed.service, self._candidates()
                 )
-                return self._give_up(refusal.code, refusal.retry_after_s)
+                return self._give_up(
+                    refusal.code,
+                    refusal.retry_after_s,
+                    replies.IncompleteReason.NO_PERMIT
+                    if refusal.code is codes.ResultCode.ENDPOINT_LIMITS
+                    else replies.IncompleteReason.NO_ENDPOINT,
+                )
             end = await self._run_attempt(attempt)
             self._current_exchange = None
             self._record_end(attempt, end)
@@ -140,9 +154,12 @@
                     self._possible_runs += 1
                 case exchanges.Declined():
                     pass
-            if not self._may_retry(end):
+            obstacle = self._retry_obstacle(end)
+            if obstacle is not None:
                 return self._give_up(
-                    codes.ResultCode.OVERLOADED, policy.BUSY_RETRY_AFTER_S
+                    codes.ResultCode.OVERLOADED,
+                    policy.BUSY_RETRY_AFTER_S,
+                    obstacle,
                 )
             # Retries use the old version; the new one is not proven yet.
             self._draw = 1.0
@@ -221,20 +238,25 @@
             ),
         )
 
-    def _may_retry(self, end: attempts.AttemptEnd) -> bool:
+    def _retry_obstacle(
+        self, end: attempts.AttemptEnd
+    ) -> replies.IncompleteReason | None:
+        """Return why the stream may not be retried; None if it may."""
         if isinstance(end, attempts.Quarantined):
-            return False
+            return replies.IncompleteReason.QUARANTINED
         remaining_s = self._routed.deadline_s - self._loop.time()
         if remaining_s < policy.MIN_ATTEMPT_S:
-            return False
+            return replies.IncompleteReason.DEADLINE
         if self._possible_runs >= self._routed.route.max_endpoints:
-            return False
+            return replies.IncompleteReason.NOT_RETRYABLE
         if self._possible_runs and not self._routed.route.is_resumable:
-            return False
+            return replies.IncompleteReason.NOT_RETRYABLE
         if isinstance(end, attempts.Interrupted) and not end.may_have_run:
             # The request was not sent, so the next attempt is no repeat.
-            return True
-        return self._context.budget.try_retry(self._routed.service, True)
+            return None
+        if not self._context.budget.try_retry(self._routed.service, True):
+            return replies.IncompleteReason.RETRY_BUDGET
+        return None
 
     def _candidates(self) -> list[endpoints.FleetEndpoint]:
         return self._context.candidates(self._routed.service, self._draw)
@@ -292,14 +314,19 @@
         return True
 
     def _give_up(
-        self, code: codes.ResultCode, retry_after_s: float
+        self,
+        code: codes.ResultCode,
+        retry_after_s: float,
+        reason: replies.IncompleteReason,
     ) -> replies.Reply:
         if self._is_started:
-            return replies.Streamed(False)
+            return replies.Streamed(False, reason)
         if self._rejection is not None:
             return self._rejection
         if self._possible_runs:
-            return replies.Failure(codes.ResultCode.OUTCOME_UNKNOWN)
+            return replies.Failure(
+                codes.ResultCode.OUTCOME_UNKNOWN, reason=reason
+            )
         return replies.Refusal(code, retry_after_s)
 
     async def _next_attempt(self) -> attempts.StreamAttempt | None:
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import time
 from typing import Any, NamedTuple
 
@@ -94,12 +95,17 @@
         self._context = context
         self._lifecycle = lifecycle
         self._draining_since_s: float | None = None
+        self._is_interrupting = False
 
     def begin_drain(self) -> None:
         """Refuse streams soon, and calls once cached addresses expired."""
         self._draining_since_s = time.monotonic()
         self._lifecycle.begin_drain(self._draining_since_s)
 
+    def begin_interrupting(self) -> None:
+        """Take requests that are cancelled from now on as interrupted."""
+        self._is_interrupting = True
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request from a caller."""
         arrived_s = asyncio.get_running_loop().time()
@@ -113,6 +119,26 @@
         self, request: web.BaseRequest, arrived_s: float
     ) -> web.StreamResponse:
         facts = wire.read_caller(request.raw_headers)
+        try:
+            routed = await self._route(request, facts, arrived_s)
+        except BaseException as error:
+            self._record_incomplete(
+                facts, self._incomplete_reason(request, error), error
+            )
+            raise
+        if isinstance(routed, web.StreamResponse):
+            return routed
+        self._context.budget.record_first_attempt(routed.service)
+        self._context.counters.count_request(routed.service)
+        return await self._forward(request, routed, arrived_s)
+
+    async def _route(
+        self,
+        request: web.BaseRequest,
+        facts: wire.CallerFacts,
+        arrived_s: float,
+    ) -> calls.RoutedRequest | web.StreamResponse:
+        """Read a request and choose its service, or refuse it."""
         admitted = self._admit(request, facts)
         if isinstance(admitted, web.StreamResponse):
             return admitted
@@ -129,12 +155,9 @@
                 503,
                 NOT_READY_RETRY_AFTER_S,
             )
-        routed = _route_request(
+        return _route_request(
             request, facts, body, admitted, service, arrived_s
         )
-        self._context.budget.record_first_attempt(service)
-        self._context.counters.count_request(service)
-        return await self._forward(request, routed, arrived_s)
 
     def _admit(
         self, request: web.BaseRequest, facts: wire.CallerFacts
@@ -199,6 +222,7 @@
     ) -> web.StreamResponse:
         sink = CallerStream(request, self._draining_since_s is not None)
         reply: replies.Reply | None = None
+        reason: replies.IncompleteReason | None = None
         forwarder: streams.StreamForwarder | calls.CallForwarder
         if routed.route.kind is routes.RequestKind.STREAM:
             forwarder = streams.StreamForwarder(self._context, routed, sink)
@@ -207,12 +231,14 @@
         try:
             reply = await forwarder.run()
             return await self._respond(routed, sink, reply)
-        except BaseException:
+        except BaseException as error:
+            reason = self._incomplete_reason(request, error)
+            self._record_incomplete(routed.request.facts, reason, error)
             if sink.response is not None:
                 sink.abort()
             raise
         finally:
-            self._log_end(routed, reply, arrived_s, forwarder)
+            self._log_end(routed, reply, reason, arrived_s, forwarder)
 
     async def _respond(
         self,
@@ -234,23 +260,58 @@
                 return self._refuse(
                     routed.request.facts, code, 504 if is_late else 502
                 )
-            case replies.Streamed(is_complete):
+            case replies.Streamed(is_complete, reason):
                 assert sink.response is not None
                 if is_complete:
                     await sink.response.write_eof()
                 else:
+                    assert reason is not None
+                    self._record_incomplete(routed.request.facts, reason)
                     sink.abort()
                 return sink.response
 
+    def _incomplete_reason(
+        self, request: web.BaseRequest, error: BaseException
+    ) -> replies.IncompleteReason:
+        """Return why a request ends with an exception.
+
+        The server closes the connection, too, as it interrupts a request.
+        """
+        is_cancelled = isinstance(error, asyncio.CancelledError)
+        if is_cancelled and self._is_interrupting:
+            return replies.IncompleteReason.STOP_LIMIT
+        if request.transport is None or request.transport.is_closing():
+            return replies.IncompleteReason.CALLER_LEFT
+        return replies.IncompleteReason.EXCEPTION
+
+    def _record_incomplete(
+        self,
+        facts: wire.CallerFacts,
+        reason: replies.IncompleteReason,
+        error: BaseException | None = None,
+    ) -> None:
+        """Count and log a request that ends without a complete answer."""
+        self._context.counters.count_incomplete(reason)
+        is_own_fault = reason is replies.IncompleteReason.EXCEPTION
+        _LOG.log(
+            logging.INFO
+            if reason is replies.IncompleteReason.CALLER_LEFT
+            else logging.WARNING,
+            'Request ended without a complete answer.',
+            exc_info=error if is_own_fault else None,
+            extra={'request_id': facts.request_id, 'reason': reason.value},
+        )
+
     def _log_end(
         self,
         routed: calls.RoutedRequest,
         reply: replies.Reply | None,
+        reason: replies.IncompleteReason | None,
         arrived_s: float,
         forwarder: streams.StreamForwarder | calls.CallForwarder,
     ) -> None:
         taken_s = asyncio.get_running_loop().time() - arrived_s
-        outcome, detail = _describe_outcome(reply)
+        outcome, detail = _describe_outcome(reply, reason)
         if outcome == 'answered':
             self._context.counters.observe_answer(routed.route.name, taken_s)
         _LOG.info(
@@ -261,6 +322,7 @@
                 'service': routed.service,
                 'outcome': outcome,
                 'detail': detail,
+                'reason': _describe_reason(reply, reason),
                 'taken_ms': round(taken_s * 1000, 1),
                 'configuration_version': self._context.state.version,
                 'limit_ms': round((routed.deadline_s - arrived_s) * 1000),
@@ -283,10 +345,14 @@
             }
 
 
-def _describe_outcome(reply: replies.Reply | None) -> tuple[str, str]:
+def _describe_outcome(
+    reply: replies.Reply | None, reason: replies.IncompleteReason | None
+) -> tuple[str, str]:
     match reply:
-        case None:
+        case None if reason is replies.IncompleteReason.CALLER_LEFT:
             return 'left by its caller', ''
+        case None:
+            return 'interrupted', ''
         case exchanges.Answered(head):
             return 'answered', str(head.status)
         case replies.Refusal(code):
@@ -297,6 +363,17 @@
             return 'streamed' if is_complete else 'broken off', ''
 
 
+def _describe_reason(
+    reply: replies.Reply | None, reason: replies.IncompleteReason | None
+) -> str:
+    match reply:
+        case replies.Failure() | replies.Streamed():
+            reason = reason or reply.reason
+        case _:
+            pass
+    return reason.value if reason else ''
+
+
 def _route_request(
     request: web.BaseRequest,
     facts: wire.CallerFacts,
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -335,6 +335,7 @@
         self._permits.close()
         await self._sources.close()
         await self._store.close()
+        self._handler.begin_interrupting()
         for runner in runners:
             await runner.cleanup()
         _LOG.info('Stopped.')
