Keep streams at silent endpoints until they can go on elsewhere

What callers saw: an answer that had begun broke off although its endpoint, silent for a second, would have completed it.

Cause: a stream left its endpoint after 0.42 s without an event, and only then looked whether it may go on: with an empty retry budget it was cut at once, and where every other endpoint was full, had no permit or was lost, it waited without an endpoint until its deadline.

Now the stream goes on listening while it searches. It leaves once the route and the retry budget allow it and an endpoint has room, as far as known, and has granted its permit; an event ends the search and gives the retry back. The old connection is reset just before the new attempt is sent, as before. An endpoint that declined a stream counts as full for a second, and one that goes on no longer counts as lost. Broken connections and replaced endpoints are handled as before.

Open: a successor may still decline, as its memory is not known here; the stream then waits without an endpoint, as before.

--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -16,6 +16,8 @@
 COMPLETE = scripted_endpoint.answer()
 # After the request was sent again, which is 30 ms after the first decline.
 LATE_COPY_S = 0.045
+# Sound endpoints may send nothing for so long and go on.
+SILENCE_S = 1.2
 CALL_SCRIPTS = {
     'complete': [COMPLETE],
     'reset': ['reset'],
@@ -118,6 +120,8 @@
                 actions += [0.02, 'die']
             case 'hang':
                 actions.append('hang')
+            case 'silence':
+                actions.append(SILENCE_S)
             case 'declined':
                 actions.append(scripted_endpoint.DECLINED)
             case number if not is_framed:
--- a/src/godwitvalve/forwarding/attempts.py
+++ b/src/godwitvalve/forwarding/attempts.py
@@ -67,6 +67,9 @@
     :param progress_s: when the attempt began, got its head or passed on
         its last new event.
     :param last_check_s: time of the last connection check.
+    :param is_unreachable: whether that check failed.
+    :param is_declared_lost: whether the loss of its endpoint was recorded
+        since its last progress.
     """
 
     endpoint: endpoints.FleetEndpoint
@@ -79,6 +82,8 @@
     last_activity_s: float = 0.0
     progress_s: float = 0.0
     last_check_s: float = 0.0
+    is_unreachable: bool = False
+    is_declared_lost: bool = False
     observation: observations.Observation | None = None
 
     @property
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -15,7 +15,9 @@
 from godwitvalve.forwarding import gaps
 from godwitvalve.forwarding import policy
 from godwitvalve.forwarding import probes
+from godwitvalve.forwarding import relocation as relocations
 from godwitvalve.forwarding import replies
+from godwitvalve.forwarding import silence
 from godwitvalve.logs import setup as logs
 from godwitvalve.outcomes import codes
 from godwitvalve.placement import choose
@@ -69,6 +71,7 @@
         self._is_started = False
         self._last_attempt: attempts.StreamAttempt | None = None
         self._rejection: exchanges.Answered | None = None
+        self._relocation: relocations.Relocation | None = None
 
     async def run(self) -> replies.Reply:
         """Return the result of the stream, at the latest at its deadline."""
@@ -107,14 +110,15 @@
                 codes.ResultCode.DEADLINE_BEFORE_SEND,
                 policy.FULL_RETRY_AFTER_S,
             )
+        attempt: attempts.StreamAttempt | None = None
         while True:
-            if not self._is_admitted():
+            if attempt is None and not self._is_admitted():
                 return self._give_up(
                     codes.ResultCode.PROMPT_QUARANTINED,
                     self._time_to_admission_s(),
                     replies.IncompleteReason.QUARANTINED,
                 )
-            if not await self._wait_for_capacity():
+            if attempt is None and not await self._wait_for_capacity():
                 return self._give_up(
                     codes.ResultCode.OVERLOADED,
                     policy.FULL_RETRY_AFTER_S,
@@ -122,7 +126,7 @@
                     if self._context.has_exhausted(self._candidates())
                     else replies.IncompleteReason.NO_CAPACITY,
                 )
-            attempt = await self._next_attempt()
+            attempt = attempt or await self._next_attempt()
             if attempt is None:
                 if await self._wait_for_permits():
                     continue
@@ -136,7 +140,7 @@
                     if refusal.code is codes.ResultCode.ENDPOINT_LIMITS
                     else replies.IncompleteReason.NO_ENDPOINT,
                 )
-            end = await self._run_attempt(attempt)
+            end, successor = await self._run_attempt(attempt)
             self._current_exchange = None
             self._record_end(attempt, end)
             await self._record_crash(attempt, end)
@@ -154,7 +158,8 @@
                     self._possible_runs += 1
                 case exchanges.Declined():
                     pass
-            obstacle = self._retry_obstacle(end)
+            attempt = successor
+            obstacle = None if successor else self._retry_obstacle(end)
             if obstacle is not None:
                 return self._give_up(
                     codes.ResultCode.OVERLOADED,
@@ -244,13 +249,9 @@
         """Return why the stream may not be retried; None if it may."""
         if isinstance(end, attempts.Quarantined):
             return replies.IncompleteReason.QUARANTINED
-        remaining_s = self._routed.deadline_s - self._loop.time()
-        if remaining_s < policy.MIN_ATTEMPT_S:
-            return replies.IncompleteReason.DEADLINE
-        if self._possible_runs >= self._routed.route.max_endpoints:
-            return replies.IncompleteReason.NOT_RETRYABLE
-        if self._possible_runs and not self._routed.route.is_resumable:
-            return replies.IncompleteReason.NOT_RETRYABLE
+        obstacle = silence.obstacle(self._progress(self._possible_runs))
+        if obstacle is not None:
+            return obstacle
         if isinstance(end, attempts.Interrupted) and not end.may_have_run:
             # The request was not sent, so the next attempt is no repeat.
             return None
@@ -258,6 +259,15 @@
             return replies.IncompleteReason.RETRY_BUDGET
         return None
 
+    def _progress(self, possible_runs: int) -> silence.StreamProgress:
+        route = self._routed.route
+        return silence.StreamProgress(
+            possible_runs,
+            route.max_endpoints,
+            route.is_resumable,
+            self._routed.deadline_s - self._loop.time(),
+        )
+
     def _candidates(self) -> list[endpoints.FleetEndpoint]:
         return self._context.candidates(self._routed.service, self._draw)
 
@@ -329,25 +339,82 @@
             )
         return replies.Refusal(code, retry_after_s)
 
-    async def _next_attempt(self) -> attempts.StreamAttempt | None:
-        resumed = await self._attempt_at_backup()
-        if resumed is not None:
-            return resumed
+    def _relocation_obstacle(self) -> replies.IncompleteReason | None:
+        if self._time_to_admission_s() > 0:
+            return replies.IncompleteReason.QUARANTINED
+        return silence.obstacle(self._progress(self._possible_runs + 1))
+
+    async def _choose_successor(
+        self, attempt: attempts.StreamAttempt
+    ) -> attempts.StreamAttempt | None:
+        """Return an attempt at an endpoint that has room and a permit."""
+
+        def candidates() -> list[endpoints.FleetEndpoint]:
+            # Retries use the old version; the new one is not proven yet.
+            return silence.successors(
+                self._context.candidates(self._routed.service, 1.0),
+                attempt.endpoint.endpoint_id,
+                self._context.endpoint_tracker,
+                self._context.remote_placements(),
+                self._loop.time(),
+            )
+
+        backup = attempt.backup if attempt.has_events else None
+        successor: attempts.StreamAttempt | None = None
+        if (
+            backup is not None
+            and backup in candidates()
+            and await self._context.may_take(backup)
+        ):
+            successor = self._resumed_attempt(backup)
+        else:
+            are_tried = all(
+                each.endpoint_id in self._tried_ids
+                for each in self._context.without_exhausted(candidates())
+            )
+            endpoint = await self._select(
+                candidates, set() if are_tried else self._tried_ids, False
+            )
+            if endpoint is not None:
+                now_s = self._loop.time()
+                successor = attempts.StreamAttempt(
+                    endpoint, self._backup_for(endpoint, now_s), '', now_s
+                )
+        if successor is None or not self._is_admitted():
+            return None
+        return successor
+
+    async def _select(
+        self,
+        candidates: abc.Callable[[], list[endpoints.FleetEndpoint]],
+        tried_ids: set[str],
+        may_confirm: bool,
+    ) -> endpoints.FleetEndpoint | None:
         context = self._context
         session = self._routed.request.facts.session
-        endpoint = await context.select(
-            self._candidates,
-            lambda candidates, limits: choose.choose_stream(
-                candidates,
+        return await context.select(
+            candidates,
+            lambda usable, limits: choose.choose_stream(
+                usable,
                 context.endpoint_tracker,
                 context.remote_placements(),
-                self._tried_ids,
+                tried_ids,
                 context.failure_domain,
                 self._loop.time(),
                 context.rng,
                 context.sessions.find(session, self._loop.time()),
                 limits,
             ),
+            may_confirm,
+        )
+
+    async def _next_attempt(self) -> attempts.StreamAttempt | None:
+        resumed = await self._attempt_at_backup()
+        if resumed is not None:
+            return resumed
+        endpoint = await self._select(
+            self._candidates,
+            self._tried_ids,
             self._may_confirm and not self.times.endpoints,
         )
         if endpoint is None:
@@ -373,6 +440,11 @@
         self._last_attempt = None
         if endpoint is None or not await self._context.may_take(endpoint):
             return None
+        return self._resumed_attempt(endpoint)
+
+    def _resumed_attempt(
+        self, endpoint: endpoints.FleetEndpoint
+    ) -> attempts.StreamAttempt:
         now_s = self._loop.time()
         request_id = self._routed.request.facts.request_id
         return attempts.StreamAttempt(
@@ -411,6 +483,22 @@
 
     async def _run_attempt(
         self, attempt: attempts.StreamAttempt
+    ) -> tuple[attempts.AttemptEnd, attempts.StreamAttempt | None]:
+        """Run an attempt; return its end and, if it is found, the next one."""
+        self._relocation = relocations.Relocation(
+            self._context.budget,
+            self._routed.service,
+            self._relocation_obstacle,
+            lambda: self._choose_successor(attempt),
+        )
+        try:
+            end = await self._end_of(attempt)
+            return end, self._relocation.take()
+        finally:
+            self._relocation.end()
+
+    async def _end_of(
+        self, attempt: attempts.StreamAttempt
     ) -> attempts.AttemptEnd:
         self._tried_ids.add(attempt.endpoint.endpoint_id)
         self.times.endpoints.append(attempt.endpoint.endpoint_id)
@@ -466,7 +554,7 @@
             return attempts.Interrupted('silent', True)
         now_s = self._loop.time()
         attempt.has_head = True
-        attempt.progress_s = now_s
+        self._record_progress(attempt)
         self._context.endpoint_tracker.record_load(
             attempt.endpoint.endpoint_id, head.facts.load, now_s
         )
@@ -490,9 +578,7 @@
             if not chunk:
                 break
             is_progress = await self._forward_events(attempt, head, chunk)
-            if not is_progress and self._is_unresponsive(
-                attempt, attempt.progress_s
-            ):
+            if not is_progress and self._may_leave(attempt):
                 return attempts.Interrupted('no new event', True)
         if self._splitter.has_partial:
             return attempts.Interrupted(
@@ -543,21 +629,26 @@
         :raises _PromptQuarantined: if the prompt turns out to crash
             endpoints before this one began to answer.
         """
-        since_s = attempt.progress_s
+        assert self._relocation is not None
         try:
             while True:
-                await asyncio.wait({task}, timeout=gaps.POLL_PERIOD_S)
+                await asyncio.wait(
+                    {task, *self._relocation.running},
+                    timeout=gaps.POLL_PERIOD_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
                 if task.done():
                     return task.result()
                 if not attempt.has_events and self._is_blocked():
                     raise _PromptQuarantined
-                if self._is_unresponsive(attempt, since_s):
+                if self._may_leave(attempt):
                     return None
-                if self._is_check_due(attempt, since_s) and not (
-                    await probes.accepts_connections(attempt.endpoint.address)
-                ):
-                    if not task.done() and self._declare_lost(attempt):
-                        return None
+                if self._is_check_due(attempt):
+                    attempt.is_unreachable = (
+                        not await probes.accepts_connections(
+                            attempt.endpoint.address
+                        )
+                    )
         except asyncio.CancelledError:
             self._record_stall(attempt)
             raise
@@ -565,21 +656,55 @@
             if not task.done():
                 task.cancel()
 
-    def _is_unresponsive(
-        self, attempt: attempts.StreamAttempt, since_s: float
-    ) -> bool:
+    def _may_leave(self, attempt: attempts.StreamAttempt) -> bool:
+        """Tell whether an attempt ends because its endpoint is silent.
+
+        A stream leaves an endpoint that may go on only if it certainly may
+        go on elsewhere.
+        """
+        assert self._relocation is not None
+        is_replaced = self._context.state.registry.is_replaced(
+            attempt.endpoint.endpoint_id
+        )
+        if not (
+            attempt.is_unreachable
+            or is_replaced
+            or self._is_unresponsive(attempt)
+        ):
+            self._relocation.end()
+            return False
+        if not self._declare_lost(attempt):
+            return False
+        return is_replaced or self._relocation.poll()
+
+    def _record_progress(self, attempt: attempts.StreamAttempt) -> None:
+        assert self._relocation is not None
+        attempt.progress_s = self._loop.time()
+        attempt.is_unreachable = False
+        self._relocation.end()
+        if attempt.is_declared_lost:
+            attempt.is_declared_lost = False
+            self._context.endpoint_tracker.record_recovery(
+                attempt.endpoint.endpoint_id, attempt.progress_s
+            )
+            self._context.on_placement_changed()
+
+    def _is_unresponsive(self, attempt: attempts.StreamAttempt) -> bool:
         now_s = self._loop.time()
+        since_s = attempt.progress_s
         stats = self._context.endpoint_tracker.stats(
             attempt.endpoint.endpoint_id
         )
-        is_reported_lost = max(
-            stats.lost_at_s, stats.loss_reported_at_s - trackers.LOSS_REPORT_S
-        ) > since_s or self._context.state.registry.is_replaced(
-            attempt.endpoint.endpoint_id
+        is_reported_lost = (
+            max(
+                stats.lost_at_s,
+                stats.loss_reported_at_s - trackers.LOSS_REPORT_S,
+            )
+            > since_s
         )
         return self._gap_monitor.is_unresponsive(
             now_s - since_s, attempt.has_events, is_reported_lost
-        ) and self._declare_lost(attempt)
+        )
 
     def _record_stall(self, attempt: attempts.StreamAttempt) -> None:
         """Record a failure if the endpoint held the request up to its end."""
@@ -597,29 +722,24 @@
                 },
             )
 
-    def _is_check_due(
-        self, attempt: attempts.StreamAttempt, since_s: float
-    ) -> bool:
+    def _is_check_due(self, attempt: attempts.StreamAttempt) -> bool:
         now_s = self._loop.time()
-        is_due = self._gap_monitor.is_check_due(
-            now_s - max(since_s, attempt.last_check_s), attempt.has_events
-        )
+        idle_s = now_s - max(attempt.progress_s, attempt.last_check_s)
+        is_due = self._gap_monitor.is_check_due(idle_s, attempt.has_events)
         if is_due:
             attempt.last_check_s = now_s
         return is_due
 
     def _declare_lost(self, attempt: attempts.StreamAttempt) -> bool:
         """Mark the endpoint lost if the stream may move; tell whether so."""
-        route = self._routed.route
-        if (
-            not route.is_resumable
-            or self._possible_runs + 1 >= route.max_endpoints
-        ):
+        if silence.obstacle(self._progress(self._possible_runs + 1)):
             return False
-        self._context.endpoint_tracker.record_loss(
-            attempt.endpoint.endpoint_id, self._loop.time()
-        )
-        self._context.on_placement_changed()
+        if not attempt.is_declared_lost:
+            attempt.is_declared_lost = True
+            self._context.endpoint_tracker.record_loss(
+                attempt.endpoint.endpoint_id, self._loop.time()
+            )
+            self._context.on_placement_changed()
         return True
 
     async def _forward_events(
@@ -638,7 +758,7 @@
             await self._start_answer(head)
         self._record_sent()
         await self._sink.send(b''.join(event.content for event in complete))
-        attempt.progress_s = self._loop.time()
+        self._record_progress(attempt)
         self._record_events(attempt, len(complete))
         return True
 
@@ -719,6 +839,10 @@
                     )
             case exchanges.Declined(wire.MISDIRECTED):
                 self._context.mark_replaced(attempt.endpoint)
+            case exchanges.Declined():
+                self._context.endpoint_tracker.record_full(
+                    attempt.endpoint.endpoint_id, self._loop.time()
+                )
             case _:
                 pass
         _LOG.info(
--- a/src/godwitvalve/placement/tracker.py
+++ b/src/godwitvalve/placement/tracker.py
@@ -18,6 +18,9 @@
 # How long a lost endpoint counts as down. A crash lasts at least 1.2 s; a
 # restarted endpoint has a new id, and an answer ends the period early.
 DOWN_S = 0.8
+# How long an endpoint that declined a stream counts as full. Streams last
+# about 6 s and a full endpoint runs about ten, so that one ends by then.
+FULL_S = 1.0
 
 
 @dataclasses.dataclass
@@ -34,6 +37,8 @@
     :param lost_at_s: monotonic seconds of the last loss seen by this entry.
     :param loss_reported_at_s: monotonic seconds at which another entry last
         reported its loss.
+    :param full_until_s: monotonic seconds until which it counts as full for
+        streams.
     :param load: last reported load.
     :param load_valid_until_s: monotonic seconds until which it is used.
     """
@@ -47,6 +52,7 @@
     down_until_s: float = 0.0
     lost_at_s: float = float('-inf')
     loss_reported_at_s: float = float('-inf')
+    full_until_s: float = 0.0
     load: wire.EndpointLoad | None = None
     load_valid_until_s: float = 0.0
 
@@ -86,6 +92,16 @@
             stats.load = load
             stats.load_valid_until_s = now_s + LOAD_VALID_S
 
+    def record_full(self, endpoint_id: str, now_s: float) -> None:
+        """Record that an endpoint declined a stream."""
+        self.stats(endpoint_id).full_until_s = now_s + FULL_S
+
+    def record_recovery(self, endpoint_id: str, now_s: float) -> None:
+        """Record that an endpoint that counted as lost goes on."""
+        self.record_success(endpoint_id, None, now_s)
+        stats = self.stats(endpoint_id)
+        stats.lost_at_s = stats.loss_reported_at_s = float('-inf')
+
     def record_failure(self, endpoint_id: str, now_s: float) -> None:
         """Record a failure and eject the endpoint for a growing period."""
         stats = self.stats(endpoint_id)
--- a/src/godwitvalve/routing/retry_budget.py
+++ b/src/godwitvalve/routing/retry_budget.py
@@ -58,6 +58,11 @@
         self._balances[service] = balance
         return True
 
+    def return_retry(self, service: str) -> None:
+        """Give back a retry that was consumed and not made."""
+        balance = self.balance(service) + 1.0
+        self._balances[service] = min(balance, self._burst_retries)
+
     def balance(self, service: str) -> float:
         """Return the remaining retries; negative if resumes borrowed."""
         return self._balances.get(service, self._burst_retries)
