Let streams that have begun wait for the retry budget

What callers saw: half of an answer and a reset, at the moment at which its endpoint was lost.

Cause: a stream whose connection broke was given up at once if the retry budget was empty just then, although each new request earns a part of a retry. A stream that finds no capacity or no permit waits for it.

A stream that has begun now waits for the budget in the same way, until its deadline leaves no time for another event. Requests that have not begun end as before.

Evidence: "A stream that has begun waits for the retry budget" failed before (10 scenarios passed, 1 failed) and passes now (11 passed); ingress/incomplete_answers.feature passes, so a stream whose budget stays empty is still cut with the reason "retry budget".

--- a/features/forwarding/streams.feature
+++ b/features/forwarding/streams.feature
@@ -60,3 +60,21 @@
     Given stream endpoints that play "head 1 half end" and "head 2 end"
     When a stream is made
     Then its caller gets the events 1 to 2 and the end
+
+  Scenario: A stream that has begun waits for the retry budget
+    # Guards against cutting an answer that is half delivered because the
+    # retry budget is empty for a moment.
+    Given stream endpoints that play "head 1 crash" and "head 2 3 end"
+    And the retry budget is empty for 500 ms
+    When a stream is made
+    Then its caller gets the events 1 to 3 and the end
+    And it took at most 1200 ms
+
+  Scenario: A stream that has not begun does not wait for the retry budget
+    # Guards against holding a request without an answer back although its
+    # caller could come again.
+    Given stream endpoints that play "head crash" and "head 1 end"
+    And the retry budget is empty for 500 ms
+    When a stream is made
+    Then the outcome of the stream is unknown
+    And it took at most 400 ms
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -218,6 +218,18 @@
     context.prepare = lambda site: site.on_started.append(announce)
 
 
+@behave.given('the retry budget is empty for {time_ms:d} ms')
+def budget_empty(context, time_ms):
+    def prepare(site):
+        budget = site.context.budget
+        budget.resize(0.0, 0.0)
+        asyncio.get_running_loop().call_later(
+            time_ms / 1000, budget.resize, 0.0, 1.0
+        )
+
+    context.prepare = prepare
+
+
 @behave.when('a repeatable call is made')
 def repeatable_call(context):
     context.reply = _run_site(context, lambda site: site.call(REPEATABLE))
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -159,7 +159,7 @@
                 case exchanges.Declined():
                     pass
             attempt = successor
-            obstacle = None if successor else self._retry_obstacle(end)
+            obstacle = None if successor else await self._wait_to_retry(end)
             if obstacle is not None:
                 return self._give_up(
                     codes.ResultCode.OVERLOADED,
@@ -243,6 +243,23 @@
             ),
         )
 
+    async def _wait_to_retry(
+        self, end: attempts.AttemptEnd
+    ) -> replies.IncompleteReason | None:
+        """Return why the stream may not be retried; None if it may.
+
+        A stream that has begun waits for the retry budget: its caller waits
+        for at least 2 s, and for four times the objective.
+        """
+        obstacle = self._retry_obstacle(end)
+        while (
+            obstacle is replies.IncompleteReason.RETRY_BUDGET
+            and self._is_started
+            and await self._pause()
+        ):
+            obstacle = self._retry_obstacle(end)
+        return obstacle
+
     def _retry_obstacle(
         self, end: attempts.AttemptEnd
     ) -> replies.IncompleteReason | None:
