--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -16,6 +16,8 @@
 COMPLETE = scripted_endpoint.answer()
 # After the request was sent again, which is 30 ms after the first decline.
 LATE_COPY_S = 0.045
+# Sound endpoints may send nothing for so long and go on.
+SILENCE_S = 1.2
 CALL_SCRIPTS = {
     'complete': [COMPLETE],
     'reset': ['reset'],
@@ -118,6 +120,8 @@
                 actions += [0.02, 'die']
             case 'hang':
                 actions.append('hang')
+            case 'silence':
+                actions.append(SILENCE_S)
             case 'declined':
                 actions.append(scripted_endpoint.DECLINED)
             case number if not is_framed:
@@ -214,6 +218,18 @@
     context.prepare = lambda site: site.on_started.append(announce)
 
 
+@behave.given('the retry budget is empty for {time_ms:d} ms')
+def budget_empty(context, time_ms):
+    def prepare(site):
+        budget = site.context.budget
+        budget.resize(0.0, 0.0)
+        asyncio.get_running_loop().call_later(
+            time_ms / 1000, budget.resize, 0.0, 1.0
+        )
+
+    context.prepare = prepare
+
+
 @behave.when('a repeatable call is made')
 def repeatable_call(context):
     context.reply = _run_site(context, lambda site: site.call(REPEATABLE))
