--- a/features/doubles/forwarding_site.py
+++ b/features/doubles/forwarding_site.py
@@ -14,8 +14,6 @@
 from godwitvalve.forwarding import exchange
 from godwitvalve.forwarding import pool
 from godwitvalve.forwarding import streams
-from godwitvalve.ingress import handler
-from godwitvalve.lifecycle import lifecycle
 from godwitvalve.placement import sessions
 from godwitvalve.placement import speed
 from godwitvalve.placement import tracker
@@ -48,12 +46,6 @@
     return routes.Route(**{**fields, **changes})
 
 
-def _serving():
-    serving = lifecycle.Lifecycle()
-    serving.begin_serving()
-    return serving
-
-
 class Recorder:
     """Sink that records the head and content of a stream.
 
@@ -134,21 +126,6 @@
         limits = routes.CallerLimits(1 << 20)
         return routes.Configuration(1, [], [facts], {}, limits, b'')
 
-    def ingress_handler(self, kind):
-        """Return a handler for callers, with one public route of a kind."""
-        known = self.state.configuration
-        self.state.install(
-            routes.Configuration(
-                known.version + 1,
-                [route(kind)],
-                known.services.values(),
-                {},
-                known.limits,
-                b'',
-            )
-        )
-        return handler.IngressHandler(self.context, _serving())
-
     def routed_request(
         self,
         its_route,
--- a/features/steps/forwarding_broken_steps.py
+++ b/features/steps/forwarding_broken_steps.py
@@ -7,12 +7,12 @@
 
 import behave
 from features.doubles import forwarding_site
+from features.doubles import ingress_site
 from features.doubles import scripted_endpoint
 from features.steps import forwarding_steps
 from godwitvalve.fleet import routes
 from godwitvalve.forwarding import exchange
 from godwitvalve.forwarding import replies
-from godwitvalve.ingress import servers
 
 ONCE = forwarding_site.route(routes.RequestKind.ONCE)
 STREAM = forwarding_site.route(routes.RequestKind.STREAM)
@@ -316,28 +316,6 @@
         assert isinstance(reply, replies.Failure) and head is None, reply
 
 
-async def _answer_over_http(endpoints_scripts, kind):
-    """Return what a caller of the server reads until its answer ends."""
-
-    async def act(site):
-        handler = site.ingress_handler(kind)
-        runner = await servers.listen('127.0.0.1:0', handler.handle)
-        try:
-            ((host, port),) = runner.addresses
-            reader, writer = await asyncio.open_connection(host, port)
-            writer.write(
-                b'POST /p/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: req-1'
-                b'\r\nConnection: close\r\nContent-Length: 0\r\n\r\n'
-            )
-            answer = await reader.read()
-            writer.close()
-            return answer
-        finally:
-            await runner.cleanup()
-
-    return (await _with_site(endpoints_scripts, act))[0]
-
-
 @behave.when(
     'the first endpoint answers a {kind} request with the byte {byte:d} in a '
     'header'
@@ -352,12 +330,18 @@
         'repeatable': routes.RequestKind.REPEATABLE,
         'stream': routes.RequestKind.STREAM,
     }
-    context.raw_answer = asyncio.run(
-        _answer_over_http([[[damaged]], [[sound]]], kinds[kind])
+    site = ingress_site.IngressSite(
+        [[[damaged]], [[sound]]], forwarding_site.route(kinds[kind])
     )
 
+    async def ask():
+        async with site.running():
+            return await site.ask()
+
+    context.caller_result = asyncio.run(ask())
+
 
 @behave.then('its caller gets status {status:d}')
 def caller_gets_status(context, status):
-    first_line = context.raw_answer.partition(b'\r\n')[0]
-    assert first_line.startswith(b'HTTP/1.1 %d ' % status), context.raw_answer
+    found = context.caller_result
+    assert found.status == status and found.is_complete, found
