Do not report a crashed stream at its deadline as not run

What callers saw: a 503, which promises that the request did not run, for a stream that an endpoint had begun.

Cause: once an attempt had ended, its exchange was forgotten before the attempt was counted as one that may have run, and in between the endpoint is probed for up to 0.3 s to see whether it crashed. A deadline that passed meanwhile found neither.

The exchange is now kept until the attempt is counted.

Evidence: "A stream whose deadline passes after a crash may have run" failed before with "Refusal(code=<ResultCode.OVERLOADED: 2005>, ...)" in place of an unknown outcome and passes now. Found by reading, not seen in a run.

--- a/features/forwarding/crashing_prompts.feature
+++ b/features/forwarding/crashing_prompts.feature
@@ -113,6 +113,14 @@
       | end      |
       | complete |
 
+  Scenario: A stream whose deadline passes after a crash may have run
+    # Guards against the promise that a stream did not run that ended its
+    # endpoint, if the deadline passes while the endpoint is probed.
+    Given stream endpoints that play "head die" and "head 1 end"
+    And a probe of an endpoint takes 1000 ms
+    When a stream is made with 300 ms left
+    Then the outcome is unknown and late
+
   Scenario: An answer without length or chunks may crash its endpoint, too
     # Guards against taking the end of a crashed endpoint's connection for
     # the end of an empty answer.
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from unittest import mock
 
 from aioprometheus import renderer
 import behave
@@ -11,6 +12,7 @@
 from features.doubles import scripted_endpoint
 from godwitvalve.fleet import routes
 from godwitvalve.forwarding import exchange
+from godwitvalve.forwarding import probes
 from godwitvalve.forwarding import replies
 
 COMPLETE = scripted_endpoint.answer()
@@ -218,6 +220,19 @@
     context.prepare = lambda site: site.on_started.append(announce)
 
 
+@behave.given('a probe of an endpoint takes {time_ms:d} ms')
+def slow_probe(context, time_ms):
+    async def accepts_connections(address):
+        await asyncio.sleep(time_ms / 1000)
+        return False
+
+    patch = mock.patch.object(
+        probes, 'accepts_connections', accepts_connections
+    )
+    patch.start()
+    context.cleanups.append(patch.stop)
+
+
 @behave.given('the retry budget is empty for {time_ms:d} ms')
 def budget_empty(context, time_ms):
     def prepare(site):
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -141,7 +141,6 @@
                     else replies.IncompleteReason.NO_ENDPOINT,
                 )
             end, successor = await self._run_attempt(attempt)
-            self._current_exchange = None
             self._record_end(attempt, end)
             await self._record_crash(attempt, end)
             match end:
@@ -158,6 +157,7 @@
                     self._possible_runs += 1
                 case exchanges.Declined():
                     pass
+            self._current_exchange = None
             attempt = successor
             obstacle = None if successor else await self._wait_to_retry(end)
             if obstacle is not None:
