Answer requests that meet an error of the entry itself

What callers saw: a connection that closes without an answer, or a 500 that tells nothing about whether the request ran.

Cause: the server takes a cancellation that the handler raises for a caller that left and closes the connection. A cancellation may come from inside, of a task or future that the request waits for, as well as from the server. Other exceptions became a 500.

An error before a response has begun is now answered: with 503 and the new code 2016 if no endpoint got the request, with 502 if one may have run it. Only a stream that has begun is cut. A cancellation of the handler's own task, by the server, is passed on. Each such error is logged with its traceback.

--- a/src/godwitvalve/forwarding/calls.py
+++ b/src/godwitvalve/forwarding/calls.py
@@ -60,11 +60,22 @@
         self._possible_runs = 0
         self._fallback: exchanges.Answered | None = None
         self._running: set[asyncio.Task[exchanges.PlainOutcome]] = set()
+        # Exchanges whose outcome was not returned.
+        self._unsettled: set[exchanges.Exchange] = set()
 
     @property
     def _is_repeatable(self) -> bool:
         return self._routed.route.kind is routes.RequestKind.REPEATABLE
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an endpoint may have run the call."""
+        return bool(
+            self._possible_runs
+            or self._running
+            or any(each.is_sent for each in self._unsettled)
+        )
+
     async def run(self) -> replies.Reply:
         """Return the result of the call, at the latest at its deadline."""
         try:
@@ -79,7 +90,7 @@
     def _at_deadline(self) -> replies.Reply:
         if self._fallback is not None:
             return self._fallback
-        if self._possible_runs or self._running:
+        if self.may_have_run:
             return replies.Failure(codes.ResultCode.OUTCOME_UNKNOWN, True)
         return replies.Refusal(
             codes.ResultCode.OVERLOADED, policy.BUSY_RETRY_AFTER_S
@@ -270,6 +281,7 @@
         exchange = exchanges.Exchange(
             endpoint, self._context.pool, self._context.record_head
         )
+        self._unsettled.add(exchange)
         observation = self._context.rollouts.observe(
             endpoint, routed.route, self._loop.call_later, self._loop.time()
         )
@@ -288,6 +300,7 @@
             stats.calls -= 1
             observation.close()
         self._record_outcome(endpoint, outcome)
+        self._unsettled.discard(exchange)
         return outcome
 
     def _record_stall(
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -73,6 +73,14 @@
         self._rejection: exchanges.Answered | None = None
         self._relocation: relocations.Relocation | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an endpoint may have run the stream."""
+        return bool(
+            self._possible_runs
+            or (self._current_exchange and self._current_exchange.is_sent)
+        )
+
     async def run(self) -> replies.Reply:
         """Return the result of the stream, at the latest at its deadline."""
         reply: replies.Reply | None = None
@@ -94,9 +102,7 @@
             reason = replies.IncompleteReason.DEADLINE
             if self._is_started:
                 return replies.Streamed(False, reason)
-            if self._possible_runs or (
-                self._current_exchange and self._current_exchange.is_sent
-            ):
+            if self.may_have_run:
                 return replies.Failure(
                     codes.ResultCode.OUTCOME_UNKNOWN, True, reason
                 )
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -27,6 +27,7 @@
 # reach the caller in time.
 ANSWER_MARGIN_S = 0.03
 NOT_READY_RETRY_AFTER_S = 0.3
+INTERNAL_ERROR_RETRY_AFTER_S = 0.3
 DRAINING_RETRY_AFTER_S = 0.05
 # How long streams are accepted during a drain: a stream lasts about 6 s and
 # a stop at most 8 s.
@@ -122,9 +123,16 @@
         try:
             routed = await self._route(request, facts, arrived_s)
         except BaseException as error:
-            self._record_incomplete(
-                facts, self._incomplete_reason(request, error), error
-            )
+            reason = self._incomplete_reason(request, error)
+            if _may_answer(error, reason):
+                _log_error(facts, error)
+                return self._refuse(
+                    facts,
+                    codes.ResultCode.INTERNAL_ERROR,
+                    503,
+                    INTERNAL_ERROR_RETRY_AFTER_S,
+                )
+            self._record_incomplete(facts, reason, error)
             raise
         if isinstance(routed, web.StreamResponse):
             return routed
@@ -233,6 +241,10 @@
             return await self._respond(routed, sink, reply)
         except BaseException as error:
             reason = self._incomplete_reason(request, error)
+            if sink.response is None and _may_answer(error, reason):
+                _log_error(routed.request.facts, error)
+                reply = _reply_to_error(forwarder.may_have_run)
+                return await self._respond(routed, sink, reply)
             self._record_incomplete(routed.request.facts, reason, error)
             if sink.response is not None:
                 sink.abort()
@@ -374,6 +386,41 @@
     return reason.value if reason else ''
 
 
+def _may_answer(
+    error: BaseException, reason: replies.IncompleteReason
+) -> bool:
+    """Tell whether a request that met an error gets an answer.
+
+    A cancellation may be an error, too. The server takes one that the handler
+    raises for a caller that left, and closes the connection.
+    """
+    task = asyncio.current_task()
+    return (
+        reason is replies.IncompleteReason.EXCEPTION
+        and isinstance(error, (Exception, asyncio.CancelledError))
+        and (task is None or not task.cancelling())
+    )
+
+
+def _log_error(facts: wire.CallerFacts, error: BaseException) -> None:
+    _LOG.error(
+        'Request failed by an error.',
+        exc_info=error,
+        extra={'request_id': facts.request_id},
+    )
+
+
+def _reply_to_error(may_have_run: bool) -> replies.Reply:
+    if may_have_run:
+        return replies.Failure(
+            codes.ResultCode.OUTCOME_UNKNOWN,
+            reason=replies.IncompleteReason.EXCEPTION,
+        )
+    return replies.Refusal(
+        codes.ResultCode.INTERNAL_ERROR, INTERNAL_ERROR_RETRY_AFTER_S
+    )
+
+
 def _route_request(
     request: web.BaseRequest,
     facts: wire.CallerFacts,
--- a/src/godwitvalve/outcomes/codes.py
+++ b/src/godwitvalve/outcomes/codes.py
@@ -28,6 +28,7 @@
     KEY_BUSY = 2013
     PROMPT_QUARANTINED = 2014
     ENDPOINT_LIMITS = 2015
+    INTERNAL_ERROR = 2016
 
     OUTCOME_UNKNOWN = 3000
     OWNER_UNREACHABLE = 3001
@@ -193,6 +194,13 @@
         'endpoint can take this one.',
         _RETRY,
     ),
+    ResultCode.INTERNAL_ERROR: CodeInfo(
+        503,
+        'internal error',
+        True,
+        'This entry instance met an error before it sent the request.',
+        _RETRY,
+    ),
     ResultCode.OUTCOME_UNKNOWN: CodeInfo(
         502,
         'outcome unknown',
