--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -73,6 +73,14 @@
         self._rejection: exchanges.Answered | None = None
         self._relocation: relocations.Relocation | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an endpoint may have run the stream."""
+        return bool(
+            self._possible_runs
+            or (self._current_exchange and self._current_exchange.is_sent)
+        )
+
     async def run(self) -> replies.Reply:
         """Return the result of the stream, at the latest at its deadline."""
         reply: replies.Reply | None = None
@@ -94,9 +102,7 @@
             reason = replies.IncompleteReason.DEADLINE
             if self._is_started:
                 return replies.Streamed(False, reason)
-            if self._possible_runs or (
-                self._current_exchange and self._current_exchange.is_sent
-            ):
+            if self.may_have_run:
                 return replies.Failure(
                     codes.ResultCode.OUTCOME_UNKNOWN, True, reason
                 )
@@ -141,7 +147,6 @@
                     else replies.IncompleteReason.NO_ENDPOINT,
                 )
             end, successor = await self._run_attempt(attempt)
-            self._current_exchange = None
             self._record_end(attempt, end)
             await self._record_crash(attempt, end)
             match end:
@@ -158,6 +163,7 @@
                     self._possible_runs += 1
                 case exchanges.Declined():
                     pass
+            self._current_exchange = None
             attempt = successor
             obstacle = None if successor else await self._wait_to_retry(end)
             if obstacle is not None:
