--- a/src/godwitvalve/platform/rollouts.py
+++ b/src/godwitvalve/platform/rollouts.py
@@ -42,7 +42,7 @@
     # Fields that the platform does not define: row version of the order and
     # start of the roll-out.
     order: bounds.Count = 0
-    began_ms: bounds.ClockMilliseconds = 0
+    began_ms: bounds.Count = 0
 
 
 _ORDER_DECODER = msgspec.json.Decoder(_Order)
