Refuse configurations, orders, statuses and settings with odd values

A configuration, a roll-out order, a status or a settings file with a field nested 100,000 deep raised RecursionError, which their readers do not expect. A configuration version or a row version in a status of 400 digits was accepted and cannot be sent to other entries; numbers above 10^300 overflow in calculations. On SIGHUP the exception of such a settings file was not in the log of the entry.

They are decoded like rows of endpoints now, with ranges in the types of the fields. An address in the settings needs a port of ASCII digits. Whatever the comparison of settings raises on SIGHUP is logged, and the entry goes on.

Property tests check that any bytes are decoded or refused.

--- a/features/platform/rows.feature
+++ b/features/platform/rows.feature
@@ -109,3 +109,43 @@
   Scenario: Any bytes are an answer of the store or count as an outage
     # Guards against errors that a follower of a table does not expect.
     Then any bytes are an answer of the store or count as an outage
+
+  Scenario Outline: An odd <kind> is refused
+    # Guards against an entry that ends because of what it reads, and against
+    # numbers that cannot be calculated with or sent to other entries.
+    When a <kind> in which "<field>" is <value> is decoded
+    Then it is refused for a reason of at most 300 characters
+
+    Examples:
+      | kind          | field            | value              |
+      | configuration | more             | nested deeply      |
+      | configuration | version          | a number too large |
+      | configuration | version          | below zero         |
+      | configuration | routes.priority  | a number too large |
+      | configuration | routes.timeout_ms| a number too large |
+      | configuration | tenants.name     | not UTF-8          |
+      | order         | more             | nested deeply      |
+      | order         | duration_s       | a number too large |
+      | order         | duration_s       | above 10^300       |
+      | order         | to               | not UTF-8          |
+      | status        | more             | nested deeply      |
+      | status        | order            | a number too large |
+      | status        | began_ms         | a number too large |
+      | settings file | more             | nested deeply      |
+      | settings file | stop_limit_s     | a number too large |
+      | settings file | stop_limit_s     | above 10^300       |
+      | settings file | memory_mb        | below zero         |
+      | settings file | peer_ports.0     | a number too large |
+      | settings file | store_address    | in another script  |
+      | settings file | instance_id      | not UTF-8          |
+
+  Scenario Outline: Any bytes are a <kind> or are refused
+    # Guards against errors that the reader does not expect.
+    Then any bytes are a <kind> or are refused
+
+    Examples:
+      | kind          |
+      | configuration |
+      | order         |
+      | status        |
+      | settings file |
--- a/features/steps/platform_rows_steps.py
+++ b/features/steps/platform_rows_steps.py
@@ -13,8 +13,11 @@
 from godwitvalve.gossip import node as gossip_node
 from godwitvalve.placement import choose
 from godwitvalve.placement import tracker
+from godwitvalve.platform import configuration as wire_configuration
 from godwitvalve.platform import endpoints as wire_endpoints
 from godwitvalve.platform import headers
+from godwitvalve.platform import rollouts as wire_rollouts
+from godwitvalve.platform import settings as wire_settings
 from godwitvalve.platform import store as stores
 from godwitvalve.rollouts import orders
 from godwitvalve.rollouts import registry as registries
@@ -475,3 +478,123 @@
         assert msgspec.msgpack.encode(answer)
 
     check()
+
+
+_CONTENTS = {
+    'configuration': {
+        'version': 7,
+        'routes': {
+            'name': 'r',
+            'host': 'h.example',
+            'prefix': '/a/',
+            'kind': 'idempotent',
+            'timeout_ms': 2500,
+            'target_latency_ms': 300,
+            'priority': 1,
+            'service': 'desk',
+        },
+        'tenants': {'name': 'acme', 'api_keys': ['k'], 'priority': 1},
+    },
+    'order': {'service': 'desk', 'to': 'v2', 'duration_s': 12},
+    'status': {'state': 'running', 'to': 'v2', 'order': 3, 'began_ms': 5},
+    'settings file': {
+        'instance_id': 'entry-0',
+        'failure_domain': 'fd-0',
+        'ip': '127.0.0.1',
+        'caller_address': '127.0.0.1:1',
+        'readiness_address': '127.0.0.1:2',
+        'directory_address': '127.0.0.1:3',
+        'control_address': '127.0.0.1:4',
+        'peer_ports': [5, 9],
+        'store_address': '127.0.0.1:6',
+        'stop_limit_s': 8,
+        'memory_mb': 128,
+    },
+}
+_LISTS = ('routes', 'tenants')
+_ODD_VALUES = {
+    'nested deeply': NESTED,
+    'a number too large': b'9' * 400,
+    'above 10^300': b'1e301',
+    'below zero': b'-1',
+    'not UTF-8': b'"\xff"',
+    'in another script': '"127.0.0.1:٨٠"'.encode(),
+}
+_DECODERS = {
+    'configuration': (
+        wire_configuration.decode,
+        wire_configuration.InvalidConfiguration,
+    ),
+    'order': (
+        lambda content: wire_rollouts.decode_order(content, 1),
+        wire_rollouts.InvalidRollout,
+    ),
+    'status': (
+        lambda content: wire_rollouts.decode_status(content, 1),
+        wire_rollouts.InvalidRollout,
+    ),
+    'settings file': (wire_settings.decode, wire_settings.SettingsError),
+}
+
+
+def _encode(raw):
+    """Encode content; the objects of lists stand alone in it."""
+    return json.dumps(
+        {
+            name: [value] if name in _LISTS else value
+            for name, value in raw.items()
+        }
+    ).encode()
+
+
+@behave.when('a {kind} in which "{field}" is {value} is decoded')
+def decode_odd(context, kind, field, value):
+    raw = json.loads(json.dumps(_CONTENTS[kind]))
+    decode, error_type = _DECODERS[kind]
+    # The content as such is valid.
+    decode(_encode(raw))
+    *path, last = field.split('.')
+    target = raw
+    for name in path:
+        target = target[name]
+    target[int(last) if last.isdigit() else last] = 'REPLACED'
+    content = _encode(raw).replace(b'"REPLACED"', _ODD_VALUES[value])
+    context.refusal = None
+    try:
+        decode(content)
+    except error_type as error:
+        context.refusal = str(error)
+
+
+@behave.then('it is refused for a reason of at most {limit:d} characters')
+def is_refused(context, limit):
+    assert context.refusal is not None
+    assert len(context.refusal) <= limit, context.refusal
+
+
+@strategies.composite
+def _changed_content(draw, raw):
+    changed = dict(raw)
+    for name in draw(strategies.sets(strategies.sampled_from(list(raw)))):
+        changed[name] = draw(_VALUES)
+    for name in set(_LISTS) & set(raw):
+        inner = dict(raw[name])
+        for field in draw(strategies.sets(strategies.sampled_from([*inner]))):
+            inner[field] = draw(_VALUES)
+        changed[name] = inner
+    return _encode(changed)
+
+
+@behave.then('any bytes are a {kind} or are refused')
+def any_content(context, kind):
+    decode, error_type = _DECODERS[kind]
+
+    @SETTINGS
+    @hypothesis.given(strategies.binary() | _changed_content(_CONTENTS[kind]))
+    def check(content):
+        try:
+            decode(content)
+        except error_type:
+            return
+
+    check()
--- a/src/godwitvalve/decoding/bounds.py
+++ b/src/godwitvalve/decoding/bounds.py
@@ -29,12 +29,19 @@
     r'|[1-5][0-9]{4}|[1-9][0-9]{0,3})'
 )
 
+Integer: TypeAlias = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 Slots: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 UnixMilliseconds: TypeAlias = Annotated[
     int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)
 ]
+# A clock that did not start in 1970, such as that of the store.
+ClockMilliseconds: TypeAlias = Annotated[
+    int, msgspec.Meta(ge=-MAX_UNIX_MS, le=MAX_UNIX_MS)
+]
+Port: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 # Excludes NaN and infinity.
+Number: TypeAlias = Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
 Amount: TypeAlias = Annotated[float, msgspec.Meta(ge=0.0, le=1e12)]
 Name: TypeAlias = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
 # Sent in a header.
--- a/src/godwitvalve/decoding/content.py
+++ b/src/godwitvalve/decoding/content.py
@@ -9,6 +9,8 @@
 
 # Bounds what a log line repeats of invalid content.
 MAX_REASON_CHARS = 200
+# A 64-bit integer has at most 19 digits.
+MAX_COUNT_DIGITS = 18
 _PATTERN_REASON = re.compile(r"matching regex '.*'")
 
 _T_co = TypeVar('_T_co', covariant=True)
@@ -45,3 +47,13 @@
         raise InvalidContent(describe(error)) from error
     except RecursionError as error:
         raise InvalidContent('nested too deeply') from error
+
+
+def parse_count(text: str) -> int | None:
+    """Return a number of ASCII digits; None if it is anything else.
+
+    Python's own conversion accepts signs, underscores and digits of other
+    scripts, and fails for thousands of digits.
+    """
+    is_count = text.isascii() and text.isdigit()
+    return int(text) if is_count and len(text) <= MAX_COUNT_DIGITS else None
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -545,6 +545,10 @@
 
         Changed settings apply only after a restart.
         """
+        with self._failures.isolate('read the settings again'):
+            self._compare_settings()
+
+    def _compare_settings(self) -> None:
         try:
             settings = wire_settings.load()
         except wire_settings.SettingsError as error:
--- a/src/godwitvalve/platform/configuration.py
+++ b/src/godwitvalve/platform/configuration.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from godwitvalve.decoding import bounds
+from godwitvalve.decoding import content as contents
 from godwitvalve.fleet import routes
 
 TABLE = 'op'
@@ -22,7 +24,7 @@
 
 class _Split(msgspec.Struct):
     service: str
-    weight: float
+    weight: bounds.Number
 
 
 class _Route(msgspec.Struct):
@@ -30,17 +32,17 @@
     host: str
     prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float
+    timeout_ms: bounds.Number
+    target_latency_ms: bounds.Number
     # 0 is the most urgent.
-    priority: int = 5
+    priority: bounds.Integer = 5
     service: str | None = None
     traffic_split: list[_Split] = []
     # Limits the number of endpoints tried, not the attempts at each.
-    max_attempts: int = 1
+    max_attempts: bounds.Integer = 1
     public: bool = False
     stream_resume: bool = False
-    gap_target_ms: float = 0.0
+    gap_target_ms: bounds.Number = 0.0
 
 
 class _Engine(msgspec.Struct):
@@ -56,23 +58,26 @@
 
 
 class _Limits(msgspec.Struct):
-    max_body_bytes: int = 4194304
+    max_body_bytes: bounds.Integer = 4194304
 
 
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: bounds.Integer | None = None
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: bounds.Count
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
     tenants: list[_Tenant] = []
 
 
+_DECODER = msgspec.json.Decoder(_Configuration)
+
+
 def _route(raw: _Route) -> routes.Route:
     services = tuple(
         routes.WeightedService(split.service, split.weight)
@@ -108,11 +113,11 @@
     """Decode a configuration.
 
     :raises InvalidConfiguration: if the content is not JSON, or if fields
-        are missing or of another type.
+        are missing, of another type or out of range.
     """
     try:
-        raw = msgspec.json.decode(content, type=_Configuration)
-    except msgspec.DecodeError as error:
+        raw = contents.decode(_DECODER, content)
+    except contents.InvalidContent as error:
         raise InvalidConfiguration(str(error)) from error
     return routes.Configuration(
         raw.version,
--- a/src/godwitvalve/platform/rollouts.py
+++ b/src/godwitvalve/platform/rollouts.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from godwitvalve.decoding import bounds
+from godwitvalve.decoding import content as contents
 from godwitvalve.rollouts import orders
 
 # Orders are stored in the operator's table, next to the configuration.
@@ -28,19 +30,23 @@
 
 
 class _Order(msgspec.Struct):
-    service: str
+    service: bounds.Name
     # Software version to which the service moves.
-    to: str
-    duration_s: float
+    to: bounds.Name
+    duration_s: bounds.Number
 
 
 class _Status(msgspec.Struct):
-    state: str
-    to: str
+    state: bounds.Name
+    to: bounds.Name
     # Fields that the platform does not define: row version of the order and
     # start of the roll-out.
-    order: int = 0
-    began_ms: int = 0
+    order: bounds.Count = 0
+    began_ms: bounds.ClockMilliseconds = 0
+
+
+_ORDER_DECODER = msgspec.json.Decoder(_Order)
+_STATUS_DECODER = msgspec.json.Decoder(_Status)
 
 
 def is_order(key: str) -> bool:
@@ -59,8 +65,8 @@
     :raises InvalidRollout: if fields are missing or have invalid values.
     """
     try:
-        raw = msgspec.json.decode(content, type=_Order)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raw = contents.decode(_ORDER_DECODER, content)
+    except contents.InvalidContent as error:
         raise InvalidRollout(str(error)) from error
     return orders.RolloutOrder(
         raw.service, raw.to, raw.duration_s, row_version
@@ -86,8 +92,8 @@
     :raises InvalidRollout: if fields are missing or have invalid values.
     """
     try:
-        raw = msgspec.json.decode(content, type=_Status)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raw = contents.decode(_STATUS_DECODER, content)
+    except contents.InvalidContent as error:
         raise InvalidRollout(str(error)) from error
     state = _STATES_BY_NAME.get(raw.state)
     if state is None:
--- a/src/godwitvalve/platform/settings.py
+++ b/src/godwitvalve/platform/settings.py
@@ -7,10 +7,16 @@
 
 import msgspec
 
+from godwitvalve.decoding import bounds
+from godwitvalve.decoding import content as contents
+
 # Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = 'GODWITVALVE_BOOT'
 # Heartbeats and permits use a port each.
 PEER_PORTS = 2
+MAX_PORT = 65535
+
+_DECODER = msgspec.json.Decoder()
 
 
 class SettingsError(Exception):
@@ -37,30 +43,32 @@
     readiness_address: str
     directory_address: str
     control_address: str
-    peer_ports: tuple[int, int]
+    peer_ports: tuple[bounds.Port, bounds.Port]
     store_address: str
     seed_addresses: list[str] = []
-    stop_limit_s: float = 8.0
-    address_validity_limit_s: float = 5.0
-    address_reuse_s: float = 0.0
-    retry_budget_ratio: float = 0.8
-    retry_budget_burst: float = 150.0
-    exposure_share: float = 0.1
-    exposure_slack: float = 50.0
-    memory_mb: float = 128.0
-    configuration_limit_ms: float = 2000.0
+    stop_limit_s: bounds.Amount = 8.0
+    address_validity_limit_s: bounds.Amount = 5.0
+    address_reuse_s: bounds.Amount = 0.0
+    retry_budget_ratio: bounds.Amount = 0.8
+    retry_budget_burst: bounds.Amount = 150.0
+    exposure_share: bounds.Amount = 0.1
+    exposure_slack: bounds.Amount = 50.0
+    memory_mb: bounds.Amount = 128.0
+    configuration_limit_ms: bounds.Amount = 2000.0
+
+
+def _is_address(value: object) -> bool:
+    if not isinstance(value, str):
+        return False
+    host, _, port = value.rpartition(':')
+    return bool(host) and 0 < (contents.parse_count(port) or 0) <= MAX_PORT
 
 
 def _address_errors(raw: dict[str, object]) -> list[str]:
     return [
-        f'{name}: {value!r} is not IP:port'
+        f'{name}: {value!r:.{contents.MAX_REASON_CHARS}} is not IP:port'
         for name, value in raw.items()
-        if name.endswith('_address')
-        and (
-            not isinstance(value, str)
-            or not value.rpartition(':')[0]
-            or not value.rpartition(':')[2].isdigit()
-        )
+        if name.endswith('_address') and not _is_address(value)
     ]
 
 
@@ -82,7 +90,7 @@
         try:
             msgspec.convert(raw[field.name], field.type)
         except msgspec.ValidationError as error:
-            errors.append(f'{field.name}: {error}')
+            errors.append(f'{field.name}: {contents.describe(error)}')
     return errors
 
 
@@ -92,8 +100,8 @@
     :raises SettingsError: with one line for each error.
     """
     try:
-        raw = msgspec.json.decode(content)
-    except msgspec.DecodeError as error:
+        raw = contents.decode(_DECODER, content)
+    except contents.InvalidContent as error:
         raise SettingsError(f'(file): not JSON: {error}') from error
     if not isinstance(raw, dict):
         raise SettingsError('(file): not a JSON object')
--- a/src/godwitvalve/platform/store.py
+++ b/src/godwitvalve/platform/store.py
@@ -69,7 +69,7 @@
     # Decoded one by one, so that an odd row costs that row alone.
     rows: list[msgspec.Raw] = []
     has_more: bool = False
-    now_ms: bounds.Count = 0
+    now_ms: bounds.ClockMilliseconds = 0
 
 
 _DECODER = msgspec.json.Decoder(_WireRows)
