Read odd numbers in headers and event ids as not stated

A number of thousands of digits in Last-Event-Id or Token-Usage of a caller, or in Server-Load, Keep-Alive or an event id of an endpoint, ended the request by a ValueError of the entry instead of an answer. So did digits such as the superscript two in Server-Load and Keep-Alive, which str.isdigit() accepts and int() does not. A load of 400 digits was kept and overflows in the choice of an endpoint.

All of these are read by parse_count() now: at most 18 ASCII digits. A stream with a longer event id counts as damaged.

--- a/src/godwitvalve/forwarding/events.py
+++ b/src/godwitvalve/forwarding/events.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
-_EVENT_ID = re.compile(rb'^id: ?([0-9]+)\r?$', re.MULTILINE)
+_EVENT_ID = re.compile(rb'^id: ?([0-9]{1,18})\r?$', re.MULTILINE)
 _FIELD = re.compile(rb'^[^:\r\n]', re.MULTILINE)
 # Events of the known kinds of requests are under 1 KB.
 MAX_EVENT_BYTES = 1024 * 1024
--- a/src/godwitvalve/platform/headers.py
+++ b/src/godwitvalve/platform/headers.py
@@ -6,6 +6,7 @@
 import re
 from typing import NamedTuple
 
+from godwitvalve.decoding import content as contents
 from godwitvalve.endpoint_limits import statements
 from godwitvalve.services import headers as header_rules
 
@@ -137,7 +138,7 @@
 
 
 def _parse_count(text: str) -> int:
-    return int(text) if text.isascii() and text.isdigit() else 0
+    return contents.parse_count(text) or 0
 
 
 def _parse_milliseconds(text: str | None) -> float | None:
@@ -240,16 +241,17 @@
 def _parse_idle_limit_s(keep_alive: str) -> float | None:
     for item in keep_alive.split(','):
         name, _, value = item.strip().partition('=')
-        if name.lower() == 'timeout' and value.isdigit():
-            return float(value)
+        if name.lower() == 'timeout':
+            return contents.parse_count(value)
     return None
 
 
 def _parse_load(text: str) -> EndpointLoad | None:
-    numbers = [item.strip() for item in text.split(',')]
-    if len(numbers) != 3 or not all(item.isdigit() for item in numbers):
-        return None
-    return EndpointLoad(*map(int, numbers))
+    match [contents.parse_count(each.strip()) for each in text.split(',')]:
+        case [int(running), int(waiting), int(slots)]:
+            return EndpointLoad(running, waiting, slots)
+        case _:
+            return None
 
 
 def _read_limit(headers: RawHeaders) -> statements.LimitStatement:
