Drop odd messages and rows of other entries

Entries decode heartbeats, permits, tables and states of one another, and rows that they keep in the store, where another writer may leave others. A field nested deeply raised RecursionError. A peer address with a port out of range ended the task that sends heartbeats, and made asyncio close its socket; a NaN in a speed estimate refused every stream of the service; a permit of 0 requests a second divided by zero; an age of 400 digits ended the task that stores the evidence about prompts. Numbers of 400 digits or in superscript in a request to the control interface raised exceptions there.

The fields have ranges now and are decoded by contents.decode(). What an entry sends stays within them: ages of evidence are cut to the longest, and an id that an endpoint states and that fits no header counts as not stated, as the others would refuse the heartbeat that reports it. Each row that entries keep in the store is merged on its own.

--- a/features/platform/numbers.feature
+++ b/features/platform/numbers.feature
@@ -29,6 +29,18 @@
     When the event arrives
     Then the stream counts as damaged
 
+  Scenario Outline: An odd id of an endpoint is not used
+    # Guards against an id that cannot be sent in a header, or that the other
+    # entries refuse together with the heartbeat that reports it.
+    When an endpoint states an id that <what>
+    Then its id counts as not stated
+
+    Examples:
+      | what                             |
+      | is in another alphabet           |
+      | has a space                      |
+      | has 5000 characters              |
+
   Scenario: Any headers can be read
     # Guards against exceptions that a request does not expect.
     Then any headers of callers and endpoints can be read
--- a/features/steps/platform_numbers_steps.py
+++ b/features/steps/platform_numbers_steps.py
@@ -74,6 +74,24 @@
     assert context.is_damaged
 
 
+_IDENTITIES = {
+    'is in another alphabet': 'café',
+    'has a space': 'i 1',
+    'has 5000 characters': 'i' * 5000,
+}
+
+
+@behave.when('an endpoint states an id that {what}')
+def odd_identity(context, what):
+    value = _IDENTITIES[what].encode('latin-1')
+    context.identity = headers.read_identity([(b'Instance-Id', value)])
+
+
+@behave.then('its id counts as not stated')
+def identity_not_stated(context):
+    assert context.identity == ''
+
+
 @behave.then('any headers of callers and endpoints can be read')
 def any_headers(context):
     odd_numbers = strategies.one_of(
--- a/src/godwitvalve/decoding/bounds.py
+++ b/src/godwitvalve/decoding/bounds.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Annotated, TypeAlias
 
 import msgspec
@@ -15,6 +16,7 @@
 MAX_SLOTS = 100_000
 # The year 5138.
 MAX_UNIX_MS = 10**14
+MAX_MILLISECONDS = 10**12
 # Limit of the store for keys.
 MAX_NAME_CHARS = 200
 
@@ -29,6 +31,8 @@
     r'|[1-5][0-9]{4}|[1-9][0-9]{0,3})'
 )
 
+IDENTIFIER = re.compile(rf'\A[!-~]{{1,{MAX_NAME_CHARS}}}\Z')
+
 Integer: TypeAlias = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 Slots: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
@@ -40,13 +44,17 @@
     int, msgspec.Meta(ge=-MAX_UNIX_MS, le=MAX_UNIX_MS)
 ]
 Port: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=65535)]
-# Excludes NaN and infinity.
+Milliseconds: TypeAlias = Annotated[
+    int, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)
+]
+# These exclude NaN and infinity.
 Number: TypeAlias = Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
 Amount: TypeAlias = Annotated[float, msgspec.Meta(ge=0.0, le=1e12)]
+Rate: TypeAlias = Annotated[float, msgspec.Meta(gt=0.0, le=1e12)]
 Name: TypeAlias = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
 # Sent in a header.
 Identifier: TypeAlias = Annotated[
-    str, msgspec.Meta(pattern=rf'\A[!-~]{{1,{MAX_NAME_CHARS}}}\Z')
+    str, msgspec.Meta(pattern=IDENTIFIER.pattern)
 ]
 IpPort: TypeAlias = Annotated[
     str, msgspec.Meta(pattern=rf'\A{_HOST}:{_PORT}\Z')
--- a/src/godwitvalve/endpoint_limits/messages.py
+++ b/src/godwitvalve/endpoint_limits/messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from godwitvalve.decoding import bounds
+
 
 class PermitRequest(msgspec.Struct, array_like=True, tag=0, frozen=True):
     """Asks for one request to an endpoint.
@@ -13,10 +15,10 @@
     :param is_confirmation: whether the request is to confirm the limit.
     """
 
-    number: int
+    number: bounds.Count
     endpoint_id: str
-    started_wall_ms: int
-    requests_per_s: float
+    started_wall_ms: bounds.UnixMilliseconds
+    requests_per_s: bounds.Rate
     is_confirmation: bool
 
 
@@ -26,8 +28,8 @@
     :param wait_ms: milliseconds after which to ask again; 0 grants it.
     """
 
-    number: int
-    wait_ms: int
+    number: bounds.Count
+    wait_ms: bounds.Milliseconds
 
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/src/godwitvalve/endpoint_limits/node.py
+++ b/src/godwitvalve/endpoint_limits/node.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from godwitvalve.decoding import content as contents
 from godwitvalve.endpoint_limits import messages
 from godwitvalve.logs import repeats
 from godwitvalve.logs import setup as logs
@@ -49,8 +50,8 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Answer a question, or pass on the answer to an own one."""
         try:
-            message = messages.DECODER.decode(data)
-        except msgspec.DecodeError as error:
+            message = contents.decode(messages.DECODER, data)
+        except contents.InvalidContent as error:
             if self._logged_senders.admits(addr[0], time.monotonic()):
                 _LOG.warning(
                     'Dropped an invalid datagram.',
--- a/src/godwitvalve/endpoint_limits/reports.py
+++ b/src/godwitvalve/endpoint_limits/reports.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from godwitvalve.decoding import bounds
+
 
 class LimitReport(NamedTuple):
     """The limit that an endpoint stated in an answer to the reporting entry.
@@ -14,6 +16,6 @@
     """
 
     endpoint_id: str
-    started_wall_ms: int
-    requests_per_s: float | None
-    age_ms: int
+    started_wall_ms: bounds.UnixMilliseconds
+    requests_per_s: bounds.Rate | None
+    age_ms: bounds.Milliseconds
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from godwitvalve.decoding import bounds
 from godwitvalve.endpoint_limits import reports as limit_reports
 from godwitvalve.fleet import endpoints
 from godwitvalve.placement import choose
@@ -67,16 +68,18 @@
     :param limits: request limits that endpoints stated in answers to it.
     """
 
-    instance_id: str
-    started_wall_ms: int
-    heartbeat: int
-    state: int
-    caller_address: str
-    peer_address: str
-    failure_domain: str
-    configuration_version: int
-    placements: dict[str, tuple[int, int, int]] = {}
-    replaced: list[tuple[str, int]] = []
+    instance_id: bounds.Name
+    started_wall_ms: bounds.UnixMilliseconds
+    heartbeat: bounds.Count
+    state: bounds.Integer
+    caller_address: bounds.IpPort
+    peer_address: bounds.IpPort
+    failure_domain: bounds.Name
+    configuration_version: bounds.Count
+    placements: dict[
+        str, tuple[bounds.Integer, bounds.Integer, bounds.Integer]
+    ] = {}
+    replaced: list[tuple[str, bounds.Integer]] = []
     sessions: dict[str, str] = {}
     lost: list[str] = []
     provisional: list[endpoints.FleetEndpoint] = []
@@ -85,7 +88,7 @@
     quarantine: quarantine_reports.QuarantineReport = (
         quarantine_reports.QuarantineReport()
     )
-    leaving: list[tuple[str, int]] = []
+    leaving: list[tuple[str, bounds.Integer]] = []
     limits: list[limit_reports.LimitReport] = []
 
     @property
@@ -97,7 +100,7 @@
 class AgedRecord(NamedTuple):
     """A record and the milliseconds since its owner sent it."""
 
-    age_ms: int
+    age_ms: bounds.Milliseconds
     record: Record
 
 
--- a/src/godwitvalve/gossip/node.py
+++ b/src/godwitvalve/gossip/node.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from godwitvalve.decoding import content as contents
 from godwitvalve.gossip import members as member_model
 from godwitvalve.lifecycle import supervision
 from godwitvalve.logs import repeats
@@ -69,8 +70,8 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Merge the records of a datagram; invalid ones are dropped."""
         try:
-            records = _DECODER.decode(data)
-        except msgspec.DecodeError as error:
+            records = contents.decode(_DECODER, data)
+        except contents.InvalidContent as error:
             if self._logged_senders.admits(addr[0], time.monotonic()):
                 _LOG.warning(
                     'Dropped an invalid datagram.',
--- a/src/godwitvalve/ingress/membership.py
+++ b/src/godwitvalve/ingress/membership.py
@@ -11,6 +11,7 @@
 import aiohttp
 import msgspec
 
+from godwitvalve.decoding import content as contents
 from godwitvalve.endpoint_limits import node as permit_nodes
 from godwitvalve.fleet import consumers
 from godwitvalve.fleet import state as states
@@ -36,6 +37,7 @@
 _LOG = logs.get('membership')
 _ENCODER = msgspec.json.Encoder()
 _DECODER = msgspec.json.Decoder(member_model.Record)
+_STATE_DECODER = msgspec.msgpack.Decoder(control.SharedState)
 
 
 def peer_address(settings: wire_settings.FleetSettings) -> str:
@@ -125,14 +127,14 @@
         answer = await self._store.rows(TABLE)
         for row in answer.rows:
             try:
-                self._members.add_stored(
-                    _DECODER.decode(row.value or b''), time.monotonic()
-                )
-            except msgspec.DecodeError as error:
+                record = contents.decode(_DECODER, row.value or b'')
+            except contents.InvalidContent as error:
                 _LOG.warning(
                     'Skipped an entry row that cannot be decoded.',
                     extra={'key': row.key, 'reason': str(error)},
                 )
+                continue
+            self._members.add_stored(record, time.monotonic())
 
 
 def choose_peer(
@@ -210,8 +212,8 @@
 
     def _apply_state(self, content: bytes, peer: str) -> None:
         try:
-            shared = msgspec.msgpack.decode(content, type=control.SharedState)
-        except msgspec.DecodeError as error:
+            shared = contents.decode(_STATE_DECODER, content)
+        except contents.InvalidContent as error:
             _LOG.warning(
                 'A peer sent a state that cannot be decoded.',
                 extra={'peer': peer, 'reason': str(error)},
--- a/src/godwitvalve/ingress/peer_tables.py
+++ b/src/godwitvalve/ingress/peer_tables.py
@@ -10,6 +10,8 @@
 from aiohttp import web
 import msgspec
 
+from godwitvalve.decoding import bounds
+from godwitvalve.decoding import content as contents
 from godwitvalve.fleet import relay as relays
 from godwitvalve.fleet import sources
 from godwitvalve.forwarding import sockets
@@ -32,12 +34,15 @@
         trusted.
     """
 
-    version: int
-    age_ms: int
-    removals_untrusted_ms: int
+    version: bounds.Count
+    age_ms: bounds.Milliseconds
+    removals_untrusted_ms: bounds.Milliseconds
     rows: list[stores.StoredRow]
 
 
+_DECODER = msgspec.msgpack.Decoder(_TableMessage)
+
+
 class RelayServer:
     """Serves the relayed tables of this entry to other entries."""
 
@@ -47,15 +52,15 @@
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Answer a request for a complete table or for its changes."""
         relay = self._tables.get(request.query.get('table', ''))
-        after = request.query.get('after', '')
-        wait_ms = request.query.get('wait_ms', '0')
-        if relay is None or not wait_ms.isdigit():
+        after = contents.parse_count(request.query.get('after', ''))
+        wait_ms = contents.parse_count(request.query.get('wait_ms', '0'))
+        if relay is None or wait_ms is None:
             return web.Response(status=404)
         now_s = time.monotonic()
         try:
             answer = (
-                await relay.changes(int(after), int(wait_ms) / 1000, now_s)
-                if after.isdigit()
+                await relay.changes(after, wait_ms / 1000, now_s)
+                if after is not None
                 else relay.snapshot()
             )
         except stores.HistoryExpired:
@@ -123,8 +128,8 @@
                 f'{self._url}: expected status 200, got {answer.status}'
             )
         try:
-            message = msgspec.msgpack.decode(content, type=_TableMessage)
-        except msgspec.DecodeError as error:
+            message = contents.decode(_DECODER, content)
+        except contents.InvalidContent as error:
             raise stores.StoreUnavailable(str(error)) from error
         return self._to_answer(message)
 
--- a/src/godwitvalve/ingress/shared_states.py
+++ b/src/godwitvalve/ingress/shared_states.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from godwitvalve.decoding import bounds
+from godwitvalve.decoding import content as contents
 from godwitvalve.placement import sessions as session_model
 from godwitvalve.quarantine import reports
 from godwitvalve.quarantine import segments as segment_model
@@ -14,6 +16,7 @@
 SESSIONS_TABLE = 'sessions'
 QUARANTINE_TABLE = 'quarantine'
 _EMPTY = b'{}'
+_SESSIONS_DECODER = msgspec.json.Decoder(dict[str, str])
 
 
 class SessionState:
@@ -38,10 +41,10 @@
     def merge(self, content: bytes) -> None:
         """Merge the sessions of an entry.
 
-        :raises msgspec.DecodeError: if they cannot be decoded.
+        :raises InvalidContent: if they cannot be decoded.
         """
         self._table.merge(
-            msgspec.json.decode(content, type=dict[str, str]),
+            contents.decode(_SESSIONS_DECODER, content),
             time.monotonic(),
         )
 
@@ -57,10 +60,13 @@
 class _QuarantineRow(msgspec.Struct):
     """Evidence of an entry, as of a time of day."""
 
-    written_wall_ms: int = 0
+    written_wall_ms: bounds.UnixMilliseconds = 0
     report: reports.QuarantineReport = reports.QuarantineReport()
 
 
+_QUARANTINE_DECODER = msgspec.json.Decoder(_QuarantineRow)
+
+
 class QuarantineState:
     """Evidence about prompts that crash endpoints.
 
@@ -84,9 +90,9 @@
     def merge(self, content: bytes) -> None:
         """Merge the evidence of an entry.
 
-        :raises msgspec.DecodeError: if it cannot be decoded.
+        :raises InvalidContent: if it cannot be decoded.
         """
-        row = msgspec.json.decode(content, type=_QuarantineRow)
+        row = contents.decode(_QUARANTINE_DECODER, content)
         age_ms = max(int(time.time() * 1000) - row.written_wall_ms, 0)
         self._quarantine.merge(row.report, time.monotonic(), age_ms / 1000)
 
--- a/src/godwitvalve/ingress/state_rows.py
+++ b/src/godwitvalve/ingress/state_rows.py
@@ -6,8 +6,8 @@
 import time
 from typing import Protocol
 
-import msgspec
-
+from godwitvalve.decoding import content as contents
+from godwitvalve.lifecycle import supervision
 from godwitvalve.logs import setup as logs
 from godwitvalve.platform import store as stores
 
@@ -19,6 +19,7 @@
 READ_RETRY_PAUSE_S = 0.3
 
 _LOG = logs.get('ingress')
+_FAILURES = supervision.FailureLog(_LOG)
 
 
 class SharedState(Protocol):
@@ -27,7 +28,7 @@
     def merge(self, content: bytes) -> None:
         """Merge the content of a row.
 
-        :raises msgspec.DecodeError: if it cannot be decoded.
+        :raises InvalidContent: if it cannot be decoded.
         """
 
     def content(self) -> bytes:
@@ -94,17 +95,21 @@
 
     def _merge_rows(self, rows: list[stores.StoredRow]) -> None:
         for row in rows:
-            try:
-                self._state.merge(row.value or b'{}')
-            except msgspec.DecodeError as error:
-                _LOG.warning(
-                    'Skipped a row that cannot be decoded.',
-                    extra={
-                        'table': self._table,
-                        'key': row.key,
-                        'reason': str(error),
-                    },
-                )
+            with _FAILURES.isolate('merge the row of an entry'):
+                self._merge_row(row)
+
+    def _merge_row(self, row: stores.StoredRow) -> None:
+        try:
+            self._state.merge(row.value or b'{}')
+        except contents.InvalidContent as error:
+            _LOG.warning(
+                'Skipped a row that cannot be decoded.',
+                extra={
+                    'table': self._table,
+                    'key': row.key,
+                    'reason': str(error),
+                },
+            )
 
     async def write_changes(self) -> None:
         """Write the own row if its content has changed."""
--- a/src/godwitvalve/placement/speed.py
+++ b/src/godwitvalve/placement/speed.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from godwitvalve.decoding import bounds
+
 # Smoothing factor for slower observations; faster ones are used at once, so
 # that the estimate is that of a lightly loaded endpoint.
 SLOWER_SHARE = 0.05
@@ -22,9 +24,9 @@
     :param events_per_token: events per token of the output limit.
     """
 
-    prompt_token_ms: float
-    event_ms: float
-    events_per_token: float
+    prompt_token_ms: bounds.Number
+    event_ms: bounds.Number
+    events_per_token: bounds.Number
 
 
 def _smoothed(before: float, observed: float) -> float:
--- a/src/godwitvalve/platform/headers.py
+++ b/src/godwitvalve/platform/headers.py
@@ -6,6 +6,7 @@
 import re
 from typing import NamedTuple
 
+from godwitvalve.decoding import bounds
 from godwitvalve.decoding import content as contents
 from godwitvalve.endpoint_limits import statements
 from godwitvalve.services import headers as header_rules
@@ -274,8 +275,9 @@
 
 
 def read_identity(headers: RawHeaders) -> str:
-    """Return the id of the endpoint that answered; empty if not stated."""
-    return _decode_headers(headers).get('instance-id', '')
+    """Return the id of the endpoint that answered; empty if not usable."""
+    identity = _decode_headers(headers).get('instance-id', '')
+    return identity if bounds.IDENTIFIER.match(identity) else ''
 
 
 def read_answer(status: int, headers: RawHeaders) -> AnswerFacts:
--- a/src/godwitvalve/platform/store.py
+++ b/src/godwitvalve/platform/store.py
@@ -40,7 +40,7 @@
     """A row; ``version`` orders all writes, a deleted row has no value."""
 
     key: str
-    version: int
+    version: bounds.Count
     value: bytes | None
 
 
--- a/src/godwitvalve/quarantine/reports.py
+++ b/src/godwitvalve/quarantine/reports.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from godwitvalve.decoding import bounds
+
 
 class CrashReport(NamedTuple):
     """An endpoint that crashed as it began the answer to a prompt.
@@ -17,8 +19,8 @@
     service: str
     endpoint_id: str
     segments: tuple[str, ...]
-    age_ms: int
-    run_ms: int
+    age_ms: bounds.Milliseconds
+    run_ms: bounds.Milliseconds
 
 
 class SoundReport(NamedTuple):
@@ -29,7 +31,7 @@
 
     service: str
     segment: str
-    age_ms: int
+    age_ms: bounds.Milliseconds
 
 
 class QuarantineReport(NamedTuple):
--- a/src/godwitvalve/quarantine/segments.py
+++ b/src/godwitvalve/quarantine/segments.py
@@ -6,6 +6,7 @@
 import itertools
 from typing import NamedTuple
 
+from godwitvalve.decoding import bounds
 from godwitvalve.quarantine import reports
 
 # Crashes after which a segment is blocked that no answer has shown to be
@@ -315,4 +316,5 @@
 
 
 def _duration_ms(from_s: float, to_s: float) -> int:
-    return max(int((to_s - from_s) * 1000), 0)
+    duration_ms = max(int((to_s - from_s) * 1000), 0)
+    return min(duration_ms, bounds.MAX_MILLISECONDS)
--- a/src/godwitvalve/rollouts/reports.py
+++ b/src/godwitvalve/rollouts/reports.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from godwitvalve.decoding import bounds
 from godwitvalve.rollouts import orders
 from godwitvalve.rollouts import outcome_counts
 
@@ -20,9 +21,9 @@
 
     service: str
     version: str
-    duration_ms: int
-    row_version: int
-    elapsed_ms: int
+    duration_ms: bounds.Integer
+    row_version: bounds.Count
+    elapsed_ms: bounds.Integer
     state: orders.RolloutState
     is_stored: bool
     counts: outcome_counts.OutcomeCounts
