Test entries as processes beside odd rows and odd settings

Runs three entries while eleven odd rows lie among those of the endpoints: entries that are running, one that starts beside them, and a change of endpoints after which the rows are written again. A second scenario sends SIGHUP after each of seven odd contents of the settings file.

--- a/features/ingress/fleet.feature
+++ b/features/ingress/fleet.feature
@@ -87,6 +87,30 @@
     And a caller sends a complaint
     Then the complaint ran once and its answer is the endpoint's own
 
+  Scenario: Odd rows of endpoints end no entry and hide no other row
+    # Guards against entries that end again and again, or do not follow the
+    # table any more, while another writer's rows are among the endpoints.
+    Given a fleet with 2 entries, 1 model endpoints and 1 plain endpoint
+    When odd rows are left among those of the endpoints
+    And another entry starts beside them
+    Then each entry serves 5 complaints at "p0"
+    When the endpoint "p1" takes over from "p0"
+    And odd rows are left among those of the endpoints
+    Then each entry serves 5 complaints at "p1"
+    When a caller asks for a summary
+    Then the summary is complete
+    And no entry has ended or restarted a task
+    And each entry logged each odd row once
+
+  Scenario: An entry outlives any content of its settings file
+    # Guards against a process that ends at SIGHUP, and against operators who
+    # do not learn that the file is wrong.
+    Given a fleet with 1 entries, 1 model endpoints and 1 plain endpoint
+    When the settings file gets odd contents, each followed by SIGHUP
+    Then the entry logged an error for each
+    And each entry serves 5 complaints at "p0"
+    And no entry has ended or restarted a task
+
   Scenario: A failing version is rolled back
     # Guards against a roll-out order that no entry carries out, and against
     # callers that get answers of a failing version again and again.
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -406,6 +406,133 @@
     time.sleep(0.6)
 
 
+# Texts that replace the value of a field in the row of an endpoint.
+_ODD_FIELDS = {
+    'nested': ('more', '[' * 3000 + ']' * 3000),
+    'nested-zone': ('zone', '[' * 3000 + ']' * 3000),
+    'slots': ('slots', '9' * 400),
+    'many-slots': ('slots', '9' * 18),
+    'born': ('born', '9' * 40),
+    'sequence': ('sequence', '9' * 400),
+    'port': ('address', '"127.0.0.1:70000"'),
+    'port-space': ('address', '"127.0.0.1: 80"'),
+    'host': ('address', '"0.0.0.0:80"'),
+    'zone': ('zone', '"\\udc00"'),
+    'ι': ('state', '"ready"'),
+}
+
+
+@behave.when('odd rows are left among those of the endpoints')
+def odd_rows(context):
+    for key, (field, text) in _ODD_FIELDS.items():
+        row = {
+            'service': 'desk',
+            'address': context.fleet.addresses['p0'],
+            'zone': 'fd-0',
+            'version': 'v1',
+            'slots': 8,
+            'state': 'ready',
+        }
+        content = json.dumps(row | {field: 'REPLACED'})
+        context.fleet.post(
+            'store',
+            '/standin/rows',
+            {
+                'table': 'servers',
+                'part': '',
+                'key': key,
+                'value': content.replace('"REPLACED"', text),
+            },
+        )
+    # Followers pause for half a second between reads.
+    time.sleep(1.2)
+
+
+@behave.when('another entry starts beside them')
+def another_entry_starts(context):
+    name = f'entry-{len(context.entries)}'
+    context.fleet.start_entry(name, 'fd-0')
+    fleet_site.wait_ready(context.fleet, name)
+    context.entries.append(name)
+
+
+@behave.when('the endpoint "{new}" takes over from "{old}"')
+def endpoint_takes_over(context, new, old):
+    context.fleet.start_replica(new, 'desk', 'fd-0')
+    context.fleet.write_row('servers', old)
+    time.sleep(1.2)
+
+
+@behave.then('each entry serves {count:d} complaints at "{endpoint}"')
+def serves_at(context, count, endpoint):
+    for name in context.entries:
+        for number in range(count):
+            status, headers, body = _send_complaint(
+                context, name, request_id=f'{name}-{endpoint}-{number}'
+            )
+            assert status == 200, (name, status, body)
+            signature = headers['Response-Signature']
+            assert signature == f'signed-{endpoint}', (name, signature)
+
+
+@behave.then('no entry has ended or restarted a task')
+def none_ended(context):
+    for name in context.entries:
+        assert context.fleet.processes[name].poll() is None, name
+        unexpected = [
+            line
+            for line in context.fleet.log(name)
+            if 'nexpected' in line['message']
+        ]
+        assert not unexpected, unexpected
+
+
+@behave.then('each entry logged each odd row once')
+def logged_odd_rows(context):
+    for name in context.entries:
+        logged = [
+            line['endpoint_id']
+            for line in context.fleet.log(name)
+            if line['message'].endswith('Endpoint row is invalid.')
+        ]
+        assert sorted(logged) == sorted(_ODD_FIELDS), (name, logged)
+
+
+_ODD_SETTINGS = (
+    b'',
+    b'\xff\xfe',
+    b'[]',
+    b'[' * 100_000 + b']' * 100_000,
+    b'{"more":' + b'[' * 100_000 + b']' * 100_000 + b'}',
+    b'{"peer_ports": [1e400, "x"]}',
+    b'{"stop_limit_s": ' + b'9' * 400 + b'}',
+)
+
+
+@behave.when('the settings file gets odd contents, each followed by SIGHUP')
+def odd_settings(context):
+    for number, content in enumerate(_ODD_SETTINGS, 1):
+        (context.fleet.folder / 'entry-0.json').write_bytes(content)
+        context.fleet.signal('entry-0', signal.SIGHUP)
+        local_site.wait_until(
+            lambda number=number: _settings_errors(context) >= number,
+            f'an error for content {number}',
+            2.0,
+        )
+
+
+def _settings_errors(context):
+    return sum(
+        line['message'].endswith('keeping the current ones.')
+        for line in context.fleet.log('entry-0')
+    )
+
+
+@behave.then('the entry logged an error for each')
+def logged_settings(context):
+    assert _settings_errors(context) == len(_ODD_SETTINGS)
+
+
 @behave.when('the plain endpoint loses the answer to a complaint')
 def lose_answer(context):
     context.fleet.post('p0', '/standin/faults', {'mode': 'lost'})
