--- a/features/platform/rows.feature
+++ b/features/platform/rows.feature
@@ -130,7 +130,7 @@
       | order         | to               | not UTF-8          |
       | status        | more             | nested deeply      |
       | status        | order            | a number too large |
-      | status        | began_ms         | below zero         |
+      | status        | began_ms         | a number too large |
       | settings file | more             | nested deeply      |
       | settings file | stop_limit_s     | a number too large |
       | settings file | stop_limit_s     | above 10^300       |
