Answer the requests that a planned stop interrupts

Callers whose request was still in flight shortly before the stop limit saw their connection closed without an answer. A caller of a call that may not be repeated could not tell whether it had been sent; some calls had only waited for their turn and could have been refused as not run. No log line or counter told which requests these were.

Cause: at the stop limit the process closed its connections, and the HTTP server cancelled what was still running. The deadline of the stop was not a deadline of the requests.

Evidence: six requests sent 0.5 s before SIGTERM with a stop limit of 3 s, and 16 calls to an endpoint with one slot.

The wait of each request can now be ended as at its deadline, which already distinguishes what was never sent (503, a promise) from what has an unknown outcome (504). It holds for each wait, as the forwarder waits for a turn, a permit, a pause and an answer within one time limit, and the handler has one for the body. Each interruption is logged with the request id and what it waited for, and counted.

--- a/features/ingress/grace.feature
+++ b/features/ingress/grace.feature
@@ -5,6 +5,7 @@
     # a closed connection when the process is killed.
     Given an entry that is killed 5 s after its stop signal
     And calls that take 2700 ms of 3000 ms and streams of 3000 ms
+    And the entry knows how long streams take
     When requests of all kinds arrive in each second of the stop
     Then each request got its complete answer or was refused as not run
     And the requests at 0 s got their complete answers
@@ -16,7 +17,30 @@
     # passed on once it is whole, and cannot end before the process is killed.
     Given an entry that is killed 5 s after its stop signal
     And calls that take 2700 ms of 10000 ms and streams of 3000 ms
+    And the entry knows how long streams take
     When the body of a call is complete 2.5 s after the stop signal
     Then each request got its complete answer or was refused as not run
     And no endpoint ran a refused request
     And the process ended with code 0 before it was killed
+
+  Scenario: A request that outlasts the grace gets an answer
+    # Guards against requests of before the stop that end with a closed
+    # connection when the process does, without a log line.
+    Given an entry that is killed 3 s after its stop signal
+    And calls that take 8000 ms of 10000 ms and streams of 8000 ms
+    When requests of all kinds arrive 0.5 s before the stop signal
+    Then the calls failed with status 504 on closing connections
+    And the streams were cut after all calls had failed
+    And a log line tells of each request what it waited for
+    And the process ended with code 0 before it was killed
+
+  Scenario: A request that still waits for its turn is refused
+    # Guards against a closed connection, which does not tell the caller of a
+    # call that may not be repeated that it was never sent.
+    Given an entry that is killed 3 s after its stop signal
+    And an endpoint that runs 1 calls at once, each for 8000 ms
+    When 16 calls arrive 0.5 s before the stop signal
+    Then the running call failed with status 504 and the others were refused
+    And no endpoint ran a refused request
+    And a log line tells of each call that waited at the end
+    And the process ended with code 0 before it was killed
--- a/features/steps/ingress_grace_steps.py
+++ b/features/steps/ingress_grace_steps.py
@@ -52,12 +52,12 @@
         self._context = context
         self._request_id = request_id
         self._kind = kind
-        self._at_s = at_s
+        self.at_s = at_s
         self._connection = kept
         self.result = None
 
     def run(self):
-        remaining_s = self._context.stopped_s + self._at_s - time.monotonic()
+        remaining_s = self._context.stopped_s + self.at_s - time.monotonic()
         time.sleep(max(remaining_s, 0.0))
         connection = self._connection or _connect(self._context)
         sent_s = time.monotonic()
@@ -142,14 +142,28 @@
     '{stream_ms:d} ms'
 )
 def slow_endpoints(context, work_ms, timeout_ms, stream_ms):
+    _start(context, timeout_ms, stream_ms, f'--work-ms={work_ms}')
+
+
+@behave.given(
+    'an endpoint that runs {slots:d} calls at once, each for {work_ms:d} ms'
+)
+def endpoint_with_slots(context, slots, work_ms):
+    _start(context, 10000, 3000, f'--work-ms={work_ms}', f'--slots={slots}')
+
+
+def _start(context, timeout_ms, stream_ms, *call_options):
     fleet = context.fleet
     fleet.write_row('op', 'config', _configuration(timeout_ms))
-    fleet.start_replica('p0', 'desk', 'fd-0', f'--work-ms={work_ms}')
+    fleet.start_replica('p0', 'desk', 'fd-0', *call_options)
     gap_ms = stream_ms / EVENTS
     fleet.start_replica('m0', 'model', 'fd-0', f'--gap-ms={gap_ms}')
     fleet.start_entry('entry-0', 'fd-0', stop_limit_s=context.stop_limit_s)
     fleet_site.wait_ready(fleet, 'entry-0')
-    # The entry learns from complete streams how long they take.
+
+
+@behave.given('the entry knows how long streams take')
+def known_stream_time(context):
     context.stopped_s = time.monotonic()
     warm_up = Caller(context, 'warm-up', 'stream', 0.0)
     warm_up.run()
@@ -174,10 +188,16 @@
 
 
 def _play(context, callers):
-    context.stopped_s = time.monotonic()
-    _stop_and_kill(context)
+    """Send the requests of callers around a stop, which begins now.
+
+    Requests of before the stop are sent at once, and the stop begins later.
+    """
+    lead_s = -min(0.0, *(caller.at_s for caller in callers))
+    context.stopped_s = time.monotonic() + lead_s
     for caller in callers:
         caller.start()
+    time.sleep(lead_s)
+    _stop_and_kill(context)
     for caller in callers:
         caller.join(20)
     context.results = [caller.result for caller in callers]
@@ -227,6 +247,26 @@
     _play(context, [caller])
 
 
+@behave.when(
+    'requests of all kinds arrive {lead_s:g} s before the stop signal'
+)
+def before_stop(context, lead_s):
+    callers = [
+        Caller(context, f'{kind}-{number}', kind, -lead_s)
+        for kind, number in itertools.product(PREFIXES, range(2))
+    ]
+    _play(context, callers)
+
+
+@behave.when('{count:d} calls arrive {lead_s:g} s before the stop signal')
+def calls_before_stop(context, count, lead_s):
+    callers = [
+        Caller(context, f'once-{number}', 'once', -lead_s)
+        for number in range(count)
+    ]
+    _play(context, callers)
+
+
 def _runs(context):
     return {
         run[0] for name in ('p0', 'm0') for run in context.fleet.runs(name)
@@ -292,3 +332,65 @@
     killed_s = context.stopped_s + context.stop_limit_s
     remaining_s = max(killed_s - time.monotonic(), 0.0)
     assert context.fleet.wait('entry-0', remaining_s + 1.0) == 0
+
+
+def _calls(context):
+    return [each for each in context.results if each.kind != 'stream']
+
+
+@behave.then('the calls failed with status 504 on closing connections')
+def calls_failed(context):
+    calls = _calls(context)
+    assert calls
+    assert all(each.status == 504 and each.is_closing for each in calls), calls
+
+
+@behave.then(
+    'the running call failed with status 504 and the others were refused'
+)
+def others_refused(context):
+    # One waiting call at a time is sent, to see whether a slot is free.
+    failed = [each for each in context.results if each.status == 504]
+    others = [each for each in context.results if each.status != 504]
+    assert 1 <= len(failed) <= 2, context.results
+    assert all(map(_is_refused, others)), others
+
+
+@behave.then('the streams were cut after all calls had failed')
+def streams_cut_last(context):
+    cut = [each for each in context.results if each.kind == 'stream']
+    calls_ended_s = max(each.taken_s for each in _calls(context))
+    assert cut
+    assert all(each.error for each in cut), cut
+    assert min(each.taken_s for each in cut) > calls_ended_s, context.results
+
+
+def _waits(context):
+    """Return what each interrupted request waited for, by its id."""
+    return {
+        line['request_id']: line['waits_for']
+        for line in context.fleet.log('entry-0')
+        if 'Interrupting a request' in line['message']
+    }
+
+
+@behave.then('a log line tells of each request what it waited for')
+def each_logged(context):
+    expected = {
+        each.request_id: 'events' if each.kind == 'stream' else 'answer'
+        for each in context.results
+    }
+    assert _waits(context) == expected, _waits(context)
+
+
+@behave.then('a log line tells of each call that waited at the end')
+def waiting_logged(context):
+    refused_at_end = {
+        each.request_id
+        for each in context.results
+        if json.loads(each.body)['title'] == 'draining'
+    }
+    assert refused_at_end
+    waits = _waits(context)
+    found = {waits.get(each) for each in refused_at_end}
+    assert found <= {'turn', 'endpoint'}, waits
--- a/src/godwitvalve/forwarding/calls.py
+++ b/src/godwitvalve/forwarding/calls.py
@@ -9,6 +9,7 @@
 from godwitvalve.fleet import routes
 from godwitvalve.forwarding import context as contexts
 from godwitvalve.forwarding import exchange as exchanges
+from godwitvalve.forwarding import in_flight
 from godwitvalve.forwarding import policy
 from godwitvalve.forwarding import replies
 from godwitvalve.logs import setup as logs
@@ -46,10 +47,14 @@
     """Forwards one plain call and retries it within its limits."""
 
     def __init__(
-        self, context: contexts.ForwardingContext, routed: RoutedRequest
+        self,
+        context: contexts.ForwardingContext,
+        routed: RoutedRequest,
+        pending: in_flight.RequestInFlight | None = None,
     ) -> None:
         self._context = context
         self._routed = routed
+        self._pending = pending or in_flight.RequestInFlight()
         self._loop = asyncio.get_running_loop()
         self.endpoints: list[str] = []
         # Selects the version during a roll-out.
@@ -67,8 +72,9 @@
 
     async def run(self) -> replies.Reply:
         """Return the result of the call, at the latest at its deadline."""
+        self._pending.waits_for = in_flight.Wait.TURN
         try:
-            async with asyncio.timeout_at(self._routed.deadline_s):
+            async with self._pending.limit(self._routed.deadline_s):
                 return await self._forward()
         except asyncio.TimeoutError:
             return self._at_deadline()
@@ -148,6 +154,7 @@
         ):
             self._tried_ids.clear()
             if reason == policy.DECLINED:
+                self._pending.waits_for = in_flight.Wait.TURN
                 try:
                     await turn.wait_again()
                 except turns.TurnRefused as refused:
@@ -157,6 +164,7 @@
                         refused.retry_after_s,
                     ).reply
             else:
+                self._pending.waits_for = in_flight.Wait.ENDPOINT
                 await asyncio.sleep(policy.FULL_CALL_PAUSE_S)
         if await self._start():
             self._context.budget.try_retry(self._routed.service)
@@ -235,6 +243,8 @@
     async def _start(self) -> bool:
         """Start an attempt; tell whether an endpoint was available."""
         context = self._context
+        if not self._running:
+            self._pending.waits_for = in_flight.Wait.ENDPOINT
         endpoint = await context.select(
             self._candidates,
             lambda candidates, limits: choose.choose_call(
@@ -253,6 +263,7 @@
         self._tried_ids.add(endpoint.endpoint_id)
         self.endpoints.append(endpoint.endpoint_id)
         self._running.add(asyncio.create_task(self._send(endpoint)))
+        self._pending.waits_for = in_flight.Wait.ANSWER
         return True
 
     async def _send(
--- a/src/godwitvalve/forwarding/counters.py
+++ b/src/godwitvalve/forwarding/counters.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from godwitvalve.fleet import registry
+    from godwitvalve.forwarding import in_flight
     from godwitvalve.outcomes import codes
 
 # Bucket bounds of the latency histograms, around the objectives of plain
@@ -72,6 +73,11 @@
         self._refusals = self._counter(
             'godwitvalve_refusals_total', 'Own refusals by code.', labels
         )
+        self._interruptions = self._counter(
+            'godwitvalve_stop_interruptions_total',
+            'Requests ended by a planned stop, by what they waited for.',
+            labels,
+        )
         self._latency = collectors.Histogram(
             'godwitvalve_answer_seconds',
             'Time to the whole answer of a call.',
@@ -126,6 +132,10 @@
         """Count an answer of this entry in place of an endpoint's."""
         self._refusals.inc({'code': str(code.value), 'reason': code.name})
 
+    def count_interruption(self, wait: in_flight.Wait) -> None:
+        """Count a request that a planned stop ended."""
+        self._interruptions.inc({'waits_for': wait.value})
+
     def observe_answer(self, route: str, seconds: float) -> None:
         """Record the time to a complete answer."""
         self._latency.observe({'route': route}, seconds)
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -13,6 +13,7 @@
 from godwitvalve.forwarding import events
 from godwitvalve.forwarding import exchange as exchanges
 from godwitvalve.forwarding import gaps
+from godwitvalve.forwarding import in_flight
 from godwitvalve.forwarding import policy
 from godwitvalve.forwarding import probes
 from godwitvalve.forwarding import replies
@@ -48,10 +49,12 @@
         context: contexts.ForwardingContext,
         routed: calls.RoutedRequest,
         sink: attempts.Sink,
+        pending: in_flight.RequestInFlight | None = None,
     ) -> None:
         self._context = context
         self._routed = routed
         self._sink = sink
+        self._pending = pending or in_flight.RequestInFlight()
         self._loop = asyncio.get_running_loop()
         self._began_s = self._loop.time()
         self.times = attempts.StreamTimes()
@@ -85,7 +88,7 @@
 
     async def _forward_until_deadline(self) -> replies.Reply:
         try:
-            async with asyncio.timeout_at(self._routed.deadline_s):
+            async with self._pending.limit(self._routed.deadline_s):
                 return await self._forward()
         except asyncio.TimeoutError:
             if self._is_started:
@@ -105,6 +108,7 @@
                 policy.FULL_RETRY_AFTER_S,
             )
         while True:
+            self._pending.waits_for = in_flight.Wait.ENDPOINT
             if not self._is_admitted():
                 return self._give_up(
                     codes.ResultCode.PROMPT_QUARANTINED,
@@ -405,6 +409,11 @@
             self._loop.call_later,
             self._loop.time(),
         )
+        self._pending.waits_for = (
+            in_flight.Wait.EVENTS
+            if self._is_started
+            else in_flight.Wait.ANSWER
+        )
         with attempts.CountedAttempt(self._context, attempt):
             try:
                 self._current_exchange = exchange
@@ -640,6 +649,8 @@
 
     async def _start_answer(self, head: exchanges.AnswerHead) -> None:
         self._is_started = True
+        self._pending.has_begun = True
+        self._pending.waits_for = in_flight.Wait.EVENTS
         await self._sink.start(head)
         self._context.counters.observe_first_event(
             self._routed.route.name, self._loop.time() - self._began_s
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import abc
 import time
 from typing import Any, NamedTuple
 
@@ -13,6 +14,7 @@
 from godwitvalve.forwarding import calls
 from godwitvalve.forwarding import context as contexts
 from godwitvalve.forwarding import exchange as exchanges
+from godwitvalve.forwarding import in_flight
 from godwitvalve.forwarding import replies
 from godwitvalve.forwarding import sockets
 from godwitvalve.forwarding import streams
@@ -95,6 +97,7 @@
         self._context = context
         self._lifecycle = lifecycle
         self._stop: drain.StopSchedule | None = None
+        self._pending: set[in_flight.RequestInFlight] = set()
 
     def begin_drain(self, stop: drain.StopSchedule) -> None:
         """Refuse what can't end before the stop.
@@ -104,25 +107,73 @@
         self._stop = stop
         self._lifecycle.begin_drain(stop.began_s)
 
+    @property
+    def pending(self) -> abc.Collection[in_flight.RequestInFlight]:
+        """Return the requests that are being served."""
+        return self._pending
+
+    def interrupt_due(self, now_s: float) -> None:
+        """Interrupt the requests that have to end before the stop.
+
+        What was not sent is refused, and what was sent without an answer
+        ends with an unknown outcome. Answers that have begun are cut last.
+
+        :param now_s: monotonic seconds.
+        """
+        for pending in self._pending:
+            if (
+                self._stop is None
+                or pending.is_interrupted
+                or not drain.is_due(self._stop, now_s, pending.has_begun)
+            ):
+                continue
+            pending.interrupt()
+            self._context.counters.count_interruption(pending.waits_for)
+            _LOG.warning(
+                'Interrupting a request before the stop.',
+                extra={
+                    'request_id': pending.request_id,
+                    'waits_for': pending.waits_for.value,
+                    'has_begun': pending.has_begun,
+                },
+            )
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request from a caller."""
         arrived_s = asyncio.get_running_loop().time()
-        with self._lifecycle.request():
-            response = await self._answer(request, arrived_s)
+        facts = wire.read_caller(request.raw_headers)
+        pending = in_flight.RequestInFlight(facts.request_id)
+        self._pending.add(pending)
+        try:
+            with self._lifecycle.request():
+                response = await self._answer(
+                    request, facts, arrived_s, pending
+                )
+        finally:
+            self._pending.discard(pending)
         if self._stop is not None and not response.prepared:
             response.force_close()
         return response
 
     async def _answer(
-        self, request: web.BaseRequest, arrived_s: float
+        self,
+        request: web.BaseRequest,
+        facts: wire.CallerFacts,
+        arrived_s: float,
+        pending: in_flight.RequestInFlight,
     ) -> web.StreamResponse:
-        facts = wire.read_caller(request.raw_headers)
         admitted = self._admit(request, facts, arrived_s)
         if isinstance(admitted, web.StreamResponse):
             return admitted
         configuration = self._context.state.configuration
         assert configuration is not None
-        body = await _read_body(request, configuration.limits.max_body_bytes)
+        try:
+            async with pending.limit(None):
+                body = await _read_body(
+                    request, configuration.limits.max_body_bytes
+                )
+        except asyncio.TimeoutError:
+            return self._refuse_draining(facts)
         if body is None:
             return self._refuse(facts, codes.ResultCode.BODY_TOO_LARGE, 413)
         if not self._can_end(admitted.route, facts, arrived_s):
@@ -140,7 +191,7 @@
         )
         self._context.budget.record_first_attempt(service)
         self._context.counters.count_request(service)
-        return await self._forward(request, routed, arrived_s)
+        return await self._forward(request, routed, arrived_s, pending)
 
     def _admit(
         self,
@@ -249,16 +300,23 @@
         request: web.BaseRequest,
         routed: calls.RoutedRequest,
         arrived_s: float,
+        pending: in_flight.RequestInFlight,
     ) -> web.StreamResponse:
         sink = CallerStream(request, self._stop is not None)
         reply: replies.Reply | None = None
         forwarder: streams.StreamForwarder | calls.CallForwarder
         if routed.route.kind is routes.RequestKind.STREAM:
-            forwarder = streams.StreamForwarder(self._context, routed, sink)
+            forwarder = streams.StreamForwarder(
+                self._context, routed, sink, pending
+            )
         else:
-            forwarder = calls.CallForwarder(self._context, routed)
+            forwarder = calls.CallForwarder(self._context, routed, pending)
         try:
             reply = await forwarder.run()
+            if pending.is_interrupted and isinstance(reply, replies.Refusal):
+                reply = replies.Refusal(
+                    codes.ResultCode.DRAINING, DRAINING_RETRY_AFTER_S
+                )
             return await self._respond(routed, sink, reply)
         except BaseException:
             if sink.response is not None:
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -552,7 +552,8 @@
     async def _drain(self) -> None:
         """Leave the directory, then wait for the requests in flight.
 
-        Requests that still run shortly before the stop limit are interrupted.
+        Requests that still run shortly before the stop limit are interrupted
+        and get their answer, unless it has begun.
         """
         stop = drain.schedule(time.monotonic(), self._settings.stop_limit_s)
         self._handler.begin_drain(stop)
@@ -562,9 +563,10 @@
             extra={'in_flight': self._lifecycle.requests_in_flight},
         )
         while not self._lifecycle.stop(time.monotonic()):
-            if time.monotonic() > stop.cut_by_s:
+            self._handler.interrupt_due(time.monotonic())
+            if time.monotonic() > stop.cut_by_s + 2 * DRAIN_POLL_S:
                 _LOG.warning(
-                    'Stop limit reached; interrupting requests.',
+                    'Stop limit reached; closing connections.',
                     extra={'in_flight': self._lifecycle.requests_in_flight},
                 )
                 return
--- a/src/godwitvalve/lifecycle/drain.py
+++ b/src/godwitvalve/lifecycle/drain.py
@@ -52,3 +52,11 @@
     if expected_s is not None:
         end_s = min(end_s, now_s + expected_s)
     return end_s <= stop.answer_by_s
+
+
+def is_due(stop: StopSchedule, now_s: float, has_begun: bool) -> bool:
+    """Tell whether a request in flight has to end now.
+
+    :param has_begun: whether the caller got a part of the answer.
+    """
+    return now_s >= (stop.cut_by_s if has_begun else stop.answer_by_s)
--- a/standins/fleet/replica.py
+++ b/standins/fleet/replica.py
@@ -19,15 +19,23 @@
     :param events: number of events in each stream.
     :param gap_s: seconds between events.
     :param work_s: seconds that a plain call takes.
+    :param slots: number of calls that run at once; more are declined.
     """
 
     def __init__(
-        self, endpoint_id: str, events: int, gap_s: float, work_s: float
+        self,
+        endpoint_id: str,
+        events: int,
+        gap_s: float,
+        work_s: float,
+        slots: int,
     ) -> None:
         self.endpoint_id = endpoint_id
         self.events = events
         self.gap_s = gap_s
         self.work_s = work_s
+        self.slots = slots
+        self.running = 0
         self.runs: list[list[str]] = []
         self.mode = 'sound'
         self.arrivals_s: list[float] = []
@@ -80,7 +88,7 @@
                 status=421,
                 headers={**response_headers, 'Instance-Id': self.endpoint_id},
             )
-        if self.mode == 'full':
+        if self.mode == 'full' or self.running >= self.slots:
             return web.Response(
                 status=503, headers={**response_headers, 'Not-Executed': '1'}
             )
@@ -95,7 +103,11 @@
         )
         if 'Token-Usage' in headers:
             return await self._stream(request, response_headers)
-        await asyncio.sleep(self.work_s)
+        self.running += 1
+        try:
+            await asyncio.sleep(self.work_s)
+        finally:
+            self.running -= 1
         if self.mode == 'error':
             return web.Response(status=500, headers=response_headers)
         if self.mode == 'lost':
@@ -124,6 +136,7 @@
     events: int = 50,
     gap_ms: float = 20.0,
     work_ms: float = 20.0,
+    slots: int = 1000,
 ) -> None:
     """Serve an endpoint on a loopback port.
 
@@ -131,11 +144,12 @@
     :param events: number of events in each stream.
     :param gap_ms: milliseconds between events.
     :param work_ms: milliseconds that a plain call takes.
+    :param slots: number of calls that run at once.
     """
 
     def build() -> Any:
         return Replica(
-            endpoint_id, events, gap_ms / 1000, work_ms / 1000
+            endpoint_id, events, gap_ms / 1000, work_ms / 1000, slots
         ).app()
 
     asyncio.run(serving.serve(build, port))
