Wait until an answer is written before the process stops

A caller that read a large answer slowly got a part of it and then a closed connection, in a planned stop with time left.

Cause: a request counted as ended once its answer was known. The HTTP server wrote the answer after that, so a drain did not wait for it, and what the process still held in its buffers was lost when it ended.

Evidence: an answer of 6,000,000 bytes whose caller reads 3.9 s after SIGTERM, with a stop limit of 5 s.

The handler now writes the answer while the request is in flight, and an answer counts as written once the kernel has all of it.

--- a/features/ingress/grace.feature
+++ b/features/ingress/grace.feature
@@ -44,3 +44,20 @@
     And no endpoint ran a refused request
     And a log line tells of each call that waited at the end
     And the process ended with code 0 before it was killed
+
+  Scenario: An answer that its caller reads slowly is complete
+    # Guards against a process that ends while it still holds a part of an
+    # answer, as the request counted as ended before the answer was written.
+    Given an entry that is killed 5 s after its stop signal
+    And an endpoint whose answers have 6000000 bytes
+    When a caller of before the stop reads its answer 3.9 s after it
+    Then its answer is complete
+    And the process ended with code 0 before it was killed
+
+  Scenario: An answer that its caller does not read is cut last
+    # Guards against a caller that keeps the process from ending in order.
+    Given an entry that is killed 5 s after its stop signal
+    And an endpoint whose answers have 6000000 bytes
+    When a caller of before the stop reads its answer 5 s after it
+    Then its answer is cut and a log line tells so
+    And the process ended with code 0 before it was killed
--- a/features/steps/ingress_grace_steps.py
+++ b/features/steps/ingress_grace_steps.py
@@ -7,6 +7,7 @@
 import json
 import pathlib
 import signal
+import socket
 import subprocess
 import tempfile
 import threading
@@ -18,6 +19,8 @@
 
 LOOKUP_PREFIX = '/lookups/'
 EVENTS = 50
+ANSWER = b'done noise'
+RECEIVE_BUFFER_BYTES = 16 * 1024
 PREFIXES = {
     'once': fleet_site.CALL_PREFIX,
     'repeatable': LOOKUP_PREFIX,
@@ -152,6 +155,13 @@
     _start(context, 10000, 3000, f'--work-ms={work_ms}', f'--slots={slots}')
 
 
+@behave.given('an endpoint whose answers have {size:d} bytes')
+def endpoint_with_size(context, size):
+    context.answer_size = size
+    padding_bytes = size - len(ANSWER)
+    _start(context, 3000, 3000, f'--padding-bytes={padding_bytes}')
+
+
 def _start(context, timeout_ms, stream_ms, *call_options):
     fleet = context.fleet
     fleet.write_row('op', 'config', _configuration(timeout_ms))
@@ -247,6 +257,49 @@
     _play(context, [caller])
 
 
+class SlowReader(Caller):
+    """Sends a call before the stop and reads the answer during it."""
+
+    def begin(self):
+        self._connection = _connect(self._context)
+        # Small, so that the answer does not fit into buffers of the kernel.
+        sock = socket.socket()
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        sock.connect((self._connection.host, self._connection.port))
+        self._connection.sock = sock
+        super()._send(self._connection)
+
+    def _send(self, connection):
+        """Send nothing, as the request was sent before the stop."""
+
+
+@behave.when(
+    'a caller of before the stop reads its answer {at_s:g} s after it'
+)
+def reads_late(context, at_s):
+    caller = SlowReader(context, 'slow-reader', 'once', at_s)
+    caller.begin()
+    time.sleep(0.5)
+    _play(context, [caller])
+
+
+@behave.then('its answer is complete')
+def answer_complete(context):
+    (result,) = context.results
+    assert result.status == 200, result._replace(body=len(result.body))
+    assert len(result.body) == context.answer_size
+    assert result.body.startswith(ANSWER)
+
+
+@behave.then('its answer is cut and a log line tells so')
+def answer_cut(context):
+    (result,) = context.results
+    assert result.error, result._replace(body=len(result.body))
+    assert _waits(context) == {'slow-reader': 'caller'}, _waits(context)
+
+
 @behave.when(
     'requests of all kinds arrive {lead_s:g} s before the stop signal'
 )
@@ -278,7 +331,7 @@
         return False
     if result.kind == 'stream':
         return result.body.endswith(b'id: %d\ndata: token\n\n' % EVENTS)
-    return result.body == b'done noise'
+    return result.body == ANSWER
 
 
 def _is_refused(result):
--- a/src/godwitvalve/forwarding/in_flight.py
+++ b/src/godwitvalve/forwarding/in_flight.py
@@ -48,6 +48,16 @@
             finally:
                 self._limit = None
 
+    def begin_answer(self, wait: Wait) -> None:
+        """Note that the caller gets its answer from now on.
+
+        An interruption of before that led to this answer, and does not end
+        it.
+        """
+        self.waits_for = wait
+        self.has_begun = True
+        self.is_interrupted = False
+
     def interrupt(self) -> None:
         """End the current wait, and those that follow, as at the deadline."""
         self.is_interrupted = True
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -144,17 +144,50 @@
         facts = wire.read_caller(request.raw_headers)
         pending = in_flight.RequestInFlight(facts.request_id)
         self._pending.add(pending)
+        if request.transport is not None:
+            # An answer counts as written once the kernel has all of it, as
+            # what the process still holds is lost when it ends.
+            request.transport.set_write_buffer_limits(high=0)
         try:
             with self._lifecycle.request():
                 response = await self._answer(
                     request, facts, arrived_s, pending
                 )
+                if not response.prepared:
+                    await self._write(request, response, pending)
         finally:
             self._pending.discard(pending)
-        if self._stop is not None and not response.prepared:
-            response.force_close()
         return response
 
+    async def _write(
+        self,
+        request: web.BaseRequest,
+        response: web.StreamResponse,
+        pending: in_flight.RequestInFlight,
+    ) -> None:
+        """Write an answer while its request is still in flight.
+
+        The server would write it afterwards, when a stop no longer waits.
+        """
+        pending.begin_answer(in_flight.Wait.CALLER)
+        if self._stop is not None:
+            response.force_close()
+        try:
+            async with pending.limit(None):
+                await response.prepare(request)
+                await response.write_eof()
+        except asyncio.TimeoutError:
+            if request.transport is not None:
+                sockets.reset(request.transport)
+        except ConnectionError as error:
+            _LOG.info(
+                'The caller left before it had its answer.',
+                extra={
+                    'request_id': pending.request_id,
+                    'reason': str(error),
+                },
+            )
+
     async def _answer(
         self,
         request: web.BaseRequest,
--- a/standins/fleet/replica.py
+++ b/standins/fleet/replica.py
@@ -20,6 +20,7 @@
     :param gap_s: seconds between events.
     :param work_s: seconds that a plain call takes.
     :param slots: number of calls that run at once; more are declined.
+    :param padding_bytes: bytes at the end of each answer to a call.
     """
 
     def __init__(
@@ -29,6 +30,7 @@
         gap_s: float,
         work_s: float,
         slots: int,
+        padding_bytes: int,
     ) -> None:
         self.endpoint_id = endpoint_id
         self.events = events
@@ -36,6 +38,7 @@
         self.work_s = work_s
         self.slots = slots
         self.running = 0
+        self.padding = bytes(padding_bytes)
         self.runs: list[list[str]] = []
         self.mode = 'sound'
         self.arrivals_s: list[float] = []
@@ -113,7 +116,9 @@
         if self.mode == 'lost':
             assert request.transport is not None
             request.transport.abort()
-        return web.Response(body=b'done ' + body, headers=response_headers)
+        return web.Response(
+            body=b'done ' + body + self.padding, headers=response_headers
+        )
 
     async def _stream(
         self, request: web.Request, response_headers: dict[str, str]
@@ -137,6 +142,7 @@
     gap_ms: float = 20.0,
     work_ms: float = 20.0,
     slots: int = 1000,
+    padding_bytes: int = 0,
 ) -> None:
     """Serve an endpoint on a loopback port.
 
@@ -145,11 +151,17 @@
     :param gap_ms: milliseconds between events.
     :param work_ms: milliseconds that a plain call takes.
     :param slots: number of calls that run at once.
+    :param padding_bytes: bytes at the end of each answer to a call.
     """
 
     def build() -> Any:
         return Replica(
-            endpoint_id, events, gap_ms / 1000, work_ms / 1000, slots
+            endpoint_id,
+            events,
+            gap_ms / 1000,
+            work_ms / 1000,
+            slots,
+            padding_bytes,
         ).app()
 
     asyncio.run(serving.serve(build, port))
