Read the body of a request that a draining entry refused

A caller that was refused during a drain while it still sent its body could get a reset connection instead of the refusal.

Cause: the refusal was written at once, which is right, but the drain did not wait for the rest of the body. A process that ended meanwhile closed the connection with bytes still to come, which resets it.

Evidence: a call refused 3.3 s after SIGTERM, just before an idle drain ends, whose body is complete at 4.0 s (stop limit 5 s).

The rest of a body is now read while the request is in flight, at the latest until streams are cut. The refusal itself is still sent at once.

Callers in the tests of stops now start a moment before the stop signal, so that their times count from it; on a busy machine they were up to 0.1 s off.

--- a/features/ingress/grace.feature
+++ b/features/ingress/grace.feature
@@ -61,3 +61,13 @@
     When a caller of before the stop reads its answer 5 s after it
     Then its answer is cut and a log line tells so
     And the process ended with code 0 before it was killed
+
+  Scenario: A refused request may still send its body
+    # Guards against a reset connection in place of the refusal, for a caller
+    # that sends its whole body before it reads.
+    Given an entry that is killed 5 s after its stop signal
+    And calls that take 20 ms of 3000 ms and streams of 3000 ms
+    When a call begins 3.3 s after the stop signal and ends its body 0.7 s later
+    Then each request got its complete answer or was refused as not run
+    And no endpoint ran a refused request
+    And the process ended with code 0 before it was killed
--- a/features/steps/ingress_grace_steps.py
+++ b/features/steps/ingress_grace_steps.py
@@ -21,6 +21,8 @@
 EVENTS = 50
 ANSWER = b'done noise'
 RECEIVE_BUFFER_BYTES = 16 * 1024
+# Time for the threads of all callers to start.
+START_S = 0.3
 PREFIXES = {
     'once': fleet_site.CALL_PREFIX,
     'repeatable': LOOKUP_PREFIX,
@@ -182,7 +184,6 @@
 
 def _stop_and_kill(context):
     """Stop the entry as the platform does, with SIGKILL at the limit."""
-    context.stopped_s = time.monotonic()
     context.fleet.signal('entry-0', signal.SIGTERM)
 
     def kill():
@@ -197,17 +198,18 @@
     context.cleanups.append(killer.join)
 
 
-def _play(context, callers):
+def _play(context, callers, meanwhile=lambda: None):
     """Send the requests of callers around a stop, which begins now.
 
     Requests of before the stop are sent at once, and the stop begins later.
     """
-    lead_s = -min(0.0, *(caller.at_s for caller in callers))
+    lead_s = START_S - min(0.0, *(caller.at_s for caller in callers))
     context.stopped_s = time.monotonic() + lead_s
     for caller in callers:
         caller.start()
-    time.sleep(lead_s)
+    time.sleep(max(context.stopped_s - time.monotonic(), 0.0))
     _stop_and_kill(context)
+    meanwhile()
     for caller in callers:
         caller.join(20)
     context.results = [caller.result for caller in callers]
@@ -215,8 +217,34 @@
 
 @behave.when('requests of all kinds arrive in each second of the stop')
 def in_each_second(context):
+    _play(context, _callers_of_each_second(context))
+
+
+@behave.when(
+    'requests of all kinds arrive in each second of the stop, and a '
+    'configuration with {timeout_ms:d} ms for calls and SIGHUP come '
+    '{at_s:g} s after it'
+)
+def in_each_second_with_changes(context, timeout_ms, at_s):
+    def change():
+        time.sleep(at_s)
+        configuration = _configuration(timeout_ms, version=6)
+        context.fleet.write_row('op', 'config', configuration)
+        context.fleet.signal('entry-0', signal.SIGHUP)
+
+    _play(context, _callers_of_each_second(context), change)
+    messages = [each['message'] for each in context.fleet.log('entry-0')]
+    assert any('Settings were read again' in each for each in messages)
+    assert any(
+        'Installed a configuration' in each['message']
+        and each.get('version') == 6
+        for each in context.fleet.log('entry-0')
+    ), messages
+
+
+def _callers_of_each_second(context):
     seconds = range(int(context.stop_limit_s))
-    callers = [
+    return [
         Caller(
             context,
             f'{kind}-{at_s}-{"kept" if is_kept else "new"}',
@@ -228,7 +256,6 @@
             seconds, PREFIXES, (False, True)
         )
     ]
-    _play(context, callers)
 
 
 class SlowBody(Caller):
@@ -246,7 +273,35 @@
         self._connection = connection
 
     def _send(self, connection):
-        connection.send(b'se')
+        # A connection that was reset shows at the second of two sends.
+        connection.send(b's')
+        time.sleep(0.1)
+        connection.send(b'e')
+
+
+class LateCaller(SlowBody):
+    """Sends a request during the stop, and the end of its body later.
+
+    :param begin_s: seconds from the stop signal to the request.
+    """
+
+    def __init__(self, context, request_id, begin_s, pause_s):
+        super().__init__(context, request_id, 'once', begin_s + pause_s)
+        self._begin_s = begin_s
+
+    def run(self):
+        """Send the request, then go on like a slow body."""
+        time.sleep(self._context.stopped_s + self._begin_s - time.monotonic())
+        self.begin()
+        super().run()
+
+
+@behave.when(
+    'a call begins {begin_s:g} s after the stop signal and ends its body '
+    '{pause_s:g} s later'
+)
+def call_begins_late(context, begin_s, pause_s):
+    _play(context, [LateCaller(context, 'late-caller', begin_s, pause_s)])
 
 
 @behave.when('the body of a call is complete {at_s:g} s after the stop signal')
@@ -360,13 +415,15 @@
         and not _is_refused(result)
         and not _has_crossed_close(context, result)
     ]
+    if cut:
+        print((context.fleet.folder / 'entry-0.log').read_text()[-9000:])
     assert not cut, '\n'.join(map(str, cut))
 
 
 @behave.then('the requests at {at_s:d} s got their complete answers')
 def answered_at(context, at_s):
     results = [
-        each for each in context.results if int(each.sent_after_s) == at_s
+        each for each in context.results if round(each.sent_after_s) == at_s
     ]
     assert results and all(map(_is_complete, results)), results
 
@@ -376,7 +433,7 @@
     refused = {
         result.request_id for result in context.results if _is_refused(result)
     }
-    assert refused
+    assert refused, context.results
     assert not refused & _runs(context), refused & _runs(context)
 
 
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import time
 from typing import Any, NamedTuple
 
@@ -155,6 +156,8 @@
                 )
                 if not response.prepared:
                     await self._write(request, response, pending)
+                if self._stop is not None:
+                    await _discard_body(request, self._stop.cut_by_s)
         finally:
             self._pending.discard(pending)
         return response
@@ -488,3 +491,21 @@
         if len(body) > limit_bytes:
             return None
     return bytes(body)
+
+
+async def _discard_body(request: web.BaseRequest, until_s: float) -> None:
+    """Read the rest of a body that is not needed.
+
+    Closing a connection with unread bytes resets it, and its caller may
+    lose the answer.
+
+    :param until_s: seconds of the event loop's clock.
+    """
+    if request.content.at_eof():
+        return
+    with contextlib.suppress(
+        asyncio.TimeoutError, ConnectionError, web.RequestPayloadError
+    ):
+        async with asyncio.timeout_at(until_s):
+            while not request.content.at_eof():
+                await request.content.readany()
