Test that a configuration and SIGHUP do not change a planned stop

Nothing was found: the configuration and SIGHUP in the middle of a drain change neither its end nor what it accepts, beyond the time limits of the new configuration.

--- a/features/ingress/grace.feature
+++ b/features/ingress/grace.feature
@@ -71,3 +71,15 @@
     Then each request got its complete answer or was refused as not run
     And no endpoint ran a refused request
     And the process ended with code 0 before it was killed
+
+  Scenario: A configuration and SIGHUP leave a planned stop as it is
+    # Guards against a drain that ends early, restarts or accepts what can't
+    # end before the stop, as the configuration allows more time meanwhile.
+    Given an entry that is killed 5 s after its stop signal
+    And calls that take 2700 ms of 3000 ms and streams of 3000 ms
+    And the entry knows how long streams take
+    When requests of all kinds arrive in each second of the stop, and a configuration with 9000 ms for calls and SIGHUP come 0.6 s after it
+    Then each request got its complete answer or was refused as not run
+    And the requests at 0 s got their complete answers
+    And no endpoint ran a refused request
+    And the process ended with code 0 before it was killed
