--- a/features/steps/ingress_grace_steps.py
+++ b/features/steps/ingress_grace_steps.py
@@ -7,6 +7,7 @@
 import json
 import pathlib
 import signal
+import socket
 import subprocess
 import tempfile
 import threading
@@ -18,6 +19,10 @@
 
 LOOKUP_PREFIX = '/lookups/'
 EVENTS = 50
+ANSWER = b'done noise'
+RECEIVE_BUFFER_BYTES = 16 * 1024
+# Time for the threads of all callers to start.
+START_S = 0.3
 PREFIXES = {
     'once': fleet_site.CALL_PREFIX,
     'repeatable': LOOKUP_PREFIX,
@@ -52,12 +57,12 @@
         self._context = context
         self._request_id = request_id
         self._kind = kind
-        self._at_s = at_s
+        self.at_s = at_s
         self._connection = kept
         self.result = None
 
     def run(self):
-        remaining_s = self._context.stopped_s + self._at_s - time.monotonic()
+        remaining_s = self._context.stopped_s + self.at_s - time.monotonic()
         time.sleep(max(remaining_s, 0.0))
         connection = self._connection or _connect(self._context)
         sent_s = time.monotonic()
@@ -142,14 +147,35 @@
     '{stream_ms:d} ms'
 )
 def slow_endpoints(context, work_ms, timeout_ms, stream_ms):
+    _start(context, timeout_ms, stream_ms, f'--work-ms={work_ms}')
+
+
+@behave.given(
+    'an endpoint that runs {slots:d} calls at once, each for {work_ms:d} ms'
+)
+def endpoint_with_slots(context, slots, work_ms):
+    _start(context, 10000, 3000, f'--work-ms={work_ms}', f'--slots={slots}')
+
+
+@behave.given('an endpoint whose answers have {size:d} bytes')
+def endpoint_with_size(context, size):
+    context.answer_size = size
+    padding_bytes = size - len(ANSWER)
+    _start(context, 3000, 3000, f'--padding-bytes={padding_bytes}')
+
+
+def _start(context, timeout_ms, stream_ms, *call_options):
     fleet = context.fleet
     fleet.write_row('op', 'config', _configuration(timeout_ms))
-    fleet.start_replica('p0', 'desk', 'fd-0', f'--work-ms={work_ms}')
+    fleet.start_replica('p0', 'desk', 'fd-0', *call_options)
     gap_ms = stream_ms / EVENTS
     fleet.start_replica('m0', 'model', 'fd-0', f'--gap-ms={gap_ms}')
     fleet.start_entry('entry-0', 'fd-0', stop_limit_s=context.stop_limit_s)
     fleet_site.wait_ready(fleet, 'entry-0')
-    # The entry learns from complete streams how long they take.
+
+
+@behave.given('the entry knows how long streams take')
+def known_stream_time(context):
     context.stopped_s = time.monotonic()
     warm_up = Caller(context, 'warm-up', 'stream', 0.0)
     warm_up.run()
@@ -158,7 +184,6 @@
 
 def _stop_and_kill(context):
     """Stop the entry as the platform does, with SIGKILL at the limit."""
-    context.stopped_s = time.monotonic()
     context.fleet.signal('entry-0', signal.SIGTERM)
 
     def kill():
@@ -173,11 +198,18 @@
     context.cleanups.append(killer.join)
 
 
-def _play(context, callers):
-    context.stopped_s = time.monotonic()
-    _stop_and_kill(context)
+def _play(context, callers, meanwhile=lambda: None):
+    """Send the requests of callers around a stop, which begins now.
+
+    Requests of before the stop are sent at once, and the stop begins later.
+    """
+    lead_s = START_S - min(0.0, *(caller.at_s for caller in callers))
+    context.stopped_s = time.monotonic() + lead_s
     for caller in callers:
         caller.start()
+    time.sleep(max(context.stopped_s - time.monotonic(), 0.0))
+    _stop_and_kill(context)
+    meanwhile()
     for caller in callers:
         caller.join(20)
     context.results = [caller.result for caller in callers]
@@ -185,8 +217,34 @@
 
 @behave.when('requests of all kinds arrive in each second of the stop')
 def in_each_second(context):
+    _play(context, _callers_of_each_second(context))
+
+
+@behave.when(
+    'requests of all kinds arrive in each second of the stop, and a '
+    'configuration with {timeout_ms:d} ms for calls and SIGHUP come '
+    '{at_s:g} s after it'
+)
+def in_each_second_with_changes(context, timeout_ms, at_s):
+    def change():
+        time.sleep(at_s)
+        configuration = _configuration(timeout_ms, version=6)
+        context.fleet.write_row('op', 'config', configuration)
+        context.fleet.signal('entry-0', signal.SIGHUP)
+
+    _play(context, _callers_of_each_second(context), change)
+    messages = [each['message'] for each in context.fleet.log('entry-0')]
+    assert any('Settings were read again' in each for each in messages)
+    assert any(
+        'Installed a configuration' in each['message']
+        and each.get('version') == 6
+        for each in context.fleet.log('entry-0')
+    ), messages
+
+
+def _callers_of_each_second(context):
     seconds = range(int(context.stop_limit_s))
-    callers = [
+    return [
         Caller(
             context,
             f'{kind}-{at_s}-{"kept" if is_kept else "new"}',
@@ -198,7 +256,6 @@
             seconds, PREFIXES, (False, True)
         )
     ]
-    _play(context, callers)
 
 
 class SlowBody(Caller):
@@ -216,7 +273,35 @@
         self._connection = connection
 
     def _send(self, connection):
-        connection.send(b'se')
+        # A connection that was reset shows at the second of two sends.
+        connection.send(b's')
+        time.sleep(0.1)
+        connection.send(b'e')
+
+
+class LateCaller(SlowBody):
+    """Sends a request during the stop, and the end of its body later.
+
+    :param begin_s: seconds from the stop signal to the request.
+    """
+
+    def __init__(self, context, request_id, begin_s, pause_s):
+        super().__init__(context, request_id, 'once', begin_s + pause_s)
+        self._begin_s = begin_s
+
+    def run(self):
+        """Send the request, then go on like a slow body."""
+        time.sleep(self._context.stopped_s + self._begin_s - time.monotonic())
+        self.begin()
+        super().run()
+
+
+@behave.when(
+    'a call begins {begin_s:g} s after the stop signal and ends its body '
+    '{pause_s:g} s later'
+)
+def call_begins_late(context, begin_s, pause_s):
+    _play(context, [LateCaller(context, 'late-caller', begin_s, pause_s)])
 
 
 @behave.when('the body of a call is complete {at_s:g} s after the stop signal')
@@ -227,6 +312,69 @@
     _play(context, [caller])
 
 
+class SlowReader(Caller):
+    """Sends a call before the stop and reads the answer during it."""
+
+    def begin(self):
+        self._connection = _connect(self._context)
+        # Small, so that the answer does not fit into buffers of the kernel.
+        sock = socket.socket()
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        sock.connect((self._connection.host, self._connection.port))
+        self._connection.sock = sock
+        super()._send(self._connection)
+
+    def _send(self, connection):
+        """Send nothing, as the request was sent before the stop."""
+
+
+@behave.when(
+    'a caller of before the stop reads its answer {at_s:g} s after it'
+)
+def reads_late(context, at_s):
+    caller = SlowReader(context, 'slow-reader', 'once', at_s)
+    caller.begin()
+    time.sleep(0.5)
+    _play(context, [caller])
+
+
+@behave.then('its answer is complete')
+def answer_complete(context):
+    (result,) = context.results
+    assert result.status == 200, result._replace(body=len(result.body))
+    assert len(result.body) == context.answer_size
+    assert result.body.startswith(ANSWER)
+
+
+@behave.then('its answer is cut and a log line tells so')
+def answer_cut(context):
+    (result,) = context.results
+    assert result.error, result._replace(body=len(result.body))
+    assert _waits(context) == {'slow-reader': 'caller'}, _waits(context)
+
+
+@behave.when(
+    'requests of all kinds arrive {lead_s:g} s before the stop signal'
+)
+def before_stop(context, lead_s):
+    callers = [
+        Caller(context, f'{kind}-{number}', kind, -lead_s)
+        for kind, number in itertools.product(PREFIXES, range(2))
+    ]
+    _play(context, callers)
+
+
+@behave.when('{count:d} calls arrive {lead_s:g} s before the stop signal')
+def calls_before_stop(context, count, lead_s):
+    callers = [
+        Caller(context, f'once-{number}', 'once', -lead_s)
+        for number in range(count)
+    ]
+    _play(context, callers)
+
+
 def _runs(context):
     return {
         run[0] for name in ('p0', 'm0') for run in context.fleet.runs(name)
@@ -238,7 +386,7 @@
         return False
     if result.kind == 'stream':
         return result.body.endswith(b'id: %d\ndata: token\n\n' % EVENTS)
-    return result.body == b'done noise'
+    return result.body == ANSWER
 
 
 def _is_refused(result):
@@ -267,13 +415,15 @@
         and not _is_refused(result)
         and not _has_crossed_close(context, result)
     ]
+    if cut:
+        print((context.fleet.folder / 'entry-0.log').read_text()[-9000:])
     assert not cut, '\n'.join(map(str, cut))
 
 
 @behave.then('the requests at {at_s:d} s got their complete answers')
 def answered_at(context, at_s):
     results = [
-        each for each in context.results if int(each.sent_after_s) == at_s
+        each for each in context.results if round(each.sent_after_s) == at_s
     ]
     assert results and all(map(_is_complete, results)), results
 
@@ -283,7 +433,7 @@
     refused = {
         result.request_id for result in context.results if _is_refused(result)
     }
-    assert refused
+    assert refused, context.results
     assert not refused & _runs(context), refused & _runs(context)
 
 
@@ -292,3 +442,65 @@
     killed_s = context.stopped_s + context.stop_limit_s
     remaining_s = max(killed_s - time.monotonic(), 0.0)
     assert context.fleet.wait('entry-0', remaining_s + 1.0) == 0
+
+
+def _calls(context):
+    return [each for each in context.results if each.kind != 'stream']
+
+
+@behave.then('the calls failed with status 504 on closing connections')
+def calls_failed(context):
+    calls = _calls(context)
+    assert calls
+    assert all(each.status == 504 and each.is_closing for each in calls), calls
+
+
+@behave.then(
+    'the running call failed with status 504 and the others were refused'
+)
+def others_refused(context):
+    # One waiting call at a time is sent, to see whether a slot is free.
+    failed = [each for each in context.results if each.status == 504]
+    others = [each for each in context.results if each.status != 504]
+    assert 1 <= len(failed) <= 2, context.results
+    assert all(map(_is_refused, others)), others
+
+
+@behave.then('the streams were cut after all calls had failed')
+def streams_cut_last(context):
+    cut = [each for each in context.results if each.kind == 'stream']
+    calls_ended_s = max(each.taken_s for each in _calls(context))
+    assert cut
+    assert all(each.error for each in cut), cut
+    assert min(each.taken_s for each in cut) > calls_ended_s, context.results
+
+
+def _waits(context):
+    """Return what each interrupted request waited for, by its id."""
+    return {
+        line['request_id']: line['waits_for']
+        for line in context.fleet.log('entry-0')
+        if 'Interrupting a request' in line['message']
+    }
+
+
+@behave.then('a log line tells of each request what it waited for')
+def each_logged(context):
+    expected = {
+        each.request_id: 'events' if each.kind == 'stream' else 'answer'
+        for each in context.results
+    }
+    assert _waits(context) == expected, _waits(context)
+
+
+@behave.then('a log line tells of each call that waited at the end')
+def waiting_logged(context):
+    refused_at_end = {
+        each.request_id
+        for each in context.results
+        if json.loads(each.body)['title'] == 'draining'
+    }
+    assert refused_at_end
+    waits = _waits(context)
+    found = {waits.get(each) for each in refused_at_end}
+    assert found <= {'turn', 'endpoint'}, waits
--- a/src/godwitvalve/forwarding/counters.py
+++ b/src/godwitvalve/forwarding/counters.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from godwitvalve.fleet import registry
+    from godwitvalve.forwarding import in_flight
     from godwitvalve.forwarding import replies
     from godwitvalve.outcomes import codes
 
@@ -78,6 +79,11 @@
             'Requests that ended without a complete answer by reason.',
             labels,
         )
+        self._interruptions = self._counter(
+            'godwitvalve_stop_interruptions_total',
+            'Requests ended by a planned stop, by what they waited for.',
+            labels,
+        )
         self._latency = collectors.Histogram(
             'godwitvalve_answer_seconds',
             'Time to the whole answer of a call.',
@@ -136,6 +142,10 @@
         """Count a request that ended without a complete answer."""
         self._incomplete.inc({'reason': reason.value})
 
+    def count_interruption(self, wait: in_flight.Wait) -> None:
+        """Count a request that a planned stop ended."""
+        self._interruptions.inc({'waits_for': wait.value})
+
     def observe_answer(self, route: str, seconds: float) -> None:
         """Record the time to a complete answer."""
         self._latency.observe({'route': route}, seconds)
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections import abc
+import contextlib
 import logging
 import time
 from typing import Any, NamedTuple
@@ -14,6 +16,7 @@
 from godwitvalve.forwarding import calls
 from godwitvalve.forwarding import context as contexts
 from godwitvalve.forwarding import exchange as exchanges
+from godwitvalve.forwarding import in_flight
 from godwitvalve.forwarding import replies
 from godwitvalve.forwarding import sockets
 from godwitvalve.forwarding import streams
@@ -98,6 +101,7 @@
         self._lifecycle = lifecycle
         self._stop: drain.StopSchedule | None = None
         self._is_interrupting = False
+        self._pending: set[in_flight.RequestInFlight] = set()
 
     def begin_drain(self, stop: drain.StopSchedule) -> None:
         """Refuse what can't end before the stop.
@@ -111,21 +115,98 @@
         """Take requests that are cancelled from now on as interrupted."""
         self._is_interrupting = True
 
+    @property
+    def pending(self) -> abc.Collection[in_flight.RequestInFlight]:
+        """Return the requests that are being served."""
+        return self._pending
+
+    def interrupt_due(self, now_s: float) -> None:
+        """Interrupt the requests that have to end before the stop.
+
+        What was not sent is refused, and what was sent without an answer
+        ends with an unknown outcome. Answers that have begun are cut last.
+
+        :param now_s: monotonic seconds.
+        """
+        for pending in self._pending:
+            if (
+                self._stop is None
+                or pending.is_interrupted
+                or not drain.is_due(self._stop, now_s, pending.has_begun)
+            ):
+                continue
+            pending.interrupt()
+            self._context.counters.count_interruption(pending.waits_for)
+            _LOG.warning(
+                'Interrupting a request before the stop.',
+                extra={
+                    'request_id': pending.request_id,
+                    'waits_for': pending.waits_for.value,
+                    'has_begun': pending.has_begun,
+                },
+            )
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request from a caller."""
         arrived_s = asyncio.get_running_loop().time()
-        with self._lifecycle.request():
-            response = await self._answer(request, arrived_s)
-        if self._stop is not None and not response.prepared:
-            response.force_close()
+        facts = wire.read_caller(request.raw_headers)
+        pending = in_flight.RequestInFlight(facts.request_id)
+        self._pending.add(pending)
+        if request.transport is not None:
+            # An answer counts as written once the kernel has all of it, as
+            # what the process still holds is lost when it ends.
+            request.transport.set_write_buffer_limits(high=0)
+        try:
+            with self._lifecycle.request():
+                response = await self._answer(
+                    request, facts, arrived_s, pending
+                )
+                if not response.prepared:
+                    await self._write(request, response, pending)
+                if self._stop is not None:
+                    await _discard_body(request, self._stop.cut_by_s)
+        finally:
+            self._pending.discard(pending)
         return response
 
+    async def _write(
+        self,
+        request: web.BaseRequest,
+        response: web.StreamResponse,
+        pending: in_flight.RequestInFlight,
+    ) -> None:
+        """Write an answer while its request is still in flight.
+
+        The server would write it afterwards, when a stop no longer waits.
+        """
+        pending.begin_answer(in_flight.Wait.CALLER)
+        if self._stop is not None:
+            response.force_close()
+        try:
+            async with pending.limit(None):
+                await response.prepare(request)
+                await response.write_eof()
+        except asyncio.TimeoutError:
+            if request.transport is not None:
+                sockets.reset(request.transport)
+        except ConnectionError as error:
+            _LOG.info(
+                'The caller left before it had its answer.',
+                extra={
+                    'request_id': pending.request_id,
+                    'reason': str(error),
+                },
+            )
+
     async def _answer(
-        self, request: web.BaseRequest, arrived_s: float
+        self,
+        request: web.BaseRequest,
+        facts: wire.CallerFacts,
+        arrived_s: float,
+        pending: in_flight.RequestInFlight,
     ) -> web.StreamResponse:
-        facts = wire.read_caller(request.raw_headers)
         try:
-            routed = await self._route(request, facts, arrived_s)
+            routed = await self._route(request, facts, arrived_s, pending)
         except BaseException as error:
             reason = self._incomplete_reason(request, error)
             if _may_answer(error, reason):
@@ -142,13 +223,14 @@
             return routed
         self._context.budget.record_first_attempt(routed.service)
         self._context.counters.count_request(routed.service)
-        return await self._forward(request, routed, arrived_s)
+        return await self._forward(request, routed, arrived_s, pending)
 
     async def _route(
         self,
         request: web.BaseRequest,
         facts: wire.CallerFacts,
         arrived_s: float,
+        pending: in_flight.RequestInFlight,
     ) -> calls.RoutedRequest | web.StreamResponse:
         """Read a request and choose its service, or refuse it."""
         admitted = self._admit(request, facts, arrived_s)
@@ -156,7 +238,13 @@
             return admitted
         configuration = self._context.state.configuration
         assert configuration is not None
-        body = await _read_body(request, configuration.limits.max_body_bytes)
+        try:
+            async with pending.limit(None):
+                body = await _read_body(
+                    request, configuration.limits.max_body_bytes
+                )
+        except asyncio.TimeoutError:
+            return self._refuse_draining(facts)
         if body is None:
             return self._refuse(facts, codes.ResultCode.BODY_TOO_LARGE, 413)
         if not self._can_end(admitted.route, facts, arrived_s):
@@ -280,17 +368,24 @@
         request: web.BaseRequest,
         routed: calls.RoutedRequest,
         arrived_s: float,
+        pending: in_flight.RequestInFlight,
     ) -> web.StreamResponse:
         sink = CallerStream(request, self._stop is not None)
         reply: replies.Reply | None = None
         reason: replies.IncompleteReason | None = None
         forwarder: streams.StreamForwarder | calls.CallForwarder
         if routed.route.kind is routes.RequestKind.STREAM:
-            forwarder = streams.StreamForwarder(self._context, routed, sink)
+            forwarder = streams.StreamForwarder(
+                self._context, routed, sink, pending
+            )
         else:
-            forwarder = calls.CallForwarder(self._context, routed)
+            forwarder = calls.CallForwarder(self._context, routed, pending)
         try:
             reply = await forwarder.run()
+            if pending.is_interrupted and isinstance(reply, replies.Refusal):
+                reply = replies.Refusal(
+                    codes.ResultCode.DRAINING, DRAINING_RETRY_AFTER_S
+                )
             return await self._respond(routed, sink, reply)
         except BaseException as error:
             reason = self._incomplete_reason(request, error)
@@ -521,3 +616,21 @@
         if len(body) > limit_bytes:
             return None
     return bytes(body)
+
+
+async def _discard_body(request: web.BaseRequest, until_s: float) -> None:
+    """Read the rest of a body that is not needed.
+
+    Closing a connection with unread bytes resets it, and its caller may
+    lose the answer.
+
+    :param until_s: seconds of the event loop's clock.
+    """
+    if request.content.at_eof():
+        return
+    with contextlib.suppress(
+        asyncio.TimeoutError, ConnectionError, web.RequestPayloadError
+    ):
+        async with asyncio.timeout_at(until_s):
+            while not request.content.at_eof():
+                await request.content.readany()
