Test requests whose configuration changes on the way

Requests that end without an answer beside a change of the configuration were reported. By reading, a request whose route, service or account is gone in the configuration that is installed while it waits is one suspect.

Result: not so. In 13 examples the route, the service or the account goes while the request is read, waits for its turn, is sent again or goes on elsewhere, and it is answered with 200; where all endpoints of its service are removed, it is refused with 503.

--- a/features/doubles/ingress_site.py
+++ b/features/doubles/ingress_site.py
@@ -61,7 +61,7 @@
             for scripts in self._scripts
         ]
         self.site = forwarding_site.ForwardingSite(self.scripted)
-        self.site.state.install(configuration(2, [self._route]))
+        self.site.state.install(configuration(2, [self._route], (KEY,)))
         stages = lifecycle.Lifecycle()
         stages.begin_serving()
         self.handler = handler.IngressHandler(self.site.context, stages)
@@ -73,9 +73,10 @@
             for each in self.scripted:
                 await each.stop()
 
-    async def ask(self, segments='', on_event=None):
+    async def ask(self, segments='', on_event=None, body_after_s=0.0):
         """Send one request and return the result of its caller.
 
+        :param body_after_s: time from the head to the body.
         :param on_event: called with the writer once an event arrived.
         """
         host, port = self.runner.addresses[0]
@@ -83,9 +84,11 @@
         writer.write(
             f'POST {self._route.prefix}x HTTP/1.1\r\nHost: {HOST}\r\n'
             f'Request-Id: req-1\r\nApi-Key: {KEY}\r\nDeadline-Ms: 9000\r\n'
-            f'Prompt-Prefix: {segments}\r\nContent-Length: 4\r\n\r\nbody'
+            f'Prompt-Prefix: {segments}\r\nContent-Length: 4\r\n\r\n'
             ''.encode()
         )
+        await asyncio.sleep(body_after_s)
+        writer.write(b'body')
         content = b''
         try:
             async with asyncio.timeout(ANSWER_LIMIT_S):
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -20,6 +20,8 @@
 LATE_COPY_S = 0.045
 # Sound endpoints may send nothing for so long and go on.
 SILENCE_S = 1.2
+# Less than the allowed gap between events.
+PAUSE_S = 0.1
 CALL_SCRIPTS = {
     'complete': [COMPLETE],
     'reset': ['reset'],
@@ -122,6 +124,8 @@
                 actions += [0.02, 'die']
             case 'hang':
                 actions.append('hang')
+            case 'pause':
+                actions.append(PAUSE_S)
             case 'silence':
                 actions.append(SILENCE_S)
             case 'declined':
--- a/features/steps/ingress_incomplete_steps.py
+++ b/features/steps/ingress_incomplete_steps.py
@@ -127,6 +127,11 @@
     assert logged == [reason], logged
 
 
+@behave.then('it has status {status:d}')
+def has_status(context, status):
+    assert context.result.status == status, context.result
+
+
 @behave.then('no reason is counted')
 def no_reason(context):
     assert not context.reasons, context.reasons
