Let streams that have begun wait for a listed endpoint

What callers saw: half of an answer and a reset, although an endpoint was listed again half a second later.

Cause: a stream that lost its endpoint while none of its service was listed was given up at once. One that found its endpoints full or at their limits waited.

A stream that has begun now waits in the same way until its deadline leaves no time for another event. Requests that have not begun end as before.

Evidence: "A stream that has begun waits for an endpoint" failed before with "Streamed(is_complete=False, reason=<IncompleteReason.NO_ENDPOINT: 'no endpoint'>)" and passes now; incomplete_answers.feature passes, so a stream whose endpoints stay away is still cut with that reason.

--- a/features/ingress/changed_configuration.feature
+++ b/features/ingress/changed_configuration.feature
@@ -42,3 +42,12 @@
       | once       | waits for its turn | pause declined |
       | repeatable | waits for its turn | pause declined |
       | stream     | waits for its turn | pause declined |
+
+  Scenario: A stream that has begun waits for an endpoint
+    # Guards against cutting an answer that is half delivered because no
+    # endpoint of its service is listed for a moment.
+    Given stream endpoints that play "head 1 pause crash" and "head 2 3 end"
+    And endpoint 2 is listed again 500 ms after all endpoints were removed
+    When a stream is made
+    Then its caller gets the events 1 to 3 and the end
+    And it took at most 1300 ms
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -134,7 +134,7 @@
                 )
             attempt = attempt or await self._next_attempt()
             if attempt is None:
-                if await self._wait_for_permits():
+                if await self._wait_for_endpoint():
                     continue
                 refusal = self._context.refusal(
                     self._routed.service, self._candidates()
@@ -313,16 +313,19 @@
         self._tried_ids.clear()
         return True
 
-    async def _wait_for_permits(self) -> bool:
-        """Pause if a limit keeps a stream from going on.
+    async def _wait_for_endpoint(self) -> bool:
+        """Pause if a stream has no endpoint to go on at.
 
-        A stream that did not run is refused instead.
+        A stream that may have run waits for a limit, one that has begun
+        also for an endpoint to be listed. Others are refused instead.
 
         :returns: whether to try again.
         """
+        if self._is_started:
+            return await self._pause()
         if not self._context.has_exhausted(self._candidates()):
             return False
-        if self._is_started or self._possible_runs:
+        if self._possible_runs:
             return await self._pause()
         # The old version may have endpoints without a limit.
         is_new_version = self._draw < 1.0
