--- a/features/ingress/grace.feature
+++ b/features/ingress/grace.feature
@@ -51,7 +51,7 @@
     Given an entry that is killed 5 s after its stop signal
     And an endpoint whose answers have 6000000 bytes
     When a caller of before the stop reads its answer 3.9 s after it
-    Then its answer is complete
+    Then its answer is complete after the stop began
     And the process ended with code 0 before it was killed
 
   Scenario: An answer that its caller does not read is cut last
--- a/features/steps/ingress_grace_steps.py
+++ b/features/steps/ingress_grace_steps.py
@@ -340,7 +340,7 @@
     _play(context, [caller])
 
 
-@behave.then('its answer is complete')
+@behave.then('its answer is complete after the stop began')
 def answer_complete(context):
     (result,) = context.results
     assert result.status == 200, result._replace(body=len(result.body))
