--- a/features/platform/rows.feature
+++ b/features/platform/rows.feature
@@ -44,6 +44,13 @@
       | has a line break in its id             |
       | has letters of another script in its id|
 
+  Scenario: An endpoint whose time to warm up has passed is used
+    # Guards against a range that refuses what endpoints themselves may write.
+    Given rows of the endpoints "a, b"
+    And a row of an endpoint that has been warm for 3 s
+    When the table of endpoints is read
+    Then "a, b, odd" are the usable endpoints
+
   Scenario: Any bytes are a usable endpoint or an invalid row
     # Guards against errors that a follower of the table does not expect, and
     # against endpoints that can't be chosen, reported or sent to.
--- a/features/steps/platform_rows_steps.py
+++ b/features/steps/platform_rows_steps.py
@@ -91,6 +91,7 @@
     ),
     'states a zone that is not UTF-8': _with('zone', b'"\xff"'),
     'states a zone with half a surrogate': _with('zone', b'"\\udc00"'),
+    'has been warm for 3 s': _with('cold_remaining_ms', b'-3000.5'),
     'is empty': b'',
     'is not JSON': b'\x00\x01',
     'is a list': b'[]',
--- a/src/godwitvalve/platform/endpoints.py
+++ b/src/godwitvalve/platform/endpoints.py
@@ -28,7 +28,7 @@
     born: bounds.UnixMilliseconds = 0
     # Not used; a row with other values here was not written by an endpoint.
     sequence: bounds.Count = 0
-    cold_remaining_ms: bounds.Amount = 0.0
+    cold_remaining_ms: bounds.Number = 0.0
 
 
 _DECODER = msgspec.json.Decoder(_Server)
