Let the store stand-in come back from an older copy

The platform's store may be away for a moment in a drill and come back from a copy some seconds old. It then loses writes that it has acknowledged, gives their versions out again, answers a feed from a version that it does not have with 410, and raises the header Store-Era. The stand-in could not do any of this, so no test reached it.

Endpoints write their row again each 1.2 s, as on the platform.

--- a/features/steps/ingress_stops_steps.py
+++ b/features/steps/ingress_stops_steps.py
@@ -306,7 +306,7 @@
 def removed_while_restarting(context, endpoint, entry):
     context.fleet.signal(entry, signal.SIGKILL)
     context.fleet.wait(entry, 5)
-    context.fleet.write_row('servers', endpoint)
+    context.fleet.unregister(endpoint)
     context.fleet.restart_entry(entry)
     fleet_site.wait_ready(context.fleet, entry)
 
--- a/standins/fleet/replica.py
+++ b/standins/fleet/replica.py
@@ -3,16 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+from collections import abc
 import contextlib
+import sys
 import time
 from typing import Annotated, Any
 
+import aiohttp
 from aiohttp import web
 import typer
 
 from standins.fleet import serving
 
 WORK_S = 0.02
+# A row that the store has lost is written again within two seconds.
+HEARTBEAT_S = 1.2
+STORE_LIMIT_S = 1.0
 
 
 class Replica:
@@ -31,10 +37,15 @@
         self.arrivals_s: list[float] = []
         # Stated in each answer if it is not empty.
         self.limit = ''
+        # Row in the table of servers and the store that keeps it.
+        self._row: dict[str, str] | None = None
+        self._store_url = ''
+        self._writing = asyncio.Lock()
 
     def app(self) -> web.Application:
         """Return the application with all routes."""
         app = web.Application()
+        app.cleanup_ctx.append(self._write_heartbeats)
         app.add_routes(
             [
                 web.get('/healthz', self._health),
@@ -42,6 +53,7 @@
                 web.get('/standin/arrivals', self._get_arrivals),
                 web.post('/standin/faults', self._set_mode),
                 web.post('/standin/limit', self._set_limit),
+                web.post('/standin/row', self._set_row),
                 web.route('*', '/{path:.*}', self._serve),
             ]
         )
@@ -60,6 +72,38 @@
         self.limit = (await request.json())['limit']
         return web.json_response({})
 
+    async def _set_row(self, request: web.Request) -> web.Response:
+        """Set the row to write; without one, no write follows the answer."""
+        body = await request.json()
+        async with self._writing:
+            self._row, self._store_url = body['row'], body['store_url']
+        return web.json_response({})
+
+    async def _write_heartbeats(
+        self, app: web.Application
+    ) -> abc.AsyncIterator[None]:
+        task = asyncio.create_task(self._write_rows())
+        yield
+        task.cancel()
+
+    async def _write_rows(self) -> None:
+        limit = aiohttp.ClientTimeout(total=STORE_LIMIT_S)
+        async with aiohttp.ClientSession(timeout=limit) as session:
+            while True:
+                await asyncio.sleep(HEARTBEAT_S)
+                async with self._writing:
+                    await self._write_row(session)
+
+    async def _write_row(self, session: aiohttp.ClientSession) -> None:
+        if self._row is None:
+            return
+        try:
+            async with session.post(self._store_url, json=self._row) as answer:
+                answer.raise_for_status()
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            # The next heartbeat writes the row again.
+            print(f'row not written: {error}', file=sys.stderr)
+
     async def _set_mode(self, request: web.Request) -> web.Response:
         self.mode = (await request.json())['mode']
         return web.json_response({})
--- a/standins/fleet/site.py
+++ b/standins/fleet/site.py
@@ -96,6 +96,25 @@
             row['value'] = json.dumps(value)
         self.post('store', '/standin/rows', row)
 
+    def restore_store(
+        self, age_s: float, away_s: float, **options: Any
+    ) -> dict[str, Any]:
+        """Let the store come back from an older copy; return what it says.
+
+        :param age_s: age of the copy when the store goes away.
+        :param away_s: seconds until it returns.
+        :param options: further fields of the stand-in's control call.
+        :returns: among others ``lost``, the lost rows of operators.
+        """
+        body = {'age_s': age_s, 'away_s': away_s, **options}
+        answer: dict[str, Any] = self.post('store', '/standin/restore', body)
+        return answer
+
+    def write_lost(self, lost: list[dict[str, Any]]) -> None:
+        """Write lost rows again, as operators do."""
+        for row in lost:
+            self.post('store', '/standin/rows', _without_version(row))
+
     def post(self, name: str, path: str, body: Any) -> Any:
         """Send JSON to a stand-in and return its JSON response."""
         url = f'http://{self.addresses[name]}{path}'
@@ -123,23 +142,38 @@
         address: str = '',
         version: str = 'v1',
     ) -> None:
-        """Write the row of an endpoint to the table of servers.
+        """Write the row of an endpoint, which then repeats it.
 
         :param address: address for entries; by default the endpoint's own.
         """
-        self.write_row(
-            'servers',
-            name,
-            {
-                'service': service,
-                'address': address or self.addresses[name],
-                'zone': domain,
-                'version': version,
-                'slots': 8,
-                'state': state,
-                'born': 1,
-            },
-        )
+        row = {
+            'service': service,
+            'address': address or self.addresses[name],
+            'zone': domain,
+            'version': version,
+            'slots': 8,
+            'state': state,
+            'born': 1,
+        }
+        self.write_row('servers', name, row)
+        self._set_heartbeat(name, row)
+
+    def unregister(self, name: str) -> None:
+        """Remove the row of an endpoint that goes on serving."""
+        self._set_heartbeat(name, None)
+        self.write_row('servers', name)
+
+    def _set_heartbeat(self, name: str, row: dict[str, Any] | None) -> None:
+        """Let an endpoint write its row again with each heartbeat."""
+        written = row and {
+            'table': 'servers',
+            'part': '',
+            'key': name,
+            'value': json.dumps(row),
+        }
+        url = f'http://{self.addresses["store"]}/standin/rows'
+        body = {'row': written, 'store_url': url}
+        self.post(name, '/standin/row', body)
 
     def start_entry(self, name: str, domain: str) -> str:
         """Start an entry instance on its own loopback address."""
@@ -224,6 +258,10 @@
                 process.stdout.close()
 
 
+def _without_version(row: dict[str, Any]) -> dict[str, Any]:
+    return {name: value for name, value in row.items() if name != 'ver'}
+
+
 def wait_ready(site: FleetSite, name: str) -> None:
     """Wait until an entry is ready and has loaded its endpoints."""
     url = f'http://{site.port_address(name, 1)}/readyz'
