Keep the store stand-in away independently of its other faults

A fault that ended while the store stand-in was away made it answer again before its return, so drills could not overlap with other faults of the store. Being away is now a state of its own. Tests may also raise the version without a return, and get the row of an endpoint without writing it.

--- a/standins/fleet/site.py
+++ b/standins/fleet/site.py
@@ -146,7 +146,21 @@
 
         :param address: address for entries; by default the endpoint's own.
         """
-        row = {
+        row = self.endpoint_row(name, service, domain, state, address, version)
+        self.write_row('servers', name, row)
+        self.set_heartbeat(name, row)
+
+    def endpoint_row(
+        self,
+        name: str,
+        service: str,
+        domain: str,
+        state: str = 'ready',
+        address: str = '',
+        version: str = 'v1',
+    ) -> dict[str, Any]:
+        """Return the row of an endpoint in the table of servers."""
+        return {
             'service': service,
             'address': address or self.addresses[name],
             'zone': domain,
@@ -155,15 +169,13 @@
             'state': state,
             'born': 1,
         }
-        self.write_row('servers', name, row)
-        self._set_heartbeat(name, row)
 
     def unregister(self, name: str) -> None:
         """Remove the row of an endpoint that goes on serving."""
-        self._set_heartbeat(name, None)
+        self.set_heartbeat(name, None)
         self.write_row('servers', name)
 
-    def _set_heartbeat(self, name: str, row: dict[str, Any] | None) -> None:
+    def set_heartbeat(self, name: str, row: dict[str, Any] | None) -> None:
         """Let an endpoint write its row again with each heartbeat."""
         written = row and {
             'table': 'servers',
--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -20,7 +20,6 @@
 COPIES_KEPT_S = 60.0
 # Three heartbeats without a write, after which an endpoint's row is removed.
 SILENCE_LIMIT_S = 3.6
-AWAY_MODES = frozenset({'away', 'hung'})
 
 
 class Copy(NamedTuple):
@@ -43,6 +42,8 @@
         self.changes: list[dict[str, Any]] = []
         self.oldest = 0
         self.mode = 'up'
+        # While it is away: how it treats calls, 'away' or 'hung'.
+        self.absence = ''
         self.era = 1
         # Rows that operators and endpoints wrote since the last return.
         self.written_again: set[tuple[str, str, str]] = set()
@@ -182,13 +183,13 @@
             return control_response
         if self.store.mode == 'silent':
             await asyncio.sleep(3600)
-        if self.store.mode == 'hung':
+        if self.store.absence == 'hung':
             async with self.store.changed:
                 await self.store.changed.wait_for(
-                    lambda: self.store.mode not in AWAY_MODES
+                    lambda: not self.store.absence
                 )
             return _cut(request)
-        if self.store.mode == 'away':
+        if self.store.absence:
             return _cut(request)
         response = (
             web.Response(status=503)
@@ -254,14 +255,14 @@
                 await self.store.changed.wait_for(
                     lambda: (
                         self.store.era != era
-                        or self.store.mode in AWAY_MODES
+                        or bool(self.store.absence)
                         or not is_deaf
                         and bool(self.store.since(table, after))
                     )
                 )
         except asyncio.TimeoutError:
             pass
-        if self.store.era != era or self.store.mode in AWAY_MODES:
+        if self.store.era != era or self.store.absence:
             return _cut(request)
         if is_deaf:
             return self._rows_response([], False, after)
@@ -281,7 +282,7 @@
 
     async def _write_row(self, request: web.Request) -> web.Response:
         """Write or remove rows of any table; values are sent as text."""
-        if self.store.mode in AWAY_MODES:
+        if self.store.absence:
             return web.Response(status=503)
         await self._write_text(await request.json())
         return web.json_response({'ver': self.store.version})
@@ -303,7 +304,8 @@
         """Set faults; ``era_header`` is sent instead of the era.
 
         ``keeps_equal_rows`` tells whether a row that is written again with
-        the same value keeps its version.
+        the same value keeps its version. ``other_writes`` transactions of
+        other writers raise the version.
         """
         body = await request.json()
         self.store.mode = body.get('mode', self.store.mode)
@@ -312,6 +314,7 @@
         self._keeps_equal_rows = body.get(
             'keeps_equal_rows', self._keeps_equal_rows
         )
+        self.store.version += body.get('other_writes', 0)
         if body.get('forget'):
             self.store.oldest = self.store.version + 1
         await self.store.notify()
@@ -321,7 +324,7 @@
         """Go away, come back from an older copy and answer after that.
 
         The body has ``age_s``, the age of the copy when the store goes away,
-        ``away_s``, and optionally ``mode``: ``away`` resets calls meanwhile,
+        ``away_s``, and optionally ``absence``: ``away`` resets calls then,
         ``hung`` keeps them waiting until the return. Before the first call
         after the return, ``rows`` are written and ``other_writes``
         transactions of other writers raise the version.
@@ -329,7 +332,7 @@
         body = await request.json()
         async with self._restoring:
             copy = self.store.copy_of(time.monotonic() - body['age_s'])
-            self.store.mode = body.get('mode', 'away')
+            self.store.absence = body.get('absence', 'away')
             await self.store.notify()
             # The store also returns if the caller disconnects.
             with contextlib.suppress(asyncio.CancelledError):
@@ -338,7 +341,7 @@
             for row in body.get('rows', []):
                 await self._write_text(row)
             self.store.version += body.get('other_writes', 0)
-            self.store.mode = 'up'
+            self.store.absence = ''
             await self.store.notify()
         task = asyncio.create_task(self._remove_silent(self.store.era))
         self._tasks.add(task)
