Let the store return from older copies in the soak test

Operators and endpoints write again what was lost. At the end the store returns once more, and a configuration that is written right after that must be in force at all entries within 2 s.

A watch, also without the option, reports entries that go back to an older configuration in one lifetime of their process.

--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -11,3 +11,14 @@
     # is printed.
     When the soak runs a fresh seed for 8 s
     Then no guarantee was violated
+
+  Scenario: A fixed seed with returns of the store from older copies
+    # Guards against a configuration that is not in force, or goes back, when
+    # returns of the store overlap with other faults.
+    When the soak runs seed 1 with returns of the store for 8 s
+    Then no guarantee was violated
+
+  Scenario: A fresh seed with returns of the store from older copies
+    # Guards against violations that the fixed seed does not reach.
+    When the soak runs a fresh seed with returns of the store for 8 s
+    Then no guarantee was violated
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -23,3 +23,19 @@
 @behave.then('no guarantee was violated')
 def no_violation(context):
     assert not context.violations, (context.seed, context.violations)
+
+
+@behave.when(
+    'the soak runs seed {seed:d} with returns of the store for {seconds:d} s'
+)
+def run_seed_with_restores(context, seed, seconds):
+    context.seed = seed
+    context.violations = asyncio.run(run.soak(seed, seconds, True))
+
+
+@behave.when(
+    'the soak runs a fresh seed with returns of the store for {seconds:d} s'
+)
+def run_fresh_seed_with_restores(context, seconds):
+    seed = random.SystemRandom().randrange(1, 10**6)
+    run_seed_with_restores(context, seed, seconds)
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections import abc
+import contextlib
 import json
 import pathlib
 import random
@@ -10,7 +12,8 @@
 import sys
 import tempfile
 import time
-from typing import Annotated
+from typing import Annotated, Any
+import urllib.error
 
 import aiohttp
 import typer
@@ -33,12 +36,30 @@
 # Every entry must be ready within this time after the last fault.
 RECOVERY_LIMIT_S = 12.0
 CONFIGURATION_LIMIT_S = 2.0
+# The store returns from copies of up to this age, within the time in which
+# other faults begin.
+MAX_COPY_AGE_S = 6.0
+MAX_AWAY_S = 1.5
+# Transactions of other writers right after a return.
+OTHER_WRITES = 500
+# Operators write again what was lost within this time.
+MAX_REWRITE_DELAY_S = 1.0
+WRITE_RETRY_PAUSE_S = 0.1
+WATCH_PERIOD_S = 0.3
+WATCH_LIMIT_S = 1.0
+# Versions of which the watch asks whether they are in force.
+WATCHED_VERSIONS = 3
 
 
 class Soak:
-    """One fleet, the faults injected into it and the violations found."""
+    """One fleet, the faults injected into it and the violations found.
 
-    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+    :param has_restores: whether the store also returns from older copies.
+    """
+
+    def __init__(
+        self, seed: int, folder: pathlib.Path, has_restores: bool = False
+    ) -> None:
         self.rng = random.Random(seed)
         self.site = fleet_site.FleetSite(folder)
         self.store_address = self.site.store
@@ -48,13 +69,17 @@
         self.version = 0
         self.violations: list[str] = []
         self.faults: list[str] = []
+        self.has_restores = has_restores
+        self._restoring = asyncio.Lock()
+        self._configuring = asyncio.Lock()
+        self._configuration: dict[str, Any] = {}
 
     async def start(self) -> None:
         """Start store, endpoints and entries."""
         store_proxy = await proxies.FaultProxy(self.site.store).start()
         self.proxies['store'] = store_proxy
         self.site.store = store_proxy.address
-        self.configure()
+        await self.configure()
         for number in range(MODELS + DESKS):
             kind = 'model' if number < MODELS else 'desk'
             await self.start_endpoint(f'{kind}-{number}')
@@ -64,15 +89,22 @@
         for name in self.entries:
             await asyncio.to_thread(fleet_site.wait_ready, self.site, name)
 
-    def configure(self) -> None:
+    async def configure(self) -> None:
         """Write the next configuration, which adds one route."""
-        self.version += 1
-        raw = fleet_site.configuration(self.version)
-        route = fleet_site.route(
-            'r-v', f'/v{self.version}/', 'non_idempotent', 'desk'
+        async with self._configuring:
+            self.version += 1
+            raw = fleet_site.configuration(self.version)
+            route = fleet_site.route(
+                'r-v', f'/v{self.version}/', 'non_idempotent', 'desk'
+            )
+            raw['routes'].append(route)
+            self._configuration = raw
+            await self._write_configuration()
+
+    async def _write_configuration(self) -> None:
+        await _until_accepted(
+            lambda: self.site.write_row('op', 'config', self._configuration)
         )
-        raw['routes'].append(route)
-        self.site.write_row('op', 'config', raw)
 
     async def start_endpoint(self, slot: str) -> None:
         """Start the next endpoint of a slot under a new id."""
@@ -87,11 +119,13 @@
             self.site.addresses[name]
         ).start()
         self.proxies[slot] = endpoint_proxy
-        self.site.register(
-            name,
-            service,
-            f'fd-{int(number) % 3}',
-            address=endpoint_proxy.address,
+        await _until_accepted(
+            lambda: self.site.register(
+                name,
+                service,
+                f'fd-{int(number) % 3}',
+                address=endpoint_proxy.address,
+            )
         )
 
     def endpoint(self, slot: str) -> str:
@@ -100,7 +134,7 @@
 
     async def inject_faults(self, until_s: float) -> None:
         """Start random faults until a time, then wait until all ended."""
-        faults = (
+        faults = [
             self.kill_entry,
             self.pause_entry,
             self.stop_entry,
@@ -109,7 +143,10 @@
             self.disturb_connection,
             self.disturb_store,
             self.change_configuration,
-        )
+        ]
+        if self.has_restores:
+            # Twice, so that returns and changes often follow one another.
+            faults += [self.restore_store, self.restore_store]
         tasks = []
         while time.monotonic() < until_s:
             inject = self.rng.choice(faults)
@@ -178,7 +215,7 @@
         process.send_signal(signal.SIGCONT)
         process.kill()
         await asyncio.sleep(self._fault_duration_s())
-        self.site.write_row('servers', name)
+        await _until_accepted(lambda: self.site.write_row('servers', name))
         await self.proxies[slot].stop()
         await self.start_endpoint(slot)
 
@@ -209,7 +246,85 @@
     async def change_configuration(self) -> None:
         """Write the next configuration while other faults last."""
         self._record_fault(f'configuration {self.version + 1}')
-        self.configure()
+        await self.configure()
+
+    async def restore_store(self) -> None:
+        """Let the store return from an older copy; write again what it lost.
+
+        Operators write the newest configuration again a moment later.
+        """
+        await self._return_from_copy()
+        await asyncio.sleep(self.rng.uniform(0.0, MAX_REWRITE_DELAY_S))
+        async with self._configuring:
+            await self._write_configuration()
+
+    async def _return_from_copy(self) -> None:
+        age_s = self.rng.uniform(0.5, MAX_COPY_AGE_S)
+        away_s = self.rng.uniform(0.1, MAX_AWAY_S)
+        absence = self.rng.choice(('away', 'hung'))
+        other_writes = self.rng.choice((0, OTHER_WRITES))
+        async with self._restoring:
+            self._record_fault(
+                f'return from {age_s:.1f} s, {absence} for {away_s:.1f} s, '
+                f'{other_writes} other writes'
+            )
+            await asyncio.to_thread(
+                self.site.restore_store,
+                age_s,
+                away_s,
+                absence=absence,
+                other_writes=other_writes,
+            )
+
+    async def watch_versions(self) -> None:
+        """Report entries that go back to an older configuration.
+
+        Each configuration has a route that none of the others has.
+        """
+        limit = aiohttp.ClientTimeout(total=WATCH_LIMIT_S)
+        async with aiohttp.ClientSession(timeout=limit) as session:
+            await asyncio.gather(
+                *(self._watch_entry(session, name) for name in self.entries)
+            )
+
+    async def _watch_entry(
+        self, session: aiohttp.ClientSession, name: str
+    ) -> None:
+        process = None
+        newest = 0
+        while True:
+            await asyncio.sleep(WATCH_PERIOD_S)
+            if process is not self.site.processes[name]:
+                process, newest = self.site.processes[name], 0
+            oldest = max(self.version - WATCHED_VERSIONS, 0)
+            for version in range(self.version, oldest, -1):
+                status = await self._status_of(session, name, version)
+                if process is not self.site.processes[name]:
+                    break
+                if status == 200 and version < newest:
+                    self.violations.append(
+                        f'{name}: went back from {newest} to {version}'
+                    )
+                if status == 200:
+                    newest = max(newest, version)
+                    break
+
+    async def _status_of(
+        self, session: aiohttp.ClientSession, name: str, version: int
+    ) -> int:
+        """Return the status on the route of a version, or 0."""
+        url = f'http://{self.site.addresses[name]}/v{version}/calm'
+        headers = {
+            'Host': fleet_site.HOST,
+            'Request-Id': f'calm-{name}',
+            'Api-Key': fleet_site.KEY,
+        }
+        with contextlib.suppress(
+            aiohttp.ClientError, OSError, asyncio.TimeoutError
+        ):
+            async with session.post(url, headers=headers) as answer:
+                return answer.status
+        return 0
 
     async def _save_runs(self, name: str) -> None:
         """Save the runs of an endpoint, which is continued if frozen."""
@@ -237,36 +352,46 @@
 
     async def check_recovery(self, callers: soak_callers.Callers) -> None:
         """Check that every entry serves and knows the configuration."""
-        self.configure()
+        if self.has_restores:
+            await self._return_from_copy()
+        await self.configure()
         changed_s = time.monotonic()
         async with aiohttp.ClientSession() as session:
             await asyncio.sleep(CONFIGURATION_LIMIT_S)
             for name in self.entries:
-                url = (
-                    f'http://{self.site.addresses[name]}/v{self.version}/calm'
-                )
-                headers = {
-                    'Host': fleet_site.HOST,
-                    'Request-Id': f'calm-{name}',
-                    'Api-Key': fleet_site.KEY,
-                }
-                async with session.post(url, headers=headers) as answer:
-                    if answer.status != 200:
-                        waited_s = time.monotonic() - changed_s
-                        self.violations.append(
-                            f'{name}: {answer.status} on a route that is '
-                            f'{waited_s:.1f} s old'
-                        )
+                status = await self._status_of(session, name, self.version)
+                if status != 200:
+                    waited_s = time.monotonic() - changed_s
+                    self.violations.append(
+                        f'{name}: {status} on a route that is '
+                        f'{waited_s:.1f} s old'
+                    )
             served = [await callers.call(session) for _ in range(10)]
             served += [await callers.stream(session) for _ in range(3)]
         if not all(served):
             self.violations.append(f'calm requests served: {served}')
 
 
-async def soak(seed: int, seconds: float) -> list[str]:
-    """Run one seed; return the violations."""
+async def _until_accepted(write: abc.Callable[[], None]) -> None:
+    """Repeat a write until the store accepts it; it may be away."""
+    while True:
+        try:
+            return await asyncio.to_thread(write)
+        except urllib.error.HTTPError as error:
+            if error.code != 503:
+                raise
+        await asyncio.sleep(WRITE_RETRY_PAUSE_S)
+
+
+async def soak(
+    seed: int, seconds: float, has_restores: bool = False
+) -> list[str]:
+    """Run one seed; return the violations.
+
+    :param has_restores: whether the store also returns from older copies.
+    """
     with tempfile.TemporaryDirectory() as folder:
-        run = Soak(seed, pathlib.Path(folder))
+        run = Soak(seed, pathlib.Path(folder), has_restores)
         try:
             await run.start()
             addresses = [run.site.addresses[name] for name in run.entries]
@@ -274,6 +399,8 @@
             tasks = [
                 asyncio.create_task(callers.run()) for _ in range(CALLERS)
             ]
+            watch = asyncio.create_task(run.watch_versions())
+            tasks.append(watch)
             await run.inject_faults(time.monotonic() + seconds)
             for name in run.entries:
                 await asyncio.to_thread(
@@ -316,17 +443,19 @@
     seed: Annotated[int, typer.Option()] = 0,
     seconds: Annotated[float, typer.Option(min=1.0)] = 20.0,
     count: Annotated[int, typer.Option(min=1)] = 1,
+    restores: bool = False,
 ) -> None:
     """Run the soak test; a seed of 0 stands for a random one.
 
     :param seed: first seed; the following seeds count up from it.
     :param seconds: seconds of faults for each seed.
     :param count: number of seeds.
+    :param restores: let the store also return from older copies.
     """
     first = seed or random.SystemRandom().randrange(1, 10**6)
     violation_count = 0
     for number in range(first, first + count):
-        for line in asyncio.run(soak(number, seconds)):
+        for line in asyncio.run(soak(number, seconds, restores)):
             print(f'BROKEN seed {number}: {line}', flush=True)
             violation_count += 1
     print(f'{count} seeds from {first}, {violation_count} broken promises')
