Order what the store says by its era, then by its version

What callers saw: a configuration that had been confirmed was not in force for seconds; requests to a route that it added were refused with 404.

Cause: the store came back from an older copy, so its versions went back and were given out again. A follower refused each whole table whose version was below the newest one that it knew, until the store's counter had passed that number; where the counter had passed it already, it went on from a number that meant something else. The class: numbers of two histories that are compared with each other.

A position in the history of the store is now an era and a version. A change of the era means that the whole table is read again, and entries that relay tables state the era. Entries report it to each other, so that calls which wait for changes of the era before end. What the store itself states is followed, also if its era goes back. Without an era, a store that stays behind for longer than stale reads do counts as restored.

--- /dev/null
+++ b/features/fleet/restored_store.feature
@@ -0,0 +1,61 @@
+Feature: A store that comes back from an older copy
+
+  Scenario: The table of a restored store is read although its version is lower
+    # Guards against a follower that waits until the store's counter has passed
+    # the version that it read last before the restore.
+    Given a follower that read "x=1, y=1" at version 50 of era 1
+    When the store is restored with "x=1" at version 20
+    Then the follower knows "x=1" within 3 calls
+
+  Scenario: Changes below the known version are read after a restore
+    # Guards against going on from a number that is given out again: rows that
+    # were written below it in the new era would never be seen.
+    Given a follower that read "x=1, y=1" at version 50 of era 1
+    When the store is restored with "x=2" at version 60
+    Then the follower knows "x=2" within 3 calls
+
+  Scenario: A waiting call ends when another entry reports a later era
+    # Guards against a call that waits for changes of the era before: the
+    # store may come back without ending it.
+    Given a follower that read "x=1" at version 50 of era 1
+    When the store is restored with "x=2" at version 60 and does not answer the waiting call
+    And another entry reports era 2
+    Then the follower knows "x=2" within 3 calls
+
+  Scenario: An era that only another entry reports is asked for once
+    # Guards against calls without end if the store does not confirm an era.
+    Given a follower that read "x=1" at version 50 of era 1
+    When another entry reports era 7 ten times
+    Then the follower made at most 4 calls
+
+  Scenario: An era that goes back is that of the store
+    # Guards against a follower that waits for an era that never comes again.
+    Given a follower that read "x=1" at version 50 of era 3
+    When the store is restored with "x=2" at version 20 of era 2
+    Then the follower knows "x=2" within 3 calls
+
+  Scenario: A restored store that states no era is recognised by its lag
+    # Guards against a follower that never reads the table again: stale reads
+    # lag by 3 s at most.
+    Given a follower that read "x=1" at version 50 without an era
+    When the store is restored with "x=2" at version 20 without an era
+    Then the follower knows "x=2" after 4 s but not after 2 s
+
+  Scenario Outline: An entry that has not seen the restore is not followed
+    # Guards against going back to rows that are relayed from before.
+    Given a follower that read "x=2" at version 20 of era 2
+    When another entry relays "x=1" at version 50 of era 1 to a reader <reader>
+    Then the reader does not use the answer
+
+    Examples:
+      | reader             |
+      | of changes         |
+      | of the whole table |
+
+  Scenario: Readers of a relay read the whole table of a new era
+    # Guards against changes that are merged into rows of another history.
+    Given a relay that read "x=1, y=2" at version 50
+    When it reads the whole table "x=3" at version 20 of era 1
+    Then a reader at version 50 must read the whole table again
+    And a reader without a version gets "x=3"
+    And a reader at version 20 of era 1 gets ""
--- a/features/steps/fleet_relay_steps.py
+++ b/features/steps/fleet_relay_steps.py
@@ -165,7 +165,8 @@
 @behave.then('a reader at version {version:d} gets "{text}"')
 @behave.then('a reader at version {version:d} gets ""')
 def reader_gets(context, version, text=''):
-    assert _text(context.relay.since(version).rows) == text
+    after = stores.StoreRevision(0, version)
+    assert _text(context.relay.since(after).rows) == text
 
 
 @behave.then('a reader without a version gets "{text}"')
@@ -176,7 +177,7 @@
 @behave.then('a reader at version {version:d} must read the whole table again')
 def must_read_again(context, version):
     try:
-        context.relay.since(version)
+        context.relay.since(stores.StoreRevision(0, version))
     except stores.HistoryExpired:
         return
     raise AssertionError('changes were returned')
@@ -192,7 +193,8 @@
 )
 def answer_at_once(context, version):
     began_s = time.monotonic()
-    answer = asyncio.run(context.relay.changes(version, 1.0, context.now_s))
+    after = stores.StoreRevision(0, version)
+    answer = asyncio.run(context.relay.changes(after, 1.0, context.now_s))
     assert time.monotonic() - began_s < 0.5
     assert context.now_s - answer.confirmed_s >= 2.0
 
@@ -209,9 +211,9 @@
 
     async def changes(self, table, after, wait_s):
         await asyncio.sleep(0)
-        if after >= self.last:
+        if after.version >= self.last:
             raise stores.StoreUnavailable('frozen')
-        return self._answer(after + 1)
+        return self._answer(after.version + 1)
 
     @staticmethod
     def _answer(version):
@@ -289,12 +291,15 @@
     def __init__(self):
         self.versions = []
 
-    def apply_snapshot(self, rows, version):
+    def apply_snapshot(self, rows, revision):
         self.apply_changes(rows)
 
     def apply_changes(self, rows):
         self.versions += [row.version for row in rows]
 
+    def mark_store_restored(self):
+        raise AssertionError('the store was not restored')
+
     def mark_store_unavailable(self):
         raise AssertionError('the store was not asked')
 
--- a/src/godwitvalve/fleet/consumers.py
+++ b/src/godwitvalve/fleet/consumers.py
@@ -105,7 +105,7 @@
         self._order = order
 
     def apply_snapshot(
-        self, rows: list[stores.StoredRow], version: int
+        self, rows: list[stores.StoredRow], revision: stores.StoreRevision
     ) -> None:
         """Apply all rows of the operator's table."""
         self.apply_changes(rows)
@@ -115,6 +115,9 @@
         self._configuration.apply_changes(rows)
         self._order.apply_changes(rows)
 
+    def mark_store_restored(self) -> None:
+        """Do nothing: rows of operators are compared by their versions."""
+
     def mark_store_unavailable(self) -> None:
         """Do nothing: installed configurations outlast an outage."""
 
@@ -140,9 +143,10 @@
         self._logged_rows = repeats.RepeatFilter()
 
     def apply_snapshot(
-        self, rows: list[stores.StoredRow], version: int
+        self, rows: list[stores.StoredRow], revision: stores.StoreRevision
     ) -> None:
         """Replace the listed endpoints."""
+        version = revision.version
         decoded: dict[str, tuple[endpoints.FleetEndpoint, int]] = {}
         for row in rows:
             endpoint = self._decode(row)
@@ -193,6 +197,9 @@
         )
         self._on_removed(endpoint_id)
 
+    def mark_store_restored(self) -> None:
+        """Do nothing: the listed endpoints are replaced."""
+
     def expire(self) -> None:
         """Remove endpoints that did not register again after an outage."""
         for endpoint_id in self._registry.expire(time.monotonic()):
--- a/src/godwitvalve/fleet/follower.py
+++ b/src/godwitvalve/fleet/follower.py
@@ -5,8 +5,10 @@
 import asyncio
 from collections import abc
 import random
-from typing import Protocol
+import time
+from typing import Any, Protocol
 
+from godwitvalve.fleet import eras
 from godwitvalve.fleet import relay as relays
 from godwitvalve.fleet import sources
 from godwitvalve.logs import setup as logs
@@ -16,6 +18,9 @@
 # seconds, each entry retries about every second for each table.
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
+# Stale reads of the store lag by up to 3 s. A store that is behind for longer
+# was restored without stating a new era.
+MAX_LAG_S = 3.5
 
 _LOG = logs.get('fleet')
 
@@ -24,13 +29,19 @@
     """Applies the rows of a table."""
 
     def apply_snapshot(
-        self, rows: list[stores.StoredRow], version: int
+        self, rows: list[stores.StoredRow], revision: stores.StoreRevision
     ) -> None:
-        """Replace the known rows with all rows as of a version."""
+        """Replace the known rows with all rows as of a revision."""
 
     def apply_changes(self, rows: list[stores.StoredRow]) -> None:
         """Apply changed rows in the order of their versions."""
 
+    def mark_store_restored(self) -> None:
+        """Handle the return of the store from an older copy.
+
+        The next rows are those of the copy, and of what was written since.
+        """
+
     def mark_store_unavailable(self) -> None:
         """Handle the loss of the store."""
 
@@ -62,6 +73,7 @@
     """Reads a table once and then its changes until cancelled.
 
     :param relay: receives the rows that were read, for other entries.
+    :param era: wakes the follower when the store may have been restored.
     :param pause_s: returns the seconds between two calls; a pause lets one
         call read changes that occur together.
     """
@@ -73,14 +85,19 @@
         consumer: TableConsumer,
         relay: relays.TableRelay,
         pause_s: abc.Callable[[], float] = float,
+        era: eras.StoreEra | None = None,
     ) -> None:
         self._sources = table_sources
         self._table = table
         self._consumer = consumer
         self._relay = relay
         self._pause_s = pause_s
-        self._version: int | None = None
-        self._newest_version = 0
+        self._era = era or eras.StoreEra()
+        # Revision up to which the table was read; None if it must be read.
+        self._revision: stores.StoreRevision | None = None
+        self._newest: stores.StoreRevision | None = None
+        self._lagging_since_s: float | None = None
+        self._seen_news_count = 0
         self._is_store_unavailable = False
 
     async def run(self) -> None:
@@ -89,13 +106,13 @@
         while True:
             source, instance_id = self._sources.choose()
             try:
-                await self._step(source)
+                await self._step(source, is_relayed=bool(instance_id))
             except stores.HistoryExpired:
                 _LOG.info(
                     'Change history expired; reading the whole table.',
-                    extra={'table': self._table},
+                    extra={'table': self._table, 'revision': self._revision},
                 )
-                self._version = None
+                self._revision = None
                 continue
             except stores.StoreUnavailable as error:
                 if instance_id:
@@ -118,30 +135,119 @@
             },
         )
 
-    async def _step(self, source: sources.TableSource) -> None:
-        if self._version is None:
-            answer = await source.rows(self._table)
-            if answer.version < self._newest_version:
-                # The source lags behind a version read before; retry.
-                raise stores.StoreUnavailable('source returned an old version')
-            self._mark_available(answer)
-            self._consumer.apply_snapshot(answer.rows, answer.version)
-            await self._relay.update(self._with_trust(answer), True)
+    async def _step(
+        self, source: sources.TableSource, is_relayed: bool
+    ) -> None:
+        if self._revision is None:
+            await self._read_table(source, is_relayed)
         else:
-            # After an outage, an answer at once tells when the store is back;
-            # removals are not trusted for some time from then.
-            wait_s = (
-                0.0
-                if self._is_store_unavailable
-                else self._sources.wait_s(self._table)
+            await self._read_changes(source, self._revision, is_relayed)
+
+    async def _read_table(
+        self, source: sources.TableSource, is_relayed: bool
+    ) -> None:
+        answer = self._with_era(await source.rows(self._table))
+        read = _revision(answer)
+        if self._newest is not None:
+            self._check_lag(read, self._newest, is_relayed)
+            if read.era != self._newest.era or read < self._newest:
+                _LOG.warning(
+                    'Store came back from an older copy.',
+                    extra={
+                        'table': self._table,
+                        'revision': read,
+                        'known_revision': self._newest,
+                    },
+                )
+                self._consumer.mark_store_restored()
+        self._lagging_since_s = None
+        self._mark_available(answer)
+        self._consumer.apply_snapshot(answer.rows, read)
+        await self._relay.update(self._with_trust(answer), True)
+        self._revision = self._newest = read
+        if self._era.is_settled(read.era):
+            self._seen_news_count = self._era.news_count
+
+    def _check_lag(
+        self,
+        read: stores.StoreRevision,
+        newest: stores.StoreRevision,
+        is_relayed: bool,
+    ) -> None:
+        """Check that a source has all changes that were read before.
+
+        Another entry that lags behind is not used. The store itself tells of
+        a restore by its era; without one, it is taken for restored if it is
+        behind for longer than stale reads are.
+
+        :raises StoreUnavailable: if the source lags behind.
+        """
+        if read >= newest or (not is_relayed and read.era != newest.era):
+            return
+        now_s = time.monotonic()
+        if self._lagging_since_s is None:
+            self._lagging_since_s = now_s
+        if is_relayed or now_s - self._lagging_since_s < MAX_LAG_S:
+            raise stores.StoreUnavailable('source returned an old version')
+
+    async def _read_changes(
+        self,
+        source: sources.TableSource,
+        after: stores.StoreRevision,
+        is_relayed: bool,
+    ) -> None:
+        # After an outage, an answer at once tells when the store is back;
+        # removals are not trusted for some time from then.
+        has_news = self._era.news_count != self._seen_news_count
+        self._seen_news_count = self._era.news_count
+        wait_s = (
+            0.0
+            if self._is_store_unavailable or has_news
+            else self._sources.wait_s(self._table)
+        )
+        raw_answer = await self._call_unless_news(
+            source.changes(self._table, after, wait_s)
+        )
+        if raw_answer is None:
+            return
+        answer = self._with_era(raw_answer)
+        read = _revision(answer)
+        if read.era != after.era:
+            if is_relayed and read < after:
+                raise stores.StoreUnavailable('source returned an old era')
+            # Versions of another era mean other changes.
+            raise stores.HistoryExpired
+        self._mark_available(answer)
+        if answer.rows:
+            self._consumer.apply_changes(answer.rows)
+        await self._relay.update(self._with_trust(answer), False)
+        self._revision = self._newest = max(after, read)
+
+    async def _call_unless_news(
+        self, call: abc.Coroutine[Any, Any, sources.TableAnswer]
+    ) -> sources.TableAnswer | None:
+        """Return the answer, or None if the store may have been restored.
+
+        A call that waits for changes may not end when the store returns.
+        """
+        calling = asyncio.ensure_future(call)
+        news = asyncio.ensure_future(
+            self._era.wait_for_news(self._seen_news_count)
+        )
+        try:
+            await asyncio.wait(
+                {calling, news}, return_when=asyncio.FIRST_COMPLETED
             )
-            answer = await source.changes(self._table, self._version, wait_s)
-            self._mark_available(answer)
-            if answer.rows:
-                self._consumer.apply_changes(answer.rows)
-            await self._relay.update(self._with_trust(answer), False)
-        self._version = max(answer.version, self._version or 0)
-        self._newest_version = max(self._newest_version, answer.version)
+            return calling.result() if calling.done() else None
+        finally:
+            calling.cancel()
+            news.cancel()
+
+    def _with_era(self, answer: sources.TableAnswer) -> sources.TableAnswer:
+        """Return an answer with its era; without one, it is the known one."""
+        if answer.era is not None:
+            return answer
+        return answer._replace(era=self._newest.era if self._newest else 0)
 
     def _with_trust(self, answer: sources.TableAnswer) -> sources.TableAnswer:
         return answer._replace(trusted_from_s=self._consumer.trusted_from_s())
@@ -164,6 +270,10 @@
             )
 
 
+def _revision(answer: sources.TableAnswer) -> stores.StoreRevision:
+    return stores.StoreRevision(answer.era or 0, answer.version)
+
+
 def _pauses() -> abc.Iterator[float]:
     """Yield growing pauses; jitter spreads the calls of the entries."""
     pause_s = FIRST_PAUSE_S
--- a/src/godwitvalve/fleet/relay.py
+++ b/src/godwitvalve/fleet/relay.py
@@ -23,7 +23,7 @@
     """
 
     def __init__(self) -> None:
-        self.version = 0
+        self.revision = stores.StoreRevision(0, 0)
         self.confirmed_s = float('-inf')
         self.trusted_from_s = float('-inf')
         self._history_from = 0
@@ -38,17 +38,19 @@
 
         :param is_complete: whether it contains the whole table.
         """
+        before = self.revision
+        read = stores.StoreRevision(answer.era or 0, answer.version)
         if is_complete:
             self._rows.clear()
             self._removed.clear()
             self._history_from = answer.version
         for row in answer.rows:
             self._put(row)
-        is_newer = answer.version > self.version
-        self.version = max(self.version, answer.version)
+        # A complete table of a restored store may have a lower revision.
+        self.revision = read if is_complete else max(before, read)
         self.confirmed_s = max(self.confirmed_s, answer.confirmed_s)
         self.trusted_from_s = max(self.trusted_from_s, answer.trusted_from_s)
-        if is_newer or answer.rows:
+        if self.revision != before or answer.rows:
             async with self._changed:
                 self._changed.notify_all()
 
@@ -71,32 +73,39 @@
         """
         return self._answer(list(self._rows.values()))
 
-    def since(self, after_version: int) -> sources.TableAnswer:
-        """Return the rows that changed after a version.
+    def since(self, after: stores.StoreRevision) -> sources.TableAnswer:
+        """Return the rows that changed after a revision.
 
         :raises HistoryExpired: if the whole table must be read again.
-        :raises StoreUnavailable: if it was not read yet.
+        :raises StoreUnavailable: if it was not read yet, or not in the era
+            of the revision.
         """
-        if after_version < self._history_from:
+        if after.era > self.revision.era:
+            raise stores.StoreUnavailable('table of an earlier era')
+        if after < (self.revision.era, self._history_from):
             raise stores.HistoryExpired
         known: abc.Iterable[stores.StoredRow] = (
             *self._rows.values(),
             *self._removed.values(),
         )
-        changed = [row for row in known if row.version > after_version]
+        changed = [row for row in known if row.version > after.version]
         return self._answer(sorted(changed, key=lambda row: row.version))
 
     def _answer(self, rows: list[stores.StoredRow]) -> sources.TableAnswer:
         if self.confirmed_s == float('-inf'):
             raise stores.StoreUnavailable('table was not read yet')
         return sources.TableAnswer(
-            rows, self.version, self.confirmed_s, self.trusted_from_s
+            rows,
+            self.revision.version,
+            self.confirmed_s,
+            self.trusted_from_s,
+            self.revision.era,
         )
 
     async def changes(
-        self, after_version: int, wait_s: float, now_s: float
+        self, after: stores.StoreRevision, wait_s: float, now_s: float
     ) -> sources.TableAnswer:
-        """Wait for changes after a version, or until the table is stale.
+        """Wait for changes after a revision, or until the table is stale.
 
         :raises HistoryExpired: if the whole table must be read again.
         :raises StoreUnavailable: if it was not read yet.
@@ -106,8 +115,8 @@
             async with asyncio.timeout(max(min(wait_s, fresh_s), 0.0)):
                 async with self._changed:
                     await self._changed.wait_for(
-                        lambda: bool(self.since(after_version).rows)
+                        lambda: bool(self.since(after).rows)
                     )
         except asyncio.TimeoutError:
             pass
-        return self.since(after_version)
+        return self.since(after)
--- a/src/godwitvalve/fleet/sources.py
+++ b/src/godwitvalve/fleet/sources.py
@@ -30,12 +30,14 @@
     :param confirmed_s: monotonic seconds at which the store confirmed them.
     :param trusted_from_s: monotonic seconds before which removals are not
         trusted, as rows that expired in an outage are written again.
+    :param era: era of the store, or None if the answer does not state it.
     """
 
     rows: list[stores.StoredRow]
     version: int
     confirmed_s: float
     trusted_from_s: float = float('-inf')
+    era: int | None = None
 
 
 class TableSource(Protocol):
@@ -45,7 +47,7 @@
         """Return the whole table."""
 
     async def changes(
-        self, table: str, after_version: int, wait_s: float
+        self, table: str, after: stores.StoreRevision, wait_s: float
     ) -> TableAnswer:
         """Wait for changes of a table."""
 
@@ -63,18 +65,22 @@
         """
         began_s = time.monotonic()
         answer = await self._store.rows(table)
-        return TableAnswer(answer.rows, answer.version, began_s)
+        return TableAnswer(
+            answer.rows, answer.version, began_s, era=answer.era
+        )
 
     async def changes(
-        self, table: str, after_version: int, wait_s: float
+        self, table: str, after: stores.StoreRevision, wait_s: float
     ) -> TableAnswer:
         """Wait for changes of a table.
 
         :raises HistoryExpired: if the whole table must be read again.
         :raises StoreUnavailable: if no usable answer came.
         """
-        answer = await self._store.changes(table, after_version, wait_s)
-        return TableAnswer(answer.rows, answer.version, time.monotonic())
+        answer = await self._store.changes(table, after.version, wait_s)
+        return TableAnswer(
+            answer.rows, answer.version, time.monotonic(), era=answer.era
+        )
 
 
 class SourceSelector:
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -66,6 +66,7 @@
     :param quarantine: its evidence about prompts that crash endpoints.
     :param leaving: id and start of endpoints that announced that they leave.
     :param limits: request limits that endpoints stated in answers to it.
+    :param store_era: newest era of the store that it knows.
     """
 
     instance_id: bounds.Name
@@ -90,6 +91,7 @@
     )
     leaving: list[tuple[str, bounds.Integer]] = []
     limits: list[limit_reports.LimitReport] = []
+    store_era: int = 0
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/godwitvalve/ingress/peer_tables.py
+++ b/src/godwitvalve/ingress/peer_tables.py
@@ -38,6 +38,7 @@
     age_ms: bounds.Milliseconds
     removals_untrusted_ms: bounds.Milliseconds
     rows: list[stores.StoredRow]
+    era: bounds.Count = 0
 
 
 _DECODER = msgspec.msgpack.Decoder(_TableMessage)
@@ -53,13 +54,16 @@
         """Answer a request for a complete table or for its changes."""
         relay = self._tables.get(request.query.get('table', ''))
         after = contents.parse_count(request.query.get('after', ''))
+        era = contents.parse_count(request.query.get('era', '0'))
         wait_ms = contents.parse_count(request.query.get('wait_ms', '0'))
-        if relay is None or wait_ms is None:
+        if relay is None or wait_ms is None or era is None:
             return web.Response(status=404)
         now_s = time.monotonic()
         try:
             answer = (
-                await relay.changes(after, wait_ms / 1000, now_s)
+                await relay.changes(
+                    stores.StoreRevision(era, after), wait_ms / 1000, now_s
+                )
                 if after is not None
                 else relay.snapshot()
             )
@@ -73,6 +77,7 @@
             int((now_s - answer.confirmed_s) * 1000),
             int(max(answer.trusted_from_s - now_s, 0.0) * 1000),
             answer.rows,
+            answer.era or 0,
         )
         return web.Response(body=msgspec.msgpack.encode(message))
 
@@ -95,7 +100,7 @@
         return await self._fetch({'table': table}, 0.0)
 
     async def changes(
-        self, table: str, after_version: int, wait_s: float
+        self, table: str, after: stores.StoreRevision, wait_s: float
     ) -> sources.TableAnswer:
         """Wait for changes of a table.
 
@@ -104,7 +109,8 @@
         """
         query = {
             'table': table,
-            'after': str(after_version),
+            'after': str(after.version),
+            'era': str(after.era),
             'wait_ms': str(int(wait_s * 1000)),
         }
         return await self._fetch(query, wait_s)
@@ -146,6 +152,7 @@
             now_s + message.removals_untrusted_ms / 1000
             if message.removals_untrusted_ms
             else float('-inf'),
+            message.era,
         )
 
 
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -15,6 +15,7 @@
 from godwitvalve.endpoint_limits import node as permit_nodes
 from godwitvalve.fleet import consumers
 from godwitvalve.fleet import endpoints as endpoint_model
+from godwitvalve.fleet import eras
 from godwitvalve.fleet import follower
 from godwitvalve.fleet import relay as relays
 from godwitvalve.fleet import sources
@@ -94,7 +95,10 @@
         self._settings = settings
         self._started_wall_ms = int(time.time() * 1000)
         self._state = states.FleetState()
-        self._store = stores.StoreClient(settings.store_address)
+        self._era = eras.StoreEra()
+        self._store = stores.StoreClient(
+            settings.store_address, self._era.record
+        )
         self._members = member_model.Members(
             settings.instance_id, settings.failure_domain
         )
@@ -269,11 +273,13 @@
             self._context.quarantine.report(time.monotonic()),
             self._state.registry.leaving()[:MAX_REPORTED_ENDPOINTS],
             self._context.limiter.table.reports(time.monotonic()),
+            self._era.current,
         )
 
     def _merge_record(self, record: member_model.Record, age_s: float) -> None:
         now_s = time.monotonic()
         origin = (record.instance_id, record.started_wall_ms)
+        self._era.record_report(record.store_era)
         for report in record.rollouts:
             if self._rollouts.apply_report(origin, report, now_s, age_s):
                 self._gossip.schedule_update()
@@ -349,6 +355,7 @@
                 self._configuration, consumers.OrderConsumer(self._apply_order)
             ),
             self._relays[wire_configuration.TABLE],
+            era=self._era,
         )
         endpoint_follower = follower.TableFollower(
             self._sources,
@@ -356,6 +363,7 @@
             self._endpoints,
             self._relays[wire_endpoints.TABLE],
             self._endpoints_read_pause_s,
+            self._era,
         )
         return {
             'follow the table of the operator': operator_follower.run,
--- a/src/godwitvalve/platform/store.py
+++ b/src/godwitvalve/platform/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+from collections import abc
 import time
 from typing import NamedTuple
 from urllib import parse
@@ -23,6 +24,9 @@
 # Added to the wait of a long poll. An outage of one second is detected by the
 # next call, not only after the whole wait of a poll.
 FEED_TIMEOUT_MARGIN_S = 1.5
+ERA_HEADER = 'Store-Era'
+# An era counts the restores of a store; a longer number is an error.
+MAX_ERA_DIGITS = 9
 
 _LOG = logs.get('store')
 _LOGGED_ROWS = repeats.RepeatFilter()
@@ -36,6 +40,17 @@
     """The store no longer has all changes after the requested version."""
 
 
+class StoreRevision(NamedTuple):
+    """Position in the history of the store; later ones are greater.
+
+    :param era: rises when the store comes back from an older copy, after
+        which versions are given out again; 0 if it is not known.
+    """
+
+    era: int
+    version: int
+
+
 class StoredRow(NamedTuple):
     """A row; ``version`` orders all writes, a deleted row has no value."""
 
@@ -49,12 +64,20 @@
 
     :param has_more: whether further rows must be requested.
     :param now_ms: the store's steady clock in milliseconds.
+    :param era: era of the store, or None if the answer does not state it.
     """
 
     rows: list[StoredRow]
     version: int
     has_more: bool
     now_ms: int
+    era: int | None = None
+
+
+class _Reply(NamedTuple):
+    status: int
+    body: bytes
+    era: int | None
 
 
 class _WireRow(msgspec.Struct):
@@ -104,23 +127,35 @@
         )
 
 
-def _rows_answer(body: bytes) -> RowsAnswer:
+def _decode_era(value: str | None) -> int | None:
+    if value is None or not (value.isascii() and value.isdecimal()):
+        return None
+    return int(value) if len(value) <= MAX_ERA_DIGITS else None
+
+
+def _rows_answer(reply: _Reply) -> RowsAnswer:
     try:
-        raw = contents.decode(_DECODER, body)
+        raw = contents.decode(_DECODER, reply.body)
     except contents.InvalidContent as error:
         raise StoreUnavailable(f'malformed answer: {error}') from error
     rows = [row for each in raw.rows if (row := _row(bytes(each)))]
-    return RowsAnswer(rows, raw.ver, raw.has_more, raw.now_ms)
+    return RowsAnswer(rows, raw.ver, raw.has_more, raw.now_ms, reply.era)
 
 
 class StoreClient:
     """Calls the store; each call has a time limit.
 
     :param address: ``IP:port`` of the store.
+    :param on_era: called with the era that an answer states.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        on_era: abc.Callable[[int], None] = lambda era: None,
+    ) -> None:
         self._base_url = f'http://{address}'
+        self._on_era = on_era
         self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -139,7 +174,7 @@
 
     async def _call(
         self, method: str, target: str, body: bytes | None, timeout_s: float
-    ) -> tuple[int, bytes]:
+    ) -> _Reply:
         try:
             async with self._get_session().request(
                 method,
@@ -147,7 +182,11 @@
                 data=body,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as answer:
-                return answer.status, await bodies.read(answer)
+                content = await bodies.read(answer)
+                era = _decode_era(answer.headers.get(ERA_HEADER))
+                if era is not None:
+                    self._on_era(era)
+                return _Reply(answer.status, content, era)
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
             reason = f'{method} {target}: {type(error).__name__}'
             raise StoreUnavailable(reason) from error
@@ -161,19 +200,23 @@
         :raises StoreUnavailable: if the store gave no usable answer.
         """
         found: list[StoredRow] = []
+        era: int | None = None
         start_key = ''
         while True:
             query = parse.urlencode(
                 {'table': table, 'part': part, 'from': start_key}
             )
-            status, body = await self._call(
+            reply = await self._call(
                 'GET', f'/rows-get?{query}', None, timeout_s
             )
-            if status != 200:
+            if reply.status != 200:
                 raise StoreUnavailable(
-                    f'reading {table}: expected status 200, got {status}'
+                    f'reading {table}: expected status 200, got {reply.status}'
                 )
-            answer = _rows_answer(body)
+            answer = _rows_answer(reply)
+            if found and answer.era != era:
+                raise StoreUnavailable(f'reading {table}: store was restored')
+            era = answer.era
             found += answer.rows
             if not answer.has_more or not answer.rows:
                 return answer._replace(rows=found, has_more=False)
@@ -197,46 +240,56 @@
                 'wait_ms': int(wait_s * 1000),
             }
         )
-        status, body = await self._call(
+        reply = await self._call(
             'GET', f'/rows-feed?{query}', None, wait_s + FEED_TIMEOUT_MARGIN_S
         )
-        if status == 410:
+        if reply.status == 410:
             raise HistoryExpired
-        if status != 200:
+        if reply.status != 200:
             raise StoreUnavailable(
-                f'polling {table}: expected status 200, got {status}'
+                f'polling {table}: expected status 200, got {reply.status}'
             )
-        return _rows_answer(body)
+        return _rows_answer(reply)
 
     async def write(self, table: str, key: str, value: bytes) -> None:
         """Write one row unconditionally.
 
         :raises StoreUnavailable: if the outcome is not known.
         """
-        status = await self._transact(table, key, value, [])
-        if status != 200:
+        reply = await self._transact(table, key, value, [])
+        if reply.status != 200:
             raise StoreUnavailable(
-                f'writing {table}: expected status 200, got {status}'
+                f'writing {table}: expected status 200, got {reply.status}'
             )
 
     async def write_if(
-        self, table: str, key: str, value: bytes, expected_version: int
+        self,
+        table: str,
+        key: str,
+        value: bytes,
+        expected_version: int,
+        expected_era: int | None = None,
     ) -> bool:
         """Write one row if its version is the expected one.
 
         :param expected_version: 0 if the row must not exist.
+        :param expected_era: era in which that version was read. In another
+            one it may be the version of another content.
         :returns: whether the row was written.
         :raises StoreUnavailable: if the outcome is not known.
         """
         row = {'table': table, 'part': '', 'key': key}
-        status = await self._transact(
+        reply = await self._transact(
             table, key, value, [{**row, 'ver': expected_version}]
         )
-        if status not in (200, 412):
+        if reply.status not in (200, 412):
             raise StoreUnavailable(
-                f'writing {table}: expected status 200 or 412, got {status}'
+                f'writing {table}: expected status 200 or 412, '
+                f'got {reply.status}'
             )
-        return status == 200
+        if None not in (reply.era, expected_era) and reply.era != expected_era:
+            raise StoreUnavailable(f'writing {table}: store was restored')
+        return reply.status == 200
 
     async def _transact(
         self,
@@ -244,11 +297,10 @@
         key: str,
         value: bytes,
         expected: list[dict[str, object]],
-    ) -> int:
+    ) -> _Reply:
         encoded = base64.b64encode(value).decode()
         row = {'table': table, 'part': '', 'key': key, 'value': encoded}
         body = msgspec.json.encode(
             {'expected_rev': expected, 'writes': [row], 'remove': []}
         )
-        status, _ = await self._call('POST', '/rows-tx', body, CALL_TIMEOUT_S)
-        return status
+        return await self._call('POST', '/rows-tx', body, CALL_TIMEOUT_S)
