Do not use endpoints that only an older copy of the store lists

A store that comes back from a copy lists endpoints as ready that have left or announced it since; by reading, they would have got requests until their rows expired, and rows with versions below the known ones were ignored.

The registry now remembers the starts of endpoints that left. After a restore these are not used for as long as it takes until the rows of silent endpoints expire, unless their row changes, and versions of rows of the time before do not count. Endpoints that the copy does not list are kept for as long as after an outage.

The scenarios use a new method of the registry, so they cannot run on the code before.

--- a/features/fleet/restored_store.feature
+++ b/features/fleet/restored_store.feature
@@ -59,3 +59,45 @@
     Then a reader at version 50 must read the whole table again
     And a reader without a version gets "x=3"
     And a reader at version 20 of era 1 gets ""
+
+  Scenario: An endpoint that left is not used again by an older copy
+    # Guards against requests to endpoints that a restored store lists as
+    # ready, although they left or announced it after the copy was made.
+    Given a registry with the endpoints "a, b, c, d"
+    When "a" announces that it leaves
+    And the row of "b" is removed at 20.0 s
+    And the store is restored at 21.0 s and lists "a, b, c, d"
+    Then "c, d" are usable at 21.0 s
+    And "c, d" are usable at 25.9 s
+    When the row of "b" is removed at 24.0 s
+    Then "a, c, d" are usable at 26.1 s
+
+  Scenario: An endpoint that writes its row again after a restore is used
+    # Guards against an endpoint that stays unused because it was removed once.
+    Given a registry with the endpoints "a, b, c"
+    When the row of "b" is removed at 20.0 s
+    And the store is restored at 21.0 s and lists "a, b, c"
+    And the row of "b" is written again
+    Then "a, b, c" are usable at 21.5 s
+
+  Scenario: An endpoint that started again under its id is used after a restore
+    # Guards against taking another start for the one that left.
+    Given a registry with the endpoints "a, b, c"
+    When the row of "b" is removed at 20.0 s
+    And the store is restored at 21.0 s with another start of "b" beside "a, c"
+    Then "a, b, c" are usable at 21.5 s
+
+  Scenario: Endpoints that registered since the copy are kept
+    # Guards against refusing requests of a service whose endpoints are
+    # missing from the copy until they write their rows again.
+    Given a registry with the endpoints "a, b, c"
+    When the store is restored at 21.0 s and lists "a"
+    Then "a, b, c" are usable at 23.0 s
+    And "a" are usable at 23.4 s
+
+  Scenario: Rows with lower versions apply after a restore
+    # Guards against comparing row versions of two histories.
+    Given a registry with the endpoints "a, b"
+    When the store is restored at 21.0 s and lists "a, b"
+    And "a" announces that it leaves at row version 1
+    Then "b" are usable at 21.5 s
--- a/features/steps/fleet_registry_steps.py
+++ b/features/steps/fleet_registry_steps.py
@@ -149,3 +149,36 @@
     context.registry.expire(now_s)
     found = {each.endpoint_id for each in context.registry.usable('summaries')}
     assert found == set(names.split(', ')), found
+
+
+@behave.when('"{name}" announces that it leaves')
+def announces_leaving(context, name):
+    _write(context, endpoint(name, leaving=True))
+
+
+@behave.when('"{name}" announces that it leaves at row version {version:d}')
+def announces_leaving_at(context, name, version):
+    context.registry.update(endpoint(name, leaving=True), version)
+
+
+def _restore(context, now_s, rows):
+    context.registry.mark_store_restored(now_s)
+    context.row_version = 1
+    context.registry.apply_snapshot(
+        {each.endpoint_id: (each, 1) for each in rows}, 1, now_s
+    )
+
+
+@behave.when('the store is restored at {now_s:g} s and lists "{names}"')
+def store_restored(context, now_s, names):
+    _restore(context, now_s, [endpoint(each) for each in names.split(', ')])
+
+
+@behave.when(
+    'the store is restored at {now_s:g} s with another start of "{name}" '
+    'beside "{names}"'
+)
+def lists_other_start(context, now_s, name, names):
+    listed = [endpoint(each) for each in names.split(', ')]
+    restarted = endpoint(name, started_ms=2 * _START_MS)
+    _restore(context, now_s, [*listed, restarted])
--- a/src/godwitvalve/fleet/consumers.py
+++ b/src/godwitvalve/fleet/consumers.py
@@ -198,7 +198,8 @@
         self._on_removed(endpoint_id)
 
     def mark_store_restored(self) -> None:
-        """Do nothing: the listed endpoints are replaced."""
+        """Handle a copy that may list endpoints which have left."""
+        self._registry.mark_store_restored(time.monotonic())
 
     def expire(self) -> None:
         """Remove endpoints that did not register again after an outage."""
--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -10,6 +10,12 @@
 # Rows that expired in an outage are written again within 2 s of the store's
 # return; the rest is for the change to arrive here.
 REREGISTRATION_S = 2.3
+# A store that comes back from a copy lists endpoints that have left. Their
+# rows expire after three heartbeats of 1.2 s; the rest is for the change to
+# arrive here.
+STALE_ROWS_S = 5.0
+# Bounds the endpoints that left and are remembered, as a copy may list them.
+MAX_DEPARTED = 4096
 
 
 class EndpointState(enum.Enum):
@@ -41,6 +47,11 @@
         self._provisional: set[str] = set()
         # Starts of endpoints that leave, as other entries reported them.
         self._reported_leaving: dict[str, int] = {}
+        # Starts of endpoints that left or announced it, oldest first.
+        self._departed: dict[str, int] = {}
+        # Starts of those that a copy of the store may list as usable.
+        self._not_relisted: dict[str, int] = {}
+        self._stale_until_s = float('-inf')
         self.trusted_from_s = 0.0
         self.is_store_unavailable = True
         self._has_seen_outage = False
@@ -72,8 +83,30 @@
         for endpoint_id in self._provisional:
             self._missing_until_s[endpoint_id] = self.trusted_from_s
 
+    def mark_store_restored(self, now_s: float) -> None:
+        """Record that the store came back from an older copy.
+
+        Versions of rows are given out again. Endpoints that registered since
+        the copy write their rows again; those that left since are listed.
+        """
+        self._row_versions = dict.fromkeys(self._row_versions, 0)
+        self.trusted_from_s = max(
+            self.trusted_from_s, now_s + REREGISTRATION_S
+        )
+        self._not_relisted = {**self._departed, **self._reported_leaving}
+        self._stale_until_s = now_s + STALE_ROWS_S
+
     def update(
         self, endpoint: endpoints.FleetEndpoint, row_version: int
+    ) -> bool:
+        """Apply a row that was written now; return whether it changed."""
+        if row_version >= self._row_versions.get(endpoint.endpoint_id, 0):
+            self._departed.pop(endpoint.endpoint_id, None)
+            self._not_relisted.pop(endpoint.endpoint_id, None)
+        return self._put(endpoint, row_version)
+
+    def _put(
+        self, endpoint: endpoints.FleetEndpoint, row_version: int
     ) -> bool:
         """Add or update an endpoint; return whether it changed."""
         endpoint_id = endpoint.endpoint_id
@@ -84,6 +117,8 @@
             self._replaced.discard(endpoint_id)
         self._row_versions[endpoint_id] = row_version
         self._endpoints[endpoint_id] = endpoint
+        if endpoint.is_leaving:
+            self._remember_departed(endpoint)
         self._missing_until_s.pop(endpoint_id, None)
         # The row decides; an entry that read a newer one reports it again.
         self._reported_leaving.pop(endpoint_id, None)
@@ -165,7 +200,7 @@
         """Replace the endpoints with all rows as of a store version."""
         self._is_loaded = True
         for endpoint, row_version in rows.values():
-            self.update(endpoint, row_version)
+            self._put(endpoint, row_version)
         for endpoint_id in [
             each for each in self._endpoints if each not in rows
         ]:
@@ -173,6 +208,8 @@
 
     def expire(self, now_s: float) -> list[str]:
         """Remove endpoints whose rows stayed missing; return their ids."""
+        if now_s >= self._stale_until_s:
+            self._not_relisted.clear()
         expired = [
             endpoint_id
             for endpoint_id, until_s in self._missing_until_s.items()
@@ -222,14 +259,29 @@
         return was_usable
 
     def leaving(self) -> list[tuple[str, int]]:
-        """Return id and start of the endpoints whose rows announce it."""
+        """Return id and start of the endpoints whose rows announced it."""
         return [
             (endpoint.endpoint_id, endpoint.started_wall_ms)
             for endpoint in self._endpoints.values()
-            if endpoint.is_leaving
+            if endpoint.is_leaving or self._is_relisted(endpoint)
         ]
 
+    def _is_relisted(self, endpoint: endpoints.FleetEndpoint) -> bool:
+        """Tell whether only an older copy of the store lists an endpoint."""
+        return (
+            self._not_relisted.get(endpoint.endpoint_id)
+            == endpoint.started_wall_ms
+        )
+
+    def _remember_departed(self, endpoint: endpoints.FleetEndpoint) -> None:
+        self._departed.pop(endpoint.endpoint_id, None)
+        self._departed[endpoint.endpoint_id] = endpoint.started_wall_ms
+        while len(self._departed) > MAX_DEPARTED:
+            self._departed.pop(next(iter(self._departed)))
+
     def _drop(self, endpoint_id: str) -> None:
+        if endpoint_id in self._endpoints:
+            self._remember_departed(self._endpoints[endpoint_id])
         self._reported_leaving.pop(endpoint_id, None)
         self._replaced.discard(endpoint_id)
         self._provisional.discard(endpoint_id)
@@ -258,7 +310,11 @@
         if endpoint is None:
             return EndpointState.UNKNOWN
         reported_ms = self._reported_leaving.get(endpoint_id)
-        if endpoint.is_leaving or reported_ms == endpoint.started_wall_ms:
+        if (
+            endpoint.is_leaving
+            or reported_ms == endpoint.started_wall_ms
+            or self._is_relisted(endpoint)
+        ):
             return EndpointState.LEAVING
         if endpoint_id in self._replaced:
             return EndpointState.REPLACED
