Compare configurations by the era in which they were written

By reading, an entry refused each configuration whose version is not above that of the installed one, also for good if operators go on from an older copy of the store with a lower version or the same one; and it must not go back to the configuration of the copy meanwhile.

A configuration counts as written in the era in which its row changed. What the first table of an era holds may be that of the copy and counts as written in the era before. One of a later era is newer whatever its version; a lower version waits for a second, as operators may write several lost ones again in order. Entries give each other the era with the configuration.

Scenarios: 'The next configuration after a restore is installed' and the five around it, in fleet/restored_store.feature. They use the revisions of the store and cannot run on the code before.

--- a/features/fleet/restored_store.feature
+++ b/features/fleet/restored_store.feature
@@ -101,3 +101,44 @@
     When the store is restored at 21.0 s and lists "a, b"
     And "a" announces that it leaves at row version 1
     Then "b" are usable at 21.5 s
+
+  Scenario: The configuration of an older copy is not installed
+    # Guards against routes and keys that come back for a moment.
+    Given an entry with configuration 7 of era 1
+    When the first table of era 2 holds configuration 5
+    Then configuration 7 is installed after 2 s
+
+  Scenario: A configuration that was written again stays installed
+    # Guards against a change notification and a new start for no change.
+    Given an entry with configuration 7 of era 1
+    When the first table of era 2 holds configuration 5
+    And configuration 7 is written
+    Then configuration 7 is installed and nothing changed
+
+  Scenario Outline: The next configuration after a restore is installed
+    # Guards against refusing a configuration for good because its version is
+    # lower than one that was lost, or the same.
+    Given an entry with configuration 7 of era 1
+    When the first table of era 2 holds configuration 5
+    And configuration <next> is written with other content
+    Then configuration <next> is installed after <delay> s
+
+    Examples:
+      | next | delay |
+      | 8    | 0     |
+      | 7    | 0     |
+      | 6    | 1     |
+
+  Scenario: Lost configurations that are written again in order do not apply
+    # Guards against an entry that goes back while an operator repeats them.
+    Given an entry with configuration 7 of era 1
+    When the first table of era 2 holds configuration 4
+    And configuration 5 is written, 0.5 s later 6 and 0.5 s later 7
+    Then configuration 7 was installed all the time
+
+  Scenario: An entry prefers the configuration of the later era
+    # Guards against entries that give each other the configuration that a
+    # lower one replaced.
+    Then an entry at revision "1.7" reads from "e1" of "1.7, 2.6"
+    And an entry at revision "2.6" reads from none of "1.7, 1.9"
+    And an entry at revision "1.7" reads from none of "2.7, 1.6"
--- a/features/steps/fleet_restored_steps.py
+++ b/features/steps/fleet_restored_steps.py
@@ -6,11 +6,14 @@
 import time
 
 import behave
+from godwitvalve.fleet import consumers
 from godwitvalve.fleet import eras
 from godwitvalve.fleet import follower
 from godwitvalve.fleet import relay
 from godwitvalve.fleet import sources
+from godwitvalve.fleet import state as states
 from godwitvalve.platform import store as stores
+import msgspec
 
 STEP_LIMIT_S = 6.0
 
@@ -327,3 +330,77 @@
 def reader_gets_nothing(context, version, era):
     after = stores.StoreRevision(era, version)
     assert context.relay.since(after).rows == []
+
+
+def _configuration(version, content=''):
+    """Return the row of a configuration."""
+    value = msgspec.json.encode({'version': version, 'name': content})
+    return stores.StoredRow('config', version, value)
+
+
+@behave.given('an entry with configuration {version:d} of era {era:d}')
+def entry_with_configuration(context, version, era):
+    context.state = states.FleetState()
+    context.changes = []
+    context.configuration_consumer = consumers.ConfigurationConsumer(
+        context.state, lambda: context.changes.append(context.state.version)
+    )
+    context.consumer = consumers.OperatorConsumer(
+        context.configuration_consumer,
+        consumers.OrderConsumer(lambda order: None),
+    )
+    context.consumer.apply_snapshot([], stores.StoreRevision(era, 1))
+    context.consumer.apply_changes([_configuration(version)])
+    assert context.changes == [version]
+    context.changes.clear()
+
+
+@behave.when('the first table of era {era:d} holds configuration {version:d}')
+def copy_holds(context, era, version):
+    context.consumer.apply_snapshot(
+        [_configuration(version)], stores.StoreRevision(era, 20)
+    )
+
+
+@behave.when('configuration {version:d} is written')
+def configuration_written(context, version):
+    context.consumer.apply_changes([_configuration(version)])
+
+
+@behave.when('configuration {version:d} is written with other content')
+def other_configuration_written(context, version):
+    context.consumer.apply_changes([_configuration(version, 'other')])
+
+
+@behave.when(
+    'configuration {first:d} is written, {pause_s:g} s later {second:d} and '
+    '{pause2_s:g} s later {third:d}'
+)
+def written_in_order(context, first, pause_s, second, pause2_s, third):
+    pauses_s = (0.0, pause_s, pause2_s)
+    now_s = time.monotonic() + 100.0
+    for version, wait_s in zip((first, second, third), pauses_s):
+        now_s += wait_s
+        context.configuration_consumer.install_deferred(now_s)
+        context.configuration_consumer.apply_changes(
+            [_configuration(version)], 2, now_s
+        )
+    context.configuration_consumer.install_deferred(now_s + 10.0)
+
+
+@behave.then('configuration {version:d} is installed after {delay_s:g} s')
+def installed_after(context, version, delay_s):
+    now_s = time.monotonic()
+    if delay_s:
+        context.configuration_consumer.install_deferred(now_s + delay_s - 0.3)
+        is_early = context.state.version == version and context.changes
+        assert not is_early, context.changes
+    context.configuration_consumer.install_deferred(now_s + delay_s)
+    assert context.state.version == version, context.state.version
+
+
+@behave.then('configuration {version:d} is installed and nothing changed')
+@behave.then('configuration {version:d} was installed all the time')
+def nothing_changed(context, version):
+    assert context.state.version == version
+    assert context.changes == [], context.changes
--- a/features/steps/gossip_members_steps.py
+++ b/features/steps/gossip_members_steps.py
@@ -116,7 +116,7 @@
         for position, version in enumerate(versions.split(', '))
     ]
     for seed in range(20):
-        chosen = membership.choose_peer(records, own, random.Random(seed))
+        chosen = membership.choose_peer(records, (0, own), random.Random(seed))
         assert chosen is not None and chosen.instance_id == name, chosen
 
 
@@ -128,7 +128,8 @@
         )
         for position, version in enumerate(versions.split(', '))
     ]
-    assert membership.choose_peer(records, own, random.Random(1)) is None
+    found = membership.choose_peer(records, (0, own), random.Random(1))
+    assert found is None
 
 
 @behave.then('"{names}" are alive at {now_s:g} s')
@@ -290,3 +291,37 @@
 def may_use(context, share):
     found = context.members.reachable_share(100.0)
     assert abs(found - share) < 1e-6, found
+
+
+def _revision(text):
+    era, _, version = text.partition('.')
+    return int(era), int(version)
+
+
+def _records_at(revisions):
+    return [
+        msgspec.structs.replace(
+            record(f'e{position}'),
+            configuration_era=_revision(text)[0],
+            configuration_version=_revision(text)[1],
+        )
+        for position, text in enumerate(revisions.split(', '))
+    ]
+
+
+@behave.then(
+    'an entry at revision "{own}" reads from "{name}" of "{revisions}"'
+)
+def reads_revision_from(context, own, name, revisions):
+    chosen = membership.choose_peer(
+        _records_at(revisions), _revision(own), random.Random(1)
+    )
+    assert chosen is not None and chosen.instance_id == name, chosen
+
+
+@behave.then('an entry at revision "{own}" reads from none of "{revisions}"')
+def reads_no_revision(context, own, revisions):
+    chosen = membership.choose_peer(
+        _records_at(revisions), _revision(own), random.Random(1)
+    )
+    assert chosen is None, chosen
--- a/src/godwitvalve/fleet/consumers.py
+++ b/src/godwitvalve/fleet/consumers.py
@@ -4,8 +4,10 @@
 
 from collections import abc
 import time
+from typing import NamedTuple
 
 from godwitvalve.fleet import endpoints
+from godwitvalve.fleet import routes
 from godwitvalve.fleet import state as states
 from godwitvalve.lifecycle import supervision
 from godwitvalve.logs import repeats
@@ -19,6 +21,10 @@
 # Of the value of a row that is invalid.
 MAX_LOGGED_BYTES = 120
 
+# Operators may write several lost configurations again, one after the other.
+# A lower version is installed only if none follows it for this long.
+LOWER_VERSION_DELAY_S = 1.0
+
 _LOG = logs.get('fleet')
 _FAILURES = supervision.FailureLog(_LOG)
 
@@ -26,45 +32,120 @@
 OnRemoved = abc.Callable[[str], None]
 
 
+class _Deferred(NamedTuple):
+    configuration: routes.Configuration
+    era: int
+    due_s: float
+
+
 class ConfigurationConsumer:
     """Installs newer configurations.
 
+    Load pattern: the store comes back from an older copy. Its configuration
+    is older than the installed one, until operators write the newest one
+    again or the next one, whose version may be lower or the same.
+
     :param on_change: called after each installation.
     """
 
     def __init__(self, state: states.FleetState, on_change: OnChange) -> None:
         self._state = state
         self._on_change = on_change
+        self._deferred: _Deferred | None = None
 
-    def apply_changes(self, rows: list[stores.StoredRow]) -> None:
-        """Install the newest configuration among changed rows."""
+    def apply_changes(
+        self, rows: list[stores.StoredRow], era: int, now_s: float
+    ) -> None:
+        """Install the newest configuration among changed rows.
+
+        :param era: era of the store in which they were written at least.
+        :param now_s: monotonic seconds.
+        """
         for row in rows:
             if row.key == wire_configuration.KEY and row.value is not None:
                 with _FAILURES.isolate('apply a configuration'):
-                    self.apply_content(row.value, 'store')
+                    self._apply_row(row.value, era, now_s)
+
+    def _apply_row(self, content: bytes, era: int, now_s: float) -> None:
+        configuration = _decode_configuration(content, 'store')
+        if configuration is None:
+            return
+        if self._is_other_content(configuration):
+            # Two contents of one version were written in different eras.
+            era = max(era, self._state.configuration_era + 1)
+        self._deferred = None
+        is_lower = configuration.version < self._state.version
+        if is_lower and self._state.supersedes(configuration, era):
+            self._deferred = _Deferred(
+                configuration, era, now_s + LOWER_VERSION_DELAY_S
+            )
+            return
+        self._install(configuration, era, 'store')
+
+    def _is_other_content(self, configuration: routes.Configuration) -> bool:
+        """Tell whether the installed version has another content."""
+        installed = self._state.configuration
+        return (
+            installed is not None
+            and configuration.version == installed.version
+            and configuration.source != installed.source
+        )
+
+    def install_deferred(self, now_s: float) -> None:
+        """Install a lower version that no other one followed.
 
-    def apply_content(self, content: bytes, source: str) -> bool:
-        """Decode and install a configuration.
+        :param now_s: monotonic seconds.
+        """
+        if self._deferred is None or now_s < self._deferred.due_s:
+            return
+        configuration, era, _ = self._deferred
+        self._deferred = None
+        self._install(configuration, era, 'store')
 
-        :param source: where the content was read, for the log.
+    def apply_content(self, content: bytes, era: int, source: str) -> bool:
+        """Decode and install a configuration of another entry.
+
+        :param era: era of the store in which it was written at least.
+        :param source: the entry, for the log.
         :returns: whether it was installed.
         """
-        try:
-            configuration = wire_configuration.decode(content)
-        except wire_configuration.InvalidConfiguration as error:
-            _LOG.error(
-                'Configuration is invalid.',
-                extra={'reason': str(error), 'source': source},
-            )
-            return False
-        if not self._state.install(configuration):
+        configuration = _decode_configuration(content, source)
+        if configuration is None:
             return False
+        return self._install(configuration, era, source)
+
+    def _install(
+        self, configuration: routes.Configuration, era: int, source: str
+    ) -> bool:
+        installed_version = self._state.version
+        is_installed = self._state.install(configuration, era)
         _LOG.info(
-            'Installed a configuration.',
-            extra={'version': configuration.version, 'source': source},
+            'Installed a configuration.'
+            if is_installed
+            else 'Kept the installed configuration.',
+            extra={
+                'version': configuration.version,
+                'installed_version': installed_version,
+                'era': era,
+                'source': source,
+            },
+        )
+        if is_installed:
+            self._on_change()
+        return is_installed
+
+
+def _decode_configuration(
+    content: bytes, source: str
+) -> routes.Configuration | None:
+    try:
+        return wire_configuration.decode(content)
+    except wire_configuration.InvalidConfiguration as error:
+        _LOG.error(
+            'Configuration is invalid.',
+            extra={'reason': str(error), 'source': source},
         )
-        self._on_change()
-        return True
+        return None
 
 
 class OrderConsumer:
@@ -96,27 +177,39 @@
 
 
 class OperatorConsumer:
-    """Applies the operator's table: configurations and roll-outs."""
+    """Applies the operator's table: configurations and roll-outs.
+
+    The first table of an era may be that of a copy, which is older than what
+    is known. Its rows count as written in the era before, and only those
+    that change afterwards as written in the new one.
+    """
 
     def __init__(
         self, configuration: ConfigurationConsumer, order: OrderConsumer
     ) -> None:
         self._configuration = configuration
         self._order = order
+        self._era: int | None = None
 
     def apply_snapshot(
         self, rows: list[stores.StoredRow], revision: stores.StoreRevision
     ) -> None:
         """Apply all rows of the operator's table."""
-        self.apply_changes(rows)
+        is_first_read = revision.era != self._era
+        self._era = revision.era
+        written_era = max(revision.era - is_first_read, 0)
+        self._apply(rows, written_era)
 
     def apply_changes(self, rows: list[stores.StoredRow]) -> None:
         """Apply changed rows in the order of their versions."""
-        self._configuration.apply_changes(rows)
+        self._apply(rows, self._era or 0)
+
+    def _apply(self, rows: list[stores.StoredRow], era: int) -> None:
+        self._configuration.apply_changes(rows, era, time.monotonic())
         self._order.apply_changes(rows)
 
     def mark_store_restored(self) -> None:
-        """Do nothing: rows of operators are compared by their versions."""
+        """Do nothing: the next rows are compared by their era."""
 
     def mark_store_unavailable(self) -> None:
         """Do nothing: installed configurations outlast an outage."""
--- a/src/godwitvalve/fleet/state.py
+++ b/src/godwitvalve/fleet/state.py
@@ -11,6 +11,8 @@
 
     def __init__(self) -> None:
         self.configuration: routes.Configuration | None = None
+        # Era of the store in which the configuration was written at least.
+        self.configuration_era = 0
         self.registry = registry.EndpointRegistry()
 
     @property
@@ -18,12 +20,34 @@
         """Return the version of the installed configuration, or 0."""
         return self.configuration.version if self.configuration else 0
 
-    def install(self, configuration: routes.Configuration) -> bool:
+    def supersedes(
+        self, configuration: routes.Configuration, era: int
+    ) -> bool:
+        """Tell whether a configuration is newer than the installed one.
+
+        One that was written in a later era is newer whatever its version, as
+        operators may continue from an older copy of the store.
+        """
+        return (era, configuration.version) > (
+            self.configuration_era,
+            self.version,
+        )
+
+    def install(
+        self, configuration: routes.Configuration, era: int = 0
+    ) -> bool:
         """Install a configuration if it is newer than the installed one.
 
-        :returns: whether it was installed.
+        :param era: era of the store in which it was written at least.
+        :returns: whether another configuration is in force now.
         """
-        if configuration.version <= self.version:
+        if not self.supersedes(configuration, era):
+            return False
+        self.configuration_era = era
+        if (
+            self.configuration is not None
+            and configuration.source == self.configuration.source
+        ):
             return False
         self.configuration = configuration
         return True
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -66,6 +66,8 @@
     :param quarantine: its evidence about prompts that crash endpoints.
     :param leaving: id and start of endpoints that announced that they leave.
     :param limits: request limits that endpoints stated in answers to it.
+    :param configuration_era: era of the store in which its configuration was
+        written at least.
     :param store_era: newest era of the store that it knows.
     """
 
@@ -91,6 +93,7 @@
     )
     leaving: list[tuple[str, bounds.Integer]] = []
     limits: list[limit_reports.LimitReport] = []
+    configuration_era: int = 0
     store_era: int = 0
 
     @property
@@ -98,6 +101,11 @@
         """Return the sort key: newer records have greater ones."""
         return self.started_wall_ms, self.heartbeat
 
+    @property
+    def configuration_revision(self) -> tuple[int, int]:
+        """Return the sort key of its configuration."""
+        return self.configuration_era, self.configuration_version
+
 
 class AgedRecord(NamedTuple):
     """A record and the milliseconds since its owner sent it."""
--- a/src/godwitvalve/ingress/control.py
+++ b/src/godwitvalve/ingress/control.py
@@ -20,6 +20,7 @@
 
     configuration: bytes
     listed: list[endpoints.FleetEndpoint]
+    configuration_era: int = 0
 
 
 class ControlHandler:
@@ -52,7 +53,9 @@
         if configuration is None:
             return web.Response(status=503)
         shared = SharedState(
-            configuration.source, list(self._state.registry.all())
+            configuration.source,
+            list(self._state.registry.all()),
+            self._state.configuration_era,
         )
         return web.Response(body=msgspec.msgpack.encode(shared))
 
--- a/src/godwitvalve/ingress/membership.py
+++ b/src/godwitvalve/ingress/membership.py
@@ -139,21 +139,24 @@
 
 def choose_peer(
     alive: abc.Sequence[member_model.Record],
-    own_version: int,
+    own_revision: tuple[int, int],
     rng: random.Random,
 ) -> member_model.Record | None:
     """Return an entry with the newest configuration, if it is newer.
 
     An entry that starts while the store is down must not install an older
     configuration first, in which a withdrawn key is still valid.
+
+    :param own_revision: era and version of the installed configuration.
     """
     newest = max(
-        (each.configuration_version for each in alive), default=own_version
+        (each.configuration_revision for each in alive), default=own_revision
     )
-    if newest <= own_version:
+    # The same version was read in another era.
+    if newest <= own_revision or newest[1] == own_revision[1]:
         return None
     return rng.choice(
-        [each for each in alive if each.configuration_version == newest]
+        [each for each in alive if each.configuration_revision == newest]
     )
 
 
@@ -189,7 +192,7 @@
     async def _sync_once(self, session: aiohttp.ClientSession) -> None:
         record = choose_peer(
             self._members.alive(time.monotonic()),
-            self._state.version,
+            (self._state.configuration_era, self._state.version),
             self._rng,
         )
         if record is None:
@@ -220,4 +223,6 @@
             )
             return
         self._state.registry.load_listed(shared.listed)
-        self._configuration.apply_content(shared.configuration, peer)
+        self._configuration.apply_content(
+            shared.configuration, shared.configuration_era, peer
+        )
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -273,6 +273,7 @@
             self._context.quarantine.report(time.monotonic()),
             self._state.registry.leaving()[:MAX_REPORTED_ENDPOINTS],
             self._context.limiter.table.reports(time.monotonic()),
+            self._state.configuration_era,
             self._era.current,
         )
 
@@ -483,6 +484,7 @@
             await asyncio.sleep(MAINTENANCE_PERIOD_S)
             for activity, step in (
                 ('expire endpoints', self._endpoints.expire),
+                ('install configurations', self._install_deferred),
                 ('prune connections', self._context.pool.prune),
                 ('expire requests', self._expire_requests),
                 ('expire limits', self._expire_limits),
@@ -492,6 +494,9 @@
                 with self._failures.isolate(activity):
                     step()
 
+    def _install_deferred(self) -> None:
+        self._configuration.install_deferred(time.monotonic())
+
     def _expire_requests(self) -> None:
         now_s = time.monotonic()
         self._context.sessions.expire(now_s)
