Continue a roll-out whose order was lost and is written again

By reading: an order is known by the version of its row. After a restore of the store from a copy that version is gone or given out again, so a roll-out that was completed or rolled back would be started anew when operators write its order again, an earlier order of the copy could be carried out, a new one with a lower row version be ignored, and a lost status was never written again.

Orders have the era in which they were written, as configurations do. One that asks for the same as the known one, in a later era or in the first table of an era, continues that roll-out. States are stored again in each era, final ones too, by the entry that writes them; a status that another entry stored before the restore does not count. A status belongs to an order only if it names its version, and a conditional write counts only in the era in which the expected row version was read.

Scenarios: ten in fleet/restored_store.feature; they use the revisions of the store and cannot run on the code before.

--- a/features/fleet/restored_store.feature
+++ b/features/fleet/restored_store.feature
@@ -142,3 +142,42 @@
     Then an entry at revision "1.7" reads from "e1" of "1.7, 2.6"
     And an entry at revision "2.6" reads from none of "1.7, 1.9"
     And an entry at revision "1.7" reads from none of "2.7, 1.6"
+
+  Scenario Outline: A roll-out goes on when its order is written again
+    # Guards against a version that is moved to twice, and against a status
+    # that is lost for good.
+    Given a <state> roll-out whose order has row version 30 of era 1
+    When the store is restored to era 2 and its order is <order>
+    Then the roll-out is still <state> and its status is to be stored again
+
+    Examples:
+      | state       | order                            |
+      | completed   | in the copy                      |
+      | rolled back | in the copy                      |
+      | running     | in the copy                      |
+      | completed   | written again as row version 12  |
+      | rolled back | written again as row version 12  |
+      | running     | written again as row version 40  |
+      | completed   | written before the first read    |
+
+  Scenario: The order before is not carried out again by an older copy
+    # Guards against moving back to an earlier version.
+    Given a completed roll-out whose order has row version 30 of era 1
+    When the store is restored to era 2 and holds an earlier order
+    Then the roll-out is still completed and its status is to be stored again
+
+  Scenario: A new order after a restore is carried out
+    # Guards against ignoring an order whose row version is lower than that of
+    # an order which was lost.
+    Given a completed roll-out whose order has row version 30 of era 1
+    When the store is restored to era 2 and another version is ordered as row version 12
+    Then the roll-out of the other version is running
+
+  Scenario: A status that only an entry of the era before stored is not trusted
+    # Guards against a lost status that no entry writes again.
+    Given a completed roll-out whose order has row version 30 of era 1
+    When the store is restored to era 2 and its order is in the copy
+    And another entry reports a status that was stored in era 1
+    Then the roll-out is still completed and its status is to be stored again
+    When another entry reports a status that was stored in era 2
+    Then no status is to be stored
--- a/features/models/rollout_simulation.py
+++ b/features/models/rollout_simulation.py
@@ -8,6 +8,8 @@
 import random
 from typing import NamedTuple
 
+import msgspec
+
 from godwitvalve.fleet import endpoints
 from godwitvalve.fleet import routes
 from godwitvalve.rollouts import orders
@@ -229,9 +231,8 @@
 
 def copy_report(report):
     """Return a copy, as the counts change before the delivery."""
-    return type(report)(
-        *(getattr(report, name) for name in report.__struct_fields__[:-1]),
-        outcome_counts.total([report.counts]),
+    return msgspec.structs.replace(
+        report, counts=outcome_counts.total([report.counts])
     )
 
 
--- a/features/steps/fleet_restored_steps.py
+++ b/features/steps/fleet_restored_steps.py
@@ -347,7 +347,7 @@
     )
     context.consumer = consumers.OperatorConsumer(
         context.configuration_consumer,
-        consumers.OrderConsumer(lambda order: None),
+        consumers.OrderConsumer(lambda order, is_first_read: None),
     )
     context.consumer.apply_snapshot([], stores.StoreRevision(era, 1))
     context.consumer.apply_changes([_configuration(version)])
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -175,7 +175,9 @@
         found = list(self.rows_by_key.values())
         return stores.RowsAnswer(found, self.version, False, self.now_ms)
 
-    async def write_if(self, table, key, value, expected_version):
+    async def write_if(
+        self, table, key, value, expected_version, expected_era=None
+    ):
         await asyncio.sleep(0)
         known = self.rows_by_key.get(key)
         if (known.version if known else 0) != expected_version:
@@ -293,3 +295,90 @@
             except wire_rollouts.InvalidRollout:
                 continue
             raise AssertionError(row)
+
+
+STATES_BY_NAME = {
+    'running': orders.RolloutState.RUNNING,
+    'completed': orders.RolloutState.COMPLETED,
+    'rolled back': orders.RolloutState.TAKEN_BACK,
+}
+
+
+@behave.given(
+    'a {state} roll-out whose order has row version {row_version:d} of era '
+    '{era:d}'
+)
+def rollout_before_restore(context, state, row_version, era):
+    context.registry = _registry()
+    context.registry.mark_store_restored(era)
+    context.order = ORDER._replace(row_version=row_version, era=era)
+    context.rollout = context.registry.add_order(context.order, 0.0)
+    context.rollout.is_stored = True
+    context.rollout.advance(STATES_BY_NAME[state], 'test')
+    assert context.rollout.pending_state() is None
+
+
+@behave.when('the store is restored to era {era:d} and its order is {case}')
+def restored_with_order(context, era, case):
+    context.registry.mark_store_restored(era)
+    copied = context.order
+    match case.split():
+        case ['in', 'the', 'copy']:
+            context.registry.add_order(copied, 1.0, True)
+        case ['written', 'before', *_]:
+            early = copied._replace(row_version=12)
+            context.registry.add_order(early, 1.0, True)
+        case [*_, row_version]:
+            written = copied._replace(row_version=int(row_version), era=era)
+            context.registry.add_order(written, 1.0)
+
+
+@behave.when('the store is restored to era {era:d} and holds an earlier order')
+def restored_with_earlier_order(context, era):
+    context.registry.mark_store_restored(era)
+    earlier = context.order._replace(version='v1', row_version=11)
+    context.registry.add_order(earlier, 1.0, True)
+
+
+@behave.when(
+    'the store is restored to era {era:d} and another version is ordered as '
+    'row version {row_version:d}'
+)
+def other_version_ordered(context, era, row_version):
+    context.registry.mark_store_restored(era)
+    ordered = orders.RolloutOrder('s', 'v3', 15.0, row_version, era)
+    context.registry.add_order(ordered, 1.0)
+
+
+@behave.when('another entry reports a status that was stored in era {era:d}')
+def reported_status(context, era):
+    other = _registry()
+    other.mark_store_restored(era)
+    found = other.add_order(context.order, 0.0)
+    found.is_stored = True
+    found.advance(context.rollout.state, 'test')
+    context.registry.apply_report(
+        ('other', 1), other.reports(0.0)[0], 1.0, 0.0
+    )
+
+
+@behave.then(
+    'the roll-out is still {state} and its status is to be stored again'
+)
+def still_in_state(context, state):
+    (found,) = context.registry.all()
+    assert found is context.rollout
+    assert found.state is STATES_BY_NAME[state], found.state
+    assert found.pending_state() is found.state, found.pending_state()
+
+
+@behave.then('no status is to be stored')
+def nothing_pending(context):
+    assert context.rollout.pending_state() is None
+
+
+@behave.then('the roll-out of the other version is running')
+def other_version_runs(context):
+    (found,) = context.registry.all()
+    assert found.order.version == 'v3'
+    assert found.state is orders.RolloutState.RUNNING
--- a/src/godwitvalve/fleet/consumers.py
+++ b/src/godwitvalve/fleet/consumers.py
@@ -21,13 +21,13 @@
 # Of the value of a row that is invalid.
 MAX_LOGGED_BYTES = 120
 
+_LOG = logs.get('fleet')
+_FAILURES = supervision.FailureLog(_LOG)
+
 # Operators may write several lost configurations again, one after the other.
 # A lower version is installed only if none follows it for this long.
 LOWER_VERSION_DELAY_S = 1.0
 
-_LOG = logs.get('fleet')
-_FAILURES = supervision.FailureLog(_LOG)
-
 OnChange = abc.Callable[[], None]
 OnRemoved = abc.Callable[[str], None]
 
@@ -151,21 +151,27 @@
 class OrderConsumer:
     """Decodes the operator's roll-out orders.
 
-    :param on_order: called with each valid order.
+    :param on_order: called with each valid order, and whether the store may
+        have been restored since the last read.
     """
 
     def __init__(
-        self, on_order: abc.Callable[[orders.RolloutOrder], None]
+        self, on_order: abc.Callable[[orders.RolloutOrder, bool], None]
     ) -> None:
         self._on_order = on_order
 
-    def apply_changes(self, rows: list[stores.StoredRow]) -> None:
-        """Apply the orders among changed rows."""
+    def apply_changes(
+        self, rows: list[stores.StoredRow], era: int, is_first_read: bool
+    ) -> None:
+        """Apply the orders among changed rows.
+
+        :param era: era of the store in which they were written at least.
+        """
         for row in rows:
             if not wire_rollouts.is_order(row.key) or row.value is None:
                 continue
             try:
-                order = wire_rollouts.decode_order(row.value, row.version)
+                order = wire_rollouts.decode_order(row.value, row.version, era)
             except wire_rollouts.InvalidRollout as error:
                 _LOG.error(
                     'Roll-out order is invalid.',
@@ -173,7 +179,7 @@
                 )
                 continue
             with _FAILURES.isolate('apply a roll-out order'):
-                self._on_order(order)
+                self._on_order(order, is_first_read)
 
 
 class OperatorConsumer:
@@ -182,13 +188,19 @@
     The first table of an era may be that of a copy, which is older than what
     is known. Its rows count as written in the era before, and only those
     that change afterwards as written in the new one.
+
+    :param on_era: called with each new era.
     """
 
     def __init__(
-        self, configuration: ConfigurationConsumer, order: OrderConsumer
+        self,
+        configuration: ConfigurationConsumer,
+        order: OrderConsumer,
+        on_era: abc.Callable[[int], None] = lambda era: None,
     ) -> None:
         self._configuration = configuration
         self._order = order
+        self._on_era = on_era
         self._era: int | None = None
 
     def apply_snapshot(
@@ -197,16 +209,20 @@
         """Apply all rows of the operator's table."""
         is_first_read = revision.era != self._era
         self._era = revision.era
+        if is_first_read:
+            self._on_era(revision.era)
         written_era = max(revision.era - is_first_read, 0)
-        self._apply(rows, written_era)
+        self._apply(rows, written_era, is_first_read)
 
     def apply_changes(self, rows: list[stores.StoredRow]) -> None:
         """Apply changed rows in the order of their versions."""
-        self._apply(rows, self._era or 0)
+        self._apply(rows, self._era or 0, False)
 
-    def _apply(self, rows: list[stores.StoredRow], era: int) -> None:
+    def _apply(
+        self, rows: list[stores.StoredRow], era: int, is_first_read: bool
+    ) -> None:
         self._configuration.apply_changes(rows, era, time.monotonic())
-        self._order.apply_changes(rows)
+        self._order.apply_changes(rows, era, is_first_read)
 
     def mark_store_restored(self) -> None:
         """Do nothing: the next rows are compared by their era."""
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -353,7 +353,9 @@
             self._sources,
             wire_configuration.TABLE,
             consumers.OperatorConsumer(
-                self._configuration, consumers.OrderConsumer(self._apply_order)
+                self._configuration,
+                consumers.OrderConsumer(self._apply_order),
+                self._rollouts.mark_store_restored,
             ),
             self._relays[wire_configuration.TABLE],
             era=self._era,
@@ -524,8 +526,10 @@
             max(share, MIN_BURST_RETRIES), max(share, MIN_RESUME_DEBT_RETRIES)
         )
 
-    def _apply_order(self, order: rollout_orders.RolloutOrder) -> None:
-        self._rollouts.add_order(order, time.monotonic())
+    def _apply_order(
+        self, order: rollout_orders.RolloutOrder, is_first_read: bool
+    ) -> None:
+        self._rollouts.add_order(order, time.monotonic(), is_first_read)
 
     def _rank(self) -> int:
         """Return the rank of this entry by instance id among the live ones."""
--- a/src/godwitvalve/platform/rollouts.py
+++ b/src/godwitvalve/platform/rollouts.py
@@ -59,9 +59,12 @@
     return KEY_PREFIX + service
 
 
-def decode_order(content: bytes, row_version: int) -> orders.RolloutOrder:
+def decode_order(
+    content: bytes, row_version: int, era: int = 0
+) -> orders.RolloutOrder:
     """Decode an order.
 
+    :param era: era of the store in which the row was written at least.
     :raises InvalidRollout: if fields are missing or have invalid values.
     """
     try:
@@ -69,7 +72,7 @@
     except contents.InvalidContent as error:
         raise InvalidRollout(str(error)) from error
     return orders.RolloutOrder(
-        raw.service, raw.to, raw.duration_s, row_version
+        raw.service, raw.to, raw.duration_s, row_version, era
     )
 
 
@@ -98,4 +101,6 @@
     state = _STATES_BY_NAME.get(raw.state)
     if state is None:
         raise InvalidRollout(f'unknown state {raw.state!r}')
-    return orders.RolloutStatus(raw.order, state, raw.began_ms, row_version)
+    return orders.RolloutStatus(
+        raw.order, state, raw.began_ms, row_version, raw.to
+    )
--- a/src/godwitvalve/rollouts/orders.py
+++ b/src/godwitvalve/rollouts/orders.py
@@ -31,18 +31,36 @@
 
     :param duration_s: seconds within which all traffic is to be moved.
     :param row_version: version of the operator's row; a greater one means
-        a newer order.
+        a newer order of the same era.
+    :param era: era of the store in which the row was written at least.
     """
 
     service: str
     version: str
     duration_s: float
     row_version: int
+    era: int = 0
+
+    @property
+    def revision(self) -> tuple[int, int]:
+        """Return the sort key: newer orders have greater ones."""
+        return self.era, self.row_version
+
+    def is_same_move(self, other: RolloutOrder) -> bool:
+        """Tell whether another order asks for the same.
+
+        Reports round the duration to milliseconds.
+        """
+        return (
+            self[:2] == other[:2]
+            and abs(self.duration_s - other.duration_s) < 0.01
+        )
 
 
 class RolloutStatus(NamedTuple):
     """Status of an order in the store.
 
+    :param version: version that was ordered.
     :param began_ms: store clock in milliseconds when an entry first saw
         the order.
     :param row_version: version of the status row; 0 if there is none.
@@ -52,6 +70,7 @@
     state: RolloutState
     began_ms: int
     row_version: int
+    version: str = ''
 
 
 class ExposureLimits(NamedTuple):
--- a/src/godwitvalve/rollouts/registry.py
+++ b/src/godwitvalve/rollouts/registry.py
@@ -31,21 +31,36 @@
         self._limits = limits
         self._by_service: dict[str, rollouts.Rollout] = {}
         self._baselines: dict[str, baselines.Baseline] = {}
+        self._store_era = 0
 
     def all(self) -> abc.Collection[rollouts.Rollout]:
         """Return the newest roll-out of each service."""
         return self._by_service.values()
 
     def add_order(
-        self, order: orders.RolloutOrder, now_s: float
+        self,
+        order: orders.RolloutOrder,
+        now_s: float,
+        is_first_read: bool = False,
     ) -> rollouts.Rollout | None:
-        """Add an order; return its roll-out if none is newer."""
+        """Add an order; return its roll-out if none is newer.
+
+        A roll-out continues if its order was lost and is written again.
+
+        :param is_first_read: whether the store may have been restored from a
+            copy since the last read.
+        """
         known = self._by_service.get(order.service)
         if known is not None:
-            if known.order.row_version == order.row_version:
+            if known.order.revision == order.revision:
                 return known
-            if known.order.row_version > order.row_version:
+            if known.order.revision > order.revision:
                 return None
+            if known.order.is_same_move(order) and (
+                is_first_read or order.era > known.order.era
+            ):
+                known.order = order
+                return known
         baseline = self._baselines.get(order.service)
         found = rollouts.Rollout(
             order,
@@ -55,6 +70,7 @@
             if baseline
             else outcome_counts.OutcomeCounts(routes={}),
         )
+        found.store_era = self._store_era
         self._by_service[order.service] = found
         _LOG.info(
             'Roll-out ordered.',
@@ -67,6 +83,13 @@
         )
         return found
 
+    def mark_store_restored(self, era: int) -> None:
+        """Store the states again that a restored store may have lost."""
+        for each in self._by_service.values():
+            each.is_stored = False
+            each.store_era = era
+        self._store_era = era
+
     def apply_report(
         self,
         origin: tuple[str, int],
@@ -80,6 +103,7 @@
             report.version,
             report.duration_ms / 1000,
             report.row_version,
+            report.era,
         )
         found = self.add_order(order, now_s)
         return found is not None and found.apply_report(
--- a/src/godwitvalve/rollouts/reports.py
+++ b/src/godwitvalve/rollouts/reports.py
@@ -17,6 +17,8 @@
     :param is_stored: whether the store is known to hold a status row of
         the order.
     :param counts: outcomes that the sender itself counted.
+    :param era: era of the store in which the order was written at least.
+    :param store_era: era of the store that ``is_stored`` refers to.
     """
 
     service: str
@@ -27,3 +29,5 @@
     state: orders.RolloutState
     is_stored: bool
     counts: outcome_counts.OutcomeCounts
+    era: int = 0
+    store_era: int = 0
--- a/src/godwitvalve/rollouts/rollout.py
+++ b/src/godwitvalve/rollouts/rollout.py
@@ -38,7 +38,9 @@
         self.order = order
         self.began_s = began_s
         self.state = orders.RolloutState.RUNNING
+        # Whether the store has a status row, in the era below.
         self.is_stored = False
+        self.store_era = 0
         self.own_counts = own_counts
         self.share = 0.0
         self._limits = limits
@@ -123,7 +125,10 @@
         :param age_s: seconds since it was sent.
         """
         self._reports[origin] = report
-        self.is_stored |= report.is_stored
+        # A report may be from before a restore of the store.
+        self.is_stored |= (
+            report.is_stored and report.store_era >= self.store_era
+        )
         began_s = now_s - age_s - report.elapsed_ms / 1000
         self.began_s = min(self.began_s, began_s)
         return self.advance(report.state, origin[0])
@@ -201,6 +206,8 @@
                     return orders.RolloutState.RUNNING
                 if self.share >= 1.0 and plan.is_complete(self._assessment):
                     return orders.RolloutState.COMPLETED
+            case _ if not self.is_stored:
+                return self.state
         return None
 
     def report(self, now_s: float) -> report_model.RolloutReport:
@@ -214,4 +221,6 @@
             self.state,
             self.is_stored,
             self.own_counts,
+            self.order.era,
+            self.store_era,
         )
--- a/src/godwitvalve/rollouts/status_writer.py
+++ b/src/godwitvalve/rollouts/status_writer.py
@@ -49,7 +49,7 @@
         self._rank = rank
         self._on_change = on_change
         self._logged_rows = repeats.RepeatFilter()
-        self._pending_since_s: dict[tuple[str, int, int], float] = {}
+        self._pending_since_s: dict[tuple[str, int, int, int], float] = {}
 
     async def run(self) -> None:
         """Synchronise pending states with the store until cancelled."""
@@ -65,7 +65,7 @@
         if pending is None:
             return False
         order = each.order
-        key = (order.service, order.row_version, int(pending))
+        key = (order.service, *order.revision, int(pending))
         since_s = self._pending_since_s.setdefault(key, now_s)
         return now_s - since_s >= min(
             self._rank() * RANK_DELAY_S, MAX_RANK_DELAY_S
@@ -82,14 +82,20 @@
                     began_at_s - (answer.now_ms - status.began_ms) / 1000
                 )
                 each.began_s = min(each.began_s, stored_began_s)
-                each.is_stored = True
+                each.is_stored = (
+                    status.state.is_final or not each.state.is_final
+                )
                 each.advance(status.state, 'store')
             if pending is None or status.state.is_final:
                 self._on_change()
                 return
             elapsed_ms = int(each.elapsed_s(began_at_s) * 1000)
             written = await self._write(
-                each, pending, answer.now_ms - elapsed_ms, status.row_version
+                each,
+                pending,
+                answer.now_ms - elapsed_ms,
+                status.row_version,
+                answer.era,
             )
         except stores.StoreUnavailable as error:
             _LOG.warning(
@@ -126,8 +132,11 @@
                     extra={'key': key, 'reason': str(error)},
                 )
             return no_status._replace(row_version=row.version)
-        if status.order_version != each.order.row_version:
-            # The status belongs to an earlier order.
+        if (status.order_version, status.version) != (
+            each.order.row_version,
+            each.order.version,
+        ):
+            # The status belongs to another order.
             return no_status._replace(row_version=row.version)
         return status
 
@@ -137,10 +146,12 @@
         state: orders.RolloutState,
         began_ms: int,
         row_version: int,
+        era: int | None,
     ) -> bool:
         return await self._store.write_if(
             wire_rollouts.STATUS_TABLE,
             wire_rollouts.status_key(each.order.service),
             wire_rollouts.encode_status(each.order, state, began_ms),
             row_version,
+            era,
         )
