Write the rows of the entries again after a restore of the store

The rows by which entries find each other, and those with sessions and with evidence about crashing prompts, were written once or when their content changed. After a restore of the store from a copy they were gone or old until then, for entries that start in the meantime.

Each entry writes its rows again when it learns of a new era: the row of the entry at a random moment within 3 s, the others with their next check.

Scenario 'Rows of the entry are written again after a restore'; it uses the eras of the store and cannot run on the code before.

--- a/features/fleet/restored_store.feature
+++ b/features/fleet/restored_store.feature
@@ -181,3 +181,10 @@
     Then the roll-out is still completed and its status is to be stored again
     When another entry reports a status that was stored in era 2
     Then no status is to be stored
+
+  Scenario: Rows of the entry are written again after a restore
+    # Guards against evidence and sessions that a later start does not find.
+    Given an entry that writes evidence to the store
+    When evidence is written in era 1
+    And the store is restored to era 2
+    Then the same evidence is written once more
--- a/features/steps/gossip_odd_messages_steps.py
+++ b/features/steps/gossip_odd_messages_steps.py
@@ -9,6 +9,7 @@
 from aiohttp import test_utils
 import behave
 from godwitvalve.endpoint_limits import node as permit_node
+from godwitvalve.fleet import eras
 from godwitvalve.fleet import relay as relays
 from godwitvalve.fleet import state as states
 from godwitvalve.gossip import members
@@ -258,7 +259,9 @@
 
 async def _read_record(content):
     known = members.Members('own', 'fd-1')
-    rows = membership.MemberRows(_Rows(content), known, lambda number: None)
+    rows = membership.MemberRows(
+        _Rows(content), known, lambda number: None, eras.StoreEra()
+    )
     await rows._read()
     return list(known._records)
 
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -8,6 +8,7 @@
 
 import behave
 from features.models import crash_simulation
+from godwitvalve.fleet import eras
 from godwitvalve.ingress import shared_states
 from godwitvalve.ingress import state_rows
 from godwitvalve.platform import store as stores
@@ -194,11 +195,13 @@
 
 def _entry_with_rows(context, is_writer):
     context.entry = segments.SegmentQuarantine()
+    context.store_era = eras.StoreEra()
     context.rows = state_rows.StateRows(
         context.table_double,
         shared_states.QUARANTINE_TABLE,
         'entry-1',
         shared_states.QuarantineState(context.entry, lambda: is_writer),
+        context.store_era,
     )
 
 
@@ -271,3 +274,23 @@
 @behave.then('the store got {count:d} writes')
 def store_writes(context, count):
     assert context.table_double.writes == count, context.table_double.writes
+
+
+@behave.when('evidence is written in era {era:d}')
+def evidence_written(context, era):
+    context.store_era.record(era)
+    endpoints_crash(context, 'e1, e2', 'p q')
+    writes_row(context)
+    assert context.table_double.writes == 1
+
+
+@behave.when('the store is restored to era {era:d}')
+def restored_era(context, era):
+    context.store_era.record(era)
+
+
+@behave.then('the same evidence is written once more')
+def written_once_more(context):
+    writes_row(context)
+    writes_row(context)
+    store_writes(context, 2)
--- a/src/godwitvalve/ingress/membership.py
+++ b/src/godwitvalve/ingress/membership.py
@@ -14,6 +14,7 @@
 from godwitvalve.decoding import content as contents
 from godwitvalve.endpoint_limits import node as permit_nodes
 from godwitvalve.fleet import consumers
+from godwitvalve.fleet import eras
 from godwitvalve.fleet import state as states
 from godwitvalve.gossip import members as member_model
 from godwitvalve.gossip import node as gossip_nodes
@@ -29,6 +30,8 @@
 # A starting entry reads all rows at once. Later reads find entries whose
 # heartbeats did not arrive, as after a long network partition.
 READ_PERIOD_S = 60.0
+# After a restore of the store all entries register again, not all at once.
+REGISTRATION_SPREAD_S = 3.0
 # Leaves time for a new configuration to arrive from the store first, which
 # is the normal case.
 SYNC_PERIOD_S = 0.25
@@ -91,17 +94,35 @@
         store: stores.StoreClient,
         members: member_model.Members,
         build_record: abc.Callable[[int], member_model.Record],
+        era: eras.StoreEra,
     ) -> None:
         self._store = store
         self._members = members
         self._build_record = build_record
+        self._era = era
+        self._registered_era = 0
 
     async def run(self) -> None:
-        """Register, then read until cancelled."""
+        """Register, then read until cancelled; register in each era."""
         await self._retry_until_done(self._register)
         while True:
             await self._retry_until_done(self._read)
-            await asyncio.sleep(READ_PERIOD_S * random.uniform(0.5, 1.5))
+            if not await self._is_era_over(
+                READ_PERIOD_S * random.uniform(0.5, 1.5)
+            ):
+                continue
+            await asyncio.sleep(random.uniform(0.0, REGISTRATION_SPREAD_S))
+            await self._retry_until_done(self._register)
+
+    async def _is_era_over(self, wait_s: float) -> bool:
+        """Wait, and tell whether the own row may be lost."""
+        try:
+            async with asyncio.timeout(wait_s):
+                while self._era.current == self._registered_era:
+                    await self._era.wait_for_news(self._era.news_count)
+        except asyncio.TimeoutError:
+            return False
+        return True
 
     async def _retry_until_done(
         self, operation: abc.Callable[[], abc.Awaitable[None]]
@@ -118,9 +139,12 @@
 
     async def _register(self) -> None:
         record = self._build_record(0)
+        era = self._era.current
         await self._store.write(
             TABLE, record.instance_id, _ENCODER.encode(record)
         )
+        # The first answer of the store is the first to state its era.
+        self._registered_era = era or self._era.current
         _LOG.info('Registered this instance.')
 
     async def _read(self) -> None:
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -372,7 +372,7 @@
             'follow the table of the operator': operator_follower.run,
             'follow the table of endpoints': endpoint_follower.run,
             'register and read entries': membership.MemberRows(
-                self._store, self._members, self._build_record
+                self._store, self._members, self._build_record, self._era
             ).run,
             'send heartbeats': self._gossip.run,
             'store sessions': state_rows.StateRows(
@@ -382,6 +382,7 @@
                 shared_states.SessionState(
                     self._context.sessions, self._sessions_to_store
                 ),
+                self._era,
             ).run,
             'store quarantine': state_rows.StateRows(
                 self._store,
@@ -391,6 +392,7 @@
                     self._context.quarantine,
                     lambda: self._rank() < QUARANTINE_WRITERS,
                 ),
+                self._era,
             ).run,
             'read configurations of peers': self._peer_sync.run,
             'maintain': self._maintain,
--- a/src/godwitvalve/ingress/state_rows.py
+++ b/src/godwitvalve/ingress/state_rows.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from godwitvalve.decoding import content as contents
+from godwitvalve.fleet import eras
 from godwitvalve.lifecycle import supervision
 from godwitvalve.logs import setup as logs
 from godwitvalve.platform import store as stores
@@ -63,12 +64,15 @@
         table: str,
         instance_id: str,
         state: SharedState,
+        era: eras.StoreEra,
     ) -> None:
         self._store = store
         self._table = table
         self._instance_id = instance_id
         self._state = state
+        self._era = era
         self._written = b''
+        self._written_era = 0
 
     async def run(self) -> None:
         """Read all rows once, then write own changes until cancelled."""
@@ -114,11 +118,12 @@
     async def write_changes(self) -> None:
         """Write the own row if its content has changed."""
         content = self._state.content()
-        if not content or content == self._written:
+        era = self._era.current
+        if not content or (content, era) == (self._written, self._written_era):
             return
         try:
             await self._store.write(self._table, self._instance_id, content)
-            self._written = content
+            self._written, self._written_era = content, era
         except stores.StoreUnavailable as error:
             _LOG.info(
                 'Could not write the own row.',
