--- /dev/null
+++ b/features/fleet/restored_store.feature
@@ -0,0 +1,190 @@
+Feature: A store that comes back from an older copy
+
+  Scenario: The table of a restored store is read although its version is lower
+    # Guards against a follower that waits until the store's counter has passed
+    # the version that it read last before the restore.
+    Given a follower that read "x=1, y=1" at version 50 of era 1
+    When the store is restored with "x=1" at version 20
+    Then the follower knows "x=1" within 3 calls
+
+  Scenario: Changes below the known version are read after a restore
+    # Guards against going on from a number that is given out again: rows that
+    # were written below it in the new era would never be seen.
+    Given a follower that read "x=1, y=1" at version 50 of era 1
+    When the store is restored with "x=2" at version 60
+    Then the follower knows "x=2" within 3 calls
+
+  Scenario: A waiting call ends when another entry reports a later era
+    # Guards against a call that waits for changes of the era before: the
+    # store may come back without ending it.
+    Given a follower that read "x=1" at version 50 of era 1
+    When the store is restored with "x=2" at version 60 and does not answer the waiting call
+    And another entry reports era 2
+    Then the follower knows "x=2" within 3 calls
+
+  Scenario: An era that only another entry reports is asked for once
+    # Guards against calls without end if the store does not confirm an era.
+    Given a follower that read "x=1" at version 50 of era 1
+    When another entry reports era 7 ten times
+    Then the follower made at most 4 calls
+
+  Scenario: An era that goes back is that of the store
+    # Guards against a follower that waits for an era that never comes again.
+    Given a follower that read "x=1" at version 50 of era 3
+    When the store is restored with "x=2" at version 20 of era 2
+    Then the follower knows "x=2" within 3 calls
+
+  Scenario: A restored store that states no era is recognised by its lag
+    # Guards against a follower that never reads the table again: stale reads
+    # lag by 3 s at most.
+    Given a follower that read "x=1" at version 50 without an era
+    When the store is restored with "x=2" at version 20 without an era
+    Then the follower knows "x=2" after 4 s but not after 2 s
+
+  Scenario Outline: An entry that has not seen the restore is not followed
+    # Guards against going back to rows that are relayed from before.
+    Given a follower that read "x=2" at version 20 of era 2
+    When another entry relays "x=1" at version 50 of era 1 to a reader <reader>
+    Then the reader does not use the answer
+
+    Examples:
+      | reader             |
+      | of changes         |
+      | of the whole table |
+
+  Scenario: Readers of a relay read the whole table of a new era
+    # Guards against changes that are merged into rows of another history.
+    Given a relay that read "x=1, y=2" at version 50
+    When it reads the whole table "x=3" at version 20 of era 1
+    Then a reader at version 50 must read the whole table again
+    And a reader without a version gets "x=3"
+    And a reader at version 20 of era 1 gets ""
+
+  Scenario: An endpoint that left is not used again by an older copy
+    # Guards against requests to endpoints that a restored store lists as
+    # ready, although they left or announced it after the copy was made.
+    Given a registry with the endpoints "a, b, c, d"
+    When "a" announces that it leaves
+    And the row of "b" is removed at 20.0 s
+    And the store is restored at 21.0 s and lists "a, b, c, d"
+    Then "c, d" are usable at 21.0 s
+    And "c, d" are usable at 25.9 s
+    When the row of "b" is removed at 24.0 s
+    Then "a, c, d" are usable at 26.1 s
+
+  Scenario: An endpoint that writes its row again after a restore is used
+    # Guards against an endpoint that stays unused because it was removed once.
+    Given a registry with the endpoints "a, b, c"
+    When the row of "b" is removed at 20.0 s
+    And the store is restored at 21.0 s and lists "a, b, c"
+    And the row of "b" is written again
+    Then "a, b, c" are usable at 21.5 s
+
+  Scenario: An endpoint that started again under its id is used after a restore
+    # Guards against taking another start for the one that left.
+    Given a registry with the endpoints "a, b, c"
+    When the row of "b" is removed at 20.0 s
+    And the store is restored at 21.0 s with another start of "b" beside "a, c"
+    Then "a, b, c" are usable at 21.5 s
+
+  Scenario: Endpoints that registered since the copy are kept
+    # Guards against refusing requests of a service whose endpoints are
+    # missing from the copy until they write their rows again.
+    Given a registry with the endpoints "a, b, c"
+    When the store is restored at 21.0 s and lists "a"
+    Then "a, b, c" are usable at 23.0 s
+    And "a" are usable at 23.4 s
+
+  Scenario: Rows with lower versions apply after a restore
+    # Guards against comparing row versions of two histories.
+    Given a registry with the endpoints "a, b"
+    When the store is restored at 21.0 s and lists "a, b"
+    And "a" announces that it leaves at row version 1
+    Then "b" are usable at 21.5 s
+
+  Scenario: The configuration of an older copy is not installed
+    # Guards against routes and keys that come back for a moment.
+    Given an entry with configuration 7 of era 1
+    When the first table of era 2 holds configuration 5
+    Then configuration 7 is installed after 2 s
+
+  Scenario: A configuration that was written again stays installed
+    # Guards against a change notification and a new start for no change.
+    Given an entry with configuration 7 of era 1
+    When the first table of era 2 holds configuration 5
+    And configuration 7 is written
+    Then configuration 7 is installed and nothing changed
+
+  Scenario Outline: The next configuration after a restore is installed
+    # Guards against refusing a configuration for good because its version is
+    # lower than one that was lost, or the same.
+    Given an entry with configuration 7 of era 1
+    When the first table of era 2 holds configuration 5
+    And configuration <next> is written with other content
+    Then configuration <next> is installed after <delay> s
+
+    Examples:
+      | next | delay |
+      | 8    | 0     |
+      | 7    | 0     |
+      | 6    | 1     |
+
+  Scenario: Lost configurations that are written again in order do not apply
+    # Guards against an entry that goes back while an operator repeats them.
+    Given an entry with configuration 7 of era 1
+    When the first table of era 2 holds configuration 4
+    And configuration 5 is written, 0.5 s later 6 and 0.5 s later 7
+    Then configuration 7 was installed all the time
+
+  Scenario: An entry prefers the configuration of the later era
+    # Guards against entries that give each other the configuration that a
+    # lower one replaced.
+    Then an entry at revision "1.7" reads from "e1" of "1.7, 2.6"
+    And an entry at revision "2.6" reads from none of "1.7, 1.9"
+    And an entry at revision "1.7" reads from none of "2.7, 1.6"
+
+  Scenario Outline: A roll-out goes on when its order is written again
+    # Guards against a version that is moved to twice, and against a status
+    # that is lost for good.
+    Given a <state> roll-out whose order has row version 30 of era 1
+    When the store is restored to era 2 and its order is <order>
+    Then the roll-out is still <state> and its status is to be stored again
+
+    Examples:
+      | state       | order                            |
+      | completed   | in the copy                      |
+      | rolled back | in the copy                      |
+      | running     | in the copy                      |
+      | completed   | written again as row version 12  |
+      | rolled back | written again as row version 12  |
+      | running     | written again as row version 40  |
+      | completed   | written before the first read    |
+
+  Scenario: The order before is not carried out again by an older copy
+    # Guards against moving back to an earlier version.
+    Given a completed roll-out whose order has row version 30 of era 1
+    When the store is restored to era 2 and holds an earlier order
+    Then the roll-out is still completed and its status is to be stored again
+
+  Scenario: A new order after a restore is carried out
+    # Guards against ignoring an order whose row version is lower than that of
+    # an order which was lost.
+    Given a completed roll-out whose order has row version 30 of era 1
+    When the store is restored to era 2 and another version is ordered as row version 12
+    Then the roll-out of the other version is running
+
+  Scenario: A status that only an entry of the era before stored is not trusted
+    # Guards against a lost status that no entry writes again.
+    Given a completed roll-out whose order has row version 30 of era 1
+    When the store is restored to era 2 and its order is in the copy
+    And another entry reports a status that was stored in era 1
+    Then the roll-out is still completed and its status is to be stored again
+    When another entry reports a status that was stored in era 2
+    Then no status is to be stored
+
+  Scenario: Rows of the entry are written again after a restore
+    # Guards against evidence and sessions that a later start does not find.
+    Given an entry that writes evidence to the store
+    When evidence is written in era 1
+    And the store is restored to era 2
+    Then the same evidence is written once more
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -15,6 +15,7 @@
 from godwitvalve.endpoint_limits import node as permit_nodes
 from godwitvalve.fleet import consumers
 from godwitvalve.fleet import endpoints as endpoint_model
+from godwitvalve.fleet import eras
 from godwitvalve.fleet import follower
 from godwitvalve.fleet import relay as relays
 from godwitvalve.fleet import sources
@@ -94,7 +95,10 @@
         self._settings = settings
         self._started_wall_ms = int(time.time() * 1000)
         self._state = states.FleetState()
-        self._store = stores.StoreClient(settings.store_address)
+        self._era = eras.StoreEra()
+        self._store = stores.StoreClient(
+            settings.store_address, self._era.record
+        )
         self._members = member_model.Members(
             settings.instance_id, settings.failure_domain
         )
@@ -269,11 +273,14 @@
             self._context.quarantine.report(time.monotonic()),
             self._state.registry.leaving()[:MAX_REPORTED_ENDPOINTS],
             self._context.limiter.table.reports(time.monotonic()),
+            self._state.configuration_era,
+            self._era.current,
         )
 
     def _merge_record(self, record: member_model.Record, age_s: float) -> None:
         now_s = time.monotonic()
         origin = (record.instance_id, record.started_wall_ms)
+        self._era.record_report(record.store_era)
         for report in record.rollouts:
             if self._rollouts.apply_report(origin, report, now_s, age_s):
                 self._gossip.schedule_update()
@@ -346,9 +353,12 @@
             self._sources,
             wire_configuration.TABLE,
             consumers.OperatorConsumer(
-                self._configuration, consumers.OrderConsumer(self._apply_order)
+                self._configuration,
+                consumers.OrderConsumer(self._apply_order),
+                self._rollouts.mark_store_restored,
             ),
             self._relays[wire_configuration.TABLE],
+            era=self._era,
         )
         endpoint_follower = follower.TableFollower(
             self._sources,
@@ -356,12 +366,13 @@
             self._endpoints,
             self._relays[wire_endpoints.TABLE],
             self._endpoints_read_pause_s,
+            self._era,
         )
         return {
             'follow the table of the operator': operator_follower.run,
             'follow the table of endpoints': endpoint_follower.run,
             'register and read entries': membership.MemberRows(
-                self._store, self._members, self._build_record
+                self._store, self._members, self._build_record, self._era
             ).run,
             'send heartbeats': self._gossip.run,
             'store sessions': state_rows.StateRows(
@@ -371,6 +382,7 @@
                 shared_states.SessionState(
                     self._context.sessions, self._sessions_to_store
                 ),
+                self._era,
             ).run,
             'store quarantine': state_rows.StateRows(
                 self._store,
@@ -380,6 +392,7 @@
                     self._context.quarantine,
                     lambda: self._rank() < QUARANTINE_WRITERS,
                 ),
+                self._era,
             ).run,
             'read configurations of peers': self._peer_sync.run,
             'maintain': self._maintain,
@@ -475,6 +488,7 @@
             await asyncio.sleep(MAINTENANCE_PERIOD_S)
             for activity, step in (
                 ('expire endpoints', self._endpoints.expire),
+                ('install configurations', self._install_deferred),
                 ('prune connections', self._context.pool.prune),
                 ('expire requests', self._expire_requests),
                 ('expire limits', self._expire_limits),
@@ -484,6 +498,9 @@
                 with self._failures.isolate(activity):
                     step()
 
+    def _install_deferred(self) -> None:
+        self._configuration.install_deferred(time.monotonic())
+
     def _expire_requests(self) -> None:
         now_s = time.monotonic()
         self._context.sessions.expire(now_s)
@@ -511,8 +528,10 @@
             max(share, MIN_BURST_RETRIES), max(share, MIN_RESUME_DEBT_RETRIES)
         )
 
-    def _apply_order(self, order: rollout_orders.RolloutOrder) -> None:
-        self._rollouts.add_order(order, time.monotonic())
+    def _apply_order(
+        self, order: rollout_orders.RolloutOrder, is_first_read: bool
+    ) -> None:
+        self._rollouts.add_order(order, time.monotonic(), is_first_read)
 
     def _rank(self) -> int:
         """Return the rank of this entry by instance id among the live ones."""
