Compress configurations that entries send to each other

With 1,400 routes a configuration takes 360 kB. Entries passed it on as it was: the reader of a failure domain sent it to some thirty others, and those that had not got it after 0.25 s also asked other entries for their state. The links of small machines (5 to 20 Mbit/s) were full at each change, so that callers' requests waited, transfers exceeded their timeouts and entries changed their source or read the store themselves.

Damaged contents, and contents that expand beyond the limit for bodies, count as a failed source.

--- a/src/godwitvalve/ingress/control.py
+++ b/src/godwitvalve/ingress/control.py
@@ -9,6 +9,7 @@
 from godwitvalve.fleet import endpoints
 from godwitvalve.fleet import state as states
 from godwitvalve.forwarding import context as contexts
+from godwitvalve.ingress import compression
 from godwitvalve.ingress import peer_tables
 
 STATE_PATH = '/fleet/state'
@@ -20,6 +21,7 @@
 
     configuration: bytes
     listed: list[endpoints.FleetEndpoint]
+    is_compressed: bool = False
 
 
 class ControlHandler:
@@ -39,7 +41,7 @@
         """Answer a request by its path."""
         match request.path:
             case path if path == STATE_PATH:
-                return self._shared_state()
+                return self._shared_state(request)
             case path if path == peer_tables.TABLE_PATH:
                 return await self._relay_server.handle(request)
             case path if path == METRICS_PATH:
@@ -47,12 +49,17 @@
             case _:
                 return web.Response(status=404)
 
-    def _shared_state(self) -> web.Response:
+    def _shared_state(self, request: web.BaseRequest) -> web.Response:
         configuration = self._state.configuration
         if configuration is None:
             return web.Response(status=503)
+        is_compressed = compression.PARAMETER in request.query
         shared = SharedState(
-            configuration.source, list(self._state.registry.all())
+            compression.compress(configuration.source)
+            if is_compressed
+            else configuration.source,
+            list(self._state.registry.all()),
+            is_compressed,
         )
         return web.Response(body=msgspec.msgpack.encode(shared))
 
--- a/src/godwitvalve/ingress/membership.py
+++ b/src/godwitvalve/ingress/membership.py
@@ -16,6 +16,7 @@
 from godwitvalve.fleet import state as states
 from godwitvalve.gossip import members as member_model
 from godwitvalve.gossip import node as gossip_nodes
+from godwitvalve.ingress import compression
 from godwitvalve.ingress import control
 from godwitvalve.logs import setup as logs
 from godwitvalve.platform import bodies
@@ -195,7 +196,9 @@
         host = record.peer_address.rpartition(':')[0]
         url = f'http://{host}:{self._port}{control.STATE_PATH}'
         try:
-            async with session.get(url) as answer:
+            async with session.get(
+                url, params={compression.PARAMETER: '1'}
+            ) as answer:
                 content = await bodies.read(answer)
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
             _LOG.warning(
@@ -211,11 +214,19 @@
     def _apply_state(self, content: bytes, peer: str) -> None:
         try:
             shared = msgspec.msgpack.decode(content, type=control.SharedState)
-        except msgspec.DecodeError as error:
+            configuration = (
+                compression.decompress(shared.configuration)
+                if shared.is_compressed
+                else shared.configuration
+            )
+        except (
+            msgspec.DecodeError,
+            compression.InvalidCompression,
+        ) as error:
             _LOG.warning(
                 'A peer sent a state that cannot be decoded.',
                 extra={'peer': peer, 'reason': str(error)},
             )
             return
         self._state.registry.load_listed(shared.listed)
-        self._configuration.apply_content(shared.configuration, peer)
+        self._configuration.apply_content(configuration, peer)
--- a/src/godwitvalve/ingress/peer_tables.py
+++ b/src/godwitvalve/ingress/peer_tables.py
@@ -14,6 +14,7 @@
 from godwitvalve.fleet import sources
 from godwitvalve.forwarding import sockets
 from godwitvalve.gossip import members as member_model
+from godwitvalve.ingress import compression
 from godwitvalve.platform import bodies
 from godwitvalve.platform import store as stores
 
@@ -30,12 +31,40 @@
     :param age_ms: milliseconds since the store confirmed the rows.
     :param removals_untrusted_ms: milliseconds for which removals are not
         trusted.
+    :param compressed_keys: keys of the rows whose values are compressed.
     """
 
     version: int
     age_ms: int
     removals_untrusted_ms: int
     rows: list[stores.StoredRow]
+    compressed_keys: list[str] = []
+
+
+def _compress_rows(
+    rows: list[stores.StoredRow],
+) -> tuple[list[stores.StoredRow], list[str]]:
+    """Compress large values; also return the keys of their rows."""
+    large_keys = [
+        row.key
+        for row in rows
+        if row.value is not None and len(row.value) >= compression.MIN_BYTES
+    ]
+    return [
+        row._replace(value=compression.compress(row.value))
+        if row.value is not None and row.key in large_keys
+        else row
+        for row in rows
+    ], large_keys
+
+
+def _decompress_rows(message: _TableMessage) -> list[stores.StoredRow]:
+    return [
+        row._replace(value=compression.decompress(row.value))
+        if row.value is not None and row.key in message.compressed_keys
+        else row
+        for row in message.rows
+    ]
 
 
 class RelayServer:
@@ -62,12 +91,18 @@
             return web.Response(status=410)
         except stores.StoreUnavailable:
             return web.Response(status=503)
+        rows, compressed_keys = (
+            _compress_rows(answer.rows)
+            if compression.PARAMETER in request.query
+            else (answer.rows, [])
+        )
         now_s = time.monotonic()
         message = _TableMessage(
             answer.version,
             int((now_s - answer.confirmed_s) * 1000),
             int(max(answer.trusted_from_s - now_s, 0.0) * 1000),
-            answer.rows,
+            rows,
+            compressed_keys,
         )
         return web.Response(body=msgspec.msgpack.encode(message))
 
@@ -110,7 +145,9 @@
         timeout = aiohttp.ClientTimeout(total=wait_s + ANSWER_MARGIN_S)
         try:
             async with self._session.get(
-                self._url, params=query, timeout=timeout
+                self._url,
+                params=query | {compression.PARAMETER: '1'},
+                timeout=timeout,
             ) as answer:
                 content = await bodies.read(answer)
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
@@ -124,18 +161,24 @@
             )
         try:
             message = msgspec.msgpack.decode(content, type=_TableMessage)
-        except msgspec.DecodeError as error:
+            rows = _decompress_rows(message)
+        except (
+            msgspec.DecodeError,
+            compression.InvalidCompression,
+        ) as error:
             raise stores.StoreUnavailable(str(error)) from error
-        return self._to_answer(message)
+        return self._to_answer(message, rows)
 
-    def _to_answer(self, message: _TableMessage) -> sources.TableAnswer:
+    def _to_answer(
+        self, message: _TableMessage, rows: list[stores.StoredRow]
+    ) -> sources.TableAnswer:
         now_s = time.monotonic()
         if message.age_ms > sources.STALE_S * 1000:
             raise stores.StoreUnavailable(
                 f'rows were last confirmed {message.age_ms} ms ago'
             )
         return sources.TableAnswer(
-            message.rows,
+            rows,
             message.version,
             now_s - message.age_ms / 1000,
             now_s + message.removals_untrusted_ms / 1000
