--- a/features/steps/gossip_odd_messages_steps.py
+++ b/features/steps/gossip_odd_messages_steps.py
@@ -223,7 +223,7 @@
     used = []
 
     class Configuration:
-        def apply_content(self, content, peer):
+        def apply_content(self, content, era, peer):
             used.append(content)
 
     sync = membership.PeerSync.__new__(membership.PeerSync)
@@ -234,7 +234,9 @@
 
 
 async def _read_rows(content, state):
-    rows = state_rows.StateRows(_Rows(content), 'table', 'own', state)
+    rows = state_rows.StateRows(
+        _Rows(content), 'table', 'own', state, eras.StoreEra()
+    )
     await rows.read()
 
 
--- a/src/godwitvalve/ingress/peer_tables.py
+++ b/src/godwitvalve/ingress/peer_tables.py
@@ -16,6 +16,7 @@
 from godwitvalve.fleet import sources
 from godwitvalve.forwarding import sockets
 from godwitvalve.gossip import members as member_model
+from godwitvalve.ingress import compression
 from godwitvalve.platform import bodies
 from godwitvalve.platform import store as stores
 
@@ -32,6 +33,7 @@
     :param age_ms: milliseconds since the store confirmed the rows.
     :param removals_untrusted_ms: milliseconds for which removals are not
         trusted.
+    :param compressed_keys: keys of the rows whose values are compressed.
     """
 
     version: bounds.Count
@@ -39,11 +41,38 @@
     removals_untrusted_ms: bounds.Milliseconds
     rows: list[stores.StoredRow]
     era: bounds.Count = 0
+    compressed_keys: list[str] = []
 
 
 _DECODER = msgspec.msgpack.Decoder(_TableMessage)
 
 
+def _compress_rows(
+    rows: list[stores.StoredRow],
+) -> tuple[list[stores.StoredRow], list[str]]:
+    """Compress large values; also return the keys of their rows."""
+    large_keys = [
+        row.key
+        for row in rows
+        if row.value is not None and len(row.value) >= compression.MIN_BYTES
+    ]
+    return [
+        row._replace(value=compression.compress(row.value))
+        if row.value is not None and row.key in large_keys
+        else row
+        for row in rows
+    ], large_keys
+
+
+def _decompress_rows(message: _TableMessage) -> list[stores.StoredRow]:
+    return [
+        row._replace(value=compression.decompress(row.value))
+        if row.value is not None and row.key in message.compressed_keys
+        else row
+        for row in message.rows
+    ]
+
+
 class RelayServer:
     """Serves the relayed tables of this entry to other entries."""
 
@@ -71,13 +100,19 @@
             return web.Response(status=410)
         except stores.StoreUnavailable:
             return web.Response(status=503)
+        rows, compressed_keys = (
+            _compress_rows(answer.rows)
+            if compression.PARAMETER in request.query
+            else (answer.rows, [])
+        )
         now_s = time.monotonic()
         message = _TableMessage(
             answer.version,
             int((now_s - answer.confirmed_s) * 1000),
             int(max(answer.trusted_from_s - now_s, 0.0) * 1000),
-            answer.rows,
+            rows,
             answer.era or 0,
+            compressed_keys,
         )
         return web.Response(body=msgspec.msgpack.encode(message))
 
@@ -121,7 +156,9 @@
         timeout = aiohttp.ClientTimeout(total=wait_s + ANSWER_MARGIN_S)
         try:
             async with self._session.get(
-                self._url, params=query, timeout=timeout
+                self._url,
+                params=query | {compression.PARAMETER: '1'},
+                timeout=timeout,
             ) as answer:
                 content = await bodies.read(answer)
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
@@ -135,18 +172,24 @@
             )
         try:
             message = contents.decode(_DECODER, content)
-        except contents.InvalidContent as error:
+            rows = _decompress_rows(message)
+        except (
+            contents.InvalidContent,
+            compression.InvalidCompression,
+        ) as error:
             raise stores.StoreUnavailable(str(error)) from error
-        return self._to_answer(message)
+        return self._to_answer(message, rows)
 
-    def _to_answer(self, message: _TableMessage) -> sources.TableAnswer:
+    def _to_answer(
+        self, message: _TableMessage, rows: list[stores.StoredRow]
+    ) -> sources.TableAnswer:
         now_s = time.monotonic()
         if message.age_ms > sources.STALE_S * 1000:
             raise stores.StoreUnavailable(
                 f'rows were last confirmed {message.age_ms} ms ago'
             )
         return sources.TableAnswer(
-            message.rows,
+            rows,
             message.version,
             now_s - message.age_ms / 1000,
             now_s + message.removals_untrusted_ms / 1000
