Pause if a store has no changes after the table that was read

Found by reading: a follower whose changes are from another era than the table, or expired at once, read both again without a pause. Also, the lag of an entry that relays the table no longer counts as that of the store.

'A store that never has the changes is not asked without a pause' failed before and passes now.

--- a/features/fleet/restored_store.feature
+++ b/features/fleet/restored_store.feature
@@ -28,6 +28,13 @@
     When another entry reports era 7 ten times
     Then the follower made at most 4 calls
 
+  Scenario: A store that never has the changes is not asked without a pause
+    # Guards against calls without end if the table and its changes come from
+    # different eras.
+    Given a follower that read "x=1" at version 50 of era 1
+    When the store has no changes of any version for 1 s
+    Then the follower made at most 12 calls
+
   Scenario: An era that goes back is that of the store
     # Guards against a follower that waits for an era that never comes again.
     Given a follower that read "x=1" at version 50 of era 3
--- a/features/steps/fleet_restored_steps.py
+++ b/features/steps/fleet_restored_steps.py
@@ -30,6 +30,7 @@
 
     def __init__(self, text, version, era):
         self.calls = 0
+        self.is_without_history = False
         self.changed = asyncio.Event()
         self.restore(text, version, era)
 
@@ -58,7 +59,7 @@
     async def changes(self, table, after, wait_s):
         self.calls += 1
         await asyncio.sleep(0)
-        if after.version > self.version:
+        if self.is_without_history or after.version > self.version:
             raise stores.HistoryExpired
         if not self._answer(after.version).rows:
             await self._wait(wait_s)
@@ -211,6 +212,17 @@
     assert not context.following.run(context.following.knows(text, 0.3))
 
 
+@behave.when('the store has no changes of any version for {span_s:g} s')
+def without_history(context, span_s):
+    async def wait():
+        store = context.following.store
+        store.is_without_history = True
+        store.changed.set()
+        await asyncio.sleep(span_s)
+
+    context.following.run(wait())
+
+
 @behave.when('another entry reports era {era:d}')
 def reported_era(context, era):
     context.following.known_era.record_report(era)
--- a/src/godwitvalve/fleet/follower.py
+++ b/src/godwitvalve/fleet/follower.py
@@ -103,8 +103,11 @@
     async def run(self) -> None:
         """Follow the table until cancelled."""
         retry_pauses_s = _pauses()
+        # Whether no changes could be read since the table was read last.
+        is_without_changes = False
         while True:
             source, instance_id = self._sources.choose()
+            reads_changes = self._revision is not None
             try:
                 await self._step(source, is_relayed=bool(instance_id))
             except stores.HistoryExpired:
@@ -113,6 +116,9 @@
                     extra={'table': self._table, 'revision': self._revision},
                 )
                 self._revision = None
+                if is_without_changes:
+                    await asyncio.sleep(next(retry_pauses_s))
+                is_without_changes = True
                 continue
             except stores.StoreUnavailable as error:
                 if instance_id:
@@ -121,7 +127,9 @@
                 self._mark_unavailable(str(error))
                 await asyncio.sleep(next(retry_pauses_s))
                 continue
-            retry_pauses_s = _pauses()
+            if reads_changes:
+                retry_pauses_s = _pauses()
+                is_without_changes = False
             await asyncio.sleep(self._pause_s())
 
     def _mark_source_failed(self, instance_id: str, reason: str) -> None:
@@ -185,9 +193,13 @@
         if read >= newest or (not is_relayed and read.era != newest.era):
             return
         now_s = time.monotonic()
-        if self._lagging_since_s is None:
+        if self._lagging_since_s is None and not is_relayed:
             self._lagging_since_s = now_s
-        if is_relayed or now_s - self._lagging_since_s < MAX_LAG_S:
+        if (
+            self._lagging_since_s is None
+            or is_relayed
+            or now_s - self._lagging_since_s < MAX_LAG_S
+        ):
             raise stores.StoreUnavailable('source returned an old version')
 
     async def _read_changes(
