Take rows of the first table of an era as those of the copy at each read

A review showed with real entries that the configuration of an older copy was installed: where the history of changes expired after the return, the second read of the whole table took its rows as written in the new era (a withdrawn key was valid for 2.2 s); and at an entry that had started in the era before, where its own configuration counted as of the era before that. The first also happens when an entry changes the entry that it reads from.

A row counts as that of the copy if its version is not above that of the first table of the era. When an era begins, what is known counts as valid in the era before, for configurations and for orders. Eras do not go back in these comparisons. Entries also take another content of the same version from one of a later era.

--- a/features/fleet/restored_store.feature
+++ b/features/fleet/restored_store.feature
@@ -136,6 +136,35 @@
       | 7    | 0     |
       | 6    | 1     |
 
+  Scenario: The copy's configuration is not installed by a second read
+    # Guards against taking the rows of the copy as new ones because the whole
+    # table is read again in the same era.
+    Given an entry with configuration 7 of era 1
+    When the first table of era 2 holds configuration 5
+    And the whole table of era 2 is read once more
+    Then configuration 7 is installed after 2 s
+
+  Scenario: An entry that started before the return keeps its configuration
+    # Guards against the copy's configuration at an entry that read its own in
+    # the first table after its start.
+    Given an entry that started in era 1 and read configuration 7
+    When the first table of era 2 holds configuration 5
+    Then configuration 7 is installed after 2 s
+
+  Scenario: A configuration is installed that only a whole table shows
+    # Guards against a lower version that is taken for that of the copy.
+    Given an entry with configuration 7 of era 1
+    When the first table of era 2 holds configuration 5
+    And configuration 6 is written beyond the first table of era 2 and the whole table read
+    Then configuration 6 is installed after 1 s
+
+  Scenario: A configuration is installed after an era that went back
+    # Guards against an entry that takes each later configuration as older.
+    Given an entry with configuration 7 of era 3
+    When the first table of era 2 holds configuration 5
+    And configuration 8 is written
+    Then configuration 8 is installed after 0 s
+
   Scenario: Lost configurations that are written again in order do not apply
     # Guards against an entry that goes back while an operator repeats them.
     Given an entry with configuration 7 of era 1
@@ -148,7 +177,7 @@
     # lower one replaced.
     Then an entry at revision "1.7" reads from "e1" of "1.7, 2.6"
     And an entry at revision "2.6" reads from none of "1.7, 1.9"
-    And an entry at revision "1.7" reads from none of "2.7, 1.6"
+    And an entry at revision "1.7" reads from "e0" of "2.7, 1.6"
 
   Scenario Outline: A roll-out goes on when its order is written again
     # Guards against a version that is moved to twice, and against a status
--- a/features/steps/fleet_restored_steps.py
+++ b/features/steps/fleet_restored_steps.py
@@ -344,10 +344,10 @@
     assert context.relay.since(after).rows == []
 
 
-def _configuration(version, content=''):
+def _configuration(version, content='', row_version=None):
     """Return the row of a configuration."""
     value = msgspec.json.encode({'version': version, 'name': content})
-    return stores.StoredRow('config', version, value)
+    return stores.StoredRow('config', row_version or version, value)
 
 
 @behave.given('an entry with configuration {version:d} of era {era:d}')
@@ -359,7 +359,7 @@
     )
     context.consumer = consumers.OperatorConsumer(
         context.configuration_consumer,
-        consumers.OrderConsumer(lambda order, is_first_read: None),
+        consumers.OrderConsumer(lambda order, may_be_copied: None),
     )
     context.consumer.apply_snapshot([], stores.StoreRevision(era, 1))
     context.consumer.apply_changes([_configuration(version)])
@@ -416,3 +416,40 @@
 def nothing_changed(context, version):
     assert context.state.version == version
     assert context.changes == [], context.changes
+
+
+@behave.when('the whole table of era {era:d} is read once more')
+def table_read_again(context, era):
+    context.consumer.apply_snapshot(
+        [_configuration(5)], stores.StoreRevision(era, 30)
+    )
+
+
+@behave.given(
+    'an entry that started in era {era:d} and read configuration {version:d}'
+)
+def started_entry(context, era, version):
+    context.state = states.FleetState()
+    context.changes = []
+    context.configuration_consumer = consumers.ConfigurationConsumer(
+        context.state, lambda: context.changes.append(context.state.version)
+    )
+    context.consumer = consumers.OperatorConsumer(
+        context.configuration_consumer,
+        consumers.OrderConsumer(lambda order, may_be_copied: None),
+    )
+    context.consumer.apply_snapshot(
+        [_configuration(version)], stores.StoreRevision(era, 40)
+    )
+    context.changes.clear()
+
+
+@behave.when(
+    'configuration {version:d} is written beyond the first table of era '
+    '{era:d} and the whole table read'
+)
+def written_and_read(context, version, era):
+    context.consumer.apply_snapshot(
+        [_configuration(version, 'other', row_version=25)],
+        stores.StoreRevision(era, 30),
+    )
--- a/src/godwitvalve/fleet/consumers.py
+++ b/src/godwitvalve/fleet/consumers.py
@@ -91,6 +91,10 @@
             and configuration.source != installed.source
         )
 
+    def confirm_era(self, era: int) -> None:
+        """Record that the installed configuration was valid in an era."""
+        self._state.confirm_era(era)
+
     def install_deferred(self, now_s: float) -> None:
         """Install a lower version that no other one followed.
 
@@ -151,8 +155,8 @@
 class OrderConsumer:
     """Decodes the operator's roll-out orders.
 
-    :param on_order: called with each valid order, and whether the store may
-        have been restored since the last read.
+    :param on_order: called with each valid order, and whether it may be that
+        of an older copy of the store.
     """
 
     def __init__(
@@ -161,7 +165,7 @@
         self._on_order = on_order
 
     def apply_changes(
-        self, rows: list[stores.StoredRow], era: int, is_first_read: bool
+        self, rows: list[stores.StoredRow], era: int, may_be_copied: bool
     ) -> None:
         """Apply the orders among changed rows.
 
@@ -179,7 +183,7 @@
                 )
                 continue
             with _FAILURES.isolate('apply a roll-out order'):
-                self._on_order(order, is_first_read)
+                self._on_order(order, may_be_copied)
 
 
 class OperatorConsumer:
@@ -201,28 +205,46 @@
         self._configuration = configuration
         self._order = order
         self._on_era = on_era
-        self._era: int | None = None
+        # Revision of the first table of the current era.
+        self._first: stores.StoreRevision | None = None
+        # Greatest era that was read; it does not go back.
+        self._era = 0
+        # Era in which the rows of the first table were written at least.
+        self._first_rows_era = 0
 
     def apply_snapshot(
         self, rows: list[stores.StoredRow], revision: stores.StoreRevision
     ) -> None:
         """Apply all rows of the operator's table."""
-        is_first_read = revision.era != self._era
-        self._era = revision.era
-        if is_first_read:
-            self._on_era(revision.era)
-        written_era = max(revision.era - is_first_read, 0)
-        self._apply(rows, written_era, is_first_read)
+        if self._first is None or self._first.era != revision.era:
+            self._begin_era(revision)
+            self._first = revision
+        first_version = self._first.version
+        first_rows = [row for row in rows if row.version <= first_version]
+        later_rows = [row for row in rows if row.version > first_version]
+        self._apply(first_rows, self._first_rows_era, True)
+        self._apply(later_rows, self._era, False)
+
+    def _begin_era(self, revision: stores.StoreRevision) -> None:
+        if self._first is None:
+            # Entries that read more of the current era know better.
+            self._first_rows_era = max(revision.era - 1, 0)
+        else:
+            self._first_rows_era = self._era
+            # What is known is as new as the era in which it was read.
+            self._configuration.confirm_era(self._era)
+        self._era = max(self._era, revision.era)
+        self._on_era(self._era)
 
     def apply_changes(self, rows: list[stores.StoredRow]) -> None:
         """Apply changed rows in the order of their versions."""
-        self._apply(rows, self._era or 0, False)
+        self._apply(rows, self._era, False)
 
     def _apply(
-        self, rows: list[stores.StoredRow], era: int, is_first_read: bool
+        self, rows: list[stores.StoredRow], era: int, may_be_copied: bool
     ) -> None:
         self._configuration.apply_changes(rows, era, time.monotonic())
-        self._order.apply_changes(rows, era, is_first_read)
+        self._order.apply_changes(rows, era, may_be_copied)
 
     def mark_store_restored(self) -> None:
         """Do nothing: the next rows are compared by their era."""
--- a/src/godwitvalve/fleet/state.py
+++ b/src/godwitvalve/fleet/state.py
@@ -33,6 +33,11 @@
             self.version,
         )
 
+    def confirm_era(self, era: int) -> None:
+        """Record that the installed configuration was valid in an era."""
+        if self.configuration is not None:
+            self.configuration_era = max(self.configuration_era, era)
+
     def install(
         self, configuration: routes.Configuration, era: int = 0
     ) -> bool:
--- a/src/godwitvalve/ingress/membership.py
+++ b/src/godwitvalve/ingress/membership.py
@@ -177,8 +177,7 @@
     newest = max(
         (each.configuration_revision for each in alive), default=own_revision
     )
-    # The same version was read in another era.
-    if newest <= own_revision or newest[1] == own_revision[1]:
+    if newest <= own_revision:
         return None
     return rng.choice(
         [each for each in alive if each.configuration_revision == newest]
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -529,9 +529,9 @@
         )
 
     def _apply_order(
-        self, order: rollout_orders.RolloutOrder, is_first_read: bool
+        self, order: rollout_orders.RolloutOrder, may_be_copied: bool
     ) -> None:
-        self._rollouts.add_order(order, time.monotonic(), is_first_read)
+        self._rollouts.add_order(order, time.monotonic(), may_be_copied)
 
     def _rank(self) -> int:
         """Return the rank of this entry by instance id among the live ones."""
--- a/src/godwitvalve/rollouts/registry.py
+++ b/src/godwitvalve/rollouts/registry.py
@@ -41,14 +41,14 @@
         self,
         order: orders.RolloutOrder,
         now_s: float,
-        is_first_read: bool = False,
+        may_be_copied: bool = False,
     ) -> rollouts.Rollout | None:
         """Add an order; return its roll-out if none is newer.
 
         A roll-out continues if its order was lost and is written again.
 
-        :param is_first_read: whether the store may have been restored from a
-            copy since the last read.
+        :param may_be_copied: whether it may be that of an older copy of the
+            store.
         """
         known = self._by_service.get(order.service)
         if known is not None:
@@ -57,7 +57,7 @@
             if known.order.revision > order.revision:
                 return None
             if known.order.is_same_move(order) and (
-                is_first_read or order.era > known.order.era
+                may_be_copied or order.era > known.order.era
             ):
                 known.order = order
                 return known
@@ -86,6 +86,10 @@
     def mark_store_restored(self, era: int) -> None:
         """Store the states again that a restored store may have lost."""
         for each in self._by_service.values():
+            # What is known is as new as the era in which it was read.
+            each.order = each.order._replace(
+                era=max(each.order.era, self._store_era)
+            )
             each.is_stored = False
             each.store_era = era
         self._store_era = era
