Keep using a live endpoint whose address another row has

A row marks the endpoints with its address as replaced only if its service is configured, and they are used again if the row is removed or if its endpoint turns out not to answer there. An endpoint that did answer at the address (provisional, or by status 421) replaces the others as before.

Two of the three new scenarios of fleet/registry.feature failed before; the third needs the new parameter of the registry.

--- a/features/fleet/registry.feature
+++ b/features/fleet/registry.feature
@@ -30,6 +30,27 @@
     And the row of "a" is removed at 10.1 s
     Then "b" are usable at 12.4 s
 
+  Scenario: A row with the address of a live endpoint does not replace it
+    # Guards against a live endpoint that stays unused because another writer
+    # left a row with its address.
+    Given a registry with the endpoints "a, b"
+    When the row of "x" is written with the address of "a"
+    And "x" turns out to be replaced
+    Then "b, a" are usable at 2.0 s
+
+  Scenario: A row that is removed does not replace an endpoint any more
+    # Guards against an endpoint that stays unused after the odd row is gone.
+    Given a registry with the endpoints "a, b"
+    When the row of "x" is written with the address of "a"
+    And the row of "x" is removed at 20.0 s
+    Then "b, a" are usable at 20.0 s
+
+  Scenario: A row of an unknown service does not replace an endpoint
+    # Guards against one odd row that makes a live endpoint unusable.
+    Given a registry with the endpoints "a, b" in which only their service is known
+    When the row of "x" of another service is written with the address of "a"
+    Then "a, b" are usable at 2.0 s
+
   Scenario: Without an outage a removal applies at once
     # Guards against requests to endpoints that have ended.
     Given a registry with the endpoints "a, b"
--- a/features/steps/fleet_registry_steps.py
+++ b/features/steps/fleet_registry_steps.py
@@ -182,3 +182,40 @@
     listed = [endpoint(each) for each in names.split(', ')]
     restarted = endpoint(name, started_ms=2 * _START_MS)
     _restore(context, now_s, [*listed, restarted])
+
+
+@behave.given(
+    'a registry with the endpoints "{names}" in which only their service is '
+    'known'
+)
+def registry_with_service(context, names):
+    context.registry = registry.EndpointRegistry(
+        lambda service: service == 'summaries'
+    )
+    context.registry.mark_store_available(-100.0)
+    context.row_version = 0
+    for name in names.split(', '):
+        _write(context, endpoint(name))
+
+
+def _address(name):
+    return endpoint(name).address
+
+
+@behave.when('the row of "{name}" is written with the address of "{other}"')
+def written_with_address(context, name, other):
+    _write(context, endpoint(name, _address(other)))
+
+
+@behave.when(
+    'the row of "{name}" of another service is written with the address of '
+    '"{other}"'
+)
+def other_service_with_address(context, name, other):
+    row = endpoint(name, _address(other))._replace(service='unknown')
+    _write(context, row)
+
+
+@behave.when('"{name}" turns out to be replaced')
+def turns_out_replaced(context, name):
+    context.registry.mark_replaced(name, _START_MS)
--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -39,11 +39,17 @@
     have lost the store.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        is_known_service: abc.Callable[[str], bool] = lambda service: True,
+    ) -> None:
+        self._is_known_service = is_known_service
         self._endpoints: dict[str, endpoints.FleetEndpoint] = {}
         self._row_versions: dict[str, int] = {}
         self._missing_until_s: dict[str, float] = {}
-        self._replaced: set[str] = set()
+        # Endpoint whose row has the address of each replaced one; empty if
+        # another one did answer there.
+        self._replaced: dict[str, str] = {}
         self._provisional: set[str] = set()
         # Starts of endpoints that leave, as other entries reported them.
         self._reported_leaving: dict[str, int] = {}
@@ -114,7 +120,7 @@
             return False
         is_changed = self._endpoints.get(endpoint_id) != endpoint
         if is_changed:
-            self._replaced.discard(endpoint_id)
+            self._replaced.pop(endpoint_id, None)
         self._row_versions[endpoint_id] = row_version
         self._endpoints[endpoint_id] = endpoint
         if endpoint.is_leaving:
@@ -164,17 +170,36 @@
     def _mark_predecessors_replaced(
         self, endpoint: endpoints.FleetEndpoint
     ) -> None:
-        """Mark earlier users of an address as replaced; it has only one."""
+        """Mark earlier users of an address as replaced; it has only one.
+
+        A row with a service that is not configured names no endpoint.
+        """
+        if not self._is_known_service(endpoint.service):
+            return
+        is_provisional = endpoint.endpoint_id in self._provisional
         for other_id, other in self._endpoints.items():
             if (
                 other.address == endpoint.address
                 and other_id != endpoint.endpoint_id
                 and (
-                    endpoint.endpoint_id in self._provisional
+                    is_provisional
                     or other.started_wall_ms <= endpoint.started_wall_ms
                 )
             ):
-                self._replaced.add(other_id)
+                # A provisional endpoint did answer at the address.
+                self._replaced[other_id] = (
+                    '' if is_provisional else endpoint.endpoint_id
+                )
+
+    def _restore_predecessors(self, endpoint_id: str) -> None:
+        """Use the endpoints again that a listed one seemed to replace.
+
+        Load pattern: another writer left a row with the address of a live
+        endpoint. That one does not answer as the other.
+        """
+        for other_id, successor_id in list(self._replaced.items()):
+            if successor_id == endpoint_id:
+                del self._replaced[other_id]
 
     def remove(self, endpoint_id: str, row_version: int, now_s: float) -> bool:
         """Apply a removal; return whether the endpoint was removed now.
@@ -236,7 +261,8 @@
             return False
         if endpoint_id in self._replaced:
             return False
-        self._replaced.add(endpoint_id)
+        self._replaced[endpoint_id] = ''
+        self._restore_predecessors(endpoint_id)
         return True
 
     def mark_leaving(self, endpoint_id: str, started_wall_ms: int) -> bool:
@@ -283,7 +309,8 @@
         if endpoint_id in self._endpoints:
             self._remember_departed(self._endpoints[endpoint_id])
         self._reported_leaving.pop(endpoint_id, None)
-        self._replaced.discard(endpoint_id)
+        self._replaced.pop(endpoint_id, None)
+        self._restore_predecessors(endpoint_id)
         self._provisional.discard(endpoint_id)
         self._endpoints.pop(endpoint_id, None)
         self._row_versions.pop(endpoint_id, None)
--- a/src/godwitvalve/fleet/state.py
+++ b/src/godwitvalve/fleet/state.py
@@ -13,7 +13,13 @@
         self.configuration: routes.Configuration | None = None
         # Era of the store in which the configuration was written at least.
         self.configuration_era = 0
-        self.registry = registry.EndpointRegistry()
+        self.registry = registry.EndpointRegistry(self._is_known_service)
+
+    def _is_known_service(self, service: str) -> bool:
+        return (
+            self.configuration is not None
+            and service in self.configuration.services
+        )
 
     @property
     def version(self) -> int:
