Stay at a replaced endpoint that still sends events

A review showed: a stream whose endpoint was marked as replaced left it after 50 ms without bytes, before it was known that it may go on elsewhere, and was cut with 1 of 4 events, although the endpoint was sound.

An endpoint that has sent events to this stream still answers at its address. Only an attempt without events leaves a replaced endpoint early, and it needs a successor as others do. The new scenario of forwarding/silence.feature failed before.

--- a/features/forwarding/silence.feature
+++ b/features/forwarding/silence.feature
@@ -34,6 +34,15 @@
       | no free slot        |
       | been declared lost  |
 
+  Scenario: A stream stays at an endpoint whose address another row has
+    # Guards against cutting a stream whose endpoint goes on, because another
+    # writer left a row with its address.
+    Given stream endpoints that play "head 1 silence 2 end" and "head 2 end"
+    And endpoint 2 is full and endpoint 1 counts as replaced while the stream runs
+    When a stream is made
+    Then its caller gets the events 1 to 2 and the end
+    And endpoint 2 received no request
+
   Scenario: A stream leaves a silent endpoint once it gets a permit
     # Guards against streams that stay at a dead endpoint after they were
     # denied a permit once.
--- a/features/steps/forwarding_silence_steps.py
+++ b/features/steps/forwarding_silence_steps.py
@@ -96,6 +96,22 @@
     context.prepare = prepare
 
 
+@behave.given(
+    'endpoint 2 is full and endpoint 1 counts as replaced while the stream '
+    'runs'
+)
+def replaced_during_stream(context):
+    def mark(site):
+        endpoint = site.state.registry.get('e0')
+        site.state.registry.mark_replaced('e0', endpoint.started_wall_ms)
+
+    def prepare(site):
+        site.tracker.stats('e1').streams = 8
+        site.on_started.append(mark)
+
+    context.prepare = prepare
+
+
 @behave.then('the retry budget is complete')
 def budget_complete(context):
     balance = context.site.context.budget.balance(forwarding_site.SERVICE)
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -702,8 +702,12 @@
         go on elsewhere.
         """
         assert self._relocation is not None
-        is_replaced = self._context.state.registry.is_replaced(
-            attempt.endpoint.endpoint_id
+        # Events show that the endpoint still answers.
+        is_replaced = (
+            not attempt.has_events
+            and self._context.state.registry.is_replaced(
+                attempt.endpoint.endpoint_id
+            )
         )
         if not (
             attempt.is_unreachable
@@ -714,7 +718,7 @@
             return False
         if not self._declare_lost(attempt):
             return False
-        return is_replaced or self._relocation.poll()
+        return self._relocation.poll()
 
     def _record_progress(self, attempt: attempts.StreamAttempt) -> None:
         assert self._relocation is not None
