Give back the retry of a second attempt that finds no endpoint

A review showed: one call to a service with one slow endpoint used up the whole retry budget, 6.0 to 0.0, with one attempt sent; streams of that service then could not go on elsewhere. The retry is given back if nothing is sent. 'A second attempt that finds no endpoint takes no retry' failed before with a balance of 4.0 and passes now.

--- a/features/forwarding/calls.feature
+++ b/features/forwarding/calls.feature
@@ -104,3 +104,10 @@
     When a non-repeatable call is made
     Then the caller gets status 200 and the body "fine"
     And 1 attempt was made at endpoints in the state "missing"
+
+  Scenario: A second attempt that finds no endpoint takes no retry
+    # Guards against streams of the service that are cut because calls used up
+    # the retry budget for attempts that were never sent.
+    Given an endpoint that plays "hang" and "hang"
+    When a repeatable call is made
+    Then the retry budget is complete
--- a/src/godwitvalve/forwarding/calls.py
+++ b/src/godwitvalve/forwarding/calls.py
@@ -250,6 +250,8 @@
             return
         if await self._start():
             self._record_retry('no answer yet')
+        else:
+            self._context.budget.return_retry(self._routed.service)
 
     async def _start(self) -> bool:
         """Start an attempt; tell whether an endpoint was available."""
