Bound the eras that entries tell each other

By reading: one report with a very great era hid later true ones, and a search for an endpoint that was cancelled from within ended its stream.

--- a/src/godwitvalve/decoding/bounds.py
+++ b/src/godwitvalve/decoding/bounds.py
@@ -14,6 +14,7 @@
 # An endpoint processes some hundred requests at once. One that states far
 # more would get all requests of its service.
 MAX_SLOTS = 100_000
+MAX_ERA = 999_999_999
 # The year 5138.
 MAX_UNIX_MS = 10**14
 MAX_MILLISECONDS = 10**12
@@ -35,6 +36,8 @@
 
 Integer: TypeAlias = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+# Counts the restores of the platform's store.
+Era: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=MAX_ERA)]
 Slots: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 UnixMilliseconds: TypeAlias = Annotated[
     int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)
--- a/src/godwitvalve/forwarding/relocation.py
+++ b/src/godwitvalve/forwarding/relocation.py
@@ -71,6 +71,10 @@
         """Keep the result of the search, which has ended."""
         assert self._task is not None
         task, self._task = self._task, None
+        if task.cancelled():
+            # By what it waited for; the stream stays where it is.
+            self._is_failed = True
+            return
         error = task.exception()
         if error is None:
             self._found = task.result()
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -93,8 +93,8 @@
     )
     leaving: list[tuple[str, bounds.Integer]] = []
     limits: list[limit_reports.LimitReport] = []
-    configuration_era: int = 0
-    store_era: int = 0
+    configuration_era: bounds.Era = 0
+    store_era: bounds.Era = 0
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/godwitvalve/ingress/control.py
+++ b/src/godwitvalve/ingress/control.py
@@ -6,6 +6,7 @@
 from aioprometheus import renderer
 import msgspec
 
+from godwitvalve.decoding import bounds
 from godwitvalve.fleet import endpoints
 from godwitvalve.fleet import state as states
 from godwitvalve.forwarding import context as contexts
@@ -21,7 +22,7 @@
 
     configuration: bytes
     listed: list[endpoints.FleetEndpoint]
-    configuration_era: int = 0
+    configuration_era: bounds.Era = 0
     is_compressed: bool = False
 
 
--- a/src/godwitvalve/ingress/peer_tables.py
+++ b/src/godwitvalve/ingress/peer_tables.py
@@ -40,7 +40,7 @@
     age_ms: bounds.Milliseconds
     removals_untrusted_ms: bounds.Milliseconds
     rows: list[stores.StoredRow]
-    era: bounds.Count = 0
+    era: bounds.Era = 0
     compressed_keys: list[str] = []
 
 
--- a/src/godwitvalve/platform/store.py
+++ b/src/godwitvalve/platform/store.py
@@ -25,8 +25,6 @@
 # next call, not only after the whole wait of a poll.
 FEED_TIMEOUT_MARGIN_S = 1.5
 ERA_HEADER = 'Store-Era'
-# An era counts the restores of a store; a longer number is an error.
-MAX_ERA_DIGITS = 9
 
 _LOG = logs.get('store')
 _LOGGED_ROWS = repeats.RepeatFilter()
@@ -128,9 +126,8 @@
 
 
 def _decode_era(value: str | None) -> int | None:
-    if value is None or not (value.isascii() and value.isdecimal()):
-        return None
-    return int(value) if len(value) <= MAX_ERA_DIGITS else None
+    era = contents.parse_count(value or '')
+    return None if era is None or era > bounds.MAX_ERA else era
 
 
 def _rows_answer(reply: _Reply) -> RowsAnswer:
