--- a/features/steps/platform_rows_steps.py
+++ b/features/steps/platform_rows_steps.py
@@ -132,7 +132,7 @@
 
 @behave.when('the table of endpoints is read')
 def read_table(context):
-    context.consumer.apply_snapshot(context.rows, 3)
+    context.consumer.apply_snapshot(context.rows, stores.StoreRevision(0, 3))
 
 
 @behave.when('only the changes of the table are read')
@@ -257,8 +257,10 @@
 def order_raises(context, name):
     context.applied = []
     apply = _fail_for(name, context.applied)
-    consumer = consumers.OrderConsumer(lambda order: apply(order.service))
-    consumer.apply_changes(context.rows)
+    consumer = consumers.OrderConsumer(
+        lambda order, may_be_copied: apply(order.service)
+    )
+    consumer.apply_changes(context.rows, 0, False)
 
 
 @behave.then('the orders for "{names}" are applied')
--- a/src/godwitvalve/platform/store.py
+++ b/src/godwitvalve/platform/store.py
@@ -130,13 +130,13 @@
     return None if era is None or era > bounds.MAX_ERA else era
 
 
-def _rows_answer(reply: _Reply) -> RowsAnswer:
+def _rows_answer(body: bytes, era: int | None = None) -> RowsAnswer:
     try:
-        raw = contents.decode(_DECODER, reply.body)
+        raw = contents.decode(_DECODER, body)
     except contents.InvalidContent as error:
         raise StoreUnavailable(f'malformed answer: {error}') from error
     rows = [row for each in raw.rows if (row := _row(bytes(each)))]
-    return RowsAnswer(rows, raw.ver, raw.has_more, raw.now_ms, reply.era)
+    return RowsAnswer(rows, raw.ver, raw.has_more, raw.now_ms, era)
 
 
 class StoreClient:
@@ -210,7 +210,7 @@
                 raise StoreUnavailable(
                     f'reading {table}: expected status 200, got {reply.status}'
                 )
-            answer = _rows_answer(reply)
+            answer = _rows_answer(reply.body, reply.era)
             if found and answer.era != era:
                 raise StoreUnavailable(f'reading {table}: store was restored')
             era = answer.era
@@ -246,7 +246,7 @@
             raise StoreUnavailable(
                 f'polling {table}: expected status 200, got {reply.status}'
             )
-        return _rows_answer(reply)
+        return _rows_answer(reply.body, reply.era)
 
     async def write(self, table: str, key: str, value: bytes) -> None:
         """Write one row unconditionally.
