Cut an answer of the own interface that fails after it has begun

A review showed: an exception after the first event put a second answer with status 502 and its headers into the chunked body of the first one, and the connection stayed open. The connection is closed now, so that the answer is incomplete. features/entry/errors.feature failed before: no end of the connection came within 2 s.

--- a/src/godwitvalve/entry/app.py
+++ b/src/godwitvalve/entry/app.py
@@ -74,6 +74,9 @@
             raise
         except Exception:
             _LOG.exception('Request handler failed.')
+            if request.writer.output_size > 0:
+                # The server closes the connection, which cuts the answer.
+                raise
             code = codes.ResultCode.OUTCOME_UNKNOWN
             return answers.code_answer(context, code, 'internal error')
 
