--- a/src/godwitvalve/fleet/eras.py
+++ b/src/godwitvalve/fleet/eras.py
@@ -15,9 +15,9 @@
     def __init__(self) -> None:
         self.current = 0
         # Number of times that an era was recorded that may be a new one.
-        self.news_count = 0
+        self.change_count = 0
         self._newest_reported = 0
-        self._news = asyncio.Event()
+        self._changed = asyncio.Event()
 
     def record(self, era: int) -> None:
         """Record the era that the store itself stated."""
@@ -40,11 +40,11 @@
         return era == self.current and era >= self._newest_reported
 
     def _notify(self) -> None:
-        self.news_count += 1
-        news, self._news = self._news, asyncio.Event()
-        news.set()
-
-    async def wait_for_news(self, seen_count: int) -> None:
-        """Wait until there is news beyond a count."""
-        while self.news_count == seen_count:
-            await self._news.wait()
+        self.change_count += 1
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def wait_for_change(self, seen_count: int) -> None:
+        """Wait until an era is recorded after so many others."""
+        while self.change_count == seen_count:
+            await self._changed.wait()
--- a/src/godwitvalve/fleet/follower.py
+++ b/src/godwitvalve/fleet/follower.py
@@ -97,7 +97,7 @@
         self._revision: stores.StoreRevision | None = None
         self._newest: stores.StoreRevision | None = None
         self._lagging_since_s: float | None = None
-        self._seen_news_count = 0
+        self._seen_change_count = 0
         self._is_store_unavailable = False
 
     async def run(self) -> None:
@@ -174,7 +174,7 @@
         await self._relay.update(self._with_trust(answer), True)
         self._revision = self._newest = read
         if self._era.is_settled(read.era):
-            self._seen_news_count = self._era.news_count
+            self._seen_change_count = self._era.change_count
 
     def _check_lag(
         self,
@@ -210,14 +210,14 @@
     ) -> None:
         # After an outage, an answer at once tells when the store is back;
         # removals are not trusted for some time from then.
-        has_news = self._era.news_count != self._seen_news_count
-        self._seen_news_count = self._era.news_count
+        has_change = self._era.change_count != self._seen_change_count
+        self._seen_change_count = self._era.change_count
         wait_s = (
             0.0
-            if self._is_store_unavailable or has_news
+            if self._is_store_unavailable or has_change
             else self._sources.wait_s(self._table)
         )
-        raw_answer = await self._call_unless_news(
+        raw_answer = await self._call_unless_restored(
             source.changes(self._table, after, wait_s)
         )
         if raw_answer is None:
@@ -235,7 +235,7 @@
         await self._relay.update(self._with_trust(answer), False)
         self._revision = self._newest = max(after, read)
 
-    async def _call_unless_news(
+    async def _call_unless_restored(
         self, call: abc.Coroutine[Any, Any, sources.TableAnswer]
     ) -> sources.TableAnswer | None:
         """Return the answer, or None if the store may have been restored.
@@ -243,17 +243,17 @@
         A call that waits for changes may not end when the store returns.
         """
         calling = asyncio.ensure_future(call)
-        news = asyncio.ensure_future(
-            self._era.wait_for_news(self._seen_news_count)
+        change = asyncio.ensure_future(
+            self._era.wait_for_change(self._seen_change_count)
         )
         try:
             await asyncio.wait(
-                {calling, news}, return_when=asyncio.FIRST_COMPLETED
+                {calling, change}, return_when=asyncio.FIRST_COMPLETED
             )
             return calling.result() if calling.done() else None
         finally:
             calling.cancel()
-            news.cancel()
+            change.cancel()
 
     def _with_era(self, answer: sources.TableAnswer) -> sources.TableAnswer:
         """Return an answer with its era; without one, it is the known one."""
--- a/src/godwitvalve/ingress/membership.py
+++ b/src/godwitvalve/ingress/membership.py
@@ -120,7 +120,7 @@
         try:
             async with asyncio.timeout(wait_s):
                 while self._era.current == self._registered_era:
-                    await self._era.wait_for_news(self._era.news_count)
+                    await self._era.wait_for_change(self._era.change_count)
         except asyncio.TimeoutError:
             return False
         return True
