--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -459,7 +459,7 @@
 @behave.when('the endpoint "{new}" takes over from "{old}"')
 def endpoint_takes_over(context, new, old):
     context.fleet.start_replica(new, 'desk', 'fd-0')
-    context.fleet.write_row('servers', old)
+    context.fleet.unregister(old)
     time.sleep(1.2)
 
 
--- a/src/godwitvalve/fleet/state.py
+++ b/src/godwitvalve/fleet/state.py
@@ -57,6 +57,7 @@
         self.configuration_era = era
         if (
             self.configuration is not None
+            and configuration.version == self.configuration.version
             and configuration.source == self.configuration.source
         ):
             return False
