Share the collector of log records and a set-up between tests

Four step files had a log handler of their own that keeps records, and two steps built the same consumer of the operator's table. Assertions are unchanged.

--- a/features/steps/fleet_restored_steps.py
+++ b/features/steps/fleet_restored_steps.py
@@ -350,8 +350,7 @@
     return stores.StoredRow('config', row_version or version, value)
 
 
-@behave.given('an entry with configuration {version:d} of era {era:d}')
-def entry_with_configuration(context, version, era):
+def _consume_operator_rows(context):
     context.state = states.FleetState()
     context.changes = []
     context.configuration_consumer = consumers.ConfigurationConsumer(
@@ -361,6 +360,11 @@
         context.configuration_consumer,
         consumers.OrderConsumer(lambda order, may_be_copied: None),
     )
+
+
+@behave.given('an entry with configuration {version:d} of era {era:d}')
+def entry_with_configuration(context, version, era):
+    _consume_operator_rows(context)
     context.consumer.apply_snapshot([], stores.StoreRevision(era, 1))
     context.consumer.apply_changes([_configuration(version)])
     assert context.changes == [version]
@@ -429,15 +433,7 @@
     'an entry that started in era {era:d} and read configuration {version:d}'
 )
 def started_entry(context, era, version):
-    context.state = states.FleetState()
-    context.changes = []
-    context.configuration_consumer = consumers.ConfigurationConsumer(
-        context.state, lambda: context.changes.append(context.state.version)
-    )
-    context.consumer = consumers.OperatorConsumer(
-        context.configuration_consumer,
-        consumers.OrderConsumer(lambda order, may_be_copied: None),
-    )
+    _consume_operator_rows(context)
     context.consumer.apply_snapshot(
         [_configuration(version)], stores.StoreRevision(era, 40)
     )
--- a/features/steps/ingress_incomplete_steps.py
+++ b/features/steps/ingress_incomplete_steps.py
@@ -8,6 +8,7 @@
 import behave
 from features.doubles import forwarding_site
 from features.doubles import ingress_site
+from features.doubles import log_records
 from godwitvalve.endpoint_limits import statements
 from godwitvalve.fleet import routes
 
@@ -19,19 +20,10 @@
 }
 
 
-class _Records(logging.Handler):
-    def __init__(self):
-        super().__init__()
-        self.found = []
-
-    def emit(self, record):
-        self.found.append(record)
-
-
 @behave.given('the condition "{condition}" at the caller port')
 def condition_given(context, condition):
     context.condition = condition
-    context.records = _Records()
+    context.records = log_records.LogRecords()
     logger = logging.getLogger('godwitvalve.ingress')
     logger.addHandler(context.records)
     context.cleanups.append(lambda: logger.removeHandler(context.records))
@@ -121,7 +113,7 @@
     assert context.reasons == {reason: 1.0}, context.reasons
     logged = [
         each.reason
-        for each in context.records.found
+        for each in context.records.records
         if each.getMessage() == MESSAGE
     ]
     assert logged == [reason], logged
--- a/features/steps/ingress_interruptions_steps.py
+++ b/features/steps/ingress_interruptions_steps.py
@@ -12,6 +12,7 @@
 import behave
 from features.doubles import aio
 from features.doubles import forwarding_site
+from features.doubles import log_records
 from features.doubles import scripted_endpoint
 from godwitvalve.fleet import routes
 from godwitvalve.forwarding import in_flight
@@ -40,17 +41,6 @@
 LOGGER = logging.getLogger('godwitvalve.ingress')
 
 
-class _Lines(logging.Handler):
-    """Keeps the warnings of the handler."""
-
-    def __init__(self):
-        super().__init__(logging.WARNING)
-        self.records = []
-
-    def emit(self, record):
-        self.records.append(record)
-
-
 def _configuration():
     kinds = {each.value: each for each in routes.RequestKind}
     return routes.Configuration(
@@ -74,7 +64,7 @@
 
 @behave.given('an entry whose endpoint "{behaviour}"')
 def entry_with_endpoint(context, behaviour):
-    context.lines = _Lines()
+    context.lines = log_records.LogRecords(logging.WARNING)
     LOGGER.addHandler(context.lines)
     context.cleanups.append(lambda: LOGGER.removeHandler(context.lines))
 
--- a/features/steps/lifecycle_supervision_steps.py
+++ b/features/steps/lifecycle_supervision_steps.py
@@ -8,6 +8,7 @@
 import urllib.request
 
 import behave
+from features.doubles import log_records
 from godwitvalve.ingress import process
 from godwitvalve.lifecycle import supervision
 from godwitvalve.logs import setup as logs
@@ -15,17 +16,6 @@
 from standins import local_site
 
 
-class _Lines(logging.Handler):
-    """Keeps the records of a logger."""
-
-    def __init__(self):
-        super().__init__()
-        self.records = []
-
-    def emit(self, record):
-        self.records.append(record)
-
-
 class _Replay:
     """Runs of a task that end one after the other, in simulated time."""
 
@@ -98,7 +88,7 @@
 
 def _supervise(context, work):
     """Return the supervision of a task that logs to the kept lines."""
-    context.log = _Lines()
+    context.log = log_records.LogRecords()
     logger = logging.getLogger('godwitvalve.supervision test')
     logger.addHandler(context.log)
     context.cleanups.append(lambda: logger.removeHandler(context.log))
--- a/features/steps/platform_rows_steps.py
+++ b/features/steps/platform_rows_steps.py
@@ -7,6 +7,7 @@
 import logging
 
 import behave
+from features.doubles import log_records
 from godwitvalve.fleet import consumers
 from godwitvalve.fleet import state as states
 from godwitvalve.gossip import members
@@ -149,20 +150,9 @@
     assert found == set(names.split(', ')), found
 
 
-class _Lines(logging.Handler):
-    """Keeps the records of a logger."""
-
-    def __init__(self):
-        super().__init__()
-        self.records = []
-
-    def emit(self, record):
-        self.records.append(record)
-
-
 @behave.when('the table of endpoints is read {count:d} times')
 def read_table_often(context, count):
-    context.log = _Lines()
+    context.log = log_records.LogRecords()
     logger = logging.getLogger('godwitvalve.fleet')
     logger.addHandler(context.log)
     context.cleanups.append(lambda: logger.removeHandler(context.log))
