--- a/features/steps/ingress_errors_steps.py
+++ b/features/steps/ingress_errors_steps.py
@@ -85,8 +85,8 @@
 def error_logged(context):
     found = [
         each
-        for each in context.records.found
+        for each in context.records.records
         if each.levelno == logging.ERROR and each.exc_info
     ]
-    assert len(found) == 1, context.records.found
+    assert len(found) == 1, context.records.records
     assert found[0].exc_info[1].args == ('injected',), found[0].exc_info
