Give each fleet of stand-ins its own loopback addresses

All fleets of stand-ins used the addresses 127.0.7.N with random ports that were probed at 127.0.0.1 only, so suites that run side by side could draw the same ones. The entry that starts second exits then, and its scenario waits 20 s for it. That the ports collided there is inferred, as the log of the entry was not kept. Each fleet now claims a subnet, and the error states the end of the log and the exit code, at once if the entry exited.

--- a/standins/fleet/site.py
+++ b/standins/fleet/site.py
@@ -5,7 +5,9 @@
 import json
 import os
 import pathlib
+import secrets
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -18,6 +20,14 @@
 KEY = 'key-of-acme'
 STREAM_PREFIX = '/summaries/'
 CALL_PREFIX = '/complaints/'
+# Loopback subnets for the entries of fleets; the last address of each is
+# reserved for the claim.
+SUBNETS = tuple(
+    f'127.{first}.{second}' for first in range(16, 32) for second in range(256)
+)
+CLAIM_PORT = 11_999
+# Of the log of an entry that did not become ready.
+LOGGED_LINES = 20
 
 
 def route(name: str, prefix: str, kind: str, service: str) -> dict[str, Any]:
@@ -55,6 +65,23 @@
     }
 
 
+def _claim_subnet() -> tuple[str, socket.socket]:
+    """Return a subnet that no other fleet uses and the socket that claims it.
+
+    Suites run side by side, and each draws its ports without knowledge of
+    the others.
+    """
+    while True:
+        subnet = secrets.choice(SUBNETS)
+        claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            claim.bind((f'{subnet}.255', CLAIM_PORT))
+        except OSError:
+            claim.close()
+            continue
+        return subnet, claim
+
+
 class FleetSite:
     """Processes of one fleet; ``stop`` kills all that were started.
 
@@ -65,6 +92,7 @@
         self.folder = folder
         self.processes: dict[str, subprocess.Popen[str]] = {}
         self.addresses: dict[str, str] = {}
+        self._subnet, self._claim = _claim_subnet()
         self._ports = [local_site.free_port() for _ in range(5)]
         self._entries = 0
         self.store = self.start_process('store', ['standins.fleet.store'])
@@ -193,7 +221,7 @@
         :param changes: settings that differ from the usual ones.
         """
         self._entries += 1
-        ip = f'127.0.7.{self._entries}'
+        ip = f'{self._subnet}.{self._entries}'
         caller, readiness, directory, control, peer = self._ports
         settings = {
             'instance_id': name,
@@ -204,7 +232,7 @@
             'directory_address': f'{ip}:{directory}',
             'control_address': f'{ip}:{control}',
             'peer_ports': [peer, peer + 10],
-            'seed_addresses': [f'127.0.7.1:{control}'],
+            'seed_addresses': [f'{self._subnet}.1:{control}'],
             'store_address': self.store,
             'address_reuse_s': 2.0,
             **changes,
@@ -243,6 +271,13 @@
         lines = (self.folder / f'{name}.log').read_text().splitlines()
         return [json.loads(line) for line in lines if line.startswith('{')]
 
+    def log_end(self, name: str) -> str:
+        """Return whether an entry runs and the last lines of its log."""
+        lines = (self.folder / f'{name}.log').read_text().splitlines()
+        code = self.processes[name].poll()
+        state = 'runs' if code is None else f'exited with {code}'
+        return '\n'.join([f'{name} {state}', *lines[-LOGGED_LINES:]])
+
     def runs(self, name: str) -> list[list[str]]:
         """Return the calls and streams that an endpoint ran."""
         url = f'http://{self.addresses[name]}/standin/runs'
@@ -272,6 +307,7 @@
             process.wait()
             if process.stdout is not None:
                 process.stdout.close()
+        self._claim.close()
 
 
 def _without_version(row: dict[str, Any]) -> dict[str, Any]:
@@ -279,11 +315,21 @@
 
 
 def wait_ready(site: FleetSite, name: str) -> None:
-    """Wait until an entry is ready and has loaded its endpoints."""
+    """Wait until an entry is ready and has loaded its endpoints.
+
+    :raises TimeoutError: if it is not ready in time.
+    :raises RuntimeError: if it exits.
+    """
     url = f'http://{site.port_address(name, 1)}/readyz'
 
     def is_ready() -> bool:
+        if site.processes[name].poll() is not None:
+            raise RuntimeError(f'{name} ended before it was ready')
         return local_site.http_json('GET', url) is None
 
-    local_site.wait_until(is_ready, f'{name} is ready')
+    try:
+        local_site.wait_until(is_ready, f'{name} is ready')
+    except (RuntimeError, TimeoutError) as error:
+        error.add_note(site.log_end(name))
+        raise
     time.sleep(0.5)
