Print the errors of scenarios that failed in the test runner

It uses the plain formatter now and prints the failed scenarios only, at most 80 lines each. features/scripts/run_tests.feature failed before.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 from concurrent import futures
+import itertools
 import json
 import pathlib
+import re
 import subprocess
 import sys
 import tempfile
@@ -20,6 +22,8 @@
 # Bounds the load, since suites that start processes depend on deadlines.
 MAX_SUITES_AT_ONCE = 4
 SUITE_LIMIT_S = 900
+# Of a scenario that failed: its steps and error come before captured logs.
+MAX_SCENARIO_LINES = 80
 
 
 class Result(NamedTuple):
@@ -71,6 +75,20 @@
     ]
 
 
+def failed_scenarios(output: str) -> str:
+    """Return the scenarios that failed, each with its steps and its error.
+
+    :param output: that of the plain formatter of behave.
+    :returns: the whole output if it shows no such scenario.
+    """
+    failed = [
+        block.splitlines()[:MAX_SCENARIO_LINES]
+        for block in re.split(r'\n(?=  Scenario)', output)
+        if re.search(r' \.\.\. (failed|error) in ', block)
+    ]
+    return '\n'.join(itertools.chain.from_iterable(failed)) or output
+
+
 def run_suite(suite: str) -> SuiteReport:
     """Run one suite in a separate process."""
     with tempfile.TemporaryDirectory() as folder:
@@ -82,7 +100,7 @@
             f'features/{suite}',
             '--format=json',
             f'--outfile={report}',
-            '--format=progress',
+            '--format=plain',
             '--no-color',
         ]
         try:
@@ -99,7 +117,9 @@
         results = _scenarios(suite, report) if report.exists() else []
     if process.returncode and all(result.passed for result in results):
         results.append(Result(suite, f'{suite}: suite did not run', False))
-    return SuiteReport(results, process.stdout + process.stderr)
+    error_lines = process.stderr.splitlines()[-MAX_SCENARIO_LINES:]
+    output = '\n'.join([failed_scenarios(process.stdout), *error_lines])
+    return SuiteReport(results, output)
 
 
 def main() -> int:
