Keep a silent endpoint until its successor has accepted a stream

A stream that left a silent endpoint reset its request before the successor had answered. If that one declined, as its memory is not known to the entry, was dead or broke off, the stream had no endpoint any more, although the silent one would have gone on. With a silence of 1.2 s and one successor that declines, the stream was cut at its deadline.

The silent endpoint now keeps the request until a head that is no decline has come. A new event of the silent endpoint cancels the second request at once; a decline, a failed connection or one that ends before a head leaves the stream where it is, and the search goes on. A copy at a backup is asked for once, and a retry that was not sent is given back. Who goes on is decided in handover.py.

features/forwarding/silence.feature: 7 of the new scenarios failed on the code before (successor declines, breaks off or is dead; comments only; cancelled successor; slow caller). The others guard the new code; on a state before the pause of 0.2 s was added, with the bound, the reset, the count, the order of two answers, the end at a new event or the record of a used copy removed, one or more of them failed. Passed on this code: the features forwarding, endpoint_limits, quarantine, rollouts, placement, routing, queueing and ingress, at load 10 to 24.

--- a/features/doubles/forwarding_site.py
+++ b/features/doubles/forwarding_site.py
@@ -25,6 +25,8 @@
 
 SERVICE = 'summaries'
 REQUEST_ID = 'req-1'
+# Streams that each endpoint seems to run more than the one before it.
+INITIAL_STREAMS = 4
 
 
 def route(kind, **changes):
@@ -50,12 +52,14 @@
     """Sink that records the head and content of a stream.
 
     :param on_start: called when the stream starts.
+    :param send_delays_s: how long the caller takes for its first contents.
     """
 
-    def __init__(self, on_start):
+    def __init__(self, on_start, send_delays_s=()):
         self.head = None
         self.content = b''
         self._on_start = on_start
+        self._send_delays_s = list(send_delays_s)
 
     async def start(self, head):
         self.head = head
@@ -63,6 +67,8 @@
 
     async def send(self, content):
         self.content += content
+        if self._send_delays_s:
+            await asyncio.sleep(self._send_delays_s.pop(0))
 
 
 class ForwardingSite:
@@ -78,6 +84,7 @@
         )
         self.lost = []
         self.on_started = []
+        self.send_delays_s = ()
         self.state = state.FleetState()
         self.state.registry.mark_store_available(-100.0)
         self.state.install(self._configuration())
@@ -99,7 +106,8 @@
         # Later endpoints look busier, so that the order of attempts is known.
         for number in range(len(scripted)):
             self.tracker.stats(f'e{number}').calls = number * 4
-            self.tracker.stats(f'e{number}').streams = number * 4
+            stats = self.tracker.stats(f'e{number}')
+            stats.streams = number * INITIAL_STREAMS
         self.context = context.ForwardingContext(
             'fd-0',
             self.state,
@@ -181,7 +189,10 @@
         request_id=REQUEST_ID,
     ):
         """Forward a stream; return its reply and the sink."""
-        sink = Recorder(lambda: [each(self) for each in self.on_started])
+        sink = Recorder(
+            lambda: [each(self) for each in self.on_started],
+            self.send_delays_s,
+        )
         routed = self.routed_request(
             its_route, wait_s, last_event, request_id, segments=segments
         )
--- a/features/doubles/scripted_endpoint.py
+++ b/features/doubles/scripted_endpoint.py
@@ -6,6 +6,7 @@
 import re
 import socket
 import struct
+import time
 
 _LENGTH = re.compile(rb'content-length: *([0-9]+)', re.IGNORECASE)
 
@@ -14,15 +15,20 @@
     """Answers each request by the next script, a list of actions.
 
     An action is bytes to send, a pause in seconds, ``close``, ``reset``,
-    ``die`` (a reset after which no connection is accepted) or ``hang``.
+    ``die`` (a reset after which no connection is accepted), ``hang`` or
+    ``together``, which waits until a second script has come there.
     ``{id}`` in bytes stands for the id of the request.
     """
 
+    _met = None
+
     def __init__(self, *scripts):
         self.scripts = list(scripts)
         self.heads = []
         self.connections = 0
         self.closed_by_peer = 0
+        self.received_s = []
+        self.closed_s = []
         self.address = ''
         self._server = None
         self._tasks = set()
@@ -33,6 +39,10 @@
         self.address = f'{host}:{port}'
         return self
 
+    def refuse(self):
+        """Refuse further connections."""
+        self._server.close()
+
     async def stop(self):
         self._server.close()
         for task in self._tasks:
@@ -48,11 +58,13 @@
                 if found:
                     await reader.readexactly(int(found[1]))
                 self.heads.append(head.decode('latin-1').lower())
+                self.received_s.append(time.monotonic())
                 script = self.scripts.pop(0) if self.scripts else ['hang']
                 if not await self._play(script, head, reader, writer):
                     return
         except (OSError, asyncio.IncompleteReadError):
             self.closed_by_peer += 1
+            self.closed_s.append(time.monotonic())
         except asyncio.CancelledError:
             return
         finally:
@@ -78,14 +90,30 @@
                     )
                     writer.transport.abort()
                     return False
+                case 'together':
+                    await self._meet()
                 case 'hang':
                     if not await reader.read(1):
                         self.closed_by_peer += 1
+                        self.closed_s.append(time.monotonic())
                     return False
                 case pause_s:
                     await asyncio.sleep(pause_s)
         return True
 
+    @staticmethod
+    async def _meet():
+        """Go on in the same turn of the event loop as a second script."""
+        met = ScriptedEndpoint._met
+        if met is None:
+            met = asyncio.get_running_loop().create_future()
+            ScriptedEndpoint._met = met
+            await met
+        else:
+            ScriptedEndpoint._met = None
+            met.set_result(None)
+            await asyncio.sleep(0)
+
 
 class ResumingEndpoint(ScriptedEndpoint):
     """Sends the events after the one that a request names.
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -116,14 +116,18 @@
                 actions.append(b'id: 2\ndata: ')
             case 'half':
                 actions.append(scripted_endpoint.chunk(b'id: 2\ndata: '))
+            case 'rest':
+                actions.append(scripted_endpoint.chunk(b't2\n\n'))
+            case 'comment':
+                actions.append(scripted_endpoint.chunk(b': open\n\n'))
             case 'end':
                 actions.append(scripted_endpoint.STREAM_END)
             case 'crash':
                 actions += [0.02, 'reset']
             case 'die':
                 actions += [0.02, 'die']
-            case 'hang':
-                actions.append('hang')
+            case 'hang' | 'together':
+                actions.append(word)
             case 'pause':
                 actions.append(PAUSE_S)
             case 'silence':
--- a/src/godwitvalve/forwarding/attempts.py
+++ b/src/godwitvalve/forwarding/attempts.py
@@ -2,14 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import dataclasses
+import math
 from typing import Protocol, TypeAlias
 
 from godwitvalve.fleet import endpoints
+from godwitvalve.forwarding import channel as channels
 from godwitvalve.forwarding import context as contexts
 from godwitvalve.forwarding import exchange as exchanges
+from godwitvalve.forwarding import handover
+from godwitvalve.logs import setup as logs
+from godwitvalve.platform import headers as wire
 from godwitvalve.rollouts import observation as observations
 
+_LOG = logs.get('forwarding')
+
 
 class Sink(Protocol):
     """Receiver of a stream's events."""
@@ -51,8 +60,23 @@
     """The attempt was cancelled, as its prompt crashes endpoints."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Superseded:
+    """The attempt was cancelled, as the one before it goes on.
+
+    :param may_have_run: whether the endpoint may have started it.
+    """
+
+    may_have_run: bool
+
+
 AttemptEnd: TypeAlias = (
-    Completed | Interrupted | Rejected | Quarantined | exchanges.Declined
+    Completed
+    | Interrupted
+    | Rejected
+    | Quarantined
+    | Superseded
+    | exchanges.Declined
 )
 
 
@@ -70,6 +94,11 @@
     :param is_unreachable: whether that check failed.
     :param is_declared_lost: whether the loss of its endpoint was recorded
         since its last progress.
+    :param is_backup_used: whether the copy at the backup was asked for; a
+        copy can be used once.
+    :param ask_full_from_s: when endpoints that declined a stream may be
+        asked to go on with this one.
+    :param opening: the request while it lasts.
     """
 
     endpoint: endpoints.FleetEndpoint
@@ -84,7 +113,10 @@
     last_check_s: float = 0.0
     is_unreachable: bool = False
     is_declared_lost: bool = False
+    is_backup_used: bool = False
+    ask_full_from_s: float = math.inf
     observation: observations.Observation | None = None
+    opening: Opening | None = None
 
     @property
     def has_events(self) -> bool:
@@ -142,6 +174,81 @@
         self._context.on_placement_changed()
 
 
+class Opening:
+    """Request of an attempt; counted at its endpoint until it is closed.
+
+    :param exchange: exchange that is not opened yet.
+    """
+
+    def __init__(
+        self,
+        context: contexts.ForwardingContext,
+        attempt: StreamAttempt,
+        exchange: exchanges.Exchange,
+        request: exchanges.CallerRequest,
+        facts: wire.SendFacts,
+    ) -> None:
+        self.exchange = exchange
+        self._attempt = attempt
+        loop = asyncio.get_running_loop()
+        self._overlap_until_s = loop.time() + handover.OVERLAP_S
+        self._counted = contextlib.ExitStack()
+        self._counted.enter_context(CountedAttempt(context, attempt))
+        self.task = asyncio.create_task(exchange.open(request, facts))
+
+    @property
+    def state(self) -> handover.SuccessorState:
+        """Return the state of the request for a handover."""
+        if self.task.done():
+            is_accepted = (
+                not self.task.cancelled()
+                and self.task.exception() is None
+                and not self.task.result().facts.is_not_run
+            )
+            return handover.Accepted() if is_accepted else handover.Failed()
+        if self.exchange.is_sent:
+            return handover.Sent(self._overlap_until_s)
+        return handover.Connecting()
+
+    def unused_end(self) -> AttemptEnd:
+        """Return how the attempt ends if the stream stays elsewhere."""
+        is_sent = self.exchange.is_sent
+        if not self.task.done() or self.task.cancelled():
+            return Superseded(is_sent)
+        match self.task.exception():
+            case None:
+                head = self.task.result()
+                if head.facts.is_not_run:
+                    return exchanges.Declined(head.status, head.facts.load)
+                return Superseded(is_sent)
+            case channels.ConnectFailed() | channels.ChannelBroken() as error:
+                return interruption(error, is_sent)
+            case error:
+                _LOG.error('An attempt failed unexpectedly.', exc_info=error)
+                return Superseded(is_sent)
+
+    def close(self) -> None:
+        """End the request unless its answer was read completely."""
+        self.task.cancel()
+        self._attempt.last_activity_s = self.exchange.last_activity_s
+        self.exchange.abandon()
+        if self._attempt.observation:
+            self._attempt.observation.close()
+        self._counted.close()
+        self._attempt.opening = None
+
+
+def interruption(
+    error: channels.ConnectFailed | channels.ChannelBroken, is_sent: bool
+) -> Interrupted:
+    """Return how an error of its exchange ends an attempt."""
+    match error:
+        case channels.ConnectFailed():
+            return Interrupted(str(error), False)
+        case channels.ChannelBroken():
+            return Interrupted(error.reason, is_sent, is_broken_off=True)
+
+
 def reason_label(end: AttemptEnd) -> str:
     """Return the label of an attempt's end for logs and counters."""
     match end:
@@ -155,3 +262,5 @@
             return 'whole'
         case Quarantined():
             return 'quarantined'
+        case Superseded():
+            return 'superseded'
--- a/src/godwitvalve/forwarding/relocation.py
+++ b/src/godwitvalve/forwarding/relocation.py
@@ -1,11 +1,13 @@
-"""Searches for an endpoint while a stream waits at a silent one."""
+"""Moves a stream that waits at a silent endpoint to another one."""
 
 from __future__ import annotations
 
 import asyncio
 from collections import abc
+from typing import Any
 
 from godwitvalve.forwarding import attempts
+from godwitvalve.forwarding import handover
 from godwitvalve.forwarding import policy
 from godwitvalve.forwarding import replies
 from godwitvalve.logs import setup as logs
@@ -17,10 +19,13 @@
 class Relocation:
     """Search for the next attempt of a stream, beside the current one.
 
-    A found attempt has its retry and, if needed, its permit.
+    A found attempt has its retry and, if needed, its permit, and is sent at
+    once. The search goes on if its endpoint does not accept it.
 
     :param obstacle: returns why the stream may not be sent again now.
     :param choose: returns an attempt that may be sent at once, or None.
+    :param send: begins to send an attempt.
+    :param end_unused: ends an attempt that the stream does not go on with.
     """
 
     def __init__(
@@ -29,32 +34,72 @@
         service: str,
         obstacle: abc.Callable[[], replies.IncompleteReason | None],
         choose: abc.Callable[[], abc.Awaitable[attempts.StreamAttempt | None]],
+        send: abc.Callable[[attempts.StreamAttempt], attempts.Opening],
+        end_unused: abc.Callable[
+            [attempts.StreamAttempt, attempts.AttemptEnd], None
+        ],
     ) -> None:
         self._budget = budget
         self._service = service
         self._obstacle = obstacle
         self._choose = choose
+        self._send = send
+        self._end_unused = end_unused
         self._task: asyncio.Task[attempts.StreamAttempt] | None = None
         self._found: attempts.StreamAttempt | None = None
+        self._opening: attempts.Opening | None = None
         self._is_failed = False
 
     @property
-    def running(self) -> set[asyncio.Task[attempts.StreamAttempt]]:
-        """Return the task of the search while it runs."""
+    def running(self) -> set[asyncio.Task[Any]]:
+        """Return the task of the search or of the request that was sent."""
+        if self._opening is not None:
+            return {self._opening.task}
         return {self._task} if self._task is not None else set()
 
-    def poll(self) -> bool:
-        """Start the search if necessary; tell whether it has succeeded."""
+    @property
+    def is_offered(self) -> bool:
+        """Tell whether a successor may have the request."""
+        return self._opening is not None
+
+    @property
+    def is_accepted(self) -> bool:
+        """Tell whether the successor has accepted the request."""
+        return self._opening is not None and isinstance(
+            self._opening.state, handover.Accepted
+        )
+
+    def poll(self, now_s: float) -> bool:
+        """Go on with the search; tell whether the stream moves now."""
         if self._task is None:
             if self._found is None and not self._is_failed:
                 self._task = asyncio.create_task(self._search())
         elif self._task.done():
             self._collect()
-        return self._found is not None
+        if self._found is not None and self._opening is None:
+            self._opening = self._send(self._found)
+        if self._opening is None:
+            return False
+        match handover.decide(self._opening.state, False, now_s):
+            case handover.Step.MOVE:
+                return True
+            case handover.Step.STAY:
+                self._drop()
+        return False
+
+    def record_event(self, now_s: float) -> None:
+        """End the search, as the silent endpoint sent a new event."""
+        if (
+            self._opening is None
+            or handover.decide(self._opening.state, True, now_s)
+            is handover.Step.STAY
+        ):
+            self.end()
 
     def take(self) -> attempts.StreamAttempt | None:
-        """Return the attempt that was found, which must be sent at once."""
+        """Return the attempt that was found, whose request is being sent."""
         found, self._found = self._found, None
+        self._opening = None
         return found
 
     def end(self) -> None:
@@ -64,8 +109,20 @@
         if self._task is not None:
             self._task.cancel()
             self._task = None
-        if self.take() is not None:
+        self._drop()
+
+    def _drop(self) -> None:
+        """End the attempt that was found, if there is one."""
+        found, self._found = self._found, None
+        opening, self._opening = self._opening, None
+        if found is None:
+            return
+        if opening is None or not opening.exchange.is_sent:
             self._budget.return_retry(self._service)
+        if opening is not None:
+            end = opening.unused_end()
+            opening.close()
+            self._end_unused(found, end)
 
     def _collect(self) -> None:
         """Keep the result of the search, which has ended."""
--- a/src/godwitvalve/forwarding/silence.py
+++ b/src/godwitvalve/forwarding/silence.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import abc
+import math
 from typing import NamedTuple
 
 from godwitvalve.fleet import endpoints
@@ -47,9 +48,15 @@
     stats: trackers.EndpointStats,
     placements: choose.Placements,
     now_s: float,
+    may_be_full: bool = False,
 ) -> bool:
-    """Tell whether an endpoint has room for a stream, as far as known."""
-    if now_s < max(stats.down_until_s, stats.full_until_s):
+    """Tell whether an endpoint has room for a stream, as far as known.
+
+    :param may_be_full: whether it may have declined a stream lately.
+    """
+    if now_s < stats.down_until_s:
+        return False
+    if now_s < stats.full_until_s and not may_be_full:
         return False
     if stats.load is not None and now_s < stats.load_valid_until_s:
         if stats.load.running + stats.load.waiting >= endpoint.slots:
@@ -63,19 +70,30 @@
     tracker: trackers.EndpointTracker,
     remote_placements: choose.RemotePlacements,
     now_s: float,
+    ask_full_from_s: float = math.inf,
 ) -> list[endpoints.FleetEndpoint]:
     """Return the candidates that a stream may leave a silent endpoint for.
 
+    A stream that was declined asks again sooner than others try a full
+    endpoint, as the silent one may be dead.
+
     :param silent_id: id of the silent endpoint.
+    :param ask_full_from_s: when endpoints that declined a stream may be
+        asked again if there are no others.
     """
-    return [
-        each
-        for each in candidates
-        if each.endpoint_id != silent_id
-        and is_open(
-            each,
-            tracker.stats(each.endpoint_id),
-            remote_placements.get(each.endpoint_id, choose.Placements()),
-            now_s,
-        )
-    ]
+    others = [each for each in candidates if each.endpoint_id != silent_id]
+
+    def are_open(may_be_full: bool) -> list[endpoints.FleetEndpoint]:
+        return [
+            each
+            for each in others
+            if is_open(
+                each,
+                tracker.stats(each.endpoint_id),
+                remote_placements.get(each.endpoint_id, choose.Placements()),
+                now_s,
+                may_be_full,
+            )
+        ]
+
+    return are_open(False) or are_open(now_s >= ask_full_from_s)
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -75,6 +75,9 @@
         self._last_attempt: attempts.StreamAttempt | None = None
         self._rejection: exchanges.Answered | None = None
         self._relocation: relocations.Relocation | None = None
+        # Attempt that the stream goes on with, from the end of the one
+        # before it.
+        self._successor: attempts.StreamAttempt | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -91,6 +94,8 @@
             reply = await self._forward_until_deadline()
             return reply
         finally:
+            if self._successor is not None and self._successor.opening:
+                self._successor.opening.close()
             self._context.sessions.end(
                 self._routed.request.facts.session,
                 reply == replies.Streamed(True),
@@ -154,14 +159,14 @@
                     if refusal.code is codes.ResultCode.ENDPOINT_LIMITS
                     else replies.IncompleteReason.NO_ENDPOINT,
                 )
-            end, successor = await self._run_attempt(attempt)
+            end = await self._run_attempt(attempt)
             self._record_end(attempt, end)
             await self._record_crash(attempt, end)
             match end:
                 case attempts.Completed():
                     return replies.Streamed(True)
                 case attempts.Rejected(answer):
-                    if answer.head.status < 500 and not self._is_started:
+                    if self._is_final(end):
                         return answer
                     self._possible_runs += 1
                     self._rejection = answer
@@ -169,11 +174,11 @@
                     self._possible_runs += may_have_run
                 case attempts.Quarantined():
                     self._possible_runs += 1
-                case exchanges.Declined():
+                case exchanges.Declined() | attempts.Superseded():
                     pass
             self._current_exchange = None
-            attempt = successor
-            obstacle = None if successor else await self._wait_to_retry(end)
+            attempt = self._successor
+            obstacle = None if attempt else await self._wait_to_retry(end)
             if obstacle is not None:
                 return self._give_up(
                     codes.ResultCode.OVERLOADED,
@@ -184,6 +189,16 @@
             self._draw = 1.0
             self._context.counters.count_retry(attempts.reason_label(end))
 
+    def _is_final(self, end: attempts.AttemptEnd) -> bool:
+        """Tell whether no attempt follows one that ended so."""
+        match end:
+            case attempts.Completed() | attempts.Quarantined():
+                return True
+            case attempts.Rejected(answer):
+                return answer.head.status < 500 and not self._is_started
+            case _:
+                return False
+
     def _is_admitted(self) -> bool:
         return self._context.quarantine.admit(
             self._routed.service, self._segments, self._loop.time()
@@ -391,9 +406,11 @@
                 self._context.endpoint_tracker,
                 self._context.remote_placements(),
                 self._loop.time(),
+                attempt.ask_full_from_s,
             )
 
-        backup = attempt.backup if attempt.has_events else None
+        has_copy = attempt.has_events and not attempt.is_backup_used
+        backup = attempt.backup if has_copy else None
         successor: attempts.StreamAttempt | None = None
         if (
             backup is not None
@@ -463,10 +480,10 @@
 
         It was chosen when that attempt began, seconds ago.
         """
-        backup = self._last_attempt.backup if self._last_attempt else None
-        if backup is None or not self._context.may_receive(backup):
+        last = self._last_attempt
+        if last is None or last.is_backup_used or last.backup is None:
             return None
-        return backup
+        return last.backup if self._context.may_receive(last.backup) else None
 
     async def _attempt_at_backup(self) -> attempts.StreamAttempt | None:
         """Return an attempt at the backup of the last one, if it is usable."""
@@ -517,28 +534,58 @@
 
     async def _run_attempt(
         self, attempt: attempts.StreamAttempt
-    ) -> tuple[attempts.AttemptEnd, attempts.StreamAttempt | None]:
-        """Run an attempt; return its end and, if it is found, the next one."""
+    ) -> attempts.AttemptEnd:
+        """Run an attempt; return its end. Sets the attempt that follows."""
         self._relocation = relocations.Relocation(
             self._context.budget,
             self._routed.service,
             self._relocation_obstacle,
             lambda: self._choose_successor(attempt),
+            lambda successor: self._send_successor(attempt, successor),
+            lambda successor, end: self._end_unused(attempt, successor, end),
         )
         try:
             end = await self._end_of(attempt)
-            return end, self._relocation.take()
+            if not self._is_final(end):
+                self._successor = self._relocation.take()
+            return end
         finally:
             self._relocation.end()
 
-    async def _end_of(
-        self, attempt: attempts.StreamAttempt
-    ) -> attempts.AttemptEnd:
+    def _send_successor(
+        self,
+        attempt: attempts.StreamAttempt,
+        successor: attempts.StreamAttempt,
+    ) -> attempts.Opening:
+        """Send a stream to a second endpoint while the first one is silent."""
+        attempt.is_backup_used |= bool(successor.memory_source)
+        return self._send(successor)
+
+    def _end_unused(
+        self,
+        attempt: attempts.StreamAttempt,
+        successor: attempts.StreamAttempt,
+        end: attempts.AttemptEnd,
+    ) -> None:
+        """Record a successor's attempt, as the stream stays where it is."""
+        match end:
+            case attempts.Interrupted(_, may_have_run):
+                self._possible_runs += may_have_run
+            case attempts.Superseded(may_have_run):
+                self._possible_runs += may_have_run
+            case exchanges.Declined():
+                attempt.ask_full_from_s = (
+                    self._loop.time() + policy.FULL_STREAM_PAUSE_S
+                )
+            case _:
+                pass
+        self._record_end(successor, end)
+        self._context.counters.count_retry('silent')
+
+    def _send(self, attempt: attempts.StreamAttempt) -> attempts.Opening:
+        """Begin to send an attempt."""
         self._tried_ids.add(attempt.endpoint.endpoint_id)
         self.times.endpoints.append(attempt.endpoint.endpoint_id)
-        self._context.sessions.begin(
-            self._routed.request.facts.session, attempt.endpoint.endpoint_id
-        )
         self._context.record_send(
             attempt.endpoint, self._routed.request.facts.request_id
         )
@@ -554,41 +601,44 @@
             self._loop.call_later,
             self._loop.time(),
         )
-        self._pending.waits_for = (
-            in_flight.Wait.EVENTS
-            if self._is_started
-            else in_flight.Wait.ANSWER
+        attempt.opening = attempts.Opening(
+            self._context, attempt, exchange, *self._request_for(attempt)
         )
-        with attempts.CountedAttempt(self._context, attempt):
-            try:
-                self._current_exchange = exchange
-                return await self._relay(attempt, exchange)
-            except channels.ConnectFailed as error:
-                return attempts.Interrupted(str(error), False)
-            except channels.ChannelBroken as error:
-                return attempts.Interrupted(
-                    error.reason, exchange.is_sent, is_broken_off=True
-                )
-            except events.StreamDamaged as error:
-                return attempts.Interrupted(
-                    str(error), True, is_broken_off=True
-                )
-            except _PromptQuarantined:
-                return attempts.Quarantined()
-            finally:
-                attempt.last_activity_s = exchange.last_activity_s
-                exchange.abandon()
-                self._splitter.discard_partial()
-                if attempt.observation:
-                    attempt.observation.close()
+        return attempt.opening
+
+    async def _end_of(
+        self, attempt: attempts.StreamAttempt
+    ) -> attempts.AttemptEnd:
+        opening = attempt.opening or self._send(attempt)
+        exchange = opening.exchange
+        self._successor = None
+        try:
+            self._context.sessions.begin(
+                self._routed.request.facts.session,
+                attempt.endpoint.endpoint_id,
+            )
+            self._pending.waits_for = (
+                in_flight.Wait.EVENTS
+                if self._is_started
+                else in_flight.Wait.ANSWER
+            )
+            self._current_exchange = exchange
+            return await self._relay(attempt, opening)
+        except (channels.ConnectFailed, channels.ChannelBroken) as error:
+            return attempts.interruption(error, exchange.is_sent)
+        except events.StreamDamaged as error:
+            return attempts.Interrupted(str(error), True, is_broken_off=True)
+        except _PromptQuarantined:
+            return attempts.Quarantined()
+        finally:
+            self._splitter.discard_partial()
+            opening.close()
 
     async def _relay(
-        self, attempt: attempts.StreamAttempt, exchange: exchanges.Exchange
+        self, attempt: attempts.StreamAttempt, opening: attempts.Opening
     ) -> attempts.AttemptEnd:
-        head = await self._await_responsive(
-            attempt,
-            asyncio.create_task(exchange.open(*self._request_for(attempt))),
-        )
+        exchange = opening.exchange
+        head = await self._await_responsive(attempt, opening.task)
         if head is None:
             return attempts.Interrupted('silent', True)
         now_s = self._loop.time()
@@ -676,13 +726,21 @@
                     timeout=gaps.POLL_PERIOD_S,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
+                has_failed = task.done() and (
+                    task.cancelled() or task.exception() is not None
+                )
+                if self._relocation.is_accepted and not has_failed:
+                    return None
                 if task.done():
                     return task.result()
                 if not attempt.has_events and self._is_blocked():
                     raise _PromptQuarantined
                 if self._may_leave(attempt):
                     return None
-                if self._is_check_due(attempt):
+                # A check would prolong the time with two endpoints.
+                if not self._relocation.is_offered and self._is_check_due(
+                    attempt
+                ):
                     attempt.is_unreachable = (
                         not await probes.accepts_connections(
                             attempt.endpoint.address
@@ -718,13 +776,13 @@
             return False
         if not self._declare_lost(attempt):
             return False
-        return self._relocation.poll()
+        return self._relocation.poll(self._loop.time())
 
     def _record_progress(self, attempt: attempts.StreamAttempt) -> None:
         assert self._relocation is not None
         attempt.progress_s = self._loop.time()
         attempt.is_unreachable = False
-        self._relocation.end()
+        self._relocation.record_event(attempt.progress_s)
         if attempt.is_declared_lost:
             attempt.is_declared_lost = False
             self._context.endpoint_tracker.record_recovery(
@@ -795,6 +853,9 @@
         complete = self._splitter.feed(chunk)
         if not complete:
             return False
+        assert self._relocation is not None
+        # Before the caller is sent to, which may take long.
+        self._relocation.record_event(self._loop.time())
         if not attempt.has_events:
             self._record_first_event(attempt)
         if not self._is_started:
