Recognise a configuration written before the first read of a new era

A store that returns from an older copy gives versions out again. The rows of the first table that an entry reads afterwards counted as those of the copy, also one that an operator had written in between: a configuration whose version is lower than the installed one, as when operators continue from the copy, was not installed until the next one was written.

Entries now keep the versions of the table at which each row was current. A row of another content at such a version cannot be that of the copy and counts as written in the new era. A call that waited for its first change shows that nothing changed before; versions between two other reads stay undecided and count as the copy's, as going back would spread to other entries.

--- a/features/fleet/restored_store.feature
+++ b/features/fleet/restored_store.feature
@@ -122,6 +122,33 @@
     And configuration 7 is written
     Then configuration 7 is installed and nothing changed
 
+  Scenario Outline: A call that waited shows that nothing changed before
+    # Guards against versions that are taken as unchanged although several
+    # changes may have been pending when the call began.
+    Given a follower that read "x=1" at version 50 of era 1
+    When "x=2" is written <wait> s later at version 90, and the store takes <delay> s
+    Then the follower knows "x=2" and <known> before version 90
+
+    Examples:
+      | wait | delay | known                |
+      | 0.7  | 0     | that nothing changed |
+      | 0.1  | 0     | no more              |
+      | 0.1  | 0.24  | no more              |
+
+  Scenario Outline: A lower version written before the first read of an era
+    # Guards against a change that is taken for that of the copy, and against
+    # going back to a configuration of the copy that was never read.
+    Given an entry with configuration 5 of era 1
+    And nothing changed in the table up to version 30
+    And configuration 7 is read at row version 50
+    When the first table of era 2 holds configuration 6 of row version <row>
+    Then configuration <expected> is installed after 1 s
+
+    Examples:
+      | row | expected |
+      | 20  | 6        |
+      | 40  | 7        |
+
   Scenario Outline: The next configuration after a restore is installed
     # Guards against refusing a configuration for good because its version is
     # lower than one that was lost, or the same.
--- a/features/ingress/restored_store.feature
+++ b/features/ingress/restored_store.feature
@@ -20,6 +20,20 @@
       | beyond at once   |
       | beyond 1 s later |
 
+  Scenario Outline: A lower version written before the first read is in force
+    # Guards against a change by an operator who continues from the copy that
+    # is taken for that of the copy, as no entry has read the table before.
+    Given a fleet with 2 entries, 1 model endpoints and 1 plain endpoint
+    And the operator withdraws a key that a copy of the store of 1 s before still has
+    When the store comes back and counts from there, and a route is added as version <version>
+    Then all entries know the added route within 3 s
+    And no entry served the withdrawn key
+
+    Examples: version
+      | version |
+      | 5       |
+      | 6       |
+
   Scenario Outline: No entry goes back to the configuration of the copy
     # Guards against a withdrawn key that is valid again until the operator
     # has written the lost configuration again.
--- a/features/steps/fleet_relay_steps.py
+++ b/features/steps/fleet_relay_steps.py
@@ -297,6 +297,9 @@
     def apply_changes(self, rows):
         self.versions += [row.version for row in rows]
 
+    def mark_current(self, revision):
+        pass
+
     def mark_store_restored(self):
         raise AssertionError('the store was not restored')
 
--- a/features/steps/fleet_restored_steps.py
+++ b/features/steps/fleet_restored_steps.py
@@ -31,6 +31,7 @@
     def __init__(self, text, version, era):
         self.calls = 0
         self.is_without_history = False
+        self.delay_s = 0.0
         self.changed = asyncio.Event()
         self.restore(text, version, era)
 
@@ -63,6 +64,7 @@
             raise stores.HistoryExpired
         if not self._answer(after.version).rows:
             await self._wait(wait_s)
+        await asyncio.sleep(self.delay_s)
         if after.version > self.version:
             raise stores.HistoryExpired
         return self._answer(after.version)
@@ -89,6 +91,7 @@
     def __init__(self):
         self.values = {}
         self.restores = 0
+        self.current_versions = []
 
     def apply_snapshot(self, rows, revision):
         self.values = {}
@@ -97,6 +100,9 @@
     def apply_changes(self, rows):
         self.values |= {row.key: row.value.decode() for row in rows}
 
+    def mark_current(self, revision):
+        self.current_versions.append(revision.version)
+
     def mark_store_restored(self):
         self.restores += 1
 
@@ -212,6 +218,30 @@
     assert not context.following.run(context.following.knows(text, 0.3))
 
 
+@behave.when(
+    '"{text}" is written {wait_s:g} s later at version {version:d}, and the '
+    'store takes {delay_s:g} s'
+)
+def written_later(context, text, wait_s, version, delay_s):
+    async def write():
+        following = context.following
+        await asyncio.sleep(wait_s)
+        following.consumer.current_versions.clear()
+        following.store.delay_s = delay_s
+        following.store.restore(text, version, following.store.era)
+
+    context.following.run(write())
+
+
+@behave.then('the follower knows "{text}" and {known} before version {last:d}')
+def knows_unchanged(context, text, known, last):
+    following = context.following
+    assert following.run(following.knows(text)), following.consumer.values
+    expected = {'that nothing changed': [last - 1, last], 'no more': [last]}
+    found = following.consumer.current_versions
+    assert found[:2] == expected[known], found
+
+
 @behave.when('the store has no changes of any version for {span_s:g} s')
 def without_history(context, span_s):
     async def wait():
@@ -378,6 +408,31 @@
     )
 
 
+@behave.given('nothing changed in the table up to version {version:d}')
+def table_unchanged(context, version):
+    context.consumer.mark_current(stores.StoreRevision(1, version))
+
+
+@behave.given(
+    'configuration {version:d} is read at row version {row_version:d}'
+)
+def configuration_read(context, version, row_version):
+    row = _configuration(version, row_version=row_version)
+    context.consumer.apply_changes([row])
+    context.changes.clear()
+
+
+@behave.when(
+    'the first table of era {era:d} holds configuration {version:d} of row '
+    'version {row_version:d}'
+)
+def restored_table_holds(context, era, version, row_version):
+    context.consumer.apply_snapshot(
+        [_configuration(version, row_version=row_version)],
+        stores.StoreRevision(era, 45),
+    )
+
+
 @behave.when('configuration {version:d} is written')
 def configuration_written(context, version):
     context.consumer.apply_changes([_configuration(version)])
--- a/features/steps/ingress_restored_store_steps.py
+++ b/features/steps/ingress_restored_store_steps.py
@@ -124,11 +124,12 @@
 @behave.given(
     'the operator withdraws a key that a copy of the store still has'
 )
-def withdraw_key(context):
+def withdraw_key(context, copied_before_s=0.0):
     fleet = context.fleet
     fleet.write_row('op', 'config', _configuration(6, True))
     _wait_for_key(context, True)
     _copy_store(context)
+    time.sleep(copied_before_s)
     fleet.post('store', '/standin/faults', {'other_writes': LOST_WRITES})
     fleet.write_row('op', 'config', _configuration(7, False))
     _wait_for_key(context, False)
@@ -141,6 +142,14 @@
     context.withdrawn.start()
 
 
+@behave.given(
+    'the operator withdraws a key that a copy of the store of {seconds:d} s '
+    'before still has'
+)
+def withdraw_key_later(context, seconds):
+    withdraw_key(context, seconds)
+
+
 def _copy_store(context):
     # Writes at the same moment are neither before nor after the copy.
     time.sleep(0.1)
@@ -173,7 +182,15 @@
 
 @behave.when('the store comes back and counts {counter}, and a route is added')
 def come_back_with_route(context, counter):
-    added = _configuration(9, False, ['added'])
+    come_back_with_configuration(context, counter, 9)
+
+
+@behave.when(
+    'the store comes back and counts {counter}, and a route is added as '
+    'version {version:d}'
+)
+def come_back_with_configuration(context, counter, version):
+    added = _configuration(version, False, ['added'])
     _come_back(context, counter, [_row('op', 'config', added)])
     context.changed_s = context.returned_s
 
--- a/src/godwitvalve/fleet/consumers.py
+++ b/src/godwitvalve/fleet/consumers.py
@@ -8,6 +8,7 @@
 
 from godwitvalve.fleet import endpoints
 from godwitvalve.fleet import routes
+from godwitvalve.fleet import row_history
 from godwitvalve.fleet import state as states
 from godwitvalve.lifecycle import supervision
 from godwitvalve.logs import repeats
@@ -27,6 +28,8 @@
 # Operators may write several lost configurations again, one after the other.
 # A lower version is installed only if none follows it for this long.
 LOWER_VERSION_DELAY_S = 1.0
+# Copies of the store are some seconds old.
+MAX_COPY_AGE_S = 60.0
 
 OnChange = abc.Callable[[], None]
 OnRemoved = abc.Callable[[str], None]
@@ -186,12 +189,18 @@
                 self._on_order(order, may_be_copied)
 
 
+class _PastEra(NamedTuple):
+    history: row_history.RowHistory
+    ended_s: float
+
+
 class OperatorConsumer:
     """Applies the operator's table: configurations and roll-outs.
 
     The first table of an era may be that of a copy, which is older than what
-    is known. Its rows count as written in the era before, and only those
-    that change afterwards as written in the new one.
+    is known. Its rows count as written in the era before, unless the table
+    cannot have had them then. Rows that change afterwards count as written
+    in the new one.
 
     :param on_era: called with each new era.
     """
@@ -211,6 +220,8 @@
         self._era = 0
         # Era in which the rows of the first table were written at least.
         self._first_rows_era = 0
+        self._history = row_history.RowHistory([], 0)
+        self._past_eras: list[_PastEra] = []
 
     def apply_snapshot(
         self, rows: list[stores.StoredRow], revision: stores.StoreRevision
@@ -219,11 +230,27 @@
         if self._first is None or self._first.era != revision.era:
             self._begin_era(revision)
             self._first = revision
-        first_version = self._first.version
-        first_rows = [row for row in rows if row.version <= first_version]
-        later_rows = [row for row in rows if row.version > first_version]
-        self._apply(first_rows, self._first_rows_era, True)
-        self._apply(later_rows, self._era, False)
+            self._history = row_history.RowHistory(rows, revision.version)
+        else:
+            self._history.replace(rows, revision.version)
+        copied = {
+            row.key
+            for row in rows
+            if row.version <= self._first.version and self._may_be_copied(row)
+        }
+        self._apply(
+            [row for row in rows if row.key in copied],
+            self._first_rows_era,
+            True,
+        )
+        self._apply(
+            [row for row in rows if row.key not in copied], self._era, False
+        )
+
+    def _may_be_copied(self, row: stores.StoredRow) -> bool:
+        return not self._past_eras or any(
+            past.history.may_contain(row) for past in self._past_eras
+        )
 
     def _begin_era(self, revision: stores.StoreRevision) -> None:
         if self._first is None:
@@ -233,13 +260,25 @@
             self._first_rows_era = self._era
             # What is known is as new as the era in which it was read.
             self._configuration.confirm_era(self._era)
+            now_s = time.monotonic()
+            self._past_eras = [
+                past
+                for past in self._past_eras
+                if now_s - past.ended_s < MAX_COPY_AGE_S
+            ]
+            self._past_eras.append(_PastEra(self._history, now_s))
         self._era = max(self._era, revision.era)
         self._on_era(self._era)
 
     def apply_changes(self, rows: list[stores.StoredRow]) -> None:
         """Apply changed rows in the order of their versions."""
+        self._history.apply(rows)
         self._apply(rows, self._era, False)
 
+    def mark_current(self, revision: stores.StoreRevision) -> None:
+        """Record that all changes up to a revision were applied."""
+        self._history.confirm(revision.version)
+
     def _apply(
         self, rows: list[stores.StoredRow], era: int, may_be_copied: bool
     ) -> None:
@@ -303,6 +342,9 @@
             with _FAILURES.isolate('apply the row of an endpoint'):
                 self._apply_change(row)
 
+    def mark_current(self, revision: stores.StoreRevision) -> None:
+        """Do nothing: rows of a copy are confirmed by heartbeats."""
+
     def _apply_change(self, row: stores.StoredRow) -> None:
         endpoint = self._decode(row)
         if endpoint is None:
--- a/src/godwitvalve/fleet/follower.py
+++ b/src/godwitvalve/fleet/follower.py
@@ -21,6 +21,9 @@
 # Stale reads of the store lag by up to 3 s. A store that is behind for longer
 # was restored without stating a new era.
 MAX_LAG_S = 3.5
+# A call that took longer waited for its first change: a degraded store takes
+# 0.24 s to answer.
+WAITED_S = 0.5
 
 _LOG = logs.get('fleet')
 
@@ -36,6 +39,9 @@
     def apply_changes(self, rows: list[stores.StoredRow]) -> None:
         """Apply changed rows in the order of their versions."""
 
+    def mark_current(self, revision: stores.StoreRevision) -> None:
+        """Handle an answer that completes the changes up to a revision."""
+
     def mark_store_restored(self) -> None:
         """Handle the return of the store from an older copy.
 
@@ -214,6 +220,7 @@
             if self._is_store_unavailable or has_change
             else self._sources.wait_s(self._table)
         )
+        waited_from_s = time.monotonic() + WAITED_S
         raw_answer = await self._call_unless_restored(
             source.changes(self._table, after, wait_s)
         )
@@ -228,9 +235,15 @@
             raise stores.HistoryExpired
         self._mark_available(answer)
         if answer.rows:
+            if not is_relayed and time.monotonic() >= waited_from_s:
+                unchanged_version = answer.rows[0].version - 1
+                self._consumer.mark_current(
+                    stores.StoreRevision(read.era, unchanged_version)
+                )
             self._consumer.apply_changes(answer.rows)
         await self._relay.update(self._with_trust(answer), False)
         self._revision = self._newest = max(after, read)
+        self._consumer.mark_current(self._revision)
 
     async def _call_unless_restored(
         self, call: abc.Coroutine[Any, Any, sources.TableAnswer]
