Send names of client accounts to endpoints in UTF-8

A name with letters outside latin-1 raised an error for each request of that account, which was answered with 503.

--- a/src/godwitvalve/platform/configuration.py
+++ b/src/godwitvalve/platform/configuration.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from godwitvalve.decoding import bounds
@@ -62,7 +64,10 @@
 
 
 class _Tenant(msgspec.Struct):
-    name: str
+    # Endpoints get the name in a header, which cannot hold control characters.
+    name: Annotated[
+        str, msgspec.Meta(pattern=r'^[^\x00-\x08\x0a-\x1f\x7f]*\Z')
+    ]
     api_keys: list[str] = []
     priority: bounds.Integer | None = None
 
--- a/src/godwitvalve/platform/headers.py
+++ b/src/godwitvalve/platform/headers.py
@@ -217,7 +217,7 @@
         (name, value) for name, value in headers if name.lower() not in dropped
     ]
     added = [
-        (name.encode(), value.encode('latin-1'))
+        (name.encode(), value.encode())
         for name, value in _system_headers(facts)
     ]
     had_length = any(
