Restart background tasks of the own interface

An entry of the own interface stopped when one of its background tasks ended by an exception, while the fleet's entries restart such tasks. It uses the same supervision now. Order leases are dropped as they are released, so that a restarted task acquires them again. The three new scenarios of lifecycle/supervision failed before.

--- a/features/lifecycle/supervision.feature
+++ b/features/lifecycle/supervision.feature
@@ -46,3 +46,16 @@
       | heartbeats       |
       | maintenance step |
       | announcement     |
+
+  Scenario Outline: An entry of the own interface outlives a fault
+    # Guards against the same at the own interface.
+    Given an entry of the own interface whose "<work>" raises an exception
+    When that entry runs for 1.5 s
+    Then it is serving and has not begun to drain
+    And it ends when it is asked to stop
+
+    Examples:
+      | work          |
+      | configuration |
+      | orders        |
+      | instance list |
--- a/features/steps/lifecycle_supervision_steps.py
+++ b/features/steps/lifecycle_supervision_steps.py
@@ -4,15 +4,24 @@
 
 import asyncio
 import logging
+import pathlib
+import tempfile
 import urllib.error
 import urllib.request
 
+from unittest import mock
+
 import behave
 from features.doubles import log_records
+from godwitvalve.configuration import refresher
+from godwitvalve.entry import instance_watch
+from godwitvalve.entry import order_watch
+from godwitvalve.entry import process as entry_process
 from godwitvalve.ingress import process
 from godwitvalve.lifecycle import supervision
 from godwitvalve.logs import setup as logs
 from godwitvalve.platform import settings
+from godwitvalve.settings import load as settings_load
 from standins import local_site
 
 
@@ -251,3 +260,61 @@
 @behave.then('it ends when it is asked to stop')
 def ends_on_request(context):
     assert context.end_error is None, repr(context.end_error)
+
+
+OWN_WORK = {
+    'configuration': (refresher.Refresher, 'poll_once'),
+    'orders': (order_watch.OrderWatch, '_step'),
+    'instance list': (instance_watch.InstanceWatch, '_read_list'),
+}
+
+
+@behave.given(
+    'an entry of the own interface whose "{work}" raises an exception'
+)
+def failing_own_entry(context, work):
+    folder = tempfile.TemporaryDirectory()
+    context.cleanups.append(folder.cleanup)
+    context.site = local_site.LocalSite(pathlib.Path(folder.name))
+    context.cleanups.append(context.site.stop)
+    context.site.start_platform()
+    # Only the settings are needed; the entry runs in this process.
+    with mock.patch.object(context.site, '_spawn') as spawn:
+        spawn.return_value.address = ''
+        context.site.start_entry('entry-0', 'fd-0')
+    owner, name = OWN_WORK[work]
+    patch = mock.patch.object(owner, name, _raise)
+    patch.start()
+    context.cleanups.append(patch.stop)
+
+
+@behave.when('that entry runs for {span_s:g} s')
+def own_entry_runs(context, span_s):
+    path = context.site.folder / 'entry-0.json5'
+    loaded = settings_load.load(str(path))
+    processes = []
+
+    class Recorded(entry_process.EntryProcess):
+        def __init__(self, *arguments):
+            super().__init__(*arguments)
+            processes.append(self)
+
+    async def run():
+        with mock.patch.object(entry_process, 'EntryProcess', Recorded):
+            task = asyncio.create_task(entry_process.serve(loaded))
+            await asyncio.sleep(span_s)
+        context.had_ended = task.done()
+        (entry,) = processes
+        context.lifecycle_state = entry.context.lifecycle.state
+        entry._stopping.set()
+        async with asyncio.timeout(5):
+            await asyncio.wait({task})
+        context.end_error = task.exception()
+
+    asyncio.run(run())
+
+
+@behave.then('it is serving and has not begun to drain')
+def is_serving(context):
+    assert not context.had_ended
+    assert context.lifecycle_state in ('starting', 'serving')
--- a/src/godwitvalve/entry/order_watch.py
+++ b/src/godwitvalve/entry/order_watch.py
@@ -45,7 +45,8 @@
                 await self._step()
                 await asyncio.sleep(STEP_INTERVAL_S)
         finally:
-            for lease, _ in self._leased.values():
+            while self._leased:
+                _, (lease, _) = self._leased.popitem()
                 await lease.release()
 
     async def _step(self) -> None:
--- a/src/godwitvalve/entry/process.py
+++ b/src/godwitvalve/entry/process.py
@@ -18,6 +18,7 @@
 from godwitvalve.entry import load_watch
 from godwitvalve.entry import move_watch
 from godwitvalve.entry import order_watch
+from godwitvalve.lifecycle import supervision
 from godwitvalve.logs import setup as logs
 from godwitvalve.settings import load as settings_load
 
@@ -32,7 +33,7 @@
 
 
 class EntryProcess:
-    """Runs one entry instance until SIGTERM, SIGINT or a failed task."""
+    """Runs one entry instance until SIGTERM or SIGINT."""
 
     def __init__(
         self,
@@ -58,28 +59,29 @@
         await self.context.node.start()
         tasks = self._start_tasks()
         runner = await self._start_server()
-        stopped = asyncio.create_task(self._stopping.wait())
-        await asyncio.wait(
-            {stopped, *tasks}, return_when=asyncio.FIRST_COMPLETED
-        )
-        failed = [task for task in tasks if task.done()]
-        if failed:
-            _LOG.error('A background task ended, stopping: %r.', failed[0])
+        await self._stopping.wait()
         await self._drain()
         await self._stop(runner, tasks)
 
     def _start_tasks(self) -> list[asyncio.Task[None]]:
-        coroutines = (
-            self.context.refresher.run(),
-            self._gossip.run(),
-            self._instances.run(),
-            self._load_watch().run(),
-            move_watch.MoveWatch(self.context).run(),
-            order_watch.OrderWatch(self.context, self._builder.engines).run(),
-            self._stop_when_superseded(),
-            self._begin_serving(),
-        )
-        return [asyncio.create_task(coroutine) for coroutine in coroutines]
+        context = self.context
+        work = {
+            'follow the configuration': context.refresher.run,
+            'send reports': self._gossip.run,
+            'read the instance list': self._instances.run,
+            'poll the endpoints': self._load_watch().run,
+            'follow the moves': move_watch.MoveWatch(context).run,
+            'carry out orders': order_watch.OrderWatch(
+                context, self._builder.engines
+            ).run,
+            'watch for a newer incarnation': self._stop_when_superseded,
+            'begin to serve': self._begin_serving,
+        }
+        failures = supervision.FailureLog(_LOG)
+        return [
+            asyncio.create_task(supervision.supervise(activity, run, failures))
+            for activity, run in work.items()
+        ]
 
     def _load_watch(self) -> load_watch.LoadWatch:
         return load_watch.LoadWatch(
