Use sound endpoints again after a store came back from a copy

An endpoint whose row had expired and came back in a whole table still counted as one that had left. After the next return of the store, entries did not use it and reported it to each other as leaving; such a report lasts until the row changes, and a heartbeat with an equal row is no change. With both endpoints of a service, all entries refused its calls from then on.

Rows of a whole table of the same history clear the mark now, endpoints that only a copy may list are not reported, and those still listed 5 s after a return, longer than a row without heartbeats, are used again.

--- a/features/fleet/restored_store.feature
+++ b/features/fleet/restored_store.feature
@@ -102,6 +102,28 @@
     Then "a, b, c" are usable at 23.0 s
     And "a" are usable at 23.4 s
 
+  Scenario: An endpoint that came back before a restore is used after it
+    # Guards against a service without endpoints: a row that came back in a
+    # whole table still counted as that of an endpoint that had left, and
+    # entries reported this to each other without end.
+    Given a registry with the endpoints "a, b"
+    And the row of "a" expires and comes back in a whole table
+    When the store is restored at 21.0 s and lists "a, b"
+    Then "a, b" are usable at 21.1 s
+    And no endpoint is reported as leaving
+
+  Scenario: An endpoint whose row expired after the copy is used soon
+    # Guards against an endpoint that is not used until its row changes: the
+    # row that it writes again is the same as that of the copy.
+    Given a registry with the endpoints "a, b"
+    And the row of "a" expires
+    When the store is restored at 21.0 s and lists "a, b"
+    Then "b" are usable at 25.9 s
+    And no endpoint is reported as leaving
+    And "a, b" are usable at 26.1 s
+    When the store is restored at 40.0 s and lists "a, b"
+    Then "a, b" are usable at 40.1 s
+
   Scenario: Rows with lower versions apply after a restore
     # Guards against comparing row versions of two histories.
     Given a registry with the endpoints "a, b"
--- a/features/steps/fleet_registry_steps.py
+++ b/features/steps/fleet_registry_steps.py
@@ -156,6 +156,28 @@
     _write(context, endpoint(name, leaving=True))
 
 
+@behave.given('the row of "{name}" expires')
+def row_expires(context, name):
+    context.row_version += 1
+    assert context.registry.remove(name, context.row_version, 10.0)
+
+
+@behave.given('the row of "{name}" expires and comes back in a whole table')
+def row_comes_back(context, name):
+    rows = [*context.registry.all()]
+    row_expires(context, name)
+    context.row_version += 1
+    version = context.row_version
+    context.registry.apply_snapshot(
+        {each.endpoint_id: (each, version) for each in rows}, version, 12.0
+    )
+
+
+@behave.then('no endpoint is reported as leaving')
+def none_reported(context):
+    assert context.registry.leaving() == []
+
+
 @behave.when('"{name}" announces that it leaves at row version {version:d}')
 def announces_leaving_at(context, name, version):
     context.registry.update(endpoint(name, leaving=True), version)
--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -224,8 +224,12 @@
     ) -> None:
         """Replace the endpoints with all rows as of a store version."""
         self._is_loaded = True
+        is_copy = now_s < self._stale_until_s
         for endpoint, row_version in rows.values():
-            self._put(endpoint, row_version)
+            if is_copy:
+                self._put(endpoint, row_version)
+            else:
+                self.update(endpoint, row_version)
         for endpoint_id in [
             each for each in self._endpoints if each not in rows
         ]:
@@ -234,7 +238,7 @@
     def expire(self, now_s: float) -> list[str]:
         """Remove endpoints whose rows stayed missing; return their ids."""
         if now_s >= self._stale_until_s:
-            self._not_relisted.clear()
+            self._forget_relisted()
         expired = [
             endpoint_id
             for endpoint_id, until_s in self._missing_until_s.items()
@@ -285,11 +289,15 @@
         return was_usable
 
     def leaving(self) -> list[tuple[str, int]]:
-        """Return id and start of the endpoints whose rows announced it."""
+        """Return id and start of the endpoints whose rows announced it.
+
+        Those that only a copy may list are not reported: the others would
+        avoid a sound one until its row changes.
+        """
         return [
             (endpoint.endpoint_id, endpoint.started_wall_ms)
             for endpoint in self._endpoints.values()
-            if endpoint.is_leaving or self._is_relisted(endpoint)
+            if endpoint.is_leaving
         ]
 
     def _is_relisted(self, endpoint: endpoints.FleetEndpoint) -> bool:
@@ -299,6 +307,15 @@
             == endpoint.started_wall_ms
         )
 
+    def _forget_relisted(self) -> None:
+        """Use what is still listed long after a copy was read."""
+        for endpoint_id in self._not_relisted:
+            endpoint = self._endpoints.get(endpoint_id)
+            if endpoint is not None and not endpoint.is_leaving:
+                self._departed.pop(endpoint_id, None)
+                self._reported_leaving.pop(endpoint_id, None)
+        self._not_relisted.clear()
+
     def _remember_departed(self, endpoint: endpoints.FleetEndpoint) -> None:
         self._departed.pop(endpoint.endpoint_id, None)
         self._departed[endpoint.endpoint_id] = endpoint.started_wall_ms
