Order configurations by version unless their eras exclude it

An entry labelled the configuration of the first table that it read with the era before, and preferred the greater era. Both are claims that it cannot make: the row may be older, as that of a copy, or written in this very era. An entry that started after a return gave its copy to entries that had started before, and a configuration that was read first was replaced by an older one that another entry had read as a change.

Each configuration now has the span of eras in which it may have been written. Spans that exclude each other decide, else the version does. What was in force and was replaced is not installed again from a copy, from another entry or with a lower version, and the delay of lower versions is bounded by 1.5 s.

--- a/features/fleet/restored_store.feature
+++ b/features/fleet/restored_store.feature
@@ -221,6 +221,35 @@
     And configuration 5 is written, 0.5 s later 6 and 0.5 s later 7
     Then configuration 7 was installed all the time
 
+  Scenario: Lost configurations do not apply however late they are written
+    # Guards against an entry that goes back because operators take seconds
+    # between two lost configurations.
+    Given an entry with configuration 5 of era 1
+    And configuration 6 is read at row version 30
+    And configuration 7 is read at row version 40
+    When the first table of era 2 holds configuration 5
+    And configuration 5 is written, 3 s later 6 and 3 s later 7
+    Then configuration 7 was installed all the time
+
+  Scenario: Lower versions that follow one another apply
+    # Guards against a delay that begins again with each of them.
+    Given an entry with configuration 100 of era 1
+    When the first table of era 2 holds configuration 10
+    And configuration 11 is written, 0.8 s later 12 and 0.8 s later 13
+    Then configuration 12 and then 13 were installed
+
+  Scenario: The copy of a second return is not installed
+    # Guards against going back to a configuration that a lower version has
+    # replaced after the first return.
+    Given an entry with configuration 10 of era 1
+    And configuration 12 is read at row version 50
+    When the first table of era 2 holds configuration 10
+    And configuration 5 is written with other content
+    And 2 s pass
+    And the first table of era 3 holds configuration 10 of row version 10
+    And 2 s pass
+    Then configuration 5 is installed after 0 s
+
   Scenario: An entry prefers the configuration of the later era
     # Guards against entries that give each other the configuration that a
     # lower one replaced.
--- a/features/steps/fleet_large_configuration_steps.py
+++ b/features/steps/fleet_large_configuration_steps.py
@@ -15,6 +15,7 @@
 import behave
 from godwitvalve.fleet import consumers
 from godwitvalve.fleet import relay
+from godwitvalve.fleet import revisions
 from godwitvalve.fleet import sources
 from godwitvalve.fleet import state as states
 from godwitvalve.gossip import members
@@ -138,7 +139,9 @@
                 table, stores.StoreRevision(0, after), 0.0
             )
         )
-    context.consumer.apply_changes(answer.rows, 0, 0.0)
+    context.consumer.apply_changes(
+        answer.rows, revisions.UNKNOWN_ERAS, False, 0.0
+    )
 
 
 async def _synchronize(context, address):
--- a/features/steps/fleet_restored_steps.py
+++ b/features/steps/fleet_restored_steps.py
@@ -10,6 +10,7 @@
 from godwitvalve.fleet import eras
 from godwitvalve.fleet import follower
 from godwitvalve.fleet import relay
+from godwitvalve.fleet import revisions
 from godwitvalve.fleet import sources
 from godwitvalve.fleet import state as states
 from godwitvalve.platform import store as stores
@@ -454,7 +455,10 @@
         now_s += wait_s
         context.configuration_consumer.install_deferred(now_s)
         context.configuration_consumer.apply_changes(
-            [_configuration(version)], 2, now_s
+            [_configuration(version)],
+            revisions.EraSpan(2, 2),
+            False,
+            now_s,
         )
     context.configuration_consumer.install_deferred(now_s + 10.0)
 
@@ -470,6 +474,17 @@
     assert context.state.version == version, context.state.version
 
 
+@behave.then('configuration {first:d} and then {second:d} were installed')
+def installed_one_by_one(context, first, second):
+    assert context.changes == [first, second], context.changes
+
+
+@behave.when('{span_s:d} s pass')
+def span_passes(context, span_s):
+    consumer = context.configuration_consumer
+    consumer.install_deferred(time.monotonic() + span_s)
+
+
 @behave.then('configuration {version:d} is installed and nothing changed')
 @behave.then('configuration {version:d} was installed all the time')
 def nothing_changed(context, version):
--- a/features/steps/gossip_members_steps.py
+++ b/features/steps/gossip_members_steps.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import json
 import random
 
 import behave
+from godwitvalve.fleet import consumers
+from godwitvalve.fleet import revisions
+from godwitvalve.fleet import state as states
 from godwitvalve.gossip import members
 from godwitvalve.gossip import node
 from godwitvalve.ingress import membership
@@ -116,7 +120,9 @@
         for position, version in enumerate(versions.split(', '))
     ]
     for seed in range(20):
-        chosen = membership.choose_peer(records, (0, own), random.Random(seed))
+        chosen = membership.choose_peer(
+            records, revisions.ConfigurationRevision(own), random.Random(seed)
+        )
         assert chosen is not None and chosen.instance_id == name, chosen
 
 
@@ -128,7 +134,9 @@
         )
         for position, version in enumerate(versions.split(', '))
     ]
-    found = membership.choose_peer(records, (0, own), random.Random(1))
+    found = membership.choose_peer(
+        records, revisions.ConfigurationRevision(own), random.Random(1)
+    )
     assert found is None
 
 
@@ -294,34 +302,68 @@
 
 
 def _revision(text):
-    era, _, version = text.partition('.')
-    return int(era), int(version)
+    """Return a revision such as ``1-2.7``, version 7 of era 1 or 2."""
+    eras, _, version = text.partition('.')
+    first, _, last = eras.partition('-')
+    span = revisions.EraSpan(int(first), int(last or first))
+    return revisions.ConfigurationRevision(int(version), span)
 
 
-def _records_at(revisions):
+def _records_at(texts):
     return [
         msgspec.structs.replace(
             record(f'e{position}'),
-            configuration_era=_revision(text)[0],
-            configuration_version=_revision(text)[1],
+            configuration_eras=_revision(text).eras,
+            configuration_version=_revision(text).version,
         )
-        for position, text in enumerate(revisions.split(', '))
+        for position, text in enumerate(texts.split(', '))
     ]
 
 
-@behave.then(
-    'an entry at revision "{own}" reads from "{name}" of "{revisions}"'
-)
-def reads_revision_from(context, own, name, revisions):
+@behave.then('an entry at revision "{own}" reads from "{name}" of "{others}"')
+def reads_revision_from(context, own, name, others):
     chosen = membership.choose_peer(
-        _records_at(revisions), _revision(own), random.Random(1)
+        _records_at(others), _revision(own), random.Random(1)
     )
     assert chosen is not None and chosen.instance_id == name, chosen
 
 
-@behave.then('an entry at revision "{own}" reads from none of "{revisions}"')
-def reads_no_revision(context, own, revisions):
+@behave.then('an entry at revision "{own}" reads from none of "{others}"')
+def reads_no_revision(context, own, others):
     chosen = membership.choose_peer(
-        _records_at(revisions), _revision(own), random.Random(1)
+        _records_at(others), _revision(own), random.Random(1)
     )
     assert chosen is None, chosen
+
+
+@behave.then(
+    'version {first:d} of the eras {eras} is {order} version {second:d} of '
+    'the eras {others}'
+)
+def revisions_ordered(context, first, eras, order, second, others):
+    one = _revision(f'{eras}.{first}')
+    other = _revision(f'{others}.{second}')
+    expected = {
+        'newer than': (True, False),
+        'older than': (False, True),
+        'not newer than': (False, False),
+    }
+    found = one.supersedes(other), other.supersedes(one)
+    assert found == expected[order], found
+
+
+@behave.then(
+    'an entry that replaced "{older}" by "{newer}" does not install "{again}" '
+    'of another entry'
+)
+def does_not_install(context, older, newer, again):
+    consumer = consumers.ConfigurationConsumer(
+        states.FleetState(), lambda: None
+    )
+
+    def apply(text):
+        revision = _revision(text)
+        content = json.dumps({'version': revision.version}).encode()
+        return consumer.apply_content(content, revision.eras, 'entry-1')
+
+    assert [apply(older), apply(newer), apply(again)] == [True, True, False]
--- a/src/godwitvalve/fleet/consumers.py
+++ b/src/godwitvalve/fleet/consumers.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections import abc
+import hashlib
 import time
 from typing import NamedTuple
 
 from godwitvalve.fleet import endpoints
+from godwitvalve.fleet import revisions
 from godwitvalve.fleet import routes
 from godwitvalve.fleet import row_history
 from godwitvalve.fleet import state as states
@@ -28,17 +30,26 @@
 # Operators may write several lost configurations again, one after the other.
 # A lower version is installed only if none follows it for this long.
 LOWER_VERSION_DELAY_S = 1.0
+# Bounds the delay while lower versions follow one another.
+MAX_LOWER_VERSION_DELAY_S = 1.5
 # Copies of the store are some seconds old.
 MAX_COPY_AGE_S = 60.0
+# Configurations that were in force and are remembered, as operators may write
+# lost ones again.
+MAX_REPLACED = 64
 
 OnChange = abc.Callable[[], None]
 OnRemoved = abc.Callable[[str], None]
 
 
 class _Deferred(NamedTuple):
+    """A configuration with a lower version than the one it replaces."""
+
     configuration: routes.Configuration
-    era: int
+    eras: revisions.EraSpan
+    replaced: routes.Configuration | None
     due_s: float
+    latest_s: float
 
 
 class ConfigurationConsumer:
@@ -46,7 +57,8 @@
 
     Load pattern: the store comes back from an older copy. Its configuration
     is older than the installed one, until operators write the newest one
-    again or the next one, whose version may be lower or the same.
+    again or the next one, whose version may be lower or the same. They may
+    write all lost ones again in their order.
 
     :param on_change: called after each installation.
     """
@@ -55,48 +67,78 @@
         self._state = state
         self._on_change = on_change
         self._deferred: _Deferred | None = None
+        # Digests of configurations that were in force here, oldest first.
+        self._replaced: dict[bytes, None] = {}
+        # Digest of the row that was read from the store last.
+        self._stored: bytes | None = None
 
     def apply_changes(
-        self, rows: list[stores.StoredRow], era: int, now_s: float
+        self,
+        rows: list[stores.StoredRow],
+        eras: revisions.EraSpan,
+        may_be_copied: bool,
+        now_s: float,
     ) -> None:
         """Install the newest configuration among changed rows.
 
-        :param era: era of the store in which they were written at least.
+        :param eras: eras of the store in which they may have been written.
+        :param may_be_copied: whether they may be rows of an older copy.
         :param now_s: monotonic seconds.
         """
         for row in rows:
             if row.key == wire_configuration.KEY and row.value is not None:
                 with _FAILURES.isolate('apply a configuration'):
-                    self._apply_row(row.value, era, now_s)
+                    self._apply_row(row.value, eras, may_be_copied, now_s)
 
-    def _apply_row(self, content: bytes, era: int, now_s: float) -> None:
+    def _apply_row(
+        self,
+        content: bytes,
+        eras: revisions.EraSpan,
+        may_be_copied: bool,
+        now_s: float,
+    ) -> None:
         configuration = _decode_configuration(content, 'store')
         if configuration is None:
             return
-        if self._is_other_content(configuration):
-            # Two contents of one version were written in different eras.
-            era = max(era, self._state.configuration_era + 1)
-        self._deferred = None
-        is_lower = configuration.version < self._state.version
-        if is_lower and self._state.supersedes(configuration, era):
-            self._deferred = _Deferred(
-                configuration, era, now_s + LOWER_VERSION_DELAY_S
-            )
+        deferred, self._deferred = self._deferred, None
+        previous, self._stored = self._stored, _digest(content)
+        state = self._state
+        if state.has_content(configuration):
+            state.confirm(eras)
             return
-        self._install(configuration, era, 'store')
-
-    def _is_other_content(self, configuration: routes.Configuration) -> bool:
-        """Tell whether the installed version has another content."""
-        installed = self._state.configuration
-        return (
-            installed is not None
-            and configuration.version == installed.version
-            and configuration.source != installed.source
+        installed = state.configuration
+        is_lower = configuration.version < state.version
+        if self._stored in self._replaced and (may_be_copied or is_lower):
+            self._log_kept(configuration, eras, 'store')
+            return
+        # The store has replaced what is in force.
+        is_successor = (
+            not may_be_copied
+            and installed is not None
+            and previous == _digest(installed.source)
         )
-
-    def confirm_era(self, era: int) -> None:
-        """Record that the installed configuration was valid in an era."""
-        self._state.confirm_era(era)
+        revision = revisions.ConfigurationRevision(configuration.version, eras)
+        is_same_version = configuration.version == state.version
+        is_newer = revision.supersedes(state.revision) or (
+            not may_be_copied and (is_successor or is_same_version)
+        )
+        if not is_newer:
+            self._log_kept(configuration, eras, 'store')
+        elif is_lower:
+            latest_s = (
+                now_s + MAX_LOWER_VERSION_DELAY_S
+                if deferred is None
+                else deferred.latest_s
+            )
+            self._deferred = _Deferred(
+                configuration,
+                eras,
+                installed,
+                min(now_s + LOWER_VERSION_DELAY_S, latest_s),
+                latest_s,
+            )
+        else:
+            self._install(configuration, eras, 'store')
 
     def install_deferred(self, now_s: float) -> None:
         """Install a lower version that no other one followed.
@@ -105,41 +147,93 @@
         """
         if self._deferred is None or now_s < self._deferred.due_s:
             return
-        configuration, era, _ = self._deferred
-        self._deferred = None
-        self._install(configuration, era, 'store')
+        deferred, self._deferred = self._deferred, None
+        revision = revisions.ConfigurationRevision(
+            deferred.configuration.version, deferred.eras
+        )
+        is_still_newer = (
+            deferred.replaced is self._state.configuration
+            or revision.supersedes(self._state.revision)
+        )
+        if is_still_newer:
+            self._install(deferred.configuration, deferred.eras, 'store')
 
-    def apply_content(self, content: bytes, era: int, source: str) -> bool:
+    def apply_content(
+        self, content: bytes, eras: revisions.EraSpan, source: str
+    ) -> bool:
         """Decode and install a configuration of another entry.
 
-        :param era: era of the store in which it was written at least.
+        One that was in force here and was replaced is not installed again.
+
+        :param eras: eras of the store in which it may have been written.
         :param source: the entry, for the log.
-        :returns: whether it was installed.
+        :returns: whether it is in force now.
         """
         configuration = _decode_configuration(content, source)
         if configuration is None:
             return False
-        return self._install(configuration, era, source)
+        if self._state.has_content(configuration):
+            self._state.confirm(eras)
+            return True
+        revision = revisions.ConfigurationRevision(configuration.version, eras)
+        if _digest(content) in self._replaced or not revision.supersedes(
+            self._state.revision
+        ):
+            self._log_kept(configuration, eras, source)
+            return False
+        self._install(configuration, eras, source)
+        return True
 
     def _install(
-        self, configuration: routes.Configuration, era: int, source: str
-    ) -> bool:
-        installed_version = self._state.version
-        is_installed = self._state.install(configuration, era)
+        self,
+        configuration: routes.Configuration,
+        eras: revisions.EraSpan,
+        source: str,
+    ) -> None:
+        installed = self._state.configuration
+        if installed is not None:
+            self._remember_replaced(_digest(installed.source))
+        self._replaced.pop(_digest(configuration.source), None)
+        self._log('Installed a configuration.', configuration, eras, source)
+        self._state.install(configuration, eras)
+        self._on_change()
+
+    def _remember_replaced(self, digest: bytes) -> None:
+        self._replaced.pop(digest, None)
+        self._replaced[digest] = None
+        while len(self._replaced) > MAX_REPLACED:
+            self._replaced.pop(next(iter(self._replaced)))
+
+    def _log_kept(
+        self,
+        configuration: routes.Configuration,
+        eras: revisions.EraSpan,
+        source: str,
+    ) -> None:
+        self._log(
+            'Kept the installed configuration.', configuration, eras, source
+        )
+
+    def _log(
+        self,
+        message: str,
+        configuration: routes.Configuration,
+        eras: revisions.EraSpan,
+        source: str,
+    ) -> None:
         _LOG.info(
-            'Installed a configuration.'
-            if is_installed
-            else 'Kept the installed configuration.',
+            message,
             extra={
                 'version': configuration.version,
-                'installed_version': installed_version,
-                'era': era,
+                'installed_version': self._state.version,
+                'eras': eras,
                 'source': source,
             },
         )
-        if is_installed:
-            self._on_change()
-        return is_installed
+
+
+def _digest(content: bytes) -> bytes:
+    return hashlib.sha256(content).digest()
 
 
 def _decode_configuration(
@@ -258,8 +352,6 @@
             self._first_rows_era = max(revision.era - 1, 0)
         else:
             self._first_rows_era = self._era
-            # What is known is as new as the era in which it was read.
-            self._configuration.confirm_era(self._era)
             now_s = time.monotonic()
             self._past_eras = [
                 past
@@ -282,7 +374,10 @@
     def _apply(
         self, rows: list[stores.StoredRow], era: int, may_be_copied: bool
     ) -> None:
-        self._configuration.apply_changes(rows, era, time.monotonic())
+        eras = revisions.EraSpan(0 if may_be_copied else era, self._era)
+        self._configuration.apply_changes(
+            rows, eras, may_be_copied, time.monotonic()
+        )
         self._order.apply_changes(rows, era, may_be_copied)
 
     def mark_store_restored(self) -> None:
--- a/src/godwitvalve/fleet/state.py
+++ b/src/godwitvalve/fleet/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from godwitvalve.fleet import registry
+from godwitvalve.fleet import revisions
 from godwitvalve.fleet import routes
 
 
@@ -11,8 +12,8 @@
 
     def __init__(self) -> None:
         self.configuration: routes.Configuration | None = None
-        # Era of the store in which the configuration was written at least.
-        self.configuration_era = 0
+        # Eras of the store in which it may have been written.
+        self.configuration_eras = revisions.UNKNOWN_ERAS
         self.registry = registry.EndpointRegistry(self._is_known_service)
 
     def _is_known_service(self, service: str) -> bool:
@@ -26,40 +27,36 @@
         """Return the version of the installed configuration, or 0."""
         return self.configuration.version if self.configuration else 0
 
-    def supersedes(
-        self, configuration: routes.Configuration, era: int
-    ) -> bool:
-        """Tell whether a configuration is newer than the installed one.
+    @property
+    def revision(self) -> revisions.ConfigurationRevision:
+        """Return the revision of the installed configuration."""
+        return revisions.ConfigurationRevision(
+            self.version, self.configuration_eras
+        )
 
-        One that was written in a later era is newer whatever its version, as
-        operators may continue from an older copy of the store.
-        """
-        return (era, configuration.version) > (
-            self.configuration_era,
-            self.version,
+    def has_content(self, configuration: routes.Configuration) -> bool:
+        """Tell whether the installed configuration has the same content."""
+        return (
+            self.configuration is not None
+            and configuration.source == self.configuration.source
         )
 
-    def confirm_era(self, era: int) -> None:
-        """Record that the installed configuration was valid in an era."""
-        if self.configuration is not None:
-            self.configuration_era = max(self.configuration_era, era)
+    def confirm(self, eras: revisions.EraSpan) -> None:
+        """Record when the installed configuration was written, once more."""
+        known = self.configuration_eras
+        if eras.first > known.first:
+            self.configuration_eras = eras
+        elif eras.first == known.first:
+            self.configuration_eras = min(known, eras)
 
     def install(
-        self, configuration: routes.Configuration, era: int = 0
-    ) -> bool:
-        """Install a configuration if it is newer than the installed one.
+        self,
+        configuration: routes.Configuration,
+        eras: revisions.EraSpan = revisions.UNKNOWN_ERAS,
+    ) -> None:
+        """Put a configuration in force in place of the installed one.
 
-        :param era: era of the store in which it was written at least.
-        :returns: whether another configuration is in force now.
+        :param eras: eras of the store in which it may have been written.
         """
-        if not self.supersedes(configuration, era):
-            return False
-        self.configuration_era = era
-        if (
-            self.configuration is not None
-            and configuration.version == self.configuration.version
-            and configuration.source == self.configuration.source
-        ):
-            return False
         self.configuration = configuration
-        return True
+        self.configuration_eras = eras
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -12,6 +12,7 @@
 from godwitvalve.decoding import bounds
 from godwitvalve.endpoint_limits import reports as limit_reports
 from godwitvalve.fleet import endpoints
+from godwitvalve.fleet import revisions
 from godwitvalve.placement import choose
 from godwitvalve.placement import speed
 from godwitvalve.quarantine import reports as quarantine_reports
@@ -66,8 +67,8 @@
     :param quarantine: its evidence about prompts that crash endpoints.
     :param leaving: id and start of endpoints that announced that they leave.
     :param limits: request limits that endpoints stated in answers to it.
-    :param configuration_era: era of the store in which its configuration was
-        written at least.
+    :param configuration_eras: first and last era of the store in which its
+        configuration may have been written.
     :param store_era: newest era of the store that it knows.
     """
 
@@ -93,7 +94,7 @@
     )
     leaving: list[tuple[str, bounds.Integer]] = []
     limits: list[limit_reports.LimitReport] = []
-    configuration_era: bounds.Era = 0
+    configuration_eras: tuple[bounds.Era, bounds.Era] = (0, 0)
     store_era: bounds.Era = 0
 
     @property
@@ -102,9 +103,12 @@
         return self.started_wall_ms, self.heartbeat
 
     @property
-    def configuration_revision(self) -> tuple[int, int]:
-        """Return the sort key of its configuration."""
-        return self.configuration_era, self.configuration_version
+    def configuration_revision(self) -> revisions.ConfigurationRevision:
+        """Return the revision of its configuration."""
+        return revisions.ConfigurationRevision(
+            self.configuration_version,
+            revisions.EraSpan(*self.configuration_eras),
+        )
 
 
 class AgedRecord(NamedTuple):
--- a/src/godwitvalve/ingress/control.py
+++ b/src/godwitvalve/ingress/control.py
@@ -22,7 +22,7 @@
 
     configuration: bytes
     listed: list[endpoints.FleetEndpoint]
-    configuration_era: bounds.Era = 0
+    configuration_eras: tuple[bounds.Era, bounds.Era] = (0, 0)
     is_compressed: bool = False
 
 
@@ -61,7 +61,7 @@
             if is_compressed
             else configuration.source,
             list(self._state.registry.all()),
-            self._state.configuration_era,
+            self._state.configuration_eras,
             is_compressed,
         )
         return web.Response(body=msgspec.msgpack.encode(shared))
--- a/src/godwitvalve/ingress/membership.py
+++ b/src/godwitvalve/ingress/membership.py
@@ -15,6 +15,7 @@
 from godwitvalve.endpoint_limits import node as permit_nodes
 from godwitvalve.fleet import consumers
 from godwitvalve.fleet import eras
+from godwitvalve.fleet import revisions
 from godwitvalve.fleet import state as states
 from godwitvalve.gossip import members as member_model
 from godwitvalve.gossip import node as gossip_nodes
@@ -164,24 +165,32 @@
 
 def choose_peer(
     alive: abc.Sequence[member_model.Record],
-    own_revision: tuple[int, int],
+    own: revisions.ConfigurationRevision,
     rng: random.Random,
+    refused: abc.Container[revisions.ConfigurationRevision] = (),
 ) -> member_model.Record | None:
     """Return an entry with the newest configuration, if it is newer.
 
     An entry that starts while the store is down must not install an older
     configuration first, in which a withdrawn key is still valid.
 
-    :param own_revision: era and version of the installed configuration.
+    :param own: revision of the installed configuration.
+    :param refused: revisions that were read and not installed.
     """
-    newest = max(
-        (each.configuration_revision for each in alive), default=own_revision
-    )
-    if newest <= own_revision:
-        return None
-    return rng.choice(
-        [each for each in alive if each.configuration_revision == newest]
-    )
+    newer = {
+        revision
+        for revision in {each.configuration_revision for each in alive}
+        if revision.supersedes(own) and revision not in refused
+    }
+    newest = {
+        revision
+        for revision in newer
+        if not any(other.supersedes(revision) for other in newer)
+    }
+    # Three revisions may each supersede another one.
+    wanted = newest or newer
+    found = [each for each in alive if each.configuration_revision in wanted]
+    return rng.choice(found) if found else None
 
 
 class PeerSync:
@@ -203,6 +212,9 @@
         self._members = members
         self._configuration = configuration
         self._rng = random.Random()
+        # Revisions that were read and not installed over this own one.
+        self._compared = state.revision
+        self._refused: set[revisions.ConfigurationRevision] = set()
 
     async def run(self) -> None:
         """Compare versions with the other entries until cancelled."""
@@ -214,10 +226,15 @@
                 await self._sync_once(session)
 
     async def _sync_once(self, session: aiohttp.ClientSession) -> None:
+        own = self._state.revision
+        if own != self._compared:
+            self._compared = own
+            self._refused.clear()
         record = choose_peer(
             self._members.alive(time.monotonic()),
-            (self._state.configuration_era, self._state.version),
+            own,
             self._rng,
+            self._refused,
         )
         if record is None:
             return
@@ -237,9 +254,11 @@
                 },
             )
             return
-        self._apply_state(content, record.instance_id)
+        if self._apply_state(content, record.instance_id):
+            self._refused.add(record.configuration_revision)
 
-    def _apply_state(self, content: bytes, peer: str) -> None:
+    def _apply_state(self, content: bytes, peer: str) -> bool:
+        """Apply the state of a peer; return whether it was refused."""
         try:
             shared = contents.decode(_STATE_DECODER, content)
             configuration = (
@@ -255,8 +274,8 @@
                 'A peer sent a state that cannot be decoded.',
                 extra={'peer': peer, 'reason': str(error)},
             )
-            return
+            return False
         self._state.registry.load_listed(shared.listed)
-        self._configuration.apply_content(
-            configuration, shared.configuration_era, peer
+        return not self._configuration.apply_content(
+            configuration, revisions.EraSpan(*shared.configuration_eras), peer
         )
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -273,7 +273,7 @@
             self._context.quarantine.report(time.monotonic()),
             self._state.registry.leaving()[:MAX_REPORTED_ENDPOINTS],
             self._context.limiter.table.reports(time.monotonic()),
-            self._state.configuration_era,
+            self._state.configuration_eras,
             self._era.current,
         )
 
