Block further signals once an entry has stopped

As the event loop closes, it restores the default action of SIGTERM and SIGHUP. One of them that came while the interpreter exited ended the process with code -15 or -1, which reports a failed stop. The connections were closed by then, so that no request was cut.

Of the new scenarios those with SIGHUP and SIGTERM failed before; the one with SIGINT passed, as the interpreter drops an exception of an exit function.

--- a/features/ingress/exit.feature
+++ b/features/ingress/exit.feature
@@ -13,3 +13,16 @@
     # comes before the process handles signals.
     Given an entry that gets "SIGHUP" at its start
     Then it becomes ready
+
+  Scenario Outline: A signal does not change how a stopped entry ends
+    # Guards against an exit code that reports a failed stop, as a further
+    # signal comes while the interpreter exits.
+    Given an entry that gets "<name>" at its exit
+    When the entry is asked to stop and ends
+    Then its exit code was 0
+
+    Examples:
+      | name    |
+      | SIGHUP  |
+      | SIGINT  |
+      | SIGTERM |
--- a/src/godwitvalve/ingress/program.py
+++ b/src/godwitvalve/ingress/program.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import signal
 import sys
 
 from godwitvalve.ingress import process
@@ -11,10 +12,13 @@
 from godwitvalve.platform import settings as wire_settings
 
 EXIT_BAD_SETTINGS = 2
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 async def _serve(settings: wire_settings.FleetSettings) -> None:
     await process.FleetEntry(settings).run()
+    # The event loop restores the default action of signals as it closes.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
 
 
 def run() -> int:
