Close the servers of an entry at the same time

A stop that reaches its limit leaves 0.4 s for what follows. Of these up to 0.15 s pass until the drain sees that the limit is over, and then the servers closed one after the other: 0.1 s for a caller whose body is not complete, and 0.2 s at the control address, where in a large fleet other entries always wait for changes.

The margins of the drain stay as they are. In the worst case 0.15 s for the drain, 0.2 s for callers and 0.02 s for the exit follow the cut of the streams, and an answer that begins to be cut 0.4 s before the kill would have ended in order only if it had less than that to go.

--- a/features/ingress/grace.feature
+++ b/features/ingress/grace.feature
@@ -83,3 +83,12 @@
     And the requests at 0 s got their complete answers
     And no endpoint ran a refused request
     And the process ended with code 0 before it was killed
+
+  Scenario: Peers and callers that keep connections busy do not delay the end
+    # Guards against a process that waits for each of its servers in turn and
+    # is killed before it has ended. Entries of large fleets always wait for
+    # changes at one another.
+    Given an entry that is killed 3 s after its stop signal
+    And calls that take 20 ms of 10000 ms and streams of 3000 ms
+    When a peer waits for changes and a body stays incomplete until the stop ends
+    Then the process ended with code 0 before it was killed
--- a/features/steps/ingress_grace_steps.py
+++ b/features/steps/ingress_grace_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 import itertools
 import json
@@ -31,6 +32,11 @@
 # A connection that is closed this soon after a request was sent crossed the
 # request; the rules of the platform state the time.
 CROSSING_S = 0.2
+# Version of the store that no row reaches.
+LATE_VERSION = 10**6
+ROW_PERIOD_S = 0.2
+# Pause of a peer between its questions.
+ASK_PAUSE_S = 0.01
 
 
 class Result(NamedTuple):
@@ -312,6 +318,59 @@
     _play(context, [caller])
 
 
+class Peer(threading.Thread):
+    """Waits for changes of a table again and again, as other entries do."""
+
+    def __init__(self, context):
+        super().__init__(daemon=True)
+        self._connection = http.client.HTTPConnection(
+            context.fleet.port_address('entry-0', 3), timeout=15
+        )
+        self.longest_wait_s = 0.0
+
+    def run(self):
+        """Ask until the connection ends."""
+        target = f'/fleet/table?table=servers&after={LATE_VERSION}&era=1'
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            while True:
+                began_s = time.monotonic()
+                self._connection.request('GET', f'{target}&wait_ms=8000')
+                answer = self._connection.getresponse()
+                answer.read()
+                self.longest_wait_s = max(
+                    self.longest_wait_s, time.monotonic() - began_s
+                )
+                time.sleep(ASK_PAUSE_S)
+
+
+def _refresh_rows(context, until_s):
+    """Write a row again and again; answers of an entry wait if it is new."""
+    while time.monotonic() < until_s:
+        context.fleet.register('p0', 'desk', 'fd-0')
+        time.sleep(ROW_PERIOD_S)
+
+
+@behave.when(
+    'a peer waits for changes and a body stays incomplete until the stop ends'
+)
+def busy_connections(context):
+    until_s = time.monotonic() + START_S + context.stop_limit_s + 2.0
+    threading.Thread(
+        target=_refresh_rows, args=(context, until_s), daemon=True
+    ).start()
+    peer = Peer(context)
+    peer.start()
+    caller = SlowBody(context, 'busy', 'once', 0.0)
+    caller.begin()
+    # Closes the connection once it is no longer referred to.
+    context.cleanups.append(lambda: caller)
+    time.sleep(START_S + 1.0)
+    context.stopped_s = time.monotonic()
+    _stop_and_kill(context)
+    peer.join(context.stop_limit_s + 1.0)
+    assert peer.longest_wait_s > ROW_PERIOD_S, peer.longest_wait_s
+
+
 class SlowReader(Caller):
     """Sends a call before the stop and reads the answer during it."""
 
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -341,8 +341,7 @@
         await self._sources.close()
         await self._store.close()
         self._handler.begin_interrupting()
-        for runner in runners:
-            await runner.cleanup()
+        await asyncio.gather(*(runner.cleanup() for runner in runners))
         _LOG.info('Stopped.')
 
     def _background_work(
@@ -435,19 +434,19 @@
             self._state,
             peer_tables.RelayServer(self._relays),
         )
+        others = (
+            (settings.readiness_address, self._handle_ready),
+            (settings.directory_address, self._handle_resolve),
+            (settings.control_address, control_handler.handle),
+        )
         return [
             await servers.listen(
                 settings.caller_address, self._handler.handle
             ),
-            await servers.listen(
-                settings.readiness_address, self._handle_ready
-            ),
-            await servers.listen(
-                settings.directory_address, self._handle_resolve
-            ),
-            await servers.listen(
-                settings.control_address, control_handler.handle
-            ),
+            *[
+                await servers.listen(address, handle, servers.CLOSE_WAIT_S)
+                for address, handle in others
+            ],
         ]
 
     async def _handle_ready(
--- a/src/godwitvalve/ingress/servers.py
+++ b/src/godwitvalve/ingress/servers.py
@@ -12,13 +12,23 @@
 MAX_LINE_BYTES = 64 * 1024
 BACKLOG = 1024
 
+# Waits for requests in progress at a stop, twice: for their handlers, which
+# are then cancelled, and for what the server does after them.
+CALLER_CLOSE_WAIT_S = 0.1
+# Answers to others than callers have no need to be complete.
+CLOSE_WAIT_S = 0.01
+
 Handler = abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]
 
 
-async def listen(address: str, handler: Handler) -> web.ServerRunner:
+async def listen(
+    address: str, handler: Handler, close_wait_s: float = CALLER_CLOSE_WAIT_S
+) -> web.ServerRunner:
     """Start an HTTP server on an address.
 
     :param address: ``IP:port``.
+    :param close_wait_s: wait for requests in progress as the server closes,
+        at most twice.
     """
     server = web.Server(
         handler,
@@ -28,7 +38,7 @@
         max_line_size=MAX_LINE_BYTES,
         max_field_size=MAX_LINE_BYTES,
     )
-    runner = web.ServerRunner(server, shutdown_timeout=0.1)
+    runner = web.ServerRunner(server, shutdown_timeout=close_wait_s)
     await runner.setup()
     host, _, port = address.rpartition(':')
     site = web.TCPSite(runner, host, int(port), backlog=BACKLOG)
