Announce the close of a stream whose answer begins in a stop

Whether a connection closes was decided as a stream was forwarded. One that was sent before SIGTERM and began after it left its connection open, and the caller could send its next request on it as the process ended.

The new scenario failed before (the connection stayed open without a "Connection: close").

--- a/features/ingress/interruptions.feature
+++ b/features/ingress/interruptions.feature
@@ -28,3 +28,10 @@
     When the time to cut comes
     Then its caller sees a reset connection after half of the stream
     And a log line and a counter tell that it waited for "events"
+
+  Scenario: A stream whose answer begins in a stop announces the close
+    # Guards against a kept connection on which the next request crosses the
+    # end of the process.
+    Given an entry whose endpoint "begins late"
+    When a "stream" request waits for "answer" as a stop begins
+    Then its caller gets a whole stream and a closed connection
--- a/features/steps/ingress_interruptions_steps.py
+++ b/features/steps/ingress_interruptions_steps.py
@@ -26,6 +26,7 @@
 STOP_LIMIT_S = 8.0
 READ_LIMIT_S = 2.0
 DECLINES = 20
+BEGIN_PAUSE_S = 0.3
 SCRIPTS = {
     'hang': [['hang']],
     'declined': [[scripted_endpoint.DECLINED]] * DECLINES,
@@ -37,6 +38,14 @@
             'hang',
         ]
     ],
+    'begins late': [
+        [
+            BEGIN_PAUSE_S,
+            scripted_endpoint.STREAM_HEAD,
+            scripted_endpoint.event(1),
+            scripted_endpoint.STREAM_END,
+        ]
+    ],
 }
 LOGGER = logging.getLogger('godwitvalve.ingress')
 
@@ -130,6 +139,31 @@
     aio.run(context, play())
 
 
+@behave.when('a "{kind}" request waits for "{wait}" as a stop begins')
+def stop_begins(context, kind, wait):
+    expected = in_flight.Wait(wait)
+
+    async def play():
+        context.reader, context.writer = await asyncio.open_connection(
+            *context.address
+        )
+        context.writer.write(_request(kind, 'noise'))
+        await aio.until(lambda: _is_waiting(context, expected))
+        stop = drain.schedule(time.monotonic(), STOP_LIMIT_S)
+        context.handler.begin_drain(stop)
+
+    aio.run(context, play())
+
+
+@behave.then('its caller gets a whole stream and a closed connection')
+def whole_stream(context):
+    content, is_reset = aio.run(context, _read(context))
+    head, _, body = content.partition(b'\r\n\r\n')
+    assert not is_reset
+    assert b'connection: close' in head.lower(), head
+    assert body.count(b'id: ') == 1 and body.endswith(b'\r\n0\r\n\r\n'), body
+
+
 @behave.when('the time to cut comes')
 def time_to_cut(context):
     async def play():
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -48,9 +48,14 @@
 
 
 class CallerStream:
-    """Relays the events of a stream to its caller."""
+    """Relays the events of a stream to its caller.
 
-    def __init__(self, request: web.BaseRequest, is_closing: bool) -> None:
+    :param is_closing: tells whether the connection closes after the answer.
+    """
+
+    def __init__(
+        self, request: web.BaseRequest, is_closing: abc.Callable[[], bool]
+    ) -> None:
         self._request = request
         self._is_closing = is_closing
         self.response: web.StreamResponse | None = None
@@ -59,7 +64,7 @@
         """Send status and headers."""
         self.response = web.StreamResponse(status=head.status)
         _copy_headers(self.response, head)
-        if self._is_closing:
+        if self._is_closing():
             self.response.force_close()
         if self._request.version >= aiohttp.HttpVersion11:
             self.response.enable_chunked_encoding()
@@ -370,7 +375,7 @@
         arrived_s: float,
         pending: in_flight.RequestInFlight,
     ) -> web.StreamResponse:
-        sink = CallerStream(request, self._stop is not None)
+        sink = CallerStream(request, lambda: self._stop is not None)
         reply: replies.Reply | None = None
         reason: replies.IncompleteReason | None = None
         forwarder: streams.StreamForwarder | calls.CallForwarder
