Keep idle connections open for the limit of operators

An entry closed connections that were idle for 75 s, while operators set how long callers may stay idle (idle_timeout_ms), and callers use kept connections for up to four fifths of that. With a limit above 94 s a caller's next request met the close: it sees its connection end without an answer.

A connection stays open for the limit that is in force as it is opened, or for 75 s if that is longer. A connection of before a configuration that raises the limit keeps the old one.

The first scenario of kept_connections.feature failed before ("RemoteDisconnected"); the two others, a short limit and a connection that is idle for too long, passed. Run after: kept_connections.feature, 3 scenarios; platform/numbers, platform/rows, ingress/changed_configuration and ingress/interruptions, 117 scenarios passed; make format check.

--- a/src/godwitvalve/fleet/routes.py
+++ b/src/godwitvalve/fleet/routes.py
@@ -70,9 +70,13 @@
 
 
 class CallerLimits(NamedTuple):
-    """Limits of requests."""
+    """Limits of requests.
+
+    :param idle_s: seconds for which a connection may stay idle.
+    """
 
     max_body_bytes: int
+    idle_s: float = 0.0
 
 
 class Configuration:
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -441,7 +441,9 @@
         )
         return [
             await servers.listen(
-                settings.caller_address, self._handler.handle
+                settings.caller_address,
+                self._handler.handle,
+                idle_limit_s=self._idle_limit_s,
             ),
             *[
                 await servers.listen(address, handle, servers.CLOSE_WAIT_S)
@@ -449,6 +451,10 @@
             ],
         ]
 
+    def _idle_limit_s(self) -> float:
+        configuration = self._state.configuration
+        return configuration.limits.idle_s if configuration else 0.0
+
     async def _handle_ready(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
--- a/src/godwitvalve/ingress/servers.py
+++ b/src/godwitvalve/ingress/servers.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import abc
+from typing import Any
 
 from aiohttp import web
 
 # Callers keep connections for four fifths of the limit that operators set, in
-# the longest known case 15 s. A longer timeout here lets them close first.
+# the longest known case 15 s. A longer timeout here lets them close first; it
+# applies where the limit is shorter, or not known yet.
 KEEPALIVE_TIMEOUT_S = 75.0
 MAX_LINE_BYTES = 64 * 1024
 BACKLOG = 1024
@@ -21,24 +24,51 @@
 Handler = abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]
 
 
+_OPTIONS: dict[str, Any] = {
+    'access_log': None,
+    'max_line_size': MAX_LINE_BYTES,
+    'max_field_size': MAX_LINE_BYTES,
+}
+
+
+class _Server(web.Server):
+    """Server whose connections stay open for the idle limit of their start.
+
+    :param idle_limit_s: returns the limit that operators set, in seconds.
+    """
+
+    def __init__(
+        self, handler: Handler, idle_limit_s: abc.Callable[[], float]
+    ) -> None:
+        super().__init__(handler, handler_cancellation=True)
+        self._idle_limit_s = idle_limit_s
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the protocol of a new connection."""
+        return web.RequestHandler(
+            self,
+            loop=asyncio.get_running_loop(),
+            keepalive_timeout=max(KEEPALIVE_TIMEOUT_S, self._idle_limit_s()),
+            **_OPTIONS,
+        )
+
+
 async def listen(
-    address: str, handler: Handler, close_wait_s: float = CALLER_CLOSE_WAIT_S
+    address: str,
+    handler: Handler,
+    close_wait_s: float = CALLER_CLOSE_WAIT_S,
+    idle_limit_s: abc.Callable[[], float] = lambda: 0.0,
 ) -> web.ServerRunner:
     """Start an HTTP server on an address.
 
     :param address: ``IP:port``.
     :param close_wait_s: wait for requests in progress as the server closes,
         at most twice.
+    :param idle_limit_s: returns how long callers may stay idle, in seconds.
     """
-    server = web.Server(
-        handler,
-        access_log=None,
-        handler_cancellation=True,
-        keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-        max_line_size=MAX_LINE_BYTES,
-        max_field_size=MAX_LINE_BYTES,
+    runner = web.ServerRunner(
+        _Server(handler, idle_limit_s), shutdown_timeout=close_wait_s
     )
-    runner = web.ServerRunner(server, shutdown_timeout=close_wait_s)
     await runner.setup()
     host, _, port = address.rpartition(':')
     site = web.TCPSite(runner, host, int(port), backlog=BACKLOG)
--- a/src/godwitvalve/platform/configuration.py
+++ b/src/godwitvalve/platform/configuration.py
@@ -59,6 +59,7 @@
 
 class _Limits(msgspec.Struct):
     max_body_bytes: bounds.Integer = 4194304
+    idle_timeout_ms: bounds.Number = 0.0
 
 
 class _Tenant(msgspec.Struct):
@@ -128,6 +129,8 @@
             for tenant in raw.tenants
             for key in tenant.api_keys
         },
-        routes.CallerLimits(raw.limits.max_body_bytes),
+        routes.CallerLimits(
+            raw.limits.max_body_bytes, raw.limits.idle_timeout_ms / 1000
+        ),
         content,
     )
