Test that further stop signals leave a planned stop as it is

SIGTERM and SIGINT 0.6 s after the first SIGTERM: each request gets its answer or a refusal, and the drain begins once.

--- a/features/ingress/grace.feature
+++ b/features/ingress/grace.feature
@@ -92,3 +92,15 @@
     And calls that take 20 ms of 10000 ms and streams of 3000 ms
     When a peer waits for changes and a body stays incomplete until the stop ends
     Then the process ended with code 0 before it was killed
+
+  Scenario: Further stop signals leave a planned stop as it is
+    # Guards against a stop that ends at once, or begins again and is killed,
+    # as the platform or an operator asks for it repeatedly.
+    Given an entry that is killed 5 s after its stop signal
+    And calls that take 2700 ms of 3000 ms and streams of 3000 ms
+    And the entry knows how long streams take
+    When requests of all kinds arrive in each second of the stop, and SIGTERM and SIGINT come 0.6 s after it
+    Then each request got its complete answer or was refused as not run
+    And the requests at 0 s got their complete answers
+    And no endpoint ran a refused request
+    And the process ended with code 0 before it was killed
--- a/features/steps/ingress_grace_steps.py
+++ b/features/steps/ingress_grace_steps.py
@@ -248,6 +248,25 @@
     ), messages
 
 
+@behave.when(
+    'requests of all kinds arrive in each second of the stop, and SIGTERM and '
+    'SIGINT come {at_s:g} s after it'
+)
+def in_each_second_with_signals(context, at_s):
+    def send():
+        time.sleep(at_s)
+        context.fleet.signal('entry-0', signal.SIGTERM)
+        context.fleet.signal('entry-0', signal.SIGINT)
+
+    _play(context, _callers_of_each_second(context), send)
+    begun = [
+        each
+        for each in context.fleet.log('entry-0')
+        if 'Drain started' in each['message']
+    ]
+    assert len(begun) == 1, begun
+
+
 def _callers_of_each_second(context):
     seconds = range(int(context.stop_limit_s))
     return [
