Forward the body of a request as its caller encoded it

The server expanded bodies with a Content-Encoding while that header was passed on: an endpoint got 100 bytes of text that its headers called gzip. A body that is no valid gzip or deflate data got 503 with a traceback, and the size limit applied to the expanded body. Bodies are no longer expanded; `max_body_bytes` applies to the bytes that were sent.

--- a/features/doubles/ingress_site.py
+++ b/features/doubles/ingress_site.py
@@ -17,6 +17,8 @@
 HOST = 'h.example'
 KEY = 'k-1'
 ANSWER_LIMIT_S = 6.0
+# Longest body that a caller may send.
+LIMIT_BYTES = 9999
 _METRIC = 'godwitvalve_incomplete_answers_total'
 
 
@@ -35,7 +37,12 @@
     )
     accounts = {key: routes.AccountConfig('acme', None) for key in keys}
     return routes.Configuration(
-        version, its_routes, [facts], accounts, routes.CallerLimits(9999), b''
+        version,
+        its_routes,
+        [facts],
+        accounts,
+        routes.CallerLimits(LIMIT_BYTES),
+        b'',
     )
 
 
@@ -73,22 +80,32 @@
             for each in self.scripted:
                 await each.stop()
 
-    async def ask(self, segments='', on_event=None, body_after_s=0.0):
+    async def ask(
+        self,
+        segments='',
+        on_event=None,
+        body_after_s=0.0,
+        body=b'body',
+        body_headers='',
+    ):
         """Send one request and return the result of its caller.
 
         :param body_after_s: time from the head to the body.
         :param on_event: called with the writer once an event arrived.
+        :param body: the body as it is sent, with its chunks if it has any.
+        :param body_headers: lines that describe the body; its length is
+            stated if there are none.
         """
+        described = body_headers or f'Content-Length: {len(body)}\r\n'
         host, port = self.runner.addresses[0]
         reader, writer = await asyncio.open_connection(host, port)
         writer.write(
             f'POST {self._route.prefix}x HTTP/1.1\r\nHost: {HOST}\r\n'
             f'Request-Id: req-1\r\nApi-Key: {KEY}\r\nDeadline-Ms: 9000\r\n'
-            f'Prompt-Prefix: {segments}\r\nContent-Length: 4\r\n\r\n'
-            ''.encode()
+            f'Prompt-Prefix: {segments}\r\n{described}\r\n'.encode()
         )
         await asyncio.sleep(body_after_s)
-        writer.write(b'body')
+        writer.write(body)
         content = b''
         try:
             async with asyncio.timeout(ANSWER_LIMIT_S):
--- a/features/doubles/scripted_endpoint.py
+++ b/features/doubles/scripted_endpoint.py
@@ -21,6 +21,7 @@
     def __init__(self, *scripts):
         self.scripts = list(scripts)
         self.heads = []
+        self.bodies = []
         self.connections = 0
         self.closed_by_peer = 0
         self.address = ''
@@ -45,8 +46,8 @@
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
                 found = _LENGTH.search(head)
-                if found:
-                    await reader.readexactly(int(found[1]))
+                length = int(found[1]) if found else 0
+                self.bodies.append(await reader.readexactly(length))
                 self.heads.append(head.decode('latin-1').lower())
                 script = self.scripts.pop(0) if self.scripts else ['hang']
                 if not await self._play(script, head, reader, writer):
--- a/src/godwitvalve/ingress/servers.py
+++ b/src/godwitvalve/ingress/servers.py
@@ -23,6 +23,8 @@
     server = web.Server(
         handler,
         access_log=None,
+        # Bodies are forwarded as they were sent, with their encoding.
+        auto_decompress=False,
         handler_cancellation=True,
         keepalive_timeout=KEEPALIVE_TIMEOUT_S,
         max_line_size=MAX_LINE_BYTES,
