Read bodies at the own interface as their caller encoded them

The server of the own interface expanded bodies with a Content-Encoding as well: a plain service got an expanded body with the header of the sent one, and a body that is no valid data of its encoding ended with "outcome unknown" (3xxx) and a traceback for a call that was never sent. The server no longer expands bodies, and their size limit applies to the sent bytes.

--- a/src/godwitvalve/entry/app.py
+++ b/src/godwitvalve/entry/app.py
@@ -20,6 +20,9 @@
 
 # Limit of one header and of the request line.
 MAX_LINE_BYTES = 16 * 1024
+# Bounds the shutdown of the server, so that an unresponsive caller does not
+# delay it for ever.
+SHUTDOWN_LIMIT_S = 2.0
 
 _LOG = logs.get('entry')
 _Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -47,6 +50,20 @@
     return app
 
 
+def runner(application: web.Application) -> web.AppRunner:
+    """Return the server of an application, which is not set up yet."""
+    return web.AppRunner(
+        application,
+        access_log=None,
+        # Bodies are forwarded as they were sent, with their encoding.
+        auto_decompress=False,
+        handler_cancellation=True,
+        max_line_size=MAX_LINE_BYTES,
+        max_field_size=MAX_LINE_BYTES,
+        shutdown_timeout=SHUTDOWN_LIMIT_S,
+    )
+
+
 def _metrics(context: contexts.EntryContext) -> _Handler:
     async def handle(request: web.Request) -> web.StreamResponse:
         accept = request.headers.getall('Accept', ['text/plain'])
--- a/src/godwitvalve/entry/process.py
+++ b/src/godwitvalve/entry/process.py
@@ -25,9 +25,6 @@
 DRAIN_POLL_S = 0.05
 SUPERSEDED_POLL_S = 0.5
 START_POLL_S = 0.1
-# Bounds the shutdown of the server, so that an unresponsive caller does not
-# delay it for ever.
-SHUTDOWN_LIMIT_S = 2.0
 
 _LOG = logs.get('entry')
 
@@ -111,14 +108,7 @@
         await asyncio.Event().wait()
 
     async def _start_server(self) -> web.AppRunner:
-        runner = web.AppRunner(
-            app.build(self.context),
-            access_log=None,
-            handler_cancellation=True,
-            max_line_size=app.MAX_LINE_BYTES,
-            max_field_size=app.MAX_LINE_BYTES,
-            shutdown_timeout=SHUTDOWN_LIMIT_S,
-        )
+        runner = app.runner(app.build(self.context))
         await runner.setup()
         host, _, port = self._settings.listen_address.rpartition(':')
         site = web.TCPSite(runner, host.strip('[]'), int(port))
