--- a/src/godwitvalve/ingress/servers.py
+++ b/src/godwitvalve/ingress/servers.py
@@ -26,6 +26,8 @@
 
 _OPTIONS: dict[str, Any] = {
     'access_log': None,
+    # Bodies are forwarded as they were sent, with their encoding.
+    'auto_decompress': False,
     'max_line_size': MAX_LINE_BYTES,
     'max_field_size': MAX_LINE_BYTES,
 }
