Carry out a move that is ordered again long after a return

After a return of the store, an order for the same move was taken for the known one that was lost and is written again, whenever it came. A roll-out that had been rolled back was not carried out when it was ordered again 40 s later, and no status was written (shown by a review, in a unit). Only orders within 10 s of the return, or with the known row version, continue the known roll-out. The new scenario of fleet/restored_store failed before.

--- a/features/fleet/restored_store.feature
+++ b/features/fleet/restored_store.feature
@@ -274,6 +274,13 @@
       | running     | written again as row version 40  |
       | completed   | written before the first read    |
 
+  Scenario: The same move is ordered again long after a restore
+    # Guards against an order that is never carried out, because it is taken
+    # for one that was lost and is written again.
+    Given a rolled back roll-out whose order has row version 30 of era 1
+    When the store is restored to era 2 and the same move is ordered 40 s later
+    Then the roll-out has begun anew
+
   Scenario: The order before is not carried out again by an older copy
     # Guards against moving back to an earlier version.
     Given a completed roll-out whose order has row version 30 of era 1
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -310,7 +310,7 @@
 )
 def rollout_before_restore(context, state, row_version, era):
     context.registry = _registry()
-    context.registry.mark_store_restored(era)
+    context.registry.mark_store_restored(era, 0.0)
     context.order = ORDER._replace(row_version=row_version, era=era)
     context.rollout = context.registry.add_order(context.order, 0.0)
     context.rollout.is_stored = True
@@ -320,7 +320,7 @@
 
 @behave.when('the store is restored to era {era:d} and its order is {case}')
 def restored_with_order(context, era, case):
-    context.registry.mark_store_restored(era)
+    context.registry.mark_store_restored(era, 0.0)
     copied = context.order
     match case.split():
         case ['in', 'the', 'copy']:
@@ -333,9 +333,48 @@
             context.registry.add_order(written, 1.0)
 
 
+@behave.when(
+    'the store is restored to era {era:d} and the same move is ordered '
+    '{after_s:d} s later'
+)
+def ordered_again(context, era, after_s):
+    context.registry.mark_store_restored(era, 0.0)
+    context.registry.add_order(context.order, 0.0, True)
+    ordered = context.order._replace(row_version=90, era=era)
+    context.registry.add_order(ordered, float(after_s))
+
+
+@behave.when('an entry with five others before it sees a return of the store')
+def return_at_sixth_entry(context):
+    writer = status_writer.StatusWriter(
+        None, context.registry, lambda: 5, lambda: None
+    )
+    context.rollout.is_stored = False
+    context.was_due = writer._is_due(context.rollout, 0.0)
+    context.rollout.is_stored = True
+    context.registry.mark_store_restored(2, 20.0)
+    context.writer = writer
+
+
+@behave.then(
+    'it is due to store the state {delay_s:d} s later but not at once'
+)
+def due_later(context, delay_s):
+    assert not context.was_due
+    assert not context.writer._is_due(context.rollout, 20.0)
+    assert context.writer._is_due(context.rollout, 20.0 + delay_s)
+
+
+@behave.then('the roll-out has begun anew')
+def begun_anew(context):
+    (found,) = context.registry.all()
+    assert found is not context.rollout
+    assert found.state is orders.RolloutState.RUNNING, found.state
+
+
 @behave.when('the store is restored to era {era:d} and holds an earlier order')
 def restored_with_earlier_order(context, era):
-    context.registry.mark_store_restored(era)
+    context.registry.mark_store_restored(era, 0.0)
     earlier = context.order._replace(version='v1', row_version=11)
     context.registry.add_order(earlier, 1.0, True)
 
@@ -345,7 +384,7 @@
     'row version {row_version:d}'
 )
 def other_version_ordered(context, era, row_version):
-    context.registry.mark_store_restored(era)
+    context.registry.mark_store_restored(era, 0.0)
     ordered = orders.RolloutOrder('s', 'v3', 15.0, row_version, era)
     context.registry.add_order(ordered, 1.0)
 
@@ -353,7 +392,7 @@
 @behave.when('another entry reports a status that was stored in era {era:d}')
 def reported_status(context, era):
     other = _registry()
-    other.mark_store_restored(era)
+    other.mark_store_restored(era, 0.0)
     found = other.add_order(context.order, 0.0)
     found.is_stored = True
     found.advance(context.rollout.state, 'test')
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -354,7 +354,9 @@
             consumers.OperatorConsumer(
                 self._configuration,
                 consumers.OrderConsumer(self._apply_order),
-                self._rollouts.mark_store_restored,
+                lambda era: self._rollouts.mark_store_restored(
+                    era, time.monotonic()
+                ),
             ),
             self._relays[wire_configuration.TABLE],
             era=self._era,
--- a/src/godwitvalve/rollouts/registry.py
+++ b/src/godwitvalve/rollouts/registry.py
@@ -17,6 +17,9 @@
 # An ended order is reported to other entries for this long; after that it
 # remains in the store and in the memory of each entry.
 REPORT_AFTER_END_S = 20.0
+# Operators write lost orders again within some seconds of a return. The same
+# move that is ordered later is a new one.
+REWRITE_S = 10.0
 
 _LOG = logs.get('rollouts')
 
@@ -32,6 +35,7 @@
         self._by_service: dict[str, rollouts.Rollout] = {}
         self._baselines: dict[str, baselines.Baseline] = {}
         self._store_era = 0
+        self._rewritten_until_s = float('-inf')
 
     def all(self) -> abc.Collection[rollouts.Rollout]:
         """Return the newest roll-out of each service."""
@@ -57,7 +61,7 @@
             if known.order.revision > order.revision:
                 return None
             if known.order.is_same_move(order) and (
-                may_be_copied or order.era > known.order.era
+                may_be_copied or self._is_written_again(order, known, now_s)
             ):
                 known.order = order
                 return known
@@ -83,8 +87,26 @@
         )
         return found
 
-    def mark_store_restored(self, era: int) -> None:
-        """Store the states again that a restored store may have lost."""
+    def _is_written_again(
+        self,
+        order: orders.RolloutOrder,
+        known: rollouts.Rollout,
+        now_s: float,
+    ) -> bool:
+        """Tell whether an order is a known one that a return lost."""
+        if order.era <= known.order.era:
+            return False
+        return (
+            order.row_version == known.order.row_version
+            or now_s < self._rewritten_until_s
+        )
+
+    def mark_store_restored(self, era: int, now_s: float) -> None:
+        """Store the states again that a restored store may have lost.
+
+        :param now_s: monotonic seconds.
+        """
+        self._rewritten_until_s = now_s + REWRITE_S
         for each in self._by_service.values():
             # What is known is as new as the era in which it was read.
             each.order = each.order._replace(
