Delay the state of a roll-out by rank after a return

Entries store the state one after the other, in case the first cannot. After a return of the store the delay of before counted as over, and all entries asked the store at once. The era is part of the key of the delay now. The new scenario of fleet/restored_store failed before.

--- a/features/fleet/restored_store.feature
+++ b/features/fleet/restored_store.feature
@@ -281,6 +281,12 @@
     When the store is restored to era 2 and the same move is ordered 40 s later
     Then the roll-out has begun anew
 
+  Scenario: Entries store the state of a roll-out one after the other
+    # Guards against calls of all entries at the same moment after a return.
+    Given a running roll-out whose order has row version 30 of era 1
+    When an entry with five others before it sees a return of the store
+    Then it is due to store the state 4 s later but not at once
+
   Scenario: The order before is not carried out again by an older copy
     # Guards against moving back to an earlier version.
     Given a completed roll-out whose order has row version 30 of era 1
--- a/src/godwitvalve/rollouts/status_writer.py
+++ b/src/godwitvalve/rollouts/status_writer.py
@@ -49,7 +49,7 @@
         self._rank = rank
         self._on_change = on_change
         self._logged_rows = repeats.RepeatFilter()
-        self._pending_since_s: dict[tuple[str, int, int, int], float] = {}
+        self._pending_since_s: dict[tuple[str, int, int, int, int], float] = {}
 
     async def run(self) -> None:
         """Synchronise pending states with the store until cancelled."""
@@ -65,7 +65,12 @@
         if pending is None:
             return False
         order = each.order
-        key = (order.service, *order.revision, int(pending))
+        key = (
+            order.service,
+            *order.revision,
+            int(pending),
+            each.store_era,
+        )
         since_s = self._pending_since_s.setdefault(key, now_s)
         return now_s - since_s >= min(
             self._rank() * RANK_DELAY_S, MAX_RANK_DELAY_S
