End the search of a stream that can no longer move

A stream that waits at a silent endpoint waits for its search for another one, too. Once less time was left than an attempt needs, the result of the search was not looked at any more, and each wait returned at once for a search that had ended: the stream took the processor for up to 10 ms, until its deadline.

--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -717,6 +717,8 @@
             self._relocation.end()
             return False
         if not self._declare_lost(attempt):
+            # A search that has ended would end each wait at once.
+            self._relocation.end()
             return False
         return self._relocation.poll()
 
