Search again for an endpoint after a search failed

After one search that raised an error, or whose wait was cancelled, a stream searched no more during the same attempt, also not after further events of the silent endpoint. A stream at a dead endpoint then waited for its deadline although others had room. It now searches again after the pause between two tries. A cancelled search is logged like any other error.

--- a/features/steps/forwarding_relocation_steps.py
+++ b/features/steps/forwarding_relocation_steps.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from unittest import mock
 
 import behave
+from features.doubles import log_records
 from godwitvalve.forwarding import policy
 from godwitvalve.forwarding import streams
 
+FAILURES = {
+    'raises': LookupError('injected'),
+    'gets cancelled': asyncio.CancelledError(),
+}
+
 
 def _before_searches(context, act):
     """Let every search for a successor wait for a function first."""
@@ -43,6 +50,31 @@
     context.cleanups.append(patch.stop)
 
 
+@behave.given('the first search for a successor {failure}')
+def first_search_fails(context, failure):
+    failures = [FAILURES[failure]]
+
+    async def fail_once():
+        if failures:
+            raise failures.pop()
+
+    _before_searches(context, fail_once)
+    context.records = log_records.LogRecords()
+    logger = logging.getLogger('godwitvalve.forwarding')
+    logger.addHandler(context.records)
+    context.cleanups.append(lambda: logger.removeHandler(context.records))
+
+
 @behave.then('the stream waited at most {limit:d} times')
 def waited_at_most(context, limit):
     assert 0 < context.waits.call_count <= limit, context.waits.call_count
+
+
+@behave.then('the failed search was logged')
+def failure_logged(context):
+    logged = [
+        each.getMessage()
+        for each in context.records.records
+        if each.levelno >= logging.WARNING
+    ]
+    assert logged == ['forwarding: Search for an endpoint failed.'], logged
--- a/src/godwitvalve/forwarding/relocation.py
+++ b/src/godwitvalve/forwarding/relocation.py
@@ -36,7 +36,7 @@
         self._choose = choose
         self._task: asyncio.Task[attempts.StreamAttempt] | None = None
         self._found: attempts.StreamAttempt | None = None
-        self._is_failed = False
+        self._search_from_s = 0.0
 
     @property
     def running(self) -> set[asyncio.Task[attempts.StreamAttempt]]:
@@ -46,7 +46,8 @@
     def poll(self) -> bool:
         """Start the search if necessary; tell whether it has succeeded."""
         if self._task is None:
-            if self._found is None and not self._is_failed:
+            now_s = asyncio.get_running_loop().time()
+            if self._found is None and now_s >= self._search_from_s:
                 self._task = asyncio.create_task(self._search())
         elif self._task.done():
             self._collect()
@@ -68,19 +69,18 @@
             self._budget.return_retry(self._service)
 
     def _collect(self) -> None:
-        """Keep the result of the search, which has ended."""
+        """Keep the result of the search, which has ended.
+
+        After an error the stream stays where it is and searches again later.
+        """
         assert self._task is not None
         task, self._task = self._task, None
-        if task.cancelled():
-            # By what it waited for; the stream stays where it is.
-            self._is_failed = True
-            return
-        error = task.exception()
-        if error is None:
+        try:
             self._found = task.result()
-        else:
-            # The stream stays where it is.
-            self._is_failed = True
+        except (Exception, asyncio.CancelledError) as error:
+            # A cancellation comes from what the search waited for.
+            now_s = asyncio.get_running_loop().time()
+            self._search_from_s = now_s + policy.FULL_STREAM_PAUSE_S
             _LOG.error('Search for an endpoint failed.', exc_info=error)
 
     async def _search(self) -> attempts.StreamAttempt:
