Find the routes of a host whatever the case of its letters

Names of hosts are compared without regard to case (RFC 9110, section 4.2.3), but a request with an upper-case letter in its Host header got 404, and a route that is configured with one was never found by others.

--- a/features/doubles/ingress_site.py
+++ b/features/doubles/ingress_site.py
@@ -87,6 +87,8 @@
         body_after_s=0.0,
         body=b'body',
         body_headers='',
+        target='',
+        host=HOST,
     ):
         """Send one request and return the result of its caller.
 
@@ -95,12 +97,15 @@
         :param body: the body as it is sent, with its chunks if it has any.
         :param body_headers: lines that describe the body; its length is
             stated if there are none.
+        :param target: target of the request line; a path of the route if it
+            is empty.
         """
+        target = target or f'{self._route.prefix}x'
         described = body_headers or f'Content-Length: {len(body)}\r\n'
-        host, port = self.runner.addresses[0]
-        reader, writer = await asyncio.open_connection(host, port)
+        ip, port = self.runner.addresses[0]
+        reader, writer = await asyncio.open_connection(ip, port)
         writer.write(
-            f'POST {self._route.prefix}x HTTP/1.1\r\nHost: {HOST}\r\n'
+            f'POST {target} HTTP/1.1\r\nHost: {host}\r\n'
             f'Request-Id: req-1\r\nApi-Key: {KEY}\r\nDeadline-Ms: 9000\r\n'
             f'Prompt-Prefix: {segments}\r\n{described}\r\n'.encode()
         )
--- a/src/godwitvalve/fleet/routes.py
+++ b/src/godwitvalve/fleet/routes.py
@@ -101,13 +101,14 @@
         self.limits = limits
         self.source = source
         self._accounts = dict(accounts)
+        # HTTP compares names of hosts without regard to case.
         ordered = sorted(
-            routes, key=lambda route: (route.host, -len(route.prefix))
+            routes, key=lambda route: (route.host.lower(), -len(route.prefix))
         )
         self._routes = {
             host: tuple(group)
             for host, group in itertools.groupby(
-                ordered, key=lambda route: route.host
+                ordered, key=lambda route: route.host.lower()
             )
         }
 
@@ -116,7 +117,7 @@
         return next(
             (
                 route
-                for route in self._routes.get(host, ())
+                for route in self._routes.get(host.lower(), ())
                 if path.startswith(route.prefix)
             ),
             None,
