Name the seed of a soak run that ends with an error

A soak run that ended with an error, such as an entry that did not become ready again, printed no seed and kept no logs: only violations did, at the end of the run. The error carries the seed in a note now, which behave and scripts/run_tests.py print, and faults and logs are kept.

The new scenario fails on the code before.

--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -22,3 +22,10 @@
     # Guards against violations that the fixed seed does not reach.
     When the soak runs a fresh seed with returns of the store for 8 s
     Then no guarantee was violated
+
+  Scenario: A run that ends with an error names its seed
+    # Guards against failures that cannot be repeated: an entry that does not
+    # become ready again ended the run before the seed was printed.
+    When an entry does not become ready in a run of seed 17
+    Then the error names the seed 17
+    And the faults and logs of seed 17 are kept
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import pathlib
 import random
+import tempfile
+import traceback
+from unittest import mock
 
 import behave
 from standins.soak import run
@@ -39,3 +44,34 @@
 def run_fresh_seed_with_restores(context, seconds):
     seed = random.SystemRandom().randrange(1, 10**6)
     run_seed_with_restores(context, seed, seconds)
+
+
+@behave.when('an entry does not become ready in a run of seed {seed:d}')
+def run_without_entry(context, seed):
+    async def start(soak):
+        soak.faults.append('a fault')
+        (soak.site.folder / 'entry-0.log').write_text('a log line')
+        raise TimeoutError('timed out: entry-0 is ready')
+
+    context.folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(context.folder.cleanup)
+    with (
+        contextlib.chdir(context.folder.name),
+        mock.patch.object(run.Soak, 'start', start),
+    ):
+        try:
+            asyncio.run(run.soak(seed, 1.0))
+        except TimeoutError as error:
+            context.error = ''.join(traceback.format_exception(error))
+
+
+@behave.then('the error names the seed {seed:d}')
+def error_names_seed(context, seed):
+    assert f'\nseed {seed}\n' in context.error, context.error
+
+
+@behave.then('the faults and logs of seed {seed:d} are kept')
+def logs_are_kept(context, seed):
+    saved = pathlib.Path(context.folder.name) / 'target' / 'soak' / str(seed)
+    kept = {path.name: path.read_text() for path in saved.iterdir()}
+    assert kept == {'faults.txt': 'a fault', 'entry-0.log': 'a log line'}, kept
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -388,10 +388,14 @@
 ) -> list[str]:
     """Run one seed; return the violations.
 
+    Faults and logs are kept unless no guarantee was violated. An error names
+    the seed in a note.
+
     :param has_restores: whether the store also returns from older copies.
     """
     with tempfile.TemporaryDirectory() as folder:
         run = Soak(seed, pathlib.Path(folder), has_restores)
+        keeps_logs = True
         try:
             await run.start()
             addresses = [run.site.addresses[name] for name in run.entries]
@@ -415,11 +419,15 @@
             await asyncio.gather(*tasks, return_exceptions=True)
             await run.check_recovery(callers)
             await run.check(callers)
+            keeps_logs = bool(run.violations)
+        except Exception as error:
+            error.add_note(f'seed {seed}')
+            raise
         finally:
             for each in run.proxies.values():
                 await each.stop()
             run.site.stop()
-            if run.violations:
+            if keeps_logs:
                 _save_logs(seed, run)
     print(f'seed {seed}: {json.dumps(callers.outcomes, sort_keys=True)}')
     return run.violations
@@ -431,7 +439,7 @@
 
 
 def _save_logs(seed: int, run: Soak) -> None:
-    """Save faults and logs of a seed that had violations."""
+    """Save faults and logs of a seed that broke a guarantee or failed."""
     saved = pathlib.Path('target/soak') / str(seed)
     saved.mkdir(parents=True, exist_ok=True)
     (saved / 'faults.txt').write_text('\n'.join(run.faults))
