End the connections of a stopped proxy of the soak test

A stopped proxy left its connections open, and one that was being accepted went on.

Both examples of standins/soak_proxy.feature fail before.

--- a/standins/soak/proxy.py
+++ b/standins/soak/proxy.py
@@ -55,14 +55,24 @@
         """Stop listening and end all connections."""
         if self._server is not None:
             self._server.close()
+        # Also resets connections that are being accepted.
+        self.mode = Mode.RESET
+        writers = list(self._writers)
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        for writer in writers:
+            _reset(writer)
+        # The transports close in the next round of the event loop.
+        await asyncio.sleep(0)
+
+    def _is_resetting(self) -> bool:
+        return self.mode is Mode.RESET
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self.mode is Mode.RESET:
+        if self._is_resetting():
             _reset(writer)
             return
         try:
@@ -70,6 +80,10 @@
         except OSError:
             _reset(writer)
             return
+        if self._is_resetting():
+            _reset(writer)
+            _reset(upstream[1])
+            return
         self._writers |= {writer, upstream[1]}
         for source, sink, is_answer in (
             (reader, upstream[1], False),
