Fail a soak run whose callers or checks ended with an error

The errors of callers and of the watch for configurations were dropped when they were cancelled, so a run could pass without its check.

The new scenario fails with the errors dropped, as they were before.

--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -29,3 +29,8 @@
     When an entry does not become ready in a run of seed 17
     Then the error names the seed 17
     And the faults and logs of seed 17 are kept
+
+  Scenario: A check that ends with an error fails the run
+    # Guards against a run without violations whose check did not run.
+    When one of two tasks of a run ends with an error before the others
+    Then its error is raised and the other task is cancelled
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -75,3 +75,28 @@
     saved = pathlib.Path(context.folder.name) / 'target' / 'soak' / str(seed)
     kept = {path.name: path.read_text() for path in saved.iterdir()}
     assert kept == {'faults.txt': 'a fault', 'entry-0.log': 'a log line'}, kept
+
+
+@behave.when('one of two tasks of a run ends with an error before the others')
+def task_ends(context):
+    async def fail():
+        raise KeyError('entry-0')
+
+    async def end_all():
+        tasks = [
+            asyncio.create_task(fail()),
+            asyncio.create_task(asyncio.Event().wait()),
+        ]
+        await asyncio.sleep(0)
+        try:
+            await run.end_tasks(tasks)
+        except KeyError:
+            return tasks
+        return []
+
+    context.tasks = asyncio.run(end_all())
+
+
+@behave.then('its error is raised and the other task is cancelled')
+def error_is_raised(context):
+    assert [task.cancelled() for task in context.tasks] == [False, True]
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -383,6 +383,19 @@
         await asyncio.sleep(WRITE_RETRY_PAUSE_S)
 
 
+async def end_tasks(tasks: abc.Collection[asyncio.Task[None]]) -> None:
+    """Cancel the tasks of callers and checks.
+
+    :raises Exception: the error of one that ended before, which would leave
+        a guarantee unchecked.
+    """
+    for task in tasks:
+        task.cancel()
+    for result in await asyncio.gather(*tasks, return_exceptions=True):
+        if isinstance(result, Exception):
+            raise result
+
+
 async def soak(
     seed: int, seconds: float, has_restores: bool = False
 ) -> list[str]:
@@ -414,9 +427,7 @@
                     RECOVERY_LIMIT_S,
                 )
             await asyncio.sleep(1.0)
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await end_tasks(tasks)
             await run.check_recovery(callers)
             await run.check(callers)
             keeps_logs = bool(run.violations)
