--- a/features/steps/gossip_odd_messages_steps.py
+++ b/features/steps/gossip_odd_messages_steps.py
@@ -223,7 +223,7 @@
     used = []
 
     class Configuration:
-        def apply_content(self, content, era, row_version, peer):
+        def apply_content(self, content, era, peer):
             used.append(content)
 
     sync = membership.PeerSync.__new__(membership.PeerSync)
--- a/src/godwitvalve/fleet/consumers.py
+++ b/src/godwitvalve/fleet/consumers.py
@@ -38,7 +38,6 @@
 class _Deferred(NamedTuple):
     configuration: routes.Configuration
     era: int
-    row: stores.StoreRevision
     due_s: float
 
 
@@ -58,36 +57,22 @@
         self._deferred: _Deferred | None = None
 
     def apply_changes(
-        self,
-        rows: list[stores.StoredRow],
-        era: int,
-        now_s: float,
-        read_era: int = 0,
+        self, rows: list[stores.StoredRow], era: int, now_s: float
     ) -> None:
         """Install the newest configuration among changed rows.
 
         :param era: era of the store in which they were written at least.
         :param now_s: monotonic seconds.
-        :param read_era: era in which they were read, or 0.
         """
         for row in rows:
             if row.key == wire_configuration.KEY and row.value is not None:
                 with _FAILURES.isolate('apply a configuration'):
-                    revision = stores.StoreRevision(read_era, row.version)
-                    self._apply_row(row.value, era, revision, now_s)
+                    self._apply_row(row.value, era, now_s)
 
-    def _apply_row(
-        self,
-        content: bytes,
-        era: int,
-        row: stores.StoreRevision,
-        now_s: float,
-    ) -> None:
+    def _apply_row(self, content: bytes, era: int, now_s: float) -> None:
         configuration = _decode_configuration(content, 'store')
         if configuration is None:
             return
-        if self._is_later_row(row):
-            era = max(era, row.era)
         if self._is_other_content(configuration):
             # Two contents of one version were written in different eras.
             era = max(era, self._state.configuration_era + 1)
@@ -95,19 +80,10 @@
         is_lower = configuration.version < self._state.version
         if is_lower and self._state.supersedes(configuration, era):
             self._deferred = _Deferred(
-                configuration, era, row, now_s + LOWER_VERSION_DELAY_S
+                configuration, era, now_s + LOWER_VERSION_DELAY_S
             )
             return
-        self._install(configuration, era, row, 'store')
-
-    def _is_later_row(self, row: stores.StoreRevision) -> bool:
-        """Tell whether a row follows that of the installed configuration.
-
-        Of two rows that the store had in one era, the later one was written
-        in that era.
-        """
-        installed = self._state.configuration_row
-        return row.era == installed.era and row.version > installed.version > 0
+        self._install(configuration, era, 'store')
 
     def _is_other_content(self, configuration: routes.Configuration) -> bool:
         """Tell whether the installed version has another content."""
@@ -129,39 +105,27 @@
         """
         if self._deferred is None or now_s < self._deferred.due_s:
             return
-        configuration, era, row, _ = self._deferred
+        configuration, era, _ = self._deferred
         self._deferred = None
-        self._install(configuration, era, row, 'store')
+        self._install(configuration, era, 'store')
 
-    def apply_content(
-        self, content: bytes, era: int, row_version: int, source: str
-    ) -> bool:
+    def apply_content(self, content: bytes, era: int, source: str) -> bool:
         """Decode and install a configuration of another entry.
 
         :param era: era of the store in which it was written at least.
-        :param row_version: version of its row in that era, or 0.
         :param source: the entry, for the log.
         :returns: whether it was installed.
         """
         configuration = _decode_configuration(content, source)
         if configuration is None:
             return False
-        row = (
-            stores.StoreRevision(era, row_version)
-            if row_version
-            else states.UNKNOWN_ROW
-        )
-        return self._install(configuration, era, row, source)
+        return self._install(configuration, era, source)
 
     def _install(
-        self,
-        configuration: routes.Configuration,
-        era: int,
-        row: stores.StoreRevision,
-        source: str,
+        self, configuration: routes.Configuration, era: int, source: str
     ) -> bool:
         installed_version = self._state.version
-        is_installed = self._state.install(configuration, era, row)
+        is_installed = self._state.install(configuration, era)
         _LOG.info(
             'Installed a configuration.'
             if is_installed
@@ -318,10 +282,7 @@
     def _apply(
         self, rows: list[stores.StoredRow], era: int, may_be_copied: bool
     ) -> None:
-        read_era = self._first.era if self._first else 0
-        self._configuration.apply_changes(
-            rows, era, time.monotonic(), read_era
-        )
+        self._configuration.apply_changes(rows, era, time.monotonic())
         self._order.apply_changes(rows, era, may_be_copied)
 
     def mark_store_restored(self) -> None:
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -69,8 +69,6 @@
     :param configuration_era: era of the store in which its configuration was
         written at least.
     :param store_era: newest era of the store that it knows.
-    :param configuration_row_version: version of the row of its configuration
-        in ``configuration_era``, or 0.
     """
 
     instance_id: bounds.Name
@@ -97,7 +95,6 @@
     limits: list[limit_reports.LimitReport] = []
     configuration_era: bounds.Era = 0
     store_era: bounds.Era = 0
-    configuration_row_version: bounds.Count = 0
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/godwitvalve/ingress/control.py
+++ b/src/godwitvalve/ingress/control.py
@@ -24,7 +24,6 @@
     listed: list[endpoints.FleetEndpoint]
     configuration_era: bounds.Era = 0
     is_compressed: bool = False
-    configuration_row_version: bounds.Count = 0
 
 
 class ControlHandler:
@@ -64,7 +63,6 @@
             list(self._state.registry.all()),
             self._state.configuration_era,
             is_compressed,
-            self._state.configuration_row_version,
         )
         return web.Response(body=msgspec.msgpack.encode(shared))
 
--- a/src/godwitvalve/ingress/membership.py
+++ b/src/godwitvalve/ingress/membership.py
@@ -184,26 +184,6 @@
     )
 
 
-def choose_newer(
-    alive: abc.Sequence[member_model.Record],
-    state: states.FleetState,
-    rng: random.Random,
-) -> member_model.Record | None:
-    """Return an entry whose configuration is newer than the installed one.
-
-    The rows of both are compared first: what this entry read in the first
-    table of an era may be newer than its own era tells.
-    """
-    for each in alive:
-        state.confirm_row(
-            stores.StoreRevision(
-                each.configuration_era, each.configuration_row_version
-            )
-        )
-    own_revision = (state.configuration_era, state.version)
-    return choose_peer(alive, own_revision, rng)
-
-
 class PeerSync:
     """Reads a newer configuration from another entry.
 
@@ -234,8 +214,10 @@
                 await self._sync_once(session)
 
     async def _sync_once(self, session: aiohttp.ClientSession) -> None:
-        record = choose_newer(
-            self._members.alive(time.monotonic()), self._state, self._rng
+        record = choose_peer(
+            self._members.alive(time.monotonic()),
+            (self._state.configuration_era, self._state.version),
+            self._rng,
         )
         if record is None:
             return
@@ -276,8 +258,5 @@
             return
         self._state.registry.load_listed(shared.listed)
         self._configuration.apply_content(
-            configuration,
-            shared.configuration_era,
-            shared.configuration_row_version,
-            peer,
+            configuration, shared.configuration_era, peer
         )
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -275,7 +275,6 @@
             self._context.limiter.table.reports(time.monotonic()),
             self._state.configuration_era,
             self._era.current,
-            self._state.configuration_row_version,
         )
 
     def _merge_record(self, record: member_model.Record, age_s: float) -> None:
