--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -224,10 +224,8 @@
     ) -> None:
         """Replace the endpoints with all rows as of a store version."""
         self._is_loaded = True
-        # Rows of a copy do not tell that an endpoint registered again.
-        apply = self._put if now_s < self._stale_until_s else self.update
         for endpoint, row_version in rows.values():
-            apply(endpoint, row_version)
+            self._put(endpoint, row_version)
         for endpoint_id in [
             each for each in self._endpoints if each not in rows
         ]:
