--- a/features/fleet/restored_store.feature
+++ b/features/fleet/restored_store.feature
@@ -102,6 +102,28 @@
     Then "a, b, c" are usable at 23.0 s
     And "a" are usable at 23.4 s
 
+  Scenario: An endpoint that came back before a restore is used after it
+    # Guards against a service without endpoints: a row that came back in a
+    # whole table still counted as that of an endpoint that had left, and
+    # entries reported this to each other without end.
+    Given a registry with the endpoints "a, b"
+    And the row of "a" expires and comes back in a whole table
+    When the store is restored at 21.0 s and lists "a, b"
+    Then "a, b" are usable at 21.1 s
+    And no endpoint is reported as leaving
+
+  Scenario: An endpoint whose row expired after the copy is used soon
+    # Guards against an endpoint that is not used until its row changes: the
+    # row that it writes again is the same as that of the copy.
+    Given a registry with the endpoints "a, b"
+    And the row of "a" expires
+    When the store is restored at 21.0 s and lists "a, b"
+    Then "b" are usable at 25.9 s
+    And no endpoint is reported as leaving
+    And "a, b" are usable at 26.1 s
+    When the store is restored at 40.0 s and lists "a, b"
+    Then "a, b" are usable at 40.1 s
+
   Scenario: Rows with lower versions apply after a restore
     # Guards against comparing row versions of two histories.
     Given a registry with the endpoints "a, b"
@@ -199,6 +221,35 @@
     And configuration 5 is written, 0.5 s later 6 and 0.5 s later 7
     Then configuration 7 was installed all the time
 
+  Scenario: Lost configurations do not apply however late they are written
+    # Guards against an entry that goes back because operators take seconds
+    # between two lost configurations.
+    Given an entry with configuration 5 of era 1
+    And configuration 6 is read at row version 30
+    And configuration 7 is read at row version 40
+    When the first table of era 2 holds configuration 5
+    And configuration 5 is written, 3 s later 6 and 3 s later 7
+    Then configuration 7 was installed all the time
+
+  Scenario: Lower versions that follow one another apply
+    # Guards against a delay that begins again with each of them.
+    Given an entry with configuration 100 of era 1
+    When the first table of era 2 holds configuration 10
+    And configuration 11 is written, 0.8 s later 12 and 0.8 s later 13
+    Then configuration 12 and then 13 were installed
+
+  Scenario: The copy of a second return is not installed
+    # Guards against going back to a configuration that a lower version has
+    # replaced after the first return.
+    Given an entry with configuration 10 of era 1
+    And configuration 12 is read at row version 50
+    When the first table of era 2 holds configuration 10
+    And configuration 5 is written with other content
+    And 2 s pass
+    And the first table of era 3 holds configuration 10 of row version 10
+    And 2 s pass
+    Then configuration 5 is installed after 0 s
+
   Scenario: An entry prefers the configuration of the later era
     # Guards against entries that give each other the configuration that a
     # lower one replaced.
--- a/src/godwitvalve/platform/configuration.py
+++ b/src/godwitvalve/platform/configuration.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from godwitvalve.decoding import bounds
@@ -59,10 +61,14 @@
 
 class _Limits(msgspec.Struct):
     max_body_bytes: bounds.Integer = 4194304
+    idle_timeout_ms: bounds.Number = 0.0
 
 
 class _Tenant(msgspec.Struct):
-    name: str
+    # Endpoints get the name in a header, which cannot hold control characters.
+    name: Annotated[
+        str, msgspec.Meta(pattern=r'^[^\x00-\x08\x0a-\x1f\x7f]*\Z')
+    ]
     api_keys: list[str] = []
     priority: bounds.Integer | None = None
 
@@ -128,6 +134,8 @@
             for tenant in raw.tenants
             for key in tenant.api_keys
         },
-        routes.CallerLimits(raw.limits.max_body_bytes),
+        routes.CallerLimits(
+            raw.limits.max_body_bytes, raw.limits.idle_timeout_ms / 1000
+        ),
         content,
     )
