--- a/features/fleet/registry.feature
+++ b/features/fleet/registry.feature
@@ -153,3 +153,13 @@
     When the row of "a" is marked as leaving
     And an older row of "a" arrives
     Then "b" are usable at 1.0 s
+
+  Scenario: An endpoint that a copy lists twice is not used
+    # Guards against taking the second read of a copy for a new row.
+    Given a registry with the endpoints "a, b, c"
+    When the row of "b" is removed at 20.0 s
+    And the store is restored at 21.0 s and lists "a, b, c"
+    And the whole table is read at 22.0 s and lists "a, b, c"
+    Then "a, c" are usable at 22.5 s
+    When the store is restored at 23.0 s and lists "a, b, c"
+    Then "a, c" are usable at 23.5 s
--- a/features/steps/fleet_registry_steps.py
+++ b/features/steps/fleet_registry_steps.py
@@ -191,6 +191,17 @@
     )
 
 
+@behave.when('the whole table is read at {now_s:g} s and lists "{names}"')
+def table_read(context, now_s, names):
+    context.row_version += 1
+    version = context.row_version
+    context.registry.apply_snapshot(
+        {each: (endpoint(each), version) for each in names.split(', ')},
+        version,
+        now_s,
+    )
+
+
 @behave.when('the store is restored at {now_s:g} s and lists "{names}"')
 def store_restored(context, now_s, names):
     _restore(context, now_s, [endpoint(each) for each in names.split(', ')])
