Split the decision on a configuration from its installation

No change of behaviour; the scenarios of fleet/restored_store, fleet/configuration_histories, gossip/members and ingress/lagging_entries pass.

--- a/src/godwitvalve/fleet/consumers.py
+++ b/src/godwitvalve/fleet/consumers.py
@@ -102,44 +102,65 @@
             return
         deferred, self._deferred = self._deferred, None
         previous, self._stored = self._stored, _digest(content)
-        state = self._state
-        if state.has_content(configuration):
-            state.confirm(eras)
-            return
-        installed = state.configuration
-        is_lower = configuration.version < state.version
-        if self._stored in self._replaced and (may_be_copied or is_lower):
-            self._log_kept(configuration, eras, 'store')
-            return
-        # The store has replaced what is in force.
-        is_successor = (
-            not may_be_copied
-            and installed is not None
-            and previous == _digest(installed.source)
-        )
-        revision = revisions.ConfigurationRevision(configuration.version, eras)
-        is_same_version = configuration.version == state.version
-        is_newer = revision.supersedes(state.revision) or (
-            not may_be_copied and (is_successor or is_same_version)
-        )
-        if not is_newer:
+        if self._state.has_content(configuration):
+            self._state.confirm(eras)
+        elif not self._is_newer(configuration, eras, may_be_copied, previous):
             self._log_kept(configuration, eras, 'store')
-        elif is_lower:
-            latest_s = (
-                now_s + MAX_LOWER_VERSION_DELAY_S
-                if deferred is None
-                else deferred.latest_s
-            )
-            self._deferred = _Deferred(
-                configuration,
-                eras,
-                installed,
-                min(now_s + LOWER_VERSION_DELAY_S, latest_s),
-                latest_s,
-            )
+        elif configuration.version < self._state.version:
+            self._defer(configuration, eras, deferred, now_s)
         else:
             self._install(configuration, eras, 'store')
 
+    def _is_newer(
+        self,
+        configuration: routes.Configuration,
+        eras: revisions.EraSpan,
+        may_be_copied: bool,
+        previous: bytes | None,
+    ) -> bool:
+        """Tell whether the store holds a newer one than the installed one.
+
+        :param previous: digest of the row that the store held before.
+        """
+        installed = self._state.configuration
+        is_lower = configuration.version < self._state.version
+        if self._stored in self._replaced and (may_be_copied or is_lower):
+            return False
+        revision = revisions.ConfigurationRevision(configuration.version, eras)
+        if revision.supersedes(self._state.revision):
+            return True
+        if may_be_copied or installed is None:
+            return False
+        # The store has replaced what is in force, or its content.
+        return (
+            previous == _digest(installed.source)
+            or configuration.version == installed.version
+        )
+
+    def _defer(
+        self,
+        configuration: routes.Configuration,
+        eras: revisions.EraSpan,
+        deferred: _Deferred | None,
+        now_s: float,
+    ) -> None:
+        """Install a lower version later, if no other one follows it.
+
+        :param deferred: the one that it follows.
+        """
+        latest_s = (
+            now_s + MAX_LOWER_VERSION_DELAY_S
+            if deferred is None
+            else deferred.latest_s
+        )
+        self._deferred = _Deferred(
+            configuration,
+            eras,
+            self._state.configuration,
+            min(now_s + LOWER_VERSION_DELAY_S, latest_s),
+            latest_s,
+        )
+
     def install_deferred(self, now_s: float) -> None:
         """Install a lower version that no other one followed.
 
