Accept request targets in absolute form

Every server must accept a target with scheme and host, and its host takes the place of the Host header (RFC 9112, section 3.2.2); such requests got 404, as the whole target was taken for a path.

--- a/features/steps/ingress_targets_steps.py
+++ b/features/steps/ingress_targets_steps.py
@@ -37,3 +37,15 @@
 @behave.then('the caller of the target gets status {status:d}')
 def target_status(context, status):
     assert context.result.status == status, context.result
+
+
+@behave.then('the endpoint got the path "{path}" and the host "{host}"')
+def got_path(context, path, host):
+    (head,) = context.endpoint.heads
+    assert head.startswith(f'post {path} http/1.1\r\n'), head
+    hosts = [
+        line.partition(':')[2].strip()
+        for line in head.splitlines()
+        if line.startswith('host:')
+    ]
+    assert hosts == [host], head
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -21,6 +21,7 @@
 from godwitvalve.forwarding import sockets
 from godwitvalve.forwarding import streams
 from godwitvalve.ingress import refusals
+from godwitvalve.ingress import targets
 from godwitvalve.lifecycle import drain
 from godwitvalve.lifecycle import lifecycle as lifecycles
 from godwitvalve.logs import setup as logs
@@ -238,7 +239,12 @@
         pending: in_flight.RequestInFlight,
     ) -> calls.RoutedRequest | web.StreamResponse:
         """Read a request and choose its service, or refuse it."""
-        admitted = self._admit(request, facts, arrived_s)
+        target = targets.read(
+            request.raw_path,
+            request.headers.get('Host', ''),
+            request.raw_headers,
+        )
+        admitted = self._admit(target, facts, arrived_s)
         if isinstance(admitted, web.StreamResponse):
             return admitted
         configuration = self._context.state.configuration
@@ -263,12 +269,12 @@
                 NOT_READY_RETRY_AFTER_S,
             )
         return _route_request(
-            request, facts, body, admitted, service, arrived_s
+            request.method, target, facts, body, admitted, service, arrived_s
         )
 
     def _admit(
         self,
-        request: web.BaseRequest,
+        target: targets.Target,
         facts: wire.CallerFacts,
         arrived_s: float,
     ) -> Admitted | web.StreamResponse:
@@ -280,9 +286,8 @@
                 503,
                 NOT_READY_RETRY_AFTER_S,
             )
-        path = request.raw_path.partition('?')[0]
-        host = request.headers.get('Host', '').partition(':')[0]
-        route = configuration.route(host, path)
+        path = target.path.partition('?')[0]
+        route = configuration.route(target.host, path)
         if route is None:
             return self._refuse(facts, codes.ResultCode.UNKNOWN_ROUTE, 404)
         if not self.accepts(route, facts, arrived_s):
@@ -582,7 +587,8 @@
 
 
 def _route_request(
-    request: web.BaseRequest,
+    method: str,
+    target: targets.Target,
     facts: wire.CallerFacts,
     body: bytes,
     admitted: Admitted,
@@ -595,9 +601,9 @@
         priority = account.priority
     return calls.RoutedRequest(
         exchanges.CallerRequest(
-            request.method,
-            request.raw_path,
-            request.raw_headers,
+            method,
+            target.path,
+            target.headers,
             body,
             facts,
         ),
