Count the time of a stop from its signal

The deadlines of a planned stop were counted from when the event loop got to SIGTERM, and the process is killed at a fixed time after the signal itself. On a core shared with nine busy processes the drain began 0.15 s to 0.18 s after the signal, of 0.4 s that are reserved for its end. With a loop that is held up for 0.6 s at the signal, four calls without an answer ended with the process (RemoteDisconnected) in place of a 504.

A handler that runs in the middle of other work notes the time now. The log line "Drain started." states them as late_ms.

--- a/features/ingress/grace.feature
+++ b/features/ingress/grace.feature
@@ -104,3 +104,13 @@
     And the requests at 0 s got their complete answers
     And no endpoint ran a refused request
     And the process ended with code 0 before it was killed
+
+  Scenario: A stop signal that is handled late does not move the end
+    # Guards against a stop that ends after the kill, as its time is counted
+    # from when the event loop gets to the signal.
+    Given an entry that is held up and killed 3 s after its stop signal
+    And calls that take 8000 ms of 10000 ms and streams of 8000 ms
+    When requests of all kinds arrive 0.5 s before a stop signal that is handled late
+    Then the calls failed with status 504 on closing connections
+    And the streams were cut after all calls had failed
+    And the process ended with code 0 before it was killed
--- a/features/steps/ingress_grace_steps.py
+++ b/features/steps/ingress_grace_steps.py
@@ -35,6 +35,8 @@
 # Version of the store that no row reaches.
 LATE_VERSION = 10**6
 ROW_PERIOD_S = 0.2
+# From when the event loop is held up to the stop signal.
+HELD_UP_BEFORE_S = 0.1
 # Pause of a peer between its questions.
 ASK_PAUSE_S = 0.01
 
@@ -141,9 +143,20 @@
 
 @behave.given('an entry that is killed {limit_s:g} s after its stop signal')
 def entry_with_limit(context, limit_s):
+    _prepare(context, limit_s, fleet_site.ENTRY)
+
+
+@behave.given(
+    'an entry that is held up and killed {limit_s:g} s after its stop signal'
+)
+def held_up_entry(context, limit_s):
+    _prepare(context, limit_s, 'features.doubles.held_up_entry')
+
+
+def _prepare(context, limit_s, entry):
     folder = tempfile.TemporaryDirectory()
     context.cleanups.append(folder.cleanup)
-    context.fleet = fleet_site.FleetSite(pathlib.Path(folder.name))
+    context.fleet = fleet_site.FleetSite(pathlib.Path(folder.name), (entry,))
     context.cleanups.append(context.fleet.stop)
     context.stop_limit_s = limit_s
 
@@ -444,6 +457,19 @@
     _play(context, callers)
 
 
+@behave.when(
+    'requests of all kinds arrive {lead_s:g} s before a stop signal that is '
+    'handled late'
+)
+def before_late_stop(context, lead_s):
+    def hold_up():
+        time.sleep(START_S + lead_s - HELD_UP_BEFORE_S)
+        context.fleet.signal('entry-0', signal.SIGUSR1)
+
+    threading.Thread(target=hold_up, daemon=True).start()
+    before_stop(context, lead_s)
+
+
 @behave.when('{count:d} calls arrive {lead_s:g} s before the stop signal')
 def calls_before_stop(context, count, lead_s):
     callers = [
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import time
+import types
 
 from aiohttp import web
 
@@ -187,6 +188,8 @@
             },
         )
         self._stop_requested = asyncio.Event()
+        # When the first stop signal came, in monotonic seconds.
+        self._signalled_s: float | None = None
         self._failures = supervision.FailureLog(_LOG)
 
     def _remote_placements(self) -> choose.RemotePlacements:
@@ -319,6 +322,9 @@
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._stop_requested.set)
+            # The event loop gets to a signal late if it is held up, and the
+            # process is killed at a fixed time after the signal.
+            signal.signal(signal_number, self._note_stop_signal)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         _LOG.info('Started.', extra={'settings': self._settings.instance_id})
         await membership.open_sockets(
@@ -564,6 +570,13 @@
             if each.review(listed, drain_s, time.monotonic()):
                 self._gossip.schedule_update()
 
+    def _note_stop_signal(
+        self, signal_number: int, frame: types.FrameType | None
+    ) -> None:
+        """Note when a stop was requested, in the middle of other work."""
+        if self._signalled_s is None:
+            self._signalled_s = time.monotonic()
+
     def _reload(self) -> None:
         """Validate the settings again and log what changed.
 
@@ -597,13 +610,18 @@
         Requests that still run shortly before the stop limit are interrupted
         and get their answer, unless it has begun.
         """
-        stop = drain.schedule(time.monotonic(), self._settings.stop_limit_s)
+        now_s = time.monotonic()
+        late_s = now_s - (self._signalled_s or now_s)
+        stop = drain.schedule(now_s, self._settings.stop_limit_s - late_s)
         self._handler.begin_drain(stop)
         with self._failures.isolate('announce the stop'):
             self._gossip.send_heartbeat()
         _LOG.info(
             'Drain started.',
-            extra={'in_flight': self._lifecycle.requests_in_flight},
+            extra={
+                'in_flight': self._lifecycle.requests_in_flight,
+                'late_ms': round(late_s * 1000),
+            },
         )
         while not self._lifecycle.stop(time.monotonic()):
             self._handler.interrupt_due(time.monotonic())
--- a/standins/fleet/site.py
+++ b/standins/fleet/site.py
@@ -15,6 +15,8 @@
 
 from standins import local_site
 
+# Module that runs an entry.
+ENTRY = 'godwitvalve.ingress.main'
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = 'fleet.example'
 KEY = 'key-of-acme'
@@ -92,7 +94,7 @@
     def __init__(
         self,
         folder: pathlib.Path,
-        entry_command: tuple[str, ...] = ('godwitvalve.ingress.main',),
+        entry_command: tuple[str, ...] = (ENTRY,),
     ) -> None:
         self.folder = folder
         self._entry_command = entry_command
