--- a/features/ingress/exit.feature
+++ b/features/ingress/exit.feature
@@ -26,3 +26,11 @@
       | SIGHUP  |
       | SIGINT  |
       | SIGTERM |
+
+  Scenario: An entry that was never ready ends at once
+    # Guards against a stop that waits for callers which were never given the
+    # address of the entry.
+    Given an entry without a configuration
+    When the entry is asked to stop and ends
+    Then its exit code was 0
+    And it ended within 1 s of the signal
