--- a/features/fleet/restored_store.feature
+++ b/features/fleet/restored_store.feature
@@ -102,6 +102,28 @@
     Then "a, b, c" are usable at 23.0 s
     And "a" are usable at 23.4 s
 
+  Scenario: An endpoint that came back before a restore is used after it
+    # Guards against a service without endpoints: a row that came back in a
+    # whole table still counted as that of an endpoint that had left, and
+    # entries reported this to each other without end.
+    Given a registry with the endpoints "a, b"
+    And the row of "a" expires and comes back in a whole table
+    When the store is restored at 21.0 s and lists "a, b"
+    Then "a, b" are usable at 21.1 s
+    And no endpoint is reported as leaving
+
+  Scenario: An endpoint whose row expired after the copy is used soon
+    # Guards against an endpoint that is not used until its row changes: the
+    # row that it writes again is the same as that of the copy.
+    Given a registry with the endpoints "a, b"
+    And the row of "a" expires
+    When the store is restored at 21.0 s and lists "a, b"
+    Then "b" are usable at 25.9 s
+    And no endpoint is reported as leaving
+    And "a, b" are usable at 26.1 s
+    When the store is restored at 40.0 s and lists "a, b"
+    Then "a, b" are usable at 40.1 s
+
   Scenario: Rows with lower versions apply after a restore
     # Guards against comparing row versions of two histories.
     Given a registry with the endpoints "a, b"
@@ -122,6 +144,33 @@
     And configuration 7 is written
     Then configuration 7 is installed and nothing changed
 
+  Scenario Outline: A call that waited shows that nothing changed before
+    # Guards against versions that are taken as unchanged although several
+    # changes may have been pending when the call began.
+    Given a follower that read "x=1" at version 50 of era 1
+    When "x=2" is written <wait> s later at version 90, and the store takes <delay> s
+    Then the follower knows "x=2" and <known> before version 90
+
+    Examples:
+      | wait | delay | known                |
+      | 0.7  | 0     | that nothing changed |
+      | 0.1  | 0     | no more              |
+      | 0.1  | 0.24  | no more              |
+
+  Scenario Outline: A lower version written before the first read of an era
+    # Guards against a change that is taken for that of the copy, and against
+    # going back to a configuration of the copy that was never read.
+    Given an entry with configuration 5 of era 1
+    And nothing changed in the table up to version 30
+    And configuration 7 is read at row version 50
+    When the first table of era 2 holds configuration 6 of row version <row>
+    Then configuration <expected> is installed after 1 s
+
+    Examples:
+      | row | expected |
+      | 20  | 6        |
+      | 40  | 7        |
+
   Scenario Outline: The next configuration after a restore is installed
     # Guards against refusing a configuration for good because its version is
     # lower than one that was lost, or the same.
@@ -172,6 +221,35 @@
     And configuration 5 is written, 0.5 s later 6 and 0.5 s later 7
     Then configuration 7 was installed all the time
 
+  Scenario: Lost configurations do not apply however late they are written
+    # Guards against an entry that goes back because operators take seconds
+    # between two lost configurations.
+    Given an entry with configuration 5 of era 1
+    And configuration 6 is read at row version 30
+    And configuration 7 is read at row version 40
+    When the first table of era 2 holds configuration 5
+    And configuration 5 is written, 3 s later 6 and 3 s later 7
+    Then configuration 7 was installed all the time
+
+  Scenario: Lower versions that follow one another apply
+    # Guards against a delay that begins again with each of them.
+    Given an entry with configuration 100 of era 1
+    When the first table of era 2 holds configuration 10
+    And configuration 11 is written, 0.8 s later 12 and 0.8 s later 13
+    Then configuration 12 and then 13 were installed
+
+  Scenario: The copy of a second return is not installed
+    # Guards against going back to a configuration that a lower version has
+    # replaced after the first return.
+    Given an entry with configuration 10 of era 1
+    And configuration 12 is read at row version 50
+    When the first table of era 2 holds configuration 10
+    And configuration 5 is written with other content
+    And 2 s pass
+    And the first table of era 3 holds configuration 10 of row version 10
+    And 2 s pass
+    Then configuration 5 is installed after 0 s
+
   Scenario: An entry prefers the configuration of the later era
     # Guards against entries that give each other the configuration that a
     # lower one replaced.
@@ -196,6 +274,19 @@
       | running     | written again as row version 40  |
       | completed   | written before the first read    |
 
+  Scenario: The same move is ordered again long after a restore
+    # Guards against an order that is never carried out, because it is taken
+    # for one that was lost and is written again.
+    Given a rolled back roll-out whose order has row version 30 of era 1
+    When the store is restored to era 2 and the same move is ordered 40 s later
+    Then the roll-out has begun anew
+
+  Scenario: Entries store the state of a roll-out one after the other
+    # Guards against calls of all entries at the same moment after a return.
+    Given a running roll-out whose order has row version 30 of era 1
+    When an entry with five others before it sees a return of the store
+    Then it is due to store the state 4 s later but not at once
+
   Scenario: The order before is not carried out again by an older copy
     # Guards against moving back to an earlier version.
     Given a completed roll-out whose order has row version 30 of era 1
--- a/src/godwitvalve/fleet/consumers.py
+++ b/src/godwitvalve/fleet/consumers.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 from collections import abc
+import hashlib
 import time
 from typing import NamedTuple
 
 from godwitvalve.fleet import endpoints
+from godwitvalve.fleet import revisions
 from godwitvalve.fleet import routes
+from godwitvalve.fleet import row_history
 from godwitvalve.fleet import state as states
 from godwitvalve.lifecycle import supervision
 from godwitvalve.logs import repeats
@@ -27,15 +30,26 @@
 # Operators may write several lost configurations again, one after the other.
 # A lower version is installed only if none follows it for this long.
 LOWER_VERSION_DELAY_S = 1.0
+# Bounds the delay while lower versions follow one another.
+MAX_LOWER_VERSION_DELAY_S = 1.5
+# Copies of the store are some seconds old.
+MAX_COPY_AGE_S = 60.0
+# Configurations that were in force and are remembered, as operators may write
+# lost ones again.
+MAX_REPLACED = 64
 
 OnChange = abc.Callable[[], None]
 OnRemoved = abc.Callable[[str], None]
 
 
 class _Deferred(NamedTuple):
+    """A configuration with a lower version than the one it replaces."""
+
     configuration: routes.Configuration
-    era: int
+    eras: revisions.EraSpan
+    replaced: routes.Configuration | None
     due_s: float
+    latest_s: float
 
 
 class ConfigurationConsumer:
@@ -43,7 +57,8 @@
 
     Load pattern: the store comes back from an older copy. Its configuration
     is older than the installed one, until operators write the newest one
-    again or the next one, whose version may be lower or the same.
+    again or the next one, whose version may be lower or the same. They may
+    write all lost ones again in their order.
 
     :param on_change: called after each installation.
     """
@@ -52,48 +67,99 @@
         self._state = state
         self._on_change = on_change
         self._deferred: _Deferred | None = None
+        # Digests of configurations that were in force here, oldest first.
+        self._replaced: dict[bytes, None] = {}
+        # Digest of the row that was read from the store last.
+        self._stored: bytes | None = None
 
     def apply_changes(
-        self, rows: list[stores.StoredRow], era: int, now_s: float
+        self,
+        rows: list[stores.StoredRow],
+        eras: revisions.EraSpan,
+        may_be_copied: bool,
+        now_s: float,
     ) -> None:
         """Install the newest configuration among changed rows.
 
-        :param era: era of the store in which they were written at least.
+        :param eras: eras of the store in which they may have been written.
+        :param may_be_copied: whether they may be rows of an older copy.
         :param now_s: monotonic seconds.
         """
         for row in rows:
             if row.key == wire_configuration.KEY and row.value is not None:
                 with _FAILURES.isolate('apply a configuration'):
-                    self._apply_row(row.value, era, now_s)
+                    self._apply_row(row.value, eras, may_be_copied, now_s)
 
-    def _apply_row(self, content: bytes, era: int, now_s: float) -> None:
+    def _apply_row(
+        self,
+        content: bytes,
+        eras: revisions.EraSpan,
+        may_be_copied: bool,
+        now_s: float,
+    ) -> None:
         configuration = _decode_configuration(content, 'store')
         if configuration is None:
             return
-        if self._is_other_content(configuration):
-            # Two contents of one version were written in different eras.
-            era = max(era, self._state.configuration_era + 1)
-        self._deferred = None
-        is_lower = configuration.version < self._state.version
-        if is_lower and self._state.supersedes(configuration, era):
-            self._deferred = _Deferred(
-                configuration, era, now_s + LOWER_VERSION_DELAY_S
-            )
-            return
-        self._install(configuration, era, 'store')
+        deferred, self._deferred = self._deferred, None
+        previous, self._stored = self._stored, _digest(content)
+        if self._state.has_content(configuration):
+            self._state.confirm(eras)
+        elif not self._is_newer(configuration, eras, may_be_copied, previous):
+            self._log_kept(configuration, eras, 'store')
+        elif configuration.version < self._state.version:
+            self._defer(configuration, eras, deferred, now_s)
+        else:
+            self._install(configuration, eras, 'store')
+
+    def _is_newer(
+        self,
+        configuration: routes.Configuration,
+        eras: revisions.EraSpan,
+        may_be_copied: bool,
+        previous: bytes | None,
+    ) -> bool:
+        """Tell whether the store holds a newer one than the installed one.
 
-    def _is_other_content(self, configuration: routes.Configuration) -> bool:
-        """Tell whether the installed version has another content."""
+        :param previous: digest of the row that the store held before.
+        """
         installed = self._state.configuration
+        is_lower = configuration.version < self._state.version
+        if self._stored in self._replaced and (may_be_copied or is_lower):
+            return False
+        revision = revisions.ConfigurationRevision(configuration.version, eras)
+        if revision.supersedes(self._state.revision):
+            return True
+        if may_be_copied or installed is None:
+            return False
+        # The store has replaced what is in force, or its content.
         return (
-            installed is not None
-            and configuration.version == installed.version
-            and configuration.source != installed.source
+            previous == _digest(installed.source)
+            or configuration.version == installed.version
         )
 
-    def confirm_era(self, era: int) -> None:
-        """Record that the installed configuration was valid in an era."""
-        self._state.confirm_era(era)
+    def _defer(
+        self,
+        configuration: routes.Configuration,
+        eras: revisions.EraSpan,
+        deferred: _Deferred | None,
+        now_s: float,
+    ) -> None:
+        """Install a lower version later, if no other one follows it.
+
+        :param deferred: the one that it follows.
+        """
+        latest_s = (
+            now_s + MAX_LOWER_VERSION_DELAY_S
+            if deferred is None
+            else deferred.latest_s
+        )
+        self._deferred = _Deferred(
+            configuration,
+            eras,
+            self._state.configuration,
+            min(now_s + LOWER_VERSION_DELAY_S, latest_s),
+            latest_s,
+        )
 
     def install_deferred(self, now_s: float) -> None:
         """Install a lower version that no other one followed.
@@ -102,41 +168,93 @@
         """
         if self._deferred is None or now_s < self._deferred.due_s:
             return
-        configuration, era, _ = self._deferred
-        self._deferred = None
-        self._install(configuration, era, 'store')
+        deferred, self._deferred = self._deferred, None
+        revision = revisions.ConfigurationRevision(
+            deferred.configuration.version, deferred.eras
+        )
+        is_still_newer = (
+            deferred.replaced is self._state.configuration
+            or revision.supersedes(self._state.revision)
+        )
+        if is_still_newer:
+            self._install(deferred.configuration, deferred.eras, 'store')
 
-    def apply_content(self, content: bytes, era: int, source: str) -> bool:
+    def apply_content(
+        self, content: bytes, eras: revisions.EraSpan, source: str
+    ) -> bool:
         """Decode and install a configuration of another entry.
 
-        :param era: era of the store in which it was written at least.
+        One that was in force here and was replaced is not installed again.
+
+        :param eras: eras of the store in which it may have been written.
         :param source: the entry, for the log.
-        :returns: whether it was installed.
+        :returns: whether it is in force now.
         """
         configuration = _decode_configuration(content, source)
         if configuration is None:
             return False
-        return self._install(configuration, era, source)
+        if self._state.has_content(configuration):
+            self._state.confirm(eras)
+            return True
+        revision = revisions.ConfigurationRevision(configuration.version, eras)
+        if _digest(content) in self._replaced or not revision.supersedes(
+            self._state.revision
+        ):
+            self._log_kept(configuration, eras, source)
+            return False
+        self._install(configuration, eras, source)
+        return True
 
     def _install(
-        self, configuration: routes.Configuration, era: int, source: str
-    ) -> bool:
-        installed_version = self._state.version
-        is_installed = self._state.install(configuration, era)
+        self,
+        configuration: routes.Configuration,
+        eras: revisions.EraSpan,
+        source: str,
+    ) -> None:
+        installed = self._state.configuration
+        if installed is not None:
+            self._remember_replaced(_digest(installed.source))
+        self._replaced.pop(_digest(configuration.source), None)
+        self._log('Installed a configuration.', configuration, eras, source)
+        self._state.install(configuration, eras)
+        self._on_change()
+
+    def _remember_replaced(self, digest: bytes) -> None:
+        self._replaced.pop(digest, None)
+        self._replaced[digest] = None
+        while len(self._replaced) > MAX_REPLACED:
+            self._replaced.pop(next(iter(self._replaced)))
+
+    def _log_kept(
+        self,
+        configuration: routes.Configuration,
+        eras: revisions.EraSpan,
+        source: str,
+    ) -> None:
+        self._log(
+            'Kept the installed configuration.', configuration, eras, source
+        )
+
+    def _log(
+        self,
+        message: str,
+        configuration: routes.Configuration,
+        eras: revisions.EraSpan,
+        source: str,
+    ) -> None:
         _LOG.info(
-            'Installed a configuration.'
-            if is_installed
-            else 'Kept the installed configuration.',
+            message,
             extra={
                 'version': configuration.version,
-                'installed_version': installed_version,
-                'era': era,
+                'installed_version': self._state.version,
+                'eras': eras,
                 'source': source,
             },
         )
-        if is_installed:
-            self._on_change()
-        return is_installed
+
+
+def _digest(content: bytes) -> bytes:
+    return hashlib.sha256(content).digest()
 
 
 def _decode_configuration(
@@ -186,12 +304,18 @@
                 self._on_order(order, may_be_copied)
 
 
+class _PastEra(NamedTuple):
+    history: row_history.RowHistory
+    ended_s: float
+
+
 class OperatorConsumer:
     """Applies the operator's table: configurations and roll-outs.
 
     The first table of an era may be that of a copy, which is older than what
-    is known. Its rows count as written in the era before, and only those
-    that change afterwards as written in the new one.
+    is known. Its rows count as written in the era before, unless the table
+    cannot have had them then. Rows that change afterwards count as written
+    in the new one.
 
     :param on_era: called with each new era.
     """
@@ -211,6 +335,8 @@
         self._era = 0
         # Era in which the rows of the first table were written at least.
         self._first_rows_era = 0
+        self._history = row_history.RowHistory([], 0)
+        self._past_eras: list[_PastEra] = []
 
     def apply_snapshot(
         self, rows: list[stores.StoredRow], revision: stores.StoreRevision
@@ -219,11 +345,27 @@
         if self._first is None or self._first.era != revision.era:
             self._begin_era(revision)
             self._first = revision
-        first_version = self._first.version
-        first_rows = [row for row in rows if row.version <= first_version]
-        later_rows = [row for row in rows if row.version > first_version]
-        self._apply(first_rows, self._first_rows_era, True)
-        self._apply(later_rows, self._era, False)
+            self._history = row_history.RowHistory(rows, revision.version)
+        else:
+            self._history.replace(rows, revision.version)
+        copied = {
+            row.key
+            for row in rows
+            if row.version <= self._first.version and self._may_be_copied(row)
+        }
+        self._apply(
+            [row for row in rows if row.key in copied],
+            self._first_rows_era,
+            True,
+        )
+        self._apply(
+            [row for row in rows if row.key not in copied], self._era, False
+        )
+
+    def _may_be_copied(self, row: stores.StoredRow) -> bool:
+        return not self._past_eras or any(
+            past.history.may_contain(row) for past in self._past_eras
+        )
 
     def _begin_era(self, revision: stores.StoreRevision) -> None:
         if self._first is None:
@@ -231,19 +373,32 @@
             self._first_rows_era = max(revision.era - 1, 0)
         else:
             self._first_rows_era = self._era
-            # What is known is as new as the era in which it was read.
-            self._configuration.confirm_era(self._era)
+            now_s = time.monotonic()
+            self._past_eras = [
+                past
+                for past in self._past_eras
+                if now_s - past.ended_s < MAX_COPY_AGE_S
+            ]
+            self._past_eras.append(_PastEra(self._history, now_s))
         self._era = max(self._era, revision.era)
         self._on_era(self._era)
 
     def apply_changes(self, rows: list[stores.StoredRow]) -> None:
         """Apply changed rows in the order of their versions."""
+        self._history.apply(rows)
         self._apply(rows, self._era, False)
 
+    def mark_current(self, revision: stores.StoreRevision) -> None:
+        """Record that all changes up to a revision were applied."""
+        self._history.confirm(revision.version)
+
     def _apply(
         self, rows: list[stores.StoredRow], era: int, may_be_copied: bool
     ) -> None:
-        self._configuration.apply_changes(rows, era, time.monotonic())
+        eras = revisions.EraSpan(0 if may_be_copied else era, self._era)
+        self._configuration.apply_changes(
+            rows, eras, may_be_copied, time.monotonic()
+        )
         self._order.apply_changes(rows, era, may_be_copied)
 
     def mark_store_restored(self) -> None:
@@ -303,6 +458,9 @@
             with _FAILURES.isolate('apply the row of an endpoint'):
                 self._apply_change(row)
 
+    def mark_current(self, revision: stores.StoreRevision) -> None:
+        """Do nothing: rows of a copy are confirmed by heartbeats."""
+
     def _apply_change(self, row: stores.StoredRow) -> None:
         endpoint = self._decode(row)
         if endpoint is None:
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import time
+import types
 
 from aiohttp import web
 
@@ -187,6 +188,8 @@
             },
         )
         self._stop_requested = asyncio.Event()
+        # When the first stop signal came, in monotonic seconds.
+        self._signalled_s: float | None = None
         self._failures = supervision.FailureLog(_LOG)
 
     def _remote_placements(self) -> choose.RemotePlacements:
@@ -273,7 +276,7 @@
             self._context.quarantine.report(time.monotonic()),
             self._state.registry.leaving()[:MAX_REPORTED_ENDPOINTS],
             self._context.limiter.table.reports(time.monotonic()),
-            self._state.configuration_era,
+            self._state.configuration_eras,
             self._era.current,
         )
 
@@ -319,6 +322,9 @@
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._stop_requested.set)
+            # The event loop gets to a signal late if it is held up, and the
+            # process is killed at a fixed time after the signal.
+            signal.signal(signal_number, self._note_stop_signal)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         _LOG.info('Started.', extra={'settings': self._settings.instance_id})
         await membership.open_sockets(
@@ -341,8 +347,7 @@
         await self._sources.close()
         await self._store.close()
         self._handler.begin_interrupting()
-        for runner in runners:
-            await runner.cleanup()
+        await asyncio.gather(*(runner.cleanup() for runner in runners))
         _LOG.info('Stopped.')
 
     def _background_work(
@@ -355,7 +360,9 @@
             consumers.OperatorConsumer(
                 self._configuration,
                 consumers.OrderConsumer(self._apply_order),
-                self._rollouts.mark_store_restored,
+                lambda era: self._rollouts.mark_store_restored(
+                    era, time.monotonic()
+                ),
             ),
             self._relays[wire_configuration.TABLE],
             era=self._era,
@@ -435,21 +442,27 @@
             self._state,
             peer_tables.RelayServer(self._relays),
         )
+        others = (
+            (settings.readiness_address, self._handle_ready),
+            (settings.directory_address, self._handle_resolve),
+            (settings.control_address, control_handler.handle),
+        )
         return [
             await servers.listen(
-                settings.caller_address, self._handler.handle
-            ),
-            await servers.listen(
-                settings.readiness_address, self._handle_ready
-            ),
-            await servers.listen(
-                settings.directory_address, self._handle_resolve
-            ),
-            await servers.listen(
-                settings.control_address, control_handler.handle
+                settings.caller_address,
+                self._handler.handle,
+                idle_limit_s=self._idle_limit_s,
             ),
+            *[
+                await servers.listen(address, handle, servers.CLOSE_WAIT_S)
+                for address, handle in others
+            ],
         ]
 
+    def _idle_limit_s(self) -> float:
+        configuration = self._state.configuration
+        return configuration.limits.idle_s if configuration else 0.0
+
     async def _handle_ready(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
@@ -559,6 +572,13 @@
             if each.review(listed, drain_s, time.monotonic()):
                 self._gossip.schedule_update()
 
+    def _note_stop_signal(
+        self, signal_number: int, frame: types.FrameType | None
+    ) -> None:
+        """Note when a stop was requested, in the middle of other work."""
+        if self._signalled_s is None:
+            self._signalled_s = time.monotonic()
+
     def _reload(self) -> None:
         """Validate the settings again and log what changed.
 
@@ -592,13 +612,18 @@
         Requests that still run shortly before the stop limit are interrupted
         and get their answer, unless it has begun.
         """
-        stop = drain.schedule(time.monotonic(), self._settings.stop_limit_s)
+        now_s = time.monotonic()
+        late_s = now_s - (self._signalled_s or now_s)
+        stop = drain.schedule(now_s, self._settings.stop_limit_s - late_s)
         self._handler.begin_drain(stop)
         with self._failures.isolate('announce the stop'):
             self._gossip.send_heartbeat()
         _LOG.info(
             'Drain started.',
-            extra={'in_flight': self._lifecycle.requests_in_flight},
+            extra={
+                'in_flight': self._lifecycle.requests_in_flight,
+                'late_ms': round(late_s * 1000),
+            },
         )
         while not self._lifecycle.stop(time.monotonic()):
             self._handler.interrupt_due(time.monotonic())
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -383,15 +383,32 @@
         await asyncio.sleep(WRITE_RETRY_PAUSE_S)
 
 
+async def end_tasks(tasks: abc.Collection[asyncio.Task[None]]) -> None:
+    """Cancel the tasks of callers and checks.
+
+    :raises Exception: the error of one that ended before, which would leave
+        a guarantee unchecked.
+    """
+    for task in tasks:
+        task.cancel()
+    for result in await asyncio.gather(*tasks, return_exceptions=True):
+        if isinstance(result, Exception):
+            raise result
+
+
 async def soak(
     seed: int, seconds: float, has_restores: bool = False
 ) -> list[str]:
     """Run one seed; return the violations.
 
+    Faults and logs are kept unless no guarantee was violated. An error names
+    the seed in a note.
+
     :param has_restores: whether the store also returns from older copies.
     """
     with tempfile.TemporaryDirectory() as folder:
         run = Soak(seed, pathlib.Path(folder), has_restores)
+        keeps_logs = True
         try:
             await run.start()
             addresses = [run.site.addresses[name] for name in run.entries]
@@ -410,16 +427,18 @@
                     RECOVERY_LIMIT_S,
                 )
             await asyncio.sleep(1.0)
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await end_tasks(tasks)
             await run.check_recovery(callers)
             await run.check(callers)
+            keeps_logs = bool(run.violations)
+        except Exception as error:
+            error.add_note(f'seed {seed}')
+            raise
         finally:
             for each in run.proxies.values():
                 await each.stop()
             run.site.stop()
-            if run.violations:
+            if keeps_logs:
                 _save_logs(seed, run)
     print(f'seed {seed}: {json.dumps(callers.outcomes, sort_keys=True)}')
     return run.violations
@@ -431,7 +450,7 @@
 
 
 def _save_logs(seed: int, run: Soak) -> None:
-    """Save faults and logs of a seed that had violations."""
+    """Save faults and logs of a seed that broke a guarantee or failed."""
     saved = pathlib.Path('target/soak') / str(seed)
     saved.mkdir(parents=True, exist_ok=True)
     (saved / 'faults.txt').write_text('\n'.join(run.faults))
