Use an answer that is there when the deadline of a call is noticed

Cause: a call whose deadline passes while the event loop is late ends with an unknown outcome if an attempt is not settled, even if that attempt ended in the same turn: an answer was dropped, and a proof that the call did not run was not used.

Change: at the deadline, attempts that are done count first.

Test: features/forwarding/calls.feature, "An answer that is there when the deadline is noticed" and "A proof that is there when the deadline is noticed" failed on the code before (unknown outcome, late). The steps of the event loop that is held up are in one file, which is renamed.

--- a/features/forwarding/calls.feature
+++ b/features/forwarding/calls.feature
@@ -126,3 +126,13 @@
     Given an endpoint whose accept queue is full
     When the event loop is held up for 400 ms while a call connects
     Then the endpoint counts as lost
+
+  Scenario: An answer that is there when the deadline is noticed
+    # Guards against an unknown outcome of a call that is answered.
+    When the event loop is held up beyond the deadline once the endpoint answers
+    Then the caller gets status 200 and the body "fine"
+
+  Scenario: A proof that is there when the deadline is noticed
+    # Guards against an unknown outcome of a call that certainly did not run.
+    When the event loop is held up beyond the deadline once the endpoint declines
+    Then the call is refused as not run
--- a/features/steps/forwarding_connect_steps.py
+++ b/features/steps/forwarding_held_up_steps.py
@@ -1,4 +1,4 @@
-"""Steps for connections that are established while the loop is held up."""
+"""Steps for calls during which the event loop is held up."""
 
 from __future__ import annotations
 
@@ -30,6 +30,39 @@
         self._listener.close()
 
 
+class HoldingEndpoint(scripted_endpoint.ScriptedEndpoint):
+    """Holds up the event loop as soon as an answer is sent."""
+
+    def __init__(self, content, hold_s):
+        super().__init__([content])
+        self._hold_s = hold_s
+
+    async def _play(self, *arguments):
+        is_kept = await super()._play(*arguments)
+        time.sleep(self._hold_s)
+        return is_kept
+
+
+ANSWERS = {
+    'answers': scripted_endpoint.answer(),
+    'declines': scripted_endpoint.DECLINED,
+}
+
+
+@behave.when(
+    'the event loop is held up beyond the deadline once the endpoint {word}'
+)
+def held_up_after(context, word):
+    async def run():
+        endpoint = HoldingEndpoint(ANSWERS[word], 0.4)
+        await endpoint.start()
+        site = forwarding_site.ForwardingSite([endpoint])
+        context.reply = await site.call(NON_REPEATABLE, 0.3)
+        await endpoint.stop()
+
+    asyncio.run(run())
+
+
 @behave.given('an endpoint whose accept queue is full')
 def full_accept_queue(context):
     context.scripts = None
--- a/src/godwitvalve/forwarding/calls.py
+++ b/src/godwitvalve/forwarding/calls.py
@@ -94,6 +94,13 @@
                 task.cancel()
 
     def _at_deadline(self) -> replies.Reply:
+        # Attempts that ended in the turn in which the deadline was noticed.
+        for task in [each for each in self._running if each.done()]:
+            self._running.discard(task)
+            outcome = task.result()
+            self._count(outcome)
+            if isinstance(outcome, exchanges.Answered):
+                return outcome
         if self._fallback is not None:
             return self._fallback
         if self.may_have_run:
