Keep endpoints that left unused while the store is away after a return

Endpoints that only an older copy lists are not used for 5 s, within which their rows expire. The 5 s begin again when the store answers. Found by a review; both new examples of fleet/restored_store failed before.

--- a/features/fleet/restored_store.feature
+++ b/features/fleet/restored_store.feature
@@ -112,6 +112,22 @@
     Then "a, b" are usable at 21.1 s
     And no endpoint is reported as leaving
 
+  Scenario Outline: An outage after a restore does not bring back an endpoint
+    # Guards against an endpoint that left and gets requests again, as no row
+    # can expire here while the store is away.
+    Given a registry with the endpoints "a, b"
+    And the row of "a" expires
+    When the store is restored at 21.0 s and lists "a, b"
+    And the store is away from 22.0 s until <until> s
+    Then "b" are usable at 29.9 s
+    And "b" are usable at <until> s
+    And no endpoint is reported as leaving
+
+    Examples:
+      | until |
+      | 30.0  |
+      | 34.0  |
+
   Scenario: An endpoint whose row expired after the copy is used soon
     # Guards against an endpoint that is not used until its row changes: the
     # row that it writes again is the same as that of the copy.
--- a/features/steps/fleet_registry_steps.py
+++ b/features/steps/fleet_registry_steps.py
@@ -173,6 +173,14 @@
     )
 
 
+@behave.when('the store is away from {from_s:g} s until {until_s:g} s')
+def store_away(context, from_s, until_s):
+    context.registry.expire(from_s)
+    context.registry.mark_store_unavailable()
+    context.registry.expire(until_s - 0.1)
+    context.registry.mark_store_available(until_s)
+
+
 @behave.then('no endpoint is reported as leaving')
 def none_reported(context):
     assert context.registry.leaving() == []
--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -81,6 +81,9 @@
         if not self.is_store_unavailable:
             return
         self.is_store_unavailable = False
+        if self._not_relisted:
+            # No row could expire here during the outage.
+            self._stale_until_s = now_s + STALE_ROWS_S
         if not self._has_seen_outage:
             # The first read after a start: endpoints that another entry
             # listed and the store does not have left.
@@ -237,7 +240,7 @@
 
     def expire(self, now_s: float) -> list[str]:
         """Remove endpoints whose rows stayed missing; return their ids."""
-        if now_s >= self._stale_until_s:
+        if now_s >= self._stale_until_s and not self.is_store_unavailable:
             self._forget_relisted()
         expired = [
             endpoint_id
