Understand heartbeats of entries of the release before

The number is back in its place, and the last era follows at the end. The new scenario of gossip/members failed before.

--- a/features/gossip/members.feature
+++ b/features/gossip/members.feature
@@ -82,3 +82,9 @@
       | 9       | 5      | 5       | 0.5   |
       | 9       | 9      | 5       | 0.1   |
       | 9       | 9      | 60      | 1.0   |
+
+  Scenario: Records of an earlier release are understood
+    # Guards against entries that do not see each other while they are
+    # upgraded one after the other.
+    Then a record without the last era of its configuration is of era "3-3"
+    And an entry of an earlier release reads era 3 of the same record
--- a/features/models/configuration_history.py
+++ b/features/models/configuration_history.py
@@ -88,7 +88,8 @@
             '127.0.0.1:2',
             'fd-0',
             self.state.version,
-            configuration_eras=self.state.configuration_eras,
+            configuration_era=self.state.configuration_eras.first,
+            configuration_last_era=self.state.configuration_eras.last,
         )
 
     def compare(self, others, rng):
--- a/features/steps/gossip_members_steps.py
+++ b/features/steps/gossip_members_steps.py
@@ -313,7 +313,8 @@
     return [
         msgspec.structs.replace(
             record(f'e{position}'),
-            configuration_eras=_revision(text).eras,
+            configuration_era=_revision(text).eras.first,
+            configuration_last_era=_revision(text).eras.last,
             configuration_version=_revision(text).version,
         )
         for position, text in enumerate(texts.split(', '))
@@ -367,3 +368,33 @@
         return consumer.apply_content(content, revision.eras, 'entry-1')
 
     assert [apply(older), apply(newer), apply(again)] == [True, True, False]
+
+
+def _encoded_record():
+    its_record = msgspec.structs.replace(
+        record('e0'),
+        caller_address='127.0.0.1:80',
+        peer_address='127.0.0.1:90',
+        configuration_era=3,
+        store_era=4,
+        configuration_last_era=4,
+    )
+    return msgspec.msgpack.decode(msgspec.msgpack.encode(its_record))
+
+
+@behave.then(
+    'a record without the last era of its configuration is of era "{text}"'
+)
+def earlier_record(context, text):
+    fields = _encoded_record()[:20]
+    found = msgspec.convert(fields, members.Record)
+    eras = found.configuration_revision.eras
+    assert f'{eras.first}-{eras.last}' == text, eras
+
+
+@behave.then(
+    'an entry of an earlier release reads era {era:d} of the same record'
+)
+def read_by_earlier(context, era):
+    # Positions of the eras in earlier releases, which ignore further fields.
+    assert _encoded_record()[18:20] == [era, 4], _encoded_record()
--- a/src/godwitvalve/fleet/revisions.py
+++ b/src/godwitvalve/fleet/revisions.py
@@ -15,6 +15,11 @@
 UNKNOWN_ERAS = EraSpan(0, 0)
 
 
+def span(first: int, last: int) -> EraSpan:
+    """Return the span of two reported eras, of which one may be missing."""
+    return EraSpan(first, max(first, last))
+
+
 class ConfigurationRevision(NamedTuple):
     """Version of a configuration and the eras in which it may be written.
 
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -67,9 +67,11 @@
     :param quarantine: its evidence about prompts that crash endpoints.
     :param leaving: id and start of endpoints that announced that they leave.
     :param limits: request limits that endpoints stated in answers to it.
-    :param configuration_eras: first and last era of the store in which its
-        configuration may have been written.
+    :param configuration_era: first era of the store in which its configuration
+        may have been written.
     :param store_era: newest era of the store that it knows.
+    :param configuration_last_era: last such era; the first one if an entry of
+        an earlier release does not state it.
     """
 
     instance_id: bounds.Name
@@ -94,8 +96,9 @@
     )
     leaving: list[tuple[str, bounds.Integer]] = []
     limits: list[limit_reports.LimitReport] = []
-    configuration_eras: tuple[bounds.Era, bounds.Era] = (0, 0)
+    configuration_era: bounds.Era = 0
     store_era: bounds.Era = 0
+    configuration_last_era: bounds.Era = 0
 
     @property
     def order(self) -> tuple[int, int]:
@@ -107,7 +110,9 @@
         """Return the revision of its configuration."""
         return revisions.ConfigurationRevision(
             self.configuration_version,
-            revisions.EraSpan(*self.configuration_eras),
+            revisions.span(
+                self.configuration_era, self.configuration_last_era
+            ),
         )
 
 
--- a/src/godwitvalve/ingress/control.py
+++ b/src/godwitvalve/ingress/control.py
@@ -22,8 +22,9 @@
 
     configuration: bytes
     listed: list[endpoints.FleetEndpoint]
-    configuration_eras: tuple[bounds.Era, bounds.Era] = (0, 0)
+    configuration_era: bounds.Era = 0
     is_compressed: bool = False
+    configuration_last_era: bounds.Era = 0
 
 
 class ControlHandler:
@@ -61,8 +62,9 @@
             if is_compressed
             else configuration.source,
             list(self._state.registry.all()),
-            self._state.configuration_eras,
+            self._state.configuration_eras.first,
             is_compressed,
+            self._state.configuration_eras.last,
         )
         return web.Response(body=msgspec.msgpack.encode(shared))
 
--- a/src/godwitvalve/ingress/membership.py
+++ b/src/godwitvalve/ingress/membership.py
@@ -277,5 +277,9 @@
             return False
         self._state.registry.load_listed(shared.listed)
         return not self._configuration.apply_content(
-            configuration, revisions.EraSpan(*shared.configuration_eras), peer
+            configuration,
+            revisions.span(
+                shared.configuration_era, shared.configuration_last_era
+            ),
+            peer,
         )
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -276,8 +276,9 @@
             self._context.quarantine.report(time.monotonic()),
             self._state.registry.leaving()[:MAX_REPORTED_ENDPOINTS],
             self._context.limiter.table.reports(time.monotonic()),
-            self._state.configuration_eras,
+            self._state.configuration_eras.first,
             self._era.current,
+            self._state.configuration_eras.last,
         )
 
     def _merge_record(self, record: member_model.Record, age_s: float) -> None:
