Stay at a silent endpoint if its successor answers with an error

Any answer that was no decline ended the request at the silent endpoint, also a 500, a 404 or a refusal without proof, so that the stream was cut although its endpoint went on. Only the head of a stream moves it now. The run that the error ended counts towards the attempts of the route. Found by a review; the three new examples of forwarding/silence failed before.

--- a/features/forwarding/silence.feature
+++ b/features/forwarding/silence.feature
@@ -77,6 +77,9 @@
       | head 1 silence 2 3 end         | declined, declined, declined, declined | 4        |
       | head 1 half silence rest 3 end | declined, declined, declined, declined | 4        |
       | head 1 silence 2 3 end         | crash, crash, crash                    | 2        |
+      | head 1 silence 2 3 end         | error, error, error                    | 2        |
+      | head 1 silence 2 3 end         | unknown, unknown, unknown              | 2        |
+      | head 1 silence 2 3 end         | unproven, unproven, unproven           | 2        |
 
   Scenario: A stream stays at a silent endpoint if its successor is dead
     # Guards against a stream that is cut, and a retry that is used up, as
--- a/features/steps/forwarding_handover_steps.py
+++ b/features/steps/forwarding_handover_steps.py
@@ -9,6 +9,7 @@
 from features.models import handover_replay
 from features.steps import forwarding_steps
 from godwitvalve.fleet import endpoints
+from godwitvalve.forwarding import attempts
 from godwitvalve.forwarding import handover
 from godwitvalve.forwarding import replies
 from godwitvalve.forwarding import silence
@@ -44,6 +45,28 @@
     context.prepare = prepare
 
 
+@behave.when('the caller of an attempt leaves as its first event is passed on')
+def caller_leaves(context):
+    endpoint = endpoints.FleetEndpoint(
+        'e0', 's', 'h:1', 'fd', 'v', 8, False, 1
+    )
+    found = attempts.StreamAttempt(endpoint, None, '', 0.0)
+    context.tracker = tracker.EndpointTracker()
+    counted = attempts.CountedAttempt(
+        mock.Mock(endpoint_tracker=context.tracker), found
+    )
+    with counted:
+        # As for each first event, before it is passed on.
+        found.first_event_s = 1.0
+        context.tracker.stats('e0').starting -= 1
+
+
+@behave.then('no attempt seems to begin at its endpoint')
+def none_begins(context):
+    stats = context.tracker.stats('e0')
+    assert (stats.starting, stats.streams) == (0, 0), stats
+
+
 @behave.then('no attempt is counted any more')
 def none_counted(context):
     # The set-up makes the second endpoint look busy.
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -134,6 +134,10 @@
                 actions.append(SILENCE_S)
             case 'declined':
                 actions.append(scripted_endpoint.DECLINED)
+            case 'error':
+                actions.append(scripted_endpoint.answer(b'', b'500 Broken'))
+            case 'unknown':
+                actions.append(scripted_endpoint.answer(b'', b'404 None'))
             case number if not is_framed:
                 actions.append(
                     b'id: %s\ndata: t%s\n\n' % (2 * (number.encode(),))
--- a/src/godwitvalve/forwarding/attempts.py
+++ b/src/godwitvalve/forwarding/attempts.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import http
 import math
 from typing import Protocol, TypeAlias
 
@@ -203,7 +204,7 @@
             is_accepted = (
                 not self.task.cancelled()
                 and self.task.exception() is None
-                and not self.task.result().facts.is_not_run
+                and _begins_stream(self.task.result())
             )
             return handover.Accepted() if is_accepted else handover.Failed()
         if self.exchange.is_sent:
@@ -238,6 +239,14 @@
         self._attempt.opening = None
 
 
+def _begins_stream(head: exchanges.AnswerHead) -> bool:
+    """Tell whether events may follow a head."""
+    facts = head.facts
+    return head.status == http.HTTPStatus.OK and not (
+        facts.is_not_run or facts.is_unproven_refusal or facts.is_encoded
+    )
+
+
 def interruption(
     error: channels.ConnectFailed | channels.ChannelBroken, is_sent: bool
 ) -> Interrupted:
--- a/src/godwitvalve/forwarding/handover.py
+++ b/src/godwitvalve/forwarding/handover.py
@@ -35,15 +35,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Accepted:
-    """The head of an answer came that does not decline the request.
-
-    The endpoint may have run it, whatever the status of the answer is.
-    """
+    """The head of a stream came."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Failed:
-    """The successor declined, or its connection ended before a head."""
+    """The successor sent no head of a stream and does not run it any more.
+
+    It declined, answered with an error, or its connection ended.
+    """
 
 
 SuccessorState: TypeAlias = Connecting | Sent | Accepted | Failed
