Count the begin of an attempt once if its caller leaves

The count of beginning streams was lowered before the first event was passed on, and once more if the caller left at that moment; the endpoint then seemed less busy until the entry restarted, also to other entries (5 callers: -5). Found by a review; the new scenario of forwarding/silence failed before.

--- a/features/forwarding/silence.feature
+++ b/features/forwarding/silence.feature
@@ -210,6 +210,12 @@
       | failed     | stays silent   | 0.1  | stay |
       | failed     | sends an event | 0.3  | stay |
 
+  Scenario: An attempt whose caller leaves at its first event is counted once
+    # Guards against an endpoint that seems to begin fewer streams than it
+    # does, here and at the other entries.
+    When the caller of an attempt leaves as its first event is passed on
+    Then no attempt seems to begin at its endpoint
+
   Scenario: Two endpoints never work on a stream for long
     # Guards against an order of events in which a stream goes on at two
     # endpoints, is worked on at both for longer than the 400 ms of the rules,
--- a/src/godwitvalve/forwarding/attempts.py
+++ b/src/godwitvalve/forwarding/attempts.py
@@ -167,7 +167,8 @@
             self._attempt.endpoint.endpoint_id
         )
         stats.streams -= 1
-        if not self._attempt.has_events:
+        # Lowered before the first event is passed on.
+        if not self._attempt.first_event_s:
             stats.starting -= 1
         if self._attempt.backup is not None:
             backup = self._attempt.backup.endpoint_id
