Share the caller with raw bytes between tests of the own interface

The steps for bodies and for errors each started a server, sent one request and read the answer in the same way.

--- a/features/steps/entry_bodies_steps.py
+++ b/features/steps/entry_bodies_steps.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 import behave
+from features.doubles import raw_caller
 from godwitvalve.entry import app as entry_app
 from godwitvalve.entry import request_checks
 from godwitvalve.generations import requests
@@ -34,22 +35,12 @@
 
     application = web.Application(client_max_size=requests.MAX_BODY_BYTES)
     application.router.add_post('/', handle)
-    runner = entry_app.runner(application)
-    await runner.setup()
-    site = web.TCPSite(runner, '127.0.0.1', 0)
-    await site.start()
-    try:
-        ((host, port),) = runner.addresses
-        reader, writer = await asyncio.open_connection(host, port)
-        writer.write(
-            b'POST / HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n'
-            b'Content-Encoding: %s\r\nContent-Length: %d\r\n\r\n%s'
-            % (encoding.encode(), len(body), body)
-        )
-        await asyncio.wait_for(reader.read(), READ_LIMIT_S)
-        writer.close()
-    finally:
-        await runner.cleanup()
+    content = (
+        b'POST / HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n'
+        b'Content-Encoding: %s\r\nContent-Length: %d\r\n\r\n%s'
+        % (encoding.encode(), len(body), body)
+    )
+    await raw_caller.ask(entry_app.runner(application), content, READ_LIMIT_S)
     return read
 
 
--- a/features/steps/entry_errors_steps.py
+++ b/features/steps/entry_errors_steps.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 import behave
+from features.doubles import raw_caller
 from godwitvalve.entry import app as entry_app
 
 READ_LIMIT_S = 2.0
@@ -25,19 +26,9 @@
         middlewares=[entry_app._problems(mock.MagicMock())]
     )
     application.router.add_get('/', _fail_in_answer)
+    content = b'GET / HTTP/1.1\r\nHost: h.example\r\n\r\n'
     runner = web.AppRunner(application)
-    await runner.setup()
-    site = web.TCPSite(runner, '127.0.0.1', 0)
-    await site.start()
-    try:
-        ((host, port),) = runner.addresses
-        reader, writer = await asyncio.open_connection(host, port)
-        writer.write(b'GET / HTTP/1.1\r\nHost: h.example\r\n\r\n')
-        answer = await asyncio.wait_for(reader.read(), READ_LIMIT_S)
-        writer.close()
-        return answer
-    finally:
-        await runner.cleanup()
+    return await raw_caller.ask(runner, content, READ_LIMIT_S)
 
 
 @behave.when('a request handler fails after the first part of its answer')
