Add review case 2: silent store channels keep a leaving replica in use

Open channels to the store go silent. The table of servers is polled for 8 s plus a margin of 1.5 s, so that all entries learn that a replica leaves up to 9.5 s late.

--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,84 @@
+"""Channels to the store go silent; a leaving replica stays in use."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+import sys
+import time
+
+FOLDER = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / 'lib'))
+
+import standins  # noqa: E402
+
+KEY = 'n2ctnfzs989anu6wsjnb'
+ENTRIES = 3
+# After the last disruption a machine is in touch again.
+IN_TOUCH_S = standins.CONTACT_S + 0.2
+# Allows for the way of a request that was sent within the limit.
+SLACK_S = 0.3
+# A replica goes on serving for `drain_ms` and at times many seconds.
+SERVES_ON_S = 6.0
+
+
+async def _caller(site: standins.Site, rng: random.Random) -> None:
+    while True:
+        entry = rng.choice(list(site.entries.values()))
+        await entry.call('POST', '/reserve/1', KEY)
+        await asyncio.sleep(rng.uniform(0.05, 0.15))
+
+
+async def case(site: standins.Site) -> list[str]:
+    """Let open channels go silent, wait, and let a replica leave."""
+    site.store_proxy = standins.Proxy(site.store.address)
+    await site.store_proxy.start()
+    await site.configure(
+        standins.configuration(
+            10,
+            [standins.route('r-c', '/reserve/', 'non_idempotent', 'desk')],
+            [{'name': 'desk', 'health_path': '/healthz'}],
+            [{'name': 'hule930', 'api_keys': [KEY], 'priority': 2}],
+        )
+    )
+    for number in range(1, 4):
+        await site.add_replica(f'i-desk-{number}', 'desk')
+    for number in range(1, ENTRIES + 1):
+        await site.add_entry(f'front-a-{number}')
+    await asyncio.gather(
+        *(entry.wait_ready() for entry in site.entries.values())
+    )
+    rng = random.Random(1)
+    callers = [
+        asyncio.create_task(_caller(site, rng)) for _ in range(6)
+    ]
+    try:
+        await asyncio.sleep(1.0)
+        if site.has_trouble:
+            count = site.store_proxy.silence()
+            site.record.add(f'{count} open channels to the store go silent')
+        await asyncio.sleep(IN_TOUCH_S)
+        leaving = site.replicas[0]
+        confirmed_s = await leaving.drain()
+        await asyncio.sleep(standins.DRAIN_S + SERVES_ON_S)
+        await leaving.leave()
+    finally:
+        for caller in callers:
+            caller.cancel()
+    limit_s = confirmed_s + standins.DRAIN_S + SLACK_S
+    late = [
+        (at_s, request)
+        for at_s, request in leaving.runs
+        if at_s > limit_s
+    ]
+    if not late:
+        return []
+    return [
+        f'{len(late)} requests ran at {leaving.replica_id} later than '
+        f'{standins.DRAIN_S:.0f} s after the store confirmed that it is '
+        f'draining, the last one {late[-1][0] - confirmed_s:.1f} s after it'
+    ]
+
+
+standins.play(case, str(FOLDER))
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -216,6 +216,13 @@
         while self.changes[0][0] < time.monotonic() - HISTORY_S:
             self.oldest = self.changes.pop(0)[1]['ver']
 
+    def touch(self, table: str, key: str, value: Any) -> None:
+        """Write a heartbeat, which does not change the row's version."""
+        row = self.rows.get((table, key))
+        if row is not None:
+            raw = json.dumps(value).encode()
+            row['value'] = base64.b64encode(raw).decode()
+
     def value(self, table: str, key: str) -> Any:
         """Return the value of a row, or None."""
         row = self.rows.get((table, key))
@@ -365,16 +372,38 @@
             'born': self.born,
         }
 
-    async def register(self) -> None:
-        """Write the row now and with each heartbeat."""
+    async def register(self) -> float:
+        """Write the row now and with each heartbeat.
+
+        :returns: when the store confirmed it.
+        """
         await self.site.store.put('servers', self.replica_id, self.row())
         if self._beat is None:
             self._beat = asyncio.create_task(self._heartbeat())
+        return time.monotonic()
+
+    async def drain(self) -> float:
+        """Report that this replica leaves; it goes on serving.
+
+        :returns: when the store confirmed it.
+        """
+        self.state = 'draining'
+        confirmed_s = await self.register()
+        self.site.record.add(f'{self.replica_id} reported draining')
+        return confirmed_s
+
+    async def leave(self) -> None:
+        """Remove the row and exit."""
+        self.end_heartbeat()
+        await self.site.store.put('servers', self.replica_id, None)
+        await self.stop()
+        self.site.record.add(f'{self.replica_id} has left')
 
     async def _heartbeat(self) -> None:
+        # Only `sequence` rises, which does not change the entry.
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            await self.site.store.put('servers', self.replica_id, self.row())
+            self.site.store.touch('servers', self.replica_id, self.row())
 
     def end_heartbeat(self) -> None:
         """Write the row no more."""
@@ -476,6 +505,74 @@
         writer.write(b'0\r\n\r\n')
 
 
+class Proxy:
+    """Relays connections to a target and can let the open ones go silent."""
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.address = ''
+        self._silent: set[int] = set()
+        self._open: dict[int, tuple[Any, Any]] = {}
+        self._count = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a loopback address."""
+        self._server = await asyncio.start_server(
+            self._relay, '127.0.0.1', 0
+        )
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for pair in list(self._open.values()):
+            for writer in pair:
+                writer.transport.abort()
+
+    def silence(self) -> int:
+        """Deliver nothing more on the open connections; keep them open.
+
+        :returns: how many they are.
+        """
+        self._silent |= set(self._open)
+        return len(self._open)
+
+    async def _relay(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        host, _, port = self.target.rpartition(':')
+        try:
+            upstream = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self._count += 1
+        number = self._count
+        self._open[number] = (writer, upstream[1])
+        await asyncio.gather(
+            self._copy(number, reader, upstream[1]),
+            self._copy(number, upstream[0], writer),
+        )
+        self._open.pop(number, None)
+
+    async def _copy(
+        self,
+        number: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                if number not in self._silent:
+                    writer.write(data)
+                    await writer.drain()
+        if number not in self._silent:
+            writer.close()
+
+
 class Answer:
     """What a client got: status 0 if its channel ended without an answer."""
 
@@ -524,6 +621,8 @@
         self.store = Store()
         self.replicas: list[Replica] = []
         self.entries: dict[str, Entry] = {}
+        # Through which the entries reach the store; none if it is empty.
+        self.store_proxy: Proxy | None = None
         self._temp = tempfile.TemporaryDirectory()
         self.temp = pathlib.Path(self._temp.name)
         # Subnet of loopback addresses, one for each machine.
@@ -540,6 +639,8 @@
         for replica in self.replicas:
             replica.end_heartbeat()
             await replica.stop()
+        if self.store_proxy is not None:
+            await self.store_proxy.stop()
         await self.store.stop()
         self._temp.cleanup()
 
@@ -611,7 +712,9 @@
             'control_address': f'{self.ip}:{first.ports[3]}',
             'peer_ports': [7340, 7355],
             'seed_addresses': [f'{first.ip}:{first.ports[3]}'],
-            'store_address': self.site.store.address,
+            'store_address': (
+                self.site.store_proxy or self.site.store
+            ).address,
             **BOUNDS,
         }
         path = self.site.temp / f'{self.name}.json'
@@ -673,7 +776,8 @@
             if time.monotonic() > until_s:
                 raise CannotRun(f'{self.name} is not ready')
             await asyncio.sleep(0.1)
-        await asyncio.sleep(1.0)
+        # The table of servers is read a moment later.
+        await asyncio.sleep(0.5)
 
     def rss_kb(self) -> int:
         """Return the resident memory of the process in KiB."""
