--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -779,8 +779,8 @@
         # The table of servers is read a moment later.
         await asyncio.sleep(0.5)
 
-    def rss_kb(self) -> int:
-        """Return the resident memory of the process in KiB."""
+    def memory_kb(self) -> int:
+        """Return the private resident memory of the process in KiB."""
         assert self.process is not None
         try:
             status = pathlib.Path(
@@ -789,7 +789,7 @@
         except OSError:
             return 0
         line = next(
-            (x for x in status.splitlines() if x.startswith('VmRSS')), ''
+            (x for x in status.splitlines() if x.startswith('RssAnon')), ''
         )
         return int(line.split()[1]) if line else 0
 
