--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -350,6 +350,7 @@
         self.work_s = 0.045
         self.events = 40
         self.gap_s = 0.05
+        self.prefill_s = 0.3
         self.running = 0
         self.born = int(time.time() * 1000)
         self.sequence = 0
@@ -392,6 +393,20 @@
         self.site.record.add(f'{self.replica_id} reported draining')
         return confirmed_s
 
+    async def crash(self) -> None:
+        """End at once, without a word to anybody."""
+        self.end_heartbeat()
+        await self.stop()
+        self.site.record.add(f'{self.replica_id} crashes')
+        asyncio.get_running_loop().call_later(
+            3 * HEARTBEAT_S, self._expire
+        )
+
+    def _expire(self) -> None:
+        asyncio.ensure_future(
+            self.site.store.put('servers', self.replica_id, None)
+        )
+
     async def leave(self) -> None:
         """Remove the row and exit."""
         self.end_heartbeat()
@@ -486,6 +501,8 @@
         writer: asyncio.StreamWriter,
         common: Headers,
     ) -> None:
+        # A request starts to run with its first token.
+        await asyncio.sleep(self.prefill_s)
         headers = [
             *common,
             ('Response-Signature', f'sig.{self.replica_id}'),
