--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Channels to the store go silent; a leaving replica stays in use."""
+"""Answers of the store are lost for a moment; a leaving replica stays in use."""
 
 from __future__ import annotations
 
@@ -15,7 +15,9 @@
 
 KEY = 'n2ctnfzs989anu6wsjnb'
 ENTRIES = 3
-# After the last disruption a machine is in touch again.
+# For so long the store loses its answers.
+LOST_S = 1.2
+# The store is stable and the machines are in touch so long after that.
 IN_TOUCH_S = standins.CONTACT_S + 0.2
 # Allows for the way of a request that was sent within the limit.
 SLACK_S = 0.3
@@ -31,9 +33,7 @@
 
 
 async def case(site: standins.Site) -> list[str]:
-    """Let open channels go silent, wait, and let a replica leave."""
-    site.store_proxy = standins.Proxy(site.store.address)
-    await site.store_proxy.start()
+    """Add two replicas, lose answers meanwhile, then let a replica leave."""
     await site.configure(
         standins.configuration(
             10,
@@ -42,7 +42,7 @@
             [{'name': 'hule930', 'api_keys': [KEY], 'priority': 2}],
         )
     )
-    for number in range(1, 4):
+    for number in range(1, 7):
         await site.add_replica(f'i-desk-{number}', 'desk')
     for number in range(1, ENTRIES + 1):
         await site.add_entry(f'front-a-{number}')
@@ -50,14 +50,24 @@
         *(entry.wait_ready() for entry in site.entries.values())
     )
     rng = random.Random(1)
-    callers = [
-        asyncio.create_task(_caller(site, rng)) for _ in range(6)
-    ]
+    callers = [asyncio.create_task(_caller(site, rng)) for _ in range(6)]
     try:
         await asyncio.sleep(1.0)
+        await site.add_replica('i-desk-7', 'desk')
+        site.record.add('i-desk-7 started')
+        await asyncio.sleep(0.8)
         if site.has_trouble:
-            count = site.store_proxy.silence()
-            site.record.add(f'{count} open channels to the store go silent')
+            site.store.loses_answers = True
+            site.record.add('the store loses its answers')
+        await asyncio.sleep(LOST_S / 2)
+        await site.add_replica('i-desk-8', 'desk')
+        site.record.add('i-desk-8 started')
+        await asyncio.sleep(LOST_S / 2)
+        site.store.loses_answers = False
+        site.record.add(
+            f'the store answers again, but not on {site.store.silent_count} '
+            f'channels'
+        )
         await asyncio.sleep(IN_TOUCH_S)
         leaving = site.replicas[0]
         confirmed_s = await leaving.drain()
@@ -67,17 +77,13 @@
         for caller in callers:
             caller.cancel()
     limit_s = confirmed_s + standins.DRAIN_S + SLACK_S
-    late = [
-        (at_s, request)
-        for at_s, request in leaving.runs
-        if at_s > limit_s
-    ]
+    late = [at_s for at_s, _ in leaving.runs if at_s > limit_s]
     if not late:
         return []
     return [
         f'{len(late)} requests ran at {leaving.replica_id} later than '
         f'{standins.DRAIN_S:.0f} s after the store confirmed that it is '
-        f'draining, the last one {late[-1][0] - confirmed_s:.1f} s after it'
+        f'draining, the last one {late[-1] - confirmed_s:.1f} s after it'
     ]
 
 
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -183,11 +183,16 @@
         self.oldest = 0
         self.calls: list[tuple[str, str]] = []
         self.delay_s = 0.004
-        self.refuses: abc.Callable[[Request], bool] = lambda request: False
-        self.before_answer: abc.Callable[
-            [Request], abc.Awaitable[None]
-        ] | None = None
         self._changed = asyncio.Condition()
+        # While true, calls are done and their answers are lost.
+        self.loses_answers = False
+        # Channels on which an answer was lost; they deliver nothing further.
+        self._silent: set[asyncio.StreamWriter] = set()
+
+    @property
+    def silent_count(self) -> int:
+        """Return the number of channels on which an answer was lost."""
+        return len(self._silent)
 
     async def put(self, table: str, key: str, value: Any) -> int:
         """Write a row, or remove it if the value is None."""
@@ -234,12 +239,11 @@
         """Answer a call."""
         self.calls.append((request.method, request.target))
         await asyncio.sleep(self.delay_s)
-        if self.refuses(request):
-            writer.write(message('HTTP/1.1 503 Busy', []))
-            return
         status, content = await self._answer(request)
-        if self.before_answer is not None:
-            await self.before_answer(request)
+        if self.loses_answers:
+            self._silent.add(writer)
+        if writer in self._silent:
+            return
         writer.write(
             message(
                 f'HTTP/1.1 {status} -',
@@ -522,74 +526,6 @@
         writer.write(b'0\r\n\r\n')
 
 
-class Proxy:
-    """Relays connections to a target and can let the open ones go silent."""
-
-    def __init__(self, target: str) -> None:
-        self.target = target
-        self.address = ''
-        self._silent: set[int] = set()
-        self._open: dict[int, tuple[Any, Any]] = {}
-        self._count = 0
-        self._server: asyncio.Server | None = None
-
-    async def start(self) -> None:
-        """Listen on a loopback address."""
-        self._server = await asyncio.start_server(
-            self._relay, '127.0.0.1', 0
-        )
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f'{host}:{port}'
-
-    async def stop(self) -> None:
-        """Stop listening and close all connections."""
-        if self._server is not None:
-            self._server.close()
-        for pair in list(self._open.values()):
-            for writer in pair:
-                writer.transport.abort()
-
-    def silence(self) -> int:
-        """Deliver nothing more on the open connections; keep them open.
-
-        :returns: how many they are.
-        """
-        self._silent |= set(self._open)
-        return len(self._open)
-
-    async def _relay(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        host, _, port = self.target.rpartition(':')
-        try:
-            upstream = await asyncio.open_connection(host, int(port))
-        except OSError:
-            writer.transport.abort()
-            return
-        self._count += 1
-        number = self._count
-        self._open[number] = (writer, upstream[1])
-        await asyncio.gather(
-            self._copy(number, reader, upstream[1]),
-            self._copy(number, upstream[0], writer),
-        )
-        self._open.pop(number, None)
-
-    async def _copy(
-        self,
-        number: int,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        with contextlib.suppress(OSError):
-            while data := await reader.read(65536):
-                if number not in self._silent:
-                    writer.write(data)
-                    await writer.drain()
-        if number not in self._silent:
-            writer.close()
-
-
 class Answer:
     """What a client got: status 0 if its channel ended without an answer."""
 
@@ -638,8 +574,6 @@
         self.store = Store()
         self.replicas: list[Replica] = []
         self.entries: dict[str, Entry] = {}
-        # Through which the entries reach the store; none if it is empty.
-        self.store_proxy: Proxy | None = None
         self._temp = tempfile.TemporaryDirectory()
         self.temp = pathlib.Path(self._temp.name)
         # Subnet of loopback addresses, one for each machine.
@@ -656,8 +590,6 @@
         for replica in self.replicas:
             replica.end_heartbeat()
             await replica.stop()
-        if self.store_proxy is not None:
-            await self.store_proxy.stop()
         await self.store.stop()
         self._temp.cleanup()
 
@@ -729,9 +661,7 @@
             'control_address': f'{self.ip}:{first.ports[3]}',
             'peer_ports': [7340, 7355],
             'seed_addresses': [f'{first.ip}:{first.ports[3]}'],
-            'store_address': (
-                self.site.store_proxy or self.site.store
-            ).address,
+            'store_address': self.site.store.address,
             **BOUNDS,
         }
         path = self.site.temp / f'{self.name}.json'
