--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -106,7 +106,10 @@
     if 'chunked' in _value(headers, 'transfer-encoding').lower():
         body = b''
         while True:
-            size = int((await reader.readline()).split(b';')[0], 16)
+            line = await reader.readline()
+            if not line.endswith(b'\n'):
+                raise asyncio.IncompleteReadError(line, None)
+            size = int(line.split(b';')[0], 16)
             body += await reader.readexactly(size)
             await reader.readline()
             if not size:
