--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -133,6 +133,8 @@
         self.address = ''
         self._server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
+        # Ids of the requests whose head arrived.
+        self.begun_ids: set[str] = set()
 
     async def start(self, ip: str = '127.0.0.1', port: int = 0) -> None:
         """Listen on a loopback address."""
@@ -157,6 +159,7 @@
             while True:
                 first, headers = await read_head(reader)
                 method, target, _ = first.split(' ', 2)
+                self.begun_ids.add(_value(headers, 'request-id'))
                 body = await read_body(reader, headers)
                 request = Request(method, target, headers, body)
                 await self.serve(request, writer)
