--- a/review/2/case.py
+++ b/review/2/case.py
@@ -42,7 +42,7 @@
             [{'name': 'hule930', 'api_keys': [KEY], 'priority': 2}],
         )
     )
-    for number in range(1, 7):
+    for number in range(1, 9):
         await site.add_replica(f'i-desk-{number}', 'desk')
     for number in range(1, ENTRIES + 1):
         await site.add_entry(f'front-a-{number}')
@@ -53,15 +53,15 @@
     callers = [asyncio.create_task(_caller(site, rng)) for _ in range(6)]
     try:
         await asyncio.sleep(1.0)
-        await site.add_replica('i-desk-7', 'desk')
-        site.record.add('i-desk-7 started')
+        await site.add_replica('i-desk-9', 'desk')
+        site.record.add('i-desk-9 started')
         await asyncio.sleep(0.8)
         if site.has_trouble:
             site.store.loses_answers = True
             site.record.add('the store loses its answers')
         await asyncio.sleep(LOST_S / 2)
-        await site.add_replica('i-desk-8', 'desk')
-        site.record.add('i-desk-8 started')
+        await site.add_replica('i-desk-10', 'desk')
+        site.record.add('i-desk-10 started')
         await asyncio.sleep(LOST_S / 2)
         site.store.loses_answers = False
         site.record.add(
