--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections import abc
-import contextlib
 import logging
 import time
 from typing import Any, NamedTuple
@@ -20,6 +19,7 @@
 from godwitvalve.forwarding import replies
 from godwitvalve.forwarding import sockets
 from godwitvalve.forwarding import streams
+from godwitvalve.ingress import bodies
 from godwitvalve.ingress import refusals
 from godwitvalve.ingress import targets
 from godwitvalve.lifecycle import drain
@@ -170,7 +170,7 @@
                 if not response.prepared:
                     await self._write(request, response, pending)
                 if self._stop is not None:
-                    await _discard_body(request, self._stop.cut_by_s)
+                    await bodies.discard(request, self._stop.cut_by_s)
         finally:
             self._pending.discard(pending)
         return response
@@ -251,7 +251,7 @@
         assert configuration is not None
         try:
             async with pending.limit(None):
-                body = await _read_body(
+                body = await bodies.read(
                     request, configuration.limits.max_body_bytes
                 )
         except asyncio.TimeoutError:
@@ -613,35 +613,3 @@
         priority if route.kind is routes.RequestKind.STREAM else None,
         _deadline_s(route, facts, arrived_s),
     )
-
-
-async def _read_body(
-    request: web.BaseRequest, limit_bytes: int
-) -> bytes | None:
-    """Return the body, or None if it is larger than the limit."""
-    if not request.body_exists:
-        return b''
-    body = bytearray()
-    async for chunk in request.content.iter_any():
-        body += chunk
-        if len(body) > limit_bytes:
-            return None
-    return bytes(body)
-
-
-async def _discard_body(request: web.BaseRequest, until_s: float) -> None:
-    """Read the rest of a body that is not needed.
-
-    Closing a connection with unread bytes resets it, and its caller may
-    lose the answer.
-
-    :param until_s: seconds of the event loop's clock.
-    """
-    if request.content.at_eof():
-        return
-    with contextlib.suppress(
-        asyncio.TimeoutError, ConnectionError, web.RequestPayloadError
-    ):
-        async with asyncio.timeout_at(until_s):
-            while not request.content.at_eof():
-                await request.content.readany()
