--- /dev/null
+++ b/src/godwitvalve/parsing/overhead.py
@@ -0,0 +1,47 @@
+"""Compares what one message costs to parse with what it brings.
+
+Performs no input or output.
+"""
+
+from __future__ import annotations
+
+# Parts that a message may have for nothing. A head counts as one part, and
+# sound answers have at most a few dozen chunks.
+FREE_PARTS = 64
+# A part costs about as much to parse as this many bytes of content cost to
+# forward.
+BYTES_PER_PART = 256
+# Unpaid parts after which a message is given up. An answer of 4 KiB in chunks
+# of one byte stays below it.
+MAX_UNPAID_PARTS = 4096
+
+
+class ParsingOverhead:
+    """Counts the parts of a message that its content does not pay for.
+
+    Load pattern: an endpoint or a caller sends chunks of one byte without
+    end. Each part (a chunk, a line of a head) costs the same to parse,
+    however short it is.
+    """
+
+    def __init__(self) -> None:
+        self._unpaid_parts = -float(FREE_PARTS)
+
+    def add(self, parts: int, content_bytes: int) -> None:
+        """Count parts that were parsed and the content that they brought."""
+        self._unpaid_parts += parts
+        self.pay(content_bytes / BYTES_PER_PART)
+
+    def pay(self, parts: float) -> None:
+        """Pay for parts. What was brought earlier pays for few later ones."""
+        self._unpaid_parts = max(self._unpaid_parts - parts, -FREE_PARTS)
+
+    @property
+    def is_throttled(self) -> bool:
+        """Tell whether parsing goes on in turn with other such messages."""
+        return self._unpaid_parts > 0
+
+    @property
+    def is_excessive(self) -> bool:
+        """Tell whether the message is to be given up."""
+        return self._unpaid_parts > MAX_UNPAID_PARTS
