--- a/standins/local_site.py
+++ b/standins/local_site.py
@@ -23,6 +23,8 @@
 KEY_BYTES = 32
 PORTS = range(12_000, 32_000)
 _assigned_ports: set[int] = set()
+# Of the log of an entry that did not become ready.
+LOGGED_LINES = 20
 HOST = '127.0.0.1'
 
 
@@ -181,9 +183,16 @@
         http_json('DELETE', f'{self.platform_url}/instances/{instance_id}')
 
     def wait_ready(self, instance_id: str) -> None:
-        """Wait until an entry instance is ready."""
-        url = f'http://{self.members[instance_id].address}/readyz'
-        wait_until(lambda: http_json('GET', url), f'{instance_id} ready')
+        """Wait until an entry instance is ready.
+
+        :raises TimeoutError: with the end of its log, if it is not in time.
+        """
+        member = self.members[instance_id]
+        url = f'http://{member.address}/readyz'
+        try:
+            wait_until(lambda: http_json('GET', url), f'{instance_id} ready')
+        except TimeoutError as error:
+            raise TimeoutError(f'{error}\n{_log_end(member)}') from error
 
     def set_faults(self, name: str, **faults: object) -> None:
         """Set fault switches of a stand-in."""
@@ -272,6 +281,14 @@
         return member
 
 
+def _log_end(member: Member) -> str:
+    """Return whether a member runs and the last lines of its log."""
+    code = member.process.poll()
+    state = 'runs' if code is None else f'exited with {code}'
+    lines = member.log_path.read_text().splitlines()
+    return '\n'.join([f'{member.name} {state}', *lines[-LOGGED_LINES:]])
+
+
 def _accepts(port: int) -> bool:
     with contextlib.closing(socket.create_connection((HOST, port), 1)):
         return True
