Require a key as long as a client account is listed

Callers were served with any key or none once the last key of the last client account was withdrawn: the need for a key was derived from the keys that are left. It now follows from the accounts that are listed.

--- a/features/platform/accounts.feature
+++ b/features/platform/accounts.feature
@@ -43,3 +43,16 @@
       | 1e300  | 0    |
       | -5     | 0    |
       | [1]    | 0    |
+
+  Scenario Outline: Callers need a key as long as an account is listed
+    # Guards against a service that is open to all once the last key of the
+    # last client account is withdrawn.
+    Given a configuration with the client accounts <accounts>
+    Then a key is <need>
+
+    Examples:
+      | accounts                               | need       |
+      | [{"name": "a", "api_keys": ["k"]}]     | needed     |
+      | [{"name": "a", "api_keys": []}]        | needed     |
+      | [{"name": "a"}]                        | needed     |
+      | []                                     | not needed |
--- a/features/steps/platform_accounts_steps.py
+++ b/features/steps/platform_accounts_steps.py
@@ -63,3 +63,15 @@
 def idle_limit(context, used_s):
     found = context.configuration.limits.idle_s
     assert found == used_s, found
+
+
+@behave.given('a configuration with the client accounts {accounts}')
+def configuration_with_accounts(context, accounts):
+    content = f'{{"version": 1, "tenants": {accounts}}}'
+    context.configuration = wire_configuration.decode(content.encode())
+
+
+@behave.then('a key is {need}')
+def key_is(context, need):
+    is_needed = context.configuration.requires_key
+    assert is_needed == (need == 'needed'), is_needed
--- a/src/godwitvalve/fleet/routes.py
+++ b/src/godwitvalve/fleet/routes.py
@@ -83,7 +83,8 @@
     """An accepted, immutable configuration.
 
     :param version: increases with each configuration.
-    :param accounts: client accounts by key.
+    :param accounts: client accounts by key; None if callers need no key.
+        Accounts that hold no key at all leave callers without a valid one.
     :param source: the bytes that it was decoded from.
     """
 
@@ -92,7 +93,7 @@
         version: int,
         routes: abc.Iterable[Route],
         services: abc.Iterable[ServiceConfig],
-        accounts: abc.Mapping[str, AccountConfig],
+        accounts: abc.Mapping[str, AccountConfig] | None,
         limits: CallerLimits,
         source: bytes,
     ) -> None:
@@ -100,7 +101,8 @@
         self.services = {service.name: service for service in services}
         self.limits = limits
         self.source = source
-        self._accounts = dict(accounts)
+        self._requires_key = accounts is not None
+        self._accounts = dict(accounts or {})
         # HTTP compares names of hosts without regard to case.
         ordered = sorted(
             routes, key=lambda route: (route.host.lower(), -len(route.prefix))
@@ -128,6 +130,6 @@
         return self._accounts.get(key)
 
     @property
-    def has_accounts(self) -> bool:
+    def requires_key(self) -> bool:
         """Return whether callers must send a key."""
-        return bool(self._accounts)
+        return self._requires_key
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -292,7 +292,7 @@
             return self._refuse(facts, codes.ResultCode.UNKNOWN_ROUTE, 404)
         if not self.accepts(route, facts, arrived_s):
             return self._refuse_draining(facts)
-        if route.is_public or not configuration.has_accounts:
+        if route.is_public or not configuration.requires_key:
             return Admitted(route, None)
         account = configuration.account(facts.key)
         if account is None:
--- a/src/godwitvalve/platform/configuration.py
+++ b/src/godwitvalve/platform/configuration.py
@@ -149,6 +149,18 @@
     return sendable
 
 
+def _accounts(
+    tenants: list[_Tenant],
+) -> dict[str, routes.AccountConfig] | None:
+    if not tenants:
+        return None
+    return {
+        key: routes.AccountConfig(_sendable_name(tenant.name), tenant.priority)
+        for tenant in tenants
+        for key in tenant.api_keys
+    }
+
+
 def decode(content: bytes) -> routes.Configuration:
     """Decode a configuration.
 
@@ -163,13 +175,7 @@
         raw.version,
         [_route(route) for route in raw.routes],
         [_service(service) for service in raw.services],
-        {
-            key: routes.AccountConfig(
-                _sendable_name(tenant.name), tenant.priority
-            )
-            for tenant in raw.tenants
-            for key in tenant.api_keys
-        },
+        _accounts(raw.tenants),
         routes.CallerLimits(
             raw.limits.max_body_bytes,
             _idle_s(raw.limits.idle_timeout_ms),
