Require a key if client accounts are stated and none is listed

An empty list of accounts was taken for none stated, which opens a service to all callers once the last account is removed. Only a configuration without the field serves without a key. The scenario failed before.

--- a/features/platform/accounts.feature
+++ b/features/platform/accounts.feature
@@ -44,9 +44,9 @@
       | -5     | 0    |
       | [1]    | 0    |
 
-  Scenario Outline: Callers need a key as long as an account is listed
-    # Guards against a service that is open to all once the last key of the
-    # last client account is withdrawn.
+  Scenario Outline: Callers need a key if client accounts are stated
+    # Guards against a service that is open to all once the last key, or the
+    # last client account, is withdrawn.
     Given a configuration with the client accounts <accounts>
     Then a key is <need>
 
@@ -55,4 +55,5 @@
       | [{"name": "a", "api_keys": ["k"]}]     | needed     |
       | [{"name": "a", "api_keys": []}]        | needed     |
       | [{"name": "a"}]                        | needed     |
-      | []                                     | not needed |
+      | []                                     | needed     |
+      | null                                   | not needed |
--- a/src/godwitvalve/platform/configuration.py
+++ b/src/godwitvalve/platform/configuration.py
@@ -79,7 +79,8 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] = []
+    # None if the configuration states no client accounts at all.
+    tenants: list[_Tenant] | None = None
 
 
 _DECODER = msgspec.json.Decoder(_Configuration)
@@ -150,9 +151,9 @@
 
 
 def _accounts(
-    tenants: list[_Tenant],
+    tenants: list[_Tenant] | None,
 ) -> dict[str, routes.AccountConfig] | None:
-    if not tenants:
+    if tenants is None:
         return None
     return {
         key: routes.AccountConfig(_sendable_name(tenant.name), tenant.priority)
