Log pauses of the event loop and high memory of an entry

A request may go without an answer because the process computed for too long, because the machine gave it no processor, or because the process was killed for its memory. The logs did not tell these apart.

The maintenance timer measures how late it is and compares that with the processor time of its thread. It logs pauses above 0.25 s and private memory above three quarters of the machine's, each at most once a second, and exports both as metrics. A timer that is due every 0.25 s sees a pause up to 0.25 s too short; a faster one would cost processor time on idle entries.

--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -8,6 +8,7 @@
 import random
 from typing import TypeAlias
 
+from godwitvalve.diagnostics import history as histories
 from godwitvalve.endpoint_limits import limiter as limiters
 from godwitvalve.endpoint_limits import view as views
 from godwitvalve.fleet import endpoints
@@ -75,6 +76,9 @@
     limiter: limiters.EndpointLimiter = dataclasses.field(
         default_factory=limiters.EndpointLimiter
     )
+    history: histories.ProcessHistory = dataclasses.field(
+        default_factory=histories.ProcessHistory
+    )
     rng: random.Random = dataclasses.field(default_factory=random.Random)
 
     def pick_service(self, route: routes.Route) -> str | None:
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -11,6 +11,7 @@
 
 from aiohttp import web
 
+from godwitvalve.diagnostics import monitor as monitors
 from godwitvalve.endpoint_limits import limiter as limiters
 from godwitvalve.endpoint_limits import messages as permit_messages
 from godwitvalve.endpoint_limits import node as permit_nodes
@@ -62,7 +63,6 @@
 # In a large fleet changes are relayed by another entry, and it takes a second
 # to switch to the next source if that entry is lost.
 LARGE_FLEET_READ_PAUSE_S = 0.3
-MAINTENANCE_PERIOD_S = 0.25
 # Part of the time limit of a configuration that is left once an entry has
 # read it: a heartbeat, the next comparison of versions and two reads.
 CONFIGURATION_SPREAD_S = 1.0
@@ -148,6 +148,13 @@
         )
         self._context.limiter.source = self._permits
         self._handler = handlers.IngressHandler(self._context, self._lifecycle)
+        self._monitor = monitors.ProcessMonitor(
+            self._context.history,
+            self._context.counters.registry,
+            settings.instance_id,
+            settings.memory_mb,
+            lambda: self._lifecycle.requests_in_flight,
+        )
         self._gossip = gossip_nodes.GossipNode(
             self._members,
             self._build_record,
@@ -243,6 +250,7 @@
         self._gossip.schedule_update()
 
     def _on_configuration(self) -> None:
+        self._context.history.record_configuration(time.monotonic())
         self._lifecycle.begin_serving()
         self._gossip.schedule_update()
 
@@ -499,8 +507,9 @@
 
     async def _maintain(self) -> None:
         while True:
-            await asyncio.sleep(MAINTENANCE_PERIOD_S)
+            await asyncio.sleep(monitors.PERIOD_S)
             for activity, step in (
+                ('observe the process', self._monitor.observe),
                 ('expire endpoints', self._endpoints.expire),
                 ('install configurations', self._install_deferred),
                 ('prune connections', self._context.pool.prune),
@@ -585,6 +594,7 @@
 
         Changed settings apply only after a restart.
         """
+        self._context.history.record_reload(time.monotonic())
         with self._failures.isolate('read the settings again'):
             self._compare_settings()
 
