Log what came before a request without a complete answer

A line of a cut answer had its reason only. Whether a changed configuration, SIGHUP, a silent endpoint or a pause of the event loop came before it had to be gathered from other lines, which may be cut by the rate limit of the log.

The line now has the time since the last configuration and the last SIGHUP, the longest pause of the event loop in the last second, and whether the stream had left a silent endpoint.

--- a/features/ingress/incomplete_answers.feature
+++ b/features/ingress/incomplete_answers.feature
@@ -33,3 +33,24 @@
     When a caller asks for a stream
     Then its answer is complete
     And no reason is counted
+
+  Scenario Outline: A cut answer tells what happened before it
+    # Guards against cut answers of which one cannot tell whether a change, a
+    # silent endpoint or a pause of the entry came before them.
+    Given stream endpoints that play
+      | scripts      |
+      | <first>      |
+      | head 2 crash |
+      | head 3 end   |
+    And the condition "<condition>" at the caller port
+    When a caller asks for a stream
+    Then its answer is cut
+    And its log line has "<field>" from <least> to <most>, and nothing else happened
+
+    Examples:
+      | first        | condition             | field                  | least | most |
+      | head 1 hang  | one more attempt      | has_left_silent        | 1     | 1    |
+      | head 1 crash | one more attempt      | has_left_silent        | 0     | 0    |
+      | head 1 crash | changed configuration | since_configuration_ms | 0     | 1000 |
+      | head 1 crash | SIGHUP                | since_reload_ms        | 0     | 1000 |
+      | head 1 crash | event loop held up    | longest_pause_ms       | 250   | 2000 |
--- a/features/steps/ingress_incomplete_steps.py
+++ b/features/steps/ingress_incomplete_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 
 import behave
 from features.doubles import forwarding_site
@@ -17,6 +18,17 @@
 ROUTES = {
     'one attempt': STREAM._replace(max_endpoints=1),
     'not resumable': STREAM._replace(is_resumable=False),
+    'one more attempt': STREAM._replace(max_endpoints=2),
+    'changed configuration': STREAM._replace(max_endpoints=2),
+    'SIGHUP': STREAM._replace(max_endpoints=2),
+    'event loop held up': STREAM._replace(max_endpoints=2),
+}
+HELD_UP_S = 0.7
+# Fields of the log line of a cut answer before which nothing happened.
+QUIET = {
+    'has_left_silent': False,
+    'since_configuration_ms': None,
+    'since_reload_ms': None,
 }
 
 
@@ -73,10 +85,25 @@
     async def leave(writer):
         writer.transport.abort()
 
+    history = ingress.site.context.history
+
+    async def install(writer):
+        history.record_configuration(time.monotonic())
+
+    async def reload(writer):
+        history.record_reload(time.monotonic())
+
+    async def hold_up(writer):
+        history.pauses.record(time.monotonic(), time.thread_time())
+        time.sleep(HELD_UP_S)
+
     return {
         'endpoints removed': remove,
         'interrupted by a stop': interrupt,
         'caller leaves': leave,
+        'changed configuration': install,
+        'SIGHUP': reload,
+        'event loop held up': hold_up,
     }.get(context.condition)
 
 
@@ -119,6 +146,24 @@
     assert logged == [reason], logged
 
 
+@behave.then(
+    'its log line has "{field}" from {least:d} to {most:d}, and nothing else '
+    'happened'
+)
+def line_has_field(context, field, least, most):
+    (line,) = (
+        each
+        for each in context.records.records
+        if each.getMessage() == MESSAGE
+    )
+    assert least <= getattr(line, field) <= most, line.__dict__
+    others = {name: value for name, value in QUIET.items() if name != field}
+    logged = {name: getattr(line, name) for name in others}
+    assert logged == others, line.__dict__
+    if field != 'longest_pause_ms':
+        assert line.longest_pause_ms == 0, line.__dict__
+
+
 @behave.then('it has status {status:d}')
 def has_status(context, status):
     assert context.result.status == status, context.result
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -35,6 +35,8 @@
 # Events of an attempt after which its prompt counts as sound. A prompt that
 # crashes endpoints does so as they begin to write.
 MIN_SOUND_EVENTS = 8
+# Reason of an attempt whose endpoint sent nothing for too long.
+SILENT = 'silent'
 
 _LOG = logs.get('forwarding')
 
@@ -580,7 +582,7 @@
             case _:
                 pass
         self._record_end(successor, end)
-        self._context.counters.count_retry('silent')
+        self._context.counters.count_retry(SILENT)
 
     def _send(self, attempt: attempts.StreamAttempt) -> attempts.Opening:
         """Begin to send an attempt."""
@@ -640,7 +642,7 @@
         exchange = opening.exchange
         head = await self._await_responsive(attempt, opening.task)
         if head is None:
-            return attempts.Interrupted('silent', True)
+            return attempts.Interrupted(SILENT, True)
         now_s = self._loop.time()
         attempt.has_head = True
         self._record_progress(attempt)
@@ -663,7 +665,7 @@
                 attempt, asyncio.create_task(_next_chunk(chunks))
             )
             if chunk is None:
-                return attempts.Interrupted('silent', True)
+                return attempts.Interrupted(SILENT, True)
             if not chunk:
                 break
             is_progress = await self._forward_events(attempt, head, chunk)
@@ -940,6 +942,7 @@
             case attempts.Interrupted():
                 # Before its first event an attempt has no copy.
                 self._last_attempt = attempt if attempt.has_events else None
+                self.times.silent_count += end.reason == SILENT
                 self._record_interruption(attempt, end)
                 if attempt.has_events:
                     self._context.on_endpoint_lost(
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -6,7 +6,7 @@
 from collections import abc
 import logging
 import time
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeAlias
 
 import aiohttp
 from aiohttp import web
@@ -38,6 +38,8 @@
 # an estimate, and it takes longer if it has to go on at another endpoint.
 STREAM_ACCEPT_PERIOD_S = 1.2
 
+Forwarder: TypeAlias = streams.StreamForwarder | calls.CallForwarder
+
 _LOG = logs.get('ingress')
 
 
@@ -383,7 +385,7 @@
         sink = CallerStream(request, lambda: self._stop is not None)
         reply: replies.Reply | None = None
         reason: replies.IncompleteReason | None = None
-        forwarder: streams.StreamForwarder | calls.CallForwarder
+        forwarder: Forwarder
         if routed.route.kind is routes.RequestKind.STREAM:
             forwarder = streams.StreamForwarder(
                 self._context, routed, sink, pending
@@ -396,14 +398,16 @@
                 reply = replies.Refusal(
                     codes.ResultCode.DRAINING, DRAINING_RETRY_AFTER_S
                 )
-            return await self._respond(routed, sink, reply)
+            return await self._respond(routed, sink, reply, forwarder)
         except BaseException as error:
             reason = self._incomplete_reason(request, error)
             if sink.response is None and _may_answer(error, reason):
                 _log_error(routed.request.facts, error)
                 reply = _reply_to_error(forwarder.may_have_run)
-                return await self._respond(routed, sink, reply)
-            self._record_incomplete(routed.request.facts, reason, error)
+                return await self._respond(routed, sink, reply, forwarder)
+            self._record_incomplete(
+                routed.request.facts, reason, error, forwarder
+            )
             if sink.response is not None:
                 sink.abort()
             raise
@@ -415,6 +419,7 @@
         routed: calls.RoutedRequest,
         sink: CallerStream,
         reply: replies.Reply,
+        forwarder: Forwarder,
     ) -> web.StreamResponse:
         match reply:
             case exchanges.Answered(head, body):
@@ -436,7 +441,9 @@
                     await sink.response.write_eof()
                 else:
                     assert reason is not None
-                    self._record_incomplete(routed.request.facts, reason)
+                    self._record_incomplete(
+                        routed.request.facts, reason, forwarder=forwarder
+                    )
                     sink.abort()
                 return sink.response
 
@@ -459,8 +466,12 @@
         facts: wire.CallerFacts,
         reason: replies.IncompleteReason,
         error: BaseException | None = None,
+        forwarder: Forwarder | None = None,
     ) -> None:
-        """Count and log a request that ends without a complete answer."""
+        """Count and log a request that ends without a complete answer.
+
+        :param forwarder: what forwarded it; None if it was not forwarded.
+        """
         self._context.counters.count_incomplete(reason)
         is_own_fault = reason is replies.IncompleteReason.EXCEPTION
         _LOG.log(
@@ -469,7 +480,14 @@
             else logging.WARNING,
             'Request ended without a complete answer.',
             exc_info=error if is_own_fault else None,
-            extra={'request_id': facts.request_id, 'reason': reason.value},
+            extra={
+                'request_id': facts.request_id,
+                'reason': reason.value,
+                'has_left_silent': _has_left_silent(forwarder),
+                **self._context.history.fields(
+                    asyncio.get_running_loop().time()
+                ),
+            },
         )
 
     def _log_end(
@@ -478,7 +496,7 @@
         reply: replies.Reply | None,
         reason: replies.IncompleteReason | None,
         arrived_s: float,
-        forwarder: streams.StreamForwarder | calls.CallForwarder,
+        forwarder: Forwarder,
     ) -> None:
         taken_s = asyncio.get_running_loop().time() - arrived_s
         outcome, detail = _describe_outcome(reply, reason)
@@ -501,9 +519,16 @@
         )
 
 
-def _forwarder_fields(
-    forwarder: streams.StreamForwarder | calls.CallForwarder,
-) -> dict[str, Any]:
+def _has_left_silent(forwarder: Forwarder | None) -> bool:
+    """Tell whether a stream went on from a silent endpoint."""
+    match forwarder:
+        case streams.StreamForwarder(times=times):
+            return times.silent_count > 0
+        case _:
+            return False
+
+
+def _forwarder_fields(forwarder: Forwarder) -> dict[str, Any]:
     match forwarder:
         case calls.CallForwarder(endpoints=tried):
             return {'endpoints': tried}
