Log the size of a configuration and how long it took

Whether a pause of the event loop came from a large configuration could not be told. The line of an installation now states the bytes and the time to decode and to install it; it is written after the installation and still names the version before as installed_version.

--- a/features/fleet/large_configuration.feature
+++ b/features/fleet/large_configuration.feature
@@ -43,3 +43,9 @@
       | 100 MB of zeroes | as a table                   |
       | damaged bytes    | with the state of this entry |
       | 100 MB of zeroes | with the state of this entry |
+
+  Scenario: The log tells how long a configuration took
+    # Guards against pauses by large configurations that cannot be told from
+    # others.
+    Given an entry that takes 0.05 s to adopt a configuration of 1400 routes
+    Then its log line states the size and the time to decode and to install it
--- a/features/steps/fleet_large_configuration_steps.py
+++ b/features/steps/fleet_large_configuration_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 import string
 import time
@@ -13,6 +14,7 @@
 from aiohttp import test_utils
 from aiohttp import web
 import behave
+from features.doubles import log_records
 from godwitvalve.fleet import consumers
 from godwitvalve.fleet import relay
 from godwitvalve.fleet import revisions
@@ -242,3 +244,48 @@
 def nothing_installed(context):
     assert context.state.configuration is None
     assert context.failure is not None or context.way not in TABLE_WAYS
+
+
+@behave.given(
+    'an entry that takes {span_s:g} s to adopt a configuration of {count:d} '
+    'routes'
+)
+def slow_entry(context, span_s, count):
+    records = log_records.LogRecords()
+    logger = logging.getLogger('godwitvalve.fleet')
+    level = logger.level
+    logger.addHandler(records)
+    logger.setLevel(logging.INFO)
+    context.cleanups += [
+        lambda: logger.setLevel(level),
+        lambda: logger.removeHandler(records),
+    ]
+    context.content = _content(count)
+    context.adopt_s = span_s
+    consumer = consumers.ConfigurationConsumer(
+        states.FleetState(), lambda: time.sleep(span_s)
+    )
+    began_s = time.monotonic()
+    assert consumer.apply_content(
+        context.content, revisions.UNKNOWN_ERAS, 'entry-1'
+    )
+    context.taken_ms = (time.monotonic() - began_s) * 1000
+    context.records = records.records
+
+
+@behave.then(
+    'its log line states the size and the time to decode and to install it'
+)
+def states_durations(context):
+    (line,) = (
+        each
+        for each in context.records
+        if each.getMessage() == 'fleet: Installed a configuration.'
+    )
+    assert line.version == VERSION and line.installed_version == 0
+    assert line.size_bytes == len(context.content), line.__dict__
+    assert line.decode_ms > 0, line.__dict__
+    assert line.install_ms >= context.adopt_s * 1000, line.__dict__
+    # Both are rounded to 0.1 ms.
+    total_ms = line.decode_ms + line.install_ms
+    assert total_ms <= context.taken_ms + 0.1, (total_ms, context.taken_ms)
--- a/src/godwitvalve/fleet/consumers.py
+++ b/src/godwitvalve/fleet/consumers.py
@@ -42,10 +42,17 @@
 OnRemoved = abc.Callable[[str], None]
 
 
+class _Decoded(NamedTuple):
+    """A configuration, and how long it took to decode."""
+
+    configuration: routes.Configuration
+    taken_ms: float
+
+
 class _Deferred(NamedTuple):
     """A configuration with a lower version than the one it replaces."""
 
-    configuration: routes.Configuration
+    decoded: _Decoded
     eras: revisions.EraSpan
     replaced: routes.Configuration | None
     due_s: float
@@ -97,9 +104,10 @@
         may_be_copied: bool,
         now_s: float,
     ) -> None:
-        configuration = _decode_configuration(content, 'store')
-        if configuration is None:
+        decoded = _decode_configuration(content, 'store')
+        if decoded is None:
             return
+        configuration = decoded.configuration
         deferred, self._deferred = self._deferred, None
         previous, self._stored = self._stored, _digest(content)
         if self._state.has_content(configuration):
@@ -107,9 +115,9 @@
         elif not self._is_newer(configuration, eras, may_be_copied, previous):
             self._log_kept(configuration, eras, 'store')
         elif configuration.version < self._state.version:
-            self._defer(configuration, eras, deferred, now_s)
+            self._defer(decoded, eras, deferred, now_s)
         else:
-            self._install(configuration, eras, 'store')
+            self._install(decoded, eras, 'store')
 
     def _is_newer(
         self,
@@ -139,7 +147,7 @@
 
     def _defer(
         self,
-        configuration: routes.Configuration,
+        decoded: _Decoded,
         eras: revisions.EraSpan,
         deferred: _Deferred | None,
         now_s: float,
@@ -154,7 +162,7 @@
             else deferred.latest_s
         )
         self._deferred = _Deferred(
-            configuration,
+            decoded,
             eras,
             self._state.configuration,
             min(now_s + LOWER_VERSION_DELAY_S, latest_s),
@@ -170,14 +178,14 @@
             return
         deferred, self._deferred = self._deferred, None
         revision = revisions.ConfigurationRevision(
-            deferred.configuration.version, deferred.eras
+            deferred.decoded.configuration.version, deferred.eras
         )
         is_still_newer = (
             deferred.replaced is self._state.configuration
             or revision.supersedes(self._state.revision)
         )
         if is_still_newer:
-            self._install(deferred.configuration, deferred.eras, 'store')
+            self._install(deferred.decoded, deferred.eras, 'store')
 
     def apply_content(
         self, content: bytes, eras: revisions.EraSpan, source: str
@@ -190,9 +198,10 @@
         :param source: the entry, for the log.
         :returns: whether it is in force now.
         """
-        configuration = _decode_configuration(content, source)
-        if configuration is None:
+        decoded = _decode_configuration(content, source)
+        if decoded is None:
             return False
+        configuration = decoded.configuration
         if self._state.has_content(configuration):
             self._state.confirm(eras)
             return True
@@ -202,22 +211,34 @@
         ):
             self._log_kept(configuration, eras, source)
             return False
-        self._install(configuration, eras, source)
+        self._install(decoded, eras, source)
         return True
 
     def _install(
         self,
-        configuration: routes.Configuration,
+        decoded: _Decoded,
         eras: revisions.EraSpan,
         source: str,
     ) -> None:
+        configuration = decoded.configuration
+        began_s = time.monotonic()
+        installed_version = self._state.version
         installed = self._state.configuration
         if installed is not None:
             self._remember_replaced(_digest(installed.source))
         self._replaced.pop(_digest(configuration.source), None)
-        self._log('Installed a configuration.', configuration, eras, source)
         self._state.install(configuration, eras)
         self._on_change()
+        self._log(
+            'Installed a configuration.',
+            configuration,
+            eras,
+            source,
+            installed_version=installed_version,
+            size_bytes=len(configuration.source),
+            decode_ms=decoded.taken_ms,
+            install_ms=_since_ms(began_s),
+        )
 
     def _remember_replaced(self, digest: bytes) -> None:
         self._replaced.pop(digest, None)
@@ -241,6 +262,7 @@
         configuration: routes.Configuration,
         eras: revisions.EraSpan,
         source: str,
+        **details: float,
     ) -> None:
         _LOG.info(
             message,
@@ -249,6 +271,7 @@
                 'installed_version': self._state.version,
                 'eras': eras,
                 'source': source,
+                **details,
             },
         )
 
@@ -257,11 +280,15 @@
     return hashlib.sha256(content).digest()
 
 
-def _decode_configuration(
-    content: bytes, source: str
-) -> routes.Configuration | None:
+def _since_ms(began_s: float) -> float:
+    return round((time.monotonic() - began_s) * 1000, 1)
+
+
+def _decode_configuration(content: bytes, source: str) -> _Decoded | None:
+    began_s = time.monotonic()
     try:
-        return wire_configuration.decode(content)
+        configuration = wire_configuration.decode(content)
+        return _Decoded(configuration, _since_ms(began_s))
     except wire_configuration.InvalidConfiguration as error:
         _LOG.error(
             'Configuration is invalid.',
