Use the stop limit of a settings file that changes

Callers saw streams and calls cut in a planned stop that left time for them: the platform had raised the stop limit, and the entry stopped by the old one. With a lowered limit the process was killed while requests waited.

SIGHUP read the settings file, checked it and logged the differences only, and a change without a signal was not seen at all. The file is read again now at SIGHUP, once a changed file has stayed the same for a maintenance period, and as a stop begins. The stop limit, the validity of address answers and the retry burst are read from the settings in force. Fields that are copied at the start, and names and addresses, wait for a restart; the log names them. A file with errors keeps the settings and is logged once.

During a stop a shorter limit applies, and a longer one does not: if the platform has set the time of the kill at the stop signal, callers would get a closed connection in place of an answer.

--- a/features/lifecycle/drain.feature
+++ b/features/lifecycle/drain.feature
@@ -26,3 +26,29 @@
     And a stream of 25 s that is expected to take 6 s is refused at 1.5 s
     And a stream of 2 s that is expected to take 6 s is accepted at 5.4 s
     And a stream of 2 s that is expected to take 6 s is refused at 5.5 s
+
+  Scenario Outline: A limit that changes during a drain can only shorten it
+    # Guards against a process that is killed while requests wait for their
+    # answers, as the limit became shorter, or as it became longer and the
+    # platform has set the time of the kill at the stop signal.
+    Given a drain of a process that is killed 8 s later
+    When the limit becomes <limit_s> s at <at_s> s
+    Then requests have answers by <answer_s> s and answers end by <cut_s> s
+
+    Examples:
+      | limit_s | at_s | answer_s | cut_s |
+      | 8       | 1    | 7.4      | 7.6   |
+      | 20      | 1    | 7.4      | 7.6   |
+      | 5       | 1    | 4.4      | 4.6   |
+      | 5       | 4.5  | 4.5      | 4.7   |
+      | 2       | 4    | 4.0      | 4.2   |
+      | 2       | 7.5  | 7.4      | 7.6   |
+
+  Scenario: A limit that was shortened during a drain stays so
+    # Guards against a limit that changes twice, and against an end that is
+    # put off at each check because the limit has passed.
+    Given a drain of a process that is killed 8 s later
+    When the limit becomes 2 s at 4 s
+    And the limit becomes 2 s at 4.1 s
+    And the limit becomes 20 s at 4.2 s
+    Then requests have answers by 4 s and answers end by 4.2 s
--- a/features/steps/ingress_grace_steps.py
+++ b/features/steps/ingress_grace_steps.py
@@ -159,6 +159,8 @@
     context.fleet = fleet_site.FleetSite(pathlib.Path(folder.name), (entry,))
     context.cleanups.append(context.fleet.stop)
     context.stop_limit_s = limit_s
+    # Called right before the stop signal.
+    context.before_stop = []
 
 
 @behave.given(
@@ -203,6 +205,8 @@
 
 def _stop_and_kill(context):
     """Stop the entry as the platform does, with SIGKILL at the limit."""
+    for action in context.before_stop:
+        action()
     context.fleet.signal('entry-0', signal.SIGTERM)
 
     def kill():
--- a/features/steps/lifecycle_drain_steps.py
+++ b/features/steps/lifecycle_drain_steps.py
@@ -64,3 +64,19 @@
 )
 def stream_refused(context, limit_s, expected_s, at_s):
     assert not _is_accepted(context, limit_s, expected_s, at_s)
+
+
+@behave.when('the limit becomes {limit_s:g} s at {at_s:g} s')
+def limit_becomes(context, limit_s, at_s):
+    changed = drain.schedule(BEGAN_S, limit_s)
+    context.schedule = drain.shorten(context.schedule, changed, BEGAN_S + at_s)
+
+
+@behave.then(
+    'requests have answers by {answer_s:g} s and answers end by {cut_s:g} s'
+)
+def deadlines(context, answer_s, cut_s):
+    began_s, answer_by_s, cut_by_s = context.schedule
+    assert began_s == BEGAN_S
+    assert abs(answer_by_s - BEGAN_S - answer_s) < 1e-6, context.schedule
+    assert abs(cut_by_s - BEGAN_S - cut_s) < 1e-6, context.schedule
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -117,6 +117,10 @@
         self._stop = stop
         self._lifecycle.begin_drain(stop.began_s)
 
+    def shorten_drain(self, stop: drain.StopSchedule) -> None:
+        """Use earlier deadlines in a drain that has begun."""
+        self._stop = stop
+
     def begin_interrupting(self) -> None:
         """Take requests that are cancelled from now on as interrupted."""
         self._is_interrupting = True
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -34,6 +34,7 @@
 from godwitvalve.ingress import membership
 from godwitvalve.ingress import peer_tables
 from godwitvalve.ingress import servers
+from godwitvalve.ingress import settings_reload
 from godwitvalve.ingress import shared_states
 from godwitvalve.ingress import state_rows
 from godwitvalve.lifecycle import drain
@@ -94,6 +95,9 @@
 
     def __init__(self, settings: wire_settings.FleetSettings) -> None:
         self._settings = settings
+        self._settings_reload = settings_reload.SettingsReload(
+            settings, self._apply_settings
+        )
         self._started_wall_ms = int(time.time() * 1000)
         self._state = states.FleetState()
         self._era = eras.StoreEra()
@@ -508,6 +512,7 @@
                 ('expire limits', self._expire_limits),
                 ('resize the retry budget', self._resize_retry_budget),
                 ('review roll-outs', self._review_rollouts),
+                ('check the settings', self._settings_reload.check),
             ):
                 with self._failures.isolate(activity):
                     step()
@@ -581,31 +586,12 @@
             self._signalled_s = time.monotonic()
 
     def _reload(self) -> None:
-        """Validate the settings again and log what changed.
-
-        Changed settings apply only after a restart.
-        """
+        """Read the settings again at SIGHUP."""
         with self._failures.isolate('read the settings again'):
-            self._compare_settings()
+            self._settings_reload.read(is_announced=True)
 
-    def _compare_settings(self) -> None:
-        try:
-            settings = wire_settings.load()
-        except wire_settings.SettingsError as error:
-            _LOG.error(
-                'Settings are invalid; keeping the current ones.',
-                extra={'reason': str(error)},
-            )
-            return
-        changed = [
-            name
-            for name in settings.__struct_fields__
-            if getattr(settings, name) != getattr(self._settings, name)
-        ]
-        _LOG.info(
-            'Settings were read again; changes apply after a restart.',
-            extra={'changed': changed},
-        )
+    def _apply_settings(self, settings: wire_settings.FleetSettings) -> None:
+        self._settings = settings
 
     async def _drain(self) -> None:
         """Leave the directory, then wait for the requests in flight.
@@ -613,9 +599,11 @@
         Requests that still run shortly before the stop limit are interrupted
         and get their answer, unless it has begun.
         """
-        now_s = time.monotonic()
-        late_s = now_s - (self._signalled_s or now_s)
-        stop = drain.schedule(now_s, self._settings.stop_limit_s - late_s)
+        with self._failures.isolate('read the settings again'):
+            self._settings_reload.read()
+        began_s = time.monotonic()
+        signalled_s = self._signalled_s or began_s
+        stop = self._schedule_stop(began_s, signalled_s)
         self._handler.begin_drain(stop)
         with self._failures.isolate('announce the stop'):
             self._gossip.send_heartbeat()
@@ -623,15 +611,26 @@
             'Drain started.',
             extra={
                 'in_flight': self._lifecycle.requests_in_flight,
-                'late_ms': round(late_s * 1000),
+                'late_ms': round((began_s - signalled_s) * 1000),
             },
         )
         while not self._lifecycle.stop(time.monotonic()):
-            self._handler.interrupt_due(time.monotonic())
-            if time.monotonic() > stop.cut_by_s + 2 * DRAIN_POLL_S:
+            now_s = time.monotonic()
+            stop = drain.shorten(
+                stop, self._schedule_stop(began_s, signalled_s), now_s
+            )
+            self._handler.shorten_drain(stop)
+            self._handler.interrupt_due(now_s)
+            if now_s > stop.cut_by_s + 2 * DRAIN_POLL_S:
                 _LOG.warning(
                     'Stop limit reached; closing connections.',
                     extra={'in_flight': self._lifecycle.requests_in_flight},
                 )
                 return
             await asyncio.sleep(DRAIN_POLL_S)
+
+    def _schedule_stop(
+        self, began_s: float, signalled_s: float
+    ) -> drain.StopSchedule:
+        late_s = began_s - signalled_s
+        return drain.schedule(began_s, self._settings.stop_limit_s - late_s)
--- a/src/godwitvalve/lifecycle/drain.py
+++ b/src/godwitvalve/lifecycle/drain.py
@@ -32,6 +32,25 @@
     return StopSchedule(now_s, stop_s - ANSWER_MARGIN_S, stop_s - CUT_MARGIN_S)
 
 
+def shorten(
+    stop: StopSchedule, changed: StopSchedule, now_s: float
+) -> StopSchedule:
+    """Return the schedule of a stop after its limit was changed.
+
+    A shorter limit applies: otherwise the process may be killed while
+    requests wait for their answers. A longer one does not, as the platform
+    may have set the time of the kill at the stop signal.
+
+    :param changed: schedule by the changed limit. Deadlines that have
+        passed move to now, and answers get their time before streams end.
+    """
+    cut_by_s = max(changed.cut_by_s, now_s + ANSWER_MARGIN_S - CUT_MARGIN_S)
+    return stop._replace(
+        answer_by_s=min(stop.answer_by_s, max(changed.answer_by_s, now_s)),
+        cut_by_s=min(stop.cut_by_s, cut_by_s),
+    )
+
+
 def admits(
     stop: StopSchedule,
     now_s: float,
--- a/src/godwitvalve/platform/settings.py
+++ b/src/godwitvalve/platform/settings.py
@@ -15,6 +15,28 @@
 # Heartbeats and permits use a port each.
 PEER_PORTS = 2
 MAX_PORT = 65535
+# Fields whose changes wait for a restart. They name this instance to others,
+# are addresses at which it listens, or are copied at its start.
+RESTART_FIELDS = frozenset(
+    {
+        'instance_id',
+        'failure_domain',
+        'ip',
+        'caller_address',
+        'readiness_address',
+        'directory_address',
+        'control_address',
+        'peer_ports',
+        'store_address',
+        'seed_addresses',
+        'address_reuse_s',
+        'retry_budget_ratio',
+        'exposure_share',
+        'exposure_slack',
+        'memory_mb',
+        'configuration_limit_ms',
+    }
+)
 
 _DECODER = msgspec.json.Decoder()
 
@@ -111,15 +133,32 @@
     return msgspec.convert(raw, FleetSettings)
 
 
-def load() -> FleetSettings:
-    """Read the settings file named by ``SETTINGS_VARIABLE``.
+def path() -> str:
+    """Return the path of the settings file.
 
-    :raises SettingsError: if it is missing or has errors.
+    :raises SettingsError: if ``SETTINGS_VARIABLE`` does not name it.
     """
-    path = os.environ.get(SETTINGS_VARIABLE)
-    if not path:
+    found = os.environ.get(SETTINGS_VARIABLE)
+    if not found:
         raise SettingsError(f'{SETTINGS_VARIABLE} is not set')
+    return found
+
+
+def read() -> bytes:
+    """Return the content of the settings file.
+
+    :raises SettingsError: if it cannot be read.
+    """
+    name = path()
     try:
-        return decode(pathlib.Path(path).read_bytes())
+        return pathlib.Path(name).read_bytes()
     except OSError as error:
-        raise SettingsError(f'{path}: {error.strerror}') from error
+        raise SettingsError(f'{name}: {error.strerror}') from error
+
+
+def load() -> FleetSettings:
+    """Read and validate the settings file.
+
+    :raises SettingsError: if it is missing or has errors.
+    """
+    return decode(read())
