Bound the bodies of all requests together

Callers that sent long bodies at once ended the process: each body was held whole, copied to send it and copied once more in the transport, and nothing bounded all of them. 34 callers on kept connections with bodies of 3.9 MB, for 5 s at one entry on a machine of 150 MB, took 174 MB of private memory with a length, 196 MB in chunks, and 207 MB beside 34 endless answers.

Bodies now have a share of the machine's memory (37.5 MB of 150 MB), counted with what is copied to send. A body with a length gets its room before it is read, one in chunks as it grows.

An endpoint that answers early still gets the rest of its body; the connection is closed afterwards unless all had been passed on.

AnswerMemory is MessageMemory, as it counts both.

--- a/features/doubles/forwarding_site.py
+++ b/features/doubles/forwarding_site.py
@@ -7,11 +7,11 @@
 from godwitvalve.fleet import endpoints
 from godwitvalve.fleet import routes
 from godwitvalve.fleet import state
-from godwitvalve.forwarding import answer_memory
 from godwitvalve.forwarding import calls
 from godwitvalve.forwarding import context
 from godwitvalve.forwarding import counters
 from godwitvalve.forwarding import exchange
+from godwitvalve.forwarding import message_memory
 from godwitvalve.forwarding import pool
 from godwitvalve.forwarding import streams
 from godwitvalve.placement import sessions
@@ -79,9 +79,7 @@
 
     def __init__(self, scripted, memory=None, turns=None):
         self.scripted = scripted
-        self.memory = memory or answer_memory.AnswerMemory(
-            answer_memory.limit_for(128)
-        )
+        self.memory = memory or message_memory.for_machine(128)
         self.lost = []
         self.on_started = []
         self.send_delays_s = ()
--- /dev/null
+++ b/features/ingress/body_memory.feature
@@ -0,0 +1,23 @@
+Feature: Memory of request bodies and answers
+
+  Scenario Outline: A burst of long bodies fits the memory of the machine
+    # An entry that exceeds the memory of its machine is killed, and all that
+    # it runs is lost. Bodies were held and copied without a common limit.
+    Given an entry on a machine of 150 MB
+    When 34 callers send bodies of 3900000 bytes <framing> for 5 s
+    Then its private memory never exceeded 150 MB
+    And no request ended without an answer
+    And at least 50 long bodies were served
+
+    Examples:
+      | framing       |
+      | with a length |
+      | in chunks     |
+
+  Scenario: Endless answers beside long bodies fit the memory of the machine
+    # Answers and bodies have a limit each; together they must fit, too.
+    Given an entry on a machine of 150 MB
+    When 34 callers send bodies of 3900000 bytes, and 34 call as many endless endpoints, for 5 s
+    Then its private memory never exceeded 150 MB
+    And no request ended without an answer
+    And at least 20 long bodies were served
--- a/features/steps/forwarding_endless_steps.py
+++ b/features/steps/forwarding_endless_steps.py
@@ -11,8 +11,8 @@
 from features.doubles import monitor
 from features.doubles import scripted_endpoint
 from godwitvalve.fleet import routes
-from godwitvalve.forwarding import answer_memory
 from godwitvalve.forwarding import exchange
+from godwitvalve.forwarding import message_memory
 from godwitvalve.forwarding import replies
 
 MIB = 1024 * 1024
@@ -161,13 +161,13 @@
     context.complete = _complete()
 
 
-def _run(context, act, limit_bytes=answer_memory.MIN_LIMIT_BYTES):
+def _run(context, act, limit_bytes=message_memory.MIN_LIMIT_BYTES):
     async def run():
         endpoints = [*context.flooding, context.complete]
         for each in endpoints:
             await each.start()
         site = forwarding_site.ForwardingSite(
-            endpoints, answer_memory.AnswerMemory(limit_bytes)
+            endpoints, message_memory.MessageMemory(limit_bytes)
         )
         context.monitor = monitor.Monitor(lambda: site.memory.total_bytes)
         monitoring = asyncio.create_task(context.monitor.run())
--- a/src/godwitvalve/forwarding/channel.py
+++ b/src/godwitvalve/forwarding/channel.py
@@ -8,7 +8,9 @@
 
 import h11
 
-from godwitvalve.forwarding import answer_memory
+from godwitvalve.forwarding import body_memory
+from godwitvalve.forwarding import message_buffer
+from godwitvalve.forwarding import message_memory
 from godwitvalve.forwarding import sockets
 from godwitvalve.services import headers as header_rules
 
@@ -38,6 +40,8 @@
 IDLE_LIMIT_SHARE = 0.6
 # Endpoints that state no limit close idle connections after a few seconds.
 DEFAULT_IDLE_LIMIT_S = 3.0
+# Time for an endpoint that has answered to read the rest of a long body.
+REST_LIMIT_S = 2.0
 
 
 class ChannelBroken(Exception):
@@ -58,13 +62,14 @@
 class EndpointChannel(asyncio.BufferedProtocol):
     """HTTP/1.1 client connection that carries one request at a time.
 
-    :param memory: counts the bytes of answers that are not complete.
+    :param memory: counts the bytes of answers that are not complete, and of
+        a body whose rest is written after the answer.
     """
 
     # Shared by all connections, as received bytes are copied at once.
     _read_buffer = memoryview(bytearray(READ_BYTES))
 
-    def __init__(self, memory: answer_memory.AnswerMemory) -> None:
+    def __init__(self, memory: message_memory.MessageMemory) -> None:
         self.request_count = 0
         self.last_activity_s = 0.0
         self._idle_until_s = 0.0
@@ -78,6 +83,10 @@
         self._is_paused = False
         self._buffered_bytes = 0
         self._kept_bytes = 0
+        # Rest of the body that is not passed to the transport yet.
+        self._unsent = memoryview(b'')
+        self._is_writing_paused = False
+        self._rest_limit: asyncio.TimerHandle | None = None
         self._memory = memory
         self._carried_ids: collections.deque[str] = collections.deque(
             maxlen=MAX_CARRIED_IDS
@@ -93,6 +102,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the options of its socket."""
         self._transport = cast(asyncio.Transport, transport)
+        # The transport copies what it buffers.
+        self._transport.set_write_buffer_limits(high=0)
         sock = transport.get_extra_info('socket')
         if sock is not None:
             sockets.tune(sock)
@@ -130,9 +141,44 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake the task that waits for an answer."""
         self._is_lost = True
+        self._drop_unsent()
         self._memory.release(self)
         self._wake()
 
+    def pause_writing(self) -> None:
+        """Write no more until the transport's buffer is empty."""
+        self._is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Write the next piece of the body."""
+        self._is_writing_paused = False
+        self._write_pieces()
+
+    def _write_pieces(self) -> None:
+        if not self._unsent or self._transport is None:
+            return
+        while (
+            self._unsent
+            and not self._is_writing_paused
+            and not self._transport.is_closing()
+        ):
+            piece = self._unsent[: body_memory.SEND_BYTES]
+            self._keep_unsent(self._unsent[body_memory.SEND_BYTES :])
+            self._transport.write(piece)
+        if not self._unsent and self._rest_limit is not None:
+            # The transport may call this as it writes, and would end twice.
+            self._loop.call_soon(self.close)
+
+    def _keep_unsent(self, rest: memoryview) -> None:
+        # Also an empty view would keep the whole body in memory.
+        self._unsent = rest if rest else memoryview(b'')
+
+    def _drop_unsent(self) -> None:
+        self._unsent = memoryview(b'')
+        if self._rest_limit is not None:
+            self._rest_limit.cancel()
+            self._rest_limit = None
+
     def keep(self, size_bytes: int) -> None:
         """Count bytes that were read and that their reader still keeps."""
         self._kept_bytes = size_bytes
@@ -169,9 +215,12 @@
         return request_id in self._carried_ids
 
     def begin(
-        self, request: h11.Request, body: bytes, request_id: str = ''
+        self,
+        request: h11.Request,
+        body: message_buffer.Content,
+        request_id: str = '',
     ) -> None:
-        """Write a request.
+        """Write a request, a long body in pieces as the endpoint reads it.
 
         :raises ChannelBroken: if the connection is already lost, so that
             nothing was sent.
@@ -182,18 +231,30 @@
         if request_id:
             self._carried_ids.append(request_id)
         self._is_busy = True
-        content = self._encode(request, body)
+        head = self._encode(request, body)
         self.last_activity_s = self._loop.time()
-        self._transport.write(content)
-
-    def _encode(self, request: h11.Request, body: bytes) -> bytes:
-        parts = [self._parser.send(request)]
+        content = memoryview(body)
+        # Written together, a short request takes one packet.
+        self._keep_unsent(content[body_memory.SEND_BYTES :])
+        self._transport.write(head + content[: body_memory.SEND_BYTES])
+        self._write_pieces()
+
+    def _encode(
+        self, request: h11.Request, body: message_buffer.Content
+    ) -> bytes:
+        """Return the head; all bodies have a length and are sent as is."""
+        head = self._parser.send(request)
+        assert head is not None
         if body:
-            parts.append(self._parser.send(h11.Data(data=body)))
-        parts.append(self._parser.send(h11.EndOfMessage()))
-        return b''.join(part for part in parts if part)
-
-    def skip_answer(self, request: h11.Request, body: bytes) -> None:
+            self._parser.send_with_data_passthrough(
+                h11.Data(data=cast(bytes, body))
+            )
+        self._parser.send(h11.EndOfMessage())
+        return head
+
+    def skip_answer(
+        self, request: h11.Request, body: message_buffer.Content
+    ) -> None:
         """Continue with the answer after one to an earlier request.
 
         A new parser takes over the unread bytes. The request was already
@@ -319,6 +380,9 @@
         if idle_limit_s is not None:
             self._idle_limit_s = idle_limit_s
         unread, is_ended = self._parser.trailing_data
+        if self._unsent and not (unread or is_ended or self._is_lost):
+            self._write_rest()
+            return
         if is_closing or unread or is_ended or self._is_lost:
             self.close()
             return
@@ -332,9 +396,22 @@
             self._loop.time() + self._idle_limit_s * IDLE_LIMIT_SHARE
         )
 
+    def _write_rest(self) -> None:
+        """Go on with the body of a request that was answered early.
+
+        Other bytes, or an end in the midst of the body, would reach the
+        endpoint as a part of it. The connection is not used again.
+        """
+        self._is_lost = True
+        self._rest_limit = self._loop.call_later(REST_LIMIT_S, self.abort)
+        self._memory.hold(self, len(self._unsent))
+
     def close(self) -> None:
         """Close after the bytes that are still to be written."""
+        if self._rest_limit is not None and self._unsent:
+            return
         self._is_lost = True
+        self._drop_unsent()
         self._memory.release(self)
         if self._transport is not None:
             self._transport.close()
@@ -342,13 +419,14 @@
     def abort(self) -> None:
         """Reset the connection, so that the endpoint cancels the request."""
         self._is_lost = True
+        self._drop_unsent()
         self._memory.release(self)
         if self._transport is not None:
             self._transport.abort()
 
 
 async def connect(
-    address: str, memory: answer_memory.AnswerMemory
+    address: str, memory: message_memory.MessageMemory
 ) -> EndpointChannel:
     """Open a connection.
 
--- a/src/godwitvalve/forwarding/exchange.py
+++ b/src/godwitvalve/forwarding/exchange.py
@@ -11,6 +11,7 @@
 
 from godwitvalve.fleet import endpoints
 from godwitvalve.forwarding import channel as channels
+from godwitvalve.forwarding import message_buffer
 from godwitvalve.forwarding import pool as pools
 from godwitvalve.platform import headers as wire
 from godwitvalve.services import headers as header_rules
@@ -35,7 +36,7 @@
     method: str
     target: str
     headers: wire.RawHeaders
-    body: bytes
+    body: message_buffer.Content
     facts: wire.CallerFacts
 
 
--- /dev/null
+++ b/src/godwitvalve/forwarding/message_memory.py
@@ -0,0 +1,73 @@
+"""Limit of the memory that requests and answers take together."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from godwitvalve.forwarding import body_memory
+
+# Shares of the machine's memory. The process itself takes 30 to 60 MB of the
+# 128 MB of the smallest machine. The rest is for what each connection
+# buffers before a message is counted, up to 260 KB with the kernel's part.
+ANSWER_SHARE = 0.125
+BODY_SHARE = 0.25
+MIN_LIMIT_BYTES = 4 * 1024 * 1024
+
+
+class Holder(Protocol):
+    """Owner of the bytes of one unfinished answer."""
+
+    def abort_for_memory(self) -> None:
+        """Give up the answer and release its bytes."""
+
+
+class MessageMemory:
+    """Counts the bytes of requests and answers and bounds their sum.
+
+    Bodies of requests and answers have a limit each, so that endless answers
+    do not keep requests out, nor long requests the answers.
+
+    Load pattern of answers: endpoints send bodies without end to all calls in
+    flight. A limit for each answer alone would be multiplied by their number.
+    The largest answer is given up first, so that ordinary answers of a few
+    hundred bytes still arrive.
+
+    :param limit_bytes: greatest sum of the answers.
+    :param body_limit_bytes: greatest sum of the bodies of requests.
+    """
+
+    def __init__(
+        self, limit_bytes: int, body_limit_bytes: int = MIN_LIMIT_BYTES
+    ) -> None:
+        self.limit_bytes = limit_bytes
+        self.bodies = body_memory.BodyMemory(body_limit_bytes)
+        self.answer_bytes = 0
+        self._held_bytes: dict[Holder, int] = {}
+
+    @property
+    def total_bytes(self) -> int:
+        """Return what requests and answers take."""
+        return self.answer_bytes + self.bodies.total_bytes
+
+    def hold(self, holder: Holder, size_bytes: int) -> None:
+        """Set the size of one answer; give up the largest ones if needed."""
+        self.answer_bytes += size_bytes - self._held_bytes.pop(holder, 0)
+        if size_bytes:
+            self._held_bytes[holder] = size_bytes
+        while self.answer_bytes > self.limit_bytes:
+            largest = max(self._held_bytes, key=self._held_bytes.__getitem__)
+            self.release(largest)
+            largest.abort_for_memory()
+
+    def release(self, holder: Holder) -> None:
+        """Forget an answer."""
+        self.answer_bytes -= self._held_bytes.pop(holder, 0)
+
+
+def for_machine(machine_mb: float) -> MessageMemory:
+    """Return the accounting for a machine with this much memory."""
+    answer_bytes, body_bytes = (
+        max(int(machine_mb * share * 1024 * 1024), MIN_LIMIT_BYTES)
+        for share in (ANSWER_SHARE, BODY_SHARE)
+    )
+    return MessageMemory(answer_bytes, body_bytes)
--- a/src/godwitvalve/forwarding/pool.py
+++ b/src/godwitvalve/forwarding/pool.py
@@ -5,8 +5,8 @@
 import asyncio
 
 from godwitvalve.fleet import endpoints
-from godwitvalve.forwarding import answer_memory
 from godwitvalve.forwarding import channel as channels
+from godwitvalve.forwarding import message_memory
 
 # Plain endpoints serve 6 calls at once. More idle connections would only
 # count against the limit of connections that an endpoint accepts.
@@ -16,11 +16,11 @@
 class ChannelPool:
     """Idle connections by endpoint; the last used one is taken first.
 
-    :param memory: counts the bytes of unfinished answers.
+    :param memory: counts the bytes of requests and answers.
     """
 
-    def __init__(self, memory: answer_memory.AnswerMemory) -> None:
-        self._memory = memory
+    def __init__(self, memory: message_memory.MessageMemory) -> None:
+        self.memory = memory
         self._idle: dict[str, list[channels.EndpointChannel]] = {}
 
     async def acquire(
@@ -42,7 +42,7 @@
             ):
                 return channel
             channel.close()
-        return await channels.connect(endpoint.address, self._memory)
+        return await channels.connect(endpoint.address, self.memory)
 
     def release(
         self, endpoint_id: str, channel: channels.EndpointChannel
--- a/src/godwitvalve/forwarding/probes.py
+++ b/src/godwitvalve/forwarding/probes.py
@@ -6,8 +6,8 @@
 
 import h11
 
-from godwitvalve.forwarding import answer_memory
 from godwitvalve.forwarding import channel as channels
+from godwitvalve.forwarding import message_memory
 from godwitvalve.platform import headers as wire
 
 PROBE_LIMIT_S = 0.4
@@ -15,8 +15,8 @@
 PROBE_MEMORY_BYTES = 128 * 1024
 
 
-def _probe_memory() -> answer_memory.AnswerMemory:
-    return answer_memory.AnswerMemory(PROBE_MEMORY_BYTES)
+def _probe_memory() -> message_memory.MessageMemory:
+    return message_memory.MessageMemory(PROBE_MEMORY_BYTES)
 
 
 async def accepts_connections(address: str) -> bool:
--- a/src/godwitvalve/ingress/bodies.py
+++ b/src/godwitvalve/ingress/bodies.py
@@ -7,17 +7,32 @@
 
 from aiohttp import web
 
+from godwitvalve.forwarding import message_buffer
+from godwitvalve.ingress import body_room
 
-async def read(request: web.BaseRequest, limit_bytes: int) -> bytes | None:
-    """Return the body, or None if it is larger than the limit."""
+
+async def read(
+    request: web.BaseRequest, limit_bytes: int, room: body_room.BodyRoom
+) -> message_buffer.Content | None:
+    """Return the body, or None if it is larger than the limit.
+
+    :raises NoRoom: if there is no memory for it.
+    """
     if not request.body_exists:
         return b''
-    body = bytearray()
+    length_bytes = request.content_length
+    if length_bytes is None or length_bytes > limit_bytes:
+        length_bytes = 0
+    await room.reserve(length_bytes)
+    body = message_buffer.MessageBuffer(length_bytes)
     async for chunk in request.content.iter_any():
-        body += chunk
-        if len(body) > limit_bytes:
+        size_bytes = len(body) + len(chunk)
+        if size_bytes > limit_bytes:
             return None
-    return bytes(body)
+        await room.grow(size_bytes, limit_bytes)
+        body.append(chunk)
+    room.shrink(len(body))
+    return body.content()
 
 
 async def discard(request: web.BaseRequest, until_s: float) -> None:
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -16,10 +16,12 @@
 from godwitvalve.forwarding import context as contexts
 from godwitvalve.forwarding import exchange as exchanges
 from godwitvalve.forwarding import in_flight
+from godwitvalve.forwarding import message_buffer
 from godwitvalve.forwarding import replies
 from godwitvalve.forwarding import sockets
 from godwitvalve.forwarding import streams
 from godwitvalve.ingress import bodies
+from godwitvalve.ingress import body_room
 from godwitvalve.ingress import refusals
 from godwitvalve.ingress import targets
 from godwitvalve.lifecycle import drain
@@ -34,6 +36,8 @@
 NOT_READY_RETRY_AFTER_S = 0.3
 INTERNAL_ERROR_RETRY_AFTER_S = 0.3
 DRAINING_RETRY_AFTER_S = 0.05
+# Bodies in memory are sent on within tens of ms.
+NO_ROOM_RETRY_AFTER_S = 0.3
 # How long streams are accepted during a drain at most. How long one takes is
 # an estimate, and it takes longer if it has to go on at another endpoint.
 STREAM_ACCEPT_PERIOD_S = 1.2
@@ -163,7 +167,10 @@
             # what the process still holds is lost when it ends.
             request.transport.set_write_buffer_limits(high=0)
         try:
-            with self._lifecycle.request():
+            with (
+                self._lifecycle.request(),
+                body_room.held(self._context.pool.memory.bodies, pending),
+            ):
                 response = await self._answer(
                     request, facts, arrived_s, pending
                 )
@@ -249,13 +256,25 @@
             return admitted
         configuration = self._context.state.configuration
         assert configuration is not None
+        room = body_room.BodyRoom(
+            self._context.pool.memory.bodies,
+            pending,
+            _deadline_s(admitted.route, facts, arrived_s) - arrived_s,
+        )
         try:
             async with pending.limit(None):
                 body = await bodies.read(
-                    request, configuration.limits.max_body_bytes
+                    request, configuration.limits.max_body_bytes, room
                 )
         except asyncio.TimeoutError:
             return self._refuse_draining(facts)
+        except body_room.NoRoom:
+            return self._refuse(
+                facts,
+                codes.ResultCode.BODY_MEMORY_EXHAUSTED,
+                503,
+                NO_ROOM_RETRY_AFTER_S,
+            )
         if body is None:
             return self._refuse(facts, codes.ResultCode.BODY_TOO_LARGE, 413)
         if not self._can_end(admitted.route, facts, arrived_s):
@@ -590,7 +609,7 @@
     method: str,
     target: targets.Target,
     facts: wire.CallerFacts,
-    body: bytes,
+    body: message_buffer.Content,
     admitted: Admitted,
     service: str,
     arrived_s: float,
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -21,9 +21,9 @@
 from godwitvalve.fleet import relay as relays
 from godwitvalve.fleet import sources
 from godwitvalve.fleet import state as states
-from godwitvalve.forwarding import answer_memory
 from godwitvalve.forwarding import context as contexts
 from godwitvalve.forwarding import counters as counter_model
+from godwitvalve.forwarding import message_memory
 from godwitvalve.forwarding import pool as pools
 from godwitvalve.forwarding import successors
 from godwitvalve.gossip import members as member_model
@@ -121,11 +121,7 @@
         self._context = contexts.ForwardingContext(
             settings.failure_domain,
             self._state,
-            pools.ChannelPool(
-                answer_memory.AnswerMemory(
-                    answer_memory.limit_for(settings.memory_mb)
-                )
-            ),
+            pools.ChannelPool(message_memory.for_machine(settings.memory_mb)),
             trackers.EndpointTracker(),
             retry_budget.RetryBudget(
                 earned_per_first_attempt=(
--- a/src/godwitvalve/ingress/servers.py
+++ b/src/godwitvalve/ingress/servers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import abc
+import socket
 from typing import Any
 
 from aiohttp import web
@@ -13,6 +14,10 @@
 # applies where the limit is shorter, or not known yet.
 KEEPALIVE_TIMEOUT_S = 75.0
 MAX_LINE_BYTES = 64 * 1024
+# Bounds the bytes of a request that wait for the memory of its body, with
+# what the kernel holds. Both read up to twice as much.
+READ_AHEAD_BYTES = 32 * 1024
+RECEIVE_BUFFER_BYTES = 64 * 1024
 BACKLOG = 1024
 
 # Waits for requests in progress at a stop, twice: for their handlers, which
@@ -28,6 +33,7 @@
     'access_log': None,
     # Bodies are forwarded as they were sent, with their encoding.
     'auto_decompress': False,
+    'read_bufsize': READ_AHEAD_BYTES,
     'max_line_size': MAX_LINE_BYTES,
     'max_field_size': MAX_LINE_BYTES,
 }
@@ -72,7 +78,23 @@
         _Server(handler, idle_limit_s), shutdown_timeout=close_wait_s
     )
     await runner.setup()
-    host, _, port = address.rpartition(':')
-    site = web.TCPSite(runner, host, int(port), backlog=BACKLOG)
+    site = web.SockSite(runner, _create_socket(address), backlog=BACKLOG)
     await site.start()
     return runner
+
+
+def _create_socket(address: str) -> socket.socket:
+    """Return a bound socket; accepted ones inherit its receive buffer."""
+    host, _, port = address.rpartition(':')
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        sock.bind((host.strip('[]'), int(port)))
+    except BaseException:
+        sock.close()
+        raise
+    return sock
--- a/src/godwitvalve/outcomes/codes.py
+++ b/src/godwitvalve/outcomes/codes.py
@@ -29,6 +29,7 @@
     PROMPT_QUARANTINED = 2014
     ENDPOINT_LIMITS = 2015
     INTERNAL_ERROR = 2016
+    BODY_MEMORY_EXHAUSTED = 2017
 
     OUTCOME_UNKNOWN = 3000
     OWNER_UNREACHABLE = 3001
@@ -201,6 +202,14 @@
         'This entry instance met an error before it sent the request.',
         _RETRY,
     ),
+    ResultCode.BODY_MEMORY_EXHAUSTED: CodeInfo(
+        503,
+        'body memory exhausted',
+        True,
+        'The memory of this entry instance for bodies of requests is in use, '
+        'or too small for this one.',
+        _RETRY,
+    ),
     ResultCode.OUTCOME_UNKNOWN: CodeInfo(
         502,
         'outcome unknown',
