Bound what costly answers of all endpoints take together

Calls to a sound service got no answer in time while endpoints of another service sent chunks of one byte, or interim heads of many short lines, without end. Each connection got a turn of its own of 32 events and a pause of 1 ms, so that 34 connections got 34 turns, and the parser took a head of 12,000 lines at once.

Each answer now counts its parts against what it brings. One that does not pay for them is throttled, together with all others of the process, and its connection is not read meanwhile. One that passes the limit is given up as 'costly answer', which counts as an attempt that may have run. A stream's new events pay for their chunks. The parser gets heads in pieces of 1 KiB and bodies in pieces of 4 KiB, and a head, interim head or trailer of more than 256 lines ends the answer. godwitvalve_lost_attempts_total counts attempts that may have run and got no answer by their reason.

--- a/features/doubles/forwarding_site.py
+++ b/features/doubles/forwarding_site.py
@@ -14,6 +14,7 @@
 from godwitvalve.forwarding import exchange
 from godwitvalve.forwarding import pool
 from godwitvalve.forwarding import streams
+from godwitvalve.parsing import throttle
 from godwitvalve.placement import sessions
 from godwitvalve.placement import speed
 from godwitvalve.placement import tracker
@@ -111,7 +112,7 @@
         self.context = context.ForwardingContext(
             'fd-0',
             self.state,
-            pool.ChannelPool(self.memory),
+            pool.ChannelPool(self.memory, throttle.ParsingThrottle()),
             self.tracker,
             retry_budget.RetryBudget(),
             counters.ForwardingCounters('test'),
--- a/features/forwarding/endless.feature
+++ b/features/forwarding/endless.feature
@@ -12,14 +12,16 @@
     And the flooding endpoint is ejected
 
     Examples:
-      | bytes                   |
-      | a head                  |
-      | interim answers         |
-      | interim heads           |
-      | a body                  |
-      | chunk extensions        |
-      | trailers                |
-      | a body without a length |
+      | bytes                    |
+      | a head                   |
+      | interim answers          |
+      | interim heads            |
+      | a body                   |
+      | chunk extensions         |
+      | trailers                 |
+      | many short interim lines |
+      | many short trailers      |
+      | a body without a length  |
 
   Scenario: A call is hedged when an endpoint floods it with small chunks
     # Such bytes can't be told from a long sound answer, so the hedged
@@ -144,3 +146,28 @@
     Then the answers in memory never exceeded 4 MiB
     And the process grew by at most 24 MiB
     And the 20 calls to the complete endpoint succeeded
+
+  Scenario: A call's answer in chunks of one byte is whole
+    # A sound endpoint may write its answer in small pieces, which must not
+    # count as a flood.
+    Given an endpoint whose answer of 800 bytes comes in chunks of one byte
+    When a non-repeatable call of 900 ms is made
+    Then the caller gets an answer of 800 bytes
+
+  Scenario: A stream of many events in two chunks each is whole
+    # The chunks of a long sound stream must not add up to a flood: new
+    # events pay for them.
+    Given a stream endpoint that sends 5000 events after a comment each
+    When a stream of 6000 ms is made
+    Then the caller gets all 5000 events
+    And 1 attempt was made
+
+  Scenario: An answer in chunks of one byte without end is given up
+    # Guards against a connection that costs the processor until the deadline
+    # of its call, far more than any sound answer does.
+    Given an endpoint that floods with "chunks of one byte" and a complete one
+    When a non-repeatable call of 4000 ms is made
+    Then the call may have run and was sent once
+    And it took at most 3000 ms
+    And 1 lost attempt was counted as "costly answer"
+    And the connection to the flooding endpoint was reset
--- a/features/steps/forwarding_endless_steps.py
+++ b/features/steps/forwarding_endless_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+from aioprometheus import renderer
 import behave
 from features.doubles import flooding_endpoint
 from features.doubles import forwarding_site
@@ -36,6 +37,8 @@
     + scripted_endpoint.event(1)
     + scripted_endpoint.event(2)
 )
+# Almost as long as a head may be.
+SHORT_LINES = b'a:b\r\n' * 12000
 # Bytes before the flood, and the bytes that are repeated.
 FLOODS = {
     'a head': (b'HTTP/1.1 200 OK\r\nX-Long: ', b'x'),
@@ -46,6 +49,15 @@
     'chunk extensions': (CHUNKED + b'1;', b'x'),
     'trailers': (CHUNKED + b'0\r\n', b'X-Trailer: y\r\n'),
     'a body without a length': (HEAD + b'\r\n', b'x'),
+    # Each is complete, so that all of its lines are parsed.
+    'many short interim lines': (
+        b'',
+        b'HTTP/1.1 100 Continue\r\n' + SHORT_LINES + b'\r\n',
+    ),
+    'many short trailers': (
+        CHUNKED + b'0\r\n' + SHORT_LINES,
+        b'a:b\r\n',
+    ),
     'an earlier answer': (
         EARLIER + b'Content-Length: 99999999999\r\n\r\n',
         b'x',
@@ -83,7 +95,7 @@
         return flooding_endpoint.FloodingEndpoint(
             prefix, piece, SLOW_PAUSE_S, complete_answers
         )
-    copies = FAST_PIECE_BYTES // len(piece)
+    copies = max(FAST_PIECE_BYTES // len(piece), 1)
     return flooding_endpoint.FloodingEndpoint(
         prefix, piece * copies, FAST_PAUSE_S, complete_answers
     )
@@ -153,6 +165,33 @@
     context.complete = scripted_endpoint.ScriptedEndpoint(script)
 
 
+@behave.given(
+    'an endpoint whose answer of {size:d} bytes comes in chunks of one byte'
+)
+def small_chunks(context, size):
+    script = [CHUNKED + scripted_endpoint.chunk(b'x') * size]
+    script.append(scripted_endpoint.STREAM_END)
+    context.flooding = []
+    context.complete = scripted_endpoint.ScriptedEndpoint(script)
+
+
+@behave.given(
+    'a stream endpoint that sends {count:d} events after a comment each'
+)
+def many_events(context, count):
+    comment = scripted_endpoint.chunk(b': sound\n\n')
+    script = [
+        scripted_endpoint.STREAM_HEAD,
+        b''.join(
+            comment + scripted_endpoint.event(number)
+            for number in range(1, count + 1)
+        ),
+        scripted_endpoint.STREAM_END,
+    ]
+    context.flooding = []
+    context.complete = scripted_endpoint.ScriptedEndpoint(script)
+
+
 @behave.given(
     '{count:d} endpoints that flood with "{name}" and a complete one'
 )
@@ -282,6 +321,25 @@
     assert isinstance(context.reply, replies.Failure), context.reply
 
 
+@behave.then('the caller gets an answer of {size:d} bytes')
+def whole_answer(context, size):
+    assert isinstance(context.reply, exchange.Answered), context.reply
+    assert context.reply.body == b'x' * size, context.reply
+
+
+@behave.then('{count:d} lost attempt was counted as "{reason}"')
+def lost_attempts(context, count, reason):
+    registry = context.site.context.counters.registry
+    content, _ = renderer.render(registry, [])
+    lines = [
+        line
+        for line in content.decode().splitlines()
+        if line.startswith('godwitvalve_lost_attempts_total')
+        and f'reason="{reason}"' in line
+    ]
+    assert sum(float(line.split()[-1]) for line in lines) == count, content
+
+
 @behave.then('the caller gets all {count:d} events')
 def all_events(context, count):
     expected = b''.join(
--- a/src/godwitvalve/forwarding/calls.py
+++ b/src/godwitvalve/forwarding/calls.py
@@ -371,7 +371,8 @@
                     self._context.mark_replaced(endpoint)
             case exchanges.NotSent():
                 tracker.record_loss(endpoint.endpoint_id, now_s)
-            case exchanges.Lost():
+            case exchanges.Lost(reason):
+                self._context.counters.count_lost(reason)
                 tracker.record_failure(endpoint.endpoint_id, now_s)
         _LOG.info(
             'Call attempt failed.',
--- a/src/godwitvalve/forwarding/channel.py
+++ b/src/godwitvalve/forwarding/channel.py
@@ -4,12 +4,15 @@
 
 import asyncio
 import collections
+import time
 from typing import Any, cast
 
 import h11
 
 from godwitvalve.forwarding import answer_memory
 from godwitvalve.forwarding import sockets
+from godwitvalve.parsing import overhead
+from godwitvalve.parsing import throttle as throttles
 from godwitvalve.services import headers as header_rules
 
 # Above this many buffered bytes, reading from the endpoint pauses until the
@@ -21,11 +24,15 @@
 MAX_INTERIM_ANSWERS = 8
 # A head is sent at once; the limit leaves time for two retransmissions.
 HEAD_LIMIT_S = 2.0
-# Parsing this many events takes about a millisecond. If an endpoint sends
-# faster than its bytes are parsed, other requests run in between, and it gets
-# at most half of the processor.
-EVENTS_PER_TURN = 32
-TURN_PAUSE_S = 0.001
+# The parser takes a head at once, however many lines it has. A kilobyte has at
+# most some 200 lines, and a sound head some 20.
+HEAD_PIECE_BYTES = 1024
+MAX_HEAD_LINES = 256
+# The parser takes the lines after the last chunk at once, too.
+BODY_PIECE_BYTES = 4 * 1024
+# Parsing this many events takes about a millisecond, after which other
+# requests run.
+EVENTS_PER_STEP = 32
 # Requests of which a connection keeps the ids. A plain call is attempted
 # again at the same endpoint within a second, in which a connection carries
 # at most some twenty others.
@@ -39,6 +46,10 @@
 # Endpoints that state no limit close idle connections after a few seconds.
 DEFAULT_IDLE_LIMIT_S = 3.0
 
+# Reason of an answer that was given up for what it cost.
+COSTLY_ANSWER = 'costly answer'
+TOO_MANY_LINES = 'too many lines'
+
 
 class ChannelBroken(Exception):
     """The connection ended or carried bytes that are not an answer.
@@ -59,12 +70,17 @@
     """HTTP/1.1 client connection that carries one request at a time.
 
     :param memory: counts the bytes of answers that are not complete.
+    :param throttle: shared by all messages that are costly to parse.
     """
 
     # Shared by all connections, as received bytes are copied at once.
     _read_buffer = memoryview(bytearray(READ_BYTES))
 
-    def __init__(self, memory: answer_memory.AnswerMemory) -> None:
+    def __init__(
+        self,
+        memory: answer_memory.AnswerMemory,
+        throttle: throttles.ParsingThrottle,
+    ) -> None:
         self.request_count = 0
         self.last_activity_s = 0.0
         self._idle_until_s = 0.0
@@ -82,7 +98,14 @@
         self._carried_ids: collections.deque[str] = collections.deque(
             maxlen=MAX_CARRIED_IDS
         )
-        self._events_in_turn = 0
+        # Received bytes that the parser didn't get yet.
+        self._unparsed = bytearray()
+        self._has_ended = False
+        self._is_in_head = True
+        self._throttle = throttle
+        self._overhead = overhead.ParsingOverhead()
+        self._events_in_step = 0
+        self._step_cost_s = 0.0
         # Event that was parsed and is not returned yet.
         self._parsed_event: Any = None
         self._is_given_up = False
@@ -109,21 +132,20 @@
         if not self._is_busy:
             self.abort()
             return
-        self._parser.receive_data(bytes(self._read_buffer[:nbytes]))
+        self._unparsed += self._read_buffer[:nbytes]
         self._buffered_bytes += nbytes
         self._update_memory()
         if (
             self._buffered_bytes > PAUSE_READING_BYTES
-            and self._transport is not None
+            or self._overhead.is_throttled
         ):
-            self._transport.pause_reading()
-            self._is_paused = True
+            self._pause_reading()
         self._wake()
 
     def eof_received(self) -> bool:
         """Signal the end of input, which ends an answer without a length."""
         if self._is_busy and not self._is_lost:
-            self._parser.receive_data(b'')
+            self._has_ended = True
             self._wake()
         return False
 
@@ -182,6 +204,8 @@
         if request_id:
             self._carried_ids.append(request_id)
         self._is_busy = True
+        self._is_in_head = True
+        self._overhead = overhead.ParsingOverhead()
         content = self._encode(request, body)
         self.last_activity_s = self._loop.time()
         self._transport.write(content)
@@ -208,6 +232,7 @@
             self._parser.receive_data(unread)
         if is_ended:
             self._parser.receive_data(b'')
+        self._is_in_head = True
 
     async def read_head(self) -> h11.Response:
         """Return the head of the answer, without interim answers.
@@ -236,31 +261,48 @@
     async def _wait_for_bytes(self) -> None:
         while not self._is_lost:
             unread, is_ended = self._parser.trailing_data
-            if unread or is_ended:
+            if unread or is_ended or self._unparsed or self._has_ended:
                 return
             await self._wait()
 
     async def _wait(self) -> None:
-        self._events_in_turn = 0
+        if self._overhead.is_throttled:
+            # Each packet of it costs as much as some events.
+            await self._pause()
         self._resume_reading()
+        if self._unparsed or self._has_ended or self._is_lost:
+            return
         self._wakeup = self._loop.create_future()
         await self._wakeup
 
     async def next_event(self) -> Any:
         """Return the next ``h11`` event of the answer.
 
-        :raises ChannelBroken: if the connection ends before the answer.
+        :raises ChannelBroken: if the connection ends before the answer, or
+            if the answer costs far more than it brings.
         """
-        self._events_in_turn += 1
-        if self._events_in_turn > EVENTS_PER_TURN:
-            self._events_in_turn = 0
-            await asyncio.sleep(TURN_PAUSE_S)
+        if self._events_in_step >= EVENTS_PER_STEP:
+            await self._pause()
         while (event := self._parse()) is h11.NEED_DATA:
             if self._is_lost:
                 raise ChannelBroken(self._lost_reason)
             await self._wait()
         return event
 
+    async def _pause(self) -> None:
+        """Let others run, for longer if the answer is costly."""
+        cost_s, self._step_cost_s = self._step_cost_s, 0.0
+        self._events_in_step = 0
+        if not self._overhead.is_throttled:
+            await asyncio.sleep(0)
+            return
+        self._pause_reading()
+        await self._throttle.pause(cost_s)
+
+    def pay(self, parts: float) -> None:
+        """Pay for parts of the answer that brought a stream's new events."""
+        self._overhead.pay(parts)
+
     def _parse(self) -> Any:
         """Return the next event, or ``h11.NEED_DATA``."""
         if self._is_given_up:
@@ -268,14 +310,51 @@
         if self._parsed_event not in (None, h11.NEED_DATA):
             event, self._parsed_event = self._parsed_event, None
             return event
+        began_s = time.thread_time()
         try:
-            event = self._parser.next_event()
+            event = self._parse_step()
         except h11.RemoteProtocolError as error:
             raise ChannelBroken('damaged answer') from error
+        finally:
+            self._step_cost_s += time.thread_time() - began_s
         if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
             raise ChannelBroken('ended early')
+        self._count(event)
         return event
 
+    def _parse_step(self) -> Any:
+        """Give the parser one piece after the other until it has an event."""
+        while (event := self._parser.next_event()) is h11.NEED_DATA:
+            unread, _ = self._parser.trailing_data
+            if unread.count(b'\n') > MAX_HEAD_LINES:
+                raise ChannelBroken(TOO_MANY_LINES)
+            if self._unparsed:
+                size_bytes = (
+                    HEAD_PIECE_BYTES if self._is_in_head else BODY_PIECE_BYTES
+                )
+                self._parser.receive_data(bytes(self._unparsed[:size_bytes]))
+                del self._unparsed[:size_bytes]
+            elif self._has_ended:
+                self._has_ended = False
+                self._parser.receive_data(b'')
+            else:
+                break
+        return event
+
+    def _count(self, event: Any) -> None:
+        """Count what an event cost and what it brought."""
+        if event is h11.NEED_DATA:
+            return
+        self._events_in_step += 1
+        if isinstance(event, h11.Response):
+            self._is_in_head = False
+        size_bytes = len(event.data) if isinstance(event, h11.Data) else 0
+        self._overhead.add(1, size_bytes)
+        if self._overhead.is_excessive:
+            self._is_given_up = True
+            self._lost_reason = COSTLY_ANSWER
+            raise ChannelBroken(COSTLY_ANSWER)
+
     async def read_data(self) -> bytes:
         """Return the next bytes of the body, or b'' at its end.
 
@@ -288,7 +367,7 @@
         if isinstance(event, h11.EndOfMessage):
             return b''
         parts = [bytes(event.data)]
-        while len(parts) < EVENTS_PER_TURN:
+        while self._events_in_step < EVENTS_PER_STEP:
             try:
                 event = self._parse()
             except ChannelBroken:
@@ -300,9 +379,14 @@
             parts.append(bytes(event.data))
         return b''.join(parts)
 
+    def _pause_reading(self) -> None:
+        if not self._is_paused and self._transport is not None:
+            self._transport.pause_reading()
+            self._is_paused = True
+
     def _resume_reading(self) -> None:
         unread, _ = self._parser.trailing_data
-        self._buffered_bytes = len(unread)
+        self._buffered_bytes = len(unread) + len(self._unparsed)
         self._update_memory()
         if self._is_paused and self._transport is not None:
             self._is_paused = False
@@ -314,12 +398,14 @@
         :param idle_limit_s: limit that the endpoint stated, or None.
         """
         self._is_busy = False
+        self._resume_reading()
         self._buffered_bytes = self._kept_bytes = 0
         self._memory.release(self)
         if idle_limit_s is not None:
             self._idle_limit_s = idle_limit_s
         unread, is_ended = self._parser.trailing_data
-        if is_closing or unread or is_ended or self._is_lost:
+        has_more = unread or is_ended or self._unparsed or self._has_ended
+        if is_closing or has_more or self._is_lost:
             self.close()
             return
         try:
@@ -348,19 +434,22 @@
 
 
 async def connect(
-    address: str, memory: answer_memory.AnswerMemory
+    address: str,
+    memory: answer_memory.AnswerMemory,
+    throttle: throttles.ParsingThrottle,
 ) -> EndpointChannel:
     """Open a connection.
 
     :param address: ``IP:port``.
     :param memory: counts the bytes of the connection's answers.
+    :param throttle: shared by all messages that are costly to parse.
     :raises ConnectFailed: if none is established within the limit.
     """
     host, _, port = address.rpartition(':')
     try:
         sock = await sockets.connect(host, int(port), CONNECT_LIMIT_S)
         _, channel = await asyncio.get_running_loop().create_connection(
-            lambda: EndpointChannel(memory), sock=sock
+            lambda: EndpointChannel(memory, throttle), sock=sock
         )
     except OSError as error:
         reason = f'{address}: {type(error).__name__}'
--- a/src/godwitvalve/forwarding/counters.py
+++ b/src/godwitvalve/forwarding/counters.py
@@ -66,6 +66,11 @@
             const_labels=labels,
             registry=self.registry,
         )
+        self._lost = self._counter(
+            'godwitvalve_lost_attempts_total',
+            'Attempts that may have run and got no answer, by reason.',
+            labels,
+        )
         self._crashes = self._counter(
             'godwitvalve_answer_crashes_total',
             'Endpoints that crashed as they began an answer.',
@@ -130,6 +135,10 @@
         """Set the number of endpoints that state a limit."""
         self._limited_endpoints.set({}, count)
 
+    def count_lost(self, reason: str) -> None:
+        """Count an attempt that may have run and got no answer."""
+        self._lost.inc({'reason': reason})
+
     def count_crash(self, service: str) -> None:
         """Count an endpoint that crashed as it began an answer."""
         self._crashes.inc({'service': service})
--- a/src/godwitvalve/forwarding/exchange.py
+++ b/src/godwitvalve/forwarding/exchange.py
@@ -200,6 +200,11 @@
         self._channel.finish(facts.idle_limit_s, facts.is_closing)
         self._pool.release(self.endpoint.endpoint_id, self._channel)
 
+    def pay(self, parts: float) -> None:
+        """Pay for parts of the answer that brought new events."""
+        if self._channel is not None:
+            self._channel.pay(parts)
+
     def abandon(self) -> None:
         """Reset the connection unless the answer was read completely."""
         if self._channel is not None and not self._is_done:
--- a/src/godwitvalve/forwarding/pool.py
+++ b/src/godwitvalve/forwarding/pool.py
@@ -7,6 +7,7 @@
 from godwitvalve.fleet import endpoints
 from godwitvalve.forwarding import answer_memory
 from godwitvalve.forwarding import channel as channels
+from godwitvalve.parsing import throttle as throttles
 
 # Plain endpoints serve 6 calls at once. More idle connections would only
 # count against the limit of connections that an endpoint accepts.
@@ -17,10 +18,16 @@
     """Idle connections by endpoint; the last used one is taken first.
 
     :param memory: counts the bytes of unfinished answers.
+    :param throttle: shared by all messages that are costly to parse.
     """
 
-    def __init__(self, memory: answer_memory.AnswerMemory) -> None:
+    def __init__(
+        self,
+        memory: answer_memory.AnswerMemory,
+        throttle: throttles.ParsingThrottle,
+    ) -> None:
         self._memory = memory
+        self._throttle = throttle
         self._idle: dict[str, list[channels.EndpointChannel]] = {}
 
     async def acquire(
@@ -42,7 +49,9 @@
             ):
                 return channel
             channel.close()
-        return await channels.connect(endpoint.address, self._memory)
+        return await channels.connect(
+            endpoint.address, self._memory, self._throttle
+        )
 
     def release(
         self, endpoint_id: str, channel: channels.EndpointChannel
--- a/src/godwitvalve/forwarding/probes.py
+++ b/src/godwitvalve/forwarding/probes.py
@@ -8,6 +8,7 @@
 
 from godwitvalve.forwarding import answer_memory
 from godwitvalve.forwarding import channel as channels
+from godwitvalve.parsing import throttle as throttles
 from godwitvalve.platform import headers as wire
 
 PROBE_LIMIT_S = 0.4
@@ -22,7 +23,9 @@
 async def accepts_connections(address: str) -> bool:
     """Tell whether an endpoint accepts a connection."""
     try:
-        channel = await channels.connect(address, _probe_memory())
+        channel = await channels.connect(
+            address, _probe_memory(), throttles.ParsingThrottle()
+        )
     except channels.ConnectFailed:
         return False
     channel.close()
@@ -34,7 +37,9 @@
     channel: channels.EndpointChannel | None = None
     try:
         async with asyncio.timeout(PROBE_LIMIT_S):
-            channel = await channels.connect(address, _probe_memory())
+            channel = await channels.connect(
+                address, _probe_memory(), throttles.ParsingThrottle()
+            )
             channel.begin(
                 h11.Request(
                     method='GET',
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -35,6 +35,9 @@
 # Events of an attempt after which its prompt counts as sound. A prompt that
 # crashes endpoints does so as they begin to write.
 MIN_SOUND_EVENTS = 8
+# Parts of an answer that a new event pays for. An event of 50 bytes may come
+# in chunks of one byte, with comments before it.
+PARTS_PER_EVENT = 64
 
 _LOG = logs.get('forwarding')
 
@@ -855,6 +858,8 @@
         complete = self._splitter.feed(chunk)
         if not complete:
             return False
+        if attempt.opening is not None:
+            attempt.opening.exchange.pay(len(complete) * PARTS_PER_EVENT)
         assert self._relocation is not None
         # Before the caller is sent to, which may take long.
         self._relocation.record_event(self._loop.time())
@@ -922,6 +927,7 @@
         tracker = self._context.endpoint_tracker
         now_s = self._loop.time()
         if end.may_have_run:
+            self._context.counters.count_lost(attempts.reason_label(end))
             tracker.record_failure(attempt.endpoint.endpoint_id, now_s)
         else:
             tracker.record_loss(attempt.endpoint.endpoint_id, now_s)
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -40,6 +40,7 @@
 from godwitvalve.lifecycle import lifecycle as lifecycles
 from godwitvalve.lifecycle import supervision
 from godwitvalve.logs import setup as logs
+from godwitvalve.parsing import throttle as throttles
 from godwitvalve.placement import choose
 from godwitvalve.placement import sessions as session_model
 from godwitvalve.placement import speed as speed_model
@@ -118,13 +119,15 @@
                 settings.exposure_share, settings.exposure_slack
             )
         )
+        self._throttle = throttles.ParsingThrottle()
         self._context = contexts.ForwardingContext(
             settings.failure_domain,
             self._state,
             pools.ChannelPool(
                 answer_memory.AnswerMemory(
                     answer_memory.limit_for(settings.memory_mb)
-                )
+                ),
+                self._throttle,
             ),
             trackers.EndpointTracker(),
             retry_budget.RetryBudget(
