Throttle answers of the store and of entries in short chunks

While a store or another entry sent chunks of one byte without end, the entry used a whole core for them: with 8 reads at once and again for 4 s, callers got 16.75 and 22.75 sound answers per second, 83 and 86 without the flood. Each connection got a fair turn, and nothing bounded what all of them took together.

One reader counts what each chunk costs against what it brings. Costly answers pause in turn with all others of the process, and are given up when the budget of unpaid chunks is used up. A smaller read buffer bounds the chunks that are parsed before the reader is asked.

PeerSync reads with short steps of the event loop now, like the other clients of entries.

--- a/features/platform/endless.feature
+++ b/features/platform/endless.feature
@@ -26,3 +26,29 @@
       | entry  | floods with | interim answers |
       | entry  | floods with | a body          |
       | entry  | slowly sends| a body          |
+
+  Scenario Outline: Several reads from a flooding source leave time for calls
+    # An entry reads several tables at once and again. Bytes that cost more
+    # to parse than they bring must not keep it from answering its callers.
+    Given a <source> that floods with "<bytes>"
+    When 8 readers read tables from it beside sound calls
+    Then each sound call was answered within 500 ms
+    And at least 50 % as many calls were made as without them
+    And reading did not delay other requests by more than 120 ms
+    And reading took at most 24 MiB of memory
+
+    Examples:
+      | source | bytes              |
+      | store  | a head             |
+      | store  | many fields        |
+      | store  | chunks of one byte |
+      | store  | chunk extensions   |
+      | store  | trailers           |
+      | store  | garbage            |
+      | entry  | chunks of one byte |
+
+  Scenario: A table in chunks of one byte is read
+    # A sound answer must not be given up because its chunks are short.
+    Given a store that answers with a table of 50 rows in chunks of one byte
+    When a table is read from it
+    Then 50 rows were read
--- a/features/steps/platform_endless_steps.py
+++ b/features/steps/platform_endless_steps.py
@@ -3,21 +3,35 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
+import json
 import time
 
 import aiohttp
 import behave
 from features.doubles import flooding_endpoint
+from features.doubles import forwarding_site
 from features.doubles import monitor
+from features.doubles import scripted_endpoint
+from godwitvalve.forwarding import exchange
 from godwitvalve.forwarding import sockets
 from godwitvalve.ingress import peer_tables
+from godwitvalve.parsing import answers
 from godwitvalve.platform import store
 
 MIB = 1024 * 1024
 OLDEST_GENERATION = 2
 FAST_PIECE_BYTES = 64 * 1024
 SLOW_PAUSE_S = 0.02
+# Longer than the poll of a table whose source answers nothing.
+FLOOD_TIME_S = 4.0
+QUIET_TIME_S = 1.0
+RETRY_PAUSE_S = 0.1
+SOUND_CALL_LIMIT_S = 1.0
+# More than one caller can get while the source floods.
+MAX_SOUND_CALLS = 20000
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 # Bytes before the flood, and the bytes that are repeated.
 FLOODS = {
     'a head': (b'HTTP/1.1 200 OK\r\nX-Long: ', b'x'),
@@ -27,6 +41,10 @@
         b'HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n',
         b'x',
     ),
+    'chunks of one byte': (CHUNKED, b'1\r\nx\r\n'),
+    'chunk extensions': (CHUNKED + b'1;', b'x'),
+    'trailers': (CHUNKED + b'0\r\n', b'X-Trailer: y\r\n'),
+    'garbage': (b'', b'\x00\xff'),
 }
 
 
@@ -49,17 +67,31 @@
     )
 
 
+@behave.given(
+    'a store that answers with a table of {count:d} rows in chunks of one byte'
+)
+def slow_table(context, count):
+    rows = [{'key': f's{n}', 'ver': n + 1, 'value': ''} for n in range(count)]
+    body = json.dumps({'ver': count, 'rows': rows}).encode()
+    chunks = b''.join(b'1\r\n%c\r\n' % byte for byte in body)
+    context.source = 'store'
+    context.endpoint = flooding_endpoint.FloodingEndpoint(
+        CHUNKED + chunks + b'0\r\n\r\n', b'', 1.0, request_end=b'\r\n\r\n'
+    )
+
+
 async def _read_table(source, address):
     if source == 'store':
         client = store.StoreClient(address)
         try:
-            await client.rows('servers')
+            return await client.rows('servers')
         finally:
             await client.close()
-        return
     connector = aiohttp.TCPConnector(socket_factory=sockets.create)
-    async with aiohttp.ClientSession(connector=connector) as session:
-        await peer_tables.PeerSource(address, session).rows('servers')
+    async with aiohttp.ClientSession(
+        connector=connector, read_bufsize=answers.READ_BUFFER_BYTES
+    ) as session:
+        return await peer_tables.PeerSource(address, session).rows('servers')
 
 
 def _full_collections():
@@ -78,7 +110,9 @@
         started_s = time.monotonic()
         context.is_unavailable = False
         try:
-            await _read_table(context.source, context.endpoint.address)
+            context.rows_answer = await _read_table(
+                context.source, context.endpoint.address
+            )
         except store.StoreUnavailable:
             context.is_unavailable = True
         context.taken_s = time.monotonic() - started_s
@@ -92,6 +126,78 @@
     asyncio.run(run())
 
 
+async def _read_until(source, address, end_s):
+    while time.monotonic() < end_s:
+        with contextlib.suppress(store.StoreUnavailable):
+            await _read_table(source, address)
+        await asyncio.sleep(RETRY_PAUSE_S)
+
+
+async def _call_until(site, end_s, name):
+    """Make sound calls one after the other; return what each of them took.
+
+    A call without a sound answer has no time.
+    """
+    taken_s = []
+    while (started_s := time.monotonic()) < end_s:
+        try:
+            reply = await site.send_to(
+                'e0', SOUND_CALL_LIMIT_S, f'{name}-{len(taken_s)}'
+            )
+        except TimeoutError:
+            reply = None
+        is_sound = isinstance(reply, exchange.Answered)
+        taken_s.append(time.monotonic() - started_s if is_sound else None)
+        await asyncio.sleep(0.01)
+    return taken_s
+
+
+@behave.when('{count:d} readers read tables from it beside sound calls')
+def read_tables(context, count):
+    async def run():
+        await context.endpoint.start()
+        sound = flooding_endpoint.FloodingEndpoint(
+            b'', b'', 1.0, [scripted_endpoint.answer()] * MAX_SOUND_CALLS
+        )
+        await sound.start()
+        site = forwarding_site.ForwardingSite([sound])
+        context.monitor = monitor.Monitor()
+        monitoring = asyncio.create_task(context.monitor.run())
+        quiet_end_s = time.monotonic() + QUIET_TIME_S
+        context.quiet_calls_s = await _call_until(site, quiet_end_s, 'quiet')
+        end_s = time.monotonic() + FLOOD_TIME_S
+        readers = [
+            asyncio.create_task(
+                _read_until(context.source, context.endpoint.address, end_s)
+            )
+            for _ in range(count)
+        ]
+        context.sound_calls_s = await _call_until(site, end_s, 'sound')
+        await asyncio.gather(*readers)
+        monitoring.cancel()
+        await sound.stop()
+        await context.endpoint.stop()
+
+    asyncio.run(run())
+
+
+@behave.then('each sound call was answered within {limit_ms:d} ms')
+def sound_calls_answered(context, limit_ms):
+    taken_s = context.sound_calls_s
+    assert None not in taken_s, (taken_s.count(None), len(taken_s))
+    assert max(taken_s) * 1000 <= limit_ms, (max(taken_s), len(taken_s))
+
+
+@behave.then('at least {percent:d} % as many calls were made as without them')
+def sound_calls_made(context, percent):
+    quiet_per_s = len(context.quiet_calls_s) / QUIET_TIME_S
+    sound_per_s = len(context.sound_calls_s) / FLOOD_TIME_S
+    assert sound_per_s >= quiet_per_s * percent / 100, (
+        sound_per_s,
+        quiet_per_s,
+    )
+
+
 @behave.then('the source counts as unavailable within {limit_ms:d} ms')
 def unavailable(context, limit_ms):
     assert context.is_unavailable
@@ -105,6 +211,12 @@
     assert context.monitor.delay_s * 1000 <= limit_ms, context.monitor.delay_s
 
 
+@behave.then('{count:d} rows were read')
+def rows_read(context, count):
+    assert not context.is_unavailable
+    assert len(context.rows_answer.rows) == count, context.rows_answer
+
+
 @behave.then('reading caused no full garbage collection')
 def no_full_collection(context):
     assert context.full_collections == 0, context.full_collections
--- a/src/godwitvalve/ingress/membership.py
+++ b/src/godwitvalve/ingress/membership.py
@@ -17,11 +17,13 @@
 from godwitvalve.fleet import eras
 from godwitvalve.fleet import revisions
 from godwitvalve.fleet import state as states
+from godwitvalve.forwarding import sockets
 from godwitvalve.gossip import members as member_model
 from godwitvalve.gossip import node as gossip_nodes
 from godwitvalve.ingress import compression
 from godwitvalve.ingress import control
 from godwitvalve.logs import setup as logs
+from godwitvalve.parsing import answers
 from godwitvalve.platform import bodies
 from godwitvalve.platform import settings as wire_settings
 from godwitvalve.platform import store as stores
@@ -219,7 +221,9 @@
     async def run(self) -> None:
         """Compare versions with the other entries until cancelled."""
         async with aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=PEER_CALL_TIMEOUT_S)
+            connector=aiohttp.TCPConnector(socket_factory=sockets.create),
+            read_bufsize=answers.READ_BUFFER_BYTES,
+            timeout=aiohttp.ClientTimeout(total=PEER_CALL_TIMEOUT_S),
         ) as session:
             while True:
                 await asyncio.sleep(SYNC_PERIOD_S)
--- a/src/godwitvalve/ingress/peer_tables.py
+++ b/src/godwitvalve/ingress/peer_tables.py
@@ -17,6 +17,7 @@
 from godwitvalve.forwarding import sockets
 from godwitvalve.gossip import members as member_model
 from godwitvalve.ingress import compression
+from godwitvalve.parsing import answers
 from godwitvalve.platform import bodies
 from godwitvalve.platform import store as stores
 
@@ -233,7 +234,8 @@
             self._session = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(
                     limit=0, socket_factory=sockets.create
-                )
+                ),
+                read_bufsize=answers.READ_BUFFER_BYTES,
             )
         host = record.peer_address.rpartition(':')[0]
         source = PeerSource(f'{host}:{self._control_port}', self._session)
--- /dev/null
+++ b/src/godwitvalve/parsing/answers.py
@@ -0,0 +1,68 @@
+"""Reads the bodies of answers that aiohttp's client receives."""
+
+from __future__ import annotations
+
+from collections import abc
+
+import aiohttp
+
+from godwitvalve.parsing import overhead as overheads
+from godwitvalve.parsing import throttle as throttles
+
+# ``read_bufsize`` of sessions. It bounds the chunks that are parsed before
+# their reader is asked; aiohttp holds one for each 16 bytes of it.
+READ_BUFFER_BYTES = 16 * 1024
+# Processor time that one chunk takes, rounded up, with the event loop's turn
+# if it arrives alone.
+CHUNK_COST_S = 10e-6
+# Chunks after which a throttled body pauses, if so many are there.
+STEP_CHUNKS = 64
+
+# Shared by all answers of the process.
+_THROTTLE = throttles.ParsingThrottle()
+
+
+class AnswerTooLarge(aiohttp.ClientError):
+    """The body exceeds the limit."""
+
+
+class AnswerTooCostly(aiohttp.ClientError):
+    """The body costs far more to parse than it brings."""
+
+
+async def chunks(
+    answer: aiohttp.ClientResponse,
+) -> abc.AsyncGenerator[bytes, None]:
+    """Yield the body; a costly one pauses in turn with other such bodies.
+
+    :raises AnswerTooCostly: if its chunks are too short for too long.
+    """
+    overhead = overheads.ParsingOverhead()
+    unpaused_chunks = 0
+    async for content, _ in answer.content.iter_chunks():
+        if not content:
+            continue
+        overhead.add(1, len(content))
+        if overhead.is_excessive:
+            answer.close()
+            raise AnswerTooCostly
+        unpaused_chunks += 1
+        if overhead.is_throttled and unpaused_chunks >= STEP_CHUNKS:
+            await _THROTTLE.pause(unpaused_chunks * CHUNK_COST_S)
+            unpaused_chunks = 0
+        yield content
+
+
+async def read(answer: aiohttp.ClientResponse, limit_bytes: int) -> bytes:
+    """Return the body of an answer.
+
+    :raises AnswerTooLarge: if it exceeds the limit.
+    :raises AnswerTooCostly: if its chunks are too short for too long.
+    """
+    body = bytearray()
+    async for content in chunks(answer):
+        body += content
+        if len(body) > limit_bytes:
+            answer.close()
+            raise AnswerTooLarge
+    return bytes(body)
--- a/src/godwitvalve/platform/store.py
+++ b/src/godwitvalve/platform/store.py
@@ -17,6 +17,7 @@
 from godwitvalve.forwarding import sockets
 from godwitvalve.logs import repeats
 from godwitvalve.logs import setup as logs
+from godwitvalve.parsing import answers
 from godwitvalve.platform import bodies
 
 # The store answers in 4 ms; degraded, it takes up to 60 times as long.
@@ -165,7 +166,8 @@
             self._session = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(
                     limit=0, socket_factory=sockets.create
-                )
+                ),
+                read_bufsize=answers.READ_BUFFER_BYTES,
             )
         return self._session
 
