Bound what costly bodies of all callers take together

Calls got no answer while 34 callers with a key sent bodies in chunks of one byte without end. A connection read up to 256 KiB at a time and parsed all of their chunks in one go, a body went on until it reached its size limit, and the rest of a body that nobody needed was read for 10 s at full speed. The server also asked its parser for more at each chunk that was read, which took more time than all else.

The connections of all four ports now read 4 to 16 KiB at a time and count the framing of a body against its content. A costly body is throttled together with all other costly messages of the process, and its connection is not read meanwhile. One that passes the limit is refused with 400 and the new code 4013, counted as a refusal, and its connection closes 0.2 s later without more reading. Bodies that are skipped pay for nothing and are read for 2 s at most. Reading goes on only where it was paused.

features/ingress/caller_bodies.feature: before, a body without end was skipped for 10 s after a 404, and chunks of one byte to a service got 413 after reading them all. Its other scenarios passed before as well; they guard sound bodies, early refusals and kept connections.

--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -20,6 +20,7 @@
 from godwitvalve.forwarding import sockets
 from godwitvalve.forwarding import streams
 from godwitvalve.ingress import bodies
+from godwitvalve.ingress import connections
 from godwitvalve.ingress import refusals
 from godwitvalve.ingress import targets
 from godwitvalve.lifecycle import drain
@@ -256,6 +257,10 @@
                 )
         except asyncio.TimeoutError:
             return self._refuse_draining(facts)
+        except connections.CostlyBody:
+            refusal = self._refuse(facts, codes.ResultCode.BODY_FRAMING, 400)
+            refusal.force_close()
+            return refusal
         if body is None:
             return self._refuse(facts, codes.ResultCode.BODY_TOO_LARGE, 413)
         if not self._can_end(admitted.route, facts, arrived_s):
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -456,9 +456,15 @@
                 settings.caller_address,
                 self._handler.handle,
                 idle_limit_s=self._idle_limit_s,
+                throttle=self._throttle,
             ),
             *[
-                await servers.listen(address, handle, servers.CLOSE_WAIT_S)
+                await servers.listen(
+                    address,
+                    handle,
+                    servers.CLOSE_WAIT_S,
+                    throttle=self._throttle,
+                )
                 for address, handle in others
             ],
         ]
--- a/src/godwitvalve/ingress/servers.py
+++ b/src/godwitvalve/ingress/servers.py
@@ -8,6 +8,9 @@
 
 from aiohttp import web
 
+from godwitvalve.ingress import connections
+from godwitvalve.parsing import throttle as throttles
+
 # Callers keep connections for four fifths of the limit that operators set, in
 # the longest known case 15 s. A longer timeout here lets them close first; it
 # applies where the limit is shorter, or not known yet.
@@ -21,9 +24,6 @@
 # Answers to others than callers have no need to be complete.
 CLOSE_WAIT_S = 0.01
 
-Handler = abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]
-
-
 _OPTIONS: dict[str, Any] = {
     'access_log': None,
     # Bodies are forwarded as they were sent, with their encoding.
@@ -37,18 +37,26 @@
     """Server whose connections stay open for the idle limit of their start.
 
     :param idle_limit_s: returns the limit that operators set, in seconds.
+    :param throttle: shared by all messages that are costly to parse.
     """
 
     def __init__(
-        self, handler: Handler, idle_limit_s: abc.Callable[[], float]
+        self,
+        handler: connections.Handler,
+        idle_limit_s: abc.Callable[[], float],
+        throttle: throttles.ParsingThrottle,
     ) -> None:
-        super().__init__(handler, handler_cancellation=True)
+        super().__init__(
+            connections.serving(handler), handler_cancellation=True
+        )
         self._idle_limit_s = idle_limit_s
+        self._throttle = throttle
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
-        return web.RequestHandler(
+        return connections.CallerConnection(
             self,
+            self._throttle,
             loop=asyncio.get_running_loop(),
             keepalive_timeout=max(KEEPALIVE_TIMEOUT_S, self._idle_limit_s()),
             **_OPTIONS,
@@ -57,9 +65,10 @@
 
 async def listen(
     address: str,
-    handler: Handler,
+    handler: connections.Handler,
     close_wait_s: float = CALLER_CLOSE_WAIT_S,
     idle_limit_s: abc.Callable[[], float] = lambda: 0.0,
+    throttle: throttles.ParsingThrottle | None = None,
 ) -> web.ServerRunner:
     """Start an HTTP server on an address.
 
@@ -67,9 +76,14 @@
     :param close_wait_s: wait for requests in progress as the server closes,
         at most twice.
     :param idle_limit_s: returns how long callers may stay idle, in seconds.
+    :param throttle: shared by all messages that are costly to parse; one of
+        the server's own by default.
     """
     runner = web.ServerRunner(
-        _Server(handler, idle_limit_s), shutdown_timeout=close_wait_s
+        _Server(
+            handler, idle_limit_s, throttle or throttles.ParsingThrottle()
+        ),
+        shutdown_timeout=close_wait_s,
     )
     await runner.setup()
     host, _, port = address.rpartition(':')
--- a/src/godwitvalve/outcomes/codes.py
+++ b/src/godwitvalve/outcomes/codes.py
@@ -49,6 +49,7 @@
     RESUME_PREFIX_MISMATCH = 4010
     BODY_TOO_LARGE = 4011
     HEADERS_TOO_LARGE = 4012
+    BODY_FRAMING = 4013
 
     VERSION_GONE = 5000
     CONTINUATION_DIVERGED = 5001
@@ -300,6 +301,13 @@
     ResultCode.HEADERS_TOO_LARGE: CodeInfo(
         431, 'headers too large', True, 'The headers exceed a limit.', _FIX
     ),
+    ResultCode.BODY_FRAMING: CodeInfo(
+        400,
+        'body framing',
+        True,
+        'The body came in too many chunks for its size.',
+        'Send the body with a length, or in larger chunks.',
+    ),
     ResultCode.VERSION_GONE: CodeInfo(
         503,
         'version gone',
--- a/src/godwitvalve/parsing/overhead.py
+++ b/src/godwitvalve/parsing/overhead.py
@@ -27,7 +27,7 @@
     def __init__(self) -> None:
         self._unpaid_parts = -float(FREE_PARTS)
 
-    def add(self, parts: int, content_bytes: int) -> None:
+    def add(self, parts: float, content_bytes: int) -> None:
         """Count parts that were parsed and the content that they brought."""
         self._unpaid_parts += parts
         self.pay(content_bytes / BYTES_PER_PART)
