--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -22,6 +22,7 @@
 from godwitvalve.forwarding import streams
 from godwitvalve.ingress import bodies
 from godwitvalve.ingress import body_room
+from godwitvalve.ingress import connections
 from godwitvalve.ingress import refusals
 from godwitvalve.ingress import targets
 from godwitvalve.lifecycle import drain
@@ -281,6 +282,10 @@
                 503,
                 NO_ROOM_RETRY_AFTER_S,
             )
+        except connections.CostlyBody:
+            refusal = self._refuse(facts, codes.ResultCode.BODY_FRAMING, 400)
+            refusal.force_close()
+            return refusal
         if body is None:
             return self._refuse(facts, codes.ResultCode.BODY_TOO_LARGE, 413)
         if not self._can_end(admitted.route, facts, arrived_s):
