End reads that get interim answers without end

aiohttp skips interim answers without limit, and each costs as much to parse as a whole head.

Connections to the store and to entries end after 8 interim answers, as channels to endpoints do. aiohttp has no public option for the protocol of its connections, so the connector replaces its factory; the examples fail if a later version does not use it.

--- a/features/platform/endless.feature
+++ b/features/platform/endless.feature
@@ -41,10 +41,12 @@
       | source | bytes              |
       | store  | a head             |
       | store  | many fields        |
+      | store  | interim answers    |
       | store  | chunks of one byte |
       | store  | chunk extensions   |
       | store  | trailers           |
       | store  | garbage            |
+      | entry  | interim answers    |
       | entry  | chunks of one byte |
 
   Scenario: A table in chunks of one byte is read
--- a/features/steps/platform_endless_steps.py
+++ b/features/steps/platform_endless_steps.py
@@ -18,6 +18,7 @@
 from godwitvalve.forwarding import sockets
 from godwitvalve.ingress import peer_tables
 from godwitvalve.parsing import answers
+from godwitvalve.parsing import connectors
 from godwitvalve.platform import store
 
 MIB = 1024 * 1024
@@ -87,7 +88,7 @@
             return await client.rows('servers')
         finally:
             await client.close()
-    connector = aiohttp.TCPConnector(socket_factory=sockets.create)
+    connector = connectors.BoundedConnector(socket_factory=sockets.create)
     async with aiohttp.ClientSession(
         connector=connector, read_bufsize=answers.READ_BUFFER_BYTES
     ) as session:
--- a/src/godwitvalve/forwarding/sockets.py
+++ b/src/godwitvalve/forwarding/sockets.py
@@ -59,7 +59,7 @@
     cast(asyncio.Transport, transport).abort()
 
 
-def create(address: Any) -> socket.socket:
+def create_stepwise(address: Any) -> socket.socket:
     """Create a non-blocking socket for a resolved address.
 
     Each read returns few bytes, so that other requests run between the reads.
@@ -70,6 +70,15 @@
     sock = _StepSocket(family, kind, protocol)
     sock.setblocking(False)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    return sock
+
+
+def create(address: Any) -> socket.socket:
+    """Create a stepwise socket that detects an unreachable peer.
+
+    :param address: item of ``socket.getaddrinfo``.
+    """
+    sock = create_stepwise(address)
     tune(sock)
     return sock
 
--- a/src/godwitvalve/ingress/membership.py
+++ b/src/godwitvalve/ingress/membership.py
@@ -24,6 +24,7 @@
 from godwitvalve.ingress import control
 from godwitvalve.logs import setup as logs
 from godwitvalve.parsing import answers
+from godwitvalve.parsing import connectors
 from godwitvalve.platform import bodies
 from godwitvalve.platform import settings as wire_settings
 from godwitvalve.platform import store as stores
@@ -221,7 +222,9 @@
     async def run(self) -> None:
         """Compare versions with the other entries until cancelled."""
         async with aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(socket_factory=sockets.create),
+            connector=connectors.BoundedConnector(
+                socket_factory=sockets.create
+            ),
             read_bufsize=answers.READ_BUFFER_BYTES,
             timeout=aiohttp.ClientTimeout(total=PEER_CALL_TIMEOUT_S),
         ) as session:
--- a/src/godwitvalve/ingress/peer_tables.py
+++ b/src/godwitvalve/ingress/peer_tables.py
@@ -18,6 +18,7 @@
 from godwitvalve.gossip import members as member_model
 from godwitvalve.ingress import compression
 from godwitvalve.parsing import answers
+from godwitvalve.parsing import connectors
 from godwitvalve.platform import bodies
 from godwitvalve.platform import store as stores
 
@@ -232,7 +233,7 @@
             return self._store, ''
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(
+                connector=connectors.BoundedConnector(
                     limit=0, socket_factory=sockets.create
                 ),
                 read_bufsize=answers.READ_BUFFER_BYTES,
--- /dev/null
+++ b/src/godwitvalve/parsing/connectors.py
@@ -0,0 +1,66 @@
+"""Connections of aiohttp's client that bound what comes before an answer."""
+
+from __future__ import annotations
+
+import functools
+from typing import Any
+
+import aiohttp
+from aiohttp import client_proto
+from aiohttp import http_parser
+from aiohttp import streams
+
+from godwitvalve.forwarding import sockets
+
+# Sound peers send at most one before their answer.
+MAX_INTERIM_ANSWERS = 8
+_SWITCHING_PROTOCOLS = 101
+
+
+class TooManyInterimAnswers(aiohttp.ClientError):
+    """Interim answers were sent instead of an answer."""
+
+
+class _ResponseHandler(client_proto.ResponseHandler):
+    """Ends a connection that sends interim answers without end.
+
+    aiohttp skips them without limit, and each costs as much to parse as a
+    whole head.
+    """
+
+    _interim_answers = 0
+
+    def set_response_params(self, **params: Any) -> None:
+        """Prepare for the answer to the next request."""
+        self._interim_answers = 0
+        super().set_response_params(**params)
+
+    def feed_data(
+        self,
+        data: tuple[http_parser.RawResponseMessage, streams.StreamReader],
+        size: int = 0,
+    ) -> None:
+        """Handle the head of an answer."""
+        code = data[0].code
+        if 100 <= code < 200 and code != _SWITCHING_PROTOCOLS:
+            self._interim_answers += 1
+        if self._interim_answers <= MAX_INTERIM_ANSWERS:
+            super().feed_data(data, size)
+        elif self.transport is not None and not self.transport.is_closing():
+            self.transport.close()
+            self.set_exception(TooManyInterimAnswers())
+
+
+class BoundedConnector(aiohttp.TCPConnector):
+    """Connector whose connections bound interim answers and read steps.
+
+    :param options: options of ``aiohttp.TCPConnector``.
+    """
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(
+            **{'socket_factory': sockets.create_stepwise, **options}
+        )
+        # aiohttp has no public option for the protocol of its connections.
+        handler: type[client_proto.ResponseHandler] = _ResponseHandler
+        self._factory = functools.partial(handler, loop=self._loop)
--- a/src/godwitvalve/platform/store.py
+++ b/src/godwitvalve/platform/store.py
@@ -18,6 +18,7 @@
 from godwitvalve.logs import repeats
 from godwitvalve.logs import setup as logs
 from godwitvalve.parsing import answers
+from godwitvalve.parsing import connectors
 from godwitvalve.platform import bodies
 
 # The store answers in 4 ms; degraded, it takes up to 60 times as long.
@@ -164,7 +165,7 @@
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(
+                connector=connectors.BoundedConnector(
                     limit=0, socket_factory=sockets.create
                 ),
                 read_bufsize=answers.READ_BUFFER_BYTES,
