Bound the bodies that are read from the store and entries together

Each read may take 8 MiB, and an entry has several at once. All bodies share one limit of 8 MiB, the longest one is given up first.

--- a/features/platform/endless.feature
+++ b/features/platform/endless.feature
@@ -42,11 +42,13 @@
       | store  | a head             |
       | store  | many fields        |
       | store  | interim answers    |
+      | store  | a body             |
       | store  | chunks of one byte |
       | store  | chunk extensions   |
       | store  | trailers           |
       | store  | garbage            |
       | entry  | interim answers    |
+      | entry  | a body             |
       | entry  | chunks of one byte |
 
   Scenario: A table in chunks of one byte is read
--- a/src/godwitvalve/parsing/answers.py
+++ b/src/godwitvalve/parsing/answers.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from godwitvalve.forwarding import answer_memory
 from godwitvalve.parsing import overhead as overheads
 from godwitvalve.parsing import throttle as throttles
 
@@ -53,16 +54,39 @@
         yield content
 
 
-async def read(answer: aiohttp.ClientResponse, limit_bytes: int) -> bytes:
+class _Body:
+    """Body of an answer that is being read."""
+
+    def __init__(self, answer: aiohttp.ClientResponse) -> None:
+        self.content = bytearray()
+        self._answer = answer
+
+    def abort_for_memory(self) -> None:
+        """Give up the answer and release its bytes."""
+        self.content = bytearray()
+        self._answer.content.set_exception(AnswerTooLarge())
+        self._answer.close()
+
+
+async def read(
+    answer: aiohttp.ClientResponse,
+    limit_bytes: int,
+    memory: answer_memory.AnswerMemory,
+) -> bytes:
     """Return the body of an answer.
 
-    :raises AnswerTooLarge: if it exceeds the limit.
+    :param memory: limit for all bodies that are read at the same time.
+    :raises AnswerTooLarge: if it exceeds a limit.
     :raises AnswerTooCostly: if its chunks are too short for too long.
     """
-    body = bytearray()
-    async for content in chunks(answer):
-        body += content
-        if len(body) > limit_bytes:
-            answer.close()
-            raise AnswerTooLarge
-    return bytes(body)
+    body = _Body(answer)
+    try:
+        async for content in chunks(answer):
+            body.content += content
+            if len(body.content) > limit_bytes:
+                answer.close()
+                raise AnswerTooLarge
+            memory.hold(body, len(body.content))
+        return bytes(body.content)
+    finally:
+        memory.release(body)
--- a/src/godwitvalve/platform/bodies.py
+++ b/src/godwitvalve/platform/bodies.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from godwitvalve.forwarding import answer_memory
 from godwitvalve.parsing import answers
 
 if TYPE_CHECKING:
@@ -13,11 +14,16 @@
 # another entry relays takes about 2 MB.
 MAX_BODY_BYTES = 8 * 1024 * 1024
 
+# One limit for all bodies: a source in trouble answers each read with a long
+# one, and several of them do not fit into an entry of 128 MB.
+_MEMORY = answer_memory.AnswerMemory(MAX_BODY_BYTES)
+
 
 async def read(answer: aiohttp.ClientResponse) -> bytes:
     """Return the body of an answer.
 
-    :raises AnswerTooLarge: if it exceeds ``MAX_BODY_BYTES``.
+    :raises AnswerTooLarge: if it, or all bodies that are read together,
+        exceed ``MAX_BODY_BYTES``; the longest one is given up.
     :raises AnswerTooCostly: if its chunks are too short for too long.
     """
-    return await answers.read(answer, MAX_BODY_BYTES)
+    return await answers.read(answer, MAX_BODY_BYTES, _MEMORY)
