--- a/src/godwitvalve/parsing/answers.py
+++ b/src/godwitvalve/parsing/answers.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from godwitvalve.forwarding import answer_memory
+from godwitvalve.forwarding import message_memory
 from godwitvalve.parsing import overhead as overheads
 from godwitvalve.parsing import throttle as throttles
 
@@ -71,7 +71,7 @@
 async def read(
     answer: aiohttp.ClientResponse,
     limit_bytes: int,
-    memory: answer_memory.AnswerMemory,
+    memory: message_memory.MessageMemory,
 ) -> bytes:
     """Return the body of an answer.
 
--- a/src/godwitvalve/platform/bodies.py
+++ b/src/godwitvalve/platform/bodies.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from godwitvalve.forwarding import answer_memory
+from godwitvalve.forwarding import message_memory
 from godwitvalve.parsing import answers
 
 if TYPE_CHECKING:
@@ -16,7 +16,7 @@
 
 # One limit for all bodies: a source in trouble answers each read with a long
 # one, and several of them do not fit into an entry of 128 MB.
-_MEMORY = answer_memory.AnswerMemory(MAX_BODY_BYTES)
+_MEMORY = message_memory.MessageMemory(MAX_BODY_BYTES)
 
 
 async def read(answer: aiohttp.ClientResponse) -> bytes:
