--- a/features/steps/gossip_odd_messages_steps.py
+++ b/features/steps/gossip_odd_messages_steps.py
@@ -206,8 +206,8 @@
     async def __aexit__(self, *error):
         return None
 
-    async def iter_any(self):
-        yield self._body
+    async def iter_chunks(self):
+        yield self._body, True
 
 
 async def _read_table(content):
