--- a/src/godwitvalve/ingress/connections.py
+++ b/src/godwitvalve/ingress/connections.py
@@ -31,6 +31,9 @@
 # Answers are mostly sent after the body. The rest of a body that was not
 # needed is read for this long, so that its caller gets the answer.
 SKIP_LIMIT_S = 2.0
+# Content of a body that is not needed which still pays for its parsing. Callers
+# that send a whole body of usual size before they read get their answer.
+MAX_SKIPPED_BYTES = 4 * 1024 * 1024
 
 Handler = abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]
 
@@ -64,6 +67,7 @@
         self._read_bytes = MIN_READ_BYTES
         self._body: streams.StreamReader | None = None
         self._is_needed = True
+        self._skippable_bytes = MAX_SKIPPED_BYTES
         self._counted_requests = 0
         # Received and not yet compared with the content they brought.
         self._uncounted_bytes = 0
@@ -110,7 +114,10 @@
         super().connection_lost(exc)
 
     def skip(self, body: streams.StreamReader) -> None:
-        """Read the rest of a body that is not needed; it pays for nothing."""
+        """Read the rest of a body that is not needed.
+
+        Its content pays for its parsing up to a limit.
+        """
         if body is self._body:
             self._is_needed = False
 
@@ -136,15 +143,23 @@
         self._uncounted_bytes = 0
         self._overhead.add(
             (1 if size_bytes else 0) + framing_bytes / CHUNK_FRAMING_BYTES,
-            content_bytes if self._is_needed else 0,
+            self._paying_bytes(content_bytes),
         )
 
+    def _paying_bytes(self, content_bytes: int) -> int:
+        if self._is_needed:
+            return content_bytes
+        paying_bytes = min(content_bytes, self._skippable_bytes)
+        self._skippable_bytes -= paying_bytes
+        return paying_bytes
+
     def _begin(self, body: streams.StreamReader) -> None:
         """Count a message anew, from the read after that of its head."""
         self._overhead = overhead.ParsingOverhead()
         self._read_bytes = MIN_READ_BYTES
         self._body = body
         self._is_needed = True
+        self._skippable_bytes = MAX_SKIPPED_BYTES
         self._uncounted_bytes = 0
         self._content_bytes = body.total_bytes
 
