--- a/src/godwitvalve/ingress/connections.py
+++ b/src/godwitvalve/ingress/connections.py
@@ -31,7 +31,7 @@
 # Answers are mostly sent after the body. The rest of a body that was not
 # needed is read for this long, so that its caller gets the answer.
 SKIP_LIMIT_S = 2.0
-# Content of a body that is not needed which still pays for its parsing, so that
+# Content of a body that is not needed pays for its parsing up to this, so that
 # callers that send a whole body of usual size before they read get an answer.
 MAX_SKIPPED_BYTES = 4 * 1024 * 1024
 
