Read the settings file without blocking and up to a limit

Callers got no answer at all from an entry whose settings file had become a pipe: opening it at SIGHUP blocks the event loop until somebody writes, and the process is killed with all of its requests. A file of 64 MiB was read and held, more than half of the memory of some machines.

--- a/features/ingress/changed_settings.feature
+++ b/features/ingress/changed_settings.feature
@@ -50,6 +50,8 @@
       | half-written       |
       | missing            |
       | a negative limit   |
+      | a pipe             |
+      | too long           |
 
   Scenario: A limit that is shortened during a stop is used
     # Guards against a process that is killed before it has answered, as the
--- a/features/steps/ingress_settings_steps.py
+++ b/features/steps/ingress_settings_steps.py
@@ -15,6 +15,8 @@
 NAME = 'entry-0'
 # Changes of the platform apply within this time.
 APPLY_LIMIT_S = 2.0
+# A template has 64 KiB at most.
+TOO_LONG_BYTES = 64 * 1024 * 1024
 
 
 def _path(context):
@@ -124,6 +126,8 @@
         case 'a pipe':
             path.unlink()
             os.mkfifo(path)
+        case 'too long':
+            _change(context, stop_limit_s=2, more='x' * TOO_LONG_BYTES)
         case _:
             raise ValueError(content)
     for _ in range(2):
--- a/src/godwitvalve/platform/settings.py
+++ b/src/godwitvalve/platform/settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import os
-import pathlib
+import stat
 
 import msgspec
 
@@ -15,6 +15,8 @@
 # Heartbeats and permits use a port each.
 PEER_PORTS = 2
 MAX_PORT = 65535
+# A settings file takes 1 KB.
+MAX_FILE_BYTES = 1024 * 1024
 # Fields whose changes wait for a restart. They name this instance to others,
 # are addresses at which it listens, or are copied at its start.
 RESTART_FIELDS = frozenset(
@@ -145,15 +147,24 @@
 
 
 def read() -> bytes:
-    """Return the content of the settings file.
+    """Return the content of the settings file without blocking.
 
-    :raises SettingsError: if it cannot be read.
+    A pipe without a writer would block the process as it is opened.
+
+    :raises SettingsError: if it cannot be read or is no regular file.
     """
     name = path()
+    flags = os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC
     try:
-        return pathlib.Path(name).read_bytes()
+        with os.fdopen(os.open(name, flags), 'rb') as file:
+            if not stat.S_ISREG(os.fstat(file.fileno()).st_mode):
+                raise SettingsError(f'{name}: not a regular file')
+            content = file.read(MAX_FILE_BYTES + 1)
     except OSError as error:
         raise SettingsError(f'{name}: {error.strerror}') from error
+    if len(content) > MAX_FILE_BYTES:
+        raise SettingsError(f'{name}: larger than {MAX_FILE_BYTES} bytes')
+    return content
 
 
 def load() -> FleetSettings:
