Use all changed settings that do not name the instance

An entry whose store had moved stayed without it until a restart, and kept the limits of its start on retries, roll-outs, held answers, searches for successors and waits for configurations. Such values were copied into the parts of the entry as it was built.

Changed settings are passed on to these parts now, also to roll-outs and searches under way. Only names and addresses of the instance wait for a restart (platform/settings, RESTART_FIELDS). How values follow from the settings is in ingress/derived_settings.

--- a/features/ingress/changed_settings.feature
+++ b/features/ingress/changed_settings.feature
@@ -84,3 +84,10 @@
     When the settings file gets another address for callers and a stop limit of 6 s
     Then the entry logs that "stop_limit_s" changed and "caller_address" waits
     And the entry is still named at its first address for callers
+
+  Scenario: The store moves to another address
+    # Guards against an entry that gets no changes until it restarts, as it
+    # calls the store at the address of its start.
+    Given an entry whose store is at another address than its settings say
+    When the settings file gets the address of the store
+    Then the entry becomes ready within 4 s and serves a call
--- a/features/ingress/settings_changes.feature
+++ b/features/ingress/settings_changes.feature
@@ -31,6 +31,14 @@
       | stop_limit_s             | changed |
       | address_validity_limit_s | changed |
       | retry_budget_burst       | changed |
+      | retry_budget_ratio       | changed |
+      | address_reuse_s          | changed |
+      | exposure_share           | changed |
+      | exposure_slack           | changed |
+      | memory_mb                | changed |
+      | configuration_limit_ms   | changed |
+      | seed_addresses           | changed |
+      | store_address            | changed |
       | instance_id              | waiting |
       | failure_domain           | waiting |
       | ip                       | waiting |
@@ -50,3 +58,24 @@
   Scenario: Each field that waits for a restart is a field
     # Guards against a field that was renamed and then changes at runtime.
     Then each field that waits for a restart is one of the settings
+
+  Scenario Outline: A part of the entry uses a changed field
+    # Guards against a part that keeps the value of the start, which it got as
+    # a copy, while the log says that the field changed.
+    Given an entry with settings in a file
+    When "<field>" in the file becomes <value> and the file is read
+    Then <what> is <after>, and was <before> at first
+
+    Examples:
+      | field                    | value | what                        | before | after |
+      | address_validity_limit_s | 0.5   | "validity"                  | 1      | 0.5   |
+      | address_reuse_s          | 20    | "successor searches"        | 0      | 1     |
+      | retry_budget_ratio       | 0.5   | "retries of ten requests"   | 4.8    | 3     |
+      | retry_budget_burst       | 20    | "burst"                     | 37.5   | 5     |
+      | exposure_share           | 0.5   | "share of a roll-out"       | 0.1    | 0.5   |
+      | exposure_slack           | 7     | "slack of a roll-out"       | 50     | 7     |
+      | exposure_slack           | 7     | "slack of a later roll-out" | 50     | 7     |
+      | memory_mb                | 64    | "held MiB"                  | 16     | 8     |
+      | configuration_limit_ms   | 4000  | "wait for configurations"   | 1      | 3     |
+      | seed_addresses           | []    | "seeds"                     | 1      | 0     |
+      | store_address            | "127.0.7.4:5000" | "port of the store" | 4001 | 5000 |
--- a/features/steps/ingress_settings_steps.py
+++ b/features/steps/ingress_settings_steps.py
@@ -4,9 +4,12 @@
 
 import json
 import os
+import pathlib
 import signal
+import tempfile
 import threading
 import time
+import urllib.request
 
 import behave
 from standins.fleet import site as fleet_site
@@ -188,3 +191,52 @@
     )
     answer = local_site.http_json('GET', url)
     assert answer['addresses'] == [context.fleet.addresses[NAME]], answer
+
+
+@behave.given(
+    'an entry whose store is at another address than its settings say'
+)
+def entry_without_store(context):
+    folder = tempfile.TemporaryDirectory()
+    context.cleanups.append(folder.cleanup)
+    fleet = fleet_site.FleetSite(pathlib.Path(folder.name))
+    context.fleet = fleet
+    context.cleanups.append(fleet.stop)
+    fleet.write_row('op', 'config', fleet_site.configuration(5))
+    fleet.start_replica('p0', 'desk', 'fd-0')
+    # Nothing listens there.
+    address = f'127.0.0.1:{local_site.free_port()}'
+    fleet.start_entry(NAME, 'fd-0', store_address=address)
+    local_site.wait_until(
+        lambda: any(
+            'Could not access' in each['message'] for each in fleet.log(NAME)
+        ),
+        'the entry calls the store',
+    )
+    _keep_first(context)
+
+
+@behave.when('the settings file gets the address of the store')
+def store_address(context):
+    _change(context, store_address=context.fleet.store)
+
+
+@behave.then('the entry becomes ready within {limit_s:g} s and serves a call')
+def ready_and_serves(context, limit_s):
+    url = f'http://{context.fleet.port_address(NAME, 1)}/readyz'
+    local_site.wait_until(
+        lambda: local_site.http_json('GET', url) is None, 'ready', limit_s
+    )
+    time.sleep(0.5)
+    request = urllib.request.Request(
+        f'http://{context.fleet.addresses[NAME]}{fleet_site.CALL_PREFIX}x',
+        data=b'noise',
+        headers={
+            'Host': fleet_site.HOST,
+            'Request-Id': 'moved',
+            'Api-Key': fleet_site.KEY,
+            'Deadline-Ms': '5000',
+        },
+    )
+    with urllib.request.urlopen(request, timeout=5) as answer:
+        assert answer.status == 200
--- a/src/godwitvalve/forwarding/successors.py
+++ b/src/godwitvalve/forwarding/successors.py
@@ -30,6 +30,7 @@
     answers there within that time after the last activity is therefore the
     restarted one.
 
+    :param address_reuse_s: may be changed; searches under way use it, too.
     :param is_store_reachable: returns whether the store answers now.
     :param on_found: called with the endpoint that was found.
     """
@@ -42,7 +43,7 @@
         on_found: abc.Callable[[endpoints.FleetEndpoint], None],
     ) -> None:
         self._state = state
-        self._address_reuse_s = address_reuse_s
+        self.address_reuse_s = address_reuse_s
         self._is_store_reachable = is_store_reachable
         self._on_found = on_found
         self._tasks: dict[str, asyncio.Task[None]] = {}
@@ -70,21 +71,26 @@
     async def _search(
         self, endpoint: endpoints.FleetEndpoint, last_activity_s: float
     ) -> None:
-        loop = asyncio.get_running_loop()
-        until_s = last_activity_s + self._address_reuse_s - REUSE_MARGIN_S
-        if loop.time() >= until_s or await self._is_store_reachable():
+        if not self._is_reserved(last_activity_s):
             return
-        while loop.time() < until_s:
+        if await self._is_store_reachable():
+            return
+        while self._is_reserved(last_activity_s):
             found = await probes.read_identity(
                 endpoint.address, self._health_path(endpoint.service)
             )
             if found == endpoint.endpoint_id:
                 return
-            if found and loop.time() < until_s:
+            if found and self._is_reserved(last_activity_s):
                 self._report_found(endpoint, found)
                 return
             await asyncio.sleep(PROBE_PERIOD_S)
 
+    def _is_reserved(self, last_activity_s: float) -> bool:
+        """Tell whether the address belongs to no other service yet."""
+        until_s = last_activity_s + self.address_reuse_s - REUSE_MARGIN_S
+        return asyncio.get_running_loop().time() < until_s
+
     def _health_path(self, service: str) -> str:
         configuration = self._state.configuration
         facts = configuration.services.get(service) if configuration else None
--- a/src/godwitvalve/gossip/node.py
+++ b/src/godwitvalve/gossip/node.py
@@ -64,6 +64,10 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._update_timer: asyncio.TimerHandle | None = None
 
+    def set_seeds(self, seeds: abc.Sequence[str]) -> None:
+        """Replace the peers to contact while no member is live."""
+        self._seeds = seeds
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.DatagramTransport, transport)
 
--- a/src/godwitvalve/ingress/peer_tables.py
+++ b/src/godwitvalve/ingress/peer_tables.py
@@ -224,6 +224,12 @@
         self._longest_waits_s = longest_waits_s
         self._session: aiohttp.ClientSession | None = None
 
+    def set_longest_waits(
+        self, longest_waits_s: abc.Mapping[str, float]
+    ) -> None:
+        """Change the longest waits of further calls."""
+        self._longest_waits_s = longest_waits_s
+
     def choose(self) -> tuple[sources.TableSource, str]:
         """Return a source and its instance id, empty for the store."""
         record = self._selector.choose(self._alive(), time.monotonic())
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -29,6 +29,7 @@
 from godwitvalve.gossip import members as member_model
 from godwitvalve.gossip import node as gossip_nodes
 from godwitvalve.ingress import control
+from godwitvalve.ingress import derived_settings
 from godwitvalve.ingress import directory
 from godwitvalve.ingress import handler as handlers
 from godwitvalve.ingress import membership
@@ -64,10 +65,6 @@
 # to switch to the next source if that entry is lost.
 LARGE_FLEET_READ_PAUSE_S = 0.3
 MAINTENANCE_PERIOD_S = 0.25
-# Part of the time limit of a configuration that is left once an entry has
-# read it: a heartbeat, the next comparison of versions and two reads.
-CONFIGURATION_SPREAD_S = 1.0
-MIN_CONFIGURATION_WAIT_S = 0.5
 DRAIN_POLL_S = 0.05
 # Bounds the replaced, lost, provisional and leaving endpoints in one record,
 # each; covers a failure domain of a small fleet.
@@ -83,9 +80,6 @@
 # Entries that write the evidence about crashing prompts to the store; the
 # store may reject one of them.
 QUARANTINE_WRITERS = 2
-# Share of the allowed retries that the entries use; the rest covers clock and
-# count differences between them.
-RETRY_BUDGET_SHARE = 0.6
 
 _LOG = logs.get('entry')
 
@@ -118,22 +112,19 @@
             self._add_provisional,
         )
         self._rollouts = rollout_registries.RolloutRegistry(
-            rollout_orders.ExposureLimits(
-                settings.exposure_share, settings.exposure_slack
-            )
+            derived_settings.exposure_limits(settings)
+        )
+        self._answer_memory = answer_memory.AnswerMemory(
+            answer_memory.limit_for(settings.memory_mb)
         )
         self._context = contexts.ForwardingContext(
             settings.failure_domain,
             self._state,
-            pools.ChannelPool(
-                answer_memory.AnswerMemory(
-                    answer_memory.limit_for(settings.memory_mb)
-                )
-            ),
+            pools.ChannelPool(self._answer_memory),
             trackers.EndpointTracker(),
             retry_budget.RetryBudget(
                 earned_per_first_attempt=(
-                    settings.retry_budget_ratio * RETRY_BUDGET_SHARE
+                    derived_settings.retries_per_request(settings)
                 ),
             ),
             counter_model.ForwardingCounters(settings.instance_id),
@@ -183,13 +174,7 @@
             self._source_selector,
             lambda: self._members.alive(time.monotonic()),
             int(settings.control_address.rpartition(':')[2]),
-            {
-                wire_configuration.TABLE: max(
-                    settings.configuration_limit_ms / 1000
-                    - CONFIGURATION_SPREAD_S,
-                    MIN_CONFIGURATION_WAIT_S,
-                )
-            },
+            derived_settings.longest_waits_s(settings),
         )
         self._stop_requested = asyncio.Event()
         # When the first stop signal came, in monotonic seconds.
@@ -591,7 +576,21 @@
             self._settings_reload.read(is_announced=True)
 
     def _apply_settings(self, settings: wire_settings.FleetSettings) -> None:
+        """Use changed settings; other parts read them at each use."""
         self._settings = settings
+        self._store.set_address(settings.store_address)
+        self._gossip.set_seeds(membership.seed_peers(settings))
+        self._sources.set_longest_waits(
+            derived_settings.longest_waits_s(settings)
+        )
+        self._successors.address_reuse_s = settings.address_reuse_s
+        self._rollouts.set_limits(derived_settings.exposure_limits(settings))
+        self._context.budget.earned_per_first_attempt = (
+            derived_settings.retries_per_request(settings)
+        )
+        self._answer_memory.limit_bytes = answer_memory.limit_for(
+            settings.memory_mb
+        )
 
     async def _drain(self) -> None:
         """Leave the directory, then wait for the requests in flight.
--- a/src/godwitvalve/platform/settings.py
+++ b/src/godwitvalve/platform/settings.py
@@ -17,8 +17,8 @@
 MAX_PORT = 65535
 # A settings file takes 1 KB.
 MAX_FILE_BYTES = 1024 * 1024
-# Fields whose changes wait for a restart. They name this instance to others,
-# are addresses at which it listens, or are copied at its start.
+# Fields whose changes wait for a restart: they name this instance to others
+# or are addresses at which it listens. All other fields change at runtime.
 RESTART_FIELDS = frozenset(
     {
         'instance_id',
@@ -29,14 +29,6 @@
         'directory_address',
         'control_address',
         'peer_ports',
-        'store_address',
-        'seed_addresses',
-        'address_reuse_s',
-        'retry_budget_ratio',
-        'exposure_share',
-        'exposure_slack',
-        'memory_mb',
-        'configuration_limit_ms',
     }
 )
 
--- a/src/godwitvalve/platform/store.py
+++ b/src/godwitvalve/platform/store.py
@@ -155,6 +155,13 @@
         self._on_era = on_era
         self._session: aiohttp.ClientSession | None = None
 
+    def set_address(self, address: str) -> None:
+        """Send further calls to another address.
+
+        :param address: ``IP:port`` of the store.
+        """
+        self._base_url = f'http://{address}'
+
     async def close(self) -> None:
         """Close the connections."""
         if self._session is not None:
--- a/src/godwitvalve/rollouts/registry.py
+++ b/src/godwitvalve/rollouts/registry.py
@@ -37,6 +37,12 @@
         self._store_era = 0
         self._rewritten_until_s = float('-inf')
 
+    def set_limits(self, limits: orders.ExposureLimits) -> None:
+        """Change the limit, also that of roll-outs under way."""
+        self._limits = limits
+        for each in self._by_service.values():
+            each.limits = limits
+
     def all(self) -> abc.Collection[rollouts.Rollout]:
         """Return the newest roll-out of each service."""
         return self._by_service.values()
--- a/src/godwitvalve/rollouts/rollout.py
+++ b/src/godwitvalve/rollouts/rollout.py
@@ -43,7 +43,7 @@
         self.store_era = 0
         self.own_counts = own_counts
         self.share = 0.0
-        self._limits = limits
+        self.limits = limits
         self._comparison = comparisons.VersionComparison()
         self._view = _INITIAL_VIEW
         self._had_old_slots = False
@@ -94,7 +94,7 @@
 
         An order for the version that already runs never had an old one.
         """
-        has_exposure = plan.remaining_exposure(self._view, self._limits) > 0
+        has_exposure = plan.remaining_exposure(self._view, self.limits) > 0
         return has_exposure or not self._had_old_slots
 
     def _canary_endpoints(
@@ -193,7 +193,7 @@
         if reason is not None:
             return self.advance(orders.RolloutState.DOUBTED, reason)
         if self.is_stored:
-            self.share = plan.plan_share(self._view, self._limits)
+            self.share = plan.plan_share(self._view, self.limits)
         return False
 
     def pending_state(self) -> orders.RolloutState | None:
--- a/src/godwitvalve/routing/retry_budget.py
+++ b/src/godwitvalve/routing/retry_budget.py
@@ -19,7 +19,8 @@
     For ``n`` requests at most ``1.1 * n`` attempts are made, plus the burst
     and the debt once.
 
-    :param earned_per_first_attempt: retries that one request adds.
+    :param earned_per_first_attempt: retries that one request adds; may be
+        changed.
     """
 
     def __init__(
@@ -28,7 +29,7 @@
         resume_debt_retries: float = RESUME_DEBT_RETRIES,
         earned_per_first_attempt: float = EARNED_PER_FIRST_ATTEMPT,
     ) -> None:
-        self._earned = earned_per_first_attempt
+        self.earned_per_first_attempt = earned_per_first_attempt
         self._burst_retries = burst_retries
         self._debt_retries = resume_debt_retries
         self._balances: dict[str, float] = {}
@@ -42,7 +43,7 @@
 
     def record_first_attempt(self, service: str) -> None:
         """Add the part of a retry that a new request earns."""
-        balance = self.balance(service) + self._earned
+        balance = self.balance(service) + self.earned_per_first_attempt
         self._balances[service] = min(balance, self._burst_retries)
 
     def try_retry(self, service: str, for_resume: bool = False) -> bool:
