Keep idle connections by the limit of the latest configuration

A caller that kept a connection for as long as operators allow met its close if they had raised the limit since: a connection kept the idle limit that was in force when it was opened. The limit is read now when a connection would be closed.

--- a/features/steps/ingress_kept_steps.py
+++ b/features/steps/ingress_kept_steps.py
@@ -29,13 +29,17 @@
     'a configuration that lets callers stay idle for {limit_ms:d} ms'
 )
 def idle_limit(context, limit_ms):
-    configuration = fleet_site.configuration(5)
-    configuration['limits']['idle_timeout_ms'] = limit_ms
-    context.fleet.write_row('op', 'config', configuration)
+    _configure(context, 5, limit_ms)
     context.fleet.start_entry('entry-0', 'fd-0')
     fleet_site.wait_ready(context.fleet, 'entry-0')
 
 
+def _configure(context, version, limit_ms):
+    configuration = fleet_site.configuration(version)
+    configuration['limits']['idle_timeout_ms'] = limit_ms
+    context.fleet.write_row('op', 'config', configuration)
+
+
 def _ask(connection):
     """Return the status of an answer, or the name of the error."""
     try:
@@ -51,13 +55,37 @@
     'a caller uses a connection, stays idle for {idle_s:g} s and uses it again'
 )
 def use_twice(context, idle_s):
+    _use_twice(context, lambda: time.sleep(idle_s))
+
+
+@behave.when(
+    'the limit becomes {limit_ms:d} ms while a connection is idle, and a '
+    'caller that stays idle for {idle_s:g} s uses it again'
+)
+def raise_limit(context, limit_ms, idle_s):
+    def change():
+        ends_s = time.monotonic() + idle_s
+        _configure(context, 6, limit_ms)
+        time.sleep(ends_s - time.monotonic())
+
+    _use_twice(context, change)
+    installed = [
+        line
+        for line in context.fleet.log('entry-0')
+        if 'Installed a configuration' in line['message']
+        and line.get('version') == 6
+    ]
+    assert installed
+
+
+def _use_twice(context, pause):
     connection = http.client.HTTPConnection(
         context.fleet.addresses['entry-0'], timeout=5
     )
     context.cleanups.append(connection.close)
     assert _ask(connection) == 404
     used = connection.sock
-    time.sleep(idle_s)
+    pause()
     context.second = _ask(connection)
     context.is_same = connection.sock is used
 
--- a/src/godwitvalve/ingress/servers.py
+++ b/src/godwitvalve/ingress/servers.py
@@ -33,8 +33,46 @@
 }
 
 
+class _Connection(web.RequestHandler):
+    """Connection that stays open for the idle limit in force.
+
+    :param idle_limit_s: returns the limit that operators set, in seconds.
+    """
+
+    __slots__ = ('_idle_limit_s', '_idle_since_s', '_postponed_to_s')
+
+    def __init__(
+        self, manager: web.Server, idle_limit_s: abc.Callable[[], float]
+    ) -> None:
+        super().__init__(
+            manager,
+            loop=asyncio.get_running_loop(),
+            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
+            **_OPTIONS,
+        )
+        self._idle_limit_s = idle_limit_s
+        self._idle_since_s = 0.0
+        self._postponed_to_s = 0.0
+
+    def _process_keepalive(self) -> None:
+        """Close the connection unless operators allow it to stay idle.
+
+        The base class sets the time of the close when the last answer ends,
+        and operators may raise the limit later.
+        """
+        if self._next_keepalive_close_time != self._postponed_to_s:
+            self._idle_since_s = (
+                self._next_keepalive_close_time - KEEPALIVE_TIMEOUT_S
+            )
+        self._postponed_to_s = self._idle_since_s + max(
+            KEEPALIVE_TIMEOUT_S, self._idle_limit_s()
+        )
+        self._next_keepalive_close_time = self._postponed_to_s
+        super()._process_keepalive()
+
+
 class _Server(web.Server):
-    """Server whose connections stay open for the idle limit of their start.
+    """Server whose connections stay open for the idle limit of operators.
 
     :param idle_limit_s: returns the limit that operators set, in seconds.
     """
@@ -47,12 +85,7 @@
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
-        return web.RequestHandler(
-            self,
-            loop=asyncio.get_running_loop(),
-            keepalive_timeout=max(KEEPALIVE_TIMEOUT_S, self._idle_limit_s()),
-            **_OPTIONS,
-        )
+        return _Connection(self, self._idle_limit_s)
 
 
 async def listen(
