Keep an entry of the own interface running at SIGHUP

Callers of the own interface lost all requests in flight when SIGHUP announced changed settings: the process did not handle the signal, which ends it by default. It is logged now that settings need a restart.

--- a/features/system/operations.feature
+++ b/features/system/operations.feature
@@ -10,6 +10,14 @@
     And the stopped entry instance is named in no new address answer
     And the stopped entry instance ends with exit code 0
 
+  Scenario: SIGHUP interrupts no request
+    # Guards against an entry instance that ends at once, with all of its
+    # requests, when it is told that its settings have changed.
+    Given a small site with 3 engines
+    When 6 callers ask for an answer of 300 tokens each
+    And the busy entry instance gets SIGHUP
+    Then every caller's answer is complete without a reconnect
+
   Scenario: A draining entry instance rejects new work with an address
     # Guards against a rejection that names no other entry instance.
     Given a small site with 3 engines
--- a/src/godwitvalve/entry/main.py
+++ b/src/godwitvalve/entry/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from typing import Annotated
 
 import typer
@@ -32,6 +33,8 @@
 
 def main() -> None:
     """Run the command."""
+    # SIGHUP ends a process that does not handle it yet.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     typer.run(run)
 
 
--- a/src/godwitvalve/entry/process.py
+++ b/src/godwitvalve/entry/process.py
@@ -52,6 +52,8 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stopping.set)
+        # By default SIGHUP ends the process with all of its requests.
+        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
         self._gossip.register()
         await self.context.node.start()
         tasks = self._start_tasks()
@@ -60,6 +62,9 @@
         await self._drain()
         await self._stop(runner, tasks)
 
+    def _note_reload(self) -> None:
+        _LOG.info('Settings are not read again; changes need a restart.')
+
     def _start_tasks(self) -> list[asyncio.Task[None]]:
         context = self.context
         work = {
