--- a/src/godwitvalve/forwarding/message_memory.py
+++ b/src/godwitvalve/forwarding/message_memory.py
@@ -63,11 +63,21 @@
         """Forget an answer."""
         self.answer_bytes -= self._held_bytes.pop(holder, 0)
 
+    def resize(self, machine_mb: float) -> None:
+        """Set the limits for a machine with this much memory.
+
+        What is held already is given up only as more is added.
+        """
+        self.limit_bytes = _share_bytes(machine_mb, ANSWER_SHARE)
+        self.bodies.limit_bytes = _share_bytes(machine_mb, BODY_SHARE)
+
 
 def for_machine(machine_mb: float) -> MessageMemory:
     """Return the accounting for a machine with this much memory."""
-    answer_bytes, body_bytes = (
-        max(int(machine_mb * share * 1024 * 1024), MIN_LIMIT_BYTES)
-        for share in (ANSWER_SHARE, BODY_SHARE)
-    )
-    return MessageMemory(answer_bytes, body_bytes)
+    memory = MessageMemory(MIN_LIMIT_BYTES)
+    memory.resize(machine_mb)
+    return memory
+
+
+def _share_bytes(machine_mb: float, share: float) -> int:
+    return max(int(machine_mb * share * 1024 * 1024), MIN_LIMIT_BYTES)
--- a/src/godwitvalve/ingress/servers.py
+++ b/src/godwitvalve/ingress/servers.py
@@ -39,8 +39,49 @@
 }
 
 
+class _Connection(connections.CallerConnection):
+    """Connection that stays open for the idle limit in force.
+
+    :param throttle: shared by all messages that are costly to parse.
+    :param idle_limit_s: returns the limit that operators set, in seconds.
+    """
+
+    def __init__(
+        self,
+        manager: web.Server,
+        throttle: throttles.ParsingThrottle,
+        idle_limit_s: abc.Callable[[], float],
+    ) -> None:
+        super().__init__(
+            manager,
+            throttle,
+            loop=asyncio.get_running_loop(),
+            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
+            **_OPTIONS,
+        )
+        self._idle_limit_s = idle_limit_s
+        self._idle_since_s = 0.0
+        self._postponed_to_s = 0.0
+
+    def _process_keepalive(self) -> None:
+        """Close the connection unless operators allow it to stay idle.
+
+        The base class sets the time of the close when the last answer ends,
+        and operators may raise the limit later.
+        """
+        if self._next_keepalive_close_time != self._postponed_to_s:
+            self._idle_since_s = (
+                self._next_keepalive_close_time - KEEPALIVE_TIMEOUT_S
+            )
+        self._postponed_to_s = self._idle_since_s + max(
+            KEEPALIVE_TIMEOUT_S, self._idle_limit_s()
+        )
+        self._next_keepalive_close_time = self._postponed_to_s
+        super()._process_keepalive()
+
+
 class _Server(web.Server):
-    """Server whose connections stay open for the idle limit of their start.
+    """Server whose connections stay open for the idle limit of operators.
 
     :param idle_limit_s: returns the limit that operators set, in seconds.
     :param throttle: shared by all messages that are costly to parse.
@@ -60,13 +101,7 @@
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
-        return connections.CallerConnection(
-            self,
-            self._throttle,
-            loop=asyncio.get_running_loop(),
-            keepalive_timeout=max(KEEPALIVE_TIMEOUT_S, self._idle_limit_s()),
-            **_OPTIONS,
-        )
+        return _Connection(self, self._throttle, self._idle_limit_s)
 
 
 async def listen(
