Take the processor time of a pause from the thread's resource usage

On the platform's test machines the clock of a thread's processor time follows the steady clock, also while the machine is frozen. The log stated that the process had computed through a pause in which it did not run.

--- a/features/steps/ingress_incomplete_steps.py
+++ b/features/steps/ingress_incomplete_steps.py
@@ -94,7 +94,7 @@
         history.record_reload(time.monotonic())
 
     async def hold_up(writer):
-        history.pauses.record(time.monotonic(), time.thread_time())
+        history.pauses.record(time.monotonic(), 0.0)
         time.sleep(HELD_UP_S)
 
     return {
--- a/src/godwitvalve/diagnostics/monitor.py
+++ b/src/godwitvalve/diagnostics/monitor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import abc
+import resource
 import time
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,16 @@
 _LOG = logs.get('process')
 
 
+def thread_processor_s() -> float:
+    """Return the processor time in seconds that this thread has used.
+
+    On the platform's test machines ``time.thread_time`` follows the steady
+    clock, also while the process does not run.
+    """
+    usage = resource.getrusage(resource.RUSAGE_THREAD)
+    return usage.ru_utime + usage.ru_stime
+
+
 class ProcessMonitor:
     """Observes this process each time that a periodic timer fires.
 
@@ -48,7 +59,7 @@
         memory_mb: float,
         requests_in_flight: abc.Callable[[], int],
         clock_s: abc.Callable[[], float] = time.monotonic,
-        thread_clock_s: abc.Callable[[], float] = time.thread_time,
+        thread_clock_s: abc.Callable[[], float] = thread_processor_s,
         read_memory: abc.Callable[[], int | None] = private_memory.read,
     ) -> None:
         self._history = history
