Count answers until their callers have read them

A complete answer no longer counted toward the memory of answers, although the entry held it until its caller had read it, and copied it to write it. 34 callers that left answers of 8,000,000 bytes unread, one more each 0.1 s, took 565 to 570 MB of private memory at an entry on a machine of 150 MB in three runs of 5 s; such a process is killed with all that it runs.

The bytes now count until the answer is written, long ones are written in pieces of 128 KB without another copy, and of what exceeds the limit the largest is given up as before. For a complete answer this resets its caller's connection; it is logged and counted as incomplete for "memory".

Answers that grow used up to three times what was counted: the heap moved each of them as it grew and kept the bytes in between.

--- a/features/doubles/body_endpoint.py
+++ b/features/doubles/body_endpoint.py
@@ -24,9 +24,11 @@
     """Answers a request with the digest of its body.
 
     :param is_endless: answers without end instead.
+    :param padding_bytes: bytes at the end of each answer.
     """
 
-    def __init__(self, endpoint_id, is_endless=False):
+    def __init__(self, endpoint_id, is_endless=False, padding_bytes=0):
+        self._padding = bytes(padding_bytes)
         self._endpoint_id = endpoint_id
         self._is_endless = is_endless
         self._server = None
@@ -80,7 +82,7 @@
                 await writer.drain()
                 await asyncio.sleep(FLOOD_PAUSE_S)
         await asyncio.sleep(WORK_S)
-        body = digest.hexdigest().encode()
+        body = digest.hexdigest().encode() + self._padding
         writer.write(
             answer_head + b'Content-Length: %d\r\n\r\n' % len(body) + body
         )
--- a/features/ingress/body_memory.feature
+++ b/features/ingress/body_memory.feature
@@ -14,6 +14,15 @@
       | with a length |
       | in chunks     |
 
+  Scenario: Answers that are not read fit the memory of the machine
+    # Complete answers were held for callers that read slowly, and copied to
+    # write them, without a limit.
+    Given an entry on a machine of 150 MB
+    When 34 callers leave answers of 8000000 bytes unread and 4 make short calls, for 5 s
+    Then its private memory never exceeded 150 MB
+    And no request ended without an answer
+    And at least 100 short calls were served
+
   Scenario: Endless answers beside long bodies fit the memory of the machine
     # Answers and bodies have a limit each; together they must fit, too.
     Given an entry on a machine of 150 MB
--- a/features/steps/ingress_body_memory_steps.py
+++ b/features/steps/ingress_body_memory_steps.py
@@ -7,6 +7,7 @@
 import hashlib
 import json
 import pathlib
+import socket
 import tempfile
 import time
 
@@ -17,7 +18,7 @@
 
 MB = 1024 * 1024
 MAX_BODY_BYTES = 4_194_304
-SERVICES = {'desk': '/complaints/', 'flood': '/flooded/'}
+SERVICES = {'desk': '/complaints/', 'flood': '/flooded/', 'long': '/long/'}
 ENDPOINTS = 3
 # Limit of a request at its caller.
 ANSWER_LIMIT_S = 5.0
@@ -25,6 +26,13 @@
 # Share of a body that is written at a time.
 PIECE_BYTES = 64 * 1024
 PAUSE_AFTER_REFUSAL_S = 0.3
+LONG_ANSWER_BYTES = 8_000_000
+# Receive buffer of a caller that does not read, how long it waits, and time
+# between two of them, as answers that arrive together exceed their limit
+# before they are complete.
+UNREAD_BYTES = 4096
+UNREAD_S = 4.0
+UNREAD_PAUSE_S = 0.1
 
 
 def _configuration():
@@ -160,10 +168,15 @@
 
 async def _start_endpoints(fleet, endless):
     started = []
-    for service, count in (('desk', ENDPOINTS), ('flood', endless)):
+    counts = {'desk': ENDPOINTS, 'flood': endless, 'long': ENDPOINTS}
+    for service, count in counts.items():
         for number in range(count):
             name = f'i-{service}-{number}'
-            endpoint = body_endpoint.BodyEndpoint(name, service == 'flood')
+            endpoint = body_endpoint.BodyEndpoint(
+                name,
+                service == 'flood',
+                LONG_ANSWER_BYTES if service == 'long' else 0,
+            )
             started.append(await endpoint.start())
             row = fleet.endpoint_row(
                 name, service, 'fd-0', address=endpoint.address
@@ -181,17 +194,23 @@
         await asyncio.sleep(SAMPLE_S)
 
 
-async def _play(context, callers, endless, duration_s):
+async def _play(context, callers, endless, duration_s, unread=0):
     endpoints = await _start_endpoints(context.fleet, endless)
     context.fleet.start_entry('entry-0', 'fd-0', memory_mb=context.memory_mb)
     await asyncio.to_thread(fleet_site.wait_ready, context.fleet, 'entry-0')
     context.peak_bytes = 0
     watching = asyncio.create_task(_watch(context))
-    load = context.load = _Load(
-        context.fleet.addresses['entry-0'], time.monotonic() + duration_s
-    )
+    address = context.fleet.addresses['entry-0']
+    until_s = time.monotonic() + duration_s
+    load = context.load = _Load(address, until_s)
     try:
-        await asyncio.gather(*(load.call(*each) for each in callers))
+        await asyncio.gather(
+            *(load.call(*each) for each in callers),
+            *(
+                _leave_unread(address, until_s, number * UNREAD_PAUSE_S)
+                for number in range(unread)
+            ),
+        )
     finally:
         watching.cancel()
         for endpoint in endpoints:
@@ -225,6 +244,43 @@
     asyncio.run(_play(context, callers, endless, duration_s))
 
 
+async def _leave_unread(address, until_s, pause_s):
+    """Ask for a long answer, leave it unread for a while, and ask again."""
+    host, port = address.split(':')
+    await asyncio.sleep(pause_s)
+    while time.monotonic() < until_s:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BYTES)
+        sock.setblocking(False)
+        try:
+            await asyncio.get_running_loop().sock_connect(
+                sock, (host, int(port))
+            )
+            sock.send(
+                f'GET /long/1 HTTP/1.1\r\nHost: {fleet_site.HOST}\r\n'
+                f'Request-Id: unread-{sock.getsockname()[1]}\r\n'
+                f'Api-Key: {fleet_site.KEY}\r\n\r\n'.encode()
+            )
+            await asyncio.sleep(UNREAD_S)
+        finally:
+            sock.close()
+
+
+@behave.when(
+    '{count:d} callers leave answers of {size:d} bytes unread and {short:d} '
+    'make short calls, for {duration_s:d} s'
+)
+def leave_unread(context, count, size, short, duration_s):
+    assert size == LONG_ANSWER_BYTES
+    callers = [('/complaints/', b'short', False)] * short
+    asyncio.run(_play(context, callers, 0, duration_s, unread=count))
+
+
+@behave.then('at least {count:d} short calls were served')
+def short_served(context, count):
+    bodies_served(context, count)
+
+
 @behave.then('its private memory never exceeded {limit_mb:d} MB')
 def memory_kept(context, limit_mb):
     assert context.peak_bytes <= limit_mb * MB, context.peak_bytes / MB
--- a/src/godwitvalve/forwarding/exchange.py
+++ b/src/godwitvalve/forwarding/exchange.py
@@ -75,7 +75,7 @@
     """The endpoint's complete answer."""
 
     head: AnswerHead
-    body: bytes
+    body: message_buffer.Content
 
 
 PlainOutcome: TypeAlias = NotSent | Declined | Lost | Answered
@@ -174,19 +174,19 @@
             ) from error
         raise channels.ChannelBroken('answer to another request too large')
 
-    async def read_body(self, limit_bytes: int) -> bytes:
+    async def read_body(self, limit_bytes: int) -> message_buffer.Content:
         """Return the complete body.
 
         :raises ChannelBroken: if it ends early or exceeds the limit.
         """
         assert self._channel is not None
-        body = bytearray()
+        body = message_buffer.MessageBuffer()
         async for chunk in self.chunks():
-            body += chunk
+            body.append(chunk)
             if len(body) > limit_bytes:
                 raise channels.ChannelBroken('answer too large')
             self._channel.keep(len(body))
-        return bytes(body)
+        return body.content()
 
     async def chunks(self) -> abc.AsyncIterator[bytes]:
         """Yield the body; a normal end means that it is complete.
--- a/src/godwitvalve/forwarding/message_memory.py
+++ b/src/godwitvalve/forwarding/message_memory.py
@@ -15,7 +15,7 @@
 
 
 class Holder(Protocol):
-    """Owner of the bytes of one unfinished answer."""
+    """Owner of the bytes of one answer that its caller does not have."""
 
     def abort_for_memory(self) -> None:
         """Give up the answer and release its bytes."""
@@ -30,7 +30,8 @@
     Load pattern of answers: endpoints send bodies without end to all calls in
     flight. A limit for each answer alone would be multiplied by their number.
     The largest answer is given up first, so that ordinary answers of a few
-    hundred bytes still arrive.
+    hundred bytes still arrive. Complete answers count until their callers
+    have read them.
 
     :param limit_bytes: greatest sum of the answers.
     :param body_limit_bytes: greatest sum of the bodies of requests.
--- a/src/godwitvalve/forwarding/replies.py
+++ b/src/godwitvalve/forwarding/replies.py
@@ -21,6 +21,7 @@
     QUARANTINED = 'quarantined'
     DEADLINE = 'deadline'
     STOP_LIMIT = 'stop limit'
+    MEMORY = 'memory'
     EXCEPTION = 'exception'
     CALLER_LEFT = 'caller left'
 
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -38,6 +38,8 @@
 DRAINING_RETRY_AFTER_S = 0.05
 # Bodies in memory are sent on within tens of ms.
 NO_ROOM_RETRY_AFTER_S = 0.3
+# Part of a long answer that the connection to its caller copies.
+ANSWER_PIECE_BYTES = 128 * 1024
 # How long streams are accepted during a drain at most. How long one takes is
 # an estimate, and it takes longer if it has to go on at another endpoint.
 STREAM_ACCEPT_PERIOD_S = 1.2
@@ -99,6 +101,51 @@
         response.headers.add(name, value)
 
 
+class _LongAnswer(web.StreamResponse):
+    """Complete answer that is written without a further copy.
+
+    :param content: its body.
+    """
+
+    def __init__(self, status: int, content: memoryview) -> None:
+        super().__init__(status=status)
+        self.content_length = len(content)
+        self._content = content
+
+    async def write_eof(self, data: bytes = b'') -> None:
+        """Write the body as the caller reads it."""
+        for begin in range(0, len(self._content), ANSWER_PIECE_BYTES):
+            await self.write(self._content[begin:][:ANSWER_PIECE_BYTES])
+        await super().write_eof(data)
+
+
+class _UnreadAnswer:
+    """Holds the memory of an answer that its caller has not read.
+
+    :param count: counts an answer that is given up.
+    """
+
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        count: abc.Callable[[replies.IncompleteReason], None],
+    ) -> None:
+        self._request = request
+        self._request_id = request_id
+        self._count = count
+
+    def abort_for_memory(self) -> None:
+        """Reset the connection of the caller, as it reads too slowly."""
+        self._count(replies.IncompleteReason.MEMORY)
+        _LOG.warning(
+            'Gave up an answer that its caller had not read.',
+            extra={'request_id': self._request_id},
+        )
+        if self._request.transport is not None:
+            sockets.reset(self._request.transport)
+
+
 class IngressHandler:
     """Serves the requests of all caller connections."""
 
@@ -195,7 +242,14 @@
         pending.begin_answer(in_flight.Wait.CALLER)
         if self._stop is not None:
             response.force_close()
+        unread = _UnreadAnswer(
+            request,
+            pending.request_id,
+            self._context.counters.count_incomplete,
+        )
+        memory = self._context.pool.memory
         try:
+            memory.hold(unread, response.content_length or 0)
             async with pending.limit(None):
                 await response.prepare(request)
                 await response.write_eof()
@@ -210,6 +264,8 @@
                     'reason': str(error),
                 },
             )
+        finally:
+            memory.release(unread)
 
     async def _answer(
         self,
@@ -437,7 +493,11 @@
     ) -> web.StreamResponse:
         match reply:
             case exchanges.Answered(head, body):
-                response = web.Response(status=head.status, body=body)
+                response: web.StreamResponse
+                if isinstance(body, memoryview):
+                    response = _LongAnswer(head.status, body)
+                else:
+                    response = web.Response(status=head.status, body=body)
                 response.headers.popall('Content-Type', None)
                 _copy_headers(response, head)
                 return response
