--- a/features/steps/ingress_settings_changes_steps.py
+++ b/features/steps/ingress_settings_changes_steps.py
@@ -218,7 +218,7 @@
 
 
 def _held_mib(entry):
-    memory = entry._context.pool._memory
+    memory = entry._context.pool.memory
     holders = [Holder() for _ in range(32)]
     for holder in holders:
         memory.hold(holder, MIB)
