--- a/features/platform/endless.feature
+++ b/features/platform/endless.feature
@@ -56,3 +56,18 @@
     Given a store that answers with a table of 50 rows in chunks of one byte
     When a table is read from it
     Then 50 rows were read
+
+  Scenario Outline: A table without end is not read
+    # A store in trouble must not make an entry read pages for ever, nor
+    # decode so many rows that other requests wait.
+    Given a store that answers with "<pages>"
+    When a table is read from it
+    Then the source counts as unavailable within 2000 ms
+    And reading did not delay other requests by more than 120 ms
+    And reading took at most 24 MiB of memory
+
+    Examples:
+      | pages           |
+      | the same page   |
+      | pages of keys   |
+      | very many rows  |
--- a/features/steps/platform_endless_steps.py
+++ b/features/steps/platform_endless_steps.py
@@ -24,6 +24,13 @@
 FAST_PIECE_BYTES = 64 * 1024
 SLOW_PAUSE_S = 0.02
 RETRY_PAUSE_S = 0.1
+PAGE_ROWS = 500
+PAGE_VALUE_BYTES = 1200
+# Together 60 MB, and more than can be read within the limit.
+LONG_PAGES = 90
+SAME_PAGES = 20000
+# Fit into the longest body.
+VERY_MANY_ROWS = 200_000
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 # Bytes before the flood, and the bytes that are repeated.
 FLOODS = {
@@ -73,6 +80,44 @@
     )
 
 
+def _page(first, count, value):
+    rows = [
+        {'key': f's{number:09d}', 'ver': 1, 'value': value}
+        for number in range(first, first + count)
+    ]
+    page = {'ver': 1, 'has_more': True, 'rows': rows}
+    return _answer(json.dumps(page).encode())
+
+
+def _answer(body):
+    return b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s' % (
+        len(body),
+        body,
+    )
+
+
+@behave.given('a store that answers with "{name}"')
+def store_with_pages(context, name):
+    value = 'x' * PAGE_VALUE_BYTES
+    pages = {
+        'the same page': lambda: [_page(0, 1, '')] * SAME_PAGES,
+        'pages of keys': lambda: [
+            _page(number * PAGE_ROWS, PAGE_ROWS, value)
+            for number in range(LONG_PAGES)
+        ],
+        'very many rows': lambda: [
+            _answer(
+                b'{"ver":1,"rows":[%s]}'
+                % b','.join([b'{"key":"a","ver":1}'] * VERY_MANY_ROWS)
+            )
+        ],
+    }
+    context.source = 'store'
+    context.endpoint = flooding_endpoint.FloodingEndpoint(
+        b'', b'', 1.0, pages[name](), request_end=b'\r\n\r\n'
+    )
+
+
 async def _read_table(source, address):
     if source == 'store':
         client = store.StoreClient(address)
--- a/src/godwitvalve/platform/store.py
+++ b/src/godwitvalve/platform/store.py
@@ -26,6 +26,11 @@
 # Added to the wait of a long poll. An outage of one second is detected by the
 # next call, not only after the whole wait of a poll.
 FEED_TIMEOUT_MARGIN_S = 1.5
+# The store sends at most 500 rows of a table, and one change of each of 7,100
+# endpoints at a time in the largest fleet.
+MAX_ANSWER_ROWS = 32 * 1024
+# Six times the table of 7,100 endpoints as another entry relays it.
+MAX_TABLE_BYTES = 12 * 1024 * 1024
 ERA_HEADER = 'Store-Era'
 
 _LOG = logs.get('store')
@@ -133,6 +138,9 @@
 
 
 def _rows_answer(body: bytes, era: int | None = None) -> RowsAnswer:
+    # Decoding hundreds of thousands of rows keeps other requests waiting.
+    if body.count(b'"key"') > MAX_ANSWER_ROWS:
+        raise StoreUnavailable('too many rows in an answer')
     try:
         raw = contents.decode(_DECODER, body)
     except contents.InvalidContent as error:
@@ -202,6 +210,7 @@
         found: list[StoredRow] = []
         era: int | None = None
         start_key = ''
+        table_bytes = 0
         while True:
             query = parse.urlencode(
                 {'table': table, 'part': part, 'from': start_key}
@@ -217,6 +226,11 @@
             if found and answer.era != era:
                 raise StoreUnavailable(f'reading {table}: store was restored')
             era = answer.era
+            table_bytes += len(reply.body)
+            if table_bytes > MAX_TABLE_BYTES or any(
+                row.key < start_key for row in answer.rows
+            ):
+                raise StoreUnavailable(f'reading {table}: pages without end')
             found += answer.rows
             if not answer.has_more or not answer.rows:
                 return answer._replace(rows=found, has_more=False)
