Test that a stream of many short chunks stays whole

A sound engine sends each token in a chunk of its own. The reader that gives up chunks which bring nothing must not take such a stream for a flood. It passes: events pay for their chunks.

--- a/features/engine/endless.feature
+++ b/features/engine/endless.feature
@@ -21,3 +21,9 @@
       | plain service | chunks of one byte |
       | platform      | interim answers    |
       | platform      | chunks of one byte |
+
+  Scenario: A stream of many events in a chunk each stays whole
+    # A sound engine sends each token alone for minutes, which must not be
+    # taken for chunks that bring nothing.
+    When an engine sends 10000 tokens in a chunk each
+    Then all 10000 tokens are read within 4 s
--- a/features/steps/flooding_engines_steps.py
+++ b/features/steps/flooding_engines_steps.py
@@ -17,6 +17,7 @@
 from godwitvalve.services import port
 from godwitvalve.store import http_adapter as store_adapter
 from godwitvalve.store import port as store_port
+import orjson
 
 from godwitvalve import clock
 
@@ -124,6 +125,54 @@
     asyncio.run(run())
 
 
+def _token_chunk(index):
+    fields = {
+        'type': 'tokens',
+        'request_id': 'r',
+        'attempt': 1,
+        'first_index': index,
+        'token_ids': [index],
+        'pieces': ['x'],
+    }
+    event = b'data: %s\n\n' % orjson.dumps(fields)
+    return b'%x\r\n%s\r\n' % (len(event), event)
+
+
+@behave.when('an engine sends {count:d} tokens in a chunk each')
+def send_tokens(context, count):
+    chunks = b''.join(map(_token_chunk, range(count)))
+    source = flooding_endpoint.FloodingEndpoint(
+        CHUNKED + chunks + b'0\r\n\r\n', b'', 1.0, request_end=b'}'
+    )
+    context.token_ids = []
+
+    async def run():
+        await source.start()
+        place = endpoint.Endpoint(
+            'p1', source.address, 'fd-1', 's', 'v1', False
+        )
+        started_s = time.monotonic()
+        async with http_adapter.new_session() as session:
+            engine = http_adapter.HttpEngine(session)
+            try:
+                async for event in engine.generate(place, ORDER):
+                    context.token_ids += event.token_ids
+            except engine_port.EngineError as error:
+                # The stream has no final event.
+                context.reason = error.reason
+        context.taken_s = time.monotonic() - started_s
+        await source.stop()
+
+    asyncio.run(run())
+
+
+@behave.then('all {count:d} tokens are read within {limit_s:d} s')
+def tokens_read(context, count, limit_s):
+    assert context.reason == 'ended_early', context.reason
+    assert context.token_ids == list(range(count)), len(context.token_ids)
+    assert context.taken_s <= limit_s, context.taken_s
+
+
 @behave.then('the flood delayed other requests by at most {limit_ms:d} ms')
 def delayed(context, limit_ms):
     delay_s = context.sound_calls.monitor.delay_s
