End the wait for a body at the deadline of its request

A caller that goes silent in the midst of a body keeps the room that was reserved for all of it, without a limit if it lost its power. 12 callers that each began a body of 3.9 MB and went silent left the entry with no room for another one 1.2 s later, although their own limit was 1 s: that caller got 503.

The wait for a body now ends at the deadline of its request (504, 2009, not run), which frees the room. In the same test the other caller gets 200.

--- a/features/ingress/body_memory.feature
+++ b/features/ingress/body_memory.feature
@@ -14,6 +14,15 @@
       | with a length |
       | in chunks     |
 
+  Scenario: Callers that go silent midway do not keep the memory
+    # A caller that lost its power sends neither the rest of a body nor an end
+    # of its connection, and the memory of the whole body is reserved.
+    Given an entry on a machine of 150 MB
+    When 12 callers with 1000 ms begin a body of 3900000 bytes and go silent
+    And 1200 ms later another caller sends such a body
+    Then the other caller gets status 200
+    And the silent callers that had room got status 504 and code 2009
+
   Scenario: Answers that are not read fit the memory of the machine
     # Complete answers were held for callers that read slowly, and copied to
     # write them, without a limit.
--- a/features/steps/ingress_body_memory_steps.py
+++ b/features/steps/ingress_body_memory_steps.py
@@ -276,6 +276,75 @@
     asyncio.run(_play(context, callers, 0, duration_s, unread=count))
 
 
+async def _go_silent(address, wait_ms, size):
+    """Begin a body; return the status and the code of the answer."""
+    host, port = address.split(':')
+    reader, writer = await asyncio.open_connection(host, port)
+    writer.write(
+        f'POST /complaints/1 HTTP/1.1\r\nHost: {fleet_site.HOST}\r\n'
+        f'Request-Id: silent-{writer.get_extra_info("sockname")[1]}\r\n'
+        f'Api-Key: {fleet_site.KEY}\r\nDeadline-Ms: {wait_ms}\r\n'
+        f'Content-Length: {size}\r\n\r\nbegin'.encode()
+    )
+    try:
+        async with asyncio.timeout(ANSWER_LIMIT_S):
+            head = await reader.readuntil(b'\r\n\r\n')
+            length = int(body_endpoint.field(head, b'content-length'))
+            content = json.loads(await reader.readexactly(length))
+        return int(head.split()[1]), content['code']
+    except asyncio.TimeoutError:
+        return 0, 0
+    finally:
+        writer.close()
+
+
+@behave.when(
+    '{count:d} callers with {wait_ms:d} ms begin a body of {size:d} bytes and '
+    'go silent'
+)
+def go_silent(context, count, wait_ms, size):
+    context.silent = (count, wait_ms, size)
+
+
+@behave.when('{pause_ms:d} ms later another caller sends such a body')
+def another_body(context, pause_ms):
+    count, wait_ms, size = context.silent
+    fleet = context.fleet
+
+    async def run():
+        endpoints = await _start_endpoints(fleet, 0)
+        fleet.start_entry('entry-0', 'fd-0', memory_mb=context.memory_mb)
+        await asyncio.to_thread(fleet_site.wait_ready, fleet, 'entry-0')
+        address = fleet.addresses['entry-0']
+        silent = [
+            asyncio.create_task(_go_silent(address, wait_ms, size))
+            for _ in range(count)
+        ]
+        await asyncio.sleep(pause_ms / 1000)
+        load = _Load(address, time.monotonic() + 0.01)
+        await load.call('/complaints/', bytes(size), False)
+        context.another = load.statuses
+        context.silent_ends = await asyncio.gather(*silent)
+        for endpoint in endpoints:
+            await endpoint.stop()
+
+    asyncio.run(run())
+
+
+@behave.then('the other caller gets status {status:d}')
+def gets_status(context, status):
+    assert context.another == {('/complaints/', status): 1}, context.another
+
+
+@behave.then(
+    'the silent callers that had room got status {status:d} and code {code:d}'
+)
+def silent_ends(context, status, code):
+    without_room = (503, codes.ResultCode.BODY_MEMORY_EXHAUSTED)
+    ends = [each for each in context.silent_ends if each != without_room]
+    assert ends and set(ends) == {(status, code)}, context.silent_ends
+
+
 @behave.then('at least {count:d} short calls were served')
 def short_served(context, count):
     bodies_served(context, count)
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -312,18 +312,22 @@
             return admitted
         configuration = self._context.state.configuration
         assert configuration is not None
+        deadline_s = _deadline_s(admitted.route, facts, arrived_s)
         room = body_room.BodyRoom(
-            self._context.pool.memory.bodies,
-            pending,
-            _deadline_s(admitted.route, facts, arrived_s) - arrived_s,
+            self._context.pool.memory.bodies, pending, deadline_s - arrived_s
         )
         try:
-            async with pending.limit(None):
+            # A caller that lost its power would keep the room for good.
+            async with pending.limit(deadline_s):
                 body = await bodies.read(
                     request, configuration.limits.max_body_bytes, room
                 )
         except asyncio.TimeoutError:
-            return self._refuse_draining(facts)
+            if pending.is_interrupted:
+                return self._refuse_draining(facts)
+            return self._refuse(
+                facts, codes.ResultCode.DEADLINE_BEFORE_SEND, 504
+            )
         except body_room.NoRoom:
             return self._refuse(
                 facts,
