Share one throttle between all costly messages of a process

The clients of the store and of entries had a throttle of their own, and each health probe another one, so that all costly messages together could take more than the share of the processor that one throttle allows.

--- a/src/godwitvalve/forwarding/probes.py
+++ b/src/godwitvalve/forwarding/probes.py
@@ -24,7 +24,7 @@
     """Tell whether an endpoint accepts a connection."""
     try:
         channel = await channels.connect(
-            address, _probe_memory(), throttles.ParsingThrottle()
+            address, _probe_memory(), throttles.PROCESS
         )
     except channels.ConnectFailed:
         return False
@@ -38,7 +38,7 @@
     try:
         async with asyncio.timeout(PROBE_LIMIT_S):
             channel = await channels.connect(
-                address, _probe_memory(), throttles.ParsingThrottle()
+                address, _probe_memory(), throttles.PROCESS
             )
             channel.begin(
                 h11.Request(
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -116,11 +116,10 @@
             derived_settings.exposure_limits(settings)
         )
         self._message_memory = message_memory.for_machine(settings.memory_mb)
-        self._throttle = throttles.ParsingThrottle()
         self._context = contexts.ForwardingContext(
             settings.failure_domain,
             self._state,
-            pools.ChannelPool(self._message_memory, self._throttle),
+            pools.ChannelPool(self._message_memory, throttles.PROCESS),
             trackers.EndpointTracker(),
             retry_budget.RetryBudget(
                 earned_per_first_attempt=(
@@ -450,14 +449,12 @@
                 settings.caller_address,
                 self._handler.handle,
                 idle_limit_s=self._idle_limit_s,
-                throttle=self._throttle,
             ),
             *[
                 await servers.listen(
                     address,
                     handle,
                     servers.CLOSE_WAIT_S,
-                    throttle=self._throttle,
                 )
                 for address, handle in others
             ],
--- a/src/godwitvalve/ingress/servers.py
+++ b/src/godwitvalve/ingress/servers.py
@@ -109,7 +109,7 @@
     handler: connections.Handler,
     close_wait_s: float = CALLER_CLOSE_WAIT_S,
     idle_limit_s: abc.Callable[[], float] = lambda: 0.0,
-    throttle: throttles.ParsingThrottle | None = None,
+    throttle: throttles.ParsingThrottle = throttles.PROCESS,
 ) -> web.ServerRunner:
     """Start an HTTP server on an address.
 
@@ -117,13 +117,10 @@
     :param close_wait_s: wait for requests in progress as the server closes,
         at most twice.
     :param idle_limit_s: returns how long callers may stay idle, in seconds.
-    :param throttle: shared by all messages that are costly to parse; one of
-        the server's own by default.
+    :param throttle: shared by all messages that are costly to parse.
     """
     runner = web.ServerRunner(
-        _Server(
-            handler, idle_limit_s, throttle or throttles.ParsingThrottle()
-        ),
+        _Server(handler, idle_limit_s, throttle),
         shutdown_timeout=close_wait_s,
     )
     await runner.setup()
--- a/src/godwitvalve/parsing/answers.py
+++ b/src/godwitvalve/parsing/answers.py
@@ -19,9 +19,6 @@
 # Chunks after which a throttled body pauses, if so many are there.
 STEP_CHUNKS = 64
 
-# Shared by all answers of the process.
-_THROTTLE = throttles.ParsingThrottle()
-
 
 class AnswerTooLarge(aiohttp.ClientError):
     """The body exceeds the limit."""
@@ -64,7 +61,7 @@
             raise AnswerTooCostly
         unpaused_chunks += chunks
         if overhead.is_throttled and unpaused_chunks >= STEP_CHUNKS:
-            await _THROTTLE.pause(unpaused_chunks * CHUNK_COST_S)
+            await throttles.PROCESS.pause(unpaused_chunks * CHUNK_COST_S)
             unpaused_chunks = 0
 
 
--- a/src/godwitvalve/parsing/throttle.py
+++ b/src/godwitvalve/parsing/throttle.py
@@ -38,3 +38,7 @@
         """
         now_s = asyncio.get_running_loop().time()
         await asyncio.sleep(self.reserve(now_s, cost_s) - now_s)
+
+
+# Shared by all messages of the process, whoever sends them.
+PROCESS = ParsingThrottle()
