Give up only messages whose content does not allow their chunks

Long sound messages in short chunks were given up after 4,096 of them: a caller's body of 12,000 chunks of 40 bytes got 400, an answer of 8,000 chunks of 100 bytes a 502, and a stream of the own interface with three chunks for each event was cut after 2,920 of 6,000 (review). Content now allows one chunk for 32 bytes, and an event pays alike at both interfaces; such messages are throttled only.

--- a/features/engine/endless.feature
+++ b/features/engine/endless.feature
@@ -22,8 +22,13 @@
       | platform      | interim answers    |
       | platform      | chunks of one byte |
 
-  Scenario: A stream of many events in a chunk each stays whole
+  Scenario Outline: A stream of many events in few chunks each stays whole
     # A sound engine sends each token alone for minutes, which must not be
     # taken for chunks that bring nothing.
-    When an engine sends 10000 tokens in a chunk each
+    When an engine sends 10000 tokens in <chunks> chunks each
     Then all 10000 tokens are read within 4 s
+
+    Examples:
+      | chunks |
+      | 1      |
+      | 3      |
--- a/features/parsing/costly_messages.feature
+++ b/features/parsing/costly_messages.feature
@@ -10,8 +10,10 @@
       | 64     | 0             | free      |
       | 65     | 0             | throttled |
       | 4096   | 1             | throttled |
-      | 4200   | 1             | given up  |
-      | 100000 | 200           | given up  |
+      | 4400   | 1             | given up  |
+      | 100000 | 16            | given up  |
+      | 100000 | 40            | throttled |
+      | 100000 | 200           | throttled |
       | 100000 | 256           | free      |
 
   Scenario: Content of before pays for few chunks later
--- a/features/steps/flooding_engines_steps.py
+++ b/features/steps/flooding_engines_steps.py
@@ -125,7 +125,7 @@
     asyncio.run(run())
 
 
-def _token_chunk(index):
+def _token_chunks(index, count):
     fields = {
         'type': 'tokens',
         'request_id': 'r',
@@ -135,12 +135,14 @@
         'pieces': ['x'],
     }
     event = b'data: %s\n\n' % orjson.dumps(fields)
-    return b'%x\r\n%s\r\n' % (len(event), event)
+    size = -(-len(event) // count)
+    parts = [event[at : at + size] for at in range(0, len(event), size)]
+    return b''.join(b'%x\r\n%s\r\n' % (len(part), part) for part in parts)
 
 
-@behave.when('an engine sends {count:d} tokens in a chunk each')
-def send_tokens(context, count):
-    chunks = b''.join(map(_token_chunk, range(count)))
+@behave.when('an engine sends {count:d} tokens in {chunks:d} chunks each')
+def send_tokens(context, count, chunks):
+    chunks = b''.join(_token_chunks(index, chunks) for index in range(count))
     source = flooding_endpoint.FloodingEndpoint(
         CHUNKED + chunks + b'0\r\n\r\n', b'', 1.0, request_end=b'}'
     )
--- a/src/godwitvalve/engine/http_adapter.py
+++ b/src/godwitvalve/engine/http_adapter.py
@@ -140,8 +140,8 @@
                 overhead = overheads.ParsingOverhead()
                 async for piece in answers.pieces(response, overhead):
                     events = _decode_each(splitter.feed(piece))
-                    # A sound stream sends one short event in a chunk.
-                    overhead.pay(len(events))
+                    # A sound stream sends short events in a few chunks each.
+                    overhead.pay(len(events) * overheads.PARTS_PER_EVENT)
                     for event in _merge(events):
                         yield event
                         if type(event) is port.StreamEnded:
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -21,6 +21,7 @@
 from godwitvalve.forwarding import silence
 from godwitvalve.logs import setup as logs
 from godwitvalve.outcomes import codes
+from godwitvalve.parsing import overhead as overheads
 from godwitvalve.placement import choose
 from godwitvalve.placement import speed as speed_model
 from godwitvalve.placement import tracker as trackers
@@ -37,9 +38,6 @@
 MIN_SOUND_EVENTS = 8
 # Reason of an attempt whose endpoint sent nothing for too long.
 SILENT = 'silent'
-# Parts of an answer that a new event pays for. An event of 50 bytes may come
-# in chunks of one byte, with comments before it.
-PARTS_PER_EVENT = 64
 
 _LOG = logs.get('forwarding')
 
@@ -861,7 +859,9 @@
         if not complete:
             return False
         if attempt.opening is not None:
-            attempt.opening.exchange.pay(len(complete) * PARTS_PER_EVENT)
+            attempt.opening.exchange.pay(
+                len(complete) * overheads.PARTS_PER_EVENT
+            )
         assert self._relocation is not None
         # Before the caller is sent to, which may take long.
         self._relocation.record_event(self._loop.time())
--- a/src/godwitvalve/parsing/overhead.py
+++ b/src/godwitvalve/parsing/overhead.py
@@ -11,9 +11,15 @@
 # A part costs about as much to parse as this many bytes of content cost to
 # forward.
 BYTES_PER_PART = 256
-# Unpaid parts after which a message is given up. An answer of 4 KiB in chunks
-# of one byte stays below it.
-MAX_UNPAID_PARTS = 4096
+# Parts after which a message is given up, beyond those that its content
+# allows. An answer of 4 KiB in chunks of one byte stays below it.
+MAX_EXCESS_PARTS = 4096
+# Content that allows one part. A long message in chunks of 40 bytes is
+# throttled, but whole.
+BYTES_PER_ALLOWED_PART = 32
+# Parts that a new event of a stream pays for. An event of 50 bytes may come in
+# chunks of one byte, with comments before it.
+PARTS_PER_EVENT = 64
 
 
 class ParsingOverhead:
@@ -26,15 +32,21 @@
 
     def __init__(self) -> None:
         self._unpaid_parts = -float(FREE_PARTS)
+        self._excess_parts = -float(FREE_PARTS)
 
     def add(self, parts: float, content_bytes: int) -> None:
         """Count parts that were parsed and the content that they brought."""
-        self._unpaid_parts += parts
-        self.pay(content_bytes / BYTES_PER_PART)
+        self._unpaid_parts = _reduced(
+            self._unpaid_parts + parts, content_bytes / BYTES_PER_PART
+        )
+        self._excess_parts = _reduced(
+            self._excess_parts + parts, content_bytes / BYTES_PER_ALLOWED_PART
+        )
 
     def pay(self, parts: float) -> None:
         """Pay for parts. What was brought earlier pays for few later ones."""
-        self._unpaid_parts = max(self._unpaid_parts - parts, -FREE_PARTS)
+        self._unpaid_parts = _reduced(self._unpaid_parts, parts)
+        self._excess_parts = _reduced(self._excess_parts, parts)
 
     @property
     def is_throttled(self) -> bool:
@@ -44,4 +56,8 @@
     @property
     def is_excessive(self) -> bool:
         """Tell whether the message is to be given up."""
-        return self._unpaid_parts > MAX_UNPAID_PARTS
+        return self._excess_parts > MAX_EXCESS_PARTS
+
+
+def _reduced(count: float, by: float) -> float:
+    return max(count - by, -float(FREE_PARTS))
