Read the rest of refused bodies for as long as before

The rest is read for 10 s again, and a body without end is given up for its length, 16 MiB, or its cost. The new scenario failed before.

--- a/features/ingress/caller_bodies.feature
+++ b/features/ingress/caller_bodies.feature
@@ -23,6 +23,12 @@
       | an unknown route | 404    |
       | the service      | 413    |
 
+  Scenario: An early refusal reaches a caller on a slow link
+    # Guards against a close that resets the connection of a caller that sends
+    # a whole body of usual size before it reads.
+    When a caller sends 3 MiB at 1 MiB/s to an unknown route before it reads
+    Then the caller gets status 404
+
   Scenario: A connection is kept after a small body that was not needed
     # Guards against connections that are closed for each early refusal.
     When a caller sends 1000 bytes to an unknown route and then a call
--- a/features/steps/ingress_caller_bodies_steps.py
+++ b/features/steps/ingress_caller_bodies_steps.py
@@ -20,6 +20,7 @@
 }
 CHUNKED = 'Transfer-Encoding: chunked'
 MIB = 1024 * 1024
+SLOW_PIECE_BYTES = 64 * 1024
 WAIT_LIMIT_S = 20.0
 
 
@@ -95,6 +96,21 @@
     _run(context, act)
 
 
+@behave.when(
+    'a caller sends {size:d} MiB at {rate:d} MiB/s to {target} before it reads'
+)
+def send_slowly(context, size, rate, target):
+    async def act(reader, writer):
+        content = _with_length(TARGETS[target], bytes(size * MIB))
+        for at in range(0, len(content), SLOW_PIECE_BYTES):
+            writer.write(content[at : at + SLOW_PIECE_BYTES])
+            await writer.drain()
+            await asyncio.sleep(SLOW_PIECE_BYTES / (rate * MIB))
+        context.result = await _read_answer(reader)
+
+    _run(context, act)
+
+
 @behave.when(
     'a caller sends {size:d} bytes to an unknown route and then a call'
 )
--- a/src/godwitvalve/ingress/connections.py
+++ b/src/godwitvalve/ingress/connections.py
@@ -28,12 +28,12 @@
 # The caller of a body that was given up has this long to read its answer, as
 # the close resets its connection.
 CLOSE_DELAY_S = 0.2
-# Answers are mostly sent after the body. The rest of a body that was not
-# needed is read for this long, so that its caller gets the answer.
-SKIP_LIMIT_S = 2.0
-# Content of a body that is not needed pays for its parsing up to this, so that
-# callers that send a whole body of usual size before they read get an answer.
-MAX_SKIPPED_BYTES = 4 * 1024 * 1024
+# The rest of a body that was not needed is read for this long, so that callers
+# on slow links that send all of it before they read get their answer.
+SKIP_LIMIT_S = 10.0
+# A body that was not needed is given up after this much content. It is longer
+# than any body that configurations usually allow.
+MAX_SKIPPED_BYTES = 16 * 1024 * 1024
 
 Handler = abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]
 
@@ -97,7 +97,7 @@
         super().data_received(data)
         cost_s = (time.thread_time() - began_s) * READER_COST_FACTOR
         self._count(len(data))
-        if self._overhead.is_excessive:
+        if self._overhead.is_excessive or self._skippable_bytes < 0:
             self._give_up()
         elif self._overhead.is_throttled:
             self._pause_for(cost_s)
@@ -114,10 +114,7 @@
         super().connection_lost(exc)
 
     def skip(self, body: streams.StreamReader) -> None:
-        """Read the rest of a body that is not needed.
-
-        Its content pays for its parsing up to a limit.
-        """
+        """Read the rest of a body that is not needed, up to a limit."""
         if body is self._body:
             self._is_needed = False
 
@@ -143,15 +140,10 @@
         self._uncounted_bytes = 0
         self._overhead.add(
             (1 if size_bytes else 0) + framing_bytes / CHUNK_FRAMING_BYTES,
-            self._paying_bytes(content_bytes),
+            content_bytes,
         )
-
-    def _paying_bytes(self, content_bytes: int) -> int:
-        if self._is_needed:
-            return content_bytes
-        paying_bytes = min(content_bytes, self._skippable_bytes)
-        self._skippable_bytes -= paying_bytes
-        return paying_bytes
+        if not self._is_needed:
+            self._skippable_bytes -= content_bytes
 
     def _begin(self, body: streams.StreamReader) -> None:
         """Count a message anew, from the read after that of its head."""
