Keep answers that are read, and serve bodies that fit

Found by the review of the limits of memory, with a scenario each that failed before: an answer of 6 MB whose caller read it was given up for four answers that nobody read, as the largest went first; now the large one without progress for longest does. A body in chunks was refused although it fitted, as its next growth would not. More memory in changed settings left bodies waiting beside it, and the log of high memory kept the old limit.

--- a/features/forwarding/body_memory.feature
+++ b/features/forwarding/body_memory.feature
@@ -51,6 +51,25 @@
     And the caller of the body of 600000 bytes leaves
     Then the body of 50000 bytes got room
 
+  Scenario: More memory serves the bodies that wait
+    # Settings that change must not leave bodies waiting beside free memory.
+    Given memory for bodies of 1000000 bytes that one of 700000 bytes uses
+    When a body of 600000 bytes arrives
+    And the limit becomes 2000000 bytes
+    Then the body of 600000 bytes got room
+
+  Scenario: A growing body that fits is not refused for its next growth
+    # A body in chunks must get as much room as one with a length.
+    Given free memory for bodies of 1000000 bytes
+    When a body grows by 65536 bytes at a time up to 800000 bytes
+    Then it is complete
+
+  Scenario: An answer that is read is not lost to answers that nobody reads
+    # Callers that read nothing must not cost others their answers.
+    Given answers of 3900000 bytes that 4 callers do not read, of at most 18 MB
+    When an answer of 6000000 bytes arrives
+    Then the oldest of the unread answers is given up
+
   Scenario Outline: The rest of a body follows an early answer
     # An endpoint may answer before it has read a long body and read on later.
     # It must get the rest of that body, and no other request in its place.
--- a/features/steps/forwarding_body_memory_steps.py
+++ b/features/steps/forwarding_body_memory_steps.py
@@ -379,3 +379,64 @@
 @behave.then('its connection buffers at most {limit:d} bytes and the head')
 def buffered(context, limit):
     assert 0 < context.buffered_bytes <= limit + 1024, context.buffered_bytes
+
+
+@behave.when('the limit becomes {limit:d} bytes')
+def limit_becomes(context, limit):
+    context.memory.resize(limit)
+
+
+@behave.given('free memory for bodies of {limit:d} bytes')
+def free_memory(context, limit):
+    context.memory = body_memory.BodyMemory(limit)
+
+
+@behave.when('a body grows by {step:d} bytes at a time up to {size:d} bytes')
+def body_grows(context, step, size):
+    room = body_room.BodyRoom(context.memory, 'growing', 1.0)
+
+    async def grow():
+        for received in range(step, size, step):
+            await room.grow(received, size * 10)
+        await room.grow(size, size * 10)
+        room.shrink(size)
+
+    asyncio.run(grow())
+    context.size = size
+
+
+@behave.then('it is complete')
+def is_complete(context):
+    held = context.memory.total_bytes
+    assert held == body_memory.counted(context.size), held
+
+
+class _Answer:
+    is_given_up = False
+
+    def abort_for_memory(self):
+        self.is_given_up = True
+
+
+@behave.given(
+    'answers of {size:d} bytes that {count:d} callers do not read, of at most '
+    '{limit_mb:d} MB'
+)
+def unread_answers(context, size, count, limit_mb):
+    context.memory = message_memory.MessageMemory(limit_mb * 1024 * 1024)
+    context.unread = [_Answer() for _ in range(count)]
+    for each in context.unread:
+        context.memory.hold(each, size)
+
+
+@behave.when('an answer of {size:d} bytes arrives')
+def answer_arrives(context, size):
+    context.read = _Answer()
+    context.memory.hold(context.read, size)
+
+
+@behave.then('the oldest of the unread answers is given up')
+def oldest_given_up(context):
+    assert not context.read.is_given_up
+    states = [each.is_given_up for each in context.unread]
+    assert states == [True, False, False, False], states
--- a/src/godwitvalve/diagnostics/monitor.py
+++ b/src/godwitvalve/diagnostics/monitor.py
@@ -63,7 +63,7 @@
         read_memory: abc.Callable[[], int | None] = private_memory.read,
     ) -> None:
         self._history = history
-        self._memory_mb = memory_mb
+        self.memory_mb = memory_mb
         self._requests_in_flight = requests_in_flight
         self._clock_s = clock_s
         self._thread_clock_s = thread_clock_s
@@ -94,7 +94,7 @@
         memory_mb = (memory_bytes or 0) / _BYTES_PER_MB
         if pause is not None:
             self._report_pause(pause, memory_mb, now_s)
-        if memory_mb > HIGH_MEMORY_SHARE * self._memory_mb:
+        if memory_mb > HIGH_MEMORY_SHARE * self.memory_mb:
             self._report_memory(memory_mb, now_s)
 
     def _report_pause(
@@ -125,7 +125,7 @@
             'The process uses most of its memory.',
             extra={
                 'private_memory_mb': round(memory_mb, 1),
-                'memory_mb': self._memory_mb,
+                'memory_mb': self.memory_mb,
                 'in_flight': self._requests_in_flight(),
                 **self._history.fields(now_s),
             },
--- a/src/godwitvalve/forwarding/body_memory.py
+++ b/src/godwitvalve/forwarding/body_memory.py
@@ -55,6 +55,11 @@
         self._new: dict[abc.Hashable, _Request] = {}
         self._numbers = itertools.count()
 
+    @property
+    def longest_bytes(self) -> int:
+        """Return the length of the longest body that can ever fit."""
+        return self.limit_bytes - SEND_BYTES
+
     def ask(
         self,
         holder: abc.Hashable,
@@ -95,6 +100,11 @@
             refused.on_decision(False)
         return Answer.WAIT
 
+    def resize(self, limit_bytes: int) -> None:
+        """Set the greatest sum; bodies that wait may fit now."""
+        self.limit_bytes = limit_bytes
+        self._decide()
+
     def shrink(self, holder: abc.Hashable, size_bytes: int) -> None:
         """Set the size of a body that is complete."""
         if counted(size_bytes) < self._held_bytes.get(holder, 0):
--- a/src/godwitvalve/forwarding/message_memory.py
+++ b/src/godwitvalve/forwarding/message_memory.py
@@ -12,6 +12,8 @@
 ANSWER_SHARE = 0.125
 BODY_SHARE = 0.25
 MIN_LIMIT_BYTES = 4 * 1024 * 1024
+# Answers of at least this share of the largest one are the large ones.
+LARGE_SHARE = 0.5
 
 
 class Holder(Protocol):
@@ -43,6 +45,7 @@
         self.limit_bytes = limit_bytes
         self.bodies = body_memory.BodyMemory(body_limit_bytes)
         self.answer_bytes = 0
+        # In the order of their last progress.
         self._held_bytes: dict[Holder, int] = {}
 
     @property
@@ -51,14 +54,22 @@
         return self.answer_bytes + self.bodies.total_bytes
 
     def hold(self, holder: Holder, size_bytes: int) -> None:
-        """Set the size of one answer; give up the largest ones if needed."""
+        """Set the size of one answer; give up large ones if needed."""
         self.answer_bytes += size_bytes - self._held_bytes.pop(holder, 0)
         if size_bytes:
             self._held_bytes[holder] = size_bytes
         while self.answer_bytes > self.limit_bytes:
-            largest = max(self._held_bytes, key=self._held_bytes.__getitem__)
-            self.release(largest)
-            largest.abort_for_memory()
+            given_up = self._choose_given_up()
+            self.release(given_up)
+            given_up.abort_for_memory()
+
+    def _choose_given_up(self) -> Holder:
+        large_bytes = max(self._held_bytes.values()) * LARGE_SHARE
+        return next(
+            holder
+            for holder, size_bytes in self._held_bytes.items()
+            if size_bytes >= large_bytes
+        )
 
     def release(self, holder: Holder) -> None:
         """Forget an answer."""
@@ -70,7 +81,7 @@
         What is held already is given up only as more is added.
         """
         self.limit_bytes = _share_bytes(machine_mb, ANSWER_SHARE)
-        self.bodies.limit_bytes = _share_bytes(machine_mb, BODY_SHARE)
+        self.bodies.resize(_share_bytes(machine_mb, BODY_SHARE))
 
 
 def for_machine(machine_mb: float) -> MessageMemory:
--- a/src/godwitvalve/ingress/body_room.py
+++ b/src/godwitvalve/ingress/body_room.py
@@ -68,7 +68,8 @@
     async def grow(self, size_bytes: int, limit_bytes: int) -> None:
         """Wait until there is room for a body that may grow further.
 
-        Asks for twice the length, as each question may wait.
+        Asks for twice the length if so much may fit, as each question may
+        wait.
 
         :param limit_bytes: greatest length of the body.
         :raises NoRoom: if there is none within the limit.
@@ -77,7 +78,8 @@
             return
         if size_bytes > body_memory.SMALL_BODY_BYTES:
             ahead_bytes = max(size_bytes * 2, MIN_GROWTH_BYTES)
-            size_bytes = min(ahead_bytes, limit_bytes)
+            longest_bytes = min(limit_bytes, self._memory.longest_bytes)
+            size_bytes = max(size_bytes, min(ahead_bytes, longest_bytes))
         await self.reserve(size_bytes)
 
     def shrink(self, size_bytes: int) -> None:
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -602,6 +602,7 @@
             derived_settings.retries_per_request(settings)
         )
         self._message_memory.resize(settings.memory_mb)
+        self._monitor.memory_mb = settings.memory_mb
 
     async def _drain(self) -> None:
         """Leave the directory, then wait for the requests in flight.
