--- a/features/steps/gossip_odd_messages_steps.py
+++ b/features/steps/gossip_odd_messages_steps.py
@@ -5,7 +5,9 @@
 import asyncio
 import math
 import time
+from unittest import mock
 
+import aiohttp
 from aiohttp import test_utils
 import behave
 from godwitvalve.endpoint_limits import node as permit_node
@@ -194,10 +196,15 @@
     status = 200
 
     def __init__(self, body):
-        self.content = self
+        self.content = None
         self._body = body
 
     def get(self, url, **options):
+        self.content = aiohttp.StreamReader(
+            mock.Mock(), 1 << 16, loop=asyncio.get_running_loop()
+        )
+        self.content.feed_data(self._body)
+        self.content.feed_eof()
         return self
 
     async def __aenter__(self):
@@ -206,8 +213,8 @@
     async def __aexit__(self, *error):
         return None
 
-    async def iter_chunks(self):
-        yield self._body, True
+    def close(self):
+        """End the answer early."""
 
 
 async def _read_table(content):
