--- a/src/godwitvalve/forwarding/message_memory.py
+++ b/src/godwitvalve/forwarding/message_memory.py
@@ -31,9 +31,10 @@
 
     Load pattern of answers: endpoints send bodies without end to all calls in
     flight. A limit for each answer alone would be multiplied by their number.
-    The largest answer is given up first, so that ordinary answers of a few
-    hundred bytes still arrive. Complete answers count until their callers
-    have read them.
+    Of the large answers, the one without progress for longest is given up
+    first, so that ordinary answers of a few hundred bytes still arrive, and an
+    answer whose caller reads it is not lost to those that nobody reads.
+    Complete answers count until their callers have read them.
 
     :param limit_bytes: greatest sum of the answers.
     :param body_limit_bytes: greatest sum of the bodies of requests.
--- a/src/godwitvalve/platform/bodies.py
+++ b/src/godwitvalve/platform/bodies.py
@@ -23,7 +23,7 @@
     """Return the body of an answer.
 
     :raises AnswerTooLarge: if it, or all bodies that are read together,
-        exceed ``MAX_BODY_BYTES``; the longest one is given up.
+        exceed ``MAX_BODY_BYTES``; a long one is given up then.
     :raises AnswerTooCostly: if its chunks are too short for too long.
     """
     return await answers.read(answer, MAX_BODY_BYTES, _MEMORY)
