--- a/standins/fleet/site.py
+++ b/standins/fleet/site.py
@@ -28,8 +28,6 @@
     f'127.{first}.{second}' for first in range(16, 32) for second in range(256)
 )
 CLAIM_PORT = 11_999
-# Of the log of an entry that did not become ready.
-LOGGED_LINES = 20
 
 
 def route(name: str, prefix: str, kind: str, service: str) -> dict[str, Any]:
@@ -281,10 +279,9 @@
 
     def log_end(self, name: str) -> str:
         """Return whether an entry runs and the last lines of its log."""
-        lines = (self.folder / f'{name}.log').read_text().splitlines()
-        code = self.processes[name].poll()
-        state = 'runs' if code is None else f'exited with {code}'
-        return '\n'.join([f'{name} {state}', *lines[-LOGGED_LINES:]])
+        return local_site.log_end(
+            name, self.processes[name], self.folder / f'{name}.log'
+        )
 
     def runs(self, name: str) -> list[list[str]]:
         """Return the calls and streams that an endpoint ran."""
--- a/standins/local_site.py
+++ b/standins/local_site.py
@@ -192,7 +192,8 @@
         try:
             wait_until(lambda: http_json('GET', url), f'{instance_id} ready')
         except TimeoutError as error:
-            raise TimeoutError(f'{error}\n{_log_end(member)}') from error
+            end = log_end(instance_id, member.process, member.log_path)
+            raise TimeoutError(f'{error}\n{end}') from error
 
     def set_faults(self, name: str, **faults: object) -> None:
         """Set fault switches of a stand-in."""
@@ -281,12 +282,14 @@
         return member
 
 
-def _log_end(member: Member) -> str:
-    """Return whether a member runs and the last lines of its log."""
-    code = member.process.poll()
+def log_end(
+    name: str, process: subprocess.Popen[Any], log_path: pathlib.Path
+) -> str:
+    """Return whether a process runs and the last lines of its log."""
+    code = process.poll()
     state = 'runs' if code is None else f'exited with {code}'
-    lines = member.log_path.read_text().splitlines()
-    return '\n'.join([f'{member.name} {state}', *lines[-LOGGED_LINES:]])
+    lines = log_path.read_text().splitlines()
+    return '\n'.join([f'{name} {state}', *lines[-LOGGED_LINES:]])
 
 
 def _accepts(port: int) -> bool:
