--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -451,11 +451,7 @@
                 idle_limit_s=self._idle_limit_s,
             ),
             *[
-                await servers.listen(
-                    address,
-                    handle,
-                    servers.CLOSE_WAIT_S,
-                )
+                await servers.listen(address, handle, servers.CLOSE_WAIT_S)
                 for address, handle in others
             ],
         ]
--- a/src/godwitvalve/ingress/servers.py
+++ b/src/godwitvalve/ingress/servers.py
@@ -42,19 +42,15 @@
 class _Connection(connections.CallerConnection):
     """Connection that stays open for the idle limit in force.
 
-    :param throttle: shared by all messages that are costly to parse.
     :param idle_limit_s: returns the limit that operators set, in seconds.
     """
 
     def __init__(
-        self,
-        manager: web.Server,
-        throttle: throttles.ParsingThrottle,
-        idle_limit_s: abc.Callable[[], float],
+        self, manager: web.Server, idle_limit_s: abc.Callable[[], float]
     ) -> None:
         super().__init__(
             manager,
-            throttle,
+            throttles.PROCESS,
             loop=asyncio.get_running_loop(),
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             **_OPTIONS,
@@ -84,24 +80,21 @@
     """Server whose connections stay open for the idle limit of operators.
 
     :param idle_limit_s: returns the limit that operators set, in seconds.
-    :param throttle: shared by all messages that are costly to parse.
     """
 
     def __init__(
         self,
         handler: connections.Handler,
         idle_limit_s: abc.Callable[[], float],
-        throttle: throttles.ParsingThrottle,
     ) -> None:
         super().__init__(
             connections.serving(handler), handler_cancellation=True
         )
         self._idle_limit_s = idle_limit_s
-        self._throttle = throttle
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
-        return _Connection(self, self._throttle, self._idle_limit_s)
+        return _Connection(self, self._idle_limit_s)
 
 
 async def listen(
@@ -109,7 +102,6 @@
     handler: connections.Handler,
     close_wait_s: float = CALLER_CLOSE_WAIT_S,
     idle_limit_s: abc.Callable[[], float] = lambda: 0.0,
-    throttle: throttles.ParsingThrottle = throttles.PROCESS,
 ) -> web.ServerRunner:
     """Start an HTTP server on an address.
 
@@ -117,11 +109,9 @@
     :param close_wait_s: wait for requests in progress as the server closes,
         at most twice.
     :param idle_limit_s: returns how long callers may stay idle, in seconds.
-    :param throttle: shared by all messages that are costly to parse.
     """
     runner = web.ServerRunner(
-        _Server(handler, idle_limit_s, throttle),
-        shutdown_timeout=close_wait_s,
+        _Server(handler, idle_limit_s), shutdown_timeout=close_wait_s
     )
     await runner.setup()
     site = web.SockSite(runner, _create_socket(address), backlog=BACKLOG)
