Open all bounded sessions in one place

Seven clients paired the connector that bounds interim answers with the read buffer that bounds chunks, and an eighth could have forgotten one of them. Options are the same as before.

--- a/features/steps/platform_endless_steps.py
+++ b/features/steps/platform_endless_steps.py
@@ -8,14 +8,12 @@
 import json
 import time
 
-import aiohttp
 import behave
 from features.doubles import flooding_endpoint
 from features.doubles import monitor
 from features.doubles import sound_calls
 from godwitvalve.forwarding import sockets
 from godwitvalve.ingress import peer_tables
-from godwitvalve.parsing import answers
 from godwitvalve.parsing import connectors
 from godwitvalve.platform import store
 
@@ -125,9 +123,8 @@
             return await client.rows('servers')
         finally:
             await client.close()
-    connector = connectors.BoundedConnector(socket_factory=sockets.create)
-    async with aiohttp.ClientSession(
-        connector=connector, read_bufsize=answers.READ_BUFFER_BYTES
+    async with connectors.new_session(
+        socket_factory=sockets.create
     ) as session:
         return await peer_tables.PeerSource(address, session).rows('servers')
 
--- a/src/godwitvalve/engine/http_adapter.py
+++ b/src/godwitvalve/engine/http_adapter.py
@@ -39,9 +39,9 @@
     new one costs little compared with a generation, and its outcome tells
     whether the request was sent.
     """
-    return aiohttp.ClientSession(
-        connector=connectors.BoundedConnector(limit=0, force_close=True),
-        read_bufsize=answers.READ_BUFFER_BYTES,
+    return connectors.new_session(
+        limit=0,
+        force_close=True,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
     )
@@ -53,9 +53,8 @@
     Reports are read every second, and opening a connection is most of their
     cost. An unresponsive connection fails a single read and is then closed.
     """
-    return aiohttp.ClientSession(
-        connector=connectors.BoundedConnector(limit=0),
-        read_bufsize=answers.READ_BUFFER_BYTES,
+    return connectors.new_session(
+        limit=0,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
     )
--- a/src/godwitvalve/ingress/membership.py
+++ b/src/godwitvalve/ingress/membership.py
@@ -23,7 +23,6 @@
 from godwitvalve.ingress import compression
 from godwitvalve.ingress import control
 from godwitvalve.logs import setup as logs
-from godwitvalve.parsing import answers
 from godwitvalve.parsing import connectors
 from godwitvalve.platform import bodies
 from godwitvalve.platform import settings as wire_settings
@@ -221,11 +220,8 @@
 
     async def run(self) -> None:
         """Compare versions with the other entries until cancelled."""
-        async with aiohttp.ClientSession(
-            connector=connectors.BoundedConnector(
-                socket_factory=sockets.create
-            ),
-            read_bufsize=answers.READ_BUFFER_BYTES,
+        async with connectors.new_session(
+            socket_factory=sockets.create,
             timeout=aiohttp.ClientTimeout(total=PEER_CALL_TIMEOUT_S),
         ) as session:
             while True:
--- a/src/godwitvalve/ingress/peer_tables.py
+++ b/src/godwitvalve/ingress/peer_tables.py
@@ -17,7 +17,6 @@
 from godwitvalve.forwarding import sockets
 from godwitvalve.gossip import members as member_model
 from godwitvalve.ingress import compression
-from godwitvalve.parsing import answers
 from godwitvalve.parsing import connectors
 from godwitvalve.platform import bodies
 from godwitvalve.platform import store as stores
@@ -238,11 +237,8 @@
         if record is None:
             return self._store, ''
         if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=connectors.BoundedConnector(
-                    limit=0, socket_factory=sockets.create
-                ),
-                read_bufsize=answers.READ_BUFFER_BYTES,
+            self._session = connectors.new_session(
+                limit=0, socket_factory=sockets.create
             )
         host = record.peer_address.rpartition(':')[0]
         source = PeerSource(f'{host}:{self._control_port}', self._session)
--- a/src/godwitvalve/parsing/answers.py
+++ b/src/godwitvalve/parsing/answers.py
@@ -10,9 +10,6 @@
 from godwitvalve.parsing import overhead as overheads
 from godwitvalve.parsing import throttle as throttles
 
-# ``read_bufsize`` of sessions. It bounds the chunks that are parsed before
-# their reader is asked; aiohttp holds one for each 16 bytes of it.
-READ_BUFFER_BYTES = 16 * 1024
 # Processor time that one chunk takes, rounded up, with the event loop's turn
 # if it arrives alone.
 CHUNK_COST_S = 10e-6
--- a/src/godwitvalve/parsing/connectors.py
+++ b/src/godwitvalve/parsing/connectors.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections import abc
 import functools
+import socket
 from typing import Any
 
 import aiohttp
@@ -18,6 +20,11 @@
 # interim answers, so that many connections can be ended in the same turn.
 HEAD_STEP_BYTES = 512
 _SWITCHING_PROTOCOLS = 101
+# Bounds the chunks that are parsed before their reader is asked; aiohttp holds
+# one for each 16 bytes of it.
+READ_BUFFER_BYTES = 16 * 1024
+# That of aiohttp.
+DEFAULT_CONNECTIONS = 100
 
 
 class TooManyInterimAnswers(aiohttp.ClientError):
@@ -67,16 +74,40 @@
             self.set_exception(TooManyInterimAnswers())
 
 
-class BoundedConnector(aiohttp.TCPConnector):
-    """Connector whose connections bound interim answers and read steps.
+class _BoundedConnector(aiohttp.TCPConnector):
+    """Connector whose connections bound interim answers.
 
     :param options: options of ``aiohttp.TCPConnector``.
     """
 
     def __init__(self, **options: Any) -> None:
-        super().__init__(
-            **{'socket_factory': sockets.create_stepwise, **options}
-        )
+        super().__init__(**options)
         # aiohttp has no public option for the protocol of its connections.
         handler: type[client_proto.ResponseHandler] = _ResponseHandler
         self._factory = functools.partial(handler, loop=self._loop)
+
+
+def new_session(
+    *,
+    limit: int = DEFAULT_CONNECTIONS,
+    force_close: bool = False,
+    socket_factory: abc.Callable[
+        [Any], socket.socket
+    ] = sockets.create_stepwise,
+    **options: Any,
+) -> aiohttp.ClientSession:
+    """Return a session that parses few bytes of its answers at once.
+
+    :param limit: number of connections; 0 for any.
+    :param force_close: whether each request opens its own connection.
+    :param options: further options of ``aiohttp.ClientSession``.
+    """
+    return aiohttp.ClientSession(
+        connector=_BoundedConnector(
+            limit=limit,
+            force_close=force_close,
+            socket_factory=socket_factory,
+        ),
+        read_bufsize=READ_BUFFER_BYTES,
+        **options,
+    )
--- a/src/godwitvalve/platform/store.py
+++ b/src/godwitvalve/platform/store.py
@@ -17,7 +17,6 @@
 from godwitvalve.forwarding import sockets
 from godwitvalve.logs import repeats
 from godwitvalve.logs import setup as logs
-from godwitvalve.parsing import answers
 from godwitvalve.parsing import connectors
 from godwitvalve.platform import bodies
 
@@ -179,11 +178,8 @@
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=connectors.BoundedConnector(
-                    limit=0, socket_factory=sockets.create
-                ),
-                read_bufsize=answers.READ_BUFFER_BYTES,
+            self._session = connectors.new_session(
+                limit=0, socket_factory=sockets.create
             )
         return self._session
 
--- a/src/godwitvalve/services/http.py
+++ b/src/godwitvalve/services/http.py
@@ -186,11 +186,9 @@
         hooks = aiohttp.TraceConfig()
         hooks.on_connection_create_end.append(self._before_write)
         hooks.on_connection_reuseconn.append(self._before_write)
-        return aiohttp.ClientSession(
-            connector=connectors.BoundedConnector(
-                limit=0, force_close=force_close
-            ),
-            read_bufsize=answers.READ_BUFFER_BYTES,
+        return connectors.new_session(
+            limit=0,
+            force_close=force_close,
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=CONNECT_LIMIT_S
--- a/src/godwitvalve/store/http_adapter.py
+++ b/src/godwitvalve/store/http_adapter.py
@@ -73,9 +73,8 @@
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=connectors.BoundedConnector(force_close=True),
-                read_bufsize=bodies.READ_BUFFER_BYTES,
+            self._session = connectors.new_session(
+                force_close=True,
                 timeout=aiohttp.ClientTimeout(total=self._timeout_s),
             )
         return self._session
