Tell slow endpoints from lost ones on shared machines

Cause: a stream leaves its endpoint after 0.42 s without an event. Engines on shared machines send events up to 0.57 s apart while they read another prompt, so sound ones were left, and the streams whose prompts were read there followed. A Server-Load header with a fourth figure was dropped whole.

Change: the pace is read. Where a service states it, a connection check at 0.3 s tells a slow endpoint from a lost one; a stream stays at a slow one for 1.5 times the allowed pause.

--- a/src/godwitvalve/forwarding/attempts.py
+++ b/src/godwitvalve/forwarding/attempts.py
@@ -93,6 +93,7 @@
         its last new event.
     :param last_check_s: time of the last connection check.
     :param is_unreachable: whether that check failed.
+    :param is_reachable: whether it succeeded since the last progress.
     :param is_declared_lost: whether the loss of its endpoint was recorded
         since its last progress.
     :param is_backup_used: whether the copy at the backup was asked for; a
@@ -113,6 +114,7 @@
     progress_s: float = 0.0
     last_check_s: float = 0.0
     is_unreachable: bool = False
+    is_reachable: bool = False
     is_declared_lost: bool = False
     is_backup_used: bool = False
     ask_full_from_s: float = math.inf
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -23,6 +23,7 @@
 from godwitvalve.logs import setup as logs
 from godwitvalve.outcomes import codes
 from godwitvalve.placement import choose
+from godwitvalve.placement import pace as pace_model
 from godwitvalve.placement import sessions as session_model
 from godwitvalve.placement import speed as speed_model
 from godwitvalve.placement import tracker as trackers
@@ -76,6 +77,9 @@
     limiter: limiters.EndpointLimiter = dataclasses.field(
         default_factory=limiters.EndpointLimiter
     )
+    paces: pace_model.PaceTable = dataclasses.field(
+        default_factory=pace_model.PaceTable
+    )
     history: histories.ProcessHistory = dataclasses.field(
         default_factory=histories.ProcessHistory
     )
@@ -198,6 +202,11 @@
             return
         now_s = asyncio.get_running_loop().time()
         self.limiter.observe(endpoint, head.facts.limit, now_s)
+        load = head.facts.load
+        if load is not None and load.pace is not None:
+            self.paces.record(
+                endpoint.service, endpoint.endpoint_id, load.pace, now_s
+            )
 
     def record_crash(
         self,
--- a/src/godwitvalve/forwarding/gaps.py
+++ b/src/godwitvalve/forwarding/gaps.py
@@ -18,6 +18,16 @@
 # While a prompt is processed, nothing is sent for about a second. A
 # connection check each 0.7 s falls into every outage of 1.2 s.
 CHECK_PERIOD_S = 0.7
+# On shared machines, events are up to 0.6 s apart while an endpoint processes
+# another prompt, so the gap alone is no sign of a loss. After this share of
+# the allowed gap a connection check tells a slow endpoint from a lost one; a
+# lost one is left as soon as without the check.
+SHARED_CHECK_SHARE = 0.45
+# Time for the check of a stream with events. Connections take 4 ms.
+SHARED_CHECK_LIMIT_S = 0.1
+# Multiple of the allowed gap after which a stream leaves an endpoint that
+# accepts connections. Its answer is late by then; it may be hanging.
+HANGING_SHARE = 1.5
 
 
 class GapMonitor:
@@ -28,13 +38,25 @@
     whose prompt is still processed follows once another stream at its
     endpoint detected it.
 
+    Endpoints on shared machines are slow at times. Streams that leave them
+    make the others read their prompts again.
+
     :param max_gap_s: allowed gap between events.
     :param objective_s: time within which the first event is due.
+    :param is_shared: whether the endpoints share their machines.
     """
 
-    def __init__(self, max_gap_s: float, objective_s: float) -> None:
+    def __init__(
+        self, max_gap_s: float, objective_s: float, is_shared: bool = False
+    ) -> None:
         self._limit_s = max(max_gap_s * GAP_LIMIT_SHARE, MIN_GAP_LIMIT_S)
+        self._check_s = max(
+            max_gap_s * SHARED_CHECK_SHARE,
+            MIN_GAP_LIMIT_S - SHARED_CHECK_LIMIT_S,
+        )
+        self._hanging_s = max(max_gap_s * HANGING_SHARE, self._limit_s)
         self._objective_s = objective_s
+        self._is_shared = is_shared
 
     def is_stalled(self, idle_s: float, has_events: bool) -> bool:
         """Tell whether the endpoint held up a request that ends now.
@@ -46,12 +68,19 @@
     def is_check_due(self, idle_s: float, has_events: bool) -> bool:
         """Tell whether to check that the endpoint accepts connections.
 
-        :param idle_s: time since the request was sent or last checked.
+        :param idle_s: time since the request was sent, its last new event
+            or its last check.
         """
-        return not has_events and idle_s > CHECK_PERIOD_S
+        if has_events:
+            return self._is_shared and idle_s > self._check_s
+        return idle_s > CHECK_PERIOD_S
 
     def is_unresponsive(
-        self, idle_s: float, has_events: bool, is_reported_lost: bool
+        self,
+        idle_s: float,
+        has_events: bool,
+        is_reported_lost: bool,
+        is_reachable: bool = False,
     ) -> bool:
         """Tell whether a stream should continue at another endpoint.
 
@@ -60,7 +89,11 @@
         :param has_events: whether this attempt has received an event.
         :param is_reported_lost: whether another stream found the endpoint
             unresponsive meanwhile, or the endpoint was replaced.
+        :param is_reachable: whether the endpoint accepted a connection since
+            the last new event.
         """
         if has_events:
-            return idle_s > self._limit_s
+            return idle_s > (
+                self._hanging_s if is_reachable else self._limit_s
+            )
         return is_reported_lost
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 
 from godwitvalve.fleet import endpoints
 from godwitvalve.forwarding import attempts
@@ -65,7 +66,9 @@
         self.times = attempts.StreamTimes()
         self._splitter = events.EventSplitter(routed.request.facts.last_event)
         self._gap_monitor = gaps.GapMonitor(
-            routed.route.max_gap_ms / 1000, routed.route.objective_ms / 1000
+            routed.route.max_gap_ms / 1000,
+            routed.route.objective_ms / 1000,
+            context.paces.is_stated(routed.service),
         )
         self._segments = routed.request.facts.shared_segments
         self._tried_ids: set[str] = set()
@@ -744,11 +747,7 @@
                 if not self._relocation.is_offered and self._is_check_due(
                     attempt
                 ):
-                    attempt.is_unreachable = (
-                        not await probes.accepts_connections(
-                            attempt.endpoint.address
-                        )
-                    )
+                    await self._check_connection(attempt)
         except asyncio.CancelledError:
             self._record_stall(attempt)
             raise
@@ -756,6 +755,20 @@
             if not task.done():
                 task.cancel()
 
+    async def _check_connection(self, attempt: attempts.StreamAttempt) -> None:
+        """Record whether the endpoint of an attempt accepts connections."""
+        if not attempt.has_events:
+            attempt.is_unreachable = not await probes.accepts_connections(
+                attempt.endpoint.address
+            )
+            return
+        # The gap decides if the check takes too long.
+        with contextlib.suppress(asyncio.TimeoutError):
+            async with asyncio.timeout(gaps.SHARED_CHECK_LIMIT_S):
+                attempt.is_reachable = await probes.accepts_connections(
+                    attempt.endpoint.address
+                )
+
     def _may_leave(self, attempt: attempts.StreamAttempt) -> bool:
         """Tell whether an attempt ends because its endpoint is silent.
 
@@ -786,7 +799,7 @@
     def _record_progress(self, attempt: attempts.StreamAttempt) -> None:
         assert self._relocation is not None
         attempt.progress_s = self._loop.time()
-        attempt.is_unreachable = False
+        attempt.is_unreachable = attempt.is_reachable = False
         self._relocation.record_event(attempt.progress_s)
         if attempt.is_declared_lost:
             attempt.is_declared_lost = False
@@ -809,7 +822,10 @@
             > since_s
         )
         return self._gap_monitor.is_unresponsive(
-            now_s - since_s, attempt.has_events, is_reported_lost
+            now_s - since_s,
+            attempt.has_events,
+            is_reported_lost,
+            attempt.is_reachable,
         )
 
     def _record_stall(self, attempt: attempts.StreamAttempt) -> None:
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -72,6 +72,13 @@
     :param store_era: newest era of the store that it knows.
     :param configuration_last_era: last such era; the first one if an entry of
         an earlier release does not state it.
+    :param endpoint_speeds: microseconds between events at the usual pace, by
+        service and address of the endpoint.
+    :param placement_tokens: tokens of its streams by endpoint: those that
+        they will hold, and those of prompts that are not read yet.
+    :param pressure: part of its resources in use, in percent.
+    :param account_use: calls and streams in flight by service and client
+        account, for services that are full.
     """
 
     instance_id: bounds.Name
@@ -99,6 +106,12 @@
     configuration_era: bounds.Era = 0
     store_era: bounds.Era = 0
     configuration_last_era: bounds.Era = 0
+    endpoint_speeds: dict[str, list[tuple[str, bounds.Integer]]] = {}
+    placement_tokens: dict[str, tuple[bounds.Integer, bounds.Integer]] = {}
+    pressure: bounds.Integer = 0
+    account_use: dict[
+        str, dict[str, tuple[bounds.Integer, bounds.Integer]]
+    ] = {}
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/godwitvalve/platform/headers.py
+++ b/src/godwitvalve/platform/headers.py
@@ -35,6 +35,8 @@
     | {b'content-length', b'expect'}
 )
 _PRIORITY_LEVELS = 10
+# Work never takes a hundred times as long as usual; such a figure is an error.
+_MAX_PACE_PERCENT = 10_000
 # Status of an endpoint that is not the expected one; the request did not run.
 MISDIRECTED = 421
 # Callers take these as a promise that the request did not run.
@@ -94,11 +96,16 @@
 
 
 class EndpointLoad(NamedTuple):
-    """Number of requests and of slots at an endpoint when it answered."""
+    """Number of requests and of slots at an endpoint when it answered.
+
+    :param pace: how long work took there, 1.0 as usual; None if it states
+        no valid pace.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 class AnswerFacts(NamedTuple):
@@ -247,10 +254,18 @@
     return None
 
 
+def _read_pace(percent: int | None) -> float | None:
+    if percent is None or not 0 < percent <= _MAX_PACE_PERCENT:
+        return None
+    return percent / 100
+
+
 def _parse_load(text: str) -> EndpointLoad | None:
     match [contents.parse_count(each.strip()) for each in text.split(',')]:
         case [int(running), int(waiting), int(slots)]:
             return EndpointLoad(running, waiting, slots)
+        case [int(running), int(waiting), int(slots), pace]:
+            return EndpointLoad(running, waiting, slots, _read_pace(pace))
         case _:
             return None
 
