--- a/features/placement/pace.feature
+++ b/features/placement/pace.feature
@@ -33,3 +33,13 @@
       | own      | accepts connections  | 0.41  | 0.43   |
       | shared   | accepts connections  | 1.04  | 1.06   |
       | shared   | accepts none         | 0.41  | 0.43   |
+
+  Scenario Outline: Counts of a report count where machines are not shared
+    # Guards against calls of many entries that are placed by the same report.
+    Given an endpoint that reports 5 running requests <pace>
+    Then a call there costs as much as beside <busy> others
+
+    Examples:
+      | pace              | busy |
+      | and no pace       | 5    |
+      | and a pace of 1.0 | 0    |
--- a/features/steps/placement_pace_steps.py
+++ b/features/steps/placement_pace_steps.py
@@ -6,8 +6,11 @@
 
 import behave
 
+from godwitvalve.fleet import endpoints
 from godwitvalve.forwarding import gaps
+from godwitvalve.placement import choose
 from godwitvalve.placement import pace as pace_model
+from godwitvalve.placement import tracker as trackers
 from godwitvalve.platform import headers as wire
 
 
@@ -68,3 +71,22 @@
             idle_s, True, False, is_reachable
         )
         assert seen == expected, idle_s
+
+
+@behave.given('an endpoint that reports 5 running requests {pace}')
+def step_report(context: Any, pace: str) -> None:
+    stated = None if pace == 'and no pace' else 1.0
+    context.endpoint_tracker = trackers.EndpointTracker()
+    context.endpoint_tracker.record_load(
+        'endpoint-1', wire.EndpointLoad(5, 0, 6, stated), 10.0
+    )
+
+
+@behave.then('a call there costs as much as beside {busy:d} others')
+def step_call_cost(context: Any, busy: int) -> None:
+    endpoint = endpoints.FleetEndpoint(
+        'endpoint-1', 'portal', '127.0.0.1:1', 'a', 'v1', 6, False, 0
+    )
+    stats = context.endpoint_tracker.stats('endpoint-1')
+    cost = choose.call_cost(endpoint, stats, 'a', 10.01)
+    assert cost == busy / endpoint.slots, cost
--- a/src/godwitvalve/placement/tracker.py
+++ b/src/godwitvalve/placement/tracker.py
@@ -9,9 +9,6 @@
 # A load report is out of date once the requests that it counted have ended.
 # Plain calls take 45 ms, and reports arrive with answers.
 LOAD_VALID_S = 0.5
-# On shared machines, each of many entries sends few calls, and all choose by
-# the same report, which is of use for about one call only.
-SHARED_LOAD_VALID_S = 0.05
 # An ejection doubles with each consecutive failure. A crashed failure domain
 # restarts within 1.2 s to 4.5 s, so an endpoint is retried about every second.
 FIRST_EJECTION_S = 0.25
@@ -89,13 +86,16 @@
     def record_load(
         self, endpoint_id: str, load: wire.EndpointLoad | None, now_s: float
     ) -> None:
-        """Record a load report if there is one."""
-        if load is not None:
+        """Record the counts of a load report if there is one.
+
+        Those of a report with a pace are not used. Where machines are shared
+        with others, many entries send few calls each, so that the requests
+        that a report counts have ended before the next call is placed.
+        """
+        if load is not None and load.pace is None:
             stats = self.stats(endpoint_id)
             stats.load = load
-            stats.load_valid_until_s = now_s + (
-                LOAD_VALID_S if load.pace is None else SHARED_LOAD_VALID_S
-            )
+            stats.load_valid_until_s = now_s + LOAD_VALID_S
 
     def record_full(self, endpoint_id: str, now_s: float) -> None:
         """Record that an endpoint declined a stream."""
