Place work by the pace and the speed of endpoints

Cause: all endpoints of a service counted as equally fast. A quarter of the engines on shared machines has half the speed of the others, so a stream there takes twice as long and meets more crashes.

Change: the speed of each endpoint is learned by address from the time between events while a stream runs, and exchanged in the records of entries. Where a service states its pace, the load of an endpoint counts by pace / speed, and streams and backups are spread at random over endpoints of about the least cost, as other placements arrive 20 ms later. Without a stated pace costs and random draws are the same.

--- a/src/godwitvalve/forwarding/attempts.py
+++ b/src/godwitvalve/forwarding/attempts.py
@@ -14,6 +14,7 @@
 from godwitvalve.forwarding import context as contexts
 from godwitvalve.forwarding import exchange as exchanges
 from godwitvalve.forwarding import handover
+from godwitvalve.forwarding import speed_meter as speed_meters
 from godwitvalve.logs import setup as logs
 from godwitvalve.platform import headers as wire
 from godwitvalve.rollouts import observation as observations
@@ -101,6 +102,7 @@
     :param ask_full_from_s: when endpoints that declined a stream may be
         asked to go on with this one.
     :param opening: the request while it lasts.
+    :param speed_meter: time between its events.
     """
 
     endpoint: endpoints.FleetEndpoint
@@ -120,6 +122,9 @@
     ask_full_from_s: float = math.inf
     observation: observations.Observation | None = None
     opening: Opening | None = None
+    speed_meter: speed_meters.SpeedMeter = dataclasses.field(
+        default_factory=speed_meters.SpeedMeter
+    )
 
     @property
     def has_events(self) -> bool:
--- a/src/godwitvalve/forwarding/calls.py
+++ b/src/godwitvalve/forwarding/calls.py
@@ -275,6 +275,9 @@
                 self._loop.time(),
                 context.rng,
                 limits,
+                context.work_factors.at(
+                    self._routed.service, self._loop.time()
+                ),
             ),
             self._may_confirm and not self._tried_ids,
         )
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -23,6 +23,7 @@
 from godwitvalve.logs import setup as logs
 from godwitvalve.outcomes import codes
 from godwitvalve.placement import choose
+from godwitvalve.placement import endpoint_speeds as endpoint_speed_model
 from godwitvalve.placement import pace as pace_model
 from godwitvalve.placement import sessions as session_model
 from godwitvalve.placement import speed as speed_model
@@ -80,11 +81,21 @@
     paces: pace_model.PaceTable = dataclasses.field(
         default_factory=pace_model.PaceTable
     )
+    endpoint_speeds: endpoint_speed_model.EndpointSpeeds = dataclasses.field(
+        default_factory=endpoint_speed_model.EndpointSpeeds
+    )
     history: histories.ProcessHistory = dataclasses.field(
         default_factory=histories.ProcessHistory
     )
     rng: random.Random = dataclasses.field(default_factory=random.Random)
 
+    @property
+    def work_factors(self) -> endpoint_speed_model.WorkFactors:
+        """Return how long work takes at endpoints."""
+        return endpoint_speed_model.WorkFactors(
+            self.paces, self.endpoint_speeds
+        )
+
     def pick_service(self, route: routes.Route) -> str | None:
         """Draw a service by the weights of a route."""
         if not route.services:
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -20,6 +20,7 @@
 from godwitvalve.forwarding import relocation as relocations
 from godwitvalve.forwarding import replies
 from godwitvalve.forwarding import silence
+from godwitvalve.forwarding import speed_meter
 from godwitvalve.logs import setup as logs
 from godwitvalve.outcomes import codes
 from godwitvalve.parsing import overhead as overheads
@@ -461,6 +462,9 @@
                 context.rng,
                 context.sessions.find(session, self._loop.time()),
                 limits,
+                context.work_factors.at(
+                    self._routed.service, self._loop.time()
+                ),
             ),
             may_confirm,
         )
@@ -536,6 +540,7 @@
             now_s,
             context.rng,
             context.limiter.view(self._candidates(), False, now_s),
+            context.work_factors.at(self._routed.service, now_s),
         )
 
     async def _run_attempt(
@@ -874,6 +879,7 @@
         complete = self._splitter.feed(chunk)
         if not complete:
             return False
+        attempt.speed_meter.record_events(len(complete), self._loop.time())
         if attempt.opening is not None:
             attempt.opening.exchange.pay(
                 len(complete) * overheads.PARTS_PER_EVENT
@@ -888,6 +894,7 @@
         self._record_sent()
         await self._sink.send(b''.join(event.content for event in complete))
         self._record_progress(attempt)
+        speed_meter.after_send(self._context, attempt)
         self._record_events(attempt, len(complete))
         return True
 
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -245,6 +245,7 @@
     def _on_endpoint_removed(self, endpoint_id: str) -> None:
         self._context.pool.drop(endpoint_id)
         self._context.endpoint_tracker.forget(endpoint_id)
+        self._context.paces.forget(endpoint_id)
 
     def _build_record(self, heartbeat: int) -> member_model.Record:
         states_by_name = {
@@ -275,6 +276,7 @@
             self._state.configuration_eras.first,
             self._era.current,
             self._state.configuration_eras.last,
+            self._context.endpoint_speeds.reports(time.monotonic()),
         )
 
     def _merge_record(self, record: member_model.Record, age_s: float) -> None:
@@ -292,6 +294,11 @@
             )
         for service, estimate in record.speeds.items():
             self._context.speeds.add_received(service, estimate)
+        self._context.endpoint_speeds.merge(
+            record.instance_id, record.endpoint_speeds, now_s
+        )
+        for service in record.endpoint_speeds:
+            self._context.paces.record_service(service)
         for endpoint in record.provisional:
             self._state.registry.add_provisional(endpoint)
         for limit in record.limits:
@@ -503,6 +510,7 @@
                 ('prune connections', self._context.pool.prune),
                 ('expire requests', self._expire_requests),
                 ('expire limits', self._expire_limits),
+                ('expire speeds', self._expire_speeds),
                 ('resize the retry budget', self._resize_retry_budget),
                 ('review roll-outs', self._review_rollouts),
                 ('check the settings', self._settings_reload.check),
@@ -518,6 +526,9 @@
         self._context.sessions.expire(now_s)
         self._context.quarantine.expire(now_s)
 
+    def _expire_speeds(self) -> None:
+        self._context.endpoint_speeds.expire(time.monotonic())
+
     def _expire_limits(self) -> None:
         self._context.limiter.expire(
             self._state.registry.ids(), time.monotonic()
--- a/src/godwitvalve/placement/choose.py
+++ b/src/godwitvalve/placement/choose.py
@@ -5,7 +5,7 @@
 import collections
 from collections import abc
 import random
-from typing import NamedTuple
+from typing import NamedTuple, TypeAlias
 
 from godwitvalve.endpoint_limits import view as views
 from godwitvalve.fleet import endpoints
@@ -29,7 +29,17 @@
 # In streams: less than a prompt that is being processed. With more, the
 # memory of the endpoints without a limit fills up and they preempt streams.
 LIMITED_STREAM_COST = 2.0
+# In streams: weight of the added stream beside the load that it meets, for
+# the factor by which work takes longer. With 1, empty slow endpoints get so
+# many streams that more are late at the usual load (pace_replay).
+ADDED_STREAM_COST = 2.0
+# Costs of streams that differ by less are a tie where pace is stated. Entries
+# learn of other placements after some 20 ms; until then all would choose the
+# same endpoint. A backup and another failure domain are no difference.
+NEAR_TIE = 0.5
 NO_LIMITS = views.LimitView()
+# How long work takes at an endpoint compared with a usual one.
+WorkFactor: TypeAlias = abc.Callable[[endpoints.FleetEndpoint], float]
 
 
 class Placements(NamedTuple):
@@ -102,8 +112,13 @@
     stats: trackers.EndpointStats,
     own_domain: str,
     now_s: float,
+    work_factor: float = 1.0,
 ) -> float:
-    """Return the cost of one more call: the occupied share of slots."""
+    """Return the cost of one more call: the occupied share of slots.
+
+    :param work_factor: factor of the time that calls take there; it applies
+        to the calls before this one and to this one.
+    """
     busy = float(stats.calls)
     if stats.load is not None and now_s < stats.load_valid_until_s:
         busy = max(busy, stats.load.running + stats.load.waiting)
@@ -112,7 +127,8 @@
         if endpoint.failure_domain != own_domain
         else 0.0
     )
-    return (busy + domain_cost) / endpoint.slots
+    extra = (work_factor - 1.0) * (busy + 1.0)
+    return (busy + extra + domain_cost) / endpoint.slots
 
 
 def choose_call(
@@ -123,6 +139,7 @@
     now_s: float,
     rng: random.Random,
     limits: views.LimitView = NO_LIMITS,
+    work: WorkFactor | None = None,
 ) -> endpoints.FleetEndpoint | None:
     """Choose the endpoint of a plain call.
 
@@ -130,12 +147,19 @@
     The cost follows from own calls in flight and the last reported load.
     Ties are broken at random, so that entries choose different endpoints.
     Endpoints with a limit follow those that have a slot to spare.
+
+    :param work: None if the service states no pace.
     """
 
     def key(each: endpoints.FleetEndpoint) -> tuple[int, float, float]:
         stats = tracker.stats(each.endpoint_id)
-        cost = call_cost(each, stats, own_domain, now_s)
-        return _call_rank(each, cost, limits), cost, rng.random()
+        occupied = call_cost(each, stats, own_domain, now_s)
+        cost = (
+            call_cost(each, stats, own_domain, now_s, work(each))
+            if work
+            else occupied
+        )
+        return _call_rank(each, occupied, limits), cost, rng.random()
 
     usable = _preferred(candidates, tracker, tried, now_s, limits)
     return min(usable, key=key, default=None)
@@ -156,20 +180,50 @@
     stats: trackers.EndpointStats,
     remote_placements: Placements,
     own_domain: str,
+    work_factor: float = 1.0,
 ) -> float:
-    """Return the cost of one more stream, in equivalent streams."""
+    """Return the cost of one more stream, in equivalent streams.
+
+    :param work_factor: factor of the time that streams take there; it
+        applies to the load and to the added stream.
+    """
     domain_cost = (
         CROSS_DOMAIN_STREAM_COST
         if endpoint.failure_domain != own_domain
         else 0.0
     )
-    return (
+    load = (
         stats.streams
         + remote_placements.streams
         + STARTING_COST * (stats.starting + remote_placements.starting)
         + BACKUP_COST * (stats.backups + remote_placements.backups)
-        + domain_cost
     )
+    extra = (work_factor - 1.0) * (load + ADDED_STREAM_COST)
+    return load + extra + domain_cost
+
+
+def _least_cost(
+    costs: abc.Sequence[tuple[bool, float, endpoints.FleetEndpoint]],
+    rng: random.Random,
+    near_tie: float,
+) -> endpoints.FleetEndpoint | None:
+    """Return an endpoint of the least cost, or of about that, at random.
+
+    :param costs: rank, cost and endpoint; a lower rank comes first.
+    :param near_tie: difference of costs that counts as none.
+    """
+    keyed = [(*each, rng.random()) for each in costs]
+    best_rank, best_cost = min(
+        (each[:2] for each in keyed), default=(False, 0.0)
+    )
+    return min(
+        (
+            (draw, endpoint)
+            for rank, cost, endpoint, draw in keyed
+            if rank == best_rank and cost <= best_cost + near_tie
+        ),
+        default=(0.0, None),
+    )[1]
 
 
 def choose_stream(
@@ -182,6 +236,7 @@
     rng: random.Random,
     session_endpoint: str | None = None,
     limits: views.LimitView = NO_LIMITS,
+    work: WorkFactor | None = None,
 ) -> endpoints.FleetEndpoint | None:
     """Choose the endpoint of a stream.
 
@@ -190,25 +245,30 @@
     endpoint make both streams late, so streams of other entries count like
     own ones.
 
+    On shared machines some endpoints have half the speed of others. A stream
+    there takes twice as long and meets more crashes.
+
     :param session_endpoint: endpoint that processed the prompt before.
+    :param work: None if the service states no pace.
     """
     usable = _preferred(candidates, tracker, tried, now_s, limits)
-    return min(
-        usable,
-        key=lambda each: (
+    costs = [
+        (
             each.endpoint_id not in limits.unconfirmed,
             stream_cost(
                 each,
                 tracker.stats(each.endpoint_id),
                 remote_placements.get(each.endpoint_id, Placements()),
                 own_domain,
+                work(each) if work else 1.0,
             )
             + LIMITED_STREAM_COST * (each.endpoint_id in limits.limited)
             - SESSION_SAVING * (each.endpoint_id == session_endpoint),
-            rng.random(),
-        ),
-        default=None,
-    )
+            each,
+        )
+        for each in usable
+    ]
+    return _least_cost(costs, rng, NEAR_TIE if work else 0.0)
 
 
 def choose_backup(
@@ -219,6 +279,7 @@
     now_s: float,
     rng: random.Random,
     limits: views.LimitView = NO_LIMITS,
+    work: WorkFactor | None = None,
 ) -> endpoints.FleetEndpoint | None:
     """Choose the endpoint that keeps the backup of a stream's memory.
 
@@ -232,17 +293,18 @@
         for each in usable
         if each.failure_domain != running.failure_domain
     ]
-    return min(
-        other_domains or usable,
-        key=lambda each: (
+    costs = [
+        (
             each.endpoint_id in limits.limited,
             stream_cost(
                 each,
                 tracker.stats(each.endpoint_id),
                 remote_placements.get(each.endpoint_id, Placements()),
                 each.failure_domain,
+                work(each) if work else 1.0,
             ),
-            rng.random(),
-        ),
-        default=None,
-    )
+            each,
+        )
+        for each in other_domains or usable
+    ]
+    return _least_cost(costs, rng, NEAR_TIE if work else 0.0)
