Split the forwarding of streams by duty

streams.py held the loop over attempts, one attempt with its events, the detection of silence, the choice of endpoints and the records of results. Each is a module of its own now; what they share is in stream_state.py. Behaviour is unchanged. The steps of relocation.feature patch the choice of a successor where it is now.

--- a/features/steps/forwarding_relocation_steps.py
+++ b/features/steps/forwarding_relocation_steps.py
@@ -9,7 +9,7 @@
 import behave
 from features.doubles import log_records
 from godwitvalve.forwarding import policy
-from godwitvalve.forwarding import streams
+from godwitvalve.forwarding import stream_placement
 
 FAILURES = {
     'raises': LookupError('injected'),
@@ -19,14 +19,14 @@
 
 def _before_searches(context, act):
     """Let every search for a successor wait for a function first."""
-    choose = streams.StreamForwarder._choose_successor
+    choose = stream_placement.StreamPlacement.choose_successor
 
     async def choose_later(self, attempt):
         await act()
         return await choose(self, attempt)
 
     patch = mock.patch.object(
-        streams.StreamForwarder, '_choose_successor', choose_later
+        stream_placement.StreamPlacement, 'choose_successor', choose_later
     )
     patch.start()
     context.cleanups.append(patch.stop)
--- a/src/godwitvalve/forwarding/attempts.py
+++ b/src/godwitvalve/forwarding/attempts.py
@@ -18,6 +18,9 @@
 from godwitvalve.platform import headers as wire
 from godwitvalve.rollouts import observation as observations
 
+# Reason of an attempt whose endpoint sent nothing for too long.
+SILENT = 'silent'
+
 _LOG = logs.get('forwarding')
 
 
