--- a/src/godwitvalve/forwarding/channel.py
+++ b/src/godwitvalve/forwarding/channel.py
@@ -12,6 +12,7 @@
 from godwitvalve.forwarding import body_memory
 from godwitvalve.forwarding import message_buffer
 from godwitvalve.forwarding import message_memory
+from godwitvalve.forwarding import sent_bytes
 from godwitvalve.forwarding import sockets
 from godwitvalve.parsing import overhead
 from godwitvalve.parsing import throttle as throttles
@@ -187,6 +188,7 @@
             piece = self._unsent[: body_memory.SEND_BYTES]
             self._keep_unsent(self._unsent[body_memory.SEND_BYTES :])
             self._transport.write(piece)
+            sent_bytes.PROCESS.add(len(piece))
         if not self._unsent and self._rest_limit is not None:
             # The transport may call this as it writes, and would end twice.
             self._loop.call_soon(self.close)
@@ -260,7 +262,9 @@
         content = memoryview(body)
         # Written together, a short request takes one packet.
         self._keep_unsent(content[body_memory.SEND_BYTES :])
-        self._transport.write(head + content[: body_memory.SEND_BYTES])
+        first = head + content[: body_memory.SEND_BYTES]
+        self._transport.write(first)
+        sent_bytes.PROCESS.add(len(first))
         self._write_pieces()
 
     def _encode(
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -79,6 +79,8 @@
     :param pressure: part of its resources in use, in percent.
     :param account_use: calls and streams in flight by service and client
         account, for services that are full.
+    :param capacity: processor capacity of its machine, in thousandths of a
+        core; 0 if its settings do not state it.
     """
 
     instance_id: bounds.Name
@@ -112,6 +114,7 @@
     account_use: dict[
         str, dict[str, tuple[bounds.Integer, bounds.Integer]]
     ] = {}
+    capacity: bounds.Count = 0
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/godwitvalve/gossip/node.py
+++ b/src/godwitvalve/gossip/node.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from godwitvalve.decoding import content as contents
+from godwitvalve.forwarding import sent_bytes
 from godwitvalve.gossip import members as member_model
 from godwitvalve.lifecycle import supervision
 from godwitvalve.logs import repeats
@@ -132,6 +133,7 @@
         assert self._transport is not None
         host, _, port = address.rpartition(':')
         self._transport.sendto(content, (host, int(port)))
+        sent_bytes.PROCESS.add(len(content))
 
     def send_to_seeds(self) -> None:
         """Send the own record to the seeds, which relay it."""
--- a/src/godwitvalve/ingress/answers.py
+++ b/src/godwitvalve/ingress/answers.py
@@ -9,12 +9,15 @@
 
 from godwitvalve.forwarding import exchange as exchanges
 from godwitvalve.forwarding import replies
+from godwitvalve.forwarding import sent_bytes
 from godwitvalve.forwarding import sockets
 from godwitvalve.logs import setup as logs
 from godwitvalve.platform import headers as wire
 
 # Part of a long answer that the connection to its caller copies.
 ANSWER_PIECE_BYTES = 128 * 1024
+# Counted for the head of an answer, which the server writes itself.
+HEAD_BYTES = 300
 
 _LOG = logs.get('ingress')
 
@@ -44,10 +47,12 @@
             # The end of the connection ends the answer.
             self.response.force_close()
         await self.response.prepare(self._request)
+        sent_bytes.PROCESS.add(HEAD_BYTES)
 
     async def send(self, content: bytes) -> None:
         """Send complete events."""
         assert self.response is not None
+        sent_bytes.PROCESS.add(len(content))
         await self.response.write(content)
 
     def abort(self) -> None:
@@ -73,7 +78,9 @@
     async def write_eof(self, data: bytes = b'') -> None:
         """Write the body as the caller reads it."""
         for begin in range(0, len(self._content), ANSWER_PIECE_BYTES):
-            await self.write(self._content[begin:][:ANSWER_PIECE_BYTES])
+            piece = self._content[begin:][:ANSWER_PIECE_BYTES]
+            sent_bytes.PROCESS.add(len(piece))
+            await self.write(piece)
         await super().write_eof(data)
 
 
@@ -104,6 +111,13 @@
             sockets.reset(self._request.transport)
 
 
+def count_short(response: web.StreamResponse) -> None:
+    """Count what the server sends of an answer that it writes at once."""
+    sent_bytes.PROCESS.add(HEAD_BYTES)
+    if isinstance(response, web.Response):
+        sent_bytes.PROCESS.add(response.content_length or 0)
+
+
 def complete(
     head: exchanges.AnswerHead, body: bytes | memoryview
 ) -> web.StreamResponse:
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -151,6 +151,7 @@
             memory.hold(unread, response.content_length or 0)
             async with pending.limit(None):
                 await response.prepare(request)
+                answers.count_short(response)
                 await response.write_eof()
         except asyncio.TimeoutError:
             if request.transport is not None:
--- a/src/godwitvalve/platform/settings.py
+++ b/src/godwitvalve/platform/settings.py
@@ -48,8 +48,11 @@
     which the platform does not assign the address of an ended endpoint to
     another service. A bad version may receive at most ``exposure_share`` of
     the requests for its service plus ``exposure_slack`` requests.
-    ``memory_mb`` is the memory of the machine. A configuration has to be in
-    force ``configuration_limit_ms`` after it was written.
+    ``memory_mb`` is the memory of the machine. The process may use
+    ``cpu_share`` of its ``cores`` and send ``link_mbps`` Mbit/s; 0 means that
+    this is not known, and addresses are then listed without regard to it.
+    A configuration has to be in force ``configuration_limit_ms`` after it
+    was written.
     """
 
     instance_id: str
@@ -71,6 +74,9 @@
     exposure_slack: bounds.Amount = 50.0
     memory_mb: bounds.Amount = 128.0
     configuration_limit_ms: bounds.Amount = 2000.0
+    cpu_share: bounds.Amount = 0.0
+    cores: bounds.Amount = 0.0
+    link_mbps: bounds.Amount = 0.0
 
 
 def _is_address(value: object) -> bool:
