List entries by free capacity while one is under pressure

Callers choose evenly among the listed addresses, so of 60 entries the 40 smallest were full. Above 60 % at any entry, a list is drawn by headroom.

--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -35,6 +35,7 @@
 from godwitvalve.ingress import handler as handlers
 from godwitvalve.ingress import membership
 from godwitvalve.ingress import peer_tables
+from godwitvalve.ingress import pressure
 from godwitvalve.ingress import servers
 from godwitvalve.ingress import settings_reload
 from godwitvalve.ingress import shared_states
@@ -149,6 +150,9 @@
             settings.memory_mb,
             lambda: self._lifecycle.requests_in_flight,
         )
+        self._pressure = pressure.PressureMonitor(
+            settings, self._context.counters.registry
+        )
         self._gossip = gossip_nodes.GossipNode(
             self._members,
             self._build_record,
@@ -275,6 +279,8 @@
             self._state.configuration_eras.first,
             self._era.current,
             self._state.configuration_eras.last,
+            pressure=self._pressure.percent,
+            capacity=self._pressure.capacity,
         )
 
     def _merge_record(self, record: member_model.Record, age_s: float) -> None:
@@ -474,15 +480,16 @@
     ) -> web.StreamResponse:
         if request.path != wire_directory.RESOLVE_PATH:
             return web.Response(status=404)
-        own_address = (
-            self._settings.caller_address
-            if self._lifecycle.is_advertised()
-            else None
+        own = directory.Candidate(
+            self._settings.caller_address,
+            self._pressure.capacity,
+            self._pressure.percent,
         )
         addresses = directory.choose_addresses(
-            own_address,
+            own if self._lifecycle.is_advertised() else None,
             self._members.alive(time.monotonic()),
             self._rng,
+            is_sized=self._pressure.capacity > 0,
         )
         if not addresses:
             return web.Response(status=503)
@@ -498,6 +505,7 @@
             await asyncio.sleep(monitors.PERIOD_S)
             for activity, step in (
                 ('observe the process', self._monitor.observe),
+                ('measure the pressure', self._pressure.observe),
                 ('expire endpoints', self._endpoints.expire),
                 ('install configurations', self._install_deferred),
                 ('prune connections', self._context.pool.prune),
@@ -599,6 +607,7 @@
         )
         self._message_memory.resize(settings.memory_mb)
         self._monitor.memory_mb = settings.memory_mb
+        self._pressure.set_settings(settings)
 
     async def _drain(self) -> None:
         """Leave the directory, then wait for the requests in flight.
