Give the room of stalled uploads to bodies that wait

Room for a body is reserved by its stated length, so 8 callers that stated 4 MB and sent single bytes kept all of it on a machine of 128 MB, and each other long body was refused. While a body waits, an upload that arrives at less than half of the pace that its time limit asks for keeps room for what has arrived and 16 KiB, and asks again as it goes on. A body of 3.9 MB beside 8 such callers is served now; it was refused before.

--- a/features/forwarding/body_memory.feature
+++ b/features/forwarding/body_memory.feature
@@ -88,3 +88,12 @@
     Given an endpoint that does not read a body of 8000000 bytes
     When a call is sent to it
     Then its connection buffers at most 131072 bytes and the head
+
+  Scenario: The room of a stalled upload is given to a body that waits
+    # Room is reserved by the stated length, also for a caller that stalls.
+    Given memory for bodies of 9000000 bytes
+    And 2 uploads of 4000000 bytes each with 4 s that send 1 MB and stall at 1 s
+    And an upload of 600000 bytes with 4 s that keeps its pace
+    When a body of 3900000 bytes asks for room at 1.2 s
+    Then it waits, and gets room at 1.3 s
+    And the stalled uploads hold what arrived, and the other its whole room
--- a/features/ingress/body_memory.feature
+++ b/features/ingress/body_memory.feature
@@ -39,3 +39,11 @@
     Then its private memory never exceeded 150 MB
     And no request ended without an answer
     And at least 20 long bodies were served
+
+  Scenario: Stalled uploads do not keep the room of long bodies
+    # Callers that state a long body and send single bytes kept all of the
+    # room, so that each other long body was refused as long as they sent.
+    Given an entry on a machine of 128 MB
+    When 8 callers with 4000 ms state 4000000 bytes and send one each 500 ms
+    And 1000 ms later another caller sends a body of 3900000 bytes
+    Then the other caller gets status 200
--- a/features/steps/forwarding_body_memory_steps.py
+++ b/features/steps/forwarding_body_memory_steps.py
@@ -11,6 +11,7 @@
 from godwitvalve.fleet import routes
 from godwitvalve.forwarding import body_memory
 from godwitvalve.forwarding import message_memory
+from godwitvalve.forwarding import uploads
 from godwitvalve.ingress import body_room
 
 MB = 1024 * 1024
@@ -440,3 +441,60 @@
     assert not context.read.is_given_up
     states = [each.is_given_up for each in context.unread]
     assert states == [True, False, False, False], states
+
+
+@behave.given('memory for bodies of {limit:d} bytes')
+def memory_for_bodies(context, limit):
+    context.memory = body_memory.BodyMemory(limit)
+    context.uploads = {}
+
+
+def _begin_upload(context, size, limit_s):
+    holder = len(context.uploads)
+    answer = context.memory.ask(holder, size, lambda has_room: None)
+    assert answer is body_memory.Answer.GRANTED
+    upload = context.uploads[holder] = uploads.Upload(size, limit_s, 0.0)
+    context.memory.add_upload(holder, upload)
+    return upload
+
+
+@behave.given(
+    '{count:d} uploads of {size:d} bytes each with {limit_s:d} s that send '
+    '1 MB and stall at 1 s'
+)
+def uploads_that_stall(context, count, size, limit_s):
+    for _ in range(count):
+        _begin_upload(context, size, limit_s).record(MB, 1.0)
+
+
+@behave.given(
+    'an upload of {size:d} bytes with {limit_s:d} s that keeps its pace'
+)
+def upload_with_pace(context, size, limit_s):
+    upload = _begin_upload(context, size, limit_s)
+    for step in range(1, 14):
+        upload.record(step * size // (10 * limit_s), step / 10)
+
+
+@behave.when('a body of {size:d} bytes asks for room at {now_s:g} s')
+def body_asks(context, size, now_s):
+    context.decided = []
+    answer = context.memory.ask(FIRST, size, context.decided.append)
+    assert answer is body_memory.Answer.WAIT, answer
+    context.memory.reclaim(now_s)
+
+
+@behave.then('it waits, and gets room at {now_s:g} s')
+def gets_room_later(context, now_s):
+    assert context.decided == [], context.decided
+    context.memory.reclaim(now_s)
+    assert context.decided == [True], context.decided
+
+
+@behave.then(
+    'the stalled uploads hold what arrived, and the other its whole room'
+)
+def uploads_hold(context):
+    *stalled, other = context.uploads.values()
+    assert all(MB <= each.room_bytes < 1.1 * MB for each in stalled)
+    assert other.room_bytes == 600_000, other.room_bytes
--- a/features/steps/ingress_body_memory_steps.py
+++ b/features/steps/ingress_body_memory_steps.py
@@ -365,3 +365,57 @@
 def bodies_served(context, count):
     served = context.load.statuses['/complaints/', 200]
     assert served >= count, context.load.statuses
+
+
+@behave.when(
+    '{count:d} callers with {wait_ms:d} ms state {size:d} bytes and send one '
+    'each {pause_ms:d} ms'
+)
+def send_single_bytes(context, count, wait_ms, size, pause_ms):
+    context.stalled = (count, wait_ms, size, pause_ms / 1000)
+
+
+async def _stall(address, wait_ms, size, pause_s):
+    host, port = address.split(':')
+    reader, writer = await asyncio.open_connection(host, port)
+    writer.write(
+        f'POST /complaints/1 HTTP/1.1\r\nHost: {fleet_site.HOST}\r\n'
+        f'Request-Id: stalled-{writer.get_extra_info("sockname")[1]}\r\n'
+        f'Api-Key: {fleet_site.KEY}\r\nDeadline-Ms: {wait_ms}\r\n'
+        f'Content-Length: {size}\r\n\r\n'.encode()
+    )
+    try:
+        while True:
+            writer.write(b'x')
+            await asyncio.sleep(pause_s)
+    finally:
+        writer.close()
+
+
+@behave.when(
+    '{pause_ms:d} ms later another caller sends a body of {size:d} bytes'
+)
+def body_beside_stalled(context, pause_ms, size):
+    count, wait_ms, stated, pause_s = context.stalled
+    fleet = context.fleet
+
+    async def run():
+        endpoints = await _start_endpoints(fleet, 0)
+        fleet.start_entry('entry-0', 'fd-0', memory_mb=context.memory_mb)
+        await asyncio.to_thread(fleet_site.wait_ready, fleet, 'entry-0')
+        address = fleet.addresses['entry-0']
+        stalled = [
+            asyncio.create_task(_stall(address, wait_ms, stated, pause_s))
+            for _ in range(count)
+        ]
+        await asyncio.sleep(pause_ms / 1000)
+        load = _Load(address, time.monotonic() + 0.01)
+        await load.call('/complaints/', bytes(size), False)
+        context.another = load.statuses
+        for each in stalled:
+            each.cancel()
+        await asyncio.gather(*stalled, return_exceptions=True)
+        for endpoint in endpoints:
+            await endpoint.stop()
+
+    asyncio.run(run())
--- a/src/godwitvalve/forwarding/body_memory.py
+++ b/src/godwitvalve/forwarding/body_memory.py
@@ -7,6 +7,8 @@
 import itertools
 from typing import NamedTuple
 
+from godwitvalve.forwarding import uploads
+
 # Bodies of this size never wait: a thousand of them take 16 MB, and most
 # calls are far smaller.
 SMALL_BODY_BYTES = 16 * 1024
@@ -42,6 +44,7 @@
     meanwhile. A body of unknown length asks again as it grows, ahead of new
     ones. Two growing bodies could wait for each other, so at most one waits:
     the younger of two is refused, which makes room for the older one.
+    Uploads that stall keep room for what has arrived only.
 
     :param limit_bytes: greatest sum, with what is copied to send.
     """
@@ -53,6 +56,7 @@
         self._ages: dict[abc.Hashable, int] = {}
         self._growing: dict[abc.Hashable, _Request] = {}
         self._new: dict[abc.Hashable, _Request] = {}
+        self._uploads: dict[abc.Hashable, uploads.Upload] = {}
         self._numbers = itertools.count()
 
     @property
@@ -100,6 +104,22 @@
             refused.on_decision(False)
         return Answer.WAIT
 
+    def add_upload(self, holder: abc.Hashable, upload: uploads.Upload) -> None:
+        """Watch the arrival of a body that has room."""
+        self._uploads[holder] = upload
+
+    def reclaim(self, now_s: float) -> None:
+        """Take the room from stalled uploads that they don't use yet.
+
+        They ask again as they go on. Called while another body waits.
+        """
+        for holder, upload in self._uploads.items():
+            room_bytes = upload.arrived_bytes + SMALL_BODY_BYTES
+            if room_bytes < upload.room_bytes and upload.is_stalled(now_s):
+                upload.room_bytes = room_bytes
+                self._hold(holder, counted(room_bytes))
+        self._decide()
+
     def resize(self, limit_bytes: int) -> None:
         """Set the greatest sum; bodies that wait may fit now."""
         self.limit_bytes = limit_bytes
@@ -107,12 +127,14 @@
 
     def shrink(self, holder: abc.Hashable, size_bytes: int) -> None:
         """Set the size of a body that is complete."""
+        self._uploads.pop(holder, None)
         if counted(size_bytes) < self._held_bytes.get(holder, 0):
             self._hold(holder, counted(size_bytes))
             self._decide()
 
     def release(self, holder: abc.Hashable) -> None:
         """Forget a body, or a wait for its room."""
+        self._uploads.pop(holder, None)
         self._growing.pop(holder, None)
         self._new.pop(holder, None)
         self._ages.pop(holder, None)
--- a/src/godwitvalve/ingress/bodies.py
+++ b/src/godwitvalve/ingress/bodies.py
@@ -24,13 +24,15 @@
     if length_bytes is None or length_bytes > limit_bytes:
         length_bytes = 0
     await room.reserve(length_bytes)
+    room.watch(length_bytes)
     body = message_buffer.MessageBuffer(length_bytes)
     async for chunk in request.content.iter_any():
         size_bytes = len(body) + len(chunk)
         if size_bytes > limit_bytes:
             return None
-        await room.grow(size_bytes, limit_bytes)
+        await room.grow(size_bytes, length_bytes or limit_bytes)
         body.append(chunk)
+        room.record(size_bytes)
     room.shrink(len(body))
     return body.content()
 
--- a/src/godwitvalve/ingress/body_room.py
+++ b/src/godwitvalve/ingress/body_room.py
@@ -7,6 +7,7 @@
 import contextlib
 
 from godwitvalve.forwarding import body_memory
+from godwitvalve.forwarding import uploads
 
 # Callers give up a request that is not read within a second, or a third of
 # its time. A body of 4 MB is sent on within some 30 ms.
@@ -14,6 +15,8 @@
 WAIT_SHARE = 0.25
 # Room that a body of unknown length asks for at a time.
 MIN_GROWTH_BYTES = 64 * 1024
+# While a body waits, the room of uploads that stall is looked for this often.
+RECLAIM_PERIOD_S = 0.05
 
 
 class NoRoom(Exception):
@@ -35,15 +38,17 @@
     ) -> None:
         self._memory = memory
         self._holder = holder
+        self._limit_s = limit_s
         self._wait_s = min(WAIT_LIMIT_S, limit_s * WAIT_SHARE)
         self._size_bytes = 0
+        self._upload: uploads.Upload | None = None
 
     async def reserve(self, size_bytes: int) -> None:
         """Wait until there is room for a body of this length.
 
         :raises NoRoom: if there is none within the limit.
         """
-        if size_bytes <= self._size_bytes:
+        if size_bytes <= self._room_bytes():
             return
         loop = asyncio.get_running_loop()
         decision: asyncio.Future[bool] = loop.create_future()
@@ -55,11 +60,37 @@
             case body_memory.Answer.GRANTED:
                 pass
         self._size_bytes = size_bytes
+        if self._upload is not None:
+            self._upload.room_bytes = size_bytes
+
+    def _room_bytes(self) -> int:
+        if self._upload is None:
+            return self._size_bytes
+        return self._upload.room_bytes
+
+    def watch(self, size_bytes: int) -> None:
+        """Watch the arrival of a body that has room for its stated length."""
+        if size_bytes > body_memory.SMALL_BODY_BYTES:
+            now_s = asyncio.get_running_loop().time()
+            self._upload = uploads.Upload(size_bytes, self._limit_s, now_s)
+            self._memory.add_upload(self._holder, self._upload)
+
+    def record(self, arrived_bytes: int) -> None:
+        """Record how much of the body has arrived."""
+        if self._upload is not None:
+            now_s = asyncio.get_running_loop().time()
+            self._upload.record(arrived_bytes, now_s)
 
     async def _wait(self, decision: asyncio.Future[bool]) -> None:
         loop = asyncio.get_running_loop()
         began_s = loop.time()
-        await asyncio.wait([decision], timeout=self._wait_s)
+        until_s = began_s + self._wait_s
+        while not decision.done() and loop.time() < until_s:
+            self._memory.reclaim(loop.time())
+            await asyncio.wait(
+                [decision],
+                timeout=min(RECLAIM_PERIOD_S, until_s - loop.time()),
+            )
         if not decision.done() or not decision.result():
             self._memory.release(self._holder)
             raise NoRoom
@@ -74,7 +105,7 @@
         :param limit_bytes: greatest length of the body.
         :raises NoRoom: if there is none within the limit.
         """
-        if size_bytes <= self._size_bytes:
+        if size_bytes <= self._room_bytes():
             return
         if size_bytes > body_memory.SMALL_BODY_BYTES:
             ahead_bytes = max(size_bytes * 2, MIN_GROWTH_BYTES)
