--- a/src/godwitvalve/ingress/answers.py
+++ b/src/godwitvalve/ingress/answers.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from godwitvalve.forwarding import exchange as exchanges
+from godwitvalve.forwarding import message_memory
 from godwitvalve.forwarding import replies
 from godwitvalve.forwarding import sent_bytes
 from godwitvalve.forwarding import sockets
@@ -25,15 +26,29 @@
 class CallerStream:
     """Relays the events of a stream to its caller.
 
+    Load pattern: callers stop reading their streams. Up to 64 KiB of each are
+    written before the stream waits for its caller, so that the engine is free
+    early; their sum counts as memory of answers.
+
+    :param memory: counts the bytes that the caller has not read.
     :param is_closing: tells whether the connection closes after the answer.
+    :ivar is_given_up: whether the answer was ended for its memory.
     """
 
     def __init__(
-        self, request: web.BaseRequest, is_closing: abc.Callable[[], bool]
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        memory: message_memory.MessageMemory,
+        is_closing: abc.Callable[[], bool],
     ) -> None:
         self._request = request
+        self._request_id = request_id
+        self._memory = memory
         self._is_closing = is_closing
+        self._unread_bytes = 0
         self.response: web.StreamResponse | None = None
+        self.is_given_up = False
 
     async def start(self, head: exchanges.AnswerHead) -> None:
         """Send status and headers."""
@@ -53,7 +68,33 @@
         """Send complete events."""
         assert self.response is not None
         sent_bytes.PROCESS.add(len(content))
+        self._count_unread(len(content))
         await self.response.write(content)
+        self._count_unread()
+
+    def _count_unread(self, added_bytes: int = 0) -> None:
+        transport = self._request.transport
+        if transport is None:
+            return
+        unread_bytes = transport.get_write_buffer_size()
+        if unread_bytes:
+            unread_bytes += added_bytes
+        if unread_bytes != self._unread_bytes and not self.is_given_up:
+            self._unread_bytes = unread_bytes
+            self._memory.hold(self, unread_bytes)
+
+    def release(self) -> None:
+        """Count nothing more, as the answer has ended."""
+        self._memory.release(self)
+
+    def abort_for_memory(self) -> None:
+        """Reset the connection of the caller, as it reads too slowly."""
+        self.is_given_up = True
+        _LOG.warning(
+            'Gave up a stream that its caller had not read.',
+            extra={'request_id': self._request_id},
+        )
+        self.abort()
 
     def abort(self) -> None:
         """Reset the connection, which marks the answer as incomplete.
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -204,7 +204,10 @@
         pending: in_flight.RequestInFlight,
     ) -> web.StreamResponse:
         sink = answers.CallerStream(
-            request, lambda: self._gate.stop is not None
+            request,
+            routed.request.facts.request_id,
+            self._context.pool.memory,
+            lambda: self._gate.stop is not None,
         )
         reply: replies.Reply | None = None
         reason: replies.IncompleteReason | None = None
@@ -225,6 +228,8 @@
             return await self._respond(routed, sink, reply, forwarder)
         except BaseException as error:
             reason = self._incomplete_reason(request, error)
+            if sink.is_given_up:
+                reason = replies.IncompleteReason.MEMORY
             if sink.response is None and _may_answer(error, reason):
                 _log_error(routed.request.facts, error)
                 reply = _reply_to_error(forwarder.may_have_run)
@@ -236,6 +241,7 @@
                 sink.abort()
             raise
         finally:
+            sink.release()
             self._ends.log_end(routed, reply, reason, arrived_s, forwarder)
 
     async def _respond(
