Send streams where the beginning of their prompt is cached

Cause: the endpoint that has a prompt was known only by its last segment and for interrupted streams, so a session that returns had all its turns read anew.

Change: placement/prefixes.py keeps which segments endpoints have, from own streams and reported sessions, bounded to 4,096 and 60 s, and counts a segment only while the tokens placed since fit beside it. Where pace is stated, the saving of three streams is scaled by the held part of the prompt; an endpoint without free capacity has none. Without pace the older rule stays.

--- a/src/godwitvalve/fleet/routes.py
+++ b/src/godwitvalve/fleet/routes.py
@@ -49,9 +49,13 @@
 
 
 class EngineConfig(NamedTuple):
-    """Features of the engines of a model service."""
+    """Features of the engines of a model service.
+
+    :param kv_capacity_tokens: KV cache of an engine; 0 if not stated.
+    """
 
     has_backups: bool
+    kv_capacity_tokens: int = 0
 
 
 class ServiceConfig(NamedTuple):
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -24,6 +24,7 @@
 from godwitvalve.outcomes import codes
 from godwitvalve.placement import choose
 from godwitvalve.placement import pace as pace_model
+from godwitvalve.placement import prefixes as prefix_model
 from godwitvalve.placement import sessions as session_model
 from godwitvalve.placement import speed as speed_model
 from godwitvalve.placement import tracker as trackers
@@ -80,6 +81,9 @@
     paces: pace_model.PaceTable = dataclasses.field(
         default_factory=pace_model.PaceTable
     )
+    prefixes: prefix_model.PrefixTable = dataclasses.field(
+        default_factory=prefix_model.PrefixTable
+    )
     history: histories.ProcessHistory = dataclasses.field(
         default_factory=histories.ProcessHistory
     )
@@ -100,6 +104,7 @@
             endpoint.endpoint_id, endpoint.started_wall_ms
         ):
             self.pool.drop(endpoint.endpoint_id)
+            self.prefixes.forget(endpoint.endpoint_id)
             self.on_placement_changed()
 
     def record_send(
--- a/src/godwitvalve/forwarding/counters.py
+++ b/src/godwitvalve/forwarding/counters.py
@@ -60,6 +60,11 @@
             'Permits asked for at endpoints that state a request limit.',
             labels,
         )
+        self._cached_tokens = self._counter(
+            'godwitvalve_cached_prompt_tokens_total',
+            'Prompt tokens that were expected to be cached, by service.',
+            labels,
+        )
         self._limited_endpoints = collectors.Gauge(
             'godwitvalve_limited_endpoints',
             'Endpoints that state a request limit.',
@@ -131,6 +136,10 @@
         """Count a permit that was asked for."""
         self._permits.inc({'outcome': 'granted' if is_granted else 'denied'})
 
+    def count_cached_tokens(self, service: str, tokens: int) -> None:
+        """Count prompt tokens that an endpoint had cached."""
+        self._cached_tokens.add({'service': service}, tokens)
+
     def set_limited_endpoints(self, count: int) -> None:
         """Set the number of endpoints that state a limit."""
         self._limited_endpoints.set({}, count)
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -8,6 +8,7 @@
 
 from godwitvalve.fleet import endpoints
 from godwitvalve.forwarding import attempts
+from godwitvalve.forwarding import cached_prompts
 from godwitvalve.forwarding import calls
 from godwitvalve.forwarding import channel as channels
 from godwitvalve.forwarding import context as contexts
@@ -71,6 +72,7 @@
             context.paces.is_stated(routed.service),
         )
         self._segments = routed.request.facts.shared_segments
+        self.prompt = cached_prompts.CachedPrompt(context, routed)
         self._tried_ids: set[str] = set()
         # Selects the version during a roll-out.
         self._draw = context.rng.random()
@@ -461,6 +463,7 @@
                 context.rng,
                 context.sessions.find(session, self._loop.time()),
                 limits,
+                self.prompt.savings(),
             ),
             may_confirm,
         )
@@ -930,6 +933,7 @@
         self._context.endpoint_tracker.stats(
             attempt.endpoint.endpoint_id
         ).starting -= 1
+        self.prompt.record_begin(attempt)
         self._context.endpoint_tracker.record_success(
             attempt.endpoint.endpoint_id, None, self._loop.time()
         )
@@ -960,6 +964,7 @@
                 self._record_speed(attempt)
                 if attempt.has_events:
                     self._record_sound(attempt)
+                    self.prompt.record_end(attempt)
                 return
             case attempts.Interrupted():
                 # Before its first event an attempt has no copy.
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -624,9 +624,10 @@
     match forwarder:
         case calls.CallForwarder(endpoints=tried):
             return {'endpoints': tried}
-        case streams.StreamForwarder(times=times):
+        case streams.StreamForwarder(times=times, prompt=prompt):
             return {
                 'endpoints': times.endpoints,
+                'cached_tokens': prompt.cached_tokens,
                 'first_event_ms': round(times.first_event_s * 1000),
                 'longest_gap_ms': round(times.longest_gap_s * 1000),
             }
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -245,6 +245,7 @@
     def _on_endpoint_removed(self, endpoint_id: str) -> None:
         self._context.pool.drop(endpoint_id)
         self._context.endpoint_tracker.forget(endpoint_id)
+        self._context.prefixes.forget(endpoint_id)
 
     def _build_record(self, heartbeat: int) -> member_model.Record:
         states_by_name = {
@@ -286,6 +287,7 @@
                 self._gossip.schedule_update()
         self._context.quarantine.merge(record.quarantine, now_s, age_s)
         self._context.sessions.merge(record.sessions, now_s)
+        self._context.prefixes.merge(record.sessions, now_s)
         for endpoint_id in record.lost:
             self._context.endpoint_tracker.record_reported_loss(
                 endpoint_id, now_s
@@ -516,6 +518,7 @@
     def _expire_requests(self) -> None:
         now_s = time.monotonic()
         self._context.sessions.expire(now_s)
+        self._context.prefixes.expire(now_s)
         self._context.quarantine.expire(now_s)
 
     def _expire_limits(self) -> None:
--- a/src/godwitvalve/placement/choose.py
+++ b/src/godwitvalve/placement/choose.py
@@ -41,6 +41,8 @@
 
 
 RemotePlacements = abc.Mapping[str, Placements]
+# Returns what the cached part of a prompt saves at an endpoint, in streams.
+Savings = abc.Callable[[endpoints.FleetEndpoint], float]
 
 
 def _preferred(
@@ -182,6 +184,7 @@
     rng: random.Random,
     session_endpoint: str | None = None,
     limits: views.LimitView = NO_LIMITS,
+    savings: Savings | None = None,
 ) -> endpoints.FleetEndpoint | None:
     """Choose the endpoint of a stream.
 
@@ -191,6 +194,7 @@
     own ones.
 
     :param session_endpoint: endpoint that processed the prompt before.
+    :param savings: replaces the saving there; used where pace is stated.
     """
     usable = _preferred(candidates, tracker, tried, now_s, limits)
     return min(
@@ -204,7 +208,11 @@
                 own_domain,
             )
             + LIMITED_STREAM_COST * (each.endpoint_id in limits.limited)
-            - SESSION_SAVING * (each.endpoint_id == session_endpoint),
+            - (
+                savings(each)
+                if savings
+                else SESSION_SAVING * (each.endpoint_id == session_endpoint)
+            ),
             rng.random(),
         ),
         default=None,
--- a/src/godwitvalve/platform/configuration.py
+++ b/src/godwitvalve/platform/configuration.py
@@ -54,6 +54,8 @@
     # Whether an endpoint stores backups of the KV cache of requests that
     # run at other endpoints.
     backups: bool = False
+    # KV cache of an endpoint; 0 if not stated.
+    kv_capacity_tokens: bounds.Count = 0
 
 
 class _Service(msgspec.Struct):
@@ -120,7 +122,9 @@
 def _service(raw: _Service) -> routes.ServiceConfig:
     engine = None
     if raw.engine is not None:
-        engine = routes.EngineConfig(raw.engine.backups)
+        engine = routes.EngineConfig(
+            raw.engine.backups, raw.engine.kv_capacity_tokens
+        )
     return routes.ServiceConfig(raw.name, raw.health_path, engine)
 
 
--- a/src/godwitvalve/platform/headers.py
+++ b/src/godwitvalve/platform/headers.py
@@ -46,6 +46,19 @@
 # Bounds what is kept of an invalid limit for the log, and the numbers that
 # are read.
 MAX_LIMIT_CHARS = 40
+# Bounds the time to weigh a prompt at each endpoint of a service. Sessions
+# have one segment a turn.
+MAX_SEGMENTS = 32
+
+
+class PromptSegment(NamedTuple):
+    """Part of a prompt that later prompts may begin with, too.
+
+    :param tokens: 0 if not stated.
+    """
+
+    segment_id: str
+    tokens: int
 
 
 class CallerFacts(NamedTuple):
@@ -60,6 +73,8 @@
     :param session: id of the last segment of the prompt, which is unique
         to the session; empty if not stated.
     :param shared_segments: ids of the segments before the last one.
+    :param segments: the first ``MAX_SEGMENTS`` segments with their tokens;
+        empty if one has no id or states no tokens.
     """
 
     request_id: str
@@ -70,6 +85,7 @@
     max_output_tokens: int
     session: str
     shared_segments: tuple[str, ...] = ()
+    segments: tuple[PromptSegment, ...] = ()
 
 
 class SendFacts(NamedTuple):
@@ -161,7 +177,8 @@
     """Read the headers of a caller's request."""
     values = _decode_headers(headers)
     prompt, _, output = values.get('token-usage', '').partition(',')
-    *shared, last = _read_segments(values.get('prompt-prefix', ''))
+    segments = _read_segments(values.get('prompt-prefix', ''))
+    *shared, last = [each.segment_id for each in segments]
     return CallerFacts(
         values.get('request-id', ''),
         _parse_milliseconds(values.get('deadline-ms')),
@@ -171,11 +188,16 @@
         _parse_count(output.strip()),
         last,
         tuple(shared),
+        tuple(segments[:MAX_SEGMENTS]) if all(map(all, segments)) else (),
     )
 
 
-def _read_segments(parts: str) -> list[str]:
-    return [part.partition(':')[0].strip() for part in parts.split(',')]
+def _read_segments(parts: str) -> list[PromptSegment]:
+    pairs = (part.partition(':') for part in parts.split(','))
+    return [
+        PromptSegment(segment_id.strip(), _parse_count(tokens.strip()))
+        for segment_id, _, tokens in pairs
+    ]
 
 
 def _connection_header_names(headers: RawHeaders) -> set[bytes]:
