Share full services by the use of accounts over all entries

Cause: turns at a full service were ordered by the calls of one entry. With 20 entries and 24 slots each has about one in flight, so that an account that sends through all entries looks as small as the others.

Change: entries report the calls and streams in flight by account while a service that states its pace is full; fair_queue.py orders by own and reported use. A report is read from the live records, so that it expires with the heartbeat of its entry.

--- /dev/null
+++ b/features/queueing/shares.feature
@@ -0,0 +1,64 @@
+Feature: Shares between client accounts over all entries
+
+  Scenario: Only the use of full services with a pace is reported
+    # Guards against records that grow while nothing is full, and against a
+    # change for services that state no pace.
+    Given 3 calls and 2 streams of "a" run at services with and without pace
+    Then nothing is reported
+    When a call waits at both
+    Then 3 calls and 2 streams of "a" are reported for the one with pace
+    When 1.1 s pass without a waiting call
+    Then nothing is reported
+
+  Scenario: The use of an account is the own and the reported one
+    # Guards against an account that gains by sending through many entries.
+    Given 3 calls and 2 streams of "a" run at services with and without pace
+    When two entries report 4 and -9 calls of "a"
+    Then the use of "a" is 9 with pace and 5 without
+    When the heartbeats of the two entries are missed
+    Then the use of "a" is 5 with pace and 5 without
+
+  Scenario: The next turn goes to the account with the least use anywhere
+    # Guards against an order by the one call that each has at this entry.
+    Given a queue where other entries report 6 calls of "large"
+    When calls of "large" and "small" run and wait
+    Then the next turns go to "small, large"
+    And a call of "small" is expected to wait for less time than one of "large"
+
+  Scenario: An account whose priority changes keeps its share
+    # Guards against an account that overtakes others by stating more urgency.
+    Given a queue where other entries report 6 calls of "large"
+    When calls of "large" and "small" run and wait
+    And a call of "large" arrives with a higher priority
+    Then the next turns go to "small, urgent large, large"
+
+  Scenario: No call stays counted
+    # Guards against an account that counts as large for good.
+    When calls run, are declined, wait, end and are cancelled
+    Then no use is left
+
+  Scenario: A report is bounded
+    # Guards against records that push others out of their datagram. 24
+    # accounts with names of 10 bytes took 347 bytes.
+    Given 24 accounts of which some have long names, with 1 to 24 calls
+    Then their report takes at most 80 bytes and begins with the largest
+
+  Scenario: Small accounts keep their calls beside one that uses all entries
+    # Replays 20 entries and a service with 24 slots. One account sends five
+    # times its share through all entries, ten send 0.8 of theirs through one
+    # or two. In time were 0.47 to 0.55 of the calls of the small accounts
+    # without reports and 0.75 to 0.80 with them.
+    When small accounts send 0.8 of their share, seeds 1 to 3
+    Then at least 0.7 of their calls are in time, 0.2 more than without reports
+    And the large account has at least 0.25 of the part of the small ones
+
+  Scenario: Entries that leave take their reports with them
+    # Replays half of the entries leaving with their calls. Guards against
+    # reports that hold accounts back for good.
+    When small accounts send 0.4 of their share and half of the entries leave, seeds 1 to 3
+    Then at least 0.8 of their calls are in time, 0.0 more than without reports
+
+  Scenario: Entries that are cut off use what they know themselves
+    # Guards against a service that gets worse where reports are missing.
+    When small accounts send 0.8 of their share and 10 entries are cut off, seeds 1 to 3
+    Then at least 0.5 of their calls are in time, 0.0 more than without reports
--- /dev/null
+++ b/features/steps/queueing_shares_steps.py
@@ -0,0 +1,246 @@
+"""Steps of features/queueing/shares.feature."""
+
+from __future__ import annotations
+
+import asyncio
+
+import behave
+from features.models import share_replay
+from godwitvalve.queueing import fair_queue
+from godwitvalve.queueing import shares
+from godwitvalve.queueing import turns
+import msgspec
+
+PACED = 'paced'
+OLDER = 'older'
+
+
+def _use(context):
+    context.now_s = 100.0
+    context.reports = []
+    return shares.AccountUse(
+        lambda now_s: context.reports, lambda service: service == PACED
+    )
+
+
+@behave.given(
+    '{calls:d} calls and {streams:d} streams of "{account}" run at services '
+    'with and without pace'
+)
+def step_run(context, calls, streams, account):
+    context.use = _use(context)
+    for service in (PACED, OLDER):
+        for number in range(calls + streams):
+            context.use.begin(service, account, number >= calls)
+
+
+@behave.when('a call waits at both')
+def step_wait(context):
+    for service in (PACED, OLDER):
+        context.use.mark_full(service, context.now_s)
+
+
+@behave.when('{span_s:g} s pass without a waiting call')
+def step_pass(context, span_s):
+    context.now_s += span_s
+
+
+@behave.then('nothing is reported')
+def step_no_report(context):
+    assert context.use.report(context.now_s) == {}
+
+
+@behave.then(
+    '{calls:d} calls and {streams:d} streams of "{account}" are reported for '
+    'the one with pace'
+)
+def step_report(context, calls, streams, account):
+    seen = context.use.report(context.now_s)
+    assert seen == {PACED: {account: (calls, streams)}}, seen
+
+
+@behave.when(
+    'two entries report {first:d} and {second:d} calls of "{account}"'
+)
+def step_others(context, first, second, account):
+    context.reports = [
+        {service: {account: (count, 0)} for service in (PACED, OLDER)}
+        for count in (first, second)
+    ]
+
+
+@behave.when('the heartbeats of the two entries are missed')
+def step_missed(context):
+    context.reports = []
+    context.now_s += shares.SUM_VALID_S
+
+
+@behave.then(
+    'the use of "{account}" is {paced:d} with pace and {own:d} without'
+)
+def step_total(context, account, paced, own):
+    seen = [
+        context.use.total(service, account, context.now_s)
+        for service in (PACED, OLDER)
+    ]
+    assert seen == [paced, own], seen
+
+
+@behave.given('a queue where other entries report {count:d} calls of "{name}"')
+def step_queue(context, count, name):
+    context.queue = fair_queue.FairQueue(
+        lambda account, now_s: count * (account == name)
+    )
+
+
+def _arrive(context, account, priority, ticket, remaining_s=1e6):
+    return context.queue.arrive(account, priority, ticket, 1.0, remaining_s)
+
+
+@behave.when('calls of "{first}" and "{second}" run and wait')
+def step_mixed(context, first, second):
+    for account in (second, second, first):
+        _arrive(context, account, 1, account)
+    context.queue.decline(second, 1, second, 1.0, 1e6)
+    _arrive(context, first, 1, first)
+
+
+@behave.when('a call of "{account}" arrives with a higher priority')
+def step_urgent(context, account):
+    _arrive(context, account, 0, f'urgent {account}')
+
+
+@behave.then('the next turns go to "{names}"')
+def step_turns(context, names):
+    seen = []
+    for number in range(len(names.split(', '))):
+        ended = 'large' if number == 0 else seen[-1].split()[-1]
+        seen += context.queue.finish(ended, 1.0, 0.045).started
+    assert seen == names.split(', '), seen
+
+
+@behave.then(
+    'a call of "{small}" is expected to wait for less time than one of '
+    '"{large}"'
+)
+def step_expected(context, small, large):
+    for account in (small, large):
+        for _ in range(2):
+            _arrive(context, account, 1, account)
+    waits = [
+        _arrive(context, account, 1, account, 0.0).retry_after_s
+        for account in (small, large)
+    ]
+    assert waits[0] < waits[1], waits
+
+
+@behave.when('calls run, are declined, wait, end and are cancelled')
+def step_turn_ends(context):
+    async def run():
+        context.use = _use(context)
+        service = turns.Turns(context.use).at(PACED)
+        loop = asyncio.get_running_loop()
+        limit_s = loop.time() + 9.0
+        first, second = [
+            await service.begin(account, 0, limit_s) for account in 'ab'
+        ]
+        again = asyncio.create_task(second.wait_again())
+        waiting = [
+            asyncio.create_task(service.begin(account, 0, limit_s))
+            for account in 'abc'
+        ]
+        await asyncio.sleep(0)
+        context.was_counted = context.use.total(PACED, 'a', 0.0) == 1
+        waiting.pop().cancel()
+        first.end()
+        await again
+        second.end()
+        # This one is granted and cancelled at the same time.
+        waiting[0].cancel()
+        for task in waiting:
+            try:
+                (await task).end()
+            except asyncio.CancelledError:
+                pass
+
+    asyncio.run(run())
+
+
+@behave.then('no use is left')
+def step_none_left(context):
+    assert context.was_counted
+    context.use.mark_full(PACED, context.now_s)
+    assert context.use.report(context.now_s) == {}
+
+
+@behave.given(
+    '{count:d} accounts of which some have long names, with 1 to {most:d} '
+    'calls'
+)
+def step_accounts(context, count, most):
+    context.use = _use(context)
+    context.use.mark_full(PACED, context.now_s)
+    for number in range(count):
+        name = f'account-{number:02}' + 'x' * 150 * (number % 5 == 0)
+        for _ in range(1 + number % most):
+            context.use.begin(PACED, name)
+
+
+@behave.then(
+    'their report takes at most {limit:d} bytes and begins with the largest'
+)
+def step_bounded(context, limit):
+    report = context.use.report(context.now_s)
+    assert len(msgspec.msgpack.encode(report)) <= limit, report
+    assert list(report[PACED])[:2] == ['account-23', 'account-22'], report
+
+
+def _replay(context, part, **failures):
+    context.with_reports, context.without = (
+        [
+            share_replay.ShareReplay(seed, has_reports, part, **failures).run()
+            for seed in (1, 2, 3)
+        ]
+        for has_reports in (True, False)
+    )
+
+
+@behave.when('small accounts send {part:g} of their share, seeds 1 to 3')
+def step_replay(context, part):
+    _replay(context, part)
+
+
+@behave.when(
+    'small accounts send {part:g} of their share and half of the entries '
+    'leave, seeds 1 to 3'
+)
+def step_replay_leave(context, part):
+    _replay(context, part, leaves_s=share_replay.SPAN_S / 2)
+
+
+@behave.when(
+    'small accounts send {part:g} of their share and {count:d} entries are '
+    'cut off, seeds 1 to 3'
+)
+def step_replay_cut(context, part, count):
+    _replay(context, part, cut_off=count)
+
+
+@behave.then(
+    'at least {part:g} of their calls are in time, {gain:g} more than without '
+    'reports'
+)
+def step_in_time(context, part, gain):
+    for (seen, _, _), (other, _, _) in zip(
+        context.with_reports, context.without
+    ):
+        assert seen >= part, context.with_reports
+        assert seen >= other + gain, (context.with_reports, context.without)
+
+
+@behave.then(
+    'the large account has at least {part:g} of the part of the small ones'
+)
+def step_large(context, part):
+    for small, _, large in context.with_reports:
+        assert large >= part * small, context.with_reports
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -30,6 +30,7 @@
 from godwitvalve.placement import tracker as trackers
 from godwitvalve.platform import headers as wire
 from godwitvalve.quarantine import segments as segment_model
+from godwitvalve.queueing import shares as share_model
 from godwitvalve.queueing import turns as turn_model
 from godwitvalve.rollouts import registry as rollout_registries
 from godwitvalve.routing import retry_budget
@@ -84,6 +85,9 @@
     prefixes: prefix_model.PrefixTable = dataclasses.field(
         default_factory=prefix_model.PrefixTable
     )
+    account_use: share_model.AccountUse = dataclasses.field(
+        default_factory=share_model.AccountUse
+    )
     history: histories.ProcessHistory = dataclasses.field(
         default_factory=histories.ProcessHistory
     )
--- a/src/godwitvalve/forwarding/counters.py
+++ b/src/godwitvalve/forwarding/counters.py
@@ -65,6 +65,12 @@
             'Prompt tokens that were expected to be cached, by service.',
             labels,
         )
+        self._account_use = collectors.Gauge(
+            'godwitvalve_account_use',
+            'Requests in flight at full services by account, all entries.',
+            const_labels=labels,
+            registry=self.registry,
+        )
         self._limited_endpoints = collectors.Gauge(
             'godwitvalve_limited_endpoints',
             'Endpoints that state a request limit.',
@@ -140,6 +146,10 @@
         """Count prompt tokens that an endpoint had cached."""
         self._cached_tokens.add({'service': service}, tokens)
 
+    def set_account_use(self, service: str, account: str, count: int) -> None:
+        """Set what an account has in flight at a service, at all entries."""
+        self._account_use.set({'service': service, 'account': account}, count)
+
     def set_limited_endpoints(self, count: int) -> None:
         """Set the number of endpoints that state a limit."""
         self._limited_endpoints.set({}, count)
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -621,6 +621,8 @@
         opening = attempt.opening or self._send(attempt)
         exchange = opening.exchange
         self._successor = None
+        routed = self._routed
+        self._context.account_use.begin(routed.service, routed.account, True)
         try:
             self._context.sessions.begin(
                 self._routed.request.facts.session,
@@ -642,6 +644,7 @@
         finally:
             self._splitter.discard_partial()
             opening.close()
+            self._context.account_use.end(routed.service, routed.account, True)
 
     async def _relay(
         self, attempt: attempts.StreamAttempt, opening: attempts.Opening
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -45,6 +45,7 @@
 from godwitvalve.logs import setup as logs
 from godwitvalve.parsing import throttle as throttles
 from godwitvalve.placement import choose
+from godwitvalve.placement import pace as pace_model
 from godwitvalve.placement import sessions as session_model
 from godwitvalve.placement import speed as speed_model
 from godwitvalve.placement import tracker as trackers
@@ -53,6 +54,8 @@
 from godwitvalve.platform import endpoints as wire_endpoints
 from godwitvalve.platform import settings as wire_settings
 from godwitvalve.platform import store as stores
+from godwitvalve.queueing import shares
+from godwitvalve.queueing import turns
 from godwitvalve.rollouts import orders as rollout_orders
 from godwitvalve.rollouts import plan as rollout_plan
 from godwitvalve.rollouts import registry as rollout_registries
@@ -115,6 +118,8 @@
         self._rollouts = rollout_registries.RolloutRegistry(
             derived_settings.exposure_limits(settings)
         )
+        paces = pace_model.PaceTable()
+        account_use = shares.AccountUse(self._reported_use, paces.is_stated)
         self._message_memory = message_memory.for_machine(settings.memory_mb)
         self._context = contexts.ForwardingContext(
             settings.failure_domain,
@@ -136,6 +141,9 @@
             limiter=limiters.EndpointLimiter(
                 self._coordinators, self._on_placement
             ),
+            turns=turns.Turns(account_use),
+            paces=paces,
+            account_use=account_use,
         )
         self._permits = permit_nodes.PermitNode(
             membership.permit_port(settings), self._decide_permit
@@ -191,6 +199,9 @@
         now_s = time.monotonic()
         return member_model.total_placements(self._members.alive(now_s))
 
+    def _reported_use(self, now_s: float) -> list[shares.Use]:
+        return [each.account_use for each in self._members.alive(now_s)]
+
     def _coordinators(self) -> limiters.Coordinators:
         """Return the serving entries, which issue permits for endpoints."""
         now_s = time.monotonic()
@@ -276,6 +287,7 @@
             self._state.configuration_eras.first,
             self._era.current,
             self._state.configuration_eras.last,
+            account_use=self._context.account_use.report(time.monotonic()),
         )
 
     def _merge_record(self, record: member_model.Record, age_s: float) -> None:
@@ -505,6 +517,7 @@
                 ('prune connections', self._context.pool.prune),
                 ('expire requests', self._expire_requests),
                 ('expire limits', self._expire_limits),
+                ('state the use by accounts', self._state_account_use),
                 ('resize the retry budget', self._resize_retry_budget),
                 ('review roll-outs', self._review_rollouts),
                 ('check the settings', self._settings_reload.check),
@@ -529,6 +542,12 @@
             self._context.limiter.table.limited_count()
         )
 
+    def _state_account_use(self) -> None:
+        for service, account, count in self._context.account_use.changes(
+            time.monotonic()
+        ):
+            self._context.counters.set_account_use(service, account, count)
+
     def _resize_retry_budget(self) -> None:
         """Divide the retry burst of the fleet among the live entries.
 
--- a/src/godwitvalve/queueing/fair_queue.py
+++ b/src/godwitvalve/queueing/fair_queue.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import collections
+from collections import abc
 import dataclasses
 import heapq
 import itertools
@@ -67,6 +68,10 @@
     ticket: Ticket
 
 
+def _no_use(account: str, now_s: float) -> int:
+    return 0
+
+
 class FairQueue(Generic[Ticket]):
     """Calls of one service at one entry.
 
@@ -76,9 +81,15 @@
     in flight is held at what the endpoints accepted, and the next turn goes
     to the account with the fewest calls in flight, so that an account below
     its share hardly waits. A service that is not full has no limit.
+
+    :param reported_use: returns the calls that an account has in flight at
+        other entries, which count like own ones in the order of turns.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, reported_use: abc.Callable[[str, float], int] = _no_use
+    ) -> None:
+        self._reported_use = reported_use
         self._running: collections.Counter[str] = collections.Counter()
         self._waiting: dict[str, list[_Waiting[Ticket]]] = {}
         self._sequence = itertools.count()
@@ -97,6 +108,11 @@
             and not self._running.total()
         )
 
+    @property
+    def has_waiting(self) -> bool:
+        """Tell whether a call waits."""
+        return bool(self._waiting)
+
     def arrive(
         self,
         account: str,
@@ -202,7 +218,7 @@
             account = min(
                 self._waiting,
                 key=lambda each: (
-                    self._running[each],
+                    self._running[each] + self._reported_use(each, now_s),
                     self._waiting[each][0][:2],
                 ),
             )
@@ -224,12 +240,17 @@
         """Return when a call of an account gets its turn at the present rate.
 
         Accounts that wait take turns, so a call waits for those of its own
-        account and for as many of each other one.
+        account and for as many of each other one; for fewer of one that has
+        more in flight at other entries.
         """
         self._forget_ends(now_s)
         position = len(self._waiting.get(account, ())) + 1
+        own = self._reported_use(account, now_s)
         ahead = sum(
-            min(len(entries), position)
+            min(
+                len(entries),
+                max(position + own - self._reported_use(other, now_s), 0),
+            )
             for other, entries in self._waiting.items()
             if other != account
         )
--- a/src/godwitvalve/queueing/turns.py
+++ b/src/godwitvalve/queueing/turns.py
@@ -6,6 +6,7 @@
 
 from godwitvalve.logs import setup as logs
 from godwitvalve.queueing import fair_queue
+from godwitvalve.queueing import shares
 
 _LOG = logs.get('queueing')
 
@@ -61,10 +62,13 @@
 class ServiceTurns:
     """Turns at one service."""
 
-    def __init__(self, service: str) -> None:
+    def __init__(self, service: str, use: shares.AccountUse) -> None:
         self._service = service
+        self._use = use
         self._loop = asyncio.get_running_loop()
-        self._queue: fair_queue.FairQueue[Turn] = fair_queue.FairQueue()
+        self._queue: fair_queue.FairQueue[Turn] = fair_queue.FairQueue(
+            lambda account, now_s: use.reported(service, account, now_s)
+        )
         self._probing: asyncio.TimerHandle | None = None
 
     async def begin(
@@ -86,10 +90,13 @@
                 except (asyncio.CancelledError, TurnRefused):
                     turn.end()
                     raise
+            case fair_queue.Started():
+                self._use.begin(self._service, account)
         return turn
 
     async def requeue(self, turn: Turn) -> None:
         """Put a declined call back and wait for its next turn."""
+        self._use.end(self._service, turn.account)
         self._queue.decline(
             turn.account,
             turn.priority,
@@ -103,6 +110,7 @@
     async def _wait(self, turn: Turn) -> None:
         turn.is_running = False
         turn.granted = self._loop.create_future()
+        self._use.mark_full(self._service, self._loop.time())
         self._schedule_probe()
         await turn.granted
 
@@ -110,6 +118,7 @@
         """End a call and grant the turns that become free."""
         now_s = self._loop.time()
         if turn.is_running:
+            self._use.end(self._service, turn.account)
             taken_s = now_s - turn.began_s
             self._grant(
                 self._queue.finish(turn.account, now_s, taken_s, was_sent)
@@ -121,6 +130,7 @@
         # A call that was cancelled just now ends its turn itself.
         for turn in calls.started:
             turn.is_running = True
+            self._use.begin(self._service, turn.account)
             turn.began_s = self._loop.time()
             if turn.granted is not None and not turn.granted.done():
                 turn.granted.set_result(None)
@@ -137,18 +147,24 @@
     def _probe(self) -> None:
         self._probing = None
         self._grant(self._queue.probe(self._loop.time()))
+        if self._queue.has_waiting:
+            self._use.mark_full(self._service, self._loop.time())
         if not self._queue.is_idle:
             self._schedule_probe()
 
 
 class Turns:
-    """Turns at all services of an entry."""
+    """Turns at all services of an entry.
+
+    :param use: counts the calls that run by account.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, use: shares.AccountUse | None = None) -> None:
+        self._use = use or shares.AccountUse()
         self._services: dict[str, ServiceTurns] = {}
 
     def at(self, service: str) -> ServiceTurns:
         """Return the turns at a service."""
         if service not in self._services:
-            self._services[service] = ServiceTurns(service)
+            self._services[service] = ServiceTurns(service, self._use)
         return self._services[service]
