Weigh cached prompts without the pace; describe prefixes and shares

Cause: a saving multiplied by the work factor draws streams to slow engines.

Change: the saving leaves out the factor.

--- a/features/models/prefix_replay.py
+++ b/features/models/prefix_replay.py
@@ -159,7 +159,7 @@
     def _savings(self, entry, demand, now_s):
         def saving(endpoint):
             name = endpoint.endpoint_id
-            found = entry.prefixes.saving(name, demand, 1.0, now_s)
+            found = entry.prefixes.saving(name, demand, now_s)
             return found * (1000 if self._rule == 'always' else 1)
 
         return None if self._rule == 'older' else saving
--- a/features/queueing/shares.feature
+++ b/features/queueing/shares.feature
@@ -18,6 +18,15 @@
     When the heartbeats of the two entries are missed
     Then the use of "a" is 5 with pace and 5 without
 
+  Scenario: The gauge follows the use while the service is full
+    # Guards against accounts that are shown for good as in use.
+    Given 3 calls and 2 streams of "a" run at services with and without pace
+    When a call waits at both
+    And two entries report 4 and 1 calls of "a"
+    Then the gauge is set to 10 with pace and 5 without
+    When 1.1 s pass without a waiting call
+    Then the gauge is set to 0 with pace and 0 without
+
   Scenario: The next turn goes to the account with the least use anywhere
     # Guards against an order by the one call that each has at this entry.
     Given a queue where other entries report 6 calls of "large"
--- a/features/steps/queueing_shares_steps.py
+++ b/features/steps/queueing_shares_steps.py
@@ -70,6 +70,15 @@
     ]
 
 
+@behave.then('the gauge is set to {paced:d} with pace and {own:d} without')
+def step_gauge(context, paced, own):
+    seen = {
+        service: count
+        for service, _, count in context.use.changes(context.now_s)
+    }
+    assert seen == {PACED: paced, OLDER: own}, seen
+
+
 @behave.when('the heartbeats of the two entries are missed')
 def step_missed(context):
     context.reports = []
--- a/src/godwitvalve/forwarding/cached_prompts.py
+++ b/src/godwitvalve/forwarding/cached_prompts.py
@@ -68,7 +68,6 @@
             return context.prefixes.saving(
                 endpoint.endpoint_id,
                 demand,
-                context.paces.pace(endpoint.endpoint_id, now_s),
                 now_s,
             )
 
--- a/src/godwitvalve/placement/prefixes.py
+++ b/src/godwitvalve/placement/prefixes.py
@@ -193,16 +193,19 @@
         self,
         endpoint_id: str,
         demand: Demand,
-        work_factor: float,
         now_s: float,
     ) -> float:
-        """Return what cached tokens save, in the unit of ``stream_cost``."""
+        """Return what cached tokens save, in the unit of ``stream_cost``.
+
+        Reading them elsewhere takes as long as usual, so that the pace of
+        this endpoint does not count: it would draw streams to slow ones.
+        """
         prompt_tokens = sum(each.tokens for each in demand.segments)
         if not prompt_tokens:
             is_session = endpoint_id == demand.session_endpoint
-            return choose.SESSION_SAVING * is_session * work_factor
+            return choose.SESSION_SAVING * is_session
         held = self.held_tokens(endpoint_id, demand, now_s)
-        return choose.SESSION_SAVING * held / prompt_tokens * work_factor
+        return choose.SESSION_SAVING * held / prompt_tokens
 
     def forget(self, endpoint_id: str) -> None:
         """Drop what a removed or restarted endpoint had."""
