--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -25,11 +25,13 @@
 from godwitvalve.placement import choose
 from godwitvalve.placement import endpoint_speeds as endpoint_speed_model
 from godwitvalve.placement import pace as pace_model
+from godwitvalve.placement import prefixes as prefix_model
 from godwitvalve.placement import sessions as session_model
 from godwitvalve.placement import speed as speed_model
 from godwitvalve.placement import tracker as trackers
 from godwitvalve.platform import headers as wire
 from godwitvalve.quarantine import segments as segment_model
+from godwitvalve.queueing import shares as share_model
 from godwitvalve.queueing import turns as turn_model
 from godwitvalve.rollouts import registry as rollout_registries
 from godwitvalve.routing import retry_budget
@@ -81,6 +83,12 @@
     paces: pace_model.PaceTable = dataclasses.field(
         default_factory=pace_model.PaceTable
     )
+    prefixes: prefix_model.PrefixTable = dataclasses.field(
+        default_factory=prefix_model.PrefixTable
+    )
+    account_use: share_model.AccountUse = dataclasses.field(
+        default_factory=share_model.AccountUse
+    )
     endpoint_speeds: endpoint_speed_model.EndpointSpeeds = dataclasses.field(
         default_factory=endpoint_speed_model.EndpointSpeeds
     )
@@ -111,6 +119,7 @@
             endpoint.endpoint_id, endpoint.started_wall_ms
         ):
             self.pool.drop(endpoint.endpoint_id)
+            self.prefixes.forget(endpoint.endpoint_id)
             self.on_placement_changed()
 
     def record_send(
--- a/src/godwitvalve/forwarding/counters.py
+++ b/src/godwitvalve/forwarding/counters.py
@@ -60,6 +60,17 @@
             'Permits asked for at endpoints that state a request limit.',
             labels,
         )
+        self._cached_tokens = self._counter(
+            'godwitvalve_cached_prompt_tokens_total',
+            'Prompt tokens that were expected to be cached, by service.',
+            labels,
+        )
+        self._account_use = collectors.Gauge(
+            'godwitvalve_account_use',
+            'Requests in flight at full services by account, all entries.',
+            const_labels=labels,
+            registry=self.registry,
+        )
         self._limited_endpoints = collectors.Gauge(
             'godwitvalve_limited_endpoints',
             'Endpoints that state a request limit.',
@@ -131,6 +142,14 @@
         """Count a permit that was asked for."""
         self._permits.inc({'outcome': 'granted' if is_granted else 'denied'})
 
+    def count_cached_tokens(self, service: str, tokens: int) -> None:
+        """Count prompt tokens that an endpoint had cached."""
+        self._cached_tokens.add({'service': service}, tokens)
+
+    def set_account_use(self, service: str, account: str, count: int) -> None:
+        """Set what an account has in flight at a service, at all entries."""
+        self._account_use.set({'service': service, 'account': account}, count)
+
     def set_limited_endpoints(self, count: int) -> None:
         """Set the number of endpoints that state a limit."""
         self._limited_endpoints.set({}, count)
--- a/src/godwitvalve/forwarding/stream_attempt.py
+++ b/src/godwitvalve/forwarding/stream_attempt.py
@@ -147,6 +147,8 @@
         opening = attempt.opening or self._send(attempt)
         exchange = opening.exchange
         self.successor = None
+        service, account = self._routed.service, self._routed.account
+        self._context.account_use.begin(service, account, True)
         try:
             self._context.sessions.begin(
                 self._routed.request.facts.session,
@@ -168,6 +170,7 @@
         finally:
             self._state.splitter.discard_partial()
             opening.close()
+            self._context.account_use.end(service, account, True)
 
     async def _relay(
         self, attempt: attempts.StreamAttempt, opening: attempts.Opening
--- a/src/godwitvalve/forwarding/stream_placement.py
+++ b/src/godwitvalve/forwarding/stream_placement.py
@@ -88,6 +88,7 @@
                 context.work_factors.at(
                     self._routed.service, self._loop.time()
                 ),
+                self._state.prompt.savings(),
             ),
             may_confirm,
         )
--- a/src/godwitvalve/forwarding/stream_records.py
+++ b/src/godwitvalve/forwarding/stream_records.py
@@ -121,6 +121,7 @@
         self._context.endpoint_tracker.stats(
             attempt.endpoint.endpoint_id
         ).starting -= 1
+        self._state.prompt.record_begin(attempt)
         self._context.endpoint_tracker.record_success(
             attempt.endpoint.endpoint_id, None, self._loop.time()
         )
@@ -152,6 +153,7 @@
                 self._record_speed(attempt)
                 if attempt.has_events:
                     self._record_sound(attempt)
+                    self._state.prompt.record_end(attempt)
                 return
             case attempts.Interrupted():
                 # Before its first event an attempt has no copy.
--- a/src/godwitvalve/forwarding/stream_state.py
+++ b/src/godwitvalve/forwarding/stream_state.py
@@ -6,6 +6,7 @@
 
 from godwitvalve.fleet import endpoints
 from godwitvalve.forwarding import attempts
+from godwitvalve.forwarding import cached_prompts
 from godwitvalve.forwarding import calls
 from godwitvalve.forwarding import context as contexts
 from godwitvalve.forwarding import events
@@ -40,6 +41,7 @@
             context.paces.is_stated(routed.service),
         )
         self.segments = routed.request.facts.shared_segments
+        self.prompt = cached_prompts.CachedPrompt(context, routed)
         self.tried_ids: set[str] = set()
         # Selects the version during a roll-out.
         self.draw = context.rng.random()
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -36,6 +36,7 @@
         )
         self._loop = self._state.loop
         self.times = self._state.times
+        self.prompt = self._state.prompt
         self._placement = stream_placement.StreamPlacement(self._state)
         self._records = stream_records.StreamRecords(self._state)
         self._runner = stream_attempt.AttemptRunner(
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -46,6 +46,7 @@
 from godwitvalve.logs import setup as logs
 from godwitvalve.parsing import throttle as throttles
 from godwitvalve.placement import choose
+from godwitvalve.placement import pace as pace_model
 from godwitvalve.placement import sessions as session_model
 from godwitvalve.placement import speed as speed_model
 from godwitvalve.placement import tracker as trackers
@@ -54,6 +55,8 @@
 from godwitvalve.platform import endpoints as wire_endpoints
 from godwitvalve.platform import settings as wire_settings
 from godwitvalve.platform import store as stores
+from godwitvalve.queueing import shares
+from godwitvalve.queueing import turns
 from godwitvalve.rollouts import orders as rollout_orders
 from godwitvalve.rollouts import plan as rollout_plan
 from godwitvalve.rollouts import registry as rollout_registries
@@ -116,6 +119,8 @@
         self._rollouts = rollout_registries.RolloutRegistry(
             derived_settings.exposure_limits(settings)
         )
+        paces = pace_model.PaceTable()
+        account_use = shares.AccountUse(self._reported_use, paces.is_stated)
         self._message_memory = message_memory.for_machine(settings.memory_mb)
         self._context = contexts.ForwardingContext(
             settings.failure_domain,
@@ -137,6 +142,9 @@
             limiter=limiters.EndpointLimiter(
                 self._coordinators, self._on_placement
             ),
+            turns=turns.Turns(account_use),
+            paces=paces,
+            account_use=account_use,
         )
         self._permits = permit_nodes.PermitNode(
             membership.permit_port(settings), self._decide_permit
@@ -195,6 +203,9 @@
         now_s = time.monotonic()
         return member_model.total_placements(self._members.alive(now_s))
 
+    def _reported_use(self, now_s: float) -> list[shares.Use]:
+        return [each.account_use for each in self._members.alive(now_s)]
+
     def _coordinators(self) -> limiters.Coordinators:
         """Return the serving entries, which issue permits for endpoints."""
         now_s = time.monotonic()
@@ -250,6 +261,7 @@
         self._context.pool.drop(endpoint_id)
         self._context.endpoint_tracker.forget(endpoint_id)
         self._context.paces.forget(endpoint_id)
+        self._context.prefixes.forget(endpoint_id)
 
     def _build_record(self, heartbeat: int) -> member_model.Record:
         states_by_name = {
@@ -283,6 +295,7 @@
             self._context.endpoint_speeds.reports(time.monotonic()),
             pressure=self._pressure.percent,
             capacity=self._pressure.capacity,
+            account_use=self._context.account_use.report(time.monotonic()),
         )
 
     def _merge_record(self, record: member_model.Record, age_s: float) -> None:
@@ -294,6 +307,7 @@
                 self._gossip.schedule_update()
         self._context.quarantine.merge(record.quarantine, now_s, age_s)
         self._context.sessions.merge(record.sessions, now_s)
+        self._context.prefixes.merge(record.sessions, now_s)
         for endpoint_id in record.lost:
             self._context.endpoint_tracker.record_reported_loss(
                 endpoint_id, now_s
@@ -519,6 +533,7 @@
                 ('expire requests', self._expire_requests),
                 ('expire limits', self._expire_limits),
                 ('expire speeds', self._expire_speeds),
+                ('state the use by accounts', self._state_account_use),
                 ('resize the retry budget', self._resize_retry_budget),
                 ('review roll-outs', self._review_rollouts),
                 ('check the settings', self._settings_reload.check),
@@ -532,6 +547,7 @@
     def _expire_requests(self) -> None:
         now_s = time.monotonic()
         self._context.sessions.expire(now_s)
+        self._context.prefixes.expire(now_s)
         self._context.quarantine.expire(now_s)
 
     def _expire_speeds(self) -> None:
@@ -545,6 +561,12 @@
             self._context.limiter.table.limited_count()
         )
 
+    def _state_account_use(self) -> None:
+        for service, account, count in self._context.account_use.changes(
+            time.monotonic()
+        ):
+            self._context.counters.set_account_use(service, account, count)
+
     def _resize_retry_budget(self) -> None:
         """Divide the retry burst of the fleet among the live entries.
 
--- a/src/godwitvalve/placement/choose.py
+++ b/src/godwitvalve/placement/choose.py
@@ -51,6 +51,8 @@
 
 
 RemotePlacements = abc.Mapping[str, Placements]
+# Returns what the cached part of a prompt saves at an endpoint, in streams.
+Savings = abc.Callable[[endpoints.FleetEndpoint], float]
 
 
 def _preferred(
@@ -237,6 +239,7 @@
     session_endpoint: str | None = None,
     limits: views.LimitView = NO_LIMITS,
     work: WorkFactor | None = None,
+    savings: Savings | None = None,
 ) -> endpoints.FleetEndpoint | None:
     """Choose the endpoint of a stream.
 
@@ -250,8 +253,16 @@
 
     :param session_endpoint: endpoint that processed the prompt before.
     :param work: None if the service states no pace.
+    :param savings: replaces the saving there; used where pace is stated.
     """
     usable = _preferred(candidates, tracker, tried, now_s, limits)
+
+    def saving(endpoint: endpoints.FleetEndpoint) -> float:
+        if savings is None:
+            return SESSION_SAVING * (endpoint.endpoint_id == session_endpoint)
+        # A slow endpoint would take longer to read the tokens anew.
+        return savings(endpoint) * (work(endpoint) if work else 1.0)
+
     costs = [
         (
             each.endpoint_id not in limits.unconfirmed,
@@ -263,7 +274,7 @@
                 work(each) if work else 1.0,
             )
             + LIMITED_STREAM_COST * (each.endpoint_id in limits.limited)
-            - SESSION_SAVING * (each.endpoint_id == session_endpoint),
+            - saving(each),
             each,
         )
         for each in usable
