--- a/src/godwitvalve/placement/choose.py
+++ b/src/godwitvalve/placement/choose.py
@@ -260,8 +260,7 @@
     def saving(endpoint: endpoints.FleetEndpoint) -> float:
         if savings is None:
             return SESSION_SAVING * (endpoint.endpoint_id == session_endpoint)
-        # A slow endpoint would take longer to read the tokens anew.
-        return savings(endpoint) * (work(endpoint) if work else 1.0)
+        return savings(endpoint)
 
     costs = [
         (
