Judge time left and versions by the pace of endpoints

Cause: the estimate of the time that a stream needs was that of whichever endpoint the entry had used, so an entry that saw slow engines refused retries that a fast one completes. An answer of a sound version in a slow span counted as slow against it.

Change: the estimate is that of an endpoint of usual speed, scaled by the fastest one with room. Where pace is stated, an answer beyond the limit is judged when it arrives with its pace, at the objective at the latest. The learned speed explains no slowness, as a slow version lowers it. Reports have at most four addresses: with eight, a datagram carries half as many relayed records (2 of 196 bytes each instead of 4). Metrics and a log field name the speeds.

--- a/src/godwitvalve/forwarding/attempts.py
+++ b/src/godwitvalve/forwarding/attempts.py
@@ -141,6 +141,7 @@
     :param last_sent_s: when the last events were forwarded, on the
         loop's clock; 0 if none were.
     :param endpoints: ids of the attempted endpoints, in order.
+    :param speeds: relative speeds of these endpoints.
     :param silent_count: how many of them the stream left as they were
         silent.
     """
@@ -149,6 +150,7 @@
     longest_gap_s: float = 0.0
     last_sent_s: float = 0.0
     endpoints: list[str] = dataclasses.field(default_factory=list)
+    speeds: list[float] = dataclasses.field(default_factory=list)
     silent_count: int = 0
 
 
--- a/src/godwitvalve/forwarding/calls.py
+++ b/src/godwitvalve/forwarding/calls.py
@@ -12,6 +12,7 @@
 from godwitvalve.forwarding import in_flight
 from godwitvalve.forwarding import policy
 from godwitvalve.forwarding import replies
+from godwitvalve.forwarding import speed_meter
 from godwitvalve.logs import setup as logs
 from godwitvalve.outcomes import codes
 from godwitvalve.placement import choose
@@ -306,7 +307,11 @@
         )
         self._unsettled.add(exchange)
         observation = self._context.rollouts.observe(
-            endpoint, routed.route, self._loop.call_later, self._loop.time()
+            endpoint,
+            routed.route,
+            self._loop.call_later,
+            self._loop.time(),
+            speed_meter.stated_pace(self._context, endpoint, self._loop.time),
         )
         began_s = self._loop.time()
         stats.calls += 1
--- a/src/godwitvalve/forwarding/counters.py
+++ b/src/godwitvalve/forwarding/counters.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import abc
 from typing import TYPE_CHECKING
 
 from aioprometheus import collectors
@@ -12,6 +13,8 @@
     from godwitvalve.forwarding import replies
     from godwitvalve.outcomes import codes
 
+# Relative speed below which an endpoint counts as slow for operators.
+SLOW_ENDPOINT = 0.75
 # Bucket bounds of the latency histograms, around the objectives of plain
 # calls (0.2 s) and of first events (4.5 s).
 LATENCY_BOUNDS_S = [
@@ -76,6 +79,28 @@
             'Endpoints that crashed as they began an answer.',
             labels,
         )
+        self._speed_observations = self._counter(
+            'godwitvalve_speed_observations_total',
+            'Times between events that the speed of an endpoint follows from.',
+            labels,
+        )
+        self._streams_by_speed = self._counter(
+            'godwitvalve_stream_sends_by_speed_total',
+            'Attempts of streams by the relative speed of their endpoint.',
+            labels,
+        )
+        self._speed = collectors.Gauge(
+            'godwitvalve_endpoint_speed',
+            'Relative speed by service and address; 1 is the median.',
+            const_labels=labels,
+            registry=self.registry,
+        )
+        self._pace = collectors.Gauge(
+            'godwitvalve_endpoint_pace',
+            'How long work takes now by service and address; 1 is usual.',
+            const_labels=labels,
+            registry=self.registry,
+        )
         self._refusals = self._counter(
             'godwitvalve_refusals_total', 'Own refusals by code.', labels
         )
@@ -135,6 +160,26 @@
         """Set the number of endpoints that state a limit."""
         self._limited_endpoints.set({}, count)
 
+    def count_speed_observation(self, service: str) -> None:
+        """Count an observation of the time between events."""
+        self._speed_observations.inc({'service': service})
+
+    def count_stream_by_speed(self, service: str, speed: float) -> None:
+        """Count an attempt of a stream at an endpoint of a speed."""
+        kind = 'slow' if speed < SLOW_ENDPOINT else 'usual'
+        self._streams_by_speed.inc({'service': service, 'speed': kind})
+
+    def set_speeds(
+        self,
+        speeds: abc.Mapping[tuple[str, str], float],
+        paces: abc.Mapping[tuple[str, str], float],
+    ) -> None:
+        """Set the speeds and paces by service and address; drop others."""
+        for gauge, figures in ((self._speed, speeds), (self._pace, paces)):
+            gauge.values.clear()
+            for (service, address), figure in figures.items():
+                gauge.set({'service': service, 'address': address}, figure)
+
     def count_lost(self, reason: str) -> None:
         """Count an attempt that may have run and got no answer."""
         self._lost.inc({'reason': reason})
--- a/src/godwitvalve/forwarding/speed_meter.py
+++ b/src/godwitvalve/forwarding/speed_meter.py
@@ -1,12 +1,16 @@
-"""Measures the time between the events of a stream at one endpoint."""
+"""Learns and uses the pace and the speed of endpoints in forwarding."""
 
 from __future__ import annotations
 
+from collections import abc
 import statistics
 from typing import Protocol
 
 from godwitvalve.fleet import endpoints
 from godwitvalve.forwarding import context as contexts
+from godwitvalve.forwarding import silence
+from godwitvalve.placement import choose
+from godwitvalve.rollouts import observation as observations
 
 # Intervals of one observation: a few hundred milliseconds at usual engines.
 # Endpoints that crash every few seconds complete few streams.
@@ -94,3 +98,56 @@
     if event_ms is not None:
         # The pace is already taken out of each interval.
         context.endpoint_speeds.observe(endpoint, event_ms, 1.0, now_s)
+        context.counters.count_speed_observation(endpoint.service)
+
+
+def record_send(
+    context: contexts.ForwardingContext, endpoint: endpoints.FleetEndpoint
+) -> float:
+    """Count a stream by the speed of its endpoint; return this speed."""
+    speed = context.work_factors.long_term_speed(endpoint)
+    if context.paces.is_stated(endpoint.service):
+        context.counters.count_stream_by_speed(endpoint.service, speed)
+    return round(speed, 2)
+
+
+def stated_pace(
+    context: contexts.ForwardingContext,
+    endpoint: endpoints.FleetEndpoint,
+    clock_s: abc.Callable[[], float],
+) -> observations.StatedPace | None:
+    """Return the pace that explains a late answer of an endpoint.
+
+    The learned speed explains none: a slow version lowers the speed of the
+    addresses at which it runs.
+    """
+    if not context.paces.is_stated(endpoint.service):
+        return None
+    return observations.StatedPace(
+        clock_s, lambda: context.paces.pace(endpoint.endpoint_id, clock_s())
+    )
+
+
+def least_work(
+    context: contexts.ForwardingContext,
+    candidates: abc.Collection[endpoints.FleetEndpoint],
+    now_s: float,
+) -> float:
+    """Return the least work factor of endpoints with room for a stream.
+
+    If none is known to have room, all count, as room may come.
+    """
+    if not any(context.paces.is_stated(each.service) for each in candidates):
+        return 1.0
+    remote = context.remote_placements()
+    free = [
+        each
+        for each in candidates
+        if silence.is_open(
+            each,
+            context.endpoint_tracker.stats(each.endpoint_id),
+            remote.get(each.endpoint_id, choose.Placements()),
+            now_s,
+        )
+    ]
+    return context.work_factors.least(free or candidates)
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -254,6 +254,7 @@
             facts.max_output_tokens,
             facts.last_event,
             (self._routed.deadline_s - now_s) * 1000,
+            speed_meter.least_work(self._context, self._candidates(), now_s),
         )
 
     def _record_speed(self, attempt: attempts.StreamAttempt) -> None:
@@ -277,6 +278,7 @@
                 events_s * 1000 / (event_count - 1),
                 event_count / facts.max_output_tokens,
             ),
+            self._context.work_factors.long_term_speed(attempt.endpoint),
         )
 
     async def _wait_to_retry(
@@ -597,6 +599,9 @@
         """Begin to send an attempt."""
         self._tried_ids.add(attempt.endpoint.endpoint_id)
         self.times.endpoints.append(attempt.endpoint.endpoint_id)
+        self.times.speeds.append(
+            speed_meter.record_send(self._context, attempt.endpoint)
+        )
         self._context.record_send(
             attempt.endpoint, self._routed.request.facts.request_id
         )
@@ -611,6 +616,9 @@
             self._routed.route,
             self._loop.call_later,
             self._loop.time(),
+            speed_meter.stated_pace(
+                self._context, attempt.endpoint, self._loop.time
+            ),
         )
         attempt.opening = attempts.Opening(
             self._context, attempt, exchange, *self._request_for(attempt)
--- a/src/godwitvalve/ingress/control.py
+++ b/src/godwitvalve/ingress/control.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from aiohttp import web
 from aioprometheus import renderer
 import msgspec
@@ -69,6 +71,18 @@
         return web.Response(body=msgspec.msgpack.encode(shared))
 
     def _metrics(self, request: web.BaseRequest) -> web.Response:
+        context = self._context
+        now_s = asyncio.get_running_loop().time()
+        context.counters.set_speeds(
+            context.endpoint_speeds.relative_speeds(),
+            {
+                (each.service, each.address): context.paces.pace(
+                    each.endpoint_id, now_s
+                )
+                for each in self._state.registry.all()
+                if context.paces.is_stated(each.service)
+            },
+        )
         content, headers = renderer.render(
             self._context.counters.registry,
             request.headers.getall('Accept', []),
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -627,6 +627,7 @@
         case streams.StreamForwarder(times=times):
             return {
                 'endpoints': times.endpoints,
+                'speeds': times.speeds,
                 'first_event_ms': round(times.first_event_s * 1000),
                 'longest_gap_ms': round(times.longest_gap_s * 1000),
             }
--- a/src/godwitvalve/placement/endpoint_speeds.py
+++ b/src/godwitvalve/placement/endpoint_speeds.py
@@ -20,8 +20,9 @@
 # requests, nor does it attract those of all others.
 SLOWEST = 0.25
 FASTEST = 4.0
-# Addresses in one record, about 22 bytes each.
-MAX_REPORTS = 8
+# Addresses in one record, about 20 bytes each. With four, a datagram carries
+# as many relayed records as without; with eight, half as many.
+MAX_REPORTS = 4
 # An observation is reported for twice the time in which 99 % of the records
 # arrive.
 REPORT_S = 5.0
@@ -146,12 +147,13 @@
 
         An endpoint of which nothing is known counts as usual.
         """
-        known = self._machines.get(
-            _Machine(endpoint.service, endpoint.address)
-        )
+        return self._relative(_Machine(endpoint.service, endpoint.address))
+
+    def _relative(self, machine: _Machine) -> float:
+        known = self._machines.get(machine)
         if known is None:
             return USUAL_SPEED
-        speed = self._median_us(endpoint.service) / known.event_us()
+        speed = self._median_us(machine.service) / known.event_us()
         return min(max(speed, SLOWEST), FASTEST)
 
     def reports(self, now_s: float) -> SpeedReports:
@@ -183,9 +185,12 @@
             del self._machines[machine]
             self._medians_us.pop(machine.service, None)
 
-    def count(self) -> int:
-        """Return the number of addresses with a known speed."""
-        return len(self._machines)
+    def relative_speeds(self) -> dict[tuple[str, str], float]:
+        """Return the relative speeds by service and address."""
+        return {
+            (machine.service, machine.address): self._relative(machine)
+            for machine in self._machines
+        }
 
 
 class WorkFactors:
@@ -212,6 +217,29 @@
         bounded = min(max(pace, SLOWEST), FASTEST)
         return bounded / self._speeds.relative_speed(endpoint)
 
+    def least(
+        self,
+        candidates: abc.Iterable[endpoints.FleetEndpoint],
+    ) -> float:
+        """Return the least long-term factor of endpoints; 1.0 if none.
+
+        A stream lasts for many spans, so the paces of the moment don't count.
+        """
+        return min(
+            (
+                1.0 / self._speeds.relative_speed(each)
+                for each in candidates
+                if self._paces.is_stated(each.service)
+            ),
+            default=1.0,
+        )
+
+    def long_term_speed(self, endpoint: endpoints.FleetEndpoint) -> float:
+        """Return the relative speed; 1.0 where no pace is stated."""
+        if not self._paces.is_stated(endpoint.service):
+            return USUAL_SPEED
+        return self._speeds.relative_speed(endpoint)
+
     def at(
         self, service: str, now_s: float
     ) -> abc.Callable[[endpoints.FleetEndpoint], float] | None:
--- a/src/godwitvalve/placement/speed.py
+++ b/src/godwitvalve/placement/speed.py
@@ -52,10 +52,23 @@
         # Those of busy endpoints, from the streams of this entry.
         self._busy: dict[str, SpeedEstimate] = {}
 
-    def observe(self, service: str, observed: SpeedEstimate) -> None:
-        """Update the estimates from a stream that one endpoint completed."""
+    def observe(
+        self,
+        service: str,
+        observed: SpeedEstimate,
+        relative_speed: float = 1.0,
+    ) -> None:
+        """Update the estimates from a stream that one endpoint completed.
+
+        :param relative_speed: speed of the endpoint; the estimates are those
+            of a usual one.
+        """
         busy = self._busy.get(service, observed)
         self._busy[service] = SpeedEstimate(*map(_slowest, busy, observed))
+        observed = observed._replace(
+            prompt_token_ms=observed.prompt_token_ms * relative_speed,
+            event_ms=observed.event_ms * relative_speed,
+        )
         before = self._estimates.get(service)
         if before is None:
             self._estimates[service] = observed
@@ -83,6 +96,7 @@
         max_output_tokens: int,
         last_event: int,
         left_ms: float,
+        work_factor: float = 1.0,
     ) -> bool:
         """Return whether a stream can complete before its deadline.
 
@@ -94,6 +108,8 @@
             processed before or its size is unknown.
         :param last_event: number of the last event that the caller has.
         :param left_ms: milliseconds until the deadline.
+        :param work_factor: how long work takes at the fastest endpoint that
+            may run it, compared with a usual one.
         """
         estimate = self._estimates.get(service)
         if estimate is None:
@@ -105,7 +121,7 @@
             prompt_tokens * estimate.prompt_token_ms
             + max(events - last_event, 0.0) * estimate.event_ms
         )
-        return left_ms >= needed_ms * NEEDED_SHARE
+        return left_ms >= needed_ms * work_factor * NEEDED_SHARE
 
     def expected_s(
         self,
--- a/src/godwitvalve/rollouts/registry.py
+++ b/src/godwitvalve/rollouts/registry.py
@@ -163,11 +163,14 @@
         route: routes.Route,
         call_later: observations.CallLater,
         now_s: float,
+        stated: observations.StatedPace | None = None,
     ) -> observations.Observation:
         """Start counting a request that is sent to an endpoint.
 
         Without a running roll-out it counts for the version that a later
         order will replace.
+
+        :param stated: pace of the endpoint; None if its service states none.
         """
         found = self._by_service.get(endpoint.service)
         if found is None or found.state.is_final:
@@ -177,7 +180,12 @@
             counted = found.own_counts
             new_id = endpoint.endpoint_id if found.is_new(endpoint) else None
         return observations.Observation(
-            counted, route.name, new_id, route.objective_ms, call_later
+            counted,
+            route.name,
+            new_id,
+            route.objective_ms,
+            call_later,
+            stated,
         )
 
     def _baseline(self, service: str) -> baselines.Baseline:
