--- a/features/placement/endpoint_speeds.feature
+++ b/features/placement/endpoint_speeds.feature
@@ -122,3 +122,4 @@
     Then the other knows a relative speed of 0.5 and 1 and that pace is stated
     And its metrics name the speed of both addresses
     And the pace of a removed endpoint is forgotten, its speed is not
+    And a pace that an endpoint states after its removal is not kept
--- a/features/steps/placement_speeds_steps.py
+++ b/features/steps/placement_speeds_steps.py
@@ -558,3 +558,12 @@
     other._on_endpoint_removed(endpoint.endpoint_id)
     assert known.paces.pace(endpoint.endpoint_id, now_s) == 1.0
     assert known.endpoint_speeds.relative_speed(endpoint) == 0.5
+
+
+@behave.then('a pace that an endpoint states after its removal is not kept')
+def late_pace_dropped(context):
+    paces = context.entries[1]._context.paces
+    stated_s = time.monotonic() - pace.PACE_VALID_S
+    paces.record(SERVICE, _endpoint(0).endpoint_id, 2.0, stated_s)
+    context.entries[1]._expire_speeds()
+    assert paces.pace(_endpoint(0).endpoint_id, stated_s) == 1.0
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -527,7 +527,9 @@
         self._context.quarantine.expire(now_s)
 
     def _expire_speeds(self) -> None:
-        self._context.endpoint_speeds.expire(time.monotonic())
+        now_s = time.monotonic()
+        self._context.endpoint_speeds.expire(now_s)
+        self._context.paces.expire(now_s)
 
     def _expire_limits(self) -> None:
         self._context.limiter.expire(
--- a/src/godwitvalve/placement/endpoint_speeds.py
+++ b/src/godwitvalve/placement/endpoint_speeds.py
@@ -49,20 +49,22 @@
     :param received: last estimate of each other entry, the newest last.
     :param observed_s: monotonic seconds of the last own one.
     :param known_s: monotonic seconds of the last one.
+    :param event_us: the estimate from all of them.
     """
 
     own: collections.deque[float]
     received: dict[str, float]
     observed_s: float = float('-inf')
     known_s: float = float('-inf')
+    event_us: float = 0.0
 
     def own_us(self) -> float:
         """Return the estimate for other entries."""
         return _lower_quartile(self.own)
 
-    def event_us(self) -> float:
-        """Return the estimate from all observations."""
-        return _lower_quartile([*self.own, *self.received.values()])
+    def update(self) -> None:
+        """Compute the estimate anew from all observations."""
+        self.event_us = _lower_quartile([*self.own, *self.received.values()])
 
 
 def _lower_quartile(observed: abc.Sequence[float]) -> float:
@@ -102,6 +104,7 @@
         known = self._known(endpoint.service, endpoint.address, now_s)
         known.own.append(event_us)
         known.observed_s = now_s
+        known.update()
 
     def merge(self, origin: str, reports: SpeedReports, now_s: float) -> None:
         """Use what another entry reported in place of its last report.
@@ -112,11 +115,12 @@
             for address, event_us in event_us_by_address:
                 if event_us < 1:
                     continue
-                received = self._known(service, address, now_s).received
-                received.pop(origin, None)
-                received[origin] = event_us
-                if len(received) > KEPT_OBSERVATIONS:
-                    del received[next(iter(received))]
+                known = self._known(service, address, now_s)
+                known.received.pop(origin, None)
+                known.received[origin] = event_us
+                if len(known.received) > KEPT_OBSERVATIONS:
+                    del known.received[next(iter(known.received))]
+                known.update()
 
     def _known(
         self, service: str, address: str, now_s: float
@@ -136,7 +140,7 @@
         median_us = self._medians_us.get(service)
         if median_us is None:
             median_us = self._medians_us[service] = statistics.median(
-                known.event_us()
+                known.event_us
                 for machine, known in self._machines.items()
                 if machine.service == service
             )
@@ -153,7 +157,7 @@
         known = self._machines.get(machine)
         if known is None:
             return USUAL_SPEED
-        speed = self._median_us(machine.service) / known.event_us()
+        speed = self._median_us(machine.service) / known.event_us
         return min(max(speed, SLOWEST), FASTEST)
 
     def reports(self, now_s: float) -> SpeedReports:
--- a/src/godwitvalve/placement/pace.py
+++ b/src/godwitvalve/placement/pace.py
@@ -58,3 +58,15 @@
     def forget(self, endpoint_id: str) -> None:
         """Drop the report of a removed endpoint."""
         self._reports.pop(endpoint_id, None)
+
+    def expire(self, now_s: float) -> None:
+        """Drop reports without weight.
+
+        An answer may arrive after its endpoint was removed, and endpoints
+        that restart have new ids.
+        """
+        self._reports = {
+            endpoint_id: report
+            for endpoint_id, report in self._reports.items()
+            if now_s - report.reported_s < PACE_VALID_S
+        }
