--- a/src/godwitvalve/forwarding/stream_attempt.py
+++ b/src/godwitvalve/forwarding/stream_attempt.py
@@ -121,6 +121,9 @@
         """Begin to send an attempt."""
         self._state.tried_ids.add(attempt.endpoint.endpoint_id)
         self._state.times.endpoints.append(attempt.endpoint.endpoint_id)
+        self._state.times.speeds.append(
+            speed_meter.record_send(self._context, attempt.endpoint)
+        )
         self._context.record_send(
             attempt.endpoint, self._routed.request.facts.request_id
         )
@@ -135,6 +138,9 @@
             self._routed.route,
             self._loop.call_later,
             self._loop.time(),
+            speed_meter.stated_pace(
+                self._context, attempt.endpoint, self._loop.time
+            ),
         )
         attempt.opening = attempts.Opening(
             self._context, attempt, exchange, *self._request_for(attempt)
--- a/src/godwitvalve/forwarding/stream_records.py
+++ b/src/godwitvalve/forwarding/stream_records.py
@@ -70,6 +70,7 @@
                 events_s * 1000 / (event_count - 1),
                 event_count / facts.max_output_tokens,
             ),
+            self._context.work_factors.long_term_speed(attempt.endpoint),
         )
 
     def record_stall(self, attempt: attempts.StreamAttempt) -> None:
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -12,6 +12,7 @@
 from godwitvalve.forwarding import policy
 from godwitvalve.forwarding import replies
 from godwitvalve.forwarding import silence
+from godwitvalve.forwarding import speed_meter
 from godwitvalve.forwarding import stream_attempt
 from godwitvalve.forwarding import stream_placement
 from godwitvalve.forwarding import stream_records
@@ -164,6 +165,9 @@
             facts.max_output_tokens,
             facts.last_event,
             (self._routed.deadline_s - now_s) * 1000,
+            speed_meter.least_work(
+                self._context, self._state.candidates(), now_s
+            ),
         )
 
     async def _wait_to_retry(
--- a/src/godwitvalve/ingress/request_ends.py
+++ b/src/godwitvalve/ingress/request_ends.py
@@ -124,6 +124,7 @@
         case streams.StreamForwarder(times=times, prompt=prompt):
             return {
                 'endpoints': times.endpoints,
+                'speeds': times.speeds,
                 'cached_tokens': prompt.cached_tokens,
                 'first_event_ms': round(times.first_event_s * 1000),
                 'longest_gap_ms': round(times.longest_gap_s * 1000),
