Report the use of accounts while streams are declined

Cause: only waiting calls marked a service as full, so that the streams of accounts were counted and never reported.

Change: a declined stream marks its service as full for a second.

--- a/features/queueing/shares.feature
+++ b/features/queueing/shares.feature
@@ -79,3 +79,9 @@
     When a stream is made
     Then its caller gets the events 1 to 4 and the end
     And its account had 1 stream while it ran and none after it
+
+  Scenario: A declined stream shows that its service is full
+    # Guards against use that is not reported, as only calls had shown it.
+    Given stream endpoints that play "declined" and "head 1 end"
+    When a stream is made
+    Then its service counts as full for 1 s
--- a/features/steps/queueing_shares_steps.py
+++ b/features/steps/queueing_shares_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import behave
 from features.doubles import forwarding_site
@@ -275,3 +276,11 @@
     use = context.site.context.account_use
     context.seen.append(use.total(forwarding_site.SERVICE, 'acme', 0))
     assert context.seen == [1, 0], context.seen
+
+
+@behave.then('its service counts as full for {span_s:g} s')
+def step_full(context, span_s):
+    use = context.site.context.account_use
+    now_s = time.monotonic()
+    assert use.is_full(forwarding_site.SERVICE, now_s)
+    assert not use.is_full(forwarding_site.SERVICE, now_s + span_s)
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -984,6 +984,9 @@
                 self._context.endpoint_tracker.record_full(
                     attempt.endpoint.endpoint_id, self._loop.time()
                 )
+                self._context.account_use.mark_full(
+                    self._routed.service, self._loop.time()
+                )
             case _:
                 pass
         _LOG.info(
