Admit streams by the room at the engines of their service

Streams that the engines could not begin in time were sent all the same, made those beside them late and were read in vain. Where pace is stated and the engine block states slots and kv_capacity_tokens, a new stream is sent while an endpoint has room, waits, or is refused at once with a time of its own to come back. Placements carry tokens, records the streams that wait. Calls that queueing refuses get their times from the same schedule.

--- /dev/null
+++ b/src/godwitvalve/admission/stream_queue.py
@@ -0,0 +1,175 @@
+"""Order of the streams that wait for room at one service.
+
+Load pattern: the memory of all endpoints is taken for seconds, while one
+client account sends several times its share and urgent streams arrive among
+others. Performs no input or output.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import Generic, NamedTuple, TypeVar
+
+Ticket = TypeVar('Ticket')
+
+# Accounts and kinds are compared by what they showed in about this time.
+MEMORY_S = 10.0
+# An account that is served less often than this part of all comes first.
+LEAST_SHARE = 0.25
+# A kind leaves this part of the objective to each more urgent kind, so that
+# room that is scarce goes to the urgent one.
+URGENT_RESERVE = 0.1
+
+
+class Waiting(NamedTuple, Generic[Ticket]):
+    """A stream that waits.
+
+    :param priority: 0 is the most urgent.
+    :param first_event_by_s: when its objective ends, in monotonic seconds.
+    """
+
+    ticket: Ticket
+    account: str
+    priority: int
+    first_event_by_s: float
+
+
+@dataclasses.dataclass
+class _Served:
+    """Decaying counts of the streams of an account."""
+
+    ended: float = 0.0
+    sent: float = 0.0
+    at_s: float = 0.0
+
+    def record(self, is_sent: bool, now_s: float) -> None:
+        kept = 0.5 ** ((now_s - self.at_s) / MEMORY_S)
+        self.ended = self.ended * kept + 1.0
+        self.sent = self.sent * kept + is_sent
+        self.at_s = now_s
+
+    @property
+    def share(self) -> float:
+        return self.sent / self.ended if self.ended else 1.0
+
+
+class _Kind(NamedTuple):
+    objective_s: float
+    seen_s: float
+
+
+class StreamQueue(Generic[Ticket]):
+    """Streams of one service that wait at one entry, and those that run.
+
+    Streams that resume come first, then the more urgent ones, then those of
+    the accounts with the fewest running streams, then those with the least
+    time left. An account that was served less than a quarter as often as all
+    counts as most urgent.
+    """
+
+    def __init__(self) -> None:
+        self._waiting: list[Waiting[Ticket]] = []
+        self._running: collections.Counter[str] = collections.Counter()
+        self._resuming = 0
+        self._kinds: dict[int, _Kind] = {}
+        self._all = _Served()
+        self._accounts: dict[str, _Served] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    @property
+    def resuming(self) -> int:
+        """Return how many streams wait to resume."""
+        return self._resuming
+
+    def begin_resume(self) -> None:
+        """Record a stream that waits to go on after a loss."""
+        self._resuming += 1
+
+    def end_resume(self) -> None:
+        """Record that such a stream waits no longer."""
+        self._resuming -= 1
+
+    def begin(self, account: str) -> None:
+        """Record a stream that runs."""
+        self._running[account] += 1
+
+    def end(self, account: str) -> None:
+        """Record the end of a stream that ran."""
+        self._running[account] -= 1
+        if not self._running[account]:
+            del self._running[account]
+
+    def record_outcome(
+        self, account: str, is_sent: bool, now_s: float
+    ) -> None:
+        """Record whether a stream was sent or refused."""
+        self._all.record(is_sent, now_s)
+        self._accounts.setdefault(account, _Served()).record(is_sent, now_s)
+        idle = [
+            each
+            for each, served in self._accounts.items()
+            if now_s - served.at_s > 10 * MEMORY_S
+        ]
+        for each in idle:
+            del self._accounts[each]
+
+    def is_disadvantaged(self, account: str) -> bool:
+        """Tell whether an account is served far less often than all."""
+        served = self._accounts.get(account)
+        return (
+            served is not None and served.share < LEAST_SHARE * self._all.share
+        )
+
+    def bound_s(
+        self, account: str, priority: int, objective_s: float, now_s: float
+    ) -> float:
+        """Return the objective that the room for a stream is measured by.
+
+        A kind with a long objective would be sent where the more urgent
+        ones with a short one are refused already.
+        """
+        self._kinds[priority] = _Kind(objective_s, now_s)
+        if self.is_disadvantaged(account):
+            return objective_s
+        urgent_s = [
+            kind.objective_s
+            for each, kind in self._kinds.items()
+            if each < priority and now_s - kind.seen_s < MEMORY_S
+        ]
+        reserve = max(1.0 - URGENT_RESERVE * len(urgent_s), 0.5)
+        return min([objective_s, *urgent_s]) * reserve
+
+    def add(self, waiting: Waiting[Ticket]) -> None:
+        """Add a stream that has no room."""
+        self._waiting.append(waiting)
+
+    def remove(self, ticket: Ticket) -> None:
+        """Remove a stream that waits no longer."""
+        self._waiting = [
+            each for each in self._waiting if each.ticket is not ticket
+        ]
+
+    def ahead_of(self, waiting: Waiting[Ticket]) -> int:
+        """Return how many streams have room before another one."""
+        key = self._key(waiting)
+        return self._resuming + sum(
+            self._key(each) < key
+            for each in self._waiting
+            if each.ticket is not waiting.ticket
+        )
+
+    def ordered(self) -> list[Waiting[Ticket]]:
+        """Return the waiting streams; the first one has room first."""
+        return sorted(self._waiting, key=self._key)
+
+    def _key(self, waiting: Waiting[Ticket]) -> tuple[bool, int, int, float]:
+        is_first = self.is_disadvantaged(waiting.account)
+        return (
+            not is_first,
+            waiting.priority,
+            self._running[waiting.account],
+            waiting.first_event_by_s,
+        )
--- /dev/null
+++ b/src/godwitvalve/admission/tables.py
@@ -0,0 +1,85 @@
+"""State of the admission of streams at one entry, by service."""
+
+from __future__ import annotations
+
+from collections import abc
+from typing import NamedTuple, TypeAlias
+
+from godwitvalve.admission import lengths
+from godwitvalve.admission import returns as return_model
+from godwitvalve.admission import stream_queue
+from godwitvalve.fleet import endpoints
+
+# Refused requests that are known again when their callers come back.
+MAX_REFUSED = 4096
+
+WorkFactor: TypeAlias = abc.Callable[[endpoints.FleetEndpoint, float], float]
+
+
+class Others(NamedTuple):
+    """What the live entries report.
+
+    :param entries: their number, including this one.
+    :param waiting: streams that wait at the other ones, by service.
+    """
+
+    entries: int
+    waiting: abc.Mapping[str, int]
+
+
+def _alone() -> Others:
+    return Others(1, {})
+
+
+def _usual(endpoint: endpoints.FleetEndpoint, now_s: float) -> float:
+    return 1.0
+
+
+class AdmissionTables:
+    """Queues, expected lengths and times of return.
+
+    :param others: returns the reports of the live entries.
+    :param work_factor: returns how long work takes at an endpoint at a
+        monotonic time, 1.0 as usual.
+    """
+
+    def __init__(
+        self,
+        others: abc.Callable[[], Others] = _alone,
+        work_factor: WorkFactor = _usual,
+    ) -> None:
+        self.others = others
+        self.work_factor = work_factor
+        self.lengths = lengths.OutputLengths()
+        self._queues: dict[str, stream_queue.StreamQueue[object]] = {}
+        self._returns: dict[str, return_model.ReturnSchedule] = {}
+        self._refused: dict[str, None] = {}
+
+    def queue(self, service: str) -> stream_queue.StreamQueue[object]:
+        """Return the queue of a service."""
+        return self._queues.setdefault(service, stream_queue.StreamQueue())
+
+    def returns(self, service: str) -> return_model.ReturnSchedule:
+        """Return the times at which refused callers come back."""
+        return self._returns.setdefault(service, return_model.ReturnSchedule())
+
+    def waiting(self) -> dict[str, int]:
+        """Return the streams that wait, by service, as others are told."""
+        return {
+            service: len(queue)
+            for service, queue in self._queues.items()
+            if len(queue)
+        }
+
+    def record_refused(self, request_id: str) -> None:
+        """Remember a refused request."""
+        self._refused[request_id] = None
+        while len(self._refused) > MAX_REFUSED:
+            del self._refused[next(iter(self._refused))]
+
+    def take_returned(self, request_id: str) -> bool:
+        """Tell whether a request was refused before, and forget it."""
+        if request_id not in self._refused:
+            return False
+        del self._refused[request_id]
+        return True
--- a/src/godwitvalve/decoding/bounds.py
+++ b/src/godwitvalve/decoding/bounds.py
@@ -14,6 +14,8 @@
 # An endpoint processes some hundred requests at once. One that states far
 # more would get all requests of its service.
 MAX_SLOTS = 100_000
+# The memory of an endpoint holds a few hundred thousand tokens.
+MAX_TOKENS = 10**9
 MAX_ERA = 999_999_999
 # The year 5138.
 MAX_UNIX_MS = 10**14
@@ -39,6 +41,7 @@
 # Counts the restores of the platform's store.
 Era: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=MAX_ERA)]
 Slots: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+Tokens: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS)]
 UnixMilliseconds: TypeAlias = Annotated[
     int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)
 ]
--- a/src/godwitvalve/fleet/routes.py
+++ b/src/godwitvalve/fleet/routes.py
@@ -49,9 +49,19 @@
 
 
 class EngineConfig(NamedTuple):
-    """Features of the engines of a model service."""
+    """Features of the engines of a model service.
+
+    :param slots: streams that one engine runs at the same time; None if not
+        stated.
+    :param kv_capacity_tokens: tokens that the memory of one engine holds;
+        None if not stated.
+    :param stride: output tokens per event.
+    """
 
     has_backups: bool
+    slots: int | None = None
+    kv_capacity_tokens: int | None = None
+    stride: int = 1
 
 
 class ServiceConfig(NamedTuple):
--- a/src/godwitvalve/forwarding/attempts.py
+++ b/src/godwitvalve/forwarding/attempts.py
@@ -104,6 +104,9 @@
     :param ask_full_from_s: when endpoints that declined a stream may be
         asked to go on with this one.
     :param opening: the request while it lasts.
+    :param held_tokens: tokens that it will hold at its end; 0 without
+        admission of streams.
+    :param unread_tokens: tokens of its prompt until its first event.
     """
 
     endpoint: endpoints.FleetEndpoint
@@ -123,6 +126,8 @@
     ask_full_from_s: float = math.inf
     observation: observations.Observation | None = None
     opening: Opening | None = None
+    held_tokens: int = 0
+    unread_tokens: int = 0
 
     @property
     def has_events(self) -> bool:
@@ -141,6 +146,7 @@
     :param endpoints: ids of the attempted endpoints, in order.
     :param silent_count: how many of them the stream left as they were
         silent.
+    :param admission_wait_s: time for which it waited for room.
     """
 
     first_event_s: float = 0.0
@@ -148,6 +154,7 @@
     last_sent_s: float = 0.0
     endpoints: list[str] = dataclasses.field(default_factory=list)
     silent_count: int = 0
+    admission_wait_s: float = 0.0
 
 
 class CountedAttempt:
@@ -165,6 +172,8 @@
         )
         stats.streams += 1
         stats.starting += 1
+        stats.held_tokens += self._attempt.held_tokens
+        stats.unread_tokens += self._attempt.unread_tokens
         if self._attempt.backup is not None:
             backup = self._attempt.backup.endpoint_id
             self._context.endpoint_tracker.stats(backup).backups += 1
@@ -175,9 +184,11 @@
             self._attempt.endpoint.endpoint_id
         )
         stats.streams -= 1
+        stats.held_tokens -= self._attempt.held_tokens
         # Lowered before the first event is passed on.
         if not self._attempt.first_event_s:
             stats.starting -= 1
+            stats.unread_tokens -= self._attempt.unread_tokens
         if self._attempt.backup is not None:
             backup = self._attempt.backup.endpoint_id
             self._context.endpoint_tracker.stats(backup).backups -= 1
--- a/src/godwitvalve/forwarding/calls.py
+++ b/src/godwitvalve/forwarding/calls.py
@@ -117,14 +117,34 @@
                 self._routed.deadline_s - policy.MIN_ATTEMPT_S,
             )
         except turns.TurnRefused as refused:
-            return replies.Refusal(
-                codes.ResultCode.OVERLOADED, refused.retry_after_s
-            )
+            return self._refusal(refused)
         try:
             return await self._forward_in_turn(turn)
         finally:
             turn.end(was_sent=bool(self.endpoints))
 
+    def _refusal(self, refused: turns.TurnRefused) -> replies.Refusal:
+        """Return the refusal of a call that gets no turn.
+
+        Where many entries share the endpoints, callers that are told the
+        same time come back together.
+        """
+        service = self._routed.service
+        if not self._context.paces.is_stated(service):
+            return replies.Refusal(
+                codes.ResultCode.OVERLOADED, refused.retry_after_s
+            )
+        now_s = self._loop.time()
+        retry_after_s = self._context.admission.returns(service).retry_after_s(
+            now_s,
+            refused.retry_after_s,
+            self._context.turns.at(service).rate_per_s(),
+            self._routed.deadline_s - now_s,
+        )
+        return replies.Refusal(
+            codes.ResultCode.OVERLOADED, retry_after_s, is_scheduled=True
+        )
+
     async def _forward_in_turn(self, turn: turns.Turn) -> replies.Reply:
         if not await self._start_first():
             return self._context.refusal(
@@ -176,11 +196,14 @@
                 try:
                     await turn.wait_again()
                 except turns.TurnRefused as refused:
-                    return policy.give_up(
+                    reply = policy.give_up(
                         self._progress(),
                         codes.ResultCode.OVERLOADED,
                         refused.retry_after_s,
                     ).reply
+                    if isinstance(reply, replies.Refusal):
+                        return self._refusal(refused)
+                    return reply
             else:
                 self._pending.waits_for = in_flight.Wait.ENDPOINT
                 await asyncio.sleep(policy.FULL_CALL_PAUSE_S)
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -8,6 +8,7 @@
 import random
 from typing import TypeAlias
 
+from godwitvalve.admission import tables as admission_tables
 from godwitvalve.diagnostics import history as histories
 from godwitvalve.endpoint_limits import limiter as limiters
 from godwitvalve.endpoint_limits import view as views
@@ -80,6 +81,9 @@
     paces: pace_model.PaceTable = dataclasses.field(
         default_factory=pace_model.PaceTable
     )
+    admission: admission_tables.AdmissionTables = dataclasses.field(
+        default_factory=admission_tables.AdmissionTables
+    )
     history: histories.ProcessHistory = dataclasses.field(
         default_factory=histories.ProcessHistory
     )
--- a/src/godwitvalve/forwarding/counters.py
+++ b/src/godwitvalve/forwarding/counters.py
@@ -79,6 +79,28 @@
         self._refusals = self._counter(
             'godwitvalve_refusals_total', 'Own refusals by code.', labels
         )
+        self._stream_refusals = self._counter(
+            'godwitvalve_stream_refusals_total',
+            'Streams that admission refused, by reason.',
+            labels,
+        )
+        self._returns = self._counter(
+            'godwitvalve_stream_returns_total',
+            'Refused streams whose callers came back to this entry.',
+            labels,
+        )
+        self._streams_waiting = collectors.Gauge(
+            'godwitvalve_streams_waiting',
+            'Streams that wait for room.',
+            const_labels=labels,
+            registry=self.registry,
+        )
+        self._expected_wait = collectors.Gauge(
+            'godwitvalve_stream_expected_wait_seconds',
+            'Expected wait of the last stream that found no room.',
+            const_labels=labels,
+            registry=self.registry,
+        )
         self._incomplete = self._counter(
             'godwitvalve_incomplete_answers_total',
             'Requests that ended without a complete answer by reason.',
@@ -147,6 +169,19 @@
         """Count an answer of this entry in place of an endpoint's."""
         self._refusals.inc({'code': str(code.value), 'reason': code.name})
 
+    def count_stream_refusal(self, service: str, reason: str) -> None:
+        """Count a stream that admission refused."""
+        self._stream_refusals.inc({'service': service, 'reason': reason})
+
+    def count_return(self, service: str) -> None:
+        """Count a refused stream whose caller came back."""
+        self._returns.inc({'service': service})
+
+    def set_waiting(self, service: str, count: int, wait_s: float) -> None:
+        """Set the number of waiting streams and their expected wait."""
+        self._streams_waiting.set({'service': service}, count)
+        self._expected_wait.set({'service': service}, wait_s)
+
     def count_incomplete(self, reason: replies.IncompleteReason) -> None:
         """Count a request that ended without a complete answer."""
         self._incomplete.inc({'reason': reason.value})
--- a/src/godwitvalve/forwarding/replies.py
+++ b/src/godwitvalve/forwarding/replies.py
@@ -31,10 +31,13 @@
     """The request did not run and will not run.
 
     :param retry_after_s: seconds until the caller may retry.
+    :param is_scheduled: whether this is the caller's own time, which must
+        not be spread any further.
     """
 
     code: codes.ResultCode
     retry_after_s: float
+    is_scheduled: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/godwitvalve/forwarding/stream_placement.py
+++ b/src/godwitvalve/forwarding/stream_placement.py
@@ -8,13 +8,19 @@
 from godwitvalve.forwarding import attempts
 from godwitvalve.forwarding import silence
 from godwitvalve.forwarding import stream_state
+from godwitvalve.forwarding import stream_turns
 from godwitvalve.placement import choose
 
 
 class StreamPlacement:
     """Chooses the endpoint and the backup of each attempt of one stream."""
 
-    def __init__(self, state: stream_state.StreamState) -> None:
+    def __init__(
+        self,
+        state: stream_state.StreamState,
+        turn: stream_turns.StreamTurn,
+    ) -> None:
+        self._turn = turn
         self._state = state
         self._context = state.context
         self._routed = state.routed
@@ -58,9 +64,7 @@
             )
             if endpoint is not None:
                 now_s = self._loop.time()
-                successor = attempts.StreamAttempt(
-                    endpoint, self._backup_for(endpoint, now_s), '', now_s
-                )
+                successor = self._attempt(endpoint, now_s)
         if successor is None or not self._state.is_admitted():
             return None
         return successor
@@ -95,15 +99,39 @@
         if resumed is not None:
             return resumed
         endpoint = await self._select(
-            self._state.candidates,
+            self._with_room,
             self._state.tried_ids,
             self._may_confirm and not self._state.times.endpoints,
         )
         if endpoint is None:
             return None
         now_s = self._loop.time()
+        return self._attempt(endpoint, now_s)
+
+    def _with_room(self) -> list[endpoints.FleetEndpoint]:
+        """Return the candidates that admission found; all if none is left."""
+        candidates = self._state.candidates()
+        return [
+            each
+            for each in candidates
+            if each.endpoint_id in self._turn.endpoint_ids
+            and each.endpoint_id not in self._state.tried_ids
+        ] or candidates
+
+    def _attempt(
+        self,
+        endpoint: endpoints.FleetEndpoint,
+        now_s: float,
+        memory_source: str = '',
+    ) -> attempts.StreamAttempt:
+        held, unread = self._turn.tokens(bool(memory_source))
         return attempts.StreamAttempt(
-            endpoint, self._backup_for(endpoint, now_s), '', now_s
+            endpoint,
+            self._backup_for(endpoint, now_s),
+            memory_source,
+            now_s,
+            held_tokens=held,
+            unread_tokens=unread,
         )
 
     def usable_backup(self) -> endpoints.FleetEndpoint | None:
@@ -129,11 +157,8 @@
     ) -> attempts.StreamAttempt:
         now_s = self._loop.time()
         request_id = self._routed.request.facts.request_id
-        return attempts.StreamAttempt(
-            endpoint,
-            self._backup_for(endpoint, now_s),
-            f'{endpoint.address}/{request_id}',
-            now_s,
+        return self._attempt(
+            endpoint, now_s, f'{endpoint.address}/{request_id}'
         )
 
     def _backup_for(
--- a/src/godwitvalve/forwarding/stream_records.py
+++ b/src/godwitvalve/forwarding/stream_records.py
@@ -118,9 +118,11 @@
         if attempt.observation:
             attempt.observation.record_answer(False)
         attempt.first_event_s = self._loop.time()
-        self._context.endpoint_tracker.stats(
+        stats = self._context.endpoint_tracker.stats(
             attempt.endpoint.endpoint_id
-        ).starting -= 1
+        )
+        stats.starting -= 1
+        stats.unread_tokens -= attempt.unread_tokens
         self._context.endpoint_tracker.record_success(
             attempt.endpoint.endpoint_id, None, self._loop.time()
         )
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -16,6 +16,7 @@
 from godwitvalve.forwarding import stream_placement
 from godwitvalve.forwarding import stream_records
 from godwitvalve.forwarding import stream_state
+from godwitvalve.forwarding import stream_turns
 from godwitvalve.outcomes import codes
 
 
@@ -36,7 +37,10 @@
         )
         self._loop = self._state.loop
         self.times = self._state.times
-        self._placement = stream_placement.StreamPlacement(self._state)
+        self._turn = stream_turns.StreamTurn(self._state)
+        self._placement = stream_placement.StreamPlacement(
+            self._state, self._turn
+        )
         self._records = stream_records.StreamRecords(self._state)
         self._runner = stream_attempt.AttemptRunner(
             self._state, self._placement, self._records
@@ -55,6 +59,7 @@
             reply = await self._forward_until_deadline()
             return reply
         finally:
+            self._turn.end()
             if (
                 self._runner.successor is not None
                 and self._runner.successor.opening
@@ -109,18 +114,22 @@
                     if self._context.has_exhausted(self._state.candidates())
                     else replies.IncompleteReason.NO_CAPACITY,
                 )
+            if attempt is None:
+                refusal = await self._turn.begin()
+                if refusal is not None:
+                    return refusal
             attempt = attempt or await self._placement.next_attempt()
             if attempt is None:
                 if await self._wait_for_endpoint():
                     continue
-                refusal = self._context.refusal(
+                no_endpoint = self._context.refusal(
                     self._routed.service, self._state.candidates()
                 )
                 return self._give_up(
-                    refusal.code,
-                    refusal.retry_after_s,
+                    no_endpoint.code,
+                    no_endpoint.retry_after_s,
                     replies.IncompleteReason.NO_PERMIT
-                    if refusal.code is codes.ResultCode.ENDPOINT_LIMITS
+                    if no_endpoint.code is codes.ResultCode.ENDPOINT_LIMITS
                     else replies.IncompleteReason.NO_ENDPOINT,
                 )
             end = await self._runner.run_attempt(attempt)
@@ -128,6 +137,7 @@
             await self._records.record_crash(attempt, end)
             match end:
                 case attempts.Completed():
+                    self._turn.complete()
                     return replies.Streamed(True)
                 case attempts.Rejected(answer):
                     if self._runner.is_final(end):
@@ -254,7 +264,7 @@
             )
         if now_s + policy.FULL_STREAM_PAUSE_S > last_start_s:
             return False
-        await asyncio.sleep(policy.FULL_STREAM_PAUSE_S)
+        await self._turn.pause(policy.FULL_STREAM_PAUSE_S)
         return True
 
     def _give_up(
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections import abc
 import heapq
 import random
@@ -79,6 +80,7 @@
     :param pressure: part of its resources in use, in percent.
     :param account_use: calls and streams in flight by service and client
         account, for services that are full.
+    :param waiting_streams: streams that wait at the entry, by service.
     """
 
     instance_id: bounds.Name
@@ -112,6 +114,7 @@
     account_use: dict[
         str, dict[str, tuple[bounds.Integer, bounds.Integer]]
     ] = {}
+    waiting_streams: dict[str, bounds.Integer] = {}
 
     @property
     def order(self) -> tuple[int, int]:
@@ -306,12 +309,27 @@
 def total_placements(
     records: abc.Iterable[Record],
 ) -> dict[str, choose.Placements]:
-    """Return the sums of the placements in records, by endpoint."""
+    """Return the sums of the placements in records, by endpoint.
+
+    Negative tokens count as none, so that a false report makes an endpoint
+    look at most full.
+    """
     totals: dict[str, choose.Placements] = {}
     for record in records:
         for endpoint_id, placed in record.placements.items():
+            held, unread = record.placement_tokens.get(endpoint_id, (0, 0))
+            added = (*placed, max(held, 0), max(unread, 0))
             before = totals.get(endpoint_id, choose.Placements())
             totals[endpoint_id] = choose.Placements(
-                *(a + b for a, b in zip(before, placed))
+                *(a + b for a, b in zip(before, added))
             )
     return totals
+
+
+def total_waiting(records: abc.Iterable[Record]) -> dict[str, int]:
+    """Return the sums of the streams that wait, by service."""
+    totals: collections.Counter[str] = collections.Counter()
+    for record in records:
+        for service, count in record.waiting_streams.items():
+            totals[service] += max(count, 0)
+    return dict(totals)
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -450,6 +450,7 @@
         code: codes.ResultCode,
         status: int,
         retry_after_s: float | None = None,
+        is_scheduled: bool = False,
     ) -> web.Response:
         self._context.counters.count_refusal(code)
         _LOG.info(
@@ -461,7 +462,9 @@
                 'configuration_version': self._context.state.version,
             },
         )
-        return refusals.problem_response(code, status, retry_after_s)
+        return refusals.problem_response(
+            code, status, retry_after_s, is_scheduled
+        )
 
     async def _forward(
         self,
@@ -519,9 +522,13 @@
                 response.headers.popall('Content-Type', None)
                 _copy_headers(response, head)
                 return response
-            case replies.Refusal(code, retry_after_s):
+            case replies.Refusal(code, retry_after_s, is_scheduled):
                 return self._refuse(
-                    routed.request.facts, code, 503, retry_after_s
+                    routed.request.facts,
+                    code,
+                    503,
+                    retry_after_s,
+                    is_scheduled,
                 )
             case replies.Failure(code, is_late):
                 return self._refuse(
@@ -629,6 +636,7 @@
                 'endpoints': times.endpoints,
                 'first_event_ms': round(times.first_event_s * 1000),
                 'longest_gap_ms': round(times.longest_gap_s * 1000),
+                'admission_wait_ms': round(times.admission_wait_s * 1000),
             }
 
 
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -11,6 +11,7 @@
 
 from aiohttp import web
 
+from godwitvalve.admission import tables as admission_tables
 from godwitvalve.diagnostics import monitor as monitors
 from godwitvalve.endpoint_limits import limiter as limiters
 from godwitvalve.endpoint_limits import messages as permit_messages
@@ -136,6 +137,7 @@
             limiter=limiters.EndpointLimiter(
                 self._coordinators, self._on_placement
             ),
+            admission=admission_tables.AdmissionTables(self._other_entries),
         )
         self._permits = permit_nodes.PermitNode(
             membership.permit_port(settings), self._decide_permit
@@ -191,6 +193,12 @@
         now_s = time.monotonic()
         return member_model.total_placements(self._members.alive(now_s))
 
+    def _other_entries(self) -> admission_tables.Others:
+        alive = self._members.alive(time.monotonic())
+        return admission_tables.Others(
+            1 + len(alive), member_model.total_waiting(alive)
+        )
+
     def _coordinators(self) -> limiters.Coordinators:
         """Return the serving entries, which issue permits for endpoints."""
         now_s = time.monotonic()
@@ -275,6 +283,8 @@
             self._state.configuration_eras.first,
             self._era.current,
             self._state.configuration_eras.last,
+            placement_tokens=self._context.endpoint_tracker.placement_tokens(),
+            waiting_streams=self._context.admission.waiting(),
         )
 
     def _merge_record(self, record: member_model.Record, age_s: float) -> None:
--- a/src/godwitvalve/placement/choose.py
+++ b/src/godwitvalve/placement/choose.py
@@ -33,11 +33,17 @@
 
 
 class Placements(NamedTuple):
-    """Streams of other entries at an endpoint, as they reported them."""
+    """Streams of other entries at an endpoint, as they reported them.
+
+    :param held_tokens: tokens that they will hold at their end.
+    :param unread_tokens: tokens of their prompts that are not read yet.
+    """
 
     streams: int = 0
     starting: int = 0
     backups: int = 0
+    held_tokens: int = 0
+    unread_tokens: int = 0
 
 
 RemotePlacements = abc.Mapping[str, Placements]
--- a/src/godwitvalve/placement/tracker.py
+++ b/src/godwitvalve/placement/tracker.py
@@ -34,6 +34,9 @@
     :param streams: streams of this entry that run there.
     :param starting: streams that have not received their first event.
     :param backups: streams of this entry whose backup is kept there.
+    :param held_tokens: tokens that its streams will hold at their end, for
+        services with admission of streams.
+    :param unread_tokens: tokens of their prompts without an event yet.
     :param failures: consecutive failures.
     :param ejected_until_s: monotonic seconds until which it is avoided.
     :param down_until_s: monotonic seconds until which it counts as down.
@@ -58,6 +61,8 @@
     full_until_s: float = 0.0
     load: wire.EndpointLoad | None = None
     load_valid_until_s: float = 0.0
+    held_tokens: int = 0
+    unread_tokens: int = 0
 
 
 class EndpointTracker:
@@ -151,3 +156,11 @@
             for endpoint_id, stats in self._stats.items()
             if stats.streams or stats.backups
         }
+
+    def placement_tokens(self) -> dict[str, tuple[int, int]]:
+        """Return held and unread tokens of the streams of this entry."""
+        return {
+            endpoint_id: (stats.held_tokens, stats.unread_tokens)
+            for endpoint_id, stats in self._stats.items()
+            if stats.held_tokens
+        }
--- a/src/godwitvalve/platform/configuration.py
+++ b/src/godwitvalve/platform/configuration.py
@@ -54,6 +54,10 @@
     # Whether an endpoint stores backups of the KV cache of requests that
     # run at other endpoints.
     backups: bool = False
+    # Only bound the streams that are sent; odd ones must not cost the rest.
+    slots: Any = None
+    kv_capacity_tokens: Any = None
+    stride: Any = None
 
 
 class _Service(msgspec.Struct):
@@ -120,10 +124,33 @@
 def _service(raw: _Service) -> routes.ServiceConfig:
     engine = None
     if raw.engine is not None:
-        engine = routes.EngineConfig(raw.engine.backups)
+        engine = routes.EngineConfig(
+            raw.engine.backups,
+            _engine_count('slots', raw.engine.slots, bounds.Slots),
+            _engine_count(
+                'kv_capacity_tokens',
+                raw.engine.kv_capacity_tokens,
+                bounds.Tokens,
+            ),
+            _engine_count('stride', raw.engine.stride, bounds.Slots) or 1,
+        )
     return routes.ServiceConfig(raw.name, raw.health_path, engine)
 
 
+def _engine_count(name: str, value: object, kind: Any) -> int | None:
+    """Return a count of the engines; None if it is absent or invalid."""
+    if value is None:
+        return None
+    try:
+        return int(msgspec.convert(value, kind))
+    except msgspec.ValidationError as error:
+        _LOG.warning(
+            'Capacity of engines is not used.',
+            extra={'field': name, 'reason': str(error)},
+        )
+        return None
+
+
 def _idle_s(limit_ms: object) -> float:
     try:
         return msgspec.convert(limit_ms, bounds.Amount) / 1000
--- a/src/godwitvalve/platform/headers.py
+++ b/src/godwitvalve/platform/headers.py
@@ -60,6 +60,8 @@
     :param session: id of the last segment of the prompt, which is unique
         to the session; empty if not stated.
     :param shared_segments: ids of the segments before the last one.
+    :param length_hint: output tokens that the caller expects; 0 if not
+        stated.
     """
 
     request_id: str
@@ -70,6 +72,7 @@
     max_output_tokens: int
     session: str
     shared_segments: tuple[str, ...] = ()
+    length_hint: int = 0
 
 
 class SendFacts(NamedTuple):
@@ -171,6 +174,7 @@
         _parse_count(output.strip()),
         last,
         tuple(shared),
+        _parse_count(values.get('length-hint', '')),
     )
 
 
--- a/src/godwitvalve/queueing/fair_queue.py
+++ b/src/godwitvalve/queueing/fair_queue.py
@@ -226,14 +226,17 @@
         Accounts that wait take turns, so a call waits for those of its own
         account and for as many of each other one.
         """
-        self._forget_ends(now_s)
         position = len(self._waiting.get(account, ())) + 1
         ahead = sum(
             min(len(entries), position)
             for other, entries in self._waiting.items()
             if other != account
         )
+        return (position + ahead) / self.rate_per_s(now_s)
+
+    def rate_per_s(self, now_s: float) -> float:
+        """Return how many calls a second get a turn at the present rate."""
+        self._forget_ends(now_s)
         # An entry with few calls has ended none in the period.
         possible_rate = (self._limit or 1.0) / max(self.call_s, PROBE_PERIOD_S)
-        rate = max(len(self._ended_s) / RATE_PERIOD_S, possible_rate)
-        return (position + ahead) / rate
+        return max(len(self._ended_s) / RATE_PERIOD_S, possible_rate)
--- a/src/godwitvalve/queueing/turns.py
+++ b/src/godwitvalve/queueing/turns.py
@@ -67,6 +67,10 @@
         self._queue: fair_queue.FairQueue[Turn] = fair_queue.FairQueue()
         self._probing: asyncio.TimerHandle | None = None
 
+    def rate_per_s(self) -> float:
+        """Return how many calls a second get a turn at the present rate."""
+        return self._queue.rate_per_s(self._loop.time())
+
     async def begin(
         self, account: str, priority: int, deadline_s: float
     ) -> Turn:
