--- a/src/godwitvalve/fleet/routes.py
+++ b/src/godwitvalve/fleet/routes.py
@@ -51,11 +51,17 @@
 class EngineConfig(NamedTuple):
     """Features of the engines of a model service.
 
-    :param kv_capacity_tokens: KV cache of an engine; 0 if not stated.
+    :param slots: streams that one engine runs at the same time; None if not
+        stated.
+    :param kv_capacity_tokens: tokens that the memory of one engine holds;
+        None if not stated.
+    :param stride: output tokens per event.
     """
 
     has_backups: bool
-    kv_capacity_tokens: int = 0
+    slots: int | None = None
+    kv_capacity_tokens: int | None = None
+    stride: int = 1
 
 
 class ServiceConfig(NamedTuple):
--- a/src/godwitvalve/forwarding/attempts.py
+++ b/src/godwitvalve/forwarding/attempts.py
@@ -106,6 +106,9 @@
         asked to go on with this one.
     :param opening: the request while it lasts.
     :param speed_meter: time between its events.
+    :param held_tokens: tokens that it will hold at its end; 0 without
+        admission of streams.
+    :param unread_tokens: tokens of its prompt until its first event.
     """
 
     endpoint: endpoints.FleetEndpoint
@@ -128,6 +131,8 @@
     speed_meter: speed_meters.SpeedMeter = dataclasses.field(
         default_factory=speed_meters.SpeedMeter
     )
+    held_tokens: int = 0
+    unread_tokens: int = 0
 
     @property
     def has_events(self) -> bool:
@@ -147,6 +152,7 @@
     :param speeds: relative speeds of these endpoints.
     :param silent_count: how many of them the stream left as they were
         silent.
+    :param admission_wait_s: time for which it waited for room.
     """
 
     first_event_s: float = 0.0
@@ -155,6 +161,7 @@
     endpoints: list[str] = dataclasses.field(default_factory=list)
     speeds: list[float] = dataclasses.field(default_factory=list)
     silent_count: int = 0
+    admission_wait_s: float = 0.0
 
 
 class CountedAttempt:
@@ -172,6 +179,8 @@
         )
         stats.streams += 1
         stats.starting += 1
+        stats.held_tokens += self._attempt.held_tokens
+        stats.unread_tokens += self._attempt.unread_tokens
         if self._attempt.backup is not None:
             backup = self._attempt.backup.endpoint_id
             self._context.endpoint_tracker.stats(backup).backups += 1
@@ -182,9 +191,11 @@
             self._attempt.endpoint.endpoint_id
         )
         stats.streams -= 1
+        stats.held_tokens -= self._attempt.held_tokens
         # Lowered before the first event is passed on.
         if not self._attempt.first_event_s:
             stats.starting -= 1
+            stats.unread_tokens -= self._attempt.unread_tokens
         if self._attempt.backup is not None:
             backup = self._attempt.backup.endpoint_id
             self._context.endpoint_tracker.stats(backup).backups -= 1
--- a/src/godwitvalve/forwarding/cached_prompts.py
+++ b/src/godwitvalve/forwarding/cached_prompts.py
@@ -40,7 +40,7 @@
         return prefixes.Demand(
             self._service,
             self._facts.segments,
-            engine.kv_capacity_tokens if engine else 0,
+            (engine.kv_capacity_tokens or 0) if engine else 0,
             self._context.sessions.find(
                 self._facts.session, self._loop.time()
             ),
--- a/src/godwitvalve/ingress/handler.py
+++ b/src/godwitvalve/ingress/handler.py
@@ -254,9 +254,13 @@
         match reply:
             case exchanges.Answered(head, body):
                 return answers.complete(head, body)
-            case replies.Refusal(code, retry_after_s):
+            case replies.Refusal(code, retry_after_s, is_scheduled):
                 return self._ends.refuse(
-                    routed.request.facts, code, 503, retry_after_s
+                    routed.request.facts,
+                    code,
+                    503,
+                    retry_after_s,
+                    is_scheduled,
                 )
             case replies.Failure(code, is_late):
                 return self._ends.refuse(
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -11,6 +11,7 @@
 
 from aiohttp import web
 
+from godwitvalve.admission import tables as admission_tables
 from godwitvalve.diagnostics import monitor as monitors
 from godwitvalve.endpoint_limits import limiter as limiters
 from godwitvalve.endpoint_limits import messages as permit_messages
@@ -145,6 +146,9 @@
             turns=turns.Turns(account_use),
             paces=paces,
             account_use=account_use,
+            admission=admission_tables.AdmissionTables(
+                self._other_entries, self._work_factor
+            ),
         )
         self._permits = permit_nodes.PermitNode(
             membership.permit_port(settings), self._decide_permit
@@ -206,6 +210,18 @@
     def _reported_use(self, now_s: float) -> list[shares.Use]:
         return [each.account_use for each in self._members.alive(now_s)]
 
+    def _other_entries(self) -> admission_tables.Others:
+        alive = self._members.alive(time.monotonic())
+        return admission_tables.Others(
+            1 + len(alive), member_model.total_waiting(alive)
+        )
+
+    def _work_factor(
+        self, endpoint: endpoint_model.FleetEndpoint, now_s: float
+    ) -> float:
+        work = self._context.work_factors.at(endpoint.service, now_s)
+        return work(endpoint) if work else 1.0
+
     def _coordinators(self) -> limiters.Coordinators:
         """Return the serving entries, which issue permits for endpoints."""
         now_s = time.monotonic()
@@ -296,6 +312,8 @@
             pressure=self._pressure.percent,
             capacity=self._pressure.capacity,
             account_use=self._context.account_use.report(time.monotonic()),
+            placement_tokens=self._context.endpoint_tracker.placement_tokens(),
+            waiting_streams=self._context.admission.waiting(),
         )
 
     def _merge_record(self, record: member_model.Record, age_s: float) -> None:
--- a/src/godwitvalve/ingress/request_ends.py
+++ b/src/godwitvalve/ingress/request_ends.py
@@ -35,8 +35,13 @@
         code: codes.ResultCode,
         status: int,
         retry_after_s: float | None = None,
+        is_scheduled: bool = False,
     ) -> web.Response:
-        """Count and log a refusal, and return its answer."""
+        """Count and log a refusal, and return its answer.
+
+        :param retry_after_s: seconds until the caller may retry.
+        :param is_scheduled: whether no jitter is added to them.
+        """
         self._context.counters.count_refusal(code)
         _LOG.info(
             'Refused a request.',
@@ -47,7 +52,9 @@
                 'configuration_version': self._context.state.version,
             },
         )
-        return refusals.problem_response(code, status, retry_after_s)
+        return refusals.problem_response(
+            code, status, retry_after_s, is_scheduled
+        )
 
     def record_incomplete(
         self,
@@ -128,6 +135,7 @@
                 'cached_tokens': prompt.cached_tokens,
                 'first_event_ms': round(times.first_event_s * 1000),
                 'longest_gap_ms': round(times.longest_gap_s * 1000),
+                'admission_wait_ms': round(times.admission_wait_s * 1000),
             }
 
 
--- a/src/godwitvalve/platform/headers.py
+++ b/src/godwitvalve/platform/headers.py
@@ -75,6 +75,8 @@
     :param shared_segments: ids of the segments before the last one.
     :param segments: the first ``MAX_SEGMENTS`` segments with their tokens;
         empty if one has no id or states no tokens.
+    :param length_hint: output tokens that the caller expects; 0 if not
+        stated.
     """
 
     request_id: str
@@ -86,6 +88,7 @@
     session: str
     shared_segments: tuple[str, ...] = ()
     segments: tuple[PromptSegment, ...] = ()
+    length_hint: int = 0
 
 
 class SendFacts(NamedTuple):
@@ -189,6 +192,7 @@
         last,
         tuple(shared),
         tuple(segments[:MAX_SEGMENTS]) if all(map(all, segments)) else (),
+        _parse_count(values.get('length-hint', '')),
     )
 
 
