--- a/features/ingress/uneven_entries.feature
+++ b/features/ingress/uneven_entries.feature
@@ -100,3 +100,8 @@
     Given three entries, of which entry-2 has 0.001 cores
     Then entry-0 soon lists only entry-0 and entry-1
     And the metrics of entry-2 show its pressure
+
+  Scenario: What is sent to endpoints and callers counts for the link
+    # Guards against a link that is full without pressure.
+    When a call with a body of 4000 bytes is answered
+    Then between 4300 and 6000 bytes were counted as sent
--- a/features/steps/ingress_uneven_steps.py
+++ b/features/steps/ingress_uneven_steps.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import pathlib
 import random
 import tempfile
 import urllib.request
 
 import behave
+from features.doubles import forwarding_site
+from features.doubles import ingress_site
+from features.doubles import scripted_endpoint
 from features.models import entry_load
 from features.models import naive_directory
+from godwitvalve.fleet import routes
+from godwitvalve.forwarding import sent_bytes
 from godwitvalve.gossip import members
 from godwitvalve.ingress import directory
 from godwitvalve.ingress import pressure
@@ -226,3 +232,24 @@
     }
     assert values['processor'] > directory.OVERLOADED_PERCENT, values
     assert 0 < values['memory'] < directory.OVERLOADED_PERCENT, values
+
+
+@behave.when('a call with a body of {size:d} bytes is answered')
+def step_call(context, size):
+    async def run():
+        ingress = ingress_site.IngressSite(
+            [[[scripted_endpoint.answer()]]],
+            forwarding_site.route(routes.RequestKind.ONCE),
+        )
+        async with ingress.running():
+            before = sent_bytes.PROCESS.total
+            result = await ingress.ask(body=bytes(size))
+            context.sent = sent_bytes.PROCESS.total - before
+        assert result.status == 200, result
+
+    asyncio.run(run())
+
+
+@behave.then('between {least:d} and {most:d} bytes were counted as sent')
+def step_counted(context, least, most):
+    assert least <= context.sent <= most, context.sent
