Keep the status of a newer roll-out order

An entry that still had an older order compared the version of the status row only and wrote the older order's end over the state of the newer one. It now asks the table of the operator whether its order is still there if the stored status has a greater order version; that costs one call in this case only.

--- a/features/rollouts/rollouts.feature
+++ b/features/rollouts/rollouts.feature
@@ -90,6 +90,21 @@
     And another entry decides to roll it back
     Then the store holds "completed" and both entries adopt it
 
+  Scenario Outline: The status of a newer order is kept: <case>
+    # Guards against an entry that still has an older order and writes its end
+    # over the state of the newer one. The entry itself wrote it in the era
+    # before, if the store was restored and gave out versions again.
+    Given a store with a running roll-out
+    When the status is that of an order whose row has a greater version
+    And the store lists <listed>
+    And an entry rolls back the roll-out
+    Then the status is that of <result>
+
+    Examples:
+      | case     | listed             | result          |
+      | newer    | the newer order    | the newer order |
+      | restored | the entry's order  | the entry       |
+
   Scenario: All entries restart during a roll-out
     # Guards against a roll-out that begins again after a power failure.
     Given a store with a running roll-out
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -167,12 +167,17 @@
     def __init__(self):
         self.version = 1
         self.rows_by_key = {}
+        self.order_rows = []
         self.lose_next_answer = False
         self.now_ms = 1000
 
     async def rows(self, table):
         await asyncio.sleep(0)
-        found = list(self.rows_by_key.values())
+        found = (
+            list(self.rows_by_key.values())
+            if table == wire_rollouts.STATUS_TABLE
+            else self.order_rows
+        )
         return stores.RowsAnswer(found, self.version, False, self.now_ms)
 
     async def write_if(
@@ -268,6 +273,40 @@
     assert context.store.state() is orders.RolloutState.COMPLETED
 
 
+@behave.when('the status is that of an order whose row has a greater version')
+def newer_status(context):
+    newer = ORDER._replace(version='v3', row_version=ORDER.row_version + 4)
+    running = orders.RolloutState.RUNNING
+    key = wire_rollouts.status_key(ORDER.service)
+    content = wire_rollouts.encode_status(newer, running, 1000)
+    context.store.version += 1
+    context.store.rows_by_key[key] = stores.StoredRow(
+        key, context.store.version, content
+    )
+
+
+@behave.when("the store lists {which}'s order")
+@behave.when('the store lists the {which} order')
+def store_lists(context, which):
+    offset = 4 if which == 'newer' else 0
+    context.store.order_rows = [
+        stores.StoredRow('rollout/s', ORDER.row_version + offset, b'{}')
+    ]
+
+
+@behave.when('an entry rolls back the roll-out')
+def entry_rolls_back(context):
+    context.entries[0].set_pending(orders.RolloutState.TAKEN_BACK)
+    asyncio.run(context.entries[0].synchronise())
+
+
+@behave.then('the status is that of the {whose}')
+def status_is_of(context, whose):
+    (row,) = context.store.rows_by_key.values()
+    found = wire_rollouts.decode_status(row.value, row.version)
+    assert (found.version == 'v3') == (whose == 'newer order'), found
+
+
 @behave.when('an entry without any state starts {span_s:d} s later')
 def start_later(context, span_s):
     context.store.now_ms += span_s * 1000
--- a/src/godwitvalve/rollouts/status_writer.py
+++ b/src/godwitvalve/rollouts/status_writer.py
@@ -9,6 +9,7 @@
 from godwitvalve.lifecycle import supervision
 from godwitvalve.logs import repeats
 from godwitvalve.logs import setup as logs
+from godwitvalve.platform import configuration as wire_configuration
 from godwitvalve.platform import rollouts as wire_rollouts
 from godwitvalve.platform import store as stores
 from godwitvalve.rollouts import orders
@@ -20,6 +21,8 @@
 # this much longer, in case those before it cannot reach the store.
 RANK_DELAY_S = 0.8
 MAX_RANK_DELAY_S = 4.0
+# Time in which an entry reads the order that replaced its own.
+SUPERSEDED_PAUSE_S = 1.0
 
 _LOG = logs.get('rollouts')
 _FAILURES = supervision.FailureLog(_LOG)
@@ -64,14 +67,9 @@
         pending = each.pending_state()
         if pending is None:
             return False
-        order = each.order
-        key = (
-            order.service,
-            *order.revision,
-            int(pending),
-            each.store_era,
+        since_s = self._pending_since_s.setdefault(
+            _pending_key(each, pending), now_s
         )
-        since_s = self._pending_since_s.setdefault(key, now_s)
         return now_s - since_s >= min(
             self._rank() * RANK_DELAY_S, MAX_RANK_DELAY_S
         )
@@ -94,6 +92,20 @@
             if pending is None or status.state.is_final:
                 self._on_change()
                 return
+            if await self._is_superseded(each, status):
+                # Asked again in case the order of the status is taken back.
+                self._pending_since_s[_pending_key(each, pending)] = (
+                    time.monotonic() + SUPERSEDED_PAUSE_S
+                )
+                _LOG.info(
+                    'Kept the status of a newer roll-out.',
+                    extra={
+                        'service': each.order.service,
+                        'order': each.order.row_version,
+                        'stored_order': status.order_version,
+                    },
+                )
+                return
             elapsed_ms = int(each.elapsed_s(began_at_s) * 1000)
             written = await self._write(
                 each,
@@ -116,12 +128,32 @@
             each.advance(pending, 'written')
         self._on_change()
 
+    async def _is_superseded(
+        self, each: rollouts.Rollout, status: orders.RolloutStatus
+    ) -> bool:
+        """Tell whether the stored status is that of a newer order.
+
+        A store that was restored gives out versions again, so that a greater
+        one alone does not tell: the order must also be gone from the store.
+
+        :raises StoreUnavailable: if the store gave no usable answer.
+        """
+        if status.order_version <= each.order.row_version:
+            return False
+        answer = await self._store.rows(wire_configuration.TABLE)
+        return not any(
+            wire_rollouts.is_order(row.key)
+            and row.version == each.order.row_version
+            for row in answer.rows
+        )
+
     def _status(
         self, each: rollouts.Rollout, answer: stores.RowsAnswer
     ) -> orders.RolloutStatus:
         """Return the stored status of the order.
 
-        Without one, it is a running status of order version 0.
+        Without one, or with that of another order, it is a running status of
+        order version 0, or of the version of that order if it is greater.
         """
         key = wire_rollouts.status_key(each.order.service)
         no_status = orders.RolloutStatus(0, orders.RolloutState.RUNNING, 0, 0)
@@ -142,7 +174,11 @@
             each.order.version,
         ):
             # The status belongs to another order.
-            return no_status._replace(row_version=row.version)
+            newer = status.order_version > each.order.row_version
+            return no_status._replace(
+                order_version=status.order_version if newer else 0,
+                row_version=row.version,
+            )
         return status
 
     async def _write(
@@ -160,3 +196,10 @@
             row_version,
             era,
         )
+
+
+def _pending_key(
+    each: rollouts.Rollout, pending: orders.RolloutState
+) -> tuple[str, int, int, int, int]:
+    order = each.order
+    return order.service, *order.revision, int(pending), each.store_era
