Follow a paged table from its oldest page, and drop silent connections

After a call without an answer the next one could use an idle connection that is silent as well and wait for its whole limit again.

--- a/src/godwitvalve/platform/store.py
+++ b/src/godwitvalve/platform/store.py
@@ -153,16 +153,22 @@
 
     :param address: ``IP:port`` of the store.
     :param on_era: called with the era that an answer states.
+    :param on_silence: called when a call got no answer in time. Polls on other
+        connections may be silent as well.
     """
 
     def __init__(
         self,
         address: str,
         on_era: abc.Callable[[int], None] = lambda era: None,
+        on_silence: abc.Callable[[], None] = lambda: None,
     ) -> None:
         self._base_url = f'http://{address}'
         self._on_era = on_era
+        self._on_silence = on_silence
         self._session: aiohttp.ClientSession | None = None
+        # Calls in progress by session; all but the newest one are retired.
+        self._calls: dict[aiohttp.ClientSession, int] = {}
 
     def set_address(self, address: str) -> None:
         """Send further calls to another address.
@@ -173,21 +179,44 @@
 
     async def close(self) -> None:
         """Close the connections."""
-        if self._session is not None:
-            await self._session.close()
+        for session in list(self._calls):
+            await session.close()
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = connectors.new_session(
                 limit=0, socket_factory=sockets.create
             )
+            self._calls[self._session] = 0
         return self._session
 
+    def _handle_silence(
+        self, session: aiohttp.ClientSession, timeout_s: float
+    ) -> None:
+        """Use new connections from now on, as idle ones may be silent.
+
+        A call with a shorter limit than the others proves nothing: a degraded
+        store answers later.
+        """
+        if timeout_s < CALL_TIMEOUT_S:
+            return
+        if self._session is session:
+            self._session = None
+        self._on_silence()
+
+    async def _end_call(self, session: aiohttp.ClientSession) -> None:
+        self._calls[session] -= 1
+        if self._session is not session and not self._calls[session]:
+            del self._calls[session]
+            await session.close()
+
     async def _call(
         self, method: str, target: str, body: bytes | None, timeout_s: float
     ) -> _Reply:
+        session = self._get_session()
+        self._calls[session] += 1
         try:
-            async with self._get_session().request(
+            async with session.request(
                 method,
                 self._base_url + target,
                 data=body,
@@ -199,19 +228,28 @@
                     self._on_era(era)
                 return _Reply(answer.status, content, era)
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
+            if isinstance(error, asyncio.TimeoutError):
+                self._handle_silence(session, timeout_s)
             reason = f'{method} {target}: {type(error).__name__}'
             raise StoreUnavailable(reason) from error
+        finally:
+            await self._end_call(session)
 
     async def rows(
         self, table: str, part: str = '', timeout_s: float = CALL_TIMEOUT_S
     ) -> RowsAnswer:
         """Return all rows of one part of a table.
 
+        A large table is read in pages of different moments. It is complete
+        up to the oldest of their versions only, from which on its changes
+        have to be read.
+
         :param timeout_s: time limit of each call in seconds.
         :raises StoreUnavailable: if the store gave no usable answer.
         """
         found: list[StoredRow] = []
         era: int | None = None
+        version: int | None = None
         start_key = ''
         table_bytes = 0
         while True:
@@ -235,8 +273,12 @@
             ):
                 raise StoreUnavailable(f'reading {table}: pages without end')
             found += answer.rows
+            # Stale reads may lag behind the page before.
+            version = min(version or answer.version, answer.version)
             if not answer.has_more or not answer.rows:
-                return answer._replace(rows=found, has_more=False)
+                return answer._replace(
+                    rows=found, version=version, has_more=False
+                )
             # The smallest key greater than the last one received.
             start_key = answer.rows[-1].key + '\0'
 
