End polls of the store whose answer was lost

The entry that reads for its failure domain now waits for as long as the limits of the deployment leave, a call without an answer ends the other polls, and heartbeats state the newest endpoint row.

--- a/features/ingress/settings_changes.feature
+++ b/features/ingress/settings_changes.feature
@@ -37,6 +37,8 @@
       | exposure_slack           | changed |
       | memory_mb                | changed |
       | configuration_limit_ms   | changed |
+      | drain_limit_ms           | changed |
+      | contact_limit_ms         | changed |
       | seed_addresses           | changed |
       | store_address            | changed |
       | instance_id              | waiting |
@@ -77,5 +79,7 @@
       | exposure_slack           | 7     | "slack of a later roll-out" | 50     | 7     |
       | memory_mb                | 64    | "held MiB"                  | 16     | 8     |
       | configuration_limit_ms   | 4000  | "wait for configurations"   | 1      | 3     |
+      | drain_limit_ms           | 3000  | "wait for endpoints"        | 2      | 3     |
+      | contact_limit_ms         | 4000  | "wait for endpoints"        | 2      | 3     |
       | seed_addresses           | []    | "seeds"                     | 1      | 0     |
       | store_address            | "127.0.7.4:5000" | "port of the store" | 4001 | 5000 |
--- a/features/steps/ingress_settings_changes_steps.py
+++ b/features/steps/ingress_settings_changes_steps.py
@@ -15,6 +15,7 @@
 from godwitvalve.ingress import process
 from godwitvalve.ingress import settings_changes
 from godwitvalve.platform import configuration
+from godwitvalve.platform import endpoints as wire_endpoints
 from godwitvalve.platform import settings
 from godwitvalve.platform import store as stores
 from godwitvalve.rollouts import orders
@@ -251,6 +252,9 @@
     'wait for configurations': lambda entry: entry._sources.wait_s(
         configuration.TABLE
     ),
+    'wait for endpoints': lambda entry: entry._sources.wait_s(
+        wire_endpoints.TABLE
+    ),
     'seeds': _seed_count,
     'port of the store': lambda entry: int(
         entry._store._base_url.rpartition(':')[2]
--- a/src/godwitvalve/fleet/follower.py
+++ b/src/godwitvalve/fleet/follower.py
@@ -9,6 +9,7 @@
 from typing import Any, Protocol
 
 from godwitvalve.fleet import eras
+from godwitvalve.fleet import poll_checks
 from godwitvalve.fleet import relay as relays
 from godwitvalve.fleet import sources
 from godwitvalve.logs import setup as logs
@@ -24,6 +25,8 @@
 # A call that took longer waited for its first change: a degraded store takes
 # 0.24 s to answer.
 WAITED_S = 0.5
+# How often a poll that waits is checked.
+CHECK_PERIOD_S = 0.1
 
 _LOG = logs.get('fleet')
 
@@ -82,6 +85,8 @@
     :param era: wakes the follower when the store may have been restored.
     :param pause_s: returns the seconds between two calls; a pause lets one
         call read changes that occur together.
+    :param checks: decides when a poll that may be silent is ended.
+    :param on_check: called with the reason of each such end.
     """
 
     def __init__(
@@ -92,6 +97,8 @@
         relay: relays.TableRelay,
         pause_s: abc.Callable[[], float] = float,
         era: eras.StoreEra | None = None,
+        checks: poll_checks.PollChecks | None = None,
+        on_check: abc.Callable[[str], None] = lambda reason: None,
     ) -> None:
         self._sources = table_sources
         self._table = table
@@ -99,6 +106,10 @@
         self._relay = relay
         self._pause_s = pause_s
         self._era = era or eras.StoreEra()
+        self._checks = checks or poll_checks.PollChecks()
+        self._on_check = on_check
+        # Whether the last poll was ended to ask the store at once.
+        self._was_ended = False
         # Revision up to which the table was read; None if it must be read.
         self._revision: stores.StoreRevision | None = None
         self._newest: stores.StoreRevision | None = None
@@ -136,7 +147,8 @@
             if reads_changes:
                 retry_pauses_s = _pauses()
                 is_without_changes = False
-            await asyncio.sleep(self._pause_s())
+            if not self._was_ended:
+                await asyncio.sleep(self._pause_s())
 
     def _mark_source_failed(self, instance_id: str, reason: str) -> None:
         self._sources.mark_failed(instance_id)
@@ -178,6 +190,7 @@
         self._mark_available(answer)
         self._consumer.apply_snapshot(answer.rows, read)
         await self._relay.update(self._with_trust(answer), True)
+        self._checks.record_read(answer.rows, read)
         self._revision = self._newest = read
         if self._era.is_settled(read.era):
             self._seen_change_count = self._era.change_count
@@ -217,12 +230,14 @@
         self._seen_change_count = self._era.change_count
         wait_s = (
             0.0
-            if self._is_store_unavailable or has_change
+            if self._is_store_unavailable or has_change or self._was_ended
             else self._sources.wait_s(self._table)
         )
+        self._was_ended = False
         waited_from_s = time.monotonic() + WAITED_S
-        raw_answer = await self._call_unless_restored(
-            source.changes(self._table, after, wait_s)
+        raw_answer = await self._call_unless_doubted(
+            source.changes(self._table, after, wait_s),
+            poll_checks.Poll(time.monotonic(), 0.0 if is_relayed else wait_s),
         )
         if raw_answer is None:
             return
@@ -242,29 +257,55 @@
                 )
             self._consumer.apply_changes(answer.rows)
         await self._relay.update(self._with_trust(answer), False)
+        self._checks.record_read(answer.rows, read)
         self._revision = self._newest = max(after, read)
         self._consumer.mark_current(self._revision)
 
-    async def _call_unless_restored(
-        self, call: abc.Coroutine[Any, Any, sources.TableAnswer]
+    async def _call_unless_doubted(
+        self,
+        call: abc.Coroutine[Any, Any, sources.TableAnswer],
+        poll: poll_checks.Poll,
     ) -> sources.TableAnswer | None:
-        """Return the answer, or None if the store may have been restored.
+        """Return the answer, or None if the store is to be asked again.
 
-        A call that waits for changes may not end when the store returns.
+        A call that waits for changes may not end when the store returns from
+        a copy, or if its connection is silent.
         """
         calling = asyncio.ensure_future(call)
         change = asyncio.ensure_future(
             self._era.wait_for_change(self._seen_change_count)
         )
         try:
-            await asyncio.wait(
-                {calling, change}, return_when=asyncio.FIRST_COMPLETED
-            )
+            while not (calling.done() or change.done() or self._ends(poll)):
+                await asyncio.wait(
+                    {calling, change},
+                    timeout=CHECK_PERIOD_S if poll.is_checked else None,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
             return calling.result() if calling.done() else None
         finally:
             calling.cancel()
             change.cancel()
 
+    def _ends(self, poll: poll_checks.Poll) -> bool:
+        """Tell whether a poll is ended to ask the store at once."""
+        reason = self._checks.end_reason(
+            poll, self._sources.wait_s(self._table), time.monotonic()
+        )
+        if reason is None:
+            return False
+        self._was_ended = True
+        self._on_check(reason)
+        _LOG.info(
+            'Ended a poll of the store that may be silent.',
+            extra={
+                'table': self._table,
+                'reason': reason,
+                'waited_s': round(time.monotonic() - poll.began_s, 1),
+            },
+        )
+        return True
+
     def _with_era(self, answer: sources.TableAnswer) -> sources.TableAnswer:
         """Return an answer with its era; without one, it is the known one."""
         if answer.era is not None:
--- a/src/godwitvalve/fleet/sources.py
+++ b/src/godwitvalve/fleet/sources.py
@@ -13,8 +13,9 @@
 # then another source is used. Leaving endpoints must be known everywhere
 # within 3 s in a large fleet, of which a second is for the next source.
 STALE_S = 1.5
-# Each wait for changes costs one call; keepalive probes monitor the store's
-# connection meanwhile.
+# Each wait for changes costs one call. Keepalive probes do not show that the
+# answer to it was lost. The entry that reads for its failure domain waits for
+# less; the others learn from its heartbeats that they are behind.
 STORE_WAIT_S = 8.0
 # One entry of each failure domain confirms its tables every second.
 RELAYED_WAIT_S = 1.0
--- a/src/godwitvalve/forwarding/counters.py
+++ b/src/godwitvalve/forwarding/counters.py
@@ -71,6 +71,11 @@
             'Attempts that may have run and got no answer, by reason.',
             labels,
         )
+        self._poll_checks = self._counter(
+            'godwitvalve_store_poll_checks_total',
+            'Polls of the store that were ended as they may be silent.',
+            labels,
+        )
         self._crashes = self._counter(
             'godwitvalve_answer_crashes_total',
             'Endpoints that crashed as they began an answer.',
@@ -135,6 +140,10 @@
         """Set the number of endpoints that state a limit."""
         self._limited_endpoints.set({}, count)
 
+    def count_poll_check(self, reason: str) -> None:
+        """Count a poll of the store that was ended as it may be silent."""
+        self._poll_checks.inc({'reason': reason})
+
     def count_lost(self, reason: str) -> None:
         """Count an attempt that may have run and got no answer."""
         self._lost.inc({'reason': reason})
--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -79,6 +79,8 @@
     :param pressure: part of its resources in use, in percent.
     :param account_use: calls and streams in flight by service and client
         account, for services that are full.
+    :param newest_endpoint_row: era and version of the newest row of the table
+        of endpoints that it has read.
     """
 
     instance_id: bounds.Name
@@ -112,6 +114,7 @@
     account_use: dict[
         str, dict[str, tuple[bounds.Integer, bounds.Integer]]
     ] = {}
+    newest_endpoint_row: tuple[bounds.Era, bounds.Count] = (0, 0)
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/godwitvalve/ingress/peer_tables.py
+++ b/src/godwitvalve/ingress/peer_tables.py
@@ -248,8 +248,8 @@
         """Return how long a call waits for changes of a table at most.
 
         The store may report nothing to waiting calls and drop its history
-        meanwhile. One entry of each failure domain asks again in time; the
-        others follow the versions in its heartbeats.
+        meanwhile, or its answer may be lost. One entry of each failure domain
+        asks again in time; the others follow the versions in its heartbeats.
         """
         alive = self._alive()
         if len(alive) >= member_model.DIRECT_MEMBERS:
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -19,6 +19,7 @@
 from godwitvalve.fleet import endpoints as endpoint_model
 from godwitvalve.fleet import eras
 from godwitvalve.fleet import follower
+from godwitvalve.fleet import poll_checks
 from godwitvalve.fleet import relay as relays
 from godwitvalve.fleet import sources
 from godwitvalve.fleet import state as states
@@ -97,8 +98,12 @@
         self._state = states.FleetState()
         self._era = eras.StoreEra()
         self._store = stores.StoreClient(
-            settings.store_address, self._era.record
+            settings.store_address, self._era.record, self._on_store_silence
         )
+        self._poll_checks = {
+            table: poll_checks.PollChecks()
+            for table in (wire_configuration.TABLE, wire_endpoints.TABLE)
+        }
         self._members = member_model.Members(
             settings.instance_id, settings.failure_domain
         )
@@ -242,6 +247,11 @@
         self._lifecycle.begin_serving()
         self._gossip.schedule_update()
 
+    def _on_store_silence(self) -> None:
+        now_s = time.monotonic()
+        for checks in self._poll_checks.values():
+            checks.record_silence(now_s)
+
     def _on_endpoint_removed(self, endpoint_id: str) -> None:
         self._context.pool.drop(endpoint_id)
         self._context.endpoint_tracker.forget(endpoint_id)
@@ -275,12 +285,18 @@
             self._state.configuration_eras.first,
             self._era.current,
             self._state.configuration_eras.last,
+            newest_endpoint_row=self._poll_checks[
+                wire_endpoints.TABLE
+            ].newest_row,
         )
 
     def _merge_record(self, record: member_model.Record, age_s: float) -> None:
         now_s = time.monotonic()
         origin = (record.instance_id, record.started_wall_ms)
         self._era.record_report(record.store_era)
+        self._poll_checks[wire_endpoints.TABLE].record_report(
+            stores.StoreRevision(*record.newest_endpoint_row), now_s
+        )
         for report in record.rollouts:
             if self._rollouts.apply_report(origin, report, now_s, age_s):
                 self._gossip.schedule_update()
@@ -363,6 +379,8 @@
             ),
             self._relays[wire_configuration.TABLE],
             era=self._era,
+            checks=self._poll_checks[wire_configuration.TABLE],
+            on_check=self._context.counters.count_poll_check,
         )
         endpoint_follower = follower.TableFollower(
             self._sources,
@@ -371,6 +389,8 @@
             self._relays[wire_endpoints.TABLE],
             self._endpoints_read_pause_s,
             self._era,
+            self._poll_checks[wire_endpoints.TABLE],
+            self._context.counters.count_poll_check,
         )
         return {
             'follow the table of the operator': operator_follower.run,
--- a/src/godwitvalve/platform/settings.py
+++ b/src/godwitvalve/platform/settings.py
@@ -49,7 +49,9 @@
     another service. A bad version may receive at most ``exposure_share`` of
     the requests for its service plus ``exposure_slack`` requests.
     ``memory_mb`` is the memory of the machine. A configuration has to be in
-    force ``configuration_limit_ms`` after it was written.
+    force ``configuration_limit_ms`` after it was written. An endpoint that
+    leaves may get requests for ``drain_limit_ms`` after the store confirmed
+    it, once the store has been stable for ``contact_limit_ms``.
     """
 
     instance_id: str
@@ -71,6 +73,8 @@
     exposure_slack: bounds.Amount = 50.0
     memory_mb: bounds.Amount = 128.0
     configuration_limit_ms: bounds.Amount = 2000.0
+    drain_limit_ms: bounds.Amount = 2000.0
+    contact_limit_ms: bounds.Amount = 3000.0
 
 
 def _is_address(value: object) -> bool:
