--- a/src/godwitvalve/gossip/members.py
+++ b/src/godwitvalve/gossip/members.py
@@ -83,6 +83,8 @@
     :param capacity: processor capacity of its machine, in thousandths of a
         core; 0 if its settings do not state it.
     :param waiting_streams: streams that wait at the entry, by service.
+    :param newest_endpoint_row: era and version of the newest row of the table
+        of endpoints that it has read.
     """
 
     instance_id: bounds.Name
@@ -118,6 +120,7 @@
     ] = {}
     capacity: bounds.Count = 0
     waiting_streams: dict[str, bounds.Integer] = {}
+    newest_endpoint_row: tuple[bounds.Era, bounds.Count] = (0, 0)
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -20,6 +20,7 @@
 from godwitvalve.fleet import endpoints as endpoint_model
 from godwitvalve.fleet import eras
 from godwitvalve.fleet import follower
+from godwitvalve.fleet import poll_checks
 from godwitvalve.fleet import relay as relays
 from godwitvalve.fleet import sources
 from godwitvalve.fleet import state as states
@@ -102,8 +103,12 @@
         self._state = states.FleetState()
         self._era = eras.StoreEra()
         self._store = stores.StoreClient(
-            settings.store_address, self._era.record
+            settings.store_address, self._era.record, self._on_store_silence
         )
+        self._poll_checks = {
+            table: poll_checks.PollChecks()
+            for table in (wire_configuration.TABLE, wire_endpoints.TABLE)
+        }
         self._members = member_model.Members(
             settings.instance_id, settings.failure_domain
         )
@@ -273,6 +278,11 @@
         self._lifecycle.begin_serving()
         self._gossip.schedule_update()
 
+    def _on_store_silence(self) -> None:
+        now_s = time.monotonic()
+        for checks in self._poll_checks.values():
+            checks.record_silence(now_s)
+
     def _on_endpoint_removed(self, endpoint_id: str) -> None:
         self._context.pool.drop(endpoint_id)
         self._context.endpoint_tracker.forget(endpoint_id)
@@ -314,12 +324,18 @@
             account_use=self._context.account_use.report(time.monotonic()),
             placement_tokens=self._context.endpoint_tracker.placement_tokens(),
             waiting_streams=self._context.admission.waiting(),
+            newest_endpoint_row=self._poll_checks[
+                wire_endpoints.TABLE
+            ].newest_row,
         )
 
     def _merge_record(self, record: member_model.Record, age_s: float) -> None:
         now_s = time.monotonic()
         origin = (record.instance_id, record.started_wall_ms)
         self._era.record_report(record.store_era)
+        self._poll_checks[wire_endpoints.TABLE].record_report(
+            stores.StoreRevision(*record.newest_endpoint_row), now_s
+        )
         for report in record.rollouts:
             if self._rollouts.apply_report(origin, report, now_s, age_s):
                 self._gossip.schedule_update()
@@ -408,6 +424,8 @@
             ),
             self._relays[wire_configuration.TABLE],
             era=self._era,
+            checks=self._poll_checks[wire_configuration.TABLE],
+            on_check=self._context.counters.count_poll_check,
         )
         endpoint_follower = follower.TableFollower(
             self._sources,
@@ -416,6 +434,8 @@
             self._relays[wire_endpoints.TABLE],
             self._endpoints_read_pause_s,
             self._era,
+            self._poll_checks[wire_endpoints.TABLE],
+            self._context.counters.count_poll_check,
         )
         return {
             'follow the table of the operator': operator_follower.run,
--- a/src/godwitvalve/platform/settings.py
+++ b/src/godwitvalve/platform/settings.py
@@ -52,7 +52,9 @@
     ``cpu_share`` of its ``cores`` and send ``link_mbps`` Mbit/s; 0 means that
     this is not known, and addresses are then listed without regard to it.
     A configuration has to be in force ``configuration_limit_ms`` after it
-    was written.
+    was written. An endpoint that
+    leaves may get requests for ``drain_limit_ms`` after the store confirmed
+    it, once the store has been stable for ``contact_limit_ms``.
     """
 
     instance_id: str
@@ -77,6 +79,8 @@
     cpu_share: bounds.Amount = 0.0
     cores: bounds.Amount = 0.0
     link_mbps: bounds.Amount = 0.0
+    drain_limit_ms: bounds.Amount = 2000.0
+    contact_limit_ms: bounds.Amount = 3000.0
 
 
 def _is_address(value: object) -> bool:
