Offer all endpoints with room while more than half have it

Cause: with two endpoints drawn for each stream, one in sixteen streams gets a choice of slow engines only, although quick ones have room.

Change: the choice among two stays for services where at most half of the endpoints have room.

--- a/src/godwitvalve/admission/decision.py
+++ b/src/godwitvalve/admission/decision.py
@@ -28,6 +28,10 @@
 # Endpoints among which a stream is placed. All entries choose by the same
 # reports; with the best of all or of eight, those of the same moment meet.
 SAMPLE = 2
+# Part of the endpoints above which all that have room are offered: entries
+# that send at the same moment seldom meet then, and a choice among two would
+# send streams to slow endpoints while quick ones have room.
+AMPLE_SHARE = 0.5
 # Waiting streams look for room about this often.
 POLL_S = 0.05
 # Time until other entries know of a stream that was sent.
@@ -130,6 +134,8 @@
         return Refuse(Reason.DEADLINE, max(soonest_s - limit_s, 0.0))
     is_next = not ahead and _may_contend(len(reachable), waiting, rng)
     if reachable and is_next:
+        if len(reachable) > len(rooms) * AMPLE_SHARE:
+            return Send(frozenset(reachable))
         return Send(_sample(reachable, rng, preferred_id))
     wait_s = max(ahead + 1, waiting) / rate_per_s
     if soonest_s > limit_s:
