Leave an endpoint that fell silent after a slow span

Cause: a connection check that gets no answer within 0.1 s changed nothing, so that the success of an earlier check counted on. A stream whose endpoint was slow and then fell silent stayed for 1.5 times the allowed pause.

Change: a check without an answer counts as failed. A test in virtual time also shows how long a stream stays whose endpoint restarts while its prompt is read.

Measured (allowed pause 0.7 s, silent from 0.5 s on): the stream leaves after 0.85 s instead of 1.05 s. With an outage of 1.2 s and a listing 0.6 s later, a stream without events leaves 1.3 s after its prompt was lost at the latest, and within 0.01 s of the listing.

--- a/src/godwitvalve/forwarding/stream_silence.py
+++ b/src/godwitvalve/forwarding/stream_silence.py
@@ -79,12 +79,15 @@
                 attempt.endpoint.address
             )
             return
-        # The gap decides if the check takes too long.
+        # The gap decides if the check takes too long, also if an earlier one
+        # succeeded: a lost endpoint may have been slow before.
+        is_accepted = False
         with contextlib.suppress(asyncio.TimeoutError):
             async with asyncio.timeout(gaps.SHARED_CHECK_LIMIT_S):
-                attempt.is_reachable = await probes.accepts_connections(
+                is_accepted = await probes.accepts_connections(
                     attempt.endpoint.address
                 )
+        attempt.is_reachable = is_accepted
 
     def may_leave(self, attempt: attempts.StreamAttempt) -> bool:
         """Tell whether an attempt ends because its endpoint is silent.
