Leave lost endpoints whose row is removed with the new listing

A stream whose prompt was there stayed until its deadline, as the new endpoint accepts connections.

Change: a stream also leaves an endpoint that is gone from the table while a later one has its address. The table is searched only for endpoints that are gone.

--- a/features/forwarding/silence_checks.feature
+++ b/features/forwarding/silence_checks.feature
@@ -16,7 +16,8 @@
 
   Scenario Outline: Endpoints restart at the same address
     # Guards against streams whose prompt is lost and that stay as the new
-    # endpoint accepts connections.
+    # endpoint accepts connections: without a listing that counts, until their
+    # deadline.
     When endpoints restart 1.2 s after they fell silent and are listed <listed> s later, <rows> their rows removed
     Then streams leave them within <limit> s, and 0.06 s after the listing at the latest
 
@@ -24,3 +25,4 @@
       | listed | rows    | limit |
       | 0.3    | without | 1.1   |
       | 0.6    | without | 1.35  |
+      | 0.6    | with    | 1.35  |
--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -340,6 +340,21 @@
         """Return whether another endpoint answers at its address."""
         return endpoint_id in self._replaced
 
+    def is_superseded(self, endpoint: endpoints.FleetEndpoint) -> bool:
+        """Return whether an endpoint's address has another one, by the rows.
+
+        Load pattern: an entry reads the row of a restarted endpoint together
+        with the removal of the old one. Requests at the old one are lost.
+        """
+        if endpoint.endpoint_id in self._endpoints:
+            return self.is_replaced(endpoint.endpoint_id)
+        return any(
+            other.address == endpoint.address
+            and other.started_wall_ms >= endpoint.started_wall_ms
+            and self._is_known_service(other.service)
+            for other in self._endpoints.values()
+        )
+
     def replaced(self) -> list[tuple[str, int]]:
         """Return id and start of the replaced endpoints."""
         return [
--- a/src/godwitvalve/forwarding/stream_silence.py
+++ b/src/godwitvalve/forwarding/stream_silence.py
@@ -111,9 +111,7 @@
         # Events show that the endpoint still answers.
         is_replaced = (
             not attempt.has_events
-            and self._context.state.registry.is_replaced(
-                attempt.endpoint.endpoint_id
-            )
+            and self._context.state.registry.is_superseded(attempt.endpoint)
         )
         if not (
             attempt.is_unreachable
