Let a poll answer before a report ends it, and further reports not delay it

Cause: the time of grace ran from the report alone. A reader that paused for 0.3 s to 0.5 s while the others reported a change ended its next poll at once, before the store could answer: a call and a connection for nothing. And each newer report began the time anew, so that a silent poll lasted on while endpoints restarted one after the other.

Change: the time runs from the first report that is not confirmed, or from the start of the poll if that is later.

Measured: by unit tests only.

--- a/features/fleet/poll_checks.feature
+++ b/features/fleet/poll_checks.feature
@@ -64,3 +64,23 @@
     When others report the row of version 12 for 0.2 s
     And the entry reads version 12
     Then the poll is ended 0 times, as ""
+
+  Scenario Outline: A poll gets time to answer that begins after a report
+    # Guards against a priced call that ends at once: the reader of a failure
+    # domain pauses for 0.3 s to 0.5 s between polls, in which the others read
+    # and report a change.
+    Given a poll of 8 s by an entry that read version 10
+    When the row of version 12 was reported 0.4 s before the poll
+    Then the poll is ended <times>, as "<reason>" after <after> s
+
+    Examples:
+      | after | times   | reason |
+      | 0.2   | 0 times |        |
+      | 0.3   | 1 time  | behind |
+
+  Scenario: Further reports do not postpone the end of a silent poll
+    # Guards against a silent poll that lasts while endpoints restart one after
+    # the other, as each newer row began the wait anew.
+    Given a poll of 8 s by an entry that read version 10
+    When others report a newer row each 0.1 s for 0.4 s
+    Then the poll is ended 1 time, as "behind"
--- a/features/steps/fleet_poll_checks_steps.py
+++ b/features/steps/fleet_poll_checks_steps.py
@@ -134,6 +134,30 @@
         _check(context)
 
 
+@behave.when(
+    'the row of version {version:d} was reported {before_s:g} s before the '
+    'poll'
+)
+def reported_before(context, version, before_s):
+    context.checks.record_report(stores.StoreRevision(1, version), -before_s)
+
+
+@behave.when('others report a newer row each 0.1 s for {span_s:g} s')
+def report_newer(context, span_s):
+    for step in range(round(span_s / STEP_S)):
+        others_report(context, 11 + step, STEP_S)
+
+
+@behave.then('the poll is ended {count}, as "{reason}" after {after_s:g} s')
+@behave.then('the poll is ended {count}, as "" after {after_s:g} s')
+def ended_after(context, count, after_s, reason=''):
+    while context.now_s < after_s - STEP_S / 2:
+        _check(context)
+        context.now_s += STEP_S
+    _check(context)
+    ended(context, int(count.split()[0]), reason)
+
+
 @behave.when('the entry reads version {version:d}')
 def entry_reads(context, version):
     context.checks.record_read([], stores.StoreRevision(1, version))
--- a/src/godwitvalve/fleet/poll_checks.py
+++ b/src/godwitvalve/fleet/poll_checks.py
@@ -68,7 +68,8 @@
         """
         if newest_row > max(self._reported, self._read):
             self._reported = newest_row
-            self._reported_s = now_s
+            # Rows that follow one another must not postpone the check.
+            self._reported_s = min(self._reported_s, now_s)
 
     def record_read(
         self, rows: list[stores.StoredRow], read: stores.StoreRevision
@@ -99,7 +100,9 @@
             return None
         if self._silent_s >= poll.began_s:
             return SILENCE
-        if now_s >= self._reported_s + REPORT_GRACE_S:
+        # A poll that began after the report gets the same time to answer.
+        behind_from_s = max(self._reported_s, poll.began_s) + REPORT_GRACE_S
+        if now_s >= behind_from_s:
             self._reported_s = float('inf')
             return BEHIND
         limit_s = longest_wait_s + stores.FEED_TIMEOUT_MARGIN_S
