Leave endpoints that are down out of the admission of streams

A lost endpoint looks empty, so that it was among the two that admission offers a new stream; if both were lost, it was sent there.

--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -114,6 +114,12 @@
       | no known speed           | arrives    | complete            |
       | a new engine             | arrives    | complete            |
 
+  Scenario: A stream has no room at an endpoint that is down
+    # Guards against streams sent to lost endpoints, which look empty: an
+    # ejection by a reported loss ends after 0.25 s, a crash after 1.2 s.
+    Given 2 engines of which one is full and the other counts as down
+    Then a new stream is not sent to the one that is down
+
   Scenario: The estimate of a caller is read
     # Guards against memory that is reckoned by the maximum alone.
     Then the length hints "300", "x" and "" are read as "300, 0, 0"
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -355,6 +355,39 @@
     assert described == result, described
 
 
+@behave.given('2 engines of which one is full and the other counts as down')
+def engine_down(context):
+    context.tried = []
+
+    async def run():
+        endpoints = [
+            await scripted_endpoint.ScriptedEndpoint(
+                forwarding_steps.stream_script('head 1 2 end')
+            ).start()
+            for _ in range(2)
+        ]
+        site = forwarding_site.ForwardingSite(endpoints)
+        _prepare(site, 'an engine full of others')
+        down = site.tracker.stats('e1')
+        down.streams = 0
+        down.down_until_s = asyncio.get_running_loop().time() + 9.0
+        site.prompt_tokens = 1000
+        try:
+            context.reply, _ = await site.stream(ROUTE)
+        finally:
+            for each in endpoints:
+                context.tried.append(len(each.heads))
+                await each.stop()
+
+    asyncio.run(run())
+
+
+@behave.then('a new stream is not sent to the one that is down')
+def not_sent_down(context):
+    assert isinstance(context.reply, replies.Refusal), context.reply
+    assert context.tried == [0, 0], context.tried
+
+
 @behave.then(
     'the length hints "{first}", "{second}" and "" are read as "{read}"'
 )
--- a/src/godwitvalve/forwarding/stream_turns.py
+++ b/src/godwitvalve/forwarding/stream_turns.py
@@ -188,13 +188,17 @@
             now_s, self._context.remote_placements
         )
         usable = self._context.without_exhausted(self._state.candidates())
-        tracker = self._context.endpoint_tracker
+        # A lost endpoint looks empty, as the streams there have ended.
         return [
             self._room(each, capacity, demand, speed, remote, now_s)
             for each in usable
-            if tracker.stats(each.endpoint_id).ejected_until_s <= now_s
+            if not self._is_avoided(each.endpoint_id, now_s)
         ]
 
+    def _is_avoided(self, endpoint_id: str, now_s: float) -> bool:
+        stats = self._context.endpoint_tracker.stats(endpoint_id)
+        return max(stats.ejected_until_s, stats.down_until_s) > now_s
+
     def _room(
         self,
         endpoint: endpoints.FleetEndpoint,
