Learn the speed of a service from whole streams that read their prompt

A stream that went on elsewhere without a copy was counted with all of its events and the time of the last ones, and one whose prompt was cached as if it had read it. Faster observations replace the estimate at once, so that one such stream made admission expect almost no time for prompts. Services without a stated pace keep the older estimates.

--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -114,6 +114,19 @@
       | no known speed           | arrives    | complete            |
       | a new engine             | arrives    | complete            |
 
+  Scenario Outline: The speed of a service is that of whole streams
+    # Guards against an estimate that is too fast for good: one stream that
+    # went on elsewhere, or whose prompt was cached, lowered it at once.
+    Given two stream endpoints with "<first>", "<second>"
+    When a stream of a service with a pace and <cached> cached tokens is made
+    Then its speed <is known>
+
+    Examples:
+      | first                            | second                 | cached | is known     |
+      | head 1 2 3 4 5 6 7 8 9 10 11 end | head 1 end             | 0      | is known     |
+      | head 1 2 3 4 5 6 crash           | head 7 8 9 10 11 end   | 0      | is not known |
+      | head 1 2 3 4 5 6 7 8 9 10 11 end | head 1 end             | 900    | is not known |
+
   Scenario: A stream has no room at an endpoint that is down
     # Guards against streams sent to lost endpoints, which look empty: an
     # ejection by a reported loss ends after 0.25 s, a crash after 1.2 s.
--- a/features/doubles/forwarding_site.py
+++ b/features/doubles/forwarding_site.py
@@ -86,6 +86,7 @@
         self.send_delays_s = ()
         # Tokens of the prompts of streams.
         self.prompt_tokens = 0
+        self.max_output_tokens = 0
         self.state = state.FleetState()
         self.state.registry.mark_store_available(-100.0)
         self.state.install(self._configuration())
@@ -160,7 +161,7 @@
                 '',
                 last_event,
                 self.prompt_tokens,
-                0,
+                self.max_output_tokens,
                 'ab',
                 segments,
             ),
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -6,6 +6,7 @@
 import dataclasses
 import functools
 import random
+from unittest import mock
 
 import behave
 from features.doubles import forwarding_site
@@ -22,6 +23,7 @@
 from godwitvalve.forwarding import replies
 from godwitvalve.gossip import members
 from godwitvalve.placement import choose
+from godwitvalve.placement import prefixes
 from godwitvalve.placement import speed
 from godwitvalve.platform import configuration
 from godwitvalve.platform import headers
@@ -355,6 +357,53 @@
     assert described == result, described
 
 
+@behave.given('two stream endpoints with "{first}", "{second}"')
+def two_endpoints(context, first, second):
+    context.scripts = [first, second]
+
+
+@behave.when(
+    'a stream of a service with a pace and {cached:d} cached tokens is made'
+)
+def stream_of_speed(context, cached):
+    async def run():
+        endpoints = [
+            await scripted_endpoint.ScriptedEndpoint(
+                forwarding_steps.stream_script(each)
+            ).start()
+            for each in context.scripts
+        ]
+        site = forwarding_site.ForwardingSite(endpoints)
+        # Without copies a stream that goes on has its prompt read again.
+        facts = routes.ServiceConfig(
+            forwarding_site.SERVICE, '/healthz', routes.EngineConfig(False)
+        )
+        limits = routes.CallerLimits(1 << 20)
+        site.state.install(
+            routes.Configuration(2, [], [facts], {}, limits, b'')
+        )
+        site.context.paces.record_service(forwarding_site.SERVICE)
+        site.prompt_tokens, site.max_output_tokens = 1000, 11
+        held = mock.patch.object(
+            prefixes.PrefixTable, 'held_tokens', return_value=cached
+        )
+        try:
+            with held:
+                context.reply, _ = await site.stream(ROUTE)
+        finally:
+            for each in endpoints:
+                await each.stop()
+        context.speeds = site.context.speeds.all()
+
+    asyncio.run(run())
+
+
+@behave.then('its speed {state} known')
+def speed_is_known(context, state):
+    assert context.reply == replies.Streamed(True), context.reply
+    assert bool(context.speeds) == (state == 'is'), context.speeds
+
+
 @behave.given('2 engines of which one is full and the other counts as down')
 def engine_down(context):
     context.tried = []
--- a/src/godwitvalve/forwarding/stream_records.py
+++ b/src/godwitvalve/forwarding/stream_records.py
@@ -12,6 +12,9 @@
 
 # Shorter streams give no reliable time per event.
 MIN_EVENTS_FOR_SPEED = 10
+# Streams whose endpoint has read less of the prompt give no reliable time per
+# token.
+MIN_READ_SHARE = 0.5
 # Events of an attempt after which its prompt counts as sound. A prompt that
 # crashes endpoints does so as they begin to write.
 MIN_SOUND_EVENTS = 8
@@ -53,6 +56,13 @@
         """Record the speed of a complete stream that took one attempt."""
         facts = self._routed.request.facts
         event_count = self._state.splitter.last_event
+        # A cached prompt takes no time, which would look like a fast service.
+        read_tokens = facts.prompt_tokens - self._state.prompt.cached_tokens
+        if self._context.paces.is_stated(self._routed.service) and (
+            attempt.event_count != event_count
+            or read_tokens < facts.prompt_tokens * MIN_READ_SHARE
+        ):
+            return
         if (
             attempt.memory_source
             or facts.last_event
@@ -66,7 +76,7 @@
         self._context.speeds.observe(
             self._routed.service,
             speed_model.SpeedEstimate(
-                prompt_s * 1000 / facts.prompt_tokens,
+                prompt_s * 1000 / read_tokens,
                 events_s * 1000 / (event_count - 1),
                 event_count / facts.max_output_tokens,
             ),
