Keep no room for streams that wait for the retry budget

New streams of an entry wait while one of its streams pauses to resume. One that pauses for the retry budget needs no room, and may wait for seconds: new streams had to wait for up to half of their objective meanwhile.

--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -127,6 +127,16 @@
       | head 1 2 3 4 5 6 crash           | head 7 8 9 10 11 end   | 0      | is not known |
       | head 1 2 3 4 5 6 7 8 9 10 11 end | head 1 end             | 900    | is not known |
 
+  Scenario: New streams do not wait for one that waits for the retry budget
+    # Guards against an entry that sends nothing for as long as its budget is
+    # empty, although the engines have room.
+    Given stream endpoints that play "head 1 crash" and "head 2 3 end"
+    And the retry budget is empty for 300 ms
+    And it is observed whether new streams wait
+    When a stream is made
+    Then its caller gets the events 1 to 3 and the end
+    And no new stream had to wait
+
   Scenario: A stream has no room at an endpoint that is down
     # Guards against streams sent to lost endpoints, which look empty: an
     # ejection by a reported loss ends after 0.25 s, a crash after 1.2 s.
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -404,6 +404,22 @@
     assert bool(context.speeds) == (state == 'is'), context.speeds
 
 
+@behave.given('it is observed whether new streams wait')
+def observe_resumes(context):
+    def prepare(site, before=context.prepare):
+        before(site)
+        queue = site.context.admission.queue(forwarding_site.SERVICE)
+        context.begin_resume = mock.Mock(side_effect=queue.begin_resume)
+        queue.begin_resume = context.begin_resume
+
+    context.prepare = prepare
+
+
+@behave.then('no new stream had to wait')
+def none_had_to_wait(context):
+    context.begin_resume.assert_not_called()
+
+
 @behave.given('2 engines of which one is full and the other counts as down')
 def engine_down(context):
     context.tried = []
--- a/src/godwitvalve/forwarding/stream_turns.py
+++ b/src/godwitvalve/forwarding/stream_turns.py
@@ -274,12 +274,14 @@
                 self._service, len(self._queue), wait_s
             )
 
-    async def pause(self, pause_s: float) -> None:
+    async def pause(self, pause_s: float, is_for_room: bool) -> None:
         """Pause before another attempt; new streams wait for one that resumes.
 
         :param pause_s: seconds.
+        :param is_for_room: False for one that waits for the retry budget:
+            room that is kept for it meanwhile would be idle.
         """
-        if not self._is_resumed:
+        if not (is_for_room and self._is_resumed):
             await asyncio.sleep(pause_s)
             return
         self._queue.begin_resume()
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -192,7 +192,7 @@
         while (
             obstacle is replies.IncompleteReason.RETRY_BUDGET
             and self._state.is_started
-            and await self._pause()
+            and await self._pause(is_for_room=False)
         ):
             obstacle = self._retry_obstacle(end)
         return obstacle
@@ -253,8 +253,11 @@
         self._state.draw = 1.0
         return is_new_version
 
-    async def _pause(self) -> bool:
-        """Pause before another attempt; tell whether there was time to."""
+    async def _pause(self, is_for_room: bool = True) -> bool:
+        """Pause before another attempt; tell whether there was time to.
+
+        :param is_for_room: whether new streams leave room for this one.
+        """
         now_s = self._loop.time()
         last_start_s = (
             self._routed.deadline_s - policy.MIN_TIME_TO_FIRST_EVENT_S
@@ -269,7 +272,7 @@
             )
         if now_s + policy.FULL_STREAM_PAUSE_S > last_start_s:
             return False
-        await self._turn.pause(policy.FULL_STREAM_PAUSE_S)
+        await self._turn.pause(policy.FULL_STREAM_PAUSE_S, is_for_room)
         return True
 
     def _give_up(
