--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -23,6 +23,22 @@
       | 1 engines with 20 unread prompts | 0     | 0     | refuse deadline |
       | 0 engines with nothing          | 0      | 0     | send to 0       |
 
+  Scenario Outline: A stream with a long prompt may wait for an idle engine
+    # Guards against a refusal because one other stream is ahead: a prompt
+    # that took more than half of the objective was sent at once or refused.
+    Given an objective of 4 s, a deadline of 20 s and prompts of <read> s
+    And 30 engines with nothing
+    When a stream that waited <waited> s is decided on with <ahead> ahead
+    Then the decision is <decision>
+
+    Examples:
+      | read | waited | ahead | decision    |
+      | 2.5  | 0      | 0     | send to 2   |
+      | 2.5  | 0      | 1     | wait        |
+      | 2.5  | 0      | 20    | refuse full |
+      | 2.5  | 0.6    | 1     | send to 30  |
+      | 4.5  | 0      | 1     | refuse late |
+
   Scenario: An idle engine takes a stream larger than its stated memory
     # Guards against streams that are never sent.
     Then an idle engine of 100 tokens has space for 200 tokens
@@ -114,6 +130,35 @@
       | no known speed           | arrives    | complete            |
       | a new engine             | arrives    | complete            |
 
+  Scenario Outline: The speed of a service is that of whole streams
+    # Guards against an estimate that is too fast for good: one stream that
+    # went on elsewhere, or whose prompt was cached, lowered it at once.
+    Given two stream endpoints with "<first>", "<second>"
+    When a stream of a service with a pace and <cached> cached tokens is made
+    Then its speed <is known>
+
+    Examples:
+      | first                            | second                 | cached | is known     |
+      | head 1 2 3 4 5 6 7 8 9 10 11 end | head 1 end             | 0      | is known     |
+      | head 1 2 3 4 5 6 crash           | head 7 8 9 10 11 end   | 0      | is not known |
+      | head 1 2 3 4 5 6 7 8 9 10 11 end | head 1 end             | 900    | is not known |
+
+  Scenario: New streams do not wait for one that waits for the retry budget
+    # Guards against an entry that sends nothing for as long as its budget is
+    # empty, although the engines have room.
+    Given stream endpoints that play "head 1 crash" and "head 2 3 end"
+    And the retry budget is empty for 300 ms
+    And it is observed whether new streams wait
+    When a stream is made
+    Then its caller gets the events 1 to 3 and the end
+    And no new stream had to wait
+
+  Scenario: A stream has no room at an endpoint that is down
+    # Guards against streams sent to lost endpoints, which look empty: an
+    # ejection by a reported loss ends after 0.25 s, a crash after 1.2 s.
+    Given 2 engines of which one is full and the other counts as down
+    Then a new stream is not sent to the one that is down
+
   Scenario: The estimate of a caller is read
     # Guards against memory that is reckoned by the maximum alone.
     Then the length hints "300", "x" and "" are read as "300, 0, 0"
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -6,6 +6,8 @@
 import dataclasses
 import functools
 import random
+import time
+from unittest import mock
 
 import behave
 from features.doubles import forwarding_site
@@ -22,6 +24,7 @@
 from godwitvalve.forwarding import replies
 from godwitvalve.gossip import members
 from godwitvalve.placement import choose
+from godwitvalve.placement import prefixes
 from godwitvalve.placement import speed
 from godwitvalve.platform import configuration
 from godwitvalve.platform import headers
@@ -37,9 +40,12 @@
 ROUTE = forwarding_site.route(routes.RequestKind.STREAM)
 
 
-@behave.given('an objective of 4 s, a deadline of 20 s and prompts of 1 s')
-def a_decision(context):
+@behave.given(
+    'an objective of 4 s, a deadline of 20 s and prompts of {read_s:g} s'
+)
+def a_decision(context, read_s):
     context.rooms = []
+    context.demand = room.Demand(int(read_s * 8_000), 9_000)
 
 
 @behave.given('{count:d} engines with {state}')
@@ -49,7 +55,7 @@
         prompts = int(state.partition(' ')[0])
         use = room.Use(prompts, 0, prompts * DEMAND.prompt_tokens)
     context.rooms = [
-        room.endpoint_room(f'e{number}', CAPACITY, use, DEMAND, SPEED)
+        room.endpoint_room(f'e{number}', CAPACITY, use, context.demand, SPEED)
         for number in range(count)
     ]
 
@@ -134,7 +140,7 @@
 
 
 def _ahead_of(context):
-    return lambda name: context.queue.ahead_of(context.waiting[name])
+    return lambda name: context.queue.ahead_of(context.waiting[name], 0.0)
 
 
 @behave.then('{count:d} streams are ahead of "{name}"')
@@ -310,6 +316,7 @@
         ).start()
         site = forwarding_site.ForwardingSite([endpoint])
         _prepare(site, context.state)
+        context.site = site
         site.prompt_tokens = tokens
         try:
             return await site.stream(ROUTE, last_event=int(kind == 'resumes'))
@@ -317,6 +324,12 @@
             await endpoint.stop()
 
     context.reply, _ = asyncio.run(run())
+    now_s = time.monotonic()
+    use = context.site.context.account_use
+    # A report of the use by accounts follows a refusal, and only that.
+    assert use.is_full(forwarding_site.SERVICE, now_s) == isinstance(
+        context.reply, replies.Refusal
+    )
 
 
 def _prepare(site, state):
@@ -355,6 +368,102 @@
     assert described == result, described
 
 
+@behave.given('two stream endpoints with "{first}", "{second}"')
+def two_endpoints(context, first, second):
+    context.scripts = [first, second]
+
+
+@behave.when(
+    'a stream of a service with a pace and {cached:d} cached tokens is made'
+)
+def stream_of_speed(context, cached):
+    async def run():
+        endpoints = [
+            await scripted_endpoint.ScriptedEndpoint(
+                forwarding_steps.stream_script(each)
+            ).start()
+            for each in context.scripts
+        ]
+        site = forwarding_site.ForwardingSite(endpoints)
+        # Without copies a stream that goes on has its prompt read again.
+        facts = routes.ServiceConfig(
+            forwarding_site.SERVICE, '/healthz', routes.EngineConfig(False)
+        )
+        limits = routes.CallerLimits(1 << 20)
+        site.state.install(
+            routes.Configuration(2, [], [facts], {}, limits, b'')
+        )
+        site.context.paces.record_service(forwarding_site.SERVICE)
+        site.prompt_tokens, site.max_output_tokens = 1000, 11
+        held = mock.patch.object(
+            prefixes.PrefixTable, 'held_tokens', return_value=cached
+        )
+        try:
+            with held:
+                context.reply, _ = await site.stream(ROUTE)
+        finally:
+            for each in endpoints:
+                await each.stop()
+        context.speeds = site.context.speeds.all()
+
+    asyncio.run(run())
+
+
+@behave.then('its speed {state} known')
+def speed_is_known(context, state):
+    assert context.reply == replies.Streamed(True), context.reply
+    assert bool(context.speeds) == (state == 'is'), context.speeds
+
+
+@behave.given('it is observed whether new streams wait')
+def observe_resumes(context):
+    def prepare(site, before=context.prepare):
+        before(site)
+        queue = site.context.admission.queue(forwarding_site.SERVICE)
+        context.begin_resume = mock.Mock(side_effect=queue.begin_resume)
+        queue.begin_resume = context.begin_resume
+
+    context.prepare = prepare
+
+
+@behave.then('no new stream had to wait')
+def none_had_to_wait(context):
+    context.begin_resume.assert_not_called()
+
+
+@behave.given('2 engines of which one is full and the other counts as down')
+def engine_down(context):
+    context.tried = []
+
+    async def run():
+        endpoints = [
+            await scripted_endpoint.ScriptedEndpoint(
+                forwarding_steps.stream_script('head 1 2 end')
+            ).start()
+            for _ in range(2)
+        ]
+        site = forwarding_site.ForwardingSite(endpoints)
+        _prepare(site, 'an engine full of others')
+        down = site.tracker.stats('e1')
+        down.streams = 0
+        down.down_until_s = asyncio.get_running_loop().time() + 9.0
+        site.prompt_tokens = 1000
+        try:
+            context.reply, _ = await site.stream(ROUTE)
+        finally:
+            for each in endpoints:
+                context.tried.append(len(each.heads))
+                await each.stop()
+
+    asyncio.run(run())
+
+
+@behave.then('a new stream is not sent to the one that is down')
+def not_sent_down(context):
+    assert isinstance(context.reply, replies.Refusal), context.reply
+    assert context.tried == [0, 0], context.tried
+
+
 @behave.then(
     'the length hints "{first}", "{second}" and "" are read as "{read}"'
 )
--- a/src/godwitvalve/forwarding/stream_turns.py
+++ b/src/godwitvalve/forwarding/stream_turns.py
@@ -124,6 +124,7 @@
                         self._record_outcome(True)
                     return None
                 case decision.Refuse() as refused:
+                    self._mark_full()
                     self._record_outcome(False)
                     return self._refusal(refused)
                 case decision.Wait(expected_s):
@@ -131,10 +132,17 @@
                         self._queue.add(self._waiting())
                         self._context.on_placement_changed()
                     is_queued = True
+                    self._mark_full()
                     self._set_gauges(expected_s)
                     spread = self._context.rng.uniform(0.5, 1.5)
                     await asyncio.sleep(decision.POLL_S * spread)
 
+    def _mark_full(self) -> None:
+        """Let other entries know the use of the service by accounts."""
+        self._context.account_use.mark_full(
+            self._service, self._state.loop.time()
+        )
+
     def _decide(self) -> decision.Decision:
         engine = self._engine
         route = self._routed.route
@@ -167,11 +175,12 @@
         )
         others = self._tables.others().waiting.get(self._service, 0)
         self._rate_per_s = room.service_rate(rooms)
+        waiting = self._waiting()
         return decision.decide(
             request,
             rooms,
-            self._queue.ahead_of(self._waiting()),
-            len(self._queue) + others,
+            self._queue.ahead_of(waiting, now_s),
+            self._queue.contenders(waiting, others, now_s),
             self._rate_per_s,
             self._context.rng,
             self._context.sessions.find(facts.session, now_s),
@@ -188,13 +197,17 @@
             now_s, self._context.remote_placements
         )
         usable = self._context.without_exhausted(self._state.candidates())
-        tracker = self._context.endpoint_tracker
+        # A lost endpoint looks empty, as the streams there have ended.
         return [
             self._room(each, capacity, demand, speed, remote, now_s)
             for each in usable
-            if tracker.stats(each.endpoint_id).ejected_until_s <= now_s
+            if not self._is_avoided(each.endpoint_id, now_s)
         ]
 
+    def _is_avoided(self, endpoint_id: str, now_s: float) -> bool:
+        stats = self._context.endpoint_tracker.stats(endpoint_id)
+        return max(stats.ejected_until_s, stats.down_until_s) > now_s
+
     def _room(
         self,
         endpoint: endpoints.FleetEndpoint,
@@ -270,12 +283,14 @@
                 self._service, len(self._queue), wait_s
             )
 
-    async def pause(self, pause_s: float) -> None:
+    async def pause(self, pause_s: float, is_for_room: bool) -> None:
         """Pause before another attempt; new streams wait for one that resumes.
 
         :param pause_s: seconds.
+        :param is_for_room: False for one that waits for the retry budget:
+            room that is kept for it meanwhile would be idle.
         """
-        if not self._is_resumed:
+        if not (is_for_room and self._is_resumed):
             await asyncio.sleep(pause_s)
             return
         self._queue.begin_resume()
