Keep small entries listed beside the greatest stated capacity

The sum of the weights from which a very large one is subtracted has lost the small ones, so that the loop ended and the list had one address.

--- a/features/ingress/uneven_entries.feature
+++ b/features/ingress/uneven_entries.feature
@@ -29,6 +29,13 @@
     And entry 59 states 2000 times its capacity
     Then each list has at least 15 addresses
 
+  Scenario: The greatest capacity that can be stated leaves others listed
+    # Guards against lists of that entry alone, as the capacity of the others
+    # is lost when it is rounded.
+    Given 3 serving entries, of which 1 is at 70 %
+    And entry 2 states 9223372036854775 times its capacity
+    Then each list has at least 2 addresses
+
   Scenario Outline: Without pressure the list is the same as before
     # Guards against callers that lose addresses although nothing is full.
     Given <count> serving entries, of which <pressed> is at <pressure> %
--- a/src/godwitvalve/ingress/directory.py
+++ b/src/godwitvalve/ingress/directory.py
@@ -141,17 +141,18 @@
 
 
 def _shares(weights: abc.Sequence[float], count: int) -> list[float]:
-    """Return probabilities that add up to a count, at most 1.0 each."""
+    """Return probabilities that add up to a count, at most 1.0 each.
+
+    The sums begin with the least weight, as a sum from which one large
+    weight is subtracted has lost the small ones.
+    """
     shares = [0.0] * len(weights)
-    rest = sorted(range(len(weights)), key=lambda each: -weights[each])
+    ordered = sorted(range(len(weights)), key=lambda each: weights[each])
+    sums = list(itertools.accumulate(weights[each] for each in ordered))
     left = float(count)
-    total = sum(weights)
-    for each in rest:
+    for each, total in zip(reversed(ordered), reversed(sums)):
         shares[each] = min(1.0, left * weights[each] / total)
         left -= shares[each]
-        total -= weights[each]
-        if total <= 0:
-            break
     return shares
 
 
