--- a/features/placement/prefixes.feature
+++ b/features/placement/prefixes.feature
@@ -82,6 +82,18 @@
     When a stream with the segments "sh 200, own 8000" is forwarded twice
     Then the reports of other entries were added up once
 
+  Scenario Outline: Reported sessions are kept where pace is stated
+    # Guards against memory and processor time for a table that entries whose
+    # endpoints state no pace never read.
+    Given an entry whose endpoints state <pace>
+    When it merges a record with a session
+    Then the table has <count> segments
+
+    Examples:
+      | pace    | count |
+      | a pace  | 1     |
+      | no pace | 0     |
+
   Scenario: Sessions that return find their prompt
     # Replays 4 sessions/s of 4 turns at 24 engines with 88,000 tokens, of
     # which nine in ten of a failure domain restart every six seconds. The
--- a/features/steps/placement_prefixes_steps.py
+++ b/features/steps/placement_prefixes_steps.py
@@ -9,6 +9,7 @@
 
 from aioprometheus import renderer
 import behave
+from features.doubles import entry_settings
 from features.doubles import forwarding_site
 from features.doubles import scripted_endpoint
 from features.models import prefix_replay
@@ -17,8 +18,10 @@
 from godwitvalve.fleet import routes
 from godwitvalve.forwarding import cached_prompts
 from godwitvalve.forwarding import streams
+from godwitvalve.ingress import process
 from godwitvalve.placement import prefixes
 from godwitvalve.platform import headers
+import msgspec
 
 CAPACITY_TOKENS = 88_000
 _NAMES = (f'p{number}' for number in itertools.count())
@@ -183,6 +186,25 @@
         asyncio.run(run())
 
 
+@behave.given('an entry whose endpoints state {pace}')
+def step_entry(context, pace):
+    async def build():
+        settings = entry_settings.without_store('127.0.7.8')
+        return process.FleetEntry(settings)
+
+    context.entry = asyncio.run(build())
+    if pace == 'a pace':
+        context.entry._context.paces.record('summaries', 'e0', 1.0, 0.0)
+
+
+@behave.when('it merges a record with a session')
+def step_merge(context):
+    record = context.entry._build_record(1)
+    record = msgspec.structs.replace(record, sessions={'own': 'e0'})
+    context.entry._merge_record(record, 0.0)
+    context.prefixes = context.entry._context.prefixes
+
+
 @behave.then('the reports of other entries were added up once')
 def step_added_up(context):
     assert context.read.call_count == 1, context.read.call_count
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -341,7 +341,8 @@
                 self._gossip.schedule_update()
         self._context.quarantine.merge(record.quarantine, now_s, age_s)
         self._context.sessions.merge(record.sessions, now_s)
-        self._context.prefixes.merge(record.sessions, now_s)
+        if self._context.paces.is_any_stated():
+            self._context.prefixes.merge(record.sessions, now_s)
         for endpoint_id in record.lost:
             self._context.endpoint_tracker.record_reported_loss(
                 endpoint_id, now_s
--- a/src/godwitvalve/placement/pace.py
+++ b/src/godwitvalve/placement/pace.py
@@ -46,6 +46,10 @@
         """Return whether any endpoint of a service states its pace."""
         return service in self._services
 
+    def is_any_stated(self) -> bool:
+        """Return whether any endpoint of any service states its pace."""
+        return bool(self._services)
+
     def pace(self, endpoint_id: str, now_s: float) -> float:
         """Return the present pace; the weight of a report falls with age."""
         report = self._reports.get(endpoint_id)
