--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -111,7 +111,7 @@
     def placements_for(
         self, service: str, now_s: float
     ) -> choose.RemotePlacements:
-        """Return the placements of other entries, for the streams of a service.
+        """Return the placements of other entries, for streams of a service.
 
         Where pace is stated, a placement needs them several times, and the
         sum of the reports of 60 entries serves for some milliseconds.
