Keep the room of sound uploads after a freeze of the entry

The first read after a freeze of a second brings less than the pace asks for that second, so that the room of a sound upload was taken while another body waited, and its caller could be refused. A read of 16 KiB after a long pause is not judged now. One step function of the tests gets a name of its own.

--- a/features/forwarding/body_memory.feature
+++ b/features/forwarding/body_memory.feature
@@ -105,3 +105,27 @@
     And 200 uploads of 20000 bytes each that count how often they are judged
     When 300 bodies of 8000000 bytes wait for 0.25 s
     Then each upload is judged at most 6 times
+
+  Scenario: An upload keeps its room after a freeze of the entry
+    # Guards against sound uploads that lose their room, and are refused as
+    # they go on, because the entry read nothing for a second.
+    Given memory for bodies of 9000000 bytes
+    And an upload of 4000000 bytes with 4 s that keeps its pace
+    And the entry is frozen for 1 s and then reads 65536 bytes of it
+    When a body of 8000000 bytes asks for room at 2.35 s
+    Then the upload holds its room of 4000000 bytes
+
+  Scenario Outline: Single bytes don't keep the room of an upload
+    # Guards against callers that hold the room of a long body by a byte now
+    # and then.
+    Given memory for bodies of 9000000 bytes
+    And an upload of 4000000 bytes with 4 s that sends a byte each <pause> s
+    When a body of 8000000 bytes asks for room, for which it waits 0.25 s
+    Then the upload holds its room of 16384 bytes and what arrived
+
+    Examples:
+      | pause |
+      | 0.1   |
+      | 0.3   |
+      | 0.5   |
+      | 0.6   |
--- a/features/steps/forwarding_body_memory_steps.py
+++ b/features/steps/forwarding_body_memory_steps.py
@@ -522,7 +522,7 @@
 
 
 @behave.when('{count:d} bodies of {size:d} bytes wait for {wait_s:g} s')
-def bodies_wait(context, count, size, wait_s):
+def many_bodies_wait(context, count, size, wait_s):
     for number in range(count):
         answer = context.memory.ask(
             ('waits', number), size, lambda has_room: None
@@ -538,3 +538,51 @@
 def judged_at_most(context, count):
     seen = max(each.judged for each in context.uploads.values())
     assert 1 <= seen <= count, seen
+
+
+@behave.given(
+    'the entry is frozen for {pause_s:g} s and then reads {size:d} bytes of it'
+)
+def entry_frozen(context, pause_s, size):
+    [upload] = context.uploads.values()
+    # The last read of an upload that keeps its pace was at 1.3 s.
+    upload.record(upload.arrived_bytes + size, 1.3 + pause_s)
+
+
+@behave.then('the upload holds its room of {size:d} bytes')
+def upload_holds(context, size):
+    [upload] = context.uploads.values()
+    assert upload.room_bytes == size, upload.room_bytes
+
+
+@behave.given(
+    'an upload of {size:d} bytes with {limit_s:d} s that sends a byte each '
+    '{pause_s:g} s'
+)
+def upload_of_bytes(context, size, limit_s, pause_s):
+    context.pause_s = pause_s
+    upload = _begin_upload(context, size, limit_s)
+    for number in range(1, 5):
+        upload.record(number, number * pause_s)
+
+
+@behave.when(
+    'a body of {size:d} bytes asks for room, for which it waits {wait_s:g} s'
+)
+def body_asks_and_waits(context, size, wait_s):
+    [upload] = context.uploads.values()
+    began_s = 4 * context.pause_s
+    body_asks(context, size, began_s)
+    next_s = began_s + context.pause_s
+    for step in range(1, round(wait_s / body_memory.RECLAIM_PERIOD_S) + 1):
+        now_s = began_s + step * body_memory.RECLAIM_PERIOD_S + 0.001
+        if now_s >= next_s:
+            upload.record(upload.arrived_bytes + 1, next_s)
+            next_s += context.pause_s
+        context.memory.reclaim(now_s)
+
+
+@behave.then('the upload holds its room of {size:d} bytes and what arrived')
+def upload_holds_rest(context, size):
+    [upload] = context.uploads.values()
+    assert size <= upload.room_bytes <= size + 10, upload.room_bytes
--- a/src/godwitvalve/forwarding/uploads.py
+++ b/src/godwitvalve/forwarding/uploads.py
@@ -5,6 +5,11 @@
 # Pauses of this length are usual: a lost packet is sent again within it. It
 # is also as long as another body waits for room.
 WINDOW_S = 0.25
+# After a longer window than this, an upload that brings this much at once is
+# not judged: after a freeze of the entry, the first read of a sound upload
+# brings only a part of what the kernel has kept. Stalled ones bring less.
+MAX_WINDOW_S = 2 * WINDOW_S
+RESUMED_BYTES = 16 * 1024
 # Part of the pace, by which the body is complete at the time limit of its
 # request, below which an upload counts as stalled.
 LEAST_PACE = 0.5
@@ -32,9 +37,14 @@
     def record(self, arrived_bytes: int, now_s: float) -> None:
         """Record how much has arrived."""
         self.arrived_bytes = arrived_bytes
-        if now_s - self._began_s < WINDOW_S:
+        elapsed_s = now_s - self._began_s
+        if elapsed_s < WINDOW_S:
             return
-        self._was_slow = self._is_slow(now_s)
+        has_resumed = (
+            elapsed_s > MAX_WINDOW_S
+            and arrived_bytes - self._began_bytes >= RESUMED_BYTES
+        )
+        self._was_slow = not has_resumed and self._is_slow(now_s)
         self._began_s = now_s
         self._began_bytes = arrived_bytes
 
