Let decisions on requests be asked without their effects

Costs, ranks and reachable endpoints are returned by functions that the choices themselves use, and queues, times of return and statistics can be copied. The order of random draws is the same as before.

--- a/src/godwitvalve/admission/decision.py
+++ b/src/godwitvalve/admission/decision.py
@@ -118,13 +118,7 @@
     if not rooms:
         return Send()
     limit_s = request.bound_s * REACHABLE_SHARE - request.waited_s
-    send_s = request.bound_s * SENDABLE_SHARE
-    reachable = [
-        each.endpoint_id
-        for each in rooms
-        if each.has_space
-        and (each.is_reading_none or each.first_event_s <= send_s)
-    ]
+    reachable = reachable_ids(request.bound_s, rooms)
     soonest_s = min(each.first_event_s for each in rooms)
     if soonest_s + request.output_s > request.deadline_left_s:
         return Refuse(Reason.DEADLINE, max(soonest_s - limit_s, 0.0))
@@ -146,6 +140,22 @@
     )
 
 
+def reachable_ids(
+    bound_s: float, rooms: abc.Iterable[rooms_model.EndpointRoom]
+) -> list[str]:
+    """Return the endpoints that a stream may be sent to now.
+
+    :param bound_s: as in the request.
+    """
+    send_s = bound_s * SENDABLE_SHARE
+    return [
+        each.endpoint_id
+        for each in rooms
+        if each.has_space
+        and (each.is_reading_none or each.first_event_s <= send_s)
+    ]
+
+
 def _may_contend(places: int, waiting: int, rng: random.Random) -> bool:
     """Tell whether a stream takes one of the places that became free.
 
--- a/src/godwitvalve/admission/stream_queue.py
+++ b/src/godwitvalve/admission/stream_queue.py
@@ -79,6 +79,20 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
+    def copy(self) -> StreamQueue[Ticket]:
+        """Return a queue of its own with the same contents."""
+        copied: StreamQueue[Ticket] = StreamQueue()
+        copied._waiting = list(self._waiting)
+        copied._running = self._running.copy()
+        copied._resuming = self._resuming
+        copied._kinds = dict(self._kinds)
+        copied._all = dataclasses.replace(self._all)
+        copied._accounts = {
+            account: dataclasses.replace(served)
+            for account, served in self._accounts.items()
+        }
+        return copied
+
     @property
     def resuming(self) -> int:
         """Return how many streams wait to resume."""
--- a/src/godwitvalve/admission/tables.py
+++ b/src/godwitvalve/admission/tables.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import abc
+import copy
 from typing import NamedTuple, TypeAlias
 
 from godwitvalve.admission import lengths
@@ -69,6 +70,19 @@
         """Return the times at which refused callers come back."""
         return self._returns.setdefault(service, return_model.ReturnSchedule())
 
+    def copy(self, service: str) -> AdmissionTables:
+        """Return tables with copies of what decisions on a service change.
+
+        Expected lengths are shared; only streams that end change them.
+        """
+        copied = AdmissionTables(self.others, self.work_factor)
+        copied.lengths = self.lengths
+        if service in self._queues:
+            copied._queues[service] = self._queues[service].copy()
+        if service in self._returns:
+            copied._returns[service] = copy.copy(self._returns[service])
+        return copied
+
     def placements(
         self,
         now_s: float,
--- a/src/godwitvalve/endpoint_limits/limiter.py
+++ b/src/godwitvalve/endpoint_limits/limiter.py
@@ -252,6 +252,20 @@
                 wait_ms = max(int(wait_s * 1000), 1)
                 return messages.PermitAnswer(question.number, wait_ms)
 
+    def permit_in_s(
+        self, candidates: abc.Iterable[endpoints.FleetEndpoint], now_s: float
+    ) -> float | None:
+        """Return seconds until a candidate may have a permit again.
+
+        :returns: None if no candidate has a limit.
+        """
+        again_s = [
+            self._ask_again_s.get(each.endpoint_id, 0.0)
+            for each in candidates
+            if self.table.requests_per_s(each) is not None
+        ]
+        return max(min(again_s) - now_s, 0.0) if again_s else None
+
     def retry_after_s(
         self,
         service: str,
--- a/src/godwitvalve/fleet/routes.py
+++ b/src/godwitvalve/fleet/routes.py
@@ -139,6 +139,17 @@
         """Return the client account that holds a key."""
         return self._accounts.get(key)
 
+    def account_named(self, name: str) -> AccountConfig | None:
+        """Return the client account of a name."""
+        return next(
+            (each for each in self._accounts.values() if each.name == name),
+            None,
+        )
+
+    def has_host(self, host: str) -> bool:
+        """Tell whether a host has any route."""
+        return host.lower() in self._routes
+
     @property
     def requires_key(self) -> bool:
         """Return whether callers must send a key."""
--- a/src/godwitvalve/forwarding/calls.py
+++ b/src/godwitvalve/forwarding/calls.py
@@ -44,6 +44,33 @@
     deadline_s: float
 
 
+def turn_refusal(
+    context: contexts.ForwardingContext,
+    routed: RoutedRequest,
+    free_in_s: float,
+) -> replies.Refusal:
+    """Return the refusal of a call that gets no turn.
+
+    Where many entries share the endpoints, callers that are told the same
+    time come back together.
+
+    :param free_in_s: expected seconds until its turn.
+    """
+    service = routed.service
+    if not context.paces.is_stated(service):
+        return replies.Refusal(codes.ResultCode.OVERLOADED, free_in_s)
+    now_s = asyncio.get_running_loop().time()
+    retry_after_s = context.admission.returns(service).retry_after_s(
+        now_s,
+        free_in_s,
+        context.turns.at(service).rate_per_s(),
+        routed.deadline_s - now_s,
+    )
+    return replies.Refusal(
+        codes.ResultCode.OVERLOADED, retry_after_s, is_scheduled=True
+    )
+
+
 class CallForwarder:
     """Forwards one plain call and retries it within its limits."""
 
@@ -118,34 +145,14 @@
                 self._routed.deadline_s - policy.MIN_ATTEMPT_S,
             )
         except turns.TurnRefused as refused:
-            return self._refusal(refused)
+            return turn_refusal(
+                self._context, self._routed, refused.retry_after_s
+            )
         try:
             return await self._forward_in_turn(turn)
         finally:
             turn.end(was_sent=bool(self.endpoints))
 
-    def _refusal(self, refused: turns.TurnRefused) -> replies.Refusal:
-        """Return the refusal of a call that gets no turn.
-
-        Where many entries share the endpoints, callers that are told the
-        same time come back together.
-        """
-        service = self._routed.service
-        if not self._context.paces.is_stated(service):
-            return replies.Refusal(
-                codes.ResultCode.OVERLOADED, refused.retry_after_s
-            )
-        now_s = self._loop.time()
-        retry_after_s = self._context.admission.returns(service).retry_after_s(
-            now_s,
-            refused.retry_after_s,
-            self._context.turns.at(service).rate_per_s(),
-            self._routed.deadline_s - now_s,
-        )
-        return replies.Refusal(
-            codes.ResultCode.OVERLOADED, retry_after_s, is_scheduled=True
-        )
-
     async def _forward_in_turn(self, turn: turns.Turn) -> replies.Reply:
         if not await self._start_first():
             return self._context.refusal(
@@ -203,7 +210,9 @@
                         refused.retry_after_s,
                     ).reply
                     if isinstance(reply, replies.Refusal):
-                        return self._refusal(refused)
+                        return turn_refusal(
+                            self._context, self._routed, refused.retry_after_s
+                        )
                     return reply
             else:
                 self._pending.waits_for = in_flight.Wait.ENDPOINT
--- a/src/godwitvalve/forwarding/stream_turns.py
+++ b/src/godwitvalve/forwarding/stream_turns.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import NamedTuple
 
 from godwitvalve.admission import decision
 from godwitvalve.admission import room
@@ -18,6 +19,20 @@
 _LOG = logs.get('forwarding')
 
 
+class Assessment(NamedTuple):
+    """Whether a new stream has room, and where.
+
+    :param rooms: empty if the stream is sent without looking for room.
+    :param bound_s: objective that the room is measured by, in seconds.
+    :param rate_per_s: streams a second that all entries may send.
+    """
+
+    decision: decision.Decision
+    rooms: tuple[room.EndpointRoom, ...] = ()
+    bound_s: float = 0.0
+    rate_per_s: float = 0.0
+
+
 class StreamTurn:
     """Admission of one stream; ``end`` must be called once.
 
@@ -34,7 +49,6 @@
         self._queue = self._tables.queue(self._service)
         self._account = state.routed.account
         self._is_counted = False
-        self._rate_per_s = 0.0
         self._priority = (
             state.routed.route.priority
             if state.routed.urgency is None
@@ -117,7 +131,8 @@
     async def _wait(self) -> replies.Refusal | None:
         is_queued = False
         while True:
-            match self._decide():
+            assessment = self.assess()
+            match assessment.decision:
                 case decision.Send(endpoint_ids):
                     self.endpoint_ids = endpoint_ids
                     if not self._is_resumed:
@@ -125,7 +140,7 @@
                     return None
                 case decision.Refuse() as refused:
                     self._record_outcome(False)
-                    return self._refusal(refused)
+                    return self._refusal(refused, assessment.rate_per_s)
                 case decision.Wait(expected_s):
                     if not is_queued:
                         self._queue.add(self._waiting())
@@ -135,7 +150,11 @@
                     spread = self._context.rng.uniform(0.5, 1.5)
                     await asyncio.sleep(decision.POLL_S * spread)
 
-    def _decide(self) -> decision.Decision:
+    def assess(self) -> Assessment:
+        """Return whether the stream has room now.
+
+        Records the kind of the stream in the queue.
+        """
         engine = self._engine
         route = self._routed.route
         facts = self._routed.request.facts
@@ -147,7 +166,7 @@
             or not facts.prompt_tokens
             or route.objective_ms <= 0
         ):
-            return decision.Send()
+            return Assessment(decision.Send())
         now_s = self._state.loop.time()
         output_tokens = self._output_tokens()
         speed = room.Speed(
@@ -166,16 +185,17 @@
             speed.output_s,
         )
         others = self._tables.others().waiting.get(self._service, 0)
-        self._rate_per_s = room.service_rate(rooms)
-        return decision.decide(
+        rate_per_s = room.service_rate(rooms)
+        decided = decision.decide(
             request,
             rooms,
             self._queue.ahead_of(self._waiting()),
             len(self._queue) + others,
-            self._rate_per_s,
+            rate_per_s,
             self._context.rng,
             self._context.sessions.find(facts.session, now_s),
         )
+        return Assessment(decided, tuple(rooms), request.bound_s, rate_per_s)
 
     def _rooms(
         self, engine: routes.EngineConfig, speed: room.Speed, now_s: float
@@ -230,15 +250,26 @@
             self._state.began_s + self._routed.route.objective_ms / 1000,
         )
 
-    def _refusal(self, refused: decision.Refuse) -> replies.Refusal:
+    def retry_after_s(
+        self, refused: decision.Refuse, rate_per_s: float
+    ) -> float:
+        """Return the seconds that a refused caller is told; takes its place.
+
+        :param rate_per_s: streams a second that all entries may send.
+        """
         now_s = self._state.loop.time()
-        request_id = self._routed.request.facts.request_id
-        retry_after_s = self._tables.returns(self._service).retry_after_s(
+        return self._tables.returns(self._service).retry_after_s(
             now_s,
             refused.free_in_s,
-            self._rate_per_s / self._tables.others().entries,
+            rate_per_s / self._tables.others().entries,
             self._routed.deadline_s - now_s,
         )
+
+    def _refusal(
+        self, refused: decision.Refuse, rate_per_s: float
+    ) -> replies.Refusal:
+        request_id = self._routed.request.facts.request_id
+        retry_after_s = self.retry_after_s(refused, rate_per_s)
         self._tables.record_refused(request_id)
         self._context.counters.count_stream_refusal(
             self._service, refused.reason.value
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -21,6 +21,25 @@
 from godwitvalve.outcomes import codes
 
 
+def can_meet_deadline(
+    context: contexts.ForwardingContext,
+    routed: calls.RoutedRequest,
+    state: stream_state.StreamState,
+) -> bool:
+    """Tell whether a stream that is sent now can end before its deadline."""
+    facts = routed.request.facts
+    now_s = state.loop.time()
+    session_endpoint = context.sessions.find(facts.session, now_s)
+    return context.speeds.can_finish(
+        routed.service,
+        0 if session_endpoint else facts.prompt_tokens,
+        facts.max_output_tokens,
+        facts.last_event,
+        (routed.deadline_s - now_s) * 1000,
+        speed_meter.least_work(context, state.candidates(), now_s),
+    )
+
+
 class StreamForwarder:
     """Forwards one stream and resumes it after a lost attempt."""
 
@@ -94,7 +113,7 @@
             )
 
     async def _forward(self) -> replies.Reply:
-        if not self._can_meet_deadline():
+        if not can_meet_deadline(self._context, self._routed, self._state):
             return replies.Refusal(
                 codes.ResultCode.DEADLINE_BEFORE_SEND,
                 policy.FULL_RETRY_AFTER_S,
@@ -165,21 +184,6 @@
             self._state.draw = 1.0
             self._context.counters.count_retry(attempts.reason_label(end))
 
-    def _can_meet_deadline(self) -> bool:
-        facts = self._routed.request.facts
-        now_s = self._loop.time()
-        session_endpoint = self._context.sessions.find(facts.session, now_s)
-        return self._context.speeds.can_finish(
-            self._routed.service,
-            0 if session_endpoint else facts.prompt_tokens,
-            facts.max_output_tokens,
-            facts.last_event,
-            (self._routed.deadline_s - now_s) * 1000,
-            speed_meter.least_work(
-                self._context, self._state.candidates(), now_s
-            ),
-        )
-
     async def _wait_to_retry(
         self, end: attempts.AttemptEnd
     ) -> replies.IncompleteReason | None:
--- a/src/godwitvalve/placement/choose.py
+++ b/src/godwitvalve/placement/choose.py
@@ -61,7 +61,7 @@
 Savings = abc.Callable[[endpoints.FleetEndpoint], float]
 
 
-def _preferred(
+def preferred(
     candidates: abc.Sequence[endpoints.FleetEndpoint],
     tracker: trackers.EndpointTracker,
     tried: abc.Set[str],
@@ -84,13 +84,13 @@
         for each in untried
         if tracker.stats(each.endpoint_id).ejected_until_s <= now_s
     ]
-    suspect = _suspect_domains(candidates, tracker, now_s)
+    suspect = suspect_domains(candidates, tracker, now_s)
     outside = [each for each in healthy if each.failure_domain not in suspect]
-    preferred = outside or healthy or untried
+    healthiest = outside or healthy or untried
     permitted = [
-        each for each in preferred if each.endpoint_id not in limits.exhausted
+        each for each in healthiest if each.endpoint_id not in limits.exhausted
     ]
-    if permitted or not preferred:
+    if permitted or not healthiest:
         return permitted
     return [
         each
@@ -100,11 +100,12 @@
     ]
 
 
-def _suspect_domains(
+def suspect_domains(
     candidates: abc.Sequence[endpoints.FleetEndpoint],
     tracker: trackers.EndpointTracker,
     now_s: float,
 ) -> set[str]:
+    """Return the failure domains of which several candidates are down."""
     lost = collections.Counter(
         each.failure_domain
         for each in candidates
@@ -139,27 +140,33 @@
     return (busy + extra + domain_cost) / endpoint.slots
 
 
-def choose_call(
-    candidates: abc.Sequence[endpoints.FleetEndpoint],
+class RankedCost(NamedTuple):
+    """Cost of one more request at an endpoint.
+
+    :param rank: a lower rank comes first, whatever the cost.
+    """
+
+    rank: int
+    cost: float
+    endpoint: endpoints.FleetEndpoint
+
+
+def call_costs(
+    usable: abc.Iterable[endpoints.FleetEndpoint],
     tracker: trackers.EndpointTracker,
-    tried: abc.Set[str],
     own_domain: str,
     now_s: float,
-    rng: random.Random,
     limits: views.LimitView = NO_LIMITS,
     work: WorkFactor | None = None,
-) -> endpoints.FleetEndpoint | None:
-    """Choose the endpoint of a plain call.
+) -> list[RankedCost]:
+    """Return what one more call costs at each endpoint.
 
-    Load pattern: several entries share a few endpoints with 6 slots each.
-    The cost follows from own calls in flight and the last reported load.
-    Ties are broken at random, so that entries choose different endpoints.
     Endpoints with a limit follow those that have a slot to spare.
 
     :param work: None if the service states no pace.
     """
 
-    def key(each: endpoints.FleetEndpoint) -> tuple[int, float, float]:
+    def ranked(each: endpoints.FleetEndpoint) -> RankedCost:
         stats = tracker.stats(each.endpoint_id)
         occupied = call_cost(each, stats, own_domain, now_s)
         cost = (
@@ -167,10 +174,35 @@
             if work
             else occupied
         )
-        return _call_rank(each, occupied, limits), cost, rng.random()
+        return RankedCost(_call_rank(each, occupied, limits), cost, each)
 
-    usable = _preferred(candidates, tracker, tried, now_s, limits)
-    return min(usable, key=key, default=None)
+    return [ranked(each) for each in usable]
+
+
+def choose_call(
+    candidates: abc.Sequence[endpoints.FleetEndpoint],
+    tracker: trackers.EndpointTracker,
+    tried: abc.Set[str],
+    own_domain: str,
+    now_s: float,
+    rng: random.Random,
+    limits: views.LimitView = NO_LIMITS,
+    work: WorkFactor | None = None,
+) -> endpoints.FleetEndpoint | None:
+    """Choose the endpoint of a plain call.
+
+    Load pattern: several entries share a few endpoints with 6 slots each.
+    The cost follows from own calls in flight and the last reported load.
+    Ties are broken at random, so that entries choose different endpoints.
+
+    :param work: None if the service states no pace.
+    """
+    usable = preferred(candidates, tracker, tried, now_s, limits)
+    costs = call_costs(usable, tracker, own_domain, now_s, limits, work)
+    return min(
+        ((rank, cost, rng.random(), each) for rank, cost, each in costs),
+        default=(0, 0.0, 0.0, None),
+    )[3]
 
 
 def _call_rank(
@@ -211,19 +243,16 @@
 
 
 def _least_cost(
-    costs: abc.Sequence[tuple[bool, float, endpoints.FleetEndpoint]],
+    costs: abc.Sequence[RankedCost],
     rng: random.Random,
     near_tie: float,
 ) -> endpoints.FleetEndpoint | None:
     """Return an endpoint of the least cost, or of about that, at random.
 
-    :param costs: rank, cost and endpoint; a lower rank comes first.
     :param near_tie: difference of costs that counts as none.
     """
     keyed = [(*each, rng.random()) for each in costs]
-    best_rank, best_cost = min(
-        (each[:2] for each in keyed), default=(False, 0.0)
-    )
+    best_rank, best_cost = min((each[:2] for each in keyed), default=(0, 0.0))
     return min(
         (
             (draw, endpoint)
@@ -234,6 +263,49 @@
     )[1]
 
 
+def stream_costs(
+    usable: abc.Iterable[endpoints.FleetEndpoint],
+    tracker: trackers.EndpointTracker,
+    remote_placements: RemotePlacements,
+    own_domain: str,
+    session_endpoint: str | None = None,
+    limits: views.LimitView = NO_LIMITS,
+    work: WorkFactor | None = None,
+    savings: Savings | None = None,
+) -> list[RankedCost]:
+    """Return what one more stream costs at each endpoint.
+
+    The parameters are those of ``choose_stream``.
+    """
+    return [
+        RankedCost(
+            int(each.endpoint_id not in limits.unconfirmed),
+            stream_cost(
+                each,
+                tracker.stats(each.endpoint_id),
+                remote_placements.get(each.endpoint_id, Placements()),
+                own_domain,
+                work(each) if work else 1.0,
+            )
+            + LIMITED_STREAM_COST * (each.endpoint_id in limits.limited)
+            - stream_saving(each, session_endpoint, savings),
+            each,
+        )
+        for each in usable
+    ]
+
+
+def stream_saving(
+    endpoint: endpoints.FleetEndpoint,
+    session_endpoint: str | None,
+    savings: Savings | None,
+) -> float:
+    """Return what a prompt that an endpoint has cached saves, in streams."""
+    if savings is None:
+        return SESSION_SAVING * (endpoint.endpoint_id == session_endpoint)
+    return savings(endpoint)
+
+
 def choose_stream(
     candidates: abc.Sequence[endpoints.FleetEndpoint],
     tracker: trackers.EndpointTracker,
@@ -261,29 +333,17 @@
     :param work: None if the service states no pace.
     :param savings: replaces the saving there; used where pace is stated.
     """
-    usable = _preferred(candidates, tracker, tried, now_s, limits)
-
-    def saving(endpoint: endpoints.FleetEndpoint) -> float:
-        if savings is None:
-            return SESSION_SAVING * (endpoint.endpoint_id == session_endpoint)
-        return savings(endpoint)
-
-    costs = [
-        (
-            each.endpoint_id not in limits.unconfirmed,
-            stream_cost(
-                each,
-                tracker.stats(each.endpoint_id),
-                remote_placements.get(each.endpoint_id, Placements()),
-                own_domain,
-                work(each) if work else 1.0,
-            )
-            + LIMITED_STREAM_COST * (each.endpoint_id in limits.limited)
-            - saving(each),
-            each,
-        )
-        for each in usable
-    ]
+    usable = preferred(candidates, tracker, tried, now_s, limits)
+    costs = stream_costs(
+        usable,
+        tracker,
+        remote_placements,
+        own_domain,
+        session_endpoint,
+        limits,
+        work,
+        savings,
+    )
     return _least_cost(costs, rng, NEAR_TIE if work else 0.0)
 
 
@@ -303,15 +363,15 @@
     unresponsive at once. The backup is kept in another one if possible, and
     where the stream can go on without a permit.
     """
-    usable = _preferred(candidates, tracker, {running.endpoint_id}, now_s)
+    usable = preferred(candidates, tracker, {running.endpoint_id}, now_s)
     other_domains = [
         each
         for each in usable
         if each.failure_domain != running.failure_domain
     ]
     costs = [
-        (
-            each.endpoint_id in limits.limited,
+        RankedCost(
+            int(each.endpoint_id in limits.limited),
             stream_cost(
                 each,
                 tracker.stats(each.endpoint_id),
--- a/src/godwitvalve/placement/tracker.py
+++ b/src/godwitvalve/placement/tracker.py
@@ -72,6 +72,15 @@
         """Return the mutable statistics of an endpoint."""
         return self._stats.setdefault(endpoint_id, EndpointStats())
 
+    def copy(self) -> EndpointTracker:
+        """Return statistics of their own with the same contents."""
+        copied = EndpointTracker()
+        copied._stats = {
+            endpoint_id: dataclasses.replace(stats)
+            for endpoint_id, stats in self._stats.items()
+        }
+        return copied
+
     def forget(self, endpoint_id: str) -> None:
         """Drop the statistics of a removed endpoint without own requests."""
         stats = self._stats.get(endpoint_id)
--- a/src/godwitvalve/queueing/fair_queue.py
+++ b/src/godwitvalve/queueing/fair_queue.py
@@ -34,7 +34,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Queued:
-    """The call waits for its turn."""
+    """The call waits for its turn.
+
+    :param expected_s: seconds.
+    """
+
+    expected_s: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -127,14 +132,24 @@
         :param ticket: returned when it is the turn of the call.
         :param deadline_s: time until which an answer is of use.
         """
+        admission = self.expected(account, now_s, deadline_s)
+        match admission:
+            case Started():
+                self._running[account] += 1
+            case Queued():
+                self._enqueue(account, priority, ticket, deadline_s)
+        return admission
+
+    def expected(
+        self, account: str, now_s: float, deadline_s: float
+    ) -> Admission:
+        """Return what a call that arrives now would get; admits none."""
         if self._has_room() and not self._waiting:
-            self._running[account] += 1
             return Started()
         wait_s = self._expected_wait_s(account, now_s)
         if now_s + wait_s + self.call_s > deadline_s:
             return Refused(wait_s)
-        self._enqueue(account, priority, ticket, deadline_s)
-        return Queued()
+        return Queued(wait_s)
 
     def decline(
         self,
@@ -257,7 +272,8 @@
 
     def rate_per_s(self, now_s: float) -> float:
         """Return how many calls a second get a turn at the present rate."""
-        self._forget_ends(now_s)
+        oldest_s = now_s - RATE_PERIOD_S
+        ended = sum(each >= oldest_s for each in self._ended_s)
         # An entry with few calls has ended none in the period.
         possible_rate = (self._limit or 1.0) / max(self.call_s, PROBE_PERIOD_S)
-        return max(len(self._ended_s) / RATE_PERIOD_S, possible_rate)
+        return max(ended / RATE_PERIOD_S, possible_rate)
--- a/src/godwitvalve/queueing/turns.py
+++ b/src/godwitvalve/queueing/turns.py
@@ -75,6 +75,15 @@
         """Return how many calls a second get a turn at the present rate."""
         return self._queue.rate_per_s(self._loop.time())
 
+    def expected(
+        self, account: str, deadline_s: float
+    ) -> fair_queue.Admission:
+        """Return what a call that arrives now would get; admits none.
+
+        :param deadline_s: seconds of the event loop's clock.
+        """
+        return self._queue.expected(account, self._loop.time(), deadline_s)
+
     async def begin(
         self, account: str, priority: int, deadline_s: float
     ) -> Turn:
@@ -167,6 +176,18 @@
         self._use = use or shares.AccountUse()
         self._services: dict[str, ServiceTurns] = {}
 
+    def expected(
+        self, service: str, account: str, deadline_s: float
+    ) -> fair_queue.Admission:
+        """Return what a call that arrives now would get; admits none.
+
+        :param deadline_s: seconds of the event loop's clock.
+        """
+        turns = self._services.get(service)
+        if turns is None:
+            return fair_queue.Started()
+        return turns.expected(account, deadline_s)
+
     def at(self, service: str) -> ServiceTurns:
         """Return the turns at a service."""
         if service not in self._services:
