Explain where a request would go: godwitvalve fleet route

An entry answers at its control address by the code that decides on requests, run on copies of what that code changes. The command prints the candidates with their costs, what excludes the others, and whether the request would be sent, wait or be refused.

--- a/features/steps/fleet_large_configuration_steps.py
+++ b/features/steps/fleet_large_configuration_steps.py
@@ -88,6 +88,7 @@
         None,
         state,
         peer_tables.RelayServer({wire_configuration.TABLE: table}),
+        None,
     )
 
     async def handle(request):
--- a/src/godwitvalve/ingress/control.py
+++ b/src/godwitvalve/ingress/control.py
@@ -1,4 +1,4 @@
-"""Control interface: state and tables for other entries, and metrics."""
+"""Control interface: state and tables for entries, metrics, explanations."""
 
 from __future__ import annotations
 
@@ -9,11 +9,13 @@
 import msgspec
 
 from godwitvalve.decoding import bounds
+from godwitvalve.explanation import model as explanation_model
 from godwitvalve.fleet import endpoints
 from godwitvalve.fleet import state as states
 from godwitvalve.forwarding import context as contexts
 from godwitvalve.ingress import compression
 from godwitvalve.ingress import peer_tables
+from godwitvalve.ingress import route_explanation
 
 STATE_PATH = '/fleet/state'
 METRICS_PATH = '/metrics'
@@ -37,10 +39,12 @@
         context: contexts.ForwardingContext,
         state: states.FleetState,
         relay_server: peer_tables.RelayServer,
+        explainer: route_explanation.RouteExplainer,
     ) -> None:
         self._context = context
         self._state = state
         self._relay_server = relay_server
+        self._explainer = explainer
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request by its path."""
@@ -49,6 +53,8 @@
                 return self._shared_state(request)
             case path if path == peer_tables.TABLE_PATH:
                 return await self._relay_server.handle(request)
+            case path if path == explanation_model.PATH:
+                return await self._explainer.handle(request)
             case path if path == METRICS_PATH:
                 return self._metrics(request)
             case _:
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -38,6 +38,7 @@
 from godwitvalve.ingress import membership
 from godwitvalve.ingress import peer_tables
 from godwitvalve.ingress import pressure
+from godwitvalve.ingress import route_explanation
 from godwitvalve.ingress import servers
 from godwitvalve.ingress import settings_reload
 from godwitvalve.ingress import shared_states
@@ -503,6 +504,9 @@
             self._context,
             self._state,
             peer_tables.RelayServer(self._relays),
+            route_explanation.RouteExplainer(
+                self._context, self._handler.accepts
+            ),
         )
         others = (
             (settings.readiness_address, self._handle_ready),
--- a/src/godwitvalve/operator_cli/fleet.py
+++ b/src/godwitvalve/operator_cli/fleet.py
@@ -1,4 +1,7 @@
-"""``godwitvalve fleet``: print what the users' platform stores for entries."""
+"""``godwitvalve fleet``: print what the users' platform stores for entries.
+
+It is a command by itself, and a group with further ones.
+"""
 
 from __future__ import annotations
 
@@ -11,12 +14,14 @@
 from godwitvalve.fleet import endpoints
 from godwitvalve.fleet import routes
 from godwitvalve.operator_cli import options
+from godwitvalve.operator_cli import route
 from godwitvalve.platform import configuration as wire_configuration
 from godwitvalve.platform import endpoints as wire_endpoints
 from godwitvalve.platform import store as stores
 
+# Optional here, as the commands below ``fleet`` need no store.
 StoreAddress = Annotated[
-    str,
+    str | None,
     typer.Option(
         '--store',
         envvar='GODWITVALVE_STORE',
@@ -76,8 +81,19 @@
     }
 
 
-def fleet(store: StoreAddress, as_json: options.AsJson = False) -> None:
+def fleet(
+    context: typer.Context,
+    store: StoreAddress = None,
+    as_json: options.AsJson = False,
+) -> None:
     """Print configuration version and endpoints; changes nothing."""
+    if context.invoked_subcommand is not None:
+        return
+    if store is None:
+        raise typer.BadParameter(
+            'Missing; the environment variable is GODWITVALVE_STORE.',
+            param_hint='--store',
+        )
     try:
         stored = asyncio.run(_read(store))
     except stores.StoreUnavailable as error:
@@ -98,3 +114,8 @@
         )
     for row in stored.damaged_rows:
         print(f'damaged row {row}')
+
+
+app = typer.Typer(add_completion=False)
+app.callback(invoke_without_command=True)(fleet)
+app.command()(route.route)
--- a/src/godwitvalve/operator_cli/main.py
+++ b/src/godwitvalve/operator_cli/main.py
@@ -19,7 +19,7 @@
 app.command()(show.show)
 app.command()(status.status)
 app.command()(explain.explain)
-app.command()(fleet.fleet)
+app.add_typer(fleet.app, name='fleet')
 
 
 def main() -> None:
--- a/src/godwitvalve/operator_cli/options.py
+++ b/src/godwitvalve/operator_cli/options.py
@@ -24,6 +24,10 @@
     CONFLICT = 3
     STORE_UNAVAILABLE = 4
     UNKNOWN = 5
+    UNKNOWN_HOST = 6
+    UNKNOWN_ROUTE = 7
+    UNKNOWN_ACCOUNT = 8
+    ENTRY_UNAVAILABLE = 9
 
 
 PlatformUrl: TypeAlias = Annotated[
