--- a/src/godwitvalve/operator_cli/route.py
+++ b/src/godwitvalve/operator_cli/route.py
@@ -26,7 +26,7 @@
 _COLUMNS = (
     'endpoint',
     'address',
-    'domain',
+    'failure domain',
     'cost',
     'load',
     'work',
