--- a/features/explanation/route.feature
+++ b/features/explanation/route.feature
@@ -58,6 +58,20 @@
     Then its state is as before
     But a stream that is decided on changes it
 
+  Scenario Outline: A request is refused before room counts: <why>
+    # Guards against "sent now" for what the checks around admission refuse.
+    Given an entry whose 2 engines each run 0 streams with 0 unread tokens
+    And <why>
+    When it is asked about a stream of 8000 tokens
+    Then the outcome is "refuse <outcome>" with <choices> choices
+
+    Examples:
+      | why                                    | outcome                  | choices |
+      | the prompt is quarantined              | PROMPT_QUARANTINED       | 2       |
+      | it drains                              | DRAINING                 | 2       |
+      | its streams take longer than the route | DEADLINE_BEFORE_SEND     | 2       |
+      | the limit of each engine is spent      | ENDPOINT_LIMITS at least | 0       |
+
   Scenario: An account's call waits in the queue of a full service
     # Guards against "sent now" while calls wait for their turn.
     Given an entry at which a declined call waits
--- a/features/steps/explanation_steps.py
+++ b/features/steps/explanation_steps.py
@@ -15,6 +15,7 @@
 import behave
 from features.doubles import forwarding_site
 from features.doubles import ingress_site
+from godwitvalve.endpoint_limits import messages
 from godwitvalve.endpoint_limits import statements
 from godwitvalve.endpoint_limits import view
 from godwitvalve.explanation import candidates
@@ -234,18 +235,26 @@
         assert decided == expected.action, decided
 
 
-@behave.given(
-    'one engine has a limit, and the quarantine of the prompt just ended'
-)
-def step_limit(context):
+def _limit(context, *ids, is_spent=False):
+    limiter = context.site.context.limiter
+
     def work():
-        site = context.site
         now_s = asyncio.get_running_loop().time()
-        site.context.limiter.observe(
-            site.state.registry.get('e0'), statements.Limited(1.0), now_s
-        )
-        for ago_s in (100.0, 90.0):
-            site.context.quarantine.record_crash(
+        for each in ids:
+            endpoint = context.site.state.registry.get(each)
+            limiter.observe(endpoint, statements.Limited(1.0), now_s)
+            if is_spent:
+                denied = messages.PermitAnswer(0, 60_000)
+                limiter.apply_answer(endpoint, denied, now_s)
+
+    _in_loop(work)
+
+
+def _crash(context, *agos_s):
+    def work():
+        now_s = asyncio.get_running_loop().time()
+        for ago_s in agos_s:
+            context.site.context.quarantine.record_crash(
                 forwarding_site.SERVICE,
                 f'x{ago_s}',
                 ('shared',),
@@ -256,6 +265,42 @@
     _in_loop(work)
 
 
+@behave.given(
+    'one engine has a limit, and the quarantine of the prompt just ended'
+)
+def step_limit(context):
+    _limit(context, 'e0')
+    _crash(context, 100.0, 90.0)
+
+
+@behave.given('the prompt is quarantined')
+def step_quarantined(context):
+    _crash(context, 20.0, 10.0)
+
+
+@behave.given('the limit of each engine is spent')
+def step_spent(context):
+    _limit(context, 'e0', 'e1', is_spent=True)
+
+
+@behave.given('it drains')
+def step_drains(context):
+    context.explainer = route_explanation.RouteExplainer(
+        context.site.context, lambda *arguments: False
+    )
+
+
+@behave.given('its streams take longer than the route')
+def step_slow(context):
+    slow = speed.SpeedEstimate(5.0, 900.0, 0.125)
+    speeds = speed.SpeedEstimates()
+    speeds.add_received(forwarding_site.SERVICE, slow)
+    its_context = dataclasses.replace(context.site.context, speeds=speeds)
+    context.explainer = route_explanation.RouteExplainer(
+        its_context, lambda *arguments: True
+    )
+
+
 def _state_of(value, seen):
     """Return all that a component holds, for a comparison."""
     if id(value) in seen:
