Draw the endpoints offered to a stream by their speed

Cause: two endpoints are drawn for each stream. With a quarter of them slow, one stream in sixteen had the choice of slow ones only.

Among engines of equal speed the draw is as before.

--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -39,6 +39,14 @@
       | 2.5  | 0.6    | 1     | send to 30  |
       | 4.5  | 0      | 1     | refuse late |
 
+  Scenario: Streams are offered quick engines more often than slow ones
+    # Guards against a choice between two slow engines while quick ones have
+    # room.
+    Given an objective of 4 s, a deadline of 20 s and prompts of 1 s
+    And 9 engines with nothing, of which 3 need 2.2 times as long
+    When 2000 streams are decided on
+    Then at most 6 in 100 are offered slow engines only
+
   Scenario: An idle engine takes a stream larger than its stated memory
     # Guards against streams that are never sent.
     Then an idle engine of 100 tokens has space for 200 tokens
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -60,6 +60,41 @@
     ]
 
 
+@behave.given(
+    '{count:d} engines with nothing, of which {slow:d} need {factor:g} times '
+    'as long'
+)
+def uneven_engines(context, count, slow, factor):
+    context.rooms = [
+        room.endpoint_room(
+            f'e{number}',
+            CAPACITY,
+            room.Use(),
+            context.demand,
+            SPEED,
+            factor if number < slow else 1.0,
+        )
+        for number in range(count)
+    ]
+    context.slow_ids = {f'e{number}' for number in range(slow)}
+
+
+@behave.when('{count:d} streams are decided on')
+def decide_often(context, count):
+    rng = random.Random(1)
+    request = decision.Request(4.0, 4.0, 0.0, 20.0, 4.0)
+    context.offers = [
+        decision.decide(request, context.rooms, 0, 0, 1.0, rng).endpoint_ids
+        for _ in range(count)
+    ]
+
+
+@behave.then('at most {share:d} in 100 are offered slow engines only')
+def offered_slow_only(context, share):
+    slow_only = sum(each <= context.slow_ids for each in context.offers)
+    assert slow_only * 100 <= share * len(context.offers), slow_only
+
+
 @behave.when(
     'a stream that waited {waited_s:g} s is decided on with {ahead:d} ahead'
 )
--- a/src/godwitvalve/admission/decision.py
+++ b/src/godwitvalve/admission/decision.py
@@ -12,6 +12,7 @@
 from collections import abc
 import dataclasses
 import enum
+import heapq
 import random
 from typing import NamedTuple, TypeAlias
 
@@ -28,10 +29,6 @@
 # Endpoints among which a stream is placed. All entries choose by the same
 # reports; with the best of all or of eight, those of the same moment meet.
 SAMPLE = 2
-# Part of the endpoints above which all that have room are offered: entries
-# that send at the same moment seldom meet then, and a choice among two would
-# send streams to slow endpoints while quick ones have room.
-AMPLE_SHARE = 0.5
 # Waiting streams look for room about this often.
 POLL_S = 0.05
 # Time until other entries know of a stream that was sent.
@@ -129,9 +126,8 @@
         return Refuse(Reason.DEADLINE, max(soonest_s - limit_s, 0.0))
     is_next = not ahead and _may_contend(len(reachable), waiting, rng)
     if reachable and is_next:
-        if len(reachable) > len(rooms) * AMPLE_SHARE:
-            return Send(frozenset(reachable))
-        return Send(_sample(reachable, rng, preferred_id))
+        read_s = {each.endpoint_id: each.read_s for each in rooms}
+        return Send(_sample(reachable, read_s, rng, preferred_id))
     wait_s = max(ahead + 1, waiting) / rate_per_s
     if soonest_s > limit_s:
         refusal = Refuse(Reason.LATE, soonest_s - limit_s)
@@ -186,9 +182,21 @@
 
 
 def _sample(
-    ids: list[str], rng: random.Random, preferred_id: str | None
+    ids: list[str],
+    read_s: abc.Mapping[str, float],
+    rng: random.Random,
+    preferred_id: str | None,
 ) -> frozenset[str]:
-    chosen = set(rng.sample(ids, min(SAMPLE, len(ids))))
+    """Draw endpoints in proportion to the speed at which they read.
+
+    :param read_s: seconds to read the prompt by endpoint.
+    """
+    if len({read_s[each] for each in ids}) == 1:
+        chosen = set(rng.sample(ids, min(SAMPLE, len(ids))))
+    else:
+        # The largest keys are a weighted sample without replacement.
+        keys = {each: rng.random() ** max(read_s[each], 0.001) for each in ids}
+        chosen = set(heapq.nlargest(SAMPLE, ids, key=keys.__getitem__))
     if preferred_id in ids:
         chosen.add(preferred_id)
     return frozenset(chosen)
