Draw which of the accounts with equal use a report leaves out

A report has room for about five names, and ties were broken by name. With 24 equal accounts and one to two streams each at 60 entries, the first one by name was reported with 28 streams and the last one with 3, so that it seemed to have several times its share.

--- a/features/models/share_replay.py
+++ b/features/models/share_replay.py
@@ -33,6 +33,7 @@
         self.use = shares.AccountUse(
             lambda now_s: replay.reports_at(self, now_s),
             lambda service: has_reports,
+            random.Random(number),
         )
         self.queue = fair_queue.FairQueue(
             lambda account, now_s: self.use.reported(SERVICE, account, now_s)
--- a/features/models/stream_share_replay.py
+++ b/features/models/stream_share_replay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import random
 
 from features.models import overload_simulation
 from godwitvalve.admission import stream_queue
@@ -36,6 +37,7 @@
             entry.use = shares.AccountUse(
                 lambda now_s: self._received.values(),
                 lambda service: has_reports,
+                random.Random(seed),
             )
             entry.queue = stream_queue.StreamQueue(
                 overload_simulation.SERVICE, entry.use
--- a/features/queueing/shares.feature
+++ b/features/queueing/shares.feature
@@ -52,6 +52,12 @@
     Given 24 accounts of which some have long names, with 1 to 24 calls
     Then their report takes at most 80 bytes and begins with the largest
 
+  Scenario: Equal accounts are reported alike
+    # Guards against accounts that look large by their names: of 24 with one
+    # stream each, the first five were reported and the last ones never.
+    Given 24 accounts with a stream each at each of 60 entries
+    Then the entries report between 5 and 25 streams of each account
+
   Scenario: Small accounts keep their calls beside one that uses all entries
     # Replays 20 entries and a service with 24 slots. One account sends five
     # times its share through all entries, ten send 0.8 of theirs through one
--- a/features/steps/queueing_shares_steps.py
+++ b/features/steps/queueing_shares_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 
 import behave
@@ -186,6 +187,32 @@
     assert context.use.report(context.now_s) == {}
 
 
+@behave.given(
+    '{count:d} accounts with a stream each at each of {entries:d} entries'
+)
+def step_equal(context, count, entries):
+    context.reports = []
+    for seed in range(entries):
+        use = shares.AccountUse(
+            is_stated=lambda service: True, rng=random.Random(seed)
+        )
+        use.mark_full(PACED, 0.0)
+        for number in range(count):
+            use.begin(PACED, f'account-{number:02}', True)
+        context.reports.append(use.report(0.0)[PACED])
+
+
+@behave.then(
+    'the entries report between {least:d} and {most:d} streams of each account'
+)
+def step_reported_alike(context, least, most):
+    seen = [
+        sum(f'account-{number:02}' in each for each in context.reports)
+        for number in range(24)
+    ]
+    assert least <= min(seen) and max(seen) <= most, seen
+
+
 @behave.given(
     '{count:d} accounts of which some have long names, with 1 to {most:d} '
     'calls'
--- a/src/godwitvalve/queueing/shares.py
+++ b/src/godwitvalve/queueing/shares.py
@@ -8,6 +8,7 @@
 import collections
 from collections import abc
 import math
+import random
 from typing import TypeAlias
 
 # Calls and streams in flight by service and account.
@@ -49,13 +50,16 @@
         expires with the heartbeat of its entry.
     :param is_stated: tells whether a service states its pace; elsewhere only
         the own use counts, and nothing is reported.
+    :param rng: draws the order of accounts with equal use.
     """
 
     def __init__(
         self,
         reports: abc.Callable[[float], abc.Iterable[Use]] = _no_reports,
         is_stated: abc.Callable[[str], bool] = _never,
+        rng: random.Random | None = None,
     ) -> None:
+        self._rng = rng or random.Random()
         self._reports = reports
         self._is_stated = is_stated
         self._calls: collections.Counter[tuple[str, str]] = (
@@ -141,7 +145,8 @@
     def report(self, now_s: float) -> dict[str, dict[str, tuple[int, int]]]:
         """Return the own use of services that are full, the largest first.
 
-        At most ``MAX_REPORT_BYTES`` of names and counts are returned.
+        At most ``MAX_REPORT_BYTES`` of names and counts are returned. Which
+        of equal ones are left out is drawn anew each time.
         """
         use = {
             key: (self._calls[key], self._streams[key])
@@ -150,7 +155,9 @@
         }
         found: dict[str, dict[str, tuple[int, int]]] = {}
         left_bytes = MAX_REPORT_BYTES
-        for key in sorted(use, key=lambda each: (-sum(use[each]), each)):
+        for key in sorted(
+            use, key=lambda each: (-sum(use[each]), self._rng.random())
+        ):
             service, account = key
             size_bytes = _ITEM_BYTES + len(account.encode())
             if service not in found:
