--- a/src/godwitvalve/operator_cli/route.py
+++ b/src/godwitvalve/operator_cli/route.py
@@ -63,10 +63,10 @@
 def _segments(text: str) -> tuple[model.Segment, ...]:
     if not text:
         return ()
-    facts = headers.read_caller([(b'prompt-prefix', text.encode())])
-    if not facts.segments:
+    segments = headers.parse_segments(text)
+    if not segments:
         raise typer.BadParameter('Segments have the form ID:TOKENS,...')
-    return tuple(model.Segment(*each) for each in facts.segments)
+    return tuple(model.Segment(*each) for each in segments)
 
 
 def _describe(outcome: model.Outcome) -> str:
--- a/src/godwitvalve/platform/headers.py
+++ b/src/godwitvalve/platform/headers.py
@@ -191,11 +191,24 @@
         _parse_count(output.strip()),
         last,
         tuple(shared),
-        tuple(segments[:MAX_SEGMENTS]) if all(map(all, segments)) else (),
+        _complete(segments),
         _parse_count(values.get('length-hint', '')),
     )
 
 
+def parse_segments(parts: str) -> tuple[PromptSegment, ...]:
+    """Return the first segments of a prompt with their tokens.
+
+    :param parts: ``ID:TOKENS,...``.
+    :returns: nothing if one has no id or states no tokens.
+    """
+    return _complete(_read_segments(parts))
+
+
+def _complete(segments: list[PromptSegment]) -> tuple[PromptSegment, ...]:
+    return tuple(segments[:MAX_SEGMENTS]) if all(map(all, segments)) else ()
+
+
 def _read_segments(parts: str) -> list[PromptSegment]:
     pairs = (part.partition(':') for part in parts.split(','))
     return [
