Admit streams by room only where the events of engines are sized

Cause: without a stated stride an event counted as one token. With 8 tokens an event, an output was expected to take 31 s of 25 s after the first complete stream, and each further one would be refused at its deadline.

Change: admission is off where the engine block states no stride.

--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -43,7 +43,7 @@
     # Guards against a choice between two slow engines while quick ones have
     # room.
     Given an objective of 4 s, a deadline of 20 s and prompts of 1 s
-    And 9 engines with nothing, of which 3 need 2.2 times as long
+    And 9 idle engines, of which 3 need 2.2 times as long
     When 2000 streams are decided on
     Then at most 6 in 100 are offered slow engines only
 
@@ -134,6 +134,7 @@
       | an engine full of others | arrives    | refused with a time |
       | an engine full of others | resumes    | complete            |
       | no stated capacity       | arrives    | complete            |
+      | no stated stride         | arrives    | complete            |
       | no stated pace           | arrives    | complete            |
       | no known speed           | arrives    | complete            |
       | a new engine             | arrives    | complete            |
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -61,8 +61,7 @@
 
 
 @behave.given(
-    '{count:d} engines with nothing, of which {slow:d} need {factor:g} times '
-    'as long'
+    '{count:d} idle engines, of which {slow:d} need {factor:g} times as long'
 )
 def uneven_engines(context, count, slow, factor):
     context.rooms = [
@@ -369,9 +368,11 @@
 
 def _prepare(site, state):
     service = forwarding_site.SERVICE
-    engine = routes.EngineConfig(True, 16, 88_000)
+    engine = routes.EngineConfig(True, 16, 88_000, 8)
     if state == 'no stated capacity':
         engine = routes.EngineConfig(True)
+    if state == 'no stated stride':
+        engine = routes.EngineConfig(True, 16, 88_000)
     facts = routes.ServiceConfig(service, '/healthz', engine)
     limits = routes.CallerLimits(1 << 20)
     site.state.install(routes.Configuration(2, [], [facts], {}, limits, b''))
--- a/src/godwitvalve/fleet/routes.py
+++ b/src/godwitvalve/fleet/routes.py
@@ -55,13 +55,13 @@
         stated.
     :param kv_capacity_tokens: tokens that the memory of one engine holds;
         None if not stated.
-    :param stride: output tokens per event.
+    :param stride: output tokens per event; None if not stated.
     """
 
     has_backups: bool
     slots: int | None = None
     kv_capacity_tokens: int | None = None
-    stride: int = 1
+    stride: int | None = None
 
 
 class ServiceConfig(NamedTuple):
--- a/src/godwitvalve/forwarding/stream_turns.py
+++ b/src/godwitvalve/forwarding/stream_turns.py
@@ -70,6 +70,9 @@
             or service.engine is None
             or not service.engine.slots
             or not service.engine.kv_capacity_tokens
+            # Without it, an output would be expected to take many times as
+            # long, and all streams refused at their deadlines.
+            or not service.engine.stride
             or not self._context.paces.is_stated(self._service)
         ):
             return None
@@ -93,7 +96,7 @@
             return 0, 0
         facts = self._routed.request.facts
         read = facts.prompt_tokens + (
-            self._state.splitter.last_event * engine.stride
+            self._state.splitter.last_event * (engine.stride or 1)
         )
         held = facts.prompt_tokens + self._output_tokens()
         return max(held, read), 0 if has_copy else read
@@ -179,7 +182,10 @@
         output_tokens = self._output_tokens()
         speed = room.Speed(
             max(estimate.prompt_token_ms, 0.0),
-            max(estimate.event_ms, 0.0) * output_tokens / engine.stride / 1000,
+            max(estimate.event_ms, 0.0)
+            * output_tokens
+            / (engine.stride or 1)
+            / 1000,
         )
         rooms = self._rooms(engine, speed, now_s)
         objective_s = route.objective_ms / 1000
@@ -338,7 +344,7 @@
             self._tables.lengths.observe(
                 self._service,
                 facts.length_hint or facts.max_output_tokens,
-                self._state.splitter.last_event * engine.stride,
+                self._state.splitter.last_event * (engine.stride or 1),
             )
 
     def end(self) -> None:
--- a/src/godwitvalve/platform/configuration.py
+++ b/src/godwitvalve/platform/configuration.py
@@ -132,7 +132,7 @@
                 raw.engine.kv_capacity_tokens,
                 bounds.Tokens,
             ),
-            _engine_count('stride', raw.engine.stride, bounds.Slots) or 1,
+            _engine_count('stride', raw.engine.stride, bounds.Slots),
         )
     return routes.ServiceConfig(raw.name, raw.health_path, engine)
 
