--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -39,6 +39,14 @@
       | 2.5  | 0.6    | 1     | send to 30  |
       | 4.5  | 0      | 1     | refuse late |
 
+  Scenario: A stream that can't end in time is not told to come back at once
+    # Guards against callers that are told 0 s, come back with less time left
+    # and are refused again.
+    Given an objective of 4 s, a deadline of 20 s and prompts of 1 s
+    And 1 engines with 20 unread prompts
+    When a stream that waited 0 s is decided on with 0 ahead
+    Then a caller with 20 s left is told the third of them
+
   Scenario: Streams are offered quick engines more often than slow ones
     # Guards against a choice between two slow engines while quick ones have
     # room.
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -109,6 +109,14 @@
     )
 
 
+@behave.then('a caller with {left_s:g} s left is told the third of them')
+def told_longest(context, left_s):
+    told_s = returns.ReturnSchedule().retry_after_s(
+        100.0, context.decided.free_in_s, 1.0, left_s
+    )
+    assert abs(told_s - left_s / 3) < 1e-6, told_s
+
+
 @behave.then('the decision is {text}')
 def decision_is(context, text):
     match context.decided:
--- a/src/godwitvalve/admission/decision.py
+++ b/src/godwitvalve/admission/decision.py
@@ -88,7 +88,7 @@
 class Refuse:
     """The stream is refused as not run.
 
-    :param free_in_s: seconds until there is room for a stream.
+    :param free_in_s: seconds until there is room for the stream.
     """
 
     reason: Reason
@@ -123,7 +123,8 @@
     reachable = reachable_ids(request.bound_s, rooms)
     soonest_s = min(each.first_event_s for each in rooms)
     if soonest_s + request.output_s > request.deadline_left_s:
-        return Refuse(Reason.DEADLINE, max(soonest_s - limit_s, 0.0))
+        # It would have less time left when it came back.
+        return Refuse(Reason.DEADLINE, request.deadline_left_s)
     is_next = not ahead and _may_contend(len(reachable), waiting, rng)
     if reachable and is_next:
         read_s = {each.endpoint_id: each.read_s for each in rooms}
