Offer all endpoints with room while no stream waits

Cause: with two drawn for each stream, quick engines are used less than they could be.

Change: the draw applies while streams wait or were refused lately.

--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -147,6 +147,18 @@
       | no known speed           | arrives    | complete            |
       | a new engine             | arrives    | complete            |
 
+  Scenario Outline: All endpoints with room are offered while none is contended
+    # Guards against streams that go to slow endpoints while quick ones have
+    # room: of two that are drawn, both may be slow.
+    Given a site with 4 free engines where <state>
+    Then a new stream is offered <count> endpoints
+
+    Examples:
+      | state                              | count |
+      | nothing waits                      | 4     |
+      | a stream waits                     | 2     |
+      | a stream waits at another entry    | 2     |
+
   Scenario Outline: The speed of a service is that of whole streams
     # Guards against an estimate that is too fast for good: one stream that
     # went on elsewhere, or whose prompt was cached, lowered it at once.
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -20,8 +20,10 @@
 from godwitvalve.admission import returns
 from godwitvalve.admission import room
 from godwitvalve.admission import stream_queue
+from godwitvalve.admission import tables
 from godwitvalve.fleet import routes
 from godwitvalve.forwarding import replies
+from godwitvalve.forwarding import stream_turns
 from godwitvalve.gossip import members
 from godwitvalve.placement import choose
 from godwitvalve.placement import prefixes
@@ -475,6 +477,49 @@
     context.begin_resume.assert_not_called()
 
 
+@behave.given('a site with {count:d} free engines where {state}')
+def site_where(context, count, state):
+    context.offered = []
+    begin = stream_turns.StreamTurn.begin
+
+    async def recorded(turn):
+        refusal = await begin(turn)
+        context.offered.append(len(turn.endpoint_ids))
+        return refusal
+
+    async def run():
+        endpoints = [
+            await scripted_endpoint.ScriptedEndpoint(
+                forwarding_steps.stream_script('head 1 2 end')
+            ).start()
+            for _ in range(count)
+        ]
+        site = forwarding_site.ForwardingSite(endpoints)
+        _prepare(site, 'a free engine')
+        service = forwarding_site.SERVICE
+        if state == 'a stream waits':
+            now_s = asyncio.get_running_loop().time()
+            site.context.account_use.mark_full(service, now_s)
+        if state == 'a stream waits at another entry':
+            site.context.admission.others = lambda: tables.Others(
+                2, {service: 1}
+            )
+        site.prompt_tokens = 1000
+        try:
+            with mock.patch.object(stream_turns.StreamTurn, 'begin', recorded):
+                await site.stream(ROUTE)
+        finally:
+            for each in endpoints:
+                await each.stop()
+
+    asyncio.run(run())
+
+
+@behave.then('a new stream is offered {count:d} endpoints')
+def offered(context, count):
+    assert context.offered == [count], context.offered
+
+
 @behave.given('2 engines of which one is full and the other counts as down')
 def engine_down(context):
     context.tried = []
--- a/src/godwitvalve/forwarding/stream_turns.py
+++ b/src/godwitvalve/forwarding/stream_turns.py
@@ -137,7 +137,15 @@
             assessment = self.assess()
             match assessment.decision:
                 case decision.Send(endpoint_ids):
-                    self.endpoint_ids = endpoint_ids
+                    self.endpoint_ids = (
+                        endpoint_ids
+                        if self._is_contended()
+                        else frozenset(
+                            decision.reachable_ids(
+                                assessment.bound_s, assessment.rooms
+                            )
+                        )
+                    )
                     if not self._is_resumed:
                         self._record_outcome(True)
                     return None
@@ -155,6 +163,17 @@
                     spread = self._context.rng.uniform(0.5, 1.5)
                     await asyncio.sleep(decision.POLL_S * spread)
 
+    def _is_contended(self) -> bool:
+        """Tell whether streams wait or were refused a moment ago.
+
+        Entries that send at the same moment meet at the best endpoint, so
+        that few are offered then. Otherwise the quick ones of all are used.
+        """
+        others = self._tables.others().waiting.get(self._service, 0)
+        return others > 0 or self._context.account_use.is_full(
+            self._service, self._state.loop.time()
+        )
+
     def _mark_full(self) -> None:
         """Let other entries know the use of the service by accounts."""
         self._context.account_use.mark_full(
