--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -39,6 +39,14 @@
       | 2.5  | 0.6    | 1     | send to 30  |
       | 4.5  | 0      | 1     | refuse late |
 
+  Scenario: A stream that can't end in time is not told to come back at once
+    # Guards against callers that are told 0 s, come back with less time left
+    # and are refused again.
+    Given an objective of 4 s, a deadline of 20 s and prompts of 1 s
+    And 1 engines with 20 unread prompts
+    When a stream that waited 0 s is decided on with 0 ahead
+    Then a caller with 20 s left is told the third of them
+
   Scenario: Streams are offered quick engines more often than slow ones
     # Guards against a choice between two slow engines while quick ones have
     # room.
@@ -139,6 +147,18 @@
       | no known speed           | arrives    | complete            |
       | a new engine             | arrives    | complete            |
 
+  Scenario Outline: All endpoints with room are offered while none is contended
+    # Guards against streams that go to slow endpoints while quick ones have
+    # room: of two that are drawn, both may be slow.
+    Given a site with 4 free engines where <state>
+    Then a new stream is offered <count> endpoints
+
+    Examples:
+      | state                              | count |
+      | nothing waits                      | 4     |
+      | a stream waits                     | 2     |
+      | a stream waits at another entry    | 2     |
+
   Scenario Outline: The speed of a service is that of whole streams
     # Guards against an estimate that is too fast for good: one stream that
     # went on elsewhere, or whose prompt was cached, lowered it at once.
