Know refused callers when they come back

Cause: a stream was remembered by its request id, and each attempt of a caller has one of its own, so that no return was ever noticed or counted.

Change: callers are known by account and session. One that comes back is ahead of new ones of its priority at the entry that refused it.

--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -72,6 +72,25 @@
     And 3 streams are ahead of "a"
     And with 2 streams that resume, 2 are ahead of "d"
 
+  Scenario: A caller that comes back after a refusal is ahead of new ones
+    # Guards against callers that are refused twice while others of the same
+    # priority are let in before them.
+    Given a queue where account "large" has 3 running streams
+    When these streams wait
+      | name | account | priority | by_s | returned |
+      | a    | small   | 1        | 1    | no       |
+      | b    | large   | 1        | 9    | yes      |
+      | c    | small   | 0        | 9    | no       |
+    Then their order is "c, b, a"
+
+  Scenario: A caller is known when it comes back with another request
+    # Guards against returns that are not noticed, as each attempt of a caller
+    # has a request id of its own.
+    Given stream endpoints that play "head 1 2 end"
+    And admission of streams at the site with an engine full of others
+    When a caller of a session is refused and comes back with another request
+    Then only the second request counts as a return
+
   Scenario: An account that is refused far more often than all is next
     # Guards against an account of little urgency that is never served.
     Given a queue where account "low" had 1 of 20 streams sent and "high" 19
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -170,6 +170,7 @@
             row['account'],
             int(row['priority']),
             float(row['by_s']),
+            row.get('returned') == 'yes',
         )
         for row in context.table
     }
@@ -477,6 +478,35 @@
     context.begin_resume.assert_not_called()
 
 
+@behave.when(
+    'a caller of a session is refused and comes back with another request'
+)
+def caller_returns(context):
+    async def run():
+        endpoint = await scripted_endpoint.ScriptedEndpoint(
+            context.script
+        ).start()
+        site = forwarding_site.ForwardingSite([endpoint])
+        _prepare(site, context.state)
+        site.prompt_tokens = 1000
+        counters = site.context.counters
+        try:
+            with mock.patch.object(counters, 'count_return') as count_return:
+                await site.stream(ROUTE, request_id='1')
+                context.first_returns = count_return.call_count
+                await site.stream(ROUTE, request_id='2')
+                context.returns = count_return.call_count
+        finally:
+            await endpoint.stop()
+
+    asyncio.run(run())
+
+
+@behave.then('only the second request counts as a return')
+def one_return(context):
+    assert (context.first_returns, context.returns) == (0, 1), context.returns
+
+
 @behave.given('a site with {count:d} free engines where {state}')
 def site_where(context, count, state):
     context.offered = []
--- a/src/godwitvalve/admission/stream_queue.py
+++ b/src/godwitvalve/admission/stream_queue.py
@@ -32,12 +32,14 @@
 
     :param priority: 0 is the most urgent.
     :param first_event_by_s: when its objective ends, in monotonic seconds.
+    :param is_returned: whether this entry refused it before.
     """
 
     ticket: Ticket
     account: str
     priority: int
     first_event_by_s: float
+    is_returned: bool = False
 
 
 @dataclasses.dataclass
@@ -213,11 +215,12 @@
 
     def _key(
         self, waiting: Waiting[Ticket], now_s: float
-    ) -> tuple[bool, int, int, float]:
+    ) -> tuple[bool, int, bool, int, float]:
         is_first = self.is_disadvantaged(waiting.account)
         return (
             not is_first,
             waiting.priority,
+            not waiting.is_returned,
             self._running[waiting.account]
             + self._use.reported(self._service, waiting.account, now_s),
             waiting.first_event_by_s,
--- a/src/godwitvalve/admission/tables.py
+++ b/src/godwitvalve/admission/tables.py
@@ -16,8 +16,10 @@
 # The reports of 60 entries are added up once for the streams that look for
 # room within this time.
 SUM_VALID_S = 0.01
-# Refused requests that are known again when their callers come back.
+# Callers of refused requests that are known when they come back.
 MAX_REFUSED = 4096
+# Client account and session, as each attempt has a request id of its own.
+CallerKey: TypeAlias = tuple[str, str]
 
 WorkFactor: TypeAlias = abc.Callable[[endpoints.FleetEndpoint, float], float]
 
@@ -62,7 +64,7 @@
         self.lengths = lengths.OutputLengths()
         self._queues: dict[str, stream_queue.StreamQueue[object]] = {}
         self._returns: dict[str, return_model.ReturnSchedule] = {}
-        self._refused: dict[str, None] = {}
+        self._refused: dict[CallerKey, None] = {}
         self._placements: choose.RemotePlacements = {}
         self._placements_until_s = float('-inf')
 
@@ -110,15 +112,15 @@
             if len(queue)
         }
 
-    def record_refused(self, request_id: str) -> None:
-        """Remember a refused request."""
-        self._refused[request_id] = None
+    def record_refused(self, caller: CallerKey) -> None:
+        """Remember the caller of a refused request."""
+        self._refused[caller] = None
         while len(self._refused) > MAX_REFUSED:
             del self._refused[next(iter(self._refused))]
 
-    def take_returned(self, request_id: str) -> bool:
-        """Tell whether a request was refused before, and forget it."""
-        if request_id not in self._refused:
+    def take_returned(self, caller: CallerKey) -> bool:
+        """Tell whether a caller was refused before, and forget it."""
+        if caller not in self._refused:
             return False
-        del self._refused[request_id]
+        del self._refused[caller]
         return True
--- a/src/godwitvalve/forwarding/stream_turns.py
+++ b/src/godwitvalve/forwarding/stream_turns.py
@@ -49,6 +49,8 @@
         self._queue = self._tables.queue(self._service)
         self._account = state.routed.account
         self._is_counted = False
+        # Whether this entry refused the stream before.
+        self._is_returned = False
         self._priority = (
             state.routed.route.priority
             if state.routed.urgency is None
@@ -101,6 +103,15 @@
         held = facts.prompt_tokens + self._output_tokens()
         return max(held, read), 0 if has_copy else read
 
+    @property
+    def _caller_key(self) -> tuple[str, str]:
+        """Return what stays the same when a refused caller comes back.
+
+        Each attempt of a caller has a request id of its own.
+        """
+        facts = self._routed.request.facts
+        return self._account, facts.session or facts.request_id
+
     def _output_tokens(self) -> int:
         facts = self._routed.request.facts
         return self._tables.lengths.expected(
@@ -115,8 +126,9 @@
         """
         self.endpoint_ids = frozenset()
         if not self._is_counted and self._tables.take_returned(
-            self._routed.request.facts.request_id
+            self._caller_key
         ):
+            self._is_returned = True
             self._context.counters.count_return(self._service)
         began_s = self._state.loop.time()
         try:
@@ -286,6 +298,7 @@
             self._account,
             self._priority,
             self._state.began_s + self._routed.route.objective_ms / 1000,
+            self._is_returned,
         )
 
     def retry_after_s(
@@ -308,7 +321,7 @@
     ) -> replies.Refusal:
         request_id = self._routed.request.facts.request_id
         retry_after_s = self.retry_after_s(refused, rate_per_s)
-        self._tables.record_refused(request_id)
+        self._tables.record_refused(self._caller_key)
         self._context.counters.count_stream_refusal(
             self._service, refused.reason.value
         )
