Look up engines in one place and sum waiting streams once

The lookup of a service's engines stood in three places; the context has it now. The streams that wait at other entries were summed a second time for each stream that is sent, also where no admission is on; the assessment carries the sum. Behaviour is unchanged.

--- a/src/godwitvalve/forwarding/cached_prompts.py
+++ b/src/godwitvalve/forwarding/cached_prompts.py
@@ -30,13 +30,7 @@
         self.cached_tokens = 0
 
     def _demand(self) -> prefixes.Demand:
-        configuration = self._context.state.configuration
-        service = (
-            configuration.services.get(self._service)
-            if configuration
-            else None
-        )
-        engine = service.engine if service else None
+        engine = self._context.engine(self._service)
         return prefixes.Demand(
             self._service,
             self._facts.segments,
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -120,6 +120,12 @@
             return self.remote_placements()
         return self.admission.placements(now_s, self.remote_placements)
 
+    def engine(self, service: str) -> routes.EngineConfig | None:
+        """Return what the configuration states of a service's engines."""
+        configuration = self.state.configuration
+        config = configuration.services.get(service) if configuration else None
+        return config.engine if config else None
+
     def pick_service(self, route: routes.Route) -> str | None:
         """Draw a service by the weights of a route."""
         if not route.services:
--- a/src/godwitvalve/forwarding/stream_placement.py
+++ b/src/godwitvalve/forwarding/stream_placement.py
@@ -173,16 +173,10 @@
         self, endpoint: endpoints.FleetEndpoint, now_s: float
     ) -> endpoints.FleetEndpoint | None:
         context = self._context
-        configuration = context.state.configuration
-        service = (
-            configuration.services.get(self._routed.service)
-            if configuration
-            else None
-        )
+        engine = context.engine(self._routed.service)
         if (
-            service is None
-            or service.engine is None
-            or not service.engine.has_backups
+            engine is None
+            or not engine.has_backups
             or not self._routed.route.is_resumable
         ):
             return None
--- a/src/godwitvalve/forwarding/stream_turns.py
+++ b/src/godwitvalve/forwarding/stream_turns.py
@@ -25,12 +25,14 @@
     :param rooms: empty if the stream is sent without looking for room.
     :param bound_s: objective that the room is measured by, in seconds.
     :param rate_per_s: streams a second that all entries may send.
+    :param others_waiting: streams that wait at other entries.
     """
 
     decision: decision.Decision
     rooms: tuple[room.EndpointRoom, ...] = ()
     bound_s: float = 0.0
     rate_per_s: float = 0.0
+    others_waiting: int = 0
 
 
 class StreamTurn:
@@ -61,24 +63,18 @@
     @property
     def _engine(self) -> routes.EngineConfig | None:
         """Return the engines' capacity if streams are admitted by it."""
-        configuration = self._context.state.configuration
-        service = (
-            configuration.services.get(self._service)
-            if configuration
-            else None
-        )
+        engine = self._context.engine(self._service)
         if (
-            service is None
-            or service.engine is None
-            or not service.engine.slots
-            or not service.engine.kv_capacity_tokens
+            engine is None
+            or not engine.slots
+            or not engine.kv_capacity_tokens
             # Without it, an output would be expected to take many times as
             # long, and all streams refused at their deadlines.
-            or not service.engine.stride
+            or not engine.stride
             or not self._context.paces.is_stated(self._service)
         ):
             return None
-        return service.engine
+        return engine
 
     @property
     def _is_resumed(self) -> bool:
@@ -151,7 +147,7 @@
                 case decision.Send(endpoint_ids):
                     self.endpoint_ids = (
                         endpoint_ids
-                        if self._is_contended()
+                        if self._is_contended(assessment.others_waiting)
                         else frozenset(
                             decision.reachable_ids(
                                 assessment.bound_s, assessment.rooms
@@ -175,14 +171,13 @@
                     spread = self._context.rng.uniform(0.5, 1.5)
                     await asyncio.sleep(decision.POLL_S * spread)
 
-    def _is_contended(self) -> bool:
+    def _is_contended(self, others_waiting: int) -> bool:
         """Tell whether streams wait or were refused a moment ago.
 
         Entries that send at the same moment meet at the best endpoint, so
         that few are offered then. Otherwise the quick ones of all are used.
         """
-        others = self._tables.others().waiting.get(self._service, 0)
-        return others > 0 or self._context.account_use.is_full(
+        return others_waiting > 0 or self._context.account_use.is_full(
             self._service, self._state.loop.time()
         )
 
@@ -241,7 +236,9 @@
             self._context.rng,
             self._context.sessions.find(facts.session, now_s),
         )
-        return Assessment(decided, tuple(rooms), request.bound_s, rate_per_s)
+        return Assessment(
+            decided, tuple(rooms), request.bound_s, rate_per_s, others
+        )
 
     def _rooms(
         self, engine: routes.EngineConfig, speed: room.Speed, now_s: float
