Do not take a caller without a key for a client account

What callers saw: if the keys of a client account listed an empty text, every caller that sent no key, or an empty one, was served as that account.

Cause: the header of a caller without a key is read as an empty text, which was looked up among the keys: absent and empty decided the same.

The look-up is the only place that decides by a key, for requests and for `fleet route`.

--- a/features/doubles/ingress_site.py
+++ b/features/doubles/ingress_site.py
@@ -89,6 +89,7 @@
         body_headers='',
         target='',
         host=HOST,
+        key_header=f'Api-Key: {KEY}\r\n',
     ):
         """Send one request and return the result of its caller.
 
@@ -99,6 +100,7 @@
             stated if there are none.
         :param target: target of the request line; a path of the route if it
             is empty.
+        :param key_header: line with the key of a client account.
         """
         target = target or f'{self._route.prefix}x'
         described = body_headers or f'Content-Length: {len(body)}\r\n'
@@ -106,7 +108,7 @@
         reader, writer = await asyncio.open_connection(ip, port)
         writer.write(
             f'POST {target} HTTP/1.1\r\nHost: {host}\r\n'
-            f'Request-Id: req-1\r\nApi-Key: {KEY}\r\nDeadline-Ms: 9000\r\n'
+            f'Request-Id: req-1\r\n{key_header}Deadline-Ms: 9000\r\n'
             f'Prompt-Prefix: {segments}\r\n{described}\r\n'.encode()
         )
         await asyncio.sleep(body_after_s)
--- a/features/platform/accounts.feature
+++ b/features/platform/accounts.feature
@@ -57,3 +57,15 @@
       | [{"name": "a"}]                        | needed     |
       | []                                     | needed     |
       | null                                   | not needed |
+
+  Scenario Outline: A caller that sends no key has no client account
+    # Guards against a service that is open to all because the list of keys
+    # holds an empty text, for which the key of such a caller is taken.
+    Given a configuration with the client accounts <accounts>
+    Then a key is needed
+    And a caller without a key has no client account
+
+    Examples:
+      | accounts                                    |
+      | [{"name": "a", "api_keys": [""]}]           |
+      | [{"name": "a", "api_keys": ["k", ""]}]      |
--- a/features/steps/platform_accounts_steps.py
+++ b/features/steps/platform_accounts_steps.py
@@ -75,3 +75,10 @@
 def key_is(context, need):
     is_needed = context.configuration.requires_key
     assert is_needed == (need == 'needed'), is_needed
+
+
+@behave.then('a caller without a key has no client account')
+def no_account(context):
+    facts = headers.read_caller([(b'Host', b'h.example')])
+    found = context.configuration.account(facts.key)
+    assert found is None, found
--- a/src/godwitvalve/fleet/routes.py
+++ b/src/godwitvalve/fleet/routes.py
@@ -136,8 +136,12 @@
         )
 
     def account(self, key: str) -> AccountConfig | None:
-        """Return the client account that holds a key."""
-        return self._accounts.get(key)
+        """Return the client account that holds a key.
+
+        :param key: empty if the caller sent none, which no account holds,
+            even if an empty text is listed among its keys.
+        """
+        return self._accounts.get(key) if key else None
 
     def account_named(self, name: str) -> AccountConfig | None:
         """Return the client account of a name."""
