Accept client accounts whose list of keys is null

What callers saw: a configuration that withdraws the keys of an account by a null in place of the list was refused as a whole, so that the older one stayed in force and the withdrawn keys went on to be valid.

Cause: the decoder took a missing list for no keys and refused a null one, and a refused configuration leaves the one before in force, which holds the keys.

Evidence: two new scenarios failed before with "Expected `array`, got `null`" ("Callers need a key if client accounts are stated", "No caller is served once the last key is withdrawn: no list of keys"); both pass now.

--- a/features/ingress/withdrawn_keys.feature
+++ b/features/ingress/withdrawn_keys.feature
@@ -14,6 +14,7 @@
       | no key            | [{"name": "acme", "api_keys": []}]        | no key        |
       | an empty key      | [{"name": "acme", "api_keys": [""]}]      | an empty key  |
       | empty, no key     | [{"name": "acme", "api_keys": [""]}]      | no key        |
+      | no list of keys   | [{"name": "acme", "api_keys": null}]      | "k-1"         |
       | no accounts       | []                                        | "k-1"         |
 
   Scenario: A key that moves to another account is served for that one
--- a/features/platform/accounts.feature
+++ b/features/platform/accounts.feature
@@ -55,6 +55,7 @@
       | [{"name": "a", "api_keys": ["k"]}]     | needed     |
       | [{"name": "a", "api_keys": []}]        | needed     |
       | [{"name": "a"}]                        | needed     |
+      | [{"name": "a", "api_keys": null}]      | needed     |
       | []                                     | needed     |
       | null                                   | not needed |
 
--- a/src/godwitvalve/platform/configuration.py
+++ b/src/godwitvalve/platform/configuration.py
@@ -74,7 +74,8 @@
 
 class _Tenant(msgspec.Struct):
     name: str
-    api_keys: list[str] = []
+    # None as well as an empty list: the account holds no key.
+    api_keys: list[str] | None = None
     priority: bounds.Integer | None = None
 
 
@@ -185,7 +186,7 @@
     return {
         key: routes.AccountConfig(_sendable_name(tenant.name), tenant.priority)
         for tenant in tenants
-        for key in tenant.api_keys
+        for key in tenant.api_keys or ()
     }
 
 
