Open a new connection to the store after a poll that was ended early

What callers saw: nothing yet.

Cause: a poll that is ended because another entry is ahead proves that its own connection may be silent. The next call used an idle connection of the same age and waited for its whole limit, 1.5 s, before it opened a new one. Only a call that reached its time limit made the client leave the idle connections.

Evidence: the new scenario of silent_store.feature failed before ("A poll that is ended early leaves no silent connection behind": TimeoutError after 1 s) and passes now. A poll ends early once for each change that this entry learns of later than another one, so that a connection more is opened then.

--- a/features/platform/silent_store.feature
+++ b/features/platform/silent_store.feature
@@ -15,6 +15,14 @@
     When the connections become silent and a probe of 0.1 s gets no answer
     Then the silence was not reported
 
+  Scenario: A poll that is ended early leaves no silent connection behind
+    # Guards against a poll that is ended to ask the store at once, and a next
+    # call that waits for its whole limit on another silent connection.
+    Given a store client with two idle connections
+    When the connections become silent and a poll is ended before its limit
+    Then the next call is answered within 0.5 s
+    And the silence was not reported
+
   Scenario Outline: A change between the pages of a table is not lost: <case>
     # Guards against a change in an earlier page, made before a later one is
     # read, if the changes are followed from the version of the last page.
--- a/features/steps/platform_silent_store_steps.py
+++ b/features/steps/platform_silent_store_steps.py
@@ -78,6 +78,13 @@
             return
         raise AssertionError('a silent connection answered')
 
+    async def end_poll(self):
+        self.store.silent |= self.store.writers
+        poll = asyncio.ensure_future(self.client.changes('t', 1, 8.0))
+        await asyncio.sleep(0.05)
+        poll.cancel()
+        await asyncio.gather(poll, return_exceptions=True)
+
     def close(self):
         async def stop():
             await self.client.close()
@@ -114,6 +121,13 @@
     context.site.run(context.site.lose_answer(limit_s))
 
 
+@behave.when(
+    'the connections become silent and a poll is ended before its limit'
+)
+def poll_ended(context):
+    context.site.run(context.site.end_poll())
+
+
 @behave.then('the next call is answered within {limit_s:g} s')
 def answered(context, limit_s):
     began_s = time.monotonic()
--- a/src/godwitvalve/platform/store.py
+++ b/src/godwitvalve/platform/store.py
@@ -193,16 +193,20 @@
     def _handle_silence(
         self, session: aiohttp.ClientSession, timeout_s: float
     ) -> None:
-        """Use new connections from now on, as idle ones may be silent.
+        """Handle a call without an answer.
 
         A call with a shorter limit than the others proves nothing: a degraded
         store answers later.
         """
         if timeout_s < CALL_TIMEOUT_S:
             return
+        self._retire(session)
+        self._on_silence()
+
+    def _retire(self, session: aiohttp.ClientSession) -> None:
+        """Use new connections from now on, as idle ones may be silent."""
         if self._session is session:
             self._session = None
-        self._on_silence()
 
     async def _end_call(self, session: aiohttp.ClientSession) -> None:
         self._calls[session] -= 1
@@ -232,6 +236,10 @@
                 self._handle_silence(session, timeout_s)
             reason = f'{method} {target}: {type(error).__name__}'
             raise StoreUnavailable(reason) from error
+        except asyncio.CancelledError:
+            # A poll is ended early if its connection may be silent.
+            self._retire(session)
+            raise
         finally:
             await self._end_call(session)
 
