Let a second entry of a fleet of one failure domain read frequently

What callers saw: nothing yet. docs/design/silent-polls.md named the case as not covered: answers to all polls are lost, and the only entry that asks again within 3.5 s is then cut off from the store, but not from the other entries, which wait for its heartbeats. Requests reach a leaving endpoint for up to 6.5 s after the store's confirmation, 2 s allowed.

Cause: in a fleet of one failure domain one single entry noticed a lost answer in time, and nothing tells the others that it cannot read any more.

Evidence: "The entry that reads for its failure domain is cut off", six examples of 2 to 16 entries, failed before (known 6.48 s to 6.50 s after the row was written) and pass now. Domains of other fleets have readers of their own.

Changed test: the entry that takes over had to end a poll as "overdue" in a fleet of 2 entries in one domain. That entry reads frequently from the start now, so that it is 3 entries in 2 domains; the bound and both checks are the same, and the fleet of one domain keeps the check of its time.

--- a/features/fleet/poll_checks.feature
+++ b/features/fleet/poll_checks.feature
@@ -33,11 +33,39 @@
   Scenario: The entry that reads for its failure domain dies
     # Guards against an entry that has to read for its domain from now on, and
     # whose poll began as one of 8 s.
-    Given 2 entries in 1 failure domains
+    Given 3 entries in 2 failure domains
     When the store loses answers for 0.05 s and the first entry dies after that
     Then all entries know within 2 s that the endpoint leaves
     And a poll was ended as "overdue"
 
+  Scenario Outline: The first entry of a fleet of one failure domain dies
+    # Guards against the same where no other domain has a reader.
+    Given <entries> entries in 1 failure domains
+    When the store loses answers for 0.05 s and the first entry dies after that
+    Then all entries know within 2 s that the endpoint leaves
+
+    Examples:
+      | entries |
+      | 2       |
+      | 3       |
+
+  Scenario Outline: The entry that reads for its failure domain is cut off
+    # Guards against a fleet of one failure domain that learns of a leaving
+    # endpoint up to 7 s after it left, as its only reader is cut off from the
+    # store and goes on to send heartbeats.
+    Given <entries> entries in 1 failure domains
+    When the store loses answers for 0.05 s and the first entry is cut off from it <after_s> s later
+    Then all entries that reach the store know it within 2 s
+
+    Examples:
+      | entries | after_s |
+      | 2       | 0.0     |
+      | 3       | 0.0     |
+      | 3       | 0.5     |
+      | 3       | 2.0     |
+      | 3       | 2.9     |
+      | 16      | 0.5     |
+
   Scenario Outline: Calls to the store without a fault
     # Guards against shorter waits at all entries: each call is priced.
     Given <entries> entries in <domains> failure domains
@@ -47,6 +75,7 @@
 
     Examples:
       | entries | domains | before | after |
+      | 3       | 1       | 0.94   | 1.08  |
       | 9       | 3       | 0.66   | 0.72  |
       | 60      | 3       | 0.09   | 0.09  |
       | 195     | 8       | 0.08   | 0.08  |
--- a/features/models/poll_simulation.py
+++ b/features/models/poll_simulation.py
@@ -33,6 +33,8 @@
     :param changed_s: when endpoints change.
     :param leaves_s: when an endpoint leaves.
     :param dies_s: when the first entry dies.
+    :param cut_s: when the first entry is cut off from the store, but not from
+        the other entries.
     """
 
     entries: int
@@ -43,6 +45,7 @@
     changed_s: tuple[float, ...] = ()
     leaves_s: float = float('inf')
     dies_s: float = float('inf')
+    cut_s: float = float('inf')
 
 
 class _Store:
@@ -60,15 +63,18 @@
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
-    async def answer(self, table, after, wait_s, limit_s):
+    async def answer(self, table, after, wait_s, limit_s, cut_s):
         """Return an answer, or none if it is lost.
 
+        :param cut_s: when the caller is cut off from the store.
         :raises StoreUnavailable: if none came within the limit.
         """
         self.calls += 1
         try:
             async with asyncio.timeout(limit_s):
                 await self._wait(table, after, wait_s)
+                if time.monotonic() - self._began_s >= cut_s:
+                    await asyncio.Event().wait()
                 found = self._since(table, after)
                 answer = sources.TableAnswer(
                     found, self.version, time.monotonic()
@@ -169,6 +175,7 @@
         self.checks = {table: kind() for table in TABLES}
         self.relays = {table: relay.TableRelay() for table in TABLES}
         self.consumer = _Consumer()
+        self._cut_s = day.cut_s if number == 0 else float('inf')
         self.reasons = []
         self.tasks = []
 
@@ -195,6 +202,10 @@
             for table in TABLES
         ]
 
+    @property
+    def reaches_store(self):
+        return self._cut_s == float('inf')
+
     def _alive(self):
         return [
             each.record for each in self._fleet.alive() if each is not self
@@ -223,7 +234,7 @@
     async def _call(self, table, after, wait_s, limit_s):
         try:
             return await self._fleet.store.answer(
-                table, after, wait_s, limit_s
+                table, after, wait_s, limit_s, self._cut_s
             )
         except stores.StoreUnavailable:
             for each in self.checks.values():
@@ -276,8 +287,9 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         live = self.alive()
+        in_touch = [each for each in live if each.reaches_store]
         return Result(
-            max(each.consumer.left_s for each in live)
+            max(each.consumer.left_s for each in in_touch)
             - (began_s + self.day.leaves_s),
             self.store.calls / self.day.entries / self.day.length_s,
             [reason for each in live for reason in each.reasons],
@@ -297,7 +309,7 @@
     """What was seen.
 
     :param left_after_s: seconds after the endpoint left until all entries
-        know it.
+        that reach the store know it.
     :param calls: calls to the store a second and entry.
     :param reasons: of polls that were ended.
     """
--- a/features/steps/fleet_poll_checks_steps.py
+++ b/features/steps/fleet_poll_checks_steps.py
@@ -61,6 +61,16 @@
     _simulate(context, day._replace(dies_s=day.lost[1] + 0.5))
 
 
+@behave.when(
+    'the store loses answers for {lost_s:g} s and the first entry is cut off '
+    'from it {after_s:g} s later'
+)
+def loses_answers_and_is_cut(context, lost_s, after_s):
+    day = _lossy_day(context, lost_s)
+    _simulate(context, day._replace(cut_s=day.lost[1] + after_s))
+
+
+@behave.then('all entries that reach the store know it within {limit_s:g} s')
 @behave.then('all entries know within {limit_s:g} s that the endpoint leaves')
 def known_in_time(context, limit_s):
     assert context.result.left_after_s <= limit_s, context.result
--- a/src/godwitvalve/fleet/sources.py
+++ b/src/godwitvalve/fleet/sources.py
@@ -14,9 +14,12 @@
 # within 3 s in a large fleet, of which a second is for the next source.
 STALE_S = 1.5
 # Each wait for changes costs one call. Keepalive probes do not show that the
-# answer to it was lost. The entry that reads for its failure domain waits for
-# less; the others learn from its heartbeats that they are behind.
+# answer to it was lost. The entries that read frequently wait for less; the
+# others learn from their heartbeats that they are behind.
 STORE_WAIT_S = 8.0
+# Entries of a small fleet that wait for less. With two, the others learn of
+# changes in time although one of them is cut off from the store only.
+MIN_FREQUENT_READERS = 2
 # One entry of each failure domain confirms its tables every second.
 RELAYED_WAIT_S = 1.0
 # A failed source is avoided for this long: a process restarts within about a
@@ -111,6 +114,26 @@
         own_reader = _domain_readers(alive).get(self._own_domain)
         return own_reader is None or own_reader.instance_id > self._own_id
 
+    def is_frequent_reader(
+        self, alive: abc.Sequence[member_model.Record]
+    ) -> bool:
+        """Return whether this entry asks the store again within a short time.
+
+        The one that reads for its failure domain does, and in a fleet of one
+        domain a second one.
+        """
+        if self.reads_store(alive):
+            return True
+        return (
+            len(_domain_readers(alive)) < MIN_FREQUENT_READERS
+            and sum(
+                record.instance_id < self._own_id
+                for record in alive
+                if record.state != member_model.LEAVING
+            )
+            < MIN_FREQUENT_READERS
+        )
+
     def choose(
         self, alive: abc.Sequence[member_model.Record], now_s: float
     ) -> member_model.Record | None:
--- a/src/godwitvalve/ingress/peer_tables.py
+++ b/src/godwitvalve/ingress/peer_tables.py
@@ -207,7 +207,7 @@
     :param control_port: port of the control interface, the same on all
         machines.
     :param longest_waits_s: longest wait by table at the entries that read
-        it for their failure domain.
+        frequently.
     """
 
     def __init__(
@@ -248,13 +248,13 @@
         """Return how long a call waits for changes of a table at most.
 
         The store may report nothing to waiting calls and drop its history
-        meanwhile, or its answer may be lost. One entry of each failure domain
-        asks again in time; the others follow the versions in its heartbeats.
+        meanwhile, or its answer may be lost. Some entries ask again in time;
+        the others follow the versions in their heartbeats.
         """
         alive = self._alive()
         if len(alive) >= member_model.DIRECT_MEMBERS:
             return sources.RELAYED_WAIT_S
-        if not self._selector.reads_store(alive):
+        if not self._selector.is_frequent_reader(alive):
             return sources.STORE_WAIT_S
         return self._longest_waits_s.get(table, sources.STORE_WAIT_S)
 
