Do not use rows of endpoints that lack a field

What callers saw: nothing yet. A row without its version, slots, sequence or time to warm up was used as an endpoint of version "" with one slot, and counted as the old version in a roll-out.

Evidence: "An odd row of an endpoint costs that row alone" failed before for "lacks its version", "lacks its slots", "lacks its sequence" and "lacks its time to warm up"; the start is still optional, which a scenario of its own checks. The stand-ins write whole rows now, and the odd rows of the tests of entries differ from whole ones in one field, as they would else be refused for the missing ones.

--- a/features/platform/rows.feature
+++ b/features/platform/rows.feature
@@ -41,6 +41,14 @@
       | is empty                               |
       | is not JSON                            |
       | is a list                              |
+      | lacks its service                      |
+      | lacks its address                      |
+      | lacks its zone                         |
+      | lacks its version                      |
+      | lacks its slots                        |
+      | lacks its state                        |
+      | lacks its sequence                     |
+      | lacks its time to warm up              |
       | has a line break in its id             |
       | has letters of another script in its id|
 
@@ -51,6 +59,13 @@
     When the table of endpoints is read
     Then "a, b, odd" are the usable endpoints
 
+  Scenario: An endpoint that does not state its start is used
+    # Guards against platforms that do not tell restarts under the same id.
+    Given rows of the endpoints "a, b"
+    And a row of an endpoint that lacks its start
+    When the table of endpoints is read
+    Then "a, b, odd" are the usable endpoints
+
   Scenario: Any bytes are a usable endpoint or an invalid row
     # Guards against errors that a follower of the table does not expect, and
     # against endpoints that can't be chosen, reported or sent to.
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -391,15 +391,15 @@
 
 @behave.when('damaged rows of endpoints are written')
 def damaged_rows(context):
-    address = context.fleet.addresses['p0']
+    row = context.fleet.endpoint_row('p0', 'desk', 'fd-0')
     for number, value in enumerate(
         (
             7,
             {},
             {'service': 'desk'},
-            {'service': 3, 'address': address, 'zone': 'z', 'state': 'ready'},
-            {'service': 'desk', 'address': 'x', 'zone': '', 'state': 'ready'},
-            {'service': 'desk', 'address': address, 'zone': '', 'state': '?'},
+            row | {'service': 3},
+            row | {'address': 'x'},
+            row | {'state': '?'},
         )
     ):
         context.fleet.write_row('servers', f'odd-{number}', value)
@@ -425,14 +425,7 @@
 @behave.when('odd rows are left among those of the endpoints')
 def odd_rows(context):
     for key, (field, text) in _ODD_FIELDS.items():
-        row = {
-            'service': 'desk',
-            'address': context.fleet.addresses['p0'],
-            'zone': 'fd-0',
-            'version': 'v1',
-            'slots': 8,
-            'state': 'ready',
-        }
+        row = context.fleet.endpoint_row('p0', 'desk', 'fd-0')
         content = json.dumps(row | {field: 'REPLACED'})
         context.fleet.post(
             'store',
--- a/features/steps/platform_rows_steps.py
+++ b/features/steps/platform_rows_steps.py
@@ -63,7 +63,22 @@
     return json.dumps(_endpoint(address=f'{host}:80')).encode()
 
 
+def _without(field):
+    row = _endpoint()
+    del row[field]
+    return json.dumps(row).encode()
+
+
 ODD_ROWS = {
+    'lacks its service': _without('service'),
+    'lacks its address': _without('address'),
+    'lacks its zone': _without('zone'),
+    'lacks its version': _without('version'),
+    'lacks its slots': _without('slots'),
+    'lacks its state': _without('state'),
+    'lacks its sequence': _without('sequence'),
+    'lacks its time to warm up': _without('cold_remaining_ms'),
+    'lacks its start': _without('born'),
     'is nested deeply in an unknown field': _with('more', NESTED),
     'is nested deeply in place of its zone': _with('zone', NESTED),
     'states slots of 400 digits': _with('slots', b'9' * 400),
--- a/src/godwitvalve/platform/endpoints.py
+++ b/src/godwitvalve/platform/endpoints.py
@@ -22,13 +22,15 @@
     address: bounds.IpPort
     zone: bounds.Name
     state: bounds.Name
-    version: bounds.Name = ''
-    slots: bounds.Count = 1
-    # When this run of the endpoint started, in Unix milliseconds.
+    version: bounds.Name
+    slots: bounds.Count
+    # Not used; a row that lacks them or has other values here was not written
+    # by an endpoint.
+    sequence: bounds.Count
+    cold_remaining_ms: bounds.Number
+    # When this run of the endpoint started, in Unix milliseconds; not stated
+    # on platforms that do not tell restarts under the same id.
     born: bounds.UnixMilliseconds = 0
-    # Not used; a row with other values here was not written by an endpoint.
-    sequence: bounds.Count = 0
-    cold_remaining_ms: bounds.Number = 0.0
 
 
 _DECODER = msgspec.json.Decoder(_Server)
--- a/standins/fleet/site.py
+++ b/standins/fleet/site.py
@@ -201,6 +201,8 @@
             'version': version,
             'slots': 8,
             'state': state,
+            'cold_remaining_ms': 0,
+            'sequence': 1,
             'born': 1,
         }
 
