Reject roll-out orders without a version, a service or a time

What callers saw: nothing yet. An order for version "" moved a service to the endpoints that state an empty version. An order of 0 s or less gave the new version all requests at once and completed it without a comparison.

Cause: empty names and times that are not positive passed the range checks of an order; the share and the completion follow from the elapsed part of the time.

Evidence: "An order that leaves out what it moves is rejected" failed before in four of its five examples (the one without a time was rejected) and passes now.

--- a/features/rollouts/rollouts.feature
+++ b/features/rollouts/rollouts.feature
@@ -111,6 +111,19 @@
     When an entry without any state starts 6 s later
     Then the roll-out is 6 s old at this entry
 
+  Scenario Outline: An order that leaves out what it moves is rejected
+    # Guards against a version that gets all requests without a comparison, as
+    # an empty name or time of an order is taken for one.
+    Then the order <order> is rejected
+
+    Examples:
+      | order                                          |
+      | {"service": "s", "to": "", "duration_s": 12}   |
+      | {"service": "", "to": "v2", "duration_s": 12}  |
+      | {"service": "s", "to": "v2", "duration_s": 0}  |
+      | {"service": "s", "to": "v2", "duration_s": -5} |
+      | {"service": "s", "to": "v2"}                   |
+
   Scenario: Invalid rows are rejected
     # Guards against a process that crashes on a malformed operator's row.
     Then rows that are not valid orders or statuses are rejected
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -336,6 +336,15 @@
             raise AssertionError(row)
 
 
+@behave.then('the order {content} is rejected')
+def reject_order(context, content):
+    try:
+        found = wire_rollouts.decode_order(content.encode(), 1)
+    except wire_rollouts.InvalidRollout:
+        return
+    raise AssertionError(found)
+
+
 STATES_BY_NAME = {
     'running': orders.RolloutState.RUNNING,
     'completed': orders.RolloutState.COMPLETED,
--- a/src/godwitvalve/platform/rollouts.py
+++ b/src/godwitvalve/platform/rollouts.py
@@ -30,10 +30,10 @@
 
 
 class _Order(msgspec.Struct):
-    service: bounds.Name
+    service: bounds.StatedName
     # Software version to which the service moves.
-    to: bounds.Name
-    duration_s: bounds.Number
+    to: bounds.StatedName
+    duration_s: bounds.Duration
 
 
 class _Status(msgspec.Struct):
