Test lost answers of the store with the processes of a fleet

The replay of polls has its own heartbeats, so that it guards the decisions only: it still passed when the entries neither sent nor merged the newest row that they had read. Two scenarios with real entries guard the parts together, one for an endpoint that announces that it leaves and one whose row is removed. The store stand-in can perform calls and lose their answers.

--- /dev/null
+++ b/features/steps/ingress_lost_answers_steps.py
@@ -0,0 +1,101 @@
+"""Steps for a store that loses its answers while endpoints come and leave."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+
+import behave
+from features.steps import ingress_restored_store_steps as restored_steps
+from features.steps import ingress_steps
+from standins.fleet import site as fleet_site
+
+PATH = fleet_site.CALL_PREFIX + 'x'
+DOMAIN = 'fd-0'
+LEAVING = 'p0'
+CALLERS = 3
+# For so long requests are sent after the endpoint has left.
+WATCHED_S = 6.0
+# For requests on their way when the limit passes.
+SLACK_S = 0.3
+
+
+class _Caller(threading.Thread):
+    """Sends requests to entries drawn at random until it is stopped."""
+
+    def __init__(self, context, seed):
+        super().__init__(daemon=True)
+        self._context = context
+        self._rng = random.Random(seed)
+        self.is_stopped = False
+
+    def run(self):
+        while not self.is_stopped:
+            entry = self._rng.choice(self._context.entries)
+            restored_steps._send(
+                self._context, entry, PATH, key=fleet_site.KEY
+            )
+            time.sleep(self._rng.uniform(0.03, 0.08))
+
+
+@behave.given('a fleet with {count:d} entries in one failure domain')
+def fleet_in_one_domain(context, count):
+    fleet = ingress_steps._fleet(context)
+    fleet.write_row('op', 'config', fleet_site.configuration(5))
+    for number in range(4):
+        fleet.start_replica(f'p{number}', 'desk', DOMAIN)
+    context.entries = [f'entry-{number}' for number in range(count)]
+    for name in context.entries:
+        fleet.start_entry(name, DOMAIN)
+    for name in context.entries:
+        fleet_site.wait_ready(fleet, name)
+
+
+@behave.when(
+    'the store loses its answers for {lost_s:g} s while an endpoint is added'
+)
+def loses_answers(context, lost_s):
+    context.fleet.post('store', '/standin/faults', {'mode': 'lossy'})
+    time.sleep(lost_s / 2)
+    # All entries have begun to poll again; these answers are lost, too.
+    context.fleet.start_replica('p4', 'desk', DOMAIN)
+    time.sleep(lost_s / 2)
+    context.fleet.post('store', '/standin/faults', {'mode': 'up'})
+
+
+@behave.when(
+    'the store is sound for {sound_s:g} s and the row of an endpoint is {row} '
+    'then'
+)
+def leaves(context, sound_s, row):
+    time.sleep(sound_s)
+    callers = [_Caller(context, seed) for seed in range(CALLERS)]
+    if row == 'removed':
+        context.fleet.unregister(LEAVING)
+    else:
+        context.fleet.register(LEAVING, 'desk', DOMAIN, row)
+    context.left_s = time.monotonic()
+    for caller in callers:
+        caller.start()
+    time.sleep(WATCHED_S)
+    for caller in callers:
+        caller.is_stopped = True
+    for caller in callers:
+        caller.join()
+
+
+@behave.then(
+    'that endpoint gets no request later than {limit_s:g} s after that'
+)
+def no_late_request(context, limit_s):
+    arrivals_s = {
+        name: context.fleet.arrivals_s(name) for name in ('p0', 'p1')
+    }
+    assert any(at_s > context.left_s + limit_s for at_s in arrivals_s['p1'])
+    late_s = [
+        round(at_s - context.left_s, 2)
+        for at_s in arrivals_s[LEAVING]
+        if at_s > context.left_s + limit_s + SLACK_S
+    ]
+    assert not late_s, late_s
--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -41,6 +41,8 @@
         self.rows: dict[tuple[str, str, str], dict[str, Any]] = {}
         self.changes: list[dict[str, Any]] = []
         self.oldest = 0
+        # 'up', 'silent', 'busy', 'deaf' (no changes are reported) or 'lossy'
+        # (calls are performed and their answers lost).
         self.mode = 'up'
         # While it is away: how it treats calls, 'away' or 'hung'.
         self.absence = ''
@@ -196,6 +198,9 @@
             if self.store.mode == 'busy'
             else await self._handle(request, handler)
         )
+        if self.store.mode == 'lossy':
+            # Nothing more arrives on this connection, which stays open.
+            await asyncio.sleep(3600)
         era = self._era_text
         if era is None:
             era = str(self.store.era)
@@ -266,7 +271,7 @@
             return _cut(request)
         if is_deaf:
             return self._rows_response([], False, after)
-        if self.store.mode != 'up':
+        if self.store.mode not in ('up', 'lossy'):
             return web.Response(status=503)
         return self._rows_response(self.store.since(table, after), False)
 
