--- a/features/models/rollout_simulation.py
+++ b/features/models/rollout_simulation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import heapq
 import itertools
@@ -32,6 +33,8 @@
     :param slower: factor by which its answers are slower.
     :param from_s: seconds from the order to the first bad answer.
     :param route: the only route with bad answers; empty for all routes.
+    :param from_running: number of requests that run at an endpoint, from
+        which on its answers are bad.
     """
 
     usual_failures: float = 0.0
@@ -39,6 +42,7 @@
     slower: float = 1.0
     from_s: float = 0.0
     route: str = ''
+    from_running: int = 1
 
 
 class Size(NamedTuple):
@@ -59,6 +63,7 @@
 LOW_TRAFFIC = Size(3.0, 9, 9, 15.0, 1.2, 6.0)
 PLAIN = Size(20.0, 9, 3, 15.0, 0.045, 0.5)
 LARGE = Size(18.0, 12, 71, 15.0, 1.2, 6.0)
+SHORT_PLAIN = Size(21.8, 9, 3, 12.0, 0.045, 0.5)
 LARGE_PLAIN = Size(137.0, 12, 4, 15.0, 0.03, 0.5)
 
 
@@ -122,6 +127,7 @@
             for number in range(size.endpoints)
         ]
         self.result = Result()
+        self._running = collections.Counter()
 
     def _at(self, delay_s, callback):
         entry = (self._now_s + delay_s, next(self._sequence), callback)
@@ -200,7 +206,8 @@
             self._call_later,
             self._now_s,
         )
-        self._answer(observation, is_new, route)
+        self._running[endpoint.endpoint_id] += 1
+        self._answer(observation, endpoint, route)
 
     def _usable(self, own):
         if self._elapsed_s <= 0:
@@ -211,14 +218,16 @@
             return [each for each in self._listed if each.version == version]
         return own.choose('s', self._listed, self._rng.random())
 
-    def _answer(self, observation, is_new, route):
+    def _answer(self, observation, endpoint, route):
         case = self._case
+        is_new = endpoint.version == 'v2'
         fails = self._rng.random() < case.usual_failures
         time_s = self._size.answer_s * self._rng.lognormvariate(0.0, 0.3)
         is_bad = (
             is_new
             and self._elapsed_s >= case.from_s
             and case.route in ('', route)
+            and self._running[endpoint.endpoint_id] >= case.from_running
         )
         if is_bad and self._rng.random() < case.failures:
             fails = True
@@ -226,7 +235,11 @@
         if is_bad and case.slower > 1.0:
             time_s *= case.slower
             self.result.bad_answers += 1
-        self._at(time_s, lambda: observation.record_answer(fails))
+        self._at(time_s, lambda: self._end(observation, endpoint, fails))
+
+    def _end(self, observation, endpoint, fails):
+        self._running[endpoint.endpoint_id] -= 1
+        observation.record_answer(fails)
 
 
 def copy_report(report):
--- a/features/rollouts/rollouts.feature
+++ b/features/rollouts/rollouts.feature
@@ -22,6 +22,19 @@
       | large plain | fails after a while      | 6     | 6     |
       | large plain | fails on one route       | 6     | 6     |
 
+  Scenario Outline: A version that fails under load only is rolled back: <size>
+    # Guards against a version that is completed although it fails, as it gets
+    # so few requests until shortly before the end that its endpoints are
+    # hardly loaded. Some of these versions show too little in the allowed
+    # number of requests.
+    When <count> roll-outs of a <size> service run in which the version fails under load
+    Then at least <least> of them are rolled back in time
+
+    Examples: size
+      | size        | count | least |
+      | large plain | 6     | 6     |
+      | short plain | 60    | 60    |
+
   Scenario Outline: The exposure is limited if nothing is found: <size>
     # Guards against the requests of the last part, which all go to the new
     # version: one that fails only under load shows nothing before.
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -17,6 +17,7 @@
 SIZES = {
     'low-traffic': simulation.LOW_TRAFFIC,
     'plain': simulation.PLAIN,
+    'short plain': simulation.SHORT_PLAIN,
     'large': simulation.LARGE,
     'large plain': simulation.LARGE_PLAIN,
 }
@@ -27,6 +28,9 @@
     'is slow from the start': simulation.Case(slower=8.0),
     'fails after a while': simulation.Case(failures=0.4, from_s=3.0),
     'fails at the end': simulation.Case(failures=0.1, from_s=14.0),
+    'fails under load': simulation.Case(
+        usual_failures=0.045, failures=0.5, from_running=2
+    ),
     'fails on one route': simulation.Case(failures=0.5, route='b'),
 }
 LISTED = [
--- a/src/godwitvalve/rollouts/rollout.py
+++ b/src/godwitvalve/rollouts/rollout.py
@@ -150,6 +150,7 @@
                 'sent': self._view.sent,
                 'sent_new': self._view.sent_new,
                 'part': round(self._view.elapsed_fraction, 2),
+                'evidence': round(self._view.evidence, 1),
             },
         )
         return True
