Test that a call without an answer ends the polls of an entry

No test failed if the entry did not pass a lost answer on to the checks of its polls: the replay of polls does so itself. Taken out, the new scenario fails ("silence" expected, None found).

--- a/features/ingress/lost_answers.feature
+++ b/features/ingress/lost_answers.feature
@@ -15,3 +15,10 @@
       | entries | row       |
       | 3       | draining  |
       | 4       | removed   |
+
+  Scenario: A call without an answer ends polls that may be silent as well
+    # Guards against an entry that knows of a lost answer and still waits for
+    # those to its polls.
+    Given an entry with settings in a file
+    When a call of the entry to the store gets no answer
+    Then its polls of both tables are ended, as "silence"
--- a/features/steps/ingress_lost_answers_steps.py
+++ b/features/steps/ingress_lost_answers_steps.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import random
+import socket
 import threading
 import time
 
 import behave
 from features.steps import ingress_restored_store_steps as restored_steps
 from features.steps import ingress_steps
+from godwitvalve.fleet import poll_checks
+from godwitvalve.fleet import sources
+from godwitvalve.platform import store as stores
 from standins.fleet import site as fleet_site
 
 PATH = fleet_site.CALL_PREFIX + 'x'
@@ -99,3 +105,35 @@
         if at_s > context.left_s + limit_s + SLACK_S
     ]
     assert not late_s, late_s
+
+
+@behave.when('a call of the entry to the store gets no answer')
+def call_without_answer(context):
+    async def call():
+        with contextlib.suppress(stores.StoreUnavailable):
+            await context.entry._store.rows('members')
+
+    context.polls = {
+        table: poll_checks.Poll(time.monotonic(), sources.STORE_WAIT_S)
+        for table in context.entry._poll_checks
+    }
+    with _silent_listener() as address:
+        context.entry._store.set_address(address)
+        asyncio.run(call())
+
+
+@contextlib.contextmanager
+def _silent_listener():
+    """Yield the address of a port that accepts and never answers."""
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        yield f'127.0.0.1:{listener.getsockname()[1]}'
+
+
+@behave.then('its polls of both tables are ended, as "{reason}"')
+def polls_ended(context, reason):
+    now_s = time.monotonic()
+    found = [
+        checks.end_reason(context.polls[table], sources.STORE_WAIT_S, now_s)
+        for table, checks in context.entry._poll_checks.items()
+    ]
+    assert found == [reason] * 2, found
