--- a/features/steps/ingress_restored_store_steps.py
+++ b/features/steps/ingress_restored_store_steps.py
@@ -246,12 +246,17 @@
 
 @behave.then('all entries know the added route within {limit_s:d} s')
 def know_route(context, limit_s):
-    for name in context.entries:
-        local_site.wait_until(
-            lambda name=name: _send(context, name, '/added/x') == 200,
-            f'{name} knows the route',
-            context.changed_s + limit_s - time.monotonic(),
-        )
+    try:
+        for name in context.entries:
+            local_site.wait_until(
+                lambda name=name: _send(context, name, '/added/x') == 200,
+                f'{name} knows the route',
+                context.changed_s + limit_s - time.monotonic(),
+            )
+    except TimeoutError as error:
+        for name in context.entries:
+            error.add_note(context.fleet.log_end(name))
+        raise
 
 
 @behave.then('no entry served the withdrawn key')
