Serve callers once the endpoints are known, not the configuration alone

What callers saw: an entry that started was listed for callers and answered the health check as soon as it had read its configuration. Until it had read the table of endpoints it refused each request with 503.

Cause: the two tables are read side by side, and only the first one decided when the entry begins to serve.

Evidence: "An entry is not ready before it has read its endpoints" failed before (503, three of three runs; the store holds the table back for 1.5 s) and passes now, three of three. Entries that get both from another entry are ready as before.

--- a/src/godwitvalve/fleet/consumers.py
+++ b/src/godwitvalve/fleet/consumers.py
@@ -446,13 +446,18 @@
     """Applies the table of endpoints to the registry.
 
     :param on_removed: called with the id of each removed endpoint.
+    :param on_read: called after the whole table was read.
     """
 
     def __init__(
-        self, state: states.FleetState, on_removed: OnRemoved
+        self,
+        state: states.FleetState,
+        on_removed: OnRemoved,
+        on_read: OnChange = lambda: None,
     ) -> None:
         self._registry = state.registry
         self._on_removed = on_removed
+        self._on_read = on_read
         self._logged_rows = repeats.RepeatFilter()
 
     def apply_snapshot(
@@ -478,6 +483,7 @@
                 'row_version': version,
             },
         )
+        self._on_read()
 
     def apply_changes(self, rows: list[stores.StoredRow]) -> None:
         """Apply changed rows in the order of their versions."""
--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -61,7 +61,8 @@
         self.trusted_from_s = 0.0
         self.is_store_unavailable = True
         self._has_seen_outage = False
-        self._is_loaded = False
+        # Whether the table, or the list of another entry, was read.
+        self.is_loaded = False
 
     def mark_store_unavailable(self) -> None:
         """Record that the store does not answer."""
@@ -144,9 +145,9 @@
         No effect once a list or the table was read. Endpoints that are known
         from reports do not count: they are only a few of all.
         """
-        if self._is_loaded:
+        if self.is_loaded:
             return
-        self._is_loaded = True
+        self.is_loaded = True
         for endpoint in listed:
             self.update(endpoint, 0)
 
@@ -226,7 +227,7 @@
         now_s: float,
     ) -> None:
         """Replace the endpoints with all rows as of a store version."""
-        self._is_loaded = True
+        self.is_loaded = True
         is_copy = now_s < self._stale_until_s
         for endpoint, row_version in rows.values():
             if is_copy:
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -181,7 +181,7 @@
             self._state, self._on_configuration
         )
         self._endpoints = consumers.EndpointConsumer(
-            self._state, self._on_endpoint_removed
+            self._state, self._on_endpoint_removed, self._begin_serving
         )
         self._peer_sync = membership.PeerSync(
             settings,
@@ -276,9 +276,23 @@
 
     def _on_configuration(self) -> None:
         self._context.history.record_configuration(time.monotonic())
-        self._lifecycle.begin_serving()
+        self._begin_serving()
         self._gossip.schedule_update()
 
+    def _begin_serving(self) -> None:
+        """Begin to serve once configuration and endpoints are known.
+
+        Callers that are sent here earlier would be refused.
+        """
+        is_known = self._state.configuration is not None
+        if (
+            is_known
+            and self._state.registry.is_loaded
+            and self._lifecycle.state == lifecycles.STARTING
+        ):
+            self._lifecycle.begin_serving()
+            self._gossip.schedule_update()
+
     def _on_store_silence(self) -> None:
         now_s = time.monotonic()
         for checks in self._poll_checks.values():
--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -44,6 +44,8 @@
         # 'up', 'silent', 'busy', 'deaf' (no changes are reported) or 'lossy'
         # (calls are performed and their answers lost).
         self.mode = 'up'
+        # Tables that are not read until they are released.
+        self.held_tables: list[str] = []
         # While it is away: how it treats calls, 'away' or 'hung'.
         self.absence = ''
         self.era = 1
@@ -236,6 +238,10 @@
     async def _get_rows(self, request: web.Request) -> web.Response:
         query = request.query
         table, part = query['table'], query.get('part', '')
+        async with self.store.changed:
+            await self.store.changed.wait_for(
+                lambda: table not in self.store.held_tables
+            )
         rows = sorted(
             (
                 row
@@ -314,6 +320,9 @@
         """
         body = await request.json()
         self.store.mode = body.get('mode', self.store.mode)
+        self.store.held_tables = body.get(
+            'held_tables', self.store.held_tables
+        )
         self.store.era = body.get('era', self.store.era)
         self._era_text = body.get('era_header', self._era_text)
         self._keeps_equal_rows = body.get(
