--- a/src/godwitvalve/decoding/bounds.py
+++ b/src/godwitvalve/decoding/bounds.py
@@ -56,9 +56,9 @@
 # These exclude NaN and infinity.
 Number: TypeAlias = Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
 Amount: TypeAlias = Annotated[float, msgspec.Meta(ge=0.0, le=1e12)]
-Rate: TypeAlias = Annotated[float, msgspec.Meta(gt=0.0, le=1e12)]
-Duration: TypeAlias = Annotated[float, msgspec.Meta(gt=0.0, le=1e12)]
+Positive: TypeAlias = Annotated[float, msgspec.Meta(gt=0.0, le=1e12)]
 Name: TypeAlias = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+# A name that is no empty text.
 StatedName: TypeAlias = Annotated[
     str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARS)
 ]
--- a/src/godwitvalve/endpoint_limits/messages.py
+++ b/src/godwitvalve/endpoint_limits/messages.py
@@ -18,7 +18,7 @@
     number: bounds.Count
     endpoint_id: str
     started_wall_ms: bounds.UnixMilliseconds
-    requests_per_s: bounds.Rate
+    requests_per_s: bounds.Positive
     is_confirmation: bool
 
 
--- a/src/godwitvalve/endpoint_limits/reports.py
+++ b/src/godwitvalve/endpoint_limits/reports.py
@@ -17,5 +17,5 @@
 
     endpoint_id: str
     started_wall_ms: bounds.UnixMilliseconds
-    requests_per_s: bounds.Rate | None
+    requests_per_s: bounds.Positive | None
     age_ms: bounds.Milliseconds
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -284,12 +284,11 @@
 
         Callers that are sent here earlier would be refused.
         """
-        is_known = self._state.configuration is not None
-        if (
-            is_known
+        is_known = (
+            self._state.configuration is not None
             and self._state.registry.is_loaded
-            and self._lifecycle.state == lifecycles.STARTING
-        ):
+        )
+        if is_known and self._lifecycle.state == lifecycles.STARTING:
             self._lifecycle.begin_serving()
             self._gossip.schedule_update()
 
--- a/src/godwitvalve/platform/rollouts.py
+++ b/src/godwitvalve/platform/rollouts.py
@@ -33,7 +33,7 @@
     service: bounds.StatedName
     # Software version to which the service moves.
     to: bounds.StatedName
-    duration_s: bounds.Duration
+    duration_s: bounds.Positive
 
 
 class _Status(msgspec.Struct):
