Use the repeated requests of the restored store in the test of lost answers

The steps of lost_answers.feature had a thread of their own that sends requests to all entries, beside the one of ingress_restored_store_steps. The bounds and assertions are the same.

--- a/features/steps/ingress_lost_answers_steps.py
+++ b/features/steps/ingress_lost_answers_steps.py
@@ -4,9 +4,7 @@
 
 import asyncio
 import contextlib
-import random
 import socket
-import threading
 import time
 
 import behave
@@ -20,31 +18,12 @@
 PATH = fleet_site.CALL_PREFIX + 'x'
 DOMAIN = 'fd-0'
 LEAVING = 'p0'
-CALLERS = 3
 # For so long requests are sent after the endpoint has left.
 WATCHED_S = 6.0
 # For requests on their way when the limit passes.
 SLACK_S = 0.3
 
 
-class _Caller(threading.Thread):
-    """Sends requests to entries drawn at random until it is stopped."""
-
-    def __init__(self, context, seed):
-        super().__init__(daemon=True)
-        self._context = context
-        self._rng = random.Random(seed)
-        self.is_stopped = False
-
-    def run(self):
-        while not self.is_stopped:
-            entry = self._rng.choice(self._context.entries)
-            restored_steps._send(
-                self._context, entry, PATH, key=fleet_site.KEY
-            )
-            time.sleep(self._rng.uniform(0.03, 0.08))
-
-
 @behave.given('a fleet with {count:d} entries in one failure domain')
 def fleet_in_one_domain(context, count):
     fleet = ingress_steps._fleet(context)
@@ -76,19 +55,15 @@
 )
 def leaves(context, sound_s, row):
     time.sleep(sound_s)
-    callers = [_Caller(context, seed) for seed in range(CALLERS)]
     if row == 'removed':
         context.fleet.unregister(LEAVING)
     else:
         context.fleet.register(LEAVING, 'desk', DOMAIN, row)
     context.left_s = time.monotonic()
-    for caller in callers:
-        caller.start()
+    probes = restored_steps._Probes(context, PATH, fleet_site.KEY)
+    probes.start()
     time.sleep(WATCHED_S)
-    for caller in callers:
-        caller.is_stopped = True
-    for caller in callers:
-        caller.join()
+    probes.stop()
 
 
 @behave.then(
