Review: show that a success without its signature is passed on

review/7: one of three replicas spoils a byte in the name of one answer's Response-Signature; the client gets 200 without it (MIXED).

--- a/review/lib2/replica.py
+++ b/review/lib2/replica.py
@@ -13,6 +13,8 @@
 
 # Written in the middle of a stream by a faulty replica; no event.
 WRONG_BYTES = b'\x15\x03wrong bytes\x7f\n\n'
+# Written in a head by a faulty replica: one byte of the name is wrong.
+WRONG_NAME = 'Signatuse'
 
 
 class Replica:
@@ -24,6 +26,7 @@
         self.running = 0
         self.is_leaving = False
         self.stream_count = 0
+        self.call_count = 0
 
     def record(self, what, **details):
         line = {
@@ -92,6 +95,10 @@
                 return await self.stream(writer, headers, request_id, common)
             await asyncio.sleep(self.options.work_ms / 1000)
             text = f'{self.options.id} ran {request_id}'.encode()
+            self.call_count += 1
+            if self.call_count == self.options.spoiled_call:
+                self.record('spoils', id=request_id)
+                common[-1] = common[-1].replace('Signature', WRONG_NAME)
             is_open = await self.plain(writer, 200, text, common)
             self.record('ended', id=request_id)
             return is_open
@@ -164,6 +171,7 @@
     parser.add_argument('--gap-ms', type=float, default=30)
     parser.add_argument('--framing', default='chunked')
     parser.add_argument('--spoiled-stream', type=int, default=0)
+    parser.add_argument('--spoiled-call', type=int, default=0)
     parser.add_argument('--health', default='/healthz')
     replica = Replica(parser.parse_args())
     server = await asyncio.start_server(
--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -262,7 +262,7 @@
 
     def event_ids(self):
         return [
-            int(found) for found in re.findall(rb'(?m)^id: (\d+)$', self.body)
+            int(found) for found in re.findall(rb'(?m)^id: (\d+)\r?$', self.body)
         ]
 
     def describe(self):
