Review: show that streams run at another service's replica

review/6: an entry is frozen while a replica crashes, its address is used again and the store is down; the entry takes the new replica for the crashed one's successor (ROUTE).

--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -412,7 +412,7 @@
         self._beating = asyncio.create_task(self.store.beat())
 
     def start_replica(self, name, service, zone, *options, port=0,
-                      version='v1'):
+                      version='v1', is_registered=True):
         log = str(self.replica_log)
         process = subprocess.Popen(
             [sys.executable, str(ROOT / 'review/lib2/replica.py'),
@@ -422,7 +422,8 @@
         self.processes[name] = process
         port = int(process.stdout.readline())
         self.addresses[name] = f'127.0.0.1:{port}'
-        self.register(name, service, zone, version=version)
+        if is_registered:
+            self.register(name, service, zone, version=version)
         self.record('replica started', replica=name, service=service,
                     address=self.addresses[name])
 
