--- a/review/6/scenario.py
+++ b/review/6/scenario.py
@@ -26,6 +26,7 @@
 
 async def one_stream(site, entry, request_id):
     client = rig.Client(site.addresses[entry])
+    site.record('sent', id=request_id, path='/summaries/x')
     answer = await client.request(
         'POST', '/summaries/x', request_id, rig.stream_headers(), b'diary',
         limit_s=20.0,
--- a/review/7/scenario.py
+++ b/review/7/scenario.py
@@ -19,6 +19,7 @@
 
 async def one_stream(site, request_id):
     client = rig.Client(site.addresses['front-1'])
+    site.record('sent', id=request_id, path='/summaries/x')
     answer = await client.request(
         'POST', '/summaries/x', request_id, rig.stream_headers(), b'diary'
     )
--- a/review/9/scenario.py
+++ b/review/9/scenario.py
@@ -19,6 +19,7 @@
 async def one_stream(site, number):
     request_id = f'{number:016x}'
     client = rig.Client(site.addresses[f'front-{1 + number % 2}'])
+    site.record('sent', id=request_id, path='/summaries/x')
     answer = await client.request(
         'POST', '/summaries/x', request_id, rig.stream_headers(), b'diary'
     )
