Search an address only while its endpoint lived recently for sure

Cause: the search for a restarted endpoint ends address_reuse_s after the lost one was last active, and that was the time at which the entry read its last bytes. After a freeze these are as old as the freeze.

Now a periodic call of the event loop bounds when bytes that are read have arrived (forwarding/arrivals.py). Times are since boot, so that a suspension counts. Bytes that waited because reading was paused, and requests without an answer, show nothing either.

--- a/features/steps/ingress_settings_changes_steps.py
+++ b/features/steps/ingress_settings_changes_steps.py
@@ -11,6 +11,7 @@
 
 from aiohttp import test_utils
 import behave
+from godwitvalve import clock
 from godwitvalve.fleet import endpoints
 from godwitvalve.ingress import process
 from godwitvalve.ingress import settings_changes
@@ -183,8 +184,7 @@
         endpoint = endpoints.FleetEndpoint(
             'p0', SERVICE, ADDRESS, 'fd-0', 'v1', 8, False, 1
         )
-        now_s = asyncio.get_running_loop().time()
-        entry._successors.begin(endpoint, now_s - 5.0)
+        entry._successors.begin(endpoint, clock.since_boot_s() - 5.0)
         await asyncio.sleep(0.01)
         entry._successors.stop()
 
--- a/src/godwitvalve/clock.py
+++ b/src/godwitvalve/clock.py
@@ -6,6 +6,15 @@
 from typing import Protocol
 
 
+def since_boot_s() -> float:
+    """Return seconds since the machine's start, with its suspensions.
+
+    The monotonic clock stands still while a machine is suspended, and other
+    machines go on.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Clock(Protocol):
     """Source of time in seconds."""
 
--- a/src/godwitvalve/forwarding/channel.py
+++ b/src/godwitvalve/forwarding/channel.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import collections
+import math
 import time
 from typing import Any, cast
 
 import h11
 
+from godwitvalve import clock
+from godwitvalve.forwarding import arrivals
 from godwitvalve.forwarding import body_memory
 from godwitvalve.forwarding import message_buffer
 from godwitvalve.forwarding import message_memory
@@ -77,6 +80,8 @@
     :param memory: counts the bytes of answers that are not complete, and of
         a body whose rest is written after the answer.
     :param throttle: shared by all messages that are costly to parse.
+    :ivar last_seen_s: latest time at which the endpoint lived for sure, in
+        seconds since boot; 0 before its first answer.
     """
 
     # Shared by all connections, as received bytes are copied at once.
@@ -88,7 +93,10 @@
         throttle: throttles.ParsingThrottle,
     ) -> None:
         self.request_count = 0
-        self.last_activity_s = 0.0
+        self.last_seen_s = 0.0
+        self._sent_s = 0.0
+        # Since when bytes may wait in the socket.
+        self._unread_since_s = math.inf
         self._idle_until_s = 0.0
         self._idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self._transport: asyncio.Transport | None = None
@@ -138,7 +146,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse bytes; bytes without an open request abort the connection."""
-        self.last_activity_s = self._loop.time()
+        self._record_arrival(nbytes)
         if self._is_lost:
             return
         if not self._is_busy:
@@ -154,6 +162,22 @@
             self._pause_reading()
         self._wake()
 
+    def _record_arrival(self, size_bytes: int) -> None:
+        """Record since when these bytes, and so their sender, are known.
+
+        They may have waited in the socket while the process was held up or
+        reading was paused. A read that fills the buffer may leave some.
+        """
+        arrived_s = min(arrivals.PROCESS.bound_s, self._unread_since_s)
+        self.last_seen_s = max(self.last_seen_s, arrived_s)
+        self._unread_since_s = (
+            arrived_s if size_bytes == READ_BYTES else math.inf
+        )
+
+    def record_answer(self) -> None:
+        """Record that the endpoint has answered the request on its way."""
+        self.last_seen_s = max(self.last_seen_s, self._sent_s)
+
     def eof_received(self) -> bool:
         """Signal the end of input, which ends an answer without a length."""
         if self._is_busy and not self._is_lost:
@@ -258,7 +282,7 @@
         self._is_in_head = True
         self._overhead = overhead.ParsingOverhead()
         head = self._encode(request, body)
-        self.last_activity_s = self._loop.time()
+        self._sent_s = clock.since_boot_s()
         content = memoryview(body)
         # Written together, a short request takes one packet.
         self._keep_unsent(content[body_memory.SEND_BYTES :])
@@ -448,6 +472,9 @@
         if not self._is_paused and self._transport is not None:
             self._transport.pause_reading()
             self._is_paused = True
+            self._unread_since_s = min(
+                self._unread_since_s, arrivals.PROCESS.bound_s
+            )
 
     def _resume_reading(self) -> None:
         unread, _ = self._parser.trailing_data
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -54,7 +54,7 @@
     """Shared components of one entry instance.
 
     :param on_endpoint_lost: called with an endpoint whose connection was
-        lost, and when it was last active, on the loop's clock.
+        lost, and when it lived for sure, in seconds since boot.
     :param remote_placements: returns the placements of other entries.
     :param on_placement_changed: called when a stream of this entry begins
         or ends.
--- a/src/godwitvalve/forwarding/exchange.py
+++ b/src/godwitvalve/forwarding/exchange.py
@@ -104,9 +104,12 @@
         self._is_done = False
 
     @property
-    def last_activity_s(self) -> float:
-        """Return when bytes were last sent or received; 0 if none were."""
-        return self._channel.last_activity_s if self._channel else 0.0
+    def last_seen_s(self) -> float:
+        """Return when the endpoint lived for sure, in seconds since boot.
+
+        :returns: 0 if it has not answered.
+        """
+        return self._channel.last_seen_s if self._channel else 0.0
 
     async def open(
         self, request: CallerRequest, facts: wire.SendFacts
@@ -133,6 +136,7 @@
         for _ in range(MAX_ANSWERS_READ):
             head = await self._read_head(channel)
             if head.facts.request_id == request_id:
+                channel.record_answer()
                 return self._accept(head)
             if not head.facts.request_id:
                 # On a new connection, a decline can only be for this
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -24,6 +24,7 @@
 from godwitvalve.fleet import relay as relays
 from godwitvalve.fleet import sources
 from godwitvalve.fleet import state as states
+from godwitvalve.forwarding import arrivals
 from godwitvalve.forwarding import context as contexts
 from godwitvalve.forwarding import counters as counter_model
 from godwitvalve.forwarding import message_memory
@@ -479,6 +480,7 @@
                 self._era,
             ).run,
             'read configurations of peers': self._peer_sync.run,
+            'bound arrivals': arrivals.PROCESS.run,
             'maintain': self._maintain,
             'synchronise roll-outs': rollout_writers.StatusWriter(
                 self._store,
