Pass on the events that are read with wrong bytes

Cause: EventSplitter.feed raised its position for each event that it accepted and then an exception at the wrong bytes, which dropped these events. The next attempt resumes after the position. A missing event, an event over 1 MB and too many bytes without a new event took the same way.

feed returns the events and the damage after them, and the events are passed on before the attempt ends. The two checks that expected the exception now expect the damage and no events beside it.

--- a/features/forwarding/streams.feature
+++ b/features/forwarding/streams.feature
@@ -13,6 +13,27 @@
     When a stream is made
     Then its caller gets the events 1 to 3 and the end
 
+  Scenario Outline: An event that is read with wrong bytes reaches the caller
+    # Guards against an answer that lacks an event and ends as complete: the
+    # events before the wrong bytes must be passed on, and each only once.
+    Given stream endpoints that play "<first>" and "<second>"
+    When a stream is made
+    Then its caller gets the events 1 to 4 and the end
+    And endpoint 2 was asked to resume after event 2 from the copy of 1
+
+    Examples:
+      | first                    | second       |
+      | head 1 spoilt hang       | head 3 4 end |
+      | head 1 2 spoilt hang     | head 3 4 end |
+      | unframed 1 spoilt hang   | head 3 4 end |
+      | head 1 misframed hang    | head 3 4 end |
+
+  Scenario: Events of the first read reach the caller if it is damaged
+    # Guards against an answer without its first events.
+    Given stream endpoints that play "spoiltfirst hang" and "head 2 3 4 end"
+    When a stream is made
+    Then its caller gets the events 1 to 4 and the end
+
   Scenario: An unresponsive endpoint is replaced within the allowed gap
     # An unreachable endpoint sends no reset, so a stream could wait for it
     # until its deadline.
--- a/features/steps/forwarding_events_steps.py
+++ b/features/steps/forwarding_events_steps.py
@@ -36,7 +36,7 @@
         found = [
             event
             for begin, end in zip(edges, edges[1:])
-            for event in splitter.feed(stream[begin:end])
+            for event in splitter.feed(stream[begin:end]).events
         ]
         assert [event.event_id for event in found] == [*range(1, complete + 1)]
         assert b''.join(event.content for event in found) == stream
@@ -53,13 +53,33 @@
 
 @behave.when('it reads the bytes "{text}"')
 def reads(context, text):
-    context.returned += context.splitter.feed(_bytes(text))
+    context.returned += context.splitter.feed(_bytes(text)).events
 
 
 @behave.when('the attempt is lost and it reads "{text}"')
 def reads_after_loss(context, text):
     context.splitter.discard_partial()
-    context.returned += context.splitter.feed(_bytes(text))
+    context.returned += context.splitter.feed(_bytes(text)).events
+
+
+DAMAGES = {
+    'an event without an id': b'data: c\n\n',
+    'event 4': b'id: 4\ndata: d\n\n',
+    '1100 comments': b': open\n\n' * 1100,
+    'an event of over 1 MB': b'id: 3\ndata: ' + bytes(1 << 20),
+}
+
+
+@behave.when('it reads the bytes "{text}" and then {damage}')
+def reads_damage(context, text, damage):
+    fed = context.splitter.feed(_bytes(text) + DAMAGES[damage])
+    context.returned += fed.events
+    context.damage = fed.damage
+
+
+@behave.then('the stream is damaged: {reason}')
+def stream_damaged(context, reason):
+    assert context.damage == reason, context.damage
 
 
 @behave.then('it returned the events "{numbers}"')
@@ -70,8 +90,5 @@
 
 @behave.then('the bytes "{text}" damage the stream')
 def damaged(context, text):
-    try:
-        context.splitter.feed(_bytes(text))
-    except events.StreamDamaged:
-        return
-    raise AssertionError('the stream was accepted')
+    fed = context.splitter.feed(_bytes(text))
+    assert fed.damage and not fed.events, fed
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -116,6 +116,22 @@
                 actions.append(b'id: 2\ndata: ')
             case 'half':
                 actions.append(scripted_endpoint.chunk(b'id: 2\ndata: '))
+            case 'spoilt':
+                # One that the caller may have already, another, and bytes
+                # that are no event.
+                spoilt = b'id: 2\ndata: t2\n\nwrong bytes\n\n'
+                actions.append(
+                    scripted_endpoint.chunk(spoilt) if is_framed else spoilt
+                )
+            case 'misframed':
+                actions.append(scripted_endpoint.event(2) + b'wrong bytes')
+            case 'spoiltfirst':
+                actions.append(
+                    scripted_endpoint.STREAM_HEAD
+                    + scripted_endpoint.chunk(
+                        b'id: 1\ndata: t1\n\nwrong bytes\n\n'
+                    )
+                )
             case 'rest':
                 actions.append(scripted_endpoint.chunk(b't2\n\n'))
             case 'comment':
--- a/features/steps/platform_numbers_steps.py
+++ b/features/steps/platform_numbers_steps.py
@@ -62,11 +62,9 @@
 
 @behave.when('the event arrives')
 def event_arrives(context):
-    context.is_damaged = False
-    try:
-        events.EventSplitter(0).feed(context.content)
-    except events.StreamDamaged:
-        context.is_damaged = True
+    fed = events.EventSplitter(0).feed(context.content)
+    assert not fed.events, fed
+    context.is_damaged = bool(fed.damage)
 
 
 @behave.then('the stream counts as damaged')
--- a/src/godwitvalve/forwarding/events.py
+++ b/src/godwitvalve/forwarding/events.py
@@ -20,7 +20,7 @@
 _EVENT_END_OVERLAP = 3
 
 
-class StreamDamaged(Exception):
+class _Damaged(Exception):
     """The stream is not a gapless sequence of numbered events."""
 
 
@@ -31,6 +31,18 @@
     content: bytes
 
 
+class CompleteEvents(NamedTuple):
+    """What a read completed.
+
+    :param events: new events; they count as delivered from now on, also if
+        the stream is damaged after them.
+    :param damage: why the attempt can't go on; empty if it can.
+    """
+
+    events: list[StreamEvent]
+    damage: str = ''
+
+
 class EventSplitter:
     """Buffers bytes and returns complete events only.
 
@@ -54,17 +66,22 @@
         self._last_repeated = 0
         self._skipped_bytes = 0
 
-    def feed(self, data: bytes) -> list[StreamEvent]:
+    def feed(self, data: bytes) -> CompleteEvents:
         """Return the events that ``data`` completes, without repeats.
 
-        Comments and blank lines between events are skipped.
-
-        :raises StreamDamaged: if an event has no id, one is missing, or too
-            many bytes bring no new event.
+        Comments and blank lines between events are skipped. The stream is
+        damaged if an event has no id, one is missing, or too many bytes bring
+        no new event.
         """
         searched_bytes = max(len(self._partial) - _EVENT_END_OVERLAP, 0)
         self._partial += data
-        return list(self._complete_events(searched_bytes))
+        complete: list[StreamEvent] = []
+        try:
+            for event in self._complete_events(searched_bytes):
+                complete.append(event)
+        except _Damaged as damage:
+            return CompleteEvents(complete, str(damage))
+        return CompleteEvents(complete)
 
     def _complete_events(
         self, searched_bytes: int
@@ -81,7 +98,7 @@
         finally:
             del self._partial[:begin]
         if len(self._partial) > MAX_EVENT_BYTES:
-            raise StreamDamaged('event too large')
+            raise _Damaged('event too large')
 
     def _is_new(self, content: bytes) -> bool:
         """Tell whether the bytes are the event after the last one."""
@@ -90,7 +107,7 @@
             return False
         event_id = _identify(content)
         if event_id > self.last_event + 1:
-            raise StreamDamaged(f'event {event_id} after {self.last_event}')
+            raise _Damaged(f'event {event_id} after {self.last_event}')
         if event_id <= self.last_event:
             # An endpoint that starts over sends each earlier event once.
             if event_id <= self._last_repeated:
@@ -104,11 +121,11 @@
     def _skip(self, size_bytes: int) -> None:
         self._skipped_bytes += max(size_bytes, MIN_SKIPPED_BYTES)
         if self._skipped_bytes > MAX_SKIPPED_BYTES:
-            raise StreamDamaged('too many bytes without a new event')
+            raise _Damaged('too many bytes without a new event')
 
 
 def _identify(content: bytes) -> int:
     found = _EVENT_ID.search(content)
     if found is None:
-        raise StreamDamaged('event without id')
+        raise _Damaged('event without id')
     return int(found[1])
--- a/src/godwitvalve/forwarding/stream_attempt.py
+++ b/src/godwitvalve/forwarding/stream_attempt.py
@@ -169,8 +169,6 @@
             return await self._relay(attempt, opening)
         except (channels.ConnectFailed, channels.ChannelBroken) as error:
             return attempts.interruption(error, exchange.is_sent)
-        except events.StreamDamaged as error:
-            return attempts.Interrupted(str(error), True, is_broken_off=True)
         except stream_silence.PromptQuarantined:
             return attempts.Quarantined()
         finally:
@@ -210,8 +208,14 @@
                 return attempts.Interrupted(attempts.SILENT, True)
             if not chunk:
                 break
-            is_progress = await self._forward_events(attempt, head, chunk)
-            if not is_progress and self._silence.may_leave(attempt):
+            complete = self._state.splitter.feed(chunk)
+            if complete.events:
+                await self._forward_events(attempt, head, complete.events)
+            if complete.damage:
+                return attempts.Interrupted(
+                    complete.damage, True, is_broken_off=True
+                )
+            if not complete.events and self._silence.may_leave(attempt):
                 return attempts.Interrupted('no new event', True)
         if self._state.splitter.has_partial:
             return attempts.Interrupted(
@@ -258,12 +262,9 @@
         self,
         attempt: attempts.StreamAttempt,
         head: exchanges.AnswerHead,
-        chunk: bytes,
-    ) -> bool:
-        """Pass on the events that a chunk completes; tell if there are any."""
-        complete = self._state.splitter.feed(chunk)
-        if not complete:
-            return False
+        complete: list[events.StreamEvent],
+    ) -> None:
+        """Pass on the events that a read completed."""
         attempt.speed_meter.record_events(len(complete), self._loop.time())
         if attempt.opening is not None:
             attempt.opening.exchange.pay(
@@ -283,7 +284,6 @@
         self._silence.record_progress(attempt)
         speed_meter.after_send(self._context, attempt)
         self._records.record_events(attempt, len(complete))
-        return True
 
     async def _start_answer(self, head: exchanges.AnswerHead) -> None:
         self._state.is_started = True
