Send nothing to an endpoint that states in answers that it leaves

The store turned one entry away while an endpoint left and said so in all its answers (Server-Leaving).

Cause: nothing read the header.

The head of each answer to a request is now read for it, and the endpoint is not used until its incarnation ends, its row is removed, or a health probe 10 s later finds it sound. Heartbeats report it, so that entries without such an answer avoid it, too. A 421 and an answer to another request don't count, as another endpoint may have sent them.

--- a/features/fleet/registry.feature
+++ b/features/fleet/registry.feature
@@ -94,6 +94,52 @@
     When another entry reports that the first start of "a" leaves
     Then "a, b" are usable at 1.0 s
 
+  Scenario: An endpoint that states in an answer that it leaves is not used
+    # Guards against requests to leaving endpoints by an entry that can't read
+    # their rows, and by one whose endpoints still write theirs.
+    Given a registry with the endpoints "a, b"
+    When "a" states in an answer that it leaves at 1.0 s
+    Then "b" are usable at 1.0 s
+    And "a" are reported as leaving
+    When the row of "a" is written again
+    Then "b" are usable at 2.0 s
+    When the row of "a" has a later start
+    Then "a, b" are usable at 2.0 s
+
+  Scenario: A late answer of an earlier start does not count
+    # Guards against avoiding an endpoint that started again under its id.
+    Given a registry with the endpoints "a, b"
+    When the row of "a" has a later start
+    And the first start of "a" states in an answer that it leaves at 1.0 s
+    Then "a, b" are usable at 1.0 s
+
+  Scenario: A restarted endpoint that stated it is not used once it is listed
+    # Guards against forgetting a statement as the row tells the start.
+    Given a registry with the endpoints "a, b"
+    When "c" is added at the address of "a" during an outage
+    And "c" states in an answer that it leaves at 1.0 s
+    And the row of "c" is written again
+    Then "b" are usable at 2.0 s
+
+  Scenario: An endpoint that took the address of one that left is used
+    # Guards against a service that loses an address for ever.
+    Given a registry with the endpoints "a, b"
+    When "a" states in an answer that it leaves at 1.0 s
+    And "c" is added at the address of "a" during an outage
+    Then "b, c" are usable at 2.0 s
+
+  Scenario: An endpoint is asked again whether it leaves
+    # Guards against avoiding an endpoint for ever because of one answer, and
+    # against asking an endpoint all the time.
+    Given a registry with the endpoints "a, b"
+    When "a" states in an answer that it leaves at 1.0 s
+    Then "none" are to be asked again at 10.9 s
+    And "a" are to be asked again at 11.0 s
+    And "none" are to be asked again at 20.9 s
+    When "a" is healthy and does not leave
+    Then "a, b" are usable at 21.0 s
+    And "none" are to be asked again at 40.0 s
+
   Scenario: A row that is read later outweighs a report of leaving
     # Guards against avoiding an endpoint for ever because of a wrong report.
     Given a registry with the endpoints "a, b"
--- a/features/steps/fleet_registry_steps.py
+++ b/features/steps/fleet_registry_steps.py
@@ -106,6 +106,31 @@
     context.registry.mark_leaving(name, _START_MS)
 
 
+@behave.when('"{name}" states in an answer that it leaves at {now_s:g} s')
+def states_leaving(context, name, now_s):
+    context.registry.record_stated_leaving(context.registry.get(name), now_s)
+
+
+@behave.when(
+    'the first start of "{name}" states in an answer that it leaves at '
+    '{now_s:g} s'
+)
+def first_start_states_leaving(context, name, now_s):
+    context.registry.record_stated_leaving(endpoint(name), now_s)
+
+
+@behave.when('"{name}" is healthy and does not leave')
+def does_not_leave(context, name):
+    context.registry.withdraw_leaving(context.registry.get(name))
+
+
+@behave.then('"{names}" are to be asked again at {now_s:g} s')
+def asked_again(context, names, now_s):
+    due = context.registry.due_confirmations(now_s)
+    found = ', '.join(each.endpoint_id for each in due) or 'none'
+    assert found == names, found
+
+
 @behave.then('"{names}" are reported as leaving')
 def are_reported_leaving(context, names):
     found = [name for name, _ in context.registry.leaving()]
--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -6,6 +6,7 @@
 import enum
 
 from godwitvalve.fleet import endpoints
+from godwitvalve.fleet import leaving
 
 # Rows that expired in an outage are written again within 2 s of the store's
 # return; the rest is for the change to arrive here.
@@ -53,6 +54,7 @@
         self._provisional: set[str] = set()
         # Starts of endpoints that leave, as other entries reported them.
         self._reported_leaving: dict[str, int] = {}
+        self._stated_leaving = leaving.StatedLeaving()
         # Starts of endpoints that left or announced it, oldest first.
         self._departed: dict[str, int] = {}
         # Starts of those that a copy of the store may list as usable.
@@ -127,6 +129,8 @@
             self._replaced.pop(endpoint_id, None)
         self._row_versions[endpoint_id] = row_version
         self._endpoints[endpoint_id] = endpoint
+        if not self._stated_leaving.includes(endpoint):
+            self._stated_leaving.forget(endpoint_id)
         if endpoint.is_leaving:
             self._remember_departed(endpoint)
         self._missing_until_s.pop(endpoint_id, None)
@@ -292,16 +296,48 @@
         self._reported_leaving[endpoint_id] = started_wall_ms
         return was_usable
 
+    def record_stated_leaving(
+        self, endpoint: endpoints.FleetEndpoint, now_s: float
+    ) -> bool:
+        """Record that an endpoint stated in an answer that it leaves.
+
+        :param endpoint: as it was when the request was sent.
+        :param now_s: monotonic seconds.
+        :returns: whether the endpoint was usable until now.
+        """
+        known = self._endpoints.get(endpoint.endpoint_id)
+        if known is None or known.started_wall_ms > endpoint.started_wall_ms:
+            return False
+        was_usable = self.is_usable(endpoint.endpoint_id)
+        self._stated_leaving.record(known, now_s)
+        return was_usable
+
+    def due_confirmations(self, now_s: float) -> list[endpoints.FleetEndpoint]:
+        """Return endpoints to ask whether they still leave.
+
+        :param now_s: monotonic seconds.
+        """
+        return [
+            self._endpoints[endpoint_id]
+            for endpoint_id in self._stated_leaving.due(now_s)
+        ]
+
+    def withdraw_leaving(self, endpoint: endpoints.FleetEndpoint) -> None:
+        """Use an endpoint again that does not leave any more."""
+        if self._stated_leaving.includes(endpoint):
+            self._stated_leaving.forget(endpoint.endpoint_id)
+
     def leaving(self) -> list[tuple[str, int]]:
-        """Return id and start of the endpoints whose rows announced it.
+        """Return id and start of the endpoints that announced it.
 
-        Those that only a copy may list are not reported: the others would
-        avoid a sound one until its row changes.
+        They did so in their rows, or in answers to this entry. Those that
+        only a copy may list are not reported: the others would avoid a sound
+        one until its row changes.
         """
         return [
             (endpoint.endpoint_id, endpoint.started_wall_ms)
             for endpoint in self._endpoints.values()
-            if endpoint.is_leaving
+            if endpoint.is_leaving or self._stated_leaving.includes(endpoint)
         ]
 
     def _is_relisted(self, endpoint: endpoints.FleetEndpoint) -> bool:
@@ -330,6 +366,7 @@
         if endpoint_id in self._endpoints:
             self._remember_departed(self._endpoints[endpoint_id])
         self._reported_leaving.pop(endpoint_id, None)
+        self._stated_leaving.forget(endpoint_id)
         self._replaced.pop(endpoint_id, None)
         self._restore_predecessors(endpoint_id)
         self._provisional.discard(endpoint_id)
@@ -376,6 +413,7 @@
         if (
             endpoint.is_leaving
             or reported_ms == endpoint.started_wall_ms
+            or self._stated_leaving.includes(endpoint)
             or self._is_relisted(endpoint)
         ):
             return EndpointState.LEAVING
--- a/src/godwitvalve/fleet/state.py
+++ b/src/godwitvalve/fleet/state.py
@@ -22,6 +22,12 @@
             and service in self.configuration.services
         )
 
+    def health_path(self, service: str) -> str:
+        """Return the path of a service's health probe."""
+        configuration = self.configuration
+        facts = configuration.services.get(service) if configuration else None
+        return facts.health_path if facts else '/'
+
     @property
     def version(self) -> int:
         """Return the version of the installed configuration, or 0."""
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -57,7 +57,7 @@
         lost, and when it lived for sure, in seconds since boot.
     :param remote_placements: returns the placements of other entries.
     :param on_placement_changed: called when a stream of this entry begins
-        or ends.
+        or ends, or an endpoint is found to be lost or leaving.
     """
 
     failure_domain: str
@@ -244,12 +244,27 @@
             return
         now_s = asyncio.get_running_loop().time()
         self.limiter.observe(endpoint, head.facts.limit, now_s)
+        if head.facts.is_leaving:
+            self._record_leaving(endpoint, now_s)
         load = head.facts.load
         if load is not None and load.pace is not None:
             self.paces.record(
                 endpoint.service, endpoint.endpoint_id, load.pace, now_s
             )
 
+    def _record_leaving(
+        self, endpoint: endpoints.FleetEndpoint, now_s: float
+    ) -> None:
+        """Use an endpoint no more that states that it leaves."""
+        if not self.state.registry.record_stated_leaving(endpoint, now_s):
+            return
+        self.counters.count_leaving(endpoint.service)
+        _LOG.info(
+            'Endpoint states in an answer that it leaves.',
+            extra={'endpoint_id': endpoint.endpoint_id},
+        )
+        self.on_placement_changed()
+
     def record_crash(
         self,
         endpoint: endpoints.FleetEndpoint,
--- a/src/godwitvalve/forwarding/counters.py
+++ b/src/godwitvalve/forwarding/counters.py
@@ -95,6 +95,11 @@
             'Endpoints that crashed as they began an answer.',
             labels,
         )
+        self._leaving = self._counter(
+            'godwitvalve_stated_leaving_total',
+            'Endpoints that stated in an answer that they leave.',
+            labels,
+        )
         self._speed_observations = self._counter(
             'godwitvalve_speed_observations_total',
             'Times between events that the speed of an endpoint follows from.',
@@ -238,6 +243,10 @@
         """Count an endpoint that crashed as it began an answer."""
         self._crashes.inc({'service': service})
 
+    def count_leaving(self, service: str) -> None:
+        """Count an endpoint that stated in an answer that it leaves."""
+        self._leaving.inc({'service': service})
+
     def count_refusal(self, code: codes.ResultCode) -> None:
         """Count an answer of this entry in place of an endpoint's."""
         self._refusals.inc({'code': str(code.value), 'reason': code.name})
--- a/src/godwitvalve/forwarding/successors.py
+++ b/src/godwitvalve/forwarding/successors.py
@@ -80,7 +80,7 @@
             return
         while self._is_reserved(last_seen_s):
             found = await probes.read_identity(
-                endpoint.address, self._health_path(endpoint.service)
+                endpoint.address, self._state.health_path(endpoint.service)
             )
             if found == endpoint.endpoint_id:
                 return
@@ -94,11 +94,6 @@
         until_s = last_seen_s + self.address_reuse_s - REUSE_MARGIN_S
         return self._clock_s() < until_s
 
-    def _health_path(self, service: str) -> str:
-        configuration = self._state.configuration
-        facts = configuration.services.get(service) if configuration else None
-        return facts.health_path if facts else '/'
-
     def _report_found(
         self,
         endpoint: endpoints.FleetEndpoint,
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -27,6 +27,7 @@
 from godwitvalve.forwarding import arrivals
 from godwitvalve.forwarding import context as contexts
 from godwitvalve.forwarding import counters as counter_model
+from godwitvalve.forwarding import leaving_checks
 from godwitvalve.forwarding import message_memory
 from godwitvalve.forwarding import pool as pools
 from godwitvalve.forwarding import successors
@@ -124,6 +125,7 @@
             self._probe_store,
             self._add_provisional,
         )
+        self._leaving_checks = leaving_checks.LeavingChecks(self._state)
         self._rollouts = rollout_registries.RolloutRegistry(
             derived_settings.exposure_limits(settings)
         )
@@ -416,6 +418,7 @@
         for task in tasks:
             task.cancel()
         self._successors.stop()
+        self._leaving_checks.stop()
         self._gossip.close()
         self._permits.close()
         await self._sources.close()
@@ -586,6 +589,7 @@
                 ('observe the process', self._monitor.observe),
                 ('measure the pressure', self._pressure.observe),
                 ('expire endpoints', self._endpoints.expire),
+                ('confirm leaving', self._leaving_checks.begin_due),
                 ('install configurations', self._install_deferred),
                 ('prune connections', self._context.pool.prune),
                 ('expire requests', self._expire_requests),
--- a/src/godwitvalve/platform/headers.py
+++ b/src/godwitvalve/platform/headers.py
@@ -144,6 +144,7 @@
         connection, or None if it states none.
     :param limit: requests a second that the endpoint takes from all
         entries.
+    :param is_leaving: whether the endpoint states that it leaves.
     """
 
     request_id: str
@@ -155,6 +156,7 @@
     idle_limit_s: float | None
     load: EndpointLoad | None
     limit: statements.LimitStatement
+    is_leaving: bool = False
 
 
 def _decode_headers(headers: RawHeaders) -> dict[str, str]:
@@ -328,10 +330,16 @@
     return statements.Limited(min(numbers))
 
 
+def _is_leaving(values: abc.Mapping[str, str]) -> bool:
+    return values.get('server-leaving') == '1'
+
+
 def read_identity(headers: RawHeaders) -> str:
     """Return the id of the endpoint that answered; empty if not usable."""
-    identity = _decode_headers(headers).get('instance-id', '')
-    return identity if bounds.IDENTIFIER.match(identity) else ''
+    values = _decode_headers(headers)
+    identity = values.get('instance-id', '')
+    is_usable = bounds.IDENTIFIER.match(identity) and not _is_leaving(values)
+    return identity if is_usable else ''
 
 
 def read_answer(status: int, headers: RawHeaders) -> AnswerFacts:
@@ -348,4 +356,5 @@
         _parse_idle_limit_s(values.get('keep-alive', '')),
         _parse_load(values.get('server-load', '')),
         _read_limit(headers),
+        _is_leaving(values),
     )
--- a/standins/fleet/replica.py
+++ b/standins/fleet/replica.py
@@ -18,6 +18,7 @@
 # A row that the store has lost is written again within two seconds.
 HEARTBEAT_S = 1.2
 STORE_LIMIT_S = 1.0
+LEAVING = {'Server-Leaving': '1'}
 
 
 class Replica:
@@ -51,6 +52,8 @@
         self.arrivals_s: list[float] = []
         # Stated in each answer if it is not empty.
         self.limit = ''
+        # Whether each answer states that it leaves.
+        self.is_leaving = False
         # Row in the table of servers and the store that keeps it.
         self._row: dict[str, str] | None = None
         self._store_url = ''
@@ -67,6 +70,7 @@
                 web.get('/standin/arrivals', self._get_arrivals),
                 web.post('/standin/faults', self._set_mode),
                 web.post('/standin/limit', self._set_limit),
+                web.post('/standin/leaving', self._set_leaving),
                 web.post('/standin/row', self._set_row),
                 web.route('*', '/{path:.*}', self._serve),
             ]
@@ -74,7 +78,10 @@
         return app
 
     async def _health(self, request: web.Request) -> web.Response:
-        return web.Response(headers={'Instance-Id': self.endpoint_id})
+        headers = {'Instance-Id': self.endpoint_id}
+        if self.is_leaving:
+            return web.Response(status=503, headers={**headers, **LEAVING})
+        return web.Response(headers=headers)
 
     async def _get_runs(self, request: web.Request) -> web.Response:
         return web.json_response(self.runs)
@@ -86,6 +93,10 @@
         self.limit = (await request.json())['limit']
         return web.json_response({})
 
+    async def _set_leaving(self, request: web.Request) -> web.Response:
+        self.is_leaving = True
+        return web.json_response({})
+
     async def _set_row(self, request: web.Request) -> web.Response:
         """Set the row to write; without one, no write follows the answer."""
         body = await request.json()
@@ -131,6 +142,8 @@
         self.arrivals_s.append(time.monotonic())
         if self.limit:
             response_headers['Server-Limit'] = self.limit
+        if self.is_leaving:
+            response_headers |= LEAVING
         if headers.get('Expected-Instance') != self.endpoint_id:
             return web.Response(
                 status=421,
