Keep the pauses that endpoints ask for

An endpoint in a pause counts like one whose request limit is used up: no attempt of any kind goes there, a stream that has begun waits, and what no other endpoint can take is refused at once, to return after the pause.

--- a/features/steps/forwarding_limits_steps.py
+++ b/features/steps/forwarding_limits_steps.py
@@ -95,7 +95,7 @@
     context.preparations.append(prepare)
 
 
-async def _make(context, kind, count):
+async def _make(context, kind, count, pause_s=0.0):
     scripted = [
         await scripted_endpoint.ScriptedEndpoint(*scripts).start()
         for scripts in context.scripts
@@ -117,6 +117,7 @@
                     ROUTES[kind], request_id=request_id
                 )
             context.taken_ms = (loop.time() - began_s) * 1000
+            await asyncio.sleep(pause_s)
     finally:
         for each in scripted:
             await each.stop()
--- a/src/godwitvalve/endpoint_limits/limiter.py
+++ b/src/godwitvalve/endpoint_limits/limiter.py
@@ -9,6 +9,7 @@
 
 from godwitvalve.endpoint_limits import change_log
 from godwitvalve.endpoint_limits import messages
+from godwitvalve.endpoint_limits import pauses
 from godwitvalve.endpoint_limits import permits
 from godwitvalve.endpoint_limits import reports
 from godwitvalve.endpoint_limits import returns
@@ -26,6 +27,8 @@
 # An entry that does not answer is not asked again for this long. It counts as
 # dead 1.1 s after its last heartbeat, and another one answers then.
 UNANSWERED_PAUSE_S = 0.3
+# Callers that come back together after a pause would be turned away again.
+PAUSE_RETURN_SPREAD_S = 0.5
 
 
 class Coordinators(NamedTuple):
@@ -54,7 +57,7 @@
 
 
 class EndpointLimiter:
-    """Knows the limits of all endpoints and obtains permits for them.
+    """Knows limits and pauses of all endpoints and obtains permits.
 
     One serving entry, chosen by rendezvous hashing, issues the permits for
     an endpoint, so that all entries together keep to its limit.
@@ -73,6 +76,7 @@
         rng: random.Random | None = None,
     ) -> None:
         self.table = table.LimitTable()
+        self.pauses = pauses.PauseTable()
         self.source: PermitSource | None = None
         self._coordinators = coordinators
         self._on_change = on_change
@@ -136,19 +140,25 @@
         may_confirm: bool,
         now_s: float,
     ) -> views.LimitView:
-        """Return the limits of candidates.
+        """Return the limits of candidates; those that pause are exhausted.
 
         :param may_confirm: whether the request may confirm a limit.
         """
+        listed = list(candidates)
+        paused = {
+            each.endpoint_id
+            for each in listed
+            if self.pauses.is_paused(each, now_s)
+        }
         if not self.table.limited_count():
-            return views.LimitView()
+            return views.LimitView(paused, paused)
         observations = {
             each.endpoint_id: known
-            for each in candidates
+            for each in listed
             if (known := self.table.observation(each)) is not None
             and known.requests_per_s is not None
         }
-        exhausted = {
+        exhausted = paused | {
             each
             for each in observations
             if self._ask_again_s.get(each, 0.0) > now_s
@@ -161,7 +171,9 @@
             and now_s - known.observed_s > permits.CONFIRMATION_PERIOD_S
             and self._confirm_again_s.get(endpoint_id, 0.0) <= now_s
         }
-        return views.LimitView(observations.keys(), exhausted, unconfirmed)
+        return views.LimitView(
+            observations.keys() | paused, exhausted, unconfirmed
+        )
 
     async def acquire(
         self, endpoint: endpoints.FleetEndpoint, is_confirmation: bool
@@ -255,44 +267,51 @@
     def permit_in_s(
         self, candidates: abc.Iterable[endpoints.FleetEndpoint], now_s: float
     ) -> float | None:
-        """Return seconds until a candidate may have a permit again.
+        """Return seconds until a candidate may take a request again.
 
-        :returns: None if no candidate has a limit.
+        :returns: None if no candidate has a limit or pauses.
         """
         again_s = [
-            self._ask_again_s.get(each.endpoint_id, 0.0)
+            self._free_at_s(each)
             for each in candidates
             if self.table.requests_per_s(each) is not None
+            or self.pauses.is_paused(each, now_s)
         ]
         return max(min(again_s) - now_s, 0.0) if again_s else None
 
+    def _free_at_s(self, endpoint: endpoints.FleetEndpoint) -> float:
+        return max(
+            self._ask_again_s.get(endpoint.endpoint_id, 0.0),
+            self.pauses.until_s(endpoint),
+        )
+
     def retry_after_s(
         self,
         service: str,
-        candidates: abc.Iterable[endpoints.FleetEndpoint],
+        candidates: abc.Collection[endpoints.FleetEndpoint],
         now_s: float,
     ) -> float | None:
         """Return when a request that no candidate may take can come back.
 
-        :returns: seconds, or None if no candidate has a limit.
+        :returns: seconds, or None if no candidate has a limit or pauses.
         """
+        free_in_s = self.permit_in_s(candidates, now_s)
+        if free_in_s is None:
+            return None
         limits_per_s = {
             each.endpoint_id: limit_per_s
             for each in candidates
             if (limit_per_s := self.table.requests_per_s(each)) is not None
         }
         if not limits_per_s:
-            return None
-        first_s = min(
-            self._ask_again_s.get(each, 0.0) for each in limits_per_s
-        )
+            return free_in_s + self._rng.uniform(0.0, PAUSE_RETURN_SPREAD_S)
         equal_share = sum(limits_per_s.values()) / len(
             self._coordinators().hosts
         )
         own_per_s = self._meter(service, now_s).rate_per_s(now_s)
         schedule = self._returns.setdefault(service, returns.ReturnSchedule())
         return schedule.next_wait_s(
-            max(first_s, now_s),
+            now_s + free_in_s,
             max(equal_share, own_per_s),
             now_s,
             self._rng,
@@ -309,6 +328,7 @@
         self.table.keep_only(endpoint_ids)
         self._change_log.keep_only(endpoint_ids)
         self._issuer.expire(now_s)
+        self.pauses.expire(now_s)
         for until_s in (
             self._ask_again_s,
             self._confirm_again_s,
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -195,7 +195,10 @@
     async def may_take(
         self, endpoint: endpoints.FleetEndpoint, is_confirmation: bool = False
     ) -> bool:
-        """Obtain a permit if an endpoint has a limit; tell if it may send."""
+        """Tell if a request may be sent; obtain a permit if it needs one."""
+        now_s = asyncio.get_running_loop().time()
+        if self.limiter.pauses.is_paused(endpoint, now_s):
+            return False
         if self.limiter.table.requests_per_s(endpoint) is None:
             return True
         is_granted = await self.limiter.acquire(endpoint, is_confirmation)
@@ -205,7 +208,7 @@
     def has_exhausted(
         self, candidates: abc.Iterable[endpoints.FleetEndpoint]
     ) -> bool:
-        """Tell whether a candidate takes no request because of its limit."""
+        """Tell whether a candidate has no permit left or pauses."""
         now_s = asyncio.get_running_loop().time()
         return bool(self.limiter.view(candidates, False, now_s).exhausted)
 
@@ -244,6 +247,8 @@
             return
         now_s = asyncio.get_running_loop().time()
         self.limiter.observe(endpoint, head.facts.limit, now_s)
+        if head.facts.pause_s is not None:
+            self._record_pause(endpoint, head.facts.pause_s, now_s)
         if head.facts.is_leaving:
             self._record_leaving(endpoint, now_s)
         load = head.facts.load
@@ -252,6 +257,18 @@
                 endpoint.service, endpoint.endpoint_id, load.pace, now_s
             )
 
+    def _record_pause(
+        self, endpoint: endpoints.FleetEndpoint, pause_s: float, now_s: float
+    ) -> None:
+        """Send nothing for a time to an endpoint that asked for it."""
+        if not self.limiter.pauses.record(endpoint, pause_s, now_s):
+            return
+        self.counters.count_pause(endpoint.service)
+        _LOG.info(
+            'Endpoint wants no requests for a time.',
+            extra={'endpoint_id': endpoint.endpoint_id, 'pause_s': pause_s},
+        )
+
     def _record_leaving(
         self, endpoint: endpoints.FleetEndpoint, now_s: float
     ) -> None:
--- a/src/godwitvalve/forwarding/counters.py
+++ b/src/godwitvalve/forwarding/counters.py
@@ -100,6 +100,11 @@
             'Endpoints that stated in an answer that they leave.',
             labels,
         )
+        self._pauses = self._counter(
+            'godwitvalve_endpoint_pauses_total',
+            'Endpoints that turned a request away and asked for a pause.',
+            labels,
+        )
         self._speed_observations = self._counter(
             'godwitvalve_speed_observations_total',
             'Times between events that the speed of an endpoint follows from.',
@@ -247,6 +252,10 @@
         """Count an endpoint that stated in an answer that it leaves."""
         self._leaving.inc({'service': service})
 
+    def count_pause(self, service: str) -> None:
+        """Count an endpoint that asked for a pause."""
+        self._pauses.inc({'service': service})
+
     def count_refusal(self, code: codes.ResultCode) -> None:
         """Count an answer of this entry in place of an endpoint's."""
         self._refusals.inc({'code': str(code.value), 'reason': code.name})
--- a/src/godwitvalve/outcomes/codes.py
+++ b/src/godwitvalve/outcomes/codes.py
@@ -192,8 +192,8 @@
         503,
         'endpoint limits',
         True,
-        'Endpoints in need take a limited number of requests, and no other '
-        'endpoint can take this one.',
+        'Endpoints in need take a limited number of requests or none for a '
+        'time, and no other endpoint can take this one.',
         _RETRY,
     ),
     ResultCode.INTERNAL_ERROR: CodeInfo(
--- a/src/godwitvalve/platform/headers.py
+++ b/src/godwitvalve/platform/headers.py
@@ -42,10 +42,12 @@
 # Callers take these as a promise that the request did not run.
 _NOT_RUN_STATUSES = frozenset({408, MISDIRECTED, 429, 503})
 _LIMIT_HEADER = b'server-limit'
-_LIMIT = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+')
+_DECIMAL = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+')
 # Bounds what is kept of an invalid limit for the log, and the numbers that
 # are read.
 MAX_LIMIT_CHARS = 40
+# Statuses of endpoints that turn a request away, and may ask for a pause.
+_TURNED_AWAY_STATUSES = frozenset({429, 503})
 # Bounds the time to weigh a prompt at each endpoint of a service. Sessions
 # have one segment a turn.
 MAX_SEGMENTS = 32
@@ -145,6 +147,8 @@
     :param limit: requests a second that the endpoint takes from all
         entries.
     :param is_leaving: whether the endpoint states that it leaves.
+    :param pause_s: seconds for which the endpoint wants no requests from this
+        entry, or None if it states none.
     """
 
     request_id: str
@@ -157,6 +161,7 @@
     load: EndpointLoad | None
     limit: statements.LimitStatement
     is_leaving: bool = False
+    pause_s: float | None = None
 
 
 def _decode_headers(headers: RawHeaders) -> dict[str, str]:
@@ -323,7 +328,7 @@
     numbers = [
         float(text)
         for text in map(str.strip, ','.join(stated).split(','))
-        if len(text) <= MAX_LIMIT_CHARS and _LIMIT.fullmatch(text)
+        if len(text) <= MAX_LIMIT_CHARS and _DECIMAL.fullmatch(text)
     ]
     if not numbers:
         return statements.Unreadable(','.join(stated)[:MAX_LIMIT_CHARS])
@@ -334,6 +339,15 @@
     return values.get('server-leaving') == '1'
 
 
+def _read_pause_s(status: int, text: str) -> float | None:
+    is_stated = (
+        status in _TURNED_AWAY_STATUSES
+        and len(text) <= MAX_LIMIT_CHARS
+        and _DECIMAL.fullmatch(text)
+    )
+    return float(text) if is_stated else None
+
+
 def read_identity(headers: RawHeaders) -> str:
     """Return the id of the endpoint that answered; empty if not usable."""
     values = _decode_headers(headers)
@@ -357,4 +371,5 @@
         _parse_load(values.get('server-load', '')),
         _read_limit(headers),
         _is_leaving(values),
+        _read_pause_s(status, values.get('retry-after', '')),
     )
