Skip the look for pauses while there are none

The limits of the candidates are asked for several times for each request, and most services have neither limits nor pauses. Docstrings say more exactly what is recorded.

--- a/src/godwitvalve/endpoint_limits/limiter.py
+++ b/src/godwitvalve/endpoint_limits/limiter.py
@@ -144,6 +144,9 @@
 
         :param may_confirm: whether the request may confirm a limit.
         """
+        # Asked several times for each request, mostly without either.
+        if self.pauses.is_empty() and not self.table.limited_count():
+            return views.LimitView()
         listed = list(candidates)
         paused = {
             each.endpoint_id
--- a/src/godwitvalve/endpoint_limits/pauses.py
+++ b/src/godwitvalve/endpoint_limits/pauses.py
@@ -45,6 +45,10 @@
         """Tell whether an endpoint wants no requests now."""
         return now_s < self.until_s(endpoint)
 
+    def is_empty(self) -> bool:
+        """Tell whether no pause is known."""
+        return not self._until_s
+
     def expire(self, now_s: float) -> None:
         """Drop the pauses that have ended."""
         self._until_s = {
--- a/src/godwitvalve/fleet/leaving.py
+++ b/src/godwitvalve/fleet/leaving.py
@@ -37,16 +37,14 @@
     def __init__(self) -> None:
         self._statements: dict[str, _Statement] = {}
 
-    def record(self, endpoint: endpoints.FleetEndpoint, now_s: float) -> bool:
-        """Record that an endpoint stated it; return whether it is news.
+    def record(self, endpoint: endpoints.FleetEndpoint, now_s: float) -> None:
+        """Record that an endpoint stated it.
 
         :param now_s: monotonic seconds.
         """
-        is_news = not self.includes(endpoint)
         self._statements[endpoint.endpoint_id] = _Statement(
             endpoint.started_wall_ms, now_s + CONFIRM_AFTER_S
         )
-        return is_news
 
     def includes(self, endpoint: endpoints.FleetEndpoint) -> bool:
         """Tell whether this incarnation of an endpoint stated it."""
--- a/src/godwitvalve/forwarding/arrivals.py
+++ b/src/godwitvalve/forwarding/arrivals.py
@@ -8,8 +8,8 @@
 
 from godwitvalve import clock
 
-# An endpoint's address is searched for its successor for 2 s less two of
-# these periods.
+# The search for a restarted endpoint lasts under 2 s and is shortened by up to
+# two of these periods.
 POLL_PERIOD_S = 0.1
 
 
--- a/src/godwitvalve/forwarding/channel.py
+++ b/src/godwitvalve/forwarding/channel.py
@@ -163,9 +163,9 @@
         self._wake()
 
     def _record_arrival(self, size_bytes: int) -> None:
-        """Record since when these bytes, and so their sender, are known.
+        """Record until when the sender of these bytes lived for sure.
 
-        They may have waited in the socket while the process was held up or
+        The bytes may have waited in the socket while the process was held up or
         reading was paused. A read that fills the buffer may leave some.
         """
         arrived_s = min(arrivals.PROCESS.bound_s, self._unread_since_s)
