--- a/src/godwitvalve/forwarding/channel.py
+++ b/src/godwitvalve/forwarding/channel.py
@@ -165,8 +165,8 @@
     def _record_arrival(self, size_bytes: int) -> None:
         """Record until when the sender of these bytes lived for sure.
 
-        The bytes may have waited in the socket while the process was held up or
-        reading was paused. A read that fills the buffer may leave some.
+        The bytes may have waited in the socket while the process was held up
+        or reading was paused. A read that fills the buffer may leave some.
         """
         arrived_s = min(arrivals.PROCESS.bound_s, self._unread_since_s)
         self.last_seen_s = max(self.last_seen_s, arrived_s)
