--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -117,8 +117,7 @@
             case 'half':
                 actions.append(scripted_endpoint.chunk(b'id: 2\ndata: '))
             case 'spoilt':
-                # One that the caller may have already, another, and bytes
-                # that are no event.
+                # An event that may be repeated, and bytes that are none.
                 spoilt = b'id: 2\ndata: t2\n\nwrong bytes\n\n'
                 actions.append(
                     scripted_endpoint.chunk(spoilt) if is_framed else spoilt
