--- a/standins/fleet/replica.py
+++ b/standins/fleet/replica.py
@@ -5,9 +5,13 @@
 import asyncio
 from collections import abc
 import contextlib
+import json
+import os
+import pathlib
+import signal
 import sys
 import time
-from typing import Annotated, Any
+from typing import Annotated, Any, NamedTuple
 
 import aiohttp
 from aiohttp import web
@@ -21,6 +25,18 @@
 LEAVING = {'Server-Leaving': '1'}
 
 
+class CrashPlan(NamedTuple):
+    """How a part of a prompt ends the process.
+
+    :param part: id of the part; empty if none does.
+    :param stage: when it does: before the head of the answer, after it,
+        inside an event or, by an exit of the process, between two events.
+    """
+
+    part: str = ''
+    stage: str = 'before the head'
+
+
 class Replica:
     """Serves plain calls and streams of numbered events.
 
@@ -29,6 +45,9 @@
     :param work_s: seconds that a plain call takes.
     :param slots: number of calls that run at once; more are declined.
     :param padding_bytes: bytes at the end of each answer to a call.
+    :param prompt_s: seconds from a stream's arrival to its head.
+    :param crash: which streams end the process.
+    :param run_log: file to which each stream adds a line as it arrives.
     """
 
     def __init__(
@@ -39,6 +58,9 @@
         work_s: float,
         slots: int,
         padding_bytes: int,
+        prompt_s: float = 0.0,
+        crash: CrashPlan = CrashPlan(),
+        run_log: pathlib.Path | None = None,
     ) -> None:
         self.endpoint_id = endpoint_id
         self.events = events
@@ -47,6 +69,9 @@
         self.slots = slots
         self.running = 0
         self.padding = bytes(padding_bytes)
+        self.prompt_s = prompt_s
+        self.crash = crash
+        self.run_log = run_log
         self.runs: list[list[str]] = []
         self.mode = 'sound'
         self.arrivals_s: list[float] = []
@@ -184,14 +209,48 @@
         response = web.StreamResponse(headers=response_headers)
         response.content_type = 'text/event-stream'
         last = int(request.headers.get('Last-Event-Id', '0'))
+        self._log_run(request)
+        await asyncio.sleep(self.prompt_s)
         # The stream ends when the caller disconnects.
         with contextlib.suppress(ConnectionResetError):
+            if self._is_deadly(request):
+                await self._crash(request, response, last + 1)
             await response.prepare(request)
             for number in range(last + 1, self.events + 1):
                 await asyncio.sleep(self.gap_s)
                 await response.write(b'id: %d\ndata: token\n\n' % number)
         return response
 
+    def _log_run(self, request: web.Request) -> None:
+        if self.run_log is None:
+            return
+        line = {
+            'at_s': time.monotonic(),
+            'endpoint_id': self.endpoint_id,
+            'request_id': request.headers.get('Request-Id', ''),
+            'is_deadly': self._is_deadly(request),
+        }
+        with self.run_log.open('a') as log:
+            log.write(json.dumps(line) + '\n')
+
+    def _is_deadly(self, request: web.Request) -> bool:
+        parts = request.headers.get('Prompt-Prefix', '').split(',')
+        ids = {each.partition(':')[0] for each in parts}
+        return bool(self.crash.part) and self.crash.part in ids
+
+    async def _crash(
+        self, request: web.Request, response: web.StreamResponse, first: int
+    ) -> None:
+        """End the process as it begins to answer a stream."""
+        if self.crash.stage != 'before the head':
+            await response.prepare(request)
+        if self.crash.stage == 'inside an event':
+            await response.write(b'id: %d\ndata: to' % first)
+        if self.crash.stage == 'by an exit':
+            await response.write(b'id: %d\ndata: token\n\n' % first)
+            os._exit(1)
+        os.kill(os.getpid(), signal.SIGKILL)
+
 
 def main(
     endpoint_id: Annotated[str, typer.Option()],
@@ -201,6 +260,10 @@
     work_ms: float = 20.0,
     slots: int = 1000,
     padding_bytes: int = 0,
+    prompt_ms: float = 0.0,
+    deadly_part: str = '',
+    crash_stage: str = 'before the head',
+    run_log: pathlib.Path | None = None,
 ) -> None:
     """Serve an endpoint on a loopback port.
 
@@ -210,6 +273,10 @@
     :param work_ms: milliseconds that a plain call takes.
     :param slots: number of calls that run at once.
     :param padding_bytes: bytes at the end of each answer to a call.
+    :param prompt_ms: milliseconds from a stream's arrival to its head.
+    :param deadly_part: part of a prompt that ends the process.
+    :param crash_stage: when it does.
+    :param run_log: file to which each stream adds a line as it arrives.
     """
 
     def build() -> Any:
@@ -220,6 +287,9 @@
             work_ms / 1000,
             slots,
             padding_bytes,
+            prompt_ms / 1000,
+            CrashPlan(deadly_part, crash_stage),
+            run_log,
         ).app()
 
     asyncio.run(serving.serve(build, port))
