Log ended answers of live endpoints and why prompts are refused

The log of an entry did not tell whether an endpoint that broke off an answer was taken for crashed, nor which segments and crashes a refusal of a prompt comes from.

--- a/src/godwitvalve/forwarding/stream_records.py
+++ b/src/godwitvalve/forwarding/stream_records.py
@@ -47,6 +47,14 @@
             return
         ended_s = self._loop.time()
         if await probes.accepts_connections(attempt.endpoint.address):
+            _LOG.info(
+                'Endpoint broke off an answer and accepts connections.',
+                extra={
+                    'request_id': self._routed.request.facts.request_id,
+                    'endpoint_id': attempt.endpoint.endpoint_id,
+                    'segments': self._state.segments,
+                },
+            )
             return
         self._context.record_crash(
             attempt.endpoint, self._state.segments, attempt.began_s, ended_s
@@ -198,6 +206,9 @@
                 'outcome': type(end).__name__,
                 'reason': attempts.reason_label(end),
                 'has_head': attempt.has_head,
+                'event_count': attempt.event_count,
+                'is_broken_off': isinstance(end, attempts.Interrupted)
+                and end.is_broken_off,
                 'segments': self._state.segments,
                 'last_event': self._state.splitter.last_event,
                 'memory_source': attempt.memory_source,
--- a/src/godwitvalve/forwarding/stream_state.py
+++ b/src/godwitvalve/forwarding/stream_state.py
@@ -72,6 +72,12 @@
         )
         return max(admitted_from_s - self.loop.time(), 0.0)
 
+    def quarantine_evidence(self) -> list[dict[str, object]]:
+        """Return why the quarantine does not admit the prompt."""
+        return self.context.quarantine.evidence(
+            self.routed.service, self.segments
+        )
+
     def is_blocked(self) -> bool:
         """Tell whether the prompt is known to crash endpoints."""
         blocked_until_s = self.context.quarantine.blocked_until_s(
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -18,8 +18,11 @@
 from godwitvalve.forwarding import stream_records
 from godwitvalve.forwarding import stream_state
 from godwitvalve.forwarding import stream_turns
+from godwitvalve.logs import setup as logs
 from godwitvalve.outcomes import codes
 
+_LOG = logs.get('forwarding')
+
 
 def can_meet_deadline(
     context: contexts.ForwardingContext,
@@ -122,6 +125,7 @@
         while True:
             self._state.pending.waits_for = in_flight.Wait.ENDPOINT
             if attempt is None and not self._state.is_admitted():
+                self._log_quarantine()
                 return self._give_up(
                     codes.ResultCode.PROMPT_QUARANTINED,
                     self._state.time_to_admission_s(),
@@ -168,6 +172,7 @@
                 case attempts.Interrupted(_, may_have_run):
                     self._state.possible_runs += may_have_run
                 case attempts.Quarantined():
+                    self._log_quarantine()
                     self._state.possible_runs += 1
                 case exchanges.Declined() | attempts.Superseded():
                     pass
@@ -184,6 +189,15 @@
             self._state.draw = 1.0
             self._context.counters.count_retry(attempts.reason_label(end))
 
+    def _log_quarantine(self) -> None:
+        _LOG.info(
+            'Prompt is quarantined.',
+            extra={
+                'request_id': self._routed.request.facts.request_id,
+                'blocks': self._state.quarantine_evidence(),
+            },
+        )
+
     async def _wait_to_retry(
         self, end: attempts.AttemptEnd
     ) -> replies.IncompleteReason | None:
--- a/src/godwitvalve/quarantine/segments.py
+++ b/src/godwitvalve/quarantine/segments.py
@@ -298,6 +298,25 @@
         for ended in self._trial_from_s.keys() - blocked:
             del self._trial_from_s[ended]
 
+    def evidence(
+        self, service: str, segments: abc.Collection[str]
+    ) -> list[dict[str, object]]:
+        """Return the blocks of a prompt for the log, with their crashes."""
+        return [
+            {
+                'segments': sorted(block.segments),
+                'endpoints': sorted(
+                    {
+                        crash.endpoint_id
+                        for crash in self._crashes.values()
+                        if crash.service == service
+                        and block.segments <= crash.segments
+                    }
+                ),
+            }
+            for block in self._matching(service, segments)
+        ]
+
     def crash_count(self) -> int:
         """Return the number of crashes that are remembered."""
         return len(self._crashes)
