Count crashes before the head of an answer as evidence

An endpoint that crashes before it has sent the head of its answer left no evidence: a crash counted only once the head had arrived. The class of fault is a state of a connection, here a head that was read, taken for the state of the work at the other side.

All prompts whose answer had not gone on are now suspects of a crash, with the evidence against each of their segments: how unlikely it is that one of the suspects has it by chance. A crash is blamed on one segment and is no evidence against the others that the endpoint took along. An endpoint that crashes again under its id counts again. After a block one entry of all sends a trial, not each. Entries tell one another the evidence, for a block without the segments beside it.

--- a/features/models/crash_simulation.py
+++ b/features/models/crash_simulation.py
@@ -4,7 +4,9 @@
 
 import dataclasses
 import random
+from typing import NamedTuple
 
+from godwitvalve.quarantine import crashes
 from godwitvalve.quarantine import segments
 
 SERVICE = 'summaries'
@@ -28,6 +30,26 @@
 REQUESTS_PER_ENDPOINT_S = 0.13
 
 
+class Load(NamedTuple):
+    """Prompts and endpoints of a run.
+
+    :param share: share of one of three kinds of prompt that is faulty.
+    :param rate: crashes a second that have other causes.
+    :param is_headless: whether faulty prompts crash endpoints before the
+        heads of their answers.
+    :param per_endpoint_s: requests a second and endpoint.
+    :param faulty_from_s: when faulty prompts begin to come.
+    :param own_share: share of prompts with a segment of their own.
+    """
+
+    share: float
+    rate: float
+    is_headless: bool = False
+    per_endpoint_s: float = REQUESTS_PER_ENDPOINT_S
+    faulty_from_s: float = 4.0
+    own_share: float = 0.0
+
+
 @dataclasses.dataclass
 class Prompt:
     """A prompt on its way; times are seconds of the simulation."""
@@ -39,6 +61,7 @@
     sent_s: float = 0.0
     begins_s: float = 0.0
     is_sound_recorded: bool = False
+    arrived_s: float = 0.0
 
     @property
     def is_faulty(self):
@@ -52,19 +75,28 @@
     crashes_by_prompts: int = 0
     late_faulty_prompts: int = 0
     refused_sound: int = 0
+    late_refused_sound: int = 0
+    late_sound: int = 0
     sound: int = 0
 
 
 class CrashSimulation:
     """One run with a seed."""
 
-    def __init__(self, seed, entries, endpoints, share, rate):
+    def __init__(self, seed, entries, endpoints, load):
         self._rng = random.Random(seed)
-        self._entries = [segments.SegmentQuarantine() for _ in range(entries)]
+        self._entries = [
+            segments.SegmentQuarantine(
+                lambda key, own=number: (
+                    random.Random(key).randrange(entries) == own
+                )
+            )
+            for number in range(entries)
+        ]
         self._down_until_s = [0.0] * endpoints
         self._starts = [0] * endpoints
-        self._share = share
-        self._rate = rate
+        self._load = load
+        self._numbers = 0
         self._running = []
         self._now_s = 0.0
         self._rule_from_s = float('inf')
@@ -86,22 +118,35 @@
         return self._rng.random() < rate * TICK_S
 
     def _arrive(self):
-        if not self._happens(
-            REQUESTS_PER_ENDPOINT_S * len(self._down_until_s)
-        ):
+        load = self._load
+        if not self._happens(load.per_endpoint_s * len(self._down_until_s)):
             return
         kind = self._rng.randrange(3)
         found = {f'kind-{kind}'}
         if self._rng.random() < 0.5:
             found.add(f'case-{self._rng.randrange(2000)}')
-        is_faulty = kind == 0 and self._rng.random() < self._share
-        if is_faulty and 4.0 < self._now_s < 50.0:
+        is_faulty = kind == 0 and self._rng.random() < load.share
+        if is_faulty and load.faulty_from_s < self._now_s < 50.0:
             found.add(FAULTY_SEGMENT)
+        if load.own_share and self._rng.random() < load.own_share:
+            self._numbers += 1
+            found.add(f'own-{self._numbers}')
         entry = self._rng.randrange(len(self._entries))
-        prompt = Prompt(frozenset(found), entry)
+        prompt = Prompt(frozenset(found), entry, arrived_s=self._now_s)
         self.result.sound += not prompt.is_faulty
+        self.result.late_sound += self._is_late_sound(prompt)
+        self._entries[entry].record_prompt(SERVICE, prompt.segments)
         self._send(prompt)
 
+    def _is_late_sound(self, prompt):
+        """Tell whether a prompt is sound and came after the rule's time."""
+        late_s = self._rule_from_s + CONTACT_S
+        return not prompt.is_faulty and prompt.arrived_s > late_s
+
+    def _count_refused(self, prompt):
+        self.result.refused_sound += not prompt.is_faulty
+        self.result.late_refused_sound += self._is_late_sound(prompt)
+
     def _send(self, prompt):
         up = [
             number
@@ -113,7 +158,7 @@
         if not self._entries[prompt.entry].admit(
             SERVICE, prompt.segments, self._now_s
         ):
-            self.result.refused_sound += not prompt.is_faulty
+            self._count_refused(prompt)
             return
         prompt.attempts += 1
         prompt.endpoint = self._rng.choice(up)
@@ -128,9 +173,10 @@
             if prompt not in self._running:
                 continue
             began_for_s = self._now_s - prompt.begins_s
+            crash_after_s = 0.0 if self._load.is_headless else CRASH_AFTER_S
             if began_for_s < 0:
                 self._cancel_blocked(prompt)
-            elif prompt.is_faulty and began_for_s >= CRASH_AFTER_S:
+            elif prompt.is_faulty and began_for_s >= crash_after_s:
                 self.result.crashes_by_prompts += 1
                 if self.result.crashes_by_prompts == RULE_CRASHES:
                     self._rule_from_s = self._now_s + CONTACT_S
@@ -144,7 +190,7 @@
         )
         if until_s > self._now_s:
             self._running.remove(prompt)
-            self.result.refused_sound += not prompt.is_faulty
+            self._count_refused(prompt)
 
     def _go_on(self, prompt, began_for_s):
         if not prompt.is_sound_recorded:
@@ -157,27 +203,46 @@
 
     def _crash(self, numbers):
         lost = [each for each in self._running if each.endpoint in numbers]
-        for prompt in lost:
-            self._running.remove(prompt)
-            began_for_s = self._now_s - prompt.begins_s
-            if 0 <= began_for_s < SOUND_AFTER_S:
-                number = prompt.endpoint
-                self._entries[prompt.entry].record_crash(
-                    SERVICE,
-                    f'e{number}-{self._starts[number]}',
-                    prompt.segments,
-                    prompt.sent_s,
-                    self._now_s,
-                )
         for number in numbers:
+            for entry in range(len(self._entries)):
+                self._record_crash(
+                    entry,
+                    number,
+                    [
+                        each
+                        for each in lost
+                        if (each.entry, each.endpoint) == (entry, number)
+                    ],
+                )
             self._down_until_s[number] = self._now_s + RESTART_S
             self._starts[number] += 1
         for prompt in lost:
+            self._running.remove(prompt)
             prompt.is_sound_recorded = False
             self._send(prompt)
 
+    def _record_crash(self, entry, number, lost):
+        """Record the prompts of an entry that an endpoint took along."""
+        suspects = [
+            crashes.Suspect(each.segments, each.sent_s, self._has_head(each))
+            for each in lost
+            if self._now_s - each.begins_s < SOUND_AFTER_S
+        ]
+        if suspects:
+            self._entries[entry].record_crash(
+                SERVICE,
+                f'e{number}-{self._starts[number]}',
+                suspects,
+                self._now_s,
+            )
+
+    def _has_head(self, prompt):
+        return self._now_s >= prompt.begins_s and not (
+            prompt.is_faulty and self._load.is_headless
+        )
+
     def _crash_by_themselves(self):
-        if not self._happens(self._rate):
+        if not self._happens(self._load.rate):
             return
         count = len(self._down_until_s)
         first = self._rng.randrange(count)
--- a/features/quarantine/segments.feature
+++ b/features/quarantine/segments.feature
@@ -184,3 +184,102 @@
       | 6       | 12        | 0.2   | 1.0  | 5     |
       | 6       | 12        | 0     | 1.0  | 5     |
       | 58      | 71        | 0.3   | 1.0  | 2     |
+
+  Scenario Outline: Replay of a fleet whose endpoints crash while prompts wait
+    # Guards against crashes that leave no evidence, as they come before the
+    # head of an answer, and against refusing the sound prompts that an
+    # endpoint takes along.
+    Given a fleet of <entries> entries and <endpoints> endpoints
+    And a share of <share> of one kind of prompt crashes endpoints from <from_s> s on, <stage>
+    And endpoints get <load> requests a second each, half of them with a segment of their own
+    And endpoints also crash by themselves <rate> times a second
+    When the fleet runs for 30 s with <seeds> seeds
+    Then at most 3 crashing prompts reach endpoints later than 3 s after a fifth crash
+    And at most 1 of 100 sound prompts is refused
+
+    Examples:
+      | entries | endpoints | share | from_s | stage           | load | rate | seeds |
+      | 6       | 10        | 0.06  | 4      | before the head | 1.0  | 0    | 3     |
+      | 6       | 10        | 0.36  | 0      | before the head | 3.0  | 0    | 2     |
+      | 6       | 10        | 1.0   | 4      | before the head | 3.0  | 0.3  | 1     |
+      | 6       | 10        | 1.0   | 0      | after the head  | 3.0  | 0    | 1     |
+      | 9       | 18        | 1.0   | 0      | before the head | 3.0  | 0    | 1     |
+      | 58      | 71        | 0.36  | 4      | before the head | 1.0  | 0    | 1     |
+
+  Scenario: Crashes while different prompts wait are evidence
+    # Guards against endpoints that crash before the head of an answer and
+    # leave no evidence.
+    Given two entries that each got 50 other prompts
+    When these crashes are seen
+      | entry | at_s | endpoint | segments | stage   |
+      | 1     | 10.0 | e1       | a b, x   | waiting |
+      | 1     | 12.0 | e2       | a c, y   | waiting |
+    Then entry 1 admits "a" at 12.0 s
+    When these crashes are seen
+      | entry | at_s | endpoint | segments | stage   |
+      | 1     | 14.0 | e3       | a d, z   | waiting |
+      | 1     | 16.0 | e4       | a e      | waiting |
+    Then entry 1 blocks "a" at 16.0 s
+    And entry 1 admits "b" at 16.0 s
+    And entry 1 admits "x" at 16.0 s
+
+  Scenario: A request that waits at three crashing endpoints is not blamed
+    # Guards against giving up a sound request whose endpoints crash by
+    # others.
+    Given two entries that each got 50 other prompts
+    When these crashes are seen
+      | entry | at_s | endpoint | segments | stage   |
+      | 1     | 10.0 | e1       | a b      | waiting |
+      | 1     | 12.0 | e2       | a b      | waiting |
+      | 1     | 14.0 | e3       | a b      | waiting |
+    Then entry 1 admits "a b" at 14.0 s
+
+  Scenario: Crashes by one segment are no evidence against the others there
+    # Guards against refusing sound prompts that an endpoint took along.
+    Given two entries that each got 50 other prompts
+    When these crashes are seen
+      | entry | at_s | endpoint | segments | stage   |
+      | 1     | 10.0 | e1       | p q, a b | waiting |
+      | 1     | 12.0 | e2       | p r, a c | waiting |
+      | 1     | 14.0 | e3       | p s, a d | waiting |
+      | 2     | 16.0 | e4       | p t      | waiting |
+    And the entries exchange reports at 16.1 s
+    Then entry 1 blocks "p" at 16.1 s
+    And entry 1 admits "a" at 16.1 s
+
+  Scenario: An endpoint that starts again under its id crashes again
+    # Guards against counting all crashes of an endpoint with one id as one.
+    Given two entries
+    When these crashes are seen
+      | entry | at_s | endpoint | segments |
+      | 1     | 10.0 | e1       | a b      |
+      | 1     | 15.0 | e1       | a b      |
+    Then entry 1 blocks "a b" at 15.0 s
+
+  Scenario: One entry of all sends the trial after a block
+    # Guards against as many trials as there are entries.
+    Given two entries of which entry 1 takes the turns
+    When these crashes are seen
+      | entry | at_s | endpoint | segments |
+      | 1     | 10.0 | e1       | a        |
+      | 1     | 12.0 | e2       | a        |
+    And the entries exchange reports at 12.1 s
+    Then entry 2 blocks "a" at 72.2 s
+    And entry 2 admits "a" from 82.0 s
+    And entry 1 admits "a" at 72.2 s
+    And entry 1 blocks "a" at 72.3 s
+
+  Scenario: A block lasts while callers repeat what is blocked
+    # Guards against a block that ends as its segment gets more common among
+    # the prompts that come.
+    Given two entries that each got 50 other prompts
+    When these crashes are seen
+      | entry | at_s | endpoint | segments | stage   |
+      | 1     | 10.0 | e1       | a b      | waiting |
+      | 1     | 12.0 | e2       | a c      | waiting |
+      | 1     | 14.0 | e3       | a d      | waiting |
+    And entry 1 gets 200 prompts with "a"
+    And these crashes are seen
+      | entry | at_s | endpoint | segments | stage |
+      | 1     | 15.0 | e4       | z        | begun |
+    Then entry 1 blocks "a" at 15.0 s
--- a/features/steps/explanation_steps.py
+++ b/features/steps/explanation_steps.py
@@ -30,6 +30,7 @@
 from godwitvalve.placement import choose
 from godwitvalve.placement import speed
 from godwitvalve.placement import tracker
+from godwitvalve.quarantine import crashes
 from standins import local_site
 from typer import testing
 
@@ -257,8 +258,7 @@
             context.site.context.quarantine.record_crash(
                 forwarding_site.SERVICE,
                 f'x{ago_s}',
-                ('shared',),
-                now_s - ago_s,
+                [crashes.Suspect(frozenset(['shared']), now_s - ago_s, True)],
                 now_s - ago_s,
             )
 
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -12,6 +12,7 @@
 from godwitvalve.ingress import shared_states
 from godwitvalve.ingress import state_rows
 from godwitvalve.platform import store as stores
+from godwitvalve.quarantine import crashes
 from godwitvalve.quarantine import reports
 from godwitvalve.quarantine import segments
 import msgspec
@@ -25,13 +26,45 @@
     context.now_s = 0.0
 
 
+@behave.given('two entries that each got {count:d} other prompts')
+def two_used_entries(context, count):
+    two_entries(context)
+    for entry in context.entries:
+        for number in range(count):
+            entry.record_prompt(SERVICE, [f'other-{number}'])
+
+
+@behave.given('two entries of which entry {number:d} takes the turns')
+def turns_of_one(context, number):
+    two_entries(context)
+    context.entries = [
+        segments.SegmentQuarantine(lambda key, own=each: own == number)
+        for each in (1, 2)
+    ]
+
+
+@behave.when('entry {number:d} gets {count:d} prompts with "{names}"')
+def gets_prompts(context, number, count, names):
+    for _ in range(count):
+        context.entries[number - 1].record_prompt(SERVICE, names.split())
+
+
 @behave.when('these crashes are seen')
 def crashes_seen(context):
     for row in context.table:
         at_s = float(row['at_s'])
         sent_s = float(row['sent_s']) if 'sent_s' in row.headings else at_s - 1
+        stage = row['stage'] if 'stage' in row.headings else 'begun'
         context.entries[int(row['entry']) - 1].record_crash(
-            SERVICE, row['endpoint'], row['segments'].split(), sent_s, at_s
+            SERVICE,
+            row['endpoint'],
+            [
+                crashes.Suspect(
+                    frozenset(prompt.split()), sent_s, stage == 'begun'
+                )
+                for prompt in row['segments'].split(', ')
+            ],
+            at_s,
         )
 
 
@@ -68,8 +101,13 @@
         context.entries[0].record_crash(
             SERVICE,
             f'i-{number:010x}',
-            [f'{number:012x}', f'{number + 1000:012x}'],
-            context.now_s - 0.5,
+            [
+                crashes.Suspect(
+                    frozenset([f'{number:012x}', f'{number + 1000:012x}']),
+                    context.now_s - 0.5,
+                    True,
+                )
+            ],
             context.now_s,
         )
 
@@ -132,6 +170,26 @@
     context.share = share
 
 
+@behave.given(
+    'a share of {share:g} of one kind of prompt crashes endpoints from '
+    '{from_s:g} s on, {stage} the head'
+)
+def faulty_share_from(context, share, from_s, stage):
+    context.share = share
+    context.load = {
+        'faulty_from_s': from_s,
+        'is_headless': stage == 'before',
+    }
+
+
+@behave.given(
+    'endpoints get {load:g} requests a second each, half of them with a '
+    'segment of their own'
+)
+def endpoint_load(context, load):
+    context.load |= {'per_endpoint_s': load, 'own_share': 0.5}
+
+
 @behave.given('endpoints also crash by themselves {rate:g} times a second')
 def crash_rate(context, rate):
     context.rate = rate
@@ -141,7 +199,11 @@
 def fleet_runs(context, length_s, seeds):
     context.results = [
         crash_simulation.CrashSimulation(
-            seed, *context.size, context.share, context.rate
+            seed,
+            *context.size,
+            crash_simulation.Load(
+                context.share, context.rate, **getattr(context, 'load', {})
+            ),
         ).run(length_s)
         for seed in range(seeds)
     ]
@@ -163,6 +225,13 @@
     assert max(found) <= limit, context.results
 
 
+@behave.then('at most {count:d} of 100 sound prompts is refused')
+def few_sound_refused(context, count):
+    sound = sum(each.sound for each in context.results)
+    refused = sum(each.refused_sound for each in context.results)
+    assert 0 < sound and refused * 100 <= sound * count, context.results
+
+
 @behave.then('no sound prompt is refused')
 def no_sound_refused(context):
     assert all(each.sound for each in context.results)
@@ -223,7 +292,10 @@
     for number, name in enumerate(names.split(', ')):
         at_s = now_s - 3.0 + number
         context.entry.record_crash(
-            SERVICE, name, parts.split(), at_s - 0.5, at_s
+            SERVICE,
+            name,
+            [crashes.Suspect(frozenset(parts.split()), at_s - 0.5, True)],
+            at_s,
         )
 
 
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -17,6 +17,7 @@
 from godwitvalve.fleet import routes
 from godwitvalve.fleet import state as states
 from godwitvalve.forwarding import counters as counter_model
+from godwitvalve.forwarding import crash_checks as crash_check_model
 from godwitvalve.forwarding import exchange as exchanges
 from godwitvalve.forwarding import policy
 from godwitvalve.forwarding import pool as pools
@@ -31,6 +32,7 @@
 from godwitvalve.placement import speed as speed_model
 from godwitvalve.placement import tracker as trackers
 from godwitvalve.platform import headers as wire
+from godwitvalve.quarantine import crashes as crash_model
 from godwitvalve.quarantine import segments as segment_model
 from godwitvalve.queueing import shares as share_model
 from godwitvalve.queueing import turns as turn_model
@@ -100,6 +102,9 @@
         default_factory=histories.ProcessHistory
     )
     rng: random.Random = dataclasses.field(default_factory=random.Random)
+    crash_checks: crash_check_model.CrashChecks = dataclasses.field(
+        default_factory=crash_check_model.CrashChecks
+    )
 
     @property
     def work_factors(self) -> endpoint_speed_model.WorkFactors:
@@ -282,19 +287,21 @@
         )
         self.on_placement_changed()
 
-    def record_crash(
+    async def check_crash(
+        self, endpoint: endpoints.FleetEndpoint, suspect: crash_model.Suspect
+    ) -> None:
+        """Check an endpoint that broke off the answer to a suspect."""
+        await self.crash_checks.check(endpoint, suspect, self._record_crash)
+
+    def _record_crash(
         self,
         endpoint: endpoints.FleetEndpoint,
-        segments: abc.Collection[str],
-        sent_s: float,
+        suspects: list[crash_model.Suspect],
         at_s: float,
     ) -> None:
-        """Record that an endpoint crashed as it began an answer.
-
-        :param sent_s: when the request was sent, on the loop's clock.
-        """
+        """Record that an endpoint crashed before answers went on."""
         if not self.quarantine.record_crash(
-            endpoint.service, endpoint.endpoint_id, segments, sent_s, at_s
+            endpoint.service, endpoint.endpoint_id, suspects, at_s
         ):
             return
         self.counters.count_crash(endpoint.service)
@@ -302,11 +309,9 @@
             'Endpoint crashed as it began an answer.',
             extra={
                 'endpoint_id': endpoint.endpoint_id,
-                'segments': list(segments),
-                'is_quarantined': self.quarantine.blocked_until_s(
-                    endpoint.service, segments
-                )
-                > at_s,
+                'begun': _prompts(suspects, True),
+                'waiting': _prompts(suspects, False),
+                'blocks': self.quarantine.blocks().get(endpoint.service, []),
             },
         )
         self.on_placement_changed()
@@ -334,3 +339,13 @@
         """
         usable = self.state.registry.usable(service)
         return self.rollouts.choose(service, usable, draw)
+
+
+def _prompts(
+    suspects: list[crash_model.Suspect], has_begun: bool
+) -> list[list[str]]:
+    return [
+        sorted(each.segments)
+        for each in suspects
+        if each.has_begun == has_begun
+    ]
--- a/src/godwitvalve/forwarding/stream_records.py
+++ b/src/godwitvalve/forwarding/stream_records.py
@@ -4,11 +4,11 @@
 
 from godwitvalve.forwarding import attempts
 from godwitvalve.forwarding import exchange as exchanges
-from godwitvalve.forwarding import probes
 from godwitvalve.forwarding import stream_state
 from godwitvalve.logs import setup as logs
 from godwitvalve.placement import speed as speed_model
 from godwitvalve.platform import headers as wire
+from godwitvalve.quarantine import crashes as crash_model
 
 # Shorter streams give no reliable time per event.
 MIN_EVENTS_FOR_SPEED = 10
@@ -34,31 +34,21 @@
     async def record_crash(
         self, attempt: attempts.StreamAttempt, end: attempts.AttemptEnd
     ) -> None:
-        """Record the segments if the endpoint crashed as it began to answer.
+        """Check an endpoint that may have crashed by the prompt.
 
-        An endpoint that broke off a single answer still accepts connections.
+        It may crash before it has sent the head of its answer.
         """
         if (
             not isinstance(end, attempts.Interrupted)
             or not end.is_broken_off
-            or not attempt.has_head
+            or not end.may_have_run
             or attempt.event_count >= MIN_SOUND_EVENTS
         ):
             return
-        ended_s = self._loop.time()
-        if await probes.accepts_connections(attempt.endpoint.address):
-            _LOG.info(
-                'Endpoint broke off an answer and accepts connections.',
-                extra={
-                    'request_id': self._routed.request.facts.request_id,
-                    'endpoint_id': attempt.endpoint.endpoint_id,
-                    'segments': self._state.segments,
-                },
-            )
-            return
-        self._context.record_crash(
-            attempt.endpoint, self._state.segments, attempt.began_s, ended_s
+        suspect = crash_model.Suspect(
+            frozenset(self._state.segments), attempt.began_s, attempt.has_head
         )
+        await self._context.check_crash(attempt.endpoint, suspect)
 
     def _record_speed(self, attempt: attempts.StreamAttempt) -> None:
         """Record the speed of a complete stream that took one attempt."""
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -116,6 +116,9 @@
             )
 
     async def _forward(self) -> replies.Reply:
+        self._context.quarantine.record_prompt(
+            self._routed.service, self._state.segments
+        )
         if not can_meet_deadline(self._context, self._routed, self._state):
             return replies.Refusal(
                 codes.ResultCode.DEADLINE_BEFORE_SEND,
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -60,6 +60,7 @@
 from godwitvalve.platform import endpoints as wire_endpoints
 from godwitvalve.platform import settings as wire_settings
 from godwitvalve.platform import store as stores
+from godwitvalve.quarantine import segments as segment_model
 from godwitvalve.queueing import shares
 from godwitvalve.queueing import turns
 from godwitvalve.rollouts import orders as rollout_orders
@@ -67,6 +68,7 @@
 from godwitvalve.rollouts import registry as rollout_registries
 from godwitvalve.rollouts import status_writer as rollout_writers
 from godwitvalve.routing import retry_budget
+from godwitvalve.routing import subset
 
 # When a failure domain restarts, its endpoints register at about the same
 # time. A pause between reads lets one call return them together, and leaves
@@ -152,6 +154,7 @@
             limiter=limiters.EndpointLimiter(
                 self._coordinators, self._on_placement
             ),
+            quarantine=segment_model.SegmentQuarantine(self._takes_turn),
             turns=turns.Turns(account_use),
             paces=paces,
             account_use=account_use,
@@ -245,6 +248,12 @@
             hosts, self._members.reachable_share(now_s)
         )
 
+    def _takes_turn(self, key: str) -> bool:
+        """Tell whether this serving entry is chosen for a key."""
+        entries = self._coordinators().hosts
+        chosen = max(entries, key=lambda each: subset.score(each, key))
+        return chosen == self._settings.instance_id
+
     def _decide_permit(
         self, question: permit_messages.PermitRequest
     ) -> permit_messages.PermitAnswer:
@@ -419,6 +428,7 @@
             task.cancel()
         self._successors.stop()
         self._leaving_checks.stop()
+        self._context.crash_checks.stop()
         self._gossip.close()
         self._permits.close()
         await self._sources.close()
--- a/src/godwitvalve/quarantine/reports.py
+++ b/src/godwitvalve/quarantine/reports.py
@@ -8,12 +8,14 @@
 
 
 class CrashReport(NamedTuple):
-    """An endpoint that crashed as it began the answer to a prompt.
+    """An endpoint that crashed before the answer to a prompt went on.
 
     :param endpoint_id: incarnation that crashed.
     :param segments: shared segments of the prompt.
     :param age_ms: milliseconds since the crash.
     :param run_ms: milliseconds from sending the prompt to the crash.
+    :param has_begun: whether the head of the answer had arrived.
+    :param evidence: evidence against each of these segments, in hundredths.
     """
 
     service: str
@@ -21,6 +23,8 @@
     segments: tuple[str, ...]
     age_ms: bounds.Milliseconds
     run_ms: bounds.Milliseconds
+    has_begun: bool = True
+    evidence: tuple[bounds.Count, ...] = ()
 
 
 class SoundReport(NamedTuple):
--- a/src/godwitvalve/quarantine/segments.py
+++ b/src/godwitvalve/quarantine/segments.py
@@ -4,30 +4,18 @@
 
 from collections import abc
 import itertools
-from typing import NamedTuple
 
 from godwitvalve.decoding import bounds
+from godwitvalve.quarantine import crashes as crash_model
+from godwitvalve.quarantine import prompt_shares
 from godwitvalve.quarantine import reports
+from godwitvalve.quarantine import verdicts
 
-# Crashes after which a segment is blocked that no answer has shown to be
-# sound. A single one may have any cause.
-MIN_CRASHES = 2
-# The same for a segment that has had sound answers, as it may have been at
-# endpoints that crashed for other reasons.
-MIN_CRASHES_IF_SOUND = 5
-# Endpoints that crash within this time of one another have a cause in
-# common, such as their failure domain, and count once. A prompt that was
-# sent after the first crash is no part of that.
-SAME_CAUSE_S = 0.25
-# Time after the last crash for which a segment is blocked. It doubles with
-# each crash of a prompt that was admitted afterwards.
-FIRST_BLOCK_S = 60.0
-LONGEST_BLOCK_S = 600.0
-# Time between two prompts that an entry admits to find out whether a segment
+# Time between two prompts that are admitted to find out whether a segment
 # still crashes endpoints. Such a prompt begins its answer within seconds.
 TRIAL_PERIOD_S = 10.0
 # Crashes are forgotten after this time.
-RETENTION_S = 2 * LONGEST_BLOCK_S
+RETENTION_S = 2 * verdicts.LONGEST_BLOCK_S
 # Times that two entries know of the same event differ by this much.
 CLOCK_TOLERANCE_S = 0.05
 MAX_CRASHES = 64
@@ -36,68 +24,88 @@
 MAX_REPORTED_SEGMENTS = 12
 
 
-class Crash(NamedTuple):
-    """An endpoint that crashed as it began the answer to a prompt.
-
-    :param sent_s: when the prompt was sent there.
-    """
-
-    service: str
-    endpoint_id: str
-    segments: frozenset[str]
-    sent_s: float
-    at_s: float
-
-
-class Block(NamedTuple):
-    """Prompts with all these segments are not sent until a time."""
-
-    segments: frozenset[str]
-    until_s: float
-
-
 class SegmentQuarantine:
     """Evidence about segments, and the prompts that it blocks.
 
     Load pattern: prompts with one segment come at all entries, and each
-    endpoint that begins to answer one crashes. The streams of other callers
-    that run there are interrupted as well. Other prompts share their other
-    segments, endpoints also crash for reasons of their own, and each entry
-    sees a part of the crashes.
+    endpoint that begins to answer one crashes, before or after the head of
+    its answer. All other prompts there are lost as well. They share their
+    other segments, endpoints also crash for reasons of their own, and each
+    entry sees a part of the crashes.
 
     All times are monotonic seconds.
+
+    :param takes_turn: returns whether this entry, of all, sends the prompt
+        that a key stands for.
     """
 
-    def __init__(self) -> None:
-        self._crashes: dict[tuple[str, str, frozenset[str]], Crash] = {}
+    def __init__(
+        self, takes_turn: abc.Callable[[str], bool] = lambda key: True
+    ) -> None:
+        self._takes_turn = takes_turn
+        self._crashes: list[crash_model.Crash] = []
+        self._shares = prompt_shares.PromptShares()
         self._sound_s: dict[tuple[str, str], float] = {}
-        self._blocks: dict[str, list[Block]] = {}
+        self._blocks: dict[str, list[verdicts.Block]] = {}
+        self._evidence: dict[tuple[str, str], float] = {}
         self._trial_from_s: dict[tuple[str, frozenset[str]], float] = {}
 
+    def record_prompt(self, service: str, segments: abc.Iterable[str]) -> None:
+        """Count a prompt that a caller sent."""
+        self._shares.record(service, segments)
+
     def record_crash(
         self,
         service: str,
         endpoint_id: str,
-        segments: abc.Iterable[str],
-        sent_s: float,
+        suspects: abc.Collection[crash_model.Suspect],
         at_s: float,
     ) -> bool:
-        """Record a crash; return whether it was unknown.
+        """Record a crash; return whether a suspect of it was unknown."""
+        is_new = self._add(
+            service,
+            endpoint_id,
+            crash_model.suspicions(service, suspects, self._shares),
+            at_s,
+        )
+        if is_new:
+            self._review()
+        return is_new
 
-        :param sent_s: when the prompt was sent to the endpoint.
+    def _add(
+        self,
+        service: str,
+        endpoint_id: str,
+        suspects: abc.Iterable[tuple[frozenset[str], crash_model.Suspicion]],
+        at_s: float,
+    ) -> bool:
+        crash = self._find(service, endpoint_id, at_s)
+        # A list, as each suspect is added.
+        is_new = any([crash.add(*each) for each in suspects])
+        if is_new:
+            if not any(each is crash for each in self._crashes):
+                self._crashes.append(crash)
+            if len(self._crashes) > MAX_CRASHES:
+                oldest = min(self._crashes, key=lambda each: each.at_s)
+                self._crashes.remove(oldest)
+        return is_new
+
+    def _find(
+        self, service: str, endpoint_id: str, at_s: float
+    ) -> crash_model.Crash:
+        """Return a crash that is known, or a new one without suspects.
+
+        An endpoint may crash again after it started under the same id.
         """
-        crash = Crash(service, endpoint_id, frozenset(segments), sent_s, at_s)
-        key = (service, endpoint_id, crash.segments)
-        if not crash.segments or key in self._crashes:
-            return False
-        self._crashes[key] = crash
-        if len(self._crashes) > MAX_CRASHES:
-            oldest = min(
-                self._crashes, key=lambda each: self._crashes[each].at_s
-            )
-            del self._crashes[oldest]
-        self._review()
-        return True
+        return next(
+            (
+                each
+                for each in self._crashes
+                if (each.service, each.endpoint_id) == (service, endpoint_id)
+                and each.is_at(at_s)
+            ),
+            crash_model.Crash(service, endpoint_id, at_s),
+        )
 
     def record_sound(
         self, service: str, segments: abc.Iterable[str], began_s: float
@@ -106,77 +114,51 @@
 
         :returns: whether that says something about a known crash.
         """
-        newer = [
-            segment
-            for segment in segments
-            if self._is_newer((service, segment), began_s)
-        ]
-        for segment in newer:
-            self._sound_s.pop((service, segment), None)
-            self._sound_s[service, segment] = began_s
+        # A list, as each segment is recorded.
+        is_relevant = any(
+            [self._add_sound(service, each, began_s) for each in segments]
+        )
+        if is_relevant:
+            self._review()
+        return is_relevant
+
+    def _add_sound(self, service: str, segment: str, began_s: float) -> bool:
+        """Return whether it says something about a known crash."""
+        key = (service, segment)
+        known_s = self._sound_s.pop(key, None)
+        if known_s is not None and began_s <= known_s + CLOCK_TOLERANCE_S:
+            self._sound_s[key] = known_s
+            return False
+        self._sound_s[key] = began_s
         while len(self._sound_s) > MAX_SOUND_SEGMENTS:
             del self._sound_s[next(iter(self._sound_s))]
-        if not newer or not self._crashes:
-            return False
-        suspected = self._suspected()
-        if any((service, segment) in suspected for segment in newer):
-            self._review()
-            return True
-        return False
-
-    def _is_newer(self, key: tuple[str, str], began_s: float) -> bool:
-        known_s = self._sound_s.get(key)
-        return known_s is None or began_s > known_s + CLOCK_TOLERANCE_S
-
-    def _suspected(self) -> set[tuple[str, str]]:
-        return {
-            (crash.service, segment)
-            for crash in self._crashes.values()
-            for segment in crash.segments
-        }
+        return any(
+            crash.service == service
+            and segment in crash.segments
+            and (known_s is None or known_s < crash.at_s <= began_s)
+            for crash in self._crashes
+        )
 
     def _review(self) -> None:
         """Decide anew which prompts are blocked."""
-        self._blocks = {}
-        for service, segment in sorted(self._suspected()):
-            block = self._block_for(service, segment)
-            if block is not None:
-                self._blocks.setdefault(service, []).append(block)
-
-    def _block_for(self, service: str, segment: str) -> Block | None:
-        """Return the block for the crashes of a segment, if any.
-
-        A prompt without a part of the segments that these crashes have in
-        common is still sent: its answer tells which of them is at fault.
-        """
-        sound_s = self._sound_s.get((service, segment))
-        crashes = sorted(
-            (
-                crash
-                for crash in self._crashes.values()
-                if crash.service == service
-                and segment in crash.segments
-                and (sound_s is None or crash.at_s > sound_s)
-            ),
-            key=lambda crash: crash.at_s,
-        )
-        needed = MIN_CRASHES if sound_s is None else MIN_CRASHES_IF_SOUND
-        excess = _count_causes(crashes) - needed
-        if excess < 0:
-            return None
-        common = frozenset.intersection(*(each.segments for each in crashes))
-        suspects = frozenset(
-            each
-            for each in common
-            if self._sound_s.get((service, each), float('-inf'))
-            <= crashes[0].at_s
-        )
-        block_s = min(FIRST_BLOCK_S * 2**excess, LONGEST_BLOCK_S)
-        return Block(suspects, crashes[-1].at_s + block_s)
+        self._blocks, self._evidence = {}, {}
+        for service in {each.service for each in self._crashes}:
+            blocks, evidence = verdicts.blocks(
+                (each for each in self._crashes if each.service == service),
+                {
+                    segment: began_s
+                    for (name, segment), began_s in self._sound_s.items()
+                    if name == service
+                },
+            )
+            if blocks:
+                self._blocks[service] = blocks
+            for segment, found in evidence.items():
+                self._evidence[service, segment] = found
 
     def _matching(
         self, service: str, segments: abc.Collection[str]
-    ) -> list[Block]:
+    ) -> list[verdicts.Block]:
         return [
             block
             for block in self._blocks.get(service, ())
@@ -212,15 +194,32 @@
     ) -> bool:
         """Tell whether a prompt may be sent now.
 
-        Once a block has ended, one prompt in each ``TRIAL_PERIOD_S`` is
-        sent until one is answered or crashes its endpoint.
+        Once a block has ended, one entry sends one prompt in each
+        ``TRIAL_PERIOD_S`` until one is answered or crashes its endpoint.
         """
         if now_s < self.admitted_from_s(service, segments):
             return False
-        for block in self._matching(service, segments):
-            key = (service, block.segments)
-            self._trial_from_s[key] = now_s + TRIAL_PERIOD_S
-        return True
+        return all(
+            # A list, as a trial of each block begins.
+            [
+                self._begin_trial(service, block, now_s)
+                for block in self._matching(service, segments)
+            ]
+        )
+
+    def _begin_trial(
+        self, service: str, block: verdicts.Block, now_s: float
+    ) -> bool:
+        """Tell whether this entry sends the trial of a period."""
+        period = int((now_s - block.until_s) // TRIAL_PERIOD_S)
+        names = ' '.join(sorted(block.segments))
+        is_own = self._takes_turn(f'{service} {names} {period}')
+        self._trial_from_s[service, block.segments] = (
+            now_s + TRIAL_PERIOD_S
+            if is_own
+            else block.until_s + (period + 1) * TRIAL_PERIOD_S
+        )
+        return is_own
 
     def merge(
         self, report: reports.QuarantineReport, now_s: float, age_s: float
@@ -229,66 +228,113 @@
 
         :param age_s: seconds since it was sent.
         """
-        for sound in report.sound:
-            began_s = now_s - age_s - sound.age_ms / 1000
-            self.record_sound(sound.service, (sound.segment,), began_s)
-        for crash in report.crashes:
-            at_s = now_s - age_s - crash.age_ms / 1000
-            if now_s - at_s < RETENTION_S:
-                self.record_crash(
-                    crash.service,
-                    crash.endpoint_id,
-                    crash.segments,
-                    at_s - crash.run_ms / 1000,
-                    at_s,
+        found = [
+            self._add_sound(
+                sound.service,
+                sound.segment,
+                now_s - age_s - sound.age_ms / 1000,
+            )
+            for sound in report.sound
+        ]
+        found += [
+            self._merge_crash(crash, now_s - age_s - crash.age_ms / 1000)
+            for crash in report.crashes
+            if age_s + crash.age_ms / 1000 < RETENTION_S
+        ]
+        if any(found):
+            self._review()
+
+    def _merge_crash(self, crash: reports.CrashReport, at_s: float) -> bool:
+        suspicion = crash_model.Suspicion(
+            at_s - crash.run_ms / 1000,
+            crash.has_begun,
+            {
+                segment: evidence / 100
+                for segment, evidence in itertools.zip_longest(
+                    crash.segments, crash.evidence, fillvalue=0
                 )
+                if isinstance(segment, str)
+            },
+        )
+        return self._add(
+            crash.service,
+            crash.endpoint_id,
+            [(frozenset(crash.segments), suspicion)],
+            at_s,
+        )
 
     def report(self, now_s: float) -> reports.QuarantineReport:
-        """Return evidence for other entries: of blocks, then the newest."""
-        crashes: list[reports.CrashReport] = []
+        """Return evidence for other entries.
+
+        That of blocks comes first, then that against the most suspicious
+        segments, then the newest.
+        """
+        chosen: dict[tuple[int, frozenset[str]], reports.CrashReport] = {}
         sound: dict[tuple[str, str], float] = {}
         reported = 0
-        for crash in sorted(
-            self._crashes.values(),
-            key=lambda each: (
-                not self._matching(each.service, each.segments),
-                -each.at_s,
+        for crash, segments in sorted(
+            (
+                (crash, segments)
+                for crash in self._crashes
+                for segments in crash.suspects
             ),
+            key=lambda each: self._report_rank(*each),
         ):
-            if reported + len(crash.segments) > MAX_REPORTED_SEGMENTS:
+            notable = self._notable(crash.service, segments)
+            key = (id(crash), notable)
+            if (
+                key in chosen
+                or reported + len(notable) > MAX_REPORTED_SEGMENTS
+            ):
                 continue
-            reported += len(crash.segments)
-            crashes.append(
-                reports.CrashReport(
-                    crash.service,
-                    crash.endpoint_id,
-                    tuple(sorted(crash.segments)),
-                    _duration_ms(crash.at_s, now_s),
-                    _duration_ms(crash.sent_s, crash.at_s),
-                )
+            reported += len(notable)
+            chosen[key] = _crash_report(
+                crash, notable, crash.suspects[segments], now_s
             )
-            for segment in crash.segments:
-                key = (crash.service, segment)
-                if key in self._sound_s:
-                    sound[key] = self._sound_s[key]
+            for segment in notable:
+                if (crash.service, segment) in self._sound_s:
+                    sound[crash.service, segment] = self._sound_s[
+                        crash.service, segment
+                    ]
         return reports.QuarantineReport(
-            crashes,
+            list(chosen.values()),
             [
                 reports.SoundReport(*key, _duration_ms(began_s, now_s))
                 for key, began_s in sound.items()
             ],
         )
 
+    def _notable(
+        self, service: str, segments: frozenset[str]
+    ) -> frozenset[str]:
+        """Return the segments of a suspect that others are told of.
+
+        The crashes of a block take more room than a heartbeat has if each
+        comes with all segments of its prompt.
+        """
+        blocked = [each.segments for each in self._matching(service, segments)]
+        return frozenset().union(*blocked) if blocked else segments
+
+    def _report_rank(
+        self, crash: crash_model.Crash, segments: frozenset[str]
+    ) -> tuple[bool, float, float, float]:
+        evidence = [
+            self._evidence.get((crash.service, each), 0.0) for each in segments
+        ]
+        return (
+            not self._matching(crash.service, segments),
+            -max(evidence),
+            -crash.at_s,
+            -max(crash.suspects[segments].evidence.values()),
+        )
+
     def expire(self, now_s: float) -> None:
         """Forget old crashes."""
-        expired = [
-            key
-            for key, crash in self._crashes.items()
-            if now_s - crash.at_s > RETENTION_S
+        kept = [
+            each for each in self._crashes if now_s - each.at_s <= RETENTION_S
         ]
-        for key in expired:
-            del self._crashes[key]
-        if expired:
+        if len(kept) < len(self._crashes):
+            self._crashes = kept
             self._review()
         blocked = {
             (service, block.segments)
@@ -305,14 +351,14 @@
         return [
             {
                 'segments': sorted(block.segments),
-                'endpoints': sorted(
-                    {
-                        crash.endpoint_id
-                        for crash in self._crashes.values()
-                        if crash.service == service
-                        and block.segments <= crash.segments
-                    }
-                ),
+                'endpoints': [
+                    crash.endpoint_id
+                    for crash in self._crashes
+                    if crash.service == service
+                    and any(
+                        block.segments <= prompt for prompt in crash.suspects
+                    )
+                ],
             }
             for block in self._matching(service, segments)
         ]
@@ -321,16 +367,26 @@
         """Return the number of crashes that are remembered."""
         return len(self._crashes)
 
-    def blocks(self) -> dict[str, list[Block]]:
+    def blocks(self) -> dict[str, list[verdicts.Block]]:
         """Return the blocks by service."""
         return self._blocks
 
 
-def _count_causes(crashes: abc.Sequence[Crash]) -> int:
-    """Return the number of crashes in order of time, related ones as one."""
-    return bool(crashes) + sum(
-        later.at_s - earlier.at_s > SAME_CAUSE_S or later.sent_s > earlier.at_s
-        for earlier, later in itertools.pairwise(crashes)
+def _crash_report(
+    crash: crash_model.Crash,
+    segments: frozenset[str],
+    suspicion: crash_model.Suspicion,
+    now_s: float,
+) -> reports.CrashReport:
+    ordered = tuple(sorted(segments))
+    return reports.CrashReport(
+        crash.service,
+        crash.endpoint_id,
+        ordered,
+        _duration_ms(crash.at_s, now_s),
+        _duration_ms(suspicion.sent_s, crash.at_s),
+        suspicion.has_begun,
+        tuple(round(100 * suspicion.evidence[each]) for each in ordered),
     )
 
 
