Count endpoints that crash one after the other more than once

Ten endpoints that prompts killed within 0.9 s, each 0.07 s after the one before, counted as two causes: a crash had the cause of the one before it if they were 0.25 s apart. The time now counts from the first crash of a cause.

--- a/src/godwitvalve/quarantine/verdicts.py
+++ b/src/godwitvalve/quarantine/verdicts.py
@@ -21,9 +21,9 @@
 # with it counts as much as this, however common the segment is.
 SOUND_LIMIT_S = 2.0
 UNPROVED_EVIDENCE = 1.5
-# Endpoints that crash within this time of one another have a cause in
-# common, such as their failure domain, and count once. A prompt that was
-# sent after the first crash is no part of that.
+# Endpoints that crash within this time of a first one have a cause in common,
+# such as their failure domain, and count once. A prompt that was sent after
+# the first crash is no part of that.
 SAME_CAUSE_S = 0.25
 # Time after the last crash for which a segment is blocked. It doubles with
 # each crash of a prompt that was admitted afterwards.
@@ -43,7 +43,10 @@
 
 
 class _Cause(NamedTuple):
-    """Crashes with one cause."""
+    """Crashes with one cause.
+
+    :param at_s: time of the first of them.
+    """
 
     at_s: float
     evidence: float
@@ -194,7 +197,7 @@
             and crash.at_s - last.at_s <= SAME_CAUSE_S
             and max(sent_s) <= last.at_s
         ):
-            causes[-1] = _Cause(crash.at_s, max(last.evidence, evidence))
+            causes[-1] = _Cause(last.at_s, max(last.evidence, evidence))
         else:
             causes.append(_Cause(crash.at_s, evidence))
     return causes
