Take no part of a broken-off answer for the whole one

MIXED, as seen on other systems: a service answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection. On the own interface the caller got the part as a complete success, also for a short request: aiohttp's client ends a body without a length in the ordinary way, whatever ended its connection. It gets an unknown outcome now. On both interfaces an endpoint that ends such an answer while the request is still being written has broken it off.

--- a/features/forwarding/broken_answers.feature
+++ b/features/forwarding/broken_answers.feature
@@ -110,3 +110,19 @@
       | non-repeatable | 255  | 200    |
       | repeatable     | 1    | 200    |
       | stream         | 1    | 200    |
+
+  Scenario Outline: A part of an answer to an upload is not the whole answer
+    # Guards against a success with a part of the body: an endpoint answered
+    # without a length and broke off while the upload was still written.
+    Given an endpoint that answers a part without a length and ends by a <end>
+    When a <kind> request with a body of <size> bytes is sent to it
+    Then its caller gets no whole answer
+
+    Examples:
+      | kind           | end   | size    |
+      | non-repeatable | reset | 4000000 |
+      | non-repeatable | close | 4000000 |
+      | non-repeatable | half  | 8000000 |
+      | stream         | reset | 4000000 |
+      | stream         | close | 4000000 |
+      | stream         | half  | 8000000 |
--- a/features/services/services.feature
+++ b/features/services/services.feature
@@ -138,3 +138,17 @@
     Then its load report says that it is leaving
     When the plain service process is killed
     Then no load report can be read
+
+  Scenario Outline: A part of an answer is not taken for the whole one
+    # Guards against a success with a part of the body: a service answered
+    # without a length and broke off before it had read the request.
+    Given a plain service that answers a part without a length and ends by a <end>
+    When an upload of <size> bytes is sent to it
+    Then the service outcome is OUTCOME_UNKNOWN
+
+    Examples:
+      | end   | size    |
+      | reset | 100     |
+      | reset | 8000000 |
+      | close | 8000000 |
+      | half  | 8000000 |
--- a/features/steps/forwarding_broken_steps.py
+++ b/features/steps/forwarding_broken_steps.py
@@ -6,6 +6,7 @@
 
 import behave
 from features.doubles import forwarding_site
+from features.doubles import hasty_endpoint
 from features.doubles import ingress_site
 from features.doubles import scripted_endpoint
 from features.steps import forwarding_steps
@@ -320,22 +321,19 @@
         assert isinstance(reply, replies.Failure) and head is None, reply
 
 
-@behave.when(
-    'the first endpoint answers a {kind} request with the byte {byte:d} in a '
-    'header'
-)
-def byte_in_header(context, kind, byte):
+def _answer_first(context, kind, damage):
+    """Ask once, with a first endpoint whose answer is damaged.
+
+    :param damage: changes the bytes of a sound answer.
+    """
     sound = STREAM_ANSWER if kind == 'stream' else ANSWER
-    damaged = sound.replace(
-        b'Response-Signature', b'X-Note: a%cb\r\nResponse-Signature' % byte
-    )
     kinds = {
         'non-repeatable': routes.RequestKind.ONCE,
         'repeatable': routes.RequestKind.REPEATABLE,
         'stream': routes.RequestKind.STREAM,
     }
     site = ingress_site.IngressSite(
-        [[[damaged]], [[sound]]], forwarding_site.route(kinds[kind])
+        [[[damage(sound)]], [[sound]]], forwarding_site.route(kinds[kind])
     )
 
     async def ask():
@@ -345,6 +343,78 @@
     context.caller_result = asyncio.run(ask())
 
 
+@behave.when(
+    'the first endpoint answers a {kind} request with the byte {byte:d} in a '
+    'header'
+)
+def byte_in_header(context, kind, byte):
+    note = b'X-Note: a%cb\r\nResponse-Signature' % byte
+    _answer_first(
+        context,
+        kind,
+        lambda sound: sound.replace(b'Response-Signature', note),
+    )
+
+
+@behave.when(
+    'the first endpoint answers a {kind} request with status "{status}"'
+)
+def odd_status(context, kind, status):
+    def damage(sound):
+        number, _, where = status.partition(' ')
+        line = b'HTTP/1.1 %s Odd' % number.encode()
+        if where:
+            return line + b'\r\n\r\n' + sound
+        return sound.replace(b'HTTP/1.1 200 OK', line)
+
+    _answer_first(context, kind, damage)
+
+
+@behave.given(
+    'an endpoint that answers a part without a length and ends by a {end}'
+)
+def hasty_endpoint_ends(context, end):
+    context.end = end
+
+
+@behave.when('a {kind} request with a body of {size:d} bytes is sent to it')
+def sent_to_hasty(context, kind, size):
+    part = b'id: 1\ndata: t1\n\n' if kind == 'stream' else b'a part'
+    head = scripted_endpoint.answer(b'').replace(b'Content-Length: 0\r\n', b'')
+
+    async def act():
+        endpoint = await hasty_endpoint.HastyEndpoint(
+            head + part, context.end
+        ).start()
+        site = forwarding_site.ForwardingSite([endpoint])
+        routed = site.routed_request(STREAM if kind == 'stream' else ONCE)
+        routed = routed._replace(
+            request=routed.request._replace(body=bytes(size))
+        )
+        try:
+            if kind == 'stream':
+                sink = forwarding_site.Recorder(lambda: None)
+                return await forwarding_site.streams.StreamForwarder(
+                    site.context, routed, sink
+                ).run()
+            return await forwarding_site.calls.CallForwarder(
+                site.context, routed
+            ).run()
+        finally:
+            await endpoint.stop()
+
+    context.reply = asyncio.run(act())
+
+
+@behave.then('its caller gets no whole answer')
+def no_whole_answer(context):
+    match context.reply:
+        case replies.Failure() | replies.Streamed(False):
+            pass
+        case other:
+            raise AssertionError(other)
+
+
 @behave.then('its caller gets status {status:d}')
 def caller_gets_status(context, status):
     found = context.caller_result
--- a/features/steps/services_steps.py
+++ b/features/steps/services_steps.py
@@ -11,6 +11,7 @@
 import behave
 from features.doubles import aio
 from features.doubles import clocks
+from features.doubles import hasty_endpoint
 from features.doubles import processes
 from features.doubles import raw_endpoint
 from features.doubles import resending
@@ -88,6 +89,28 @@
     _raw(context, HEAD + b'X-Note: a%cb\r\nContent-Length: 0\r\n\r\n' % byte)
 
 
+@behave.given('a plain service that answers with status "{status}"')
+def odd_status_service(context, status):
+    line = b'HTTP/1.1 %s Odd\r\n' % status.encode()
+    _raw(context, line + b'Content-Length: 4\r\n\r\nfine')
+
+
+@behave.given(
+    'a plain service that answers a part without a length and ends by a {end}'
+)
+def hasty_service(context, end):
+    hasty = hasty_endpoint.HastyEndpoint(HEAD + b'\r\na part', end)
+    aio.run(context, hasty.start())
+    context.cleanups.append(lambda: aio.run(context, hasty.stop()))
+    _use_port(context, int(hasty.address.rpartition(':')[2]))
+
+
+@behave.when('an upload of {size:d} bytes is sent to it')
+def upload(context, size):
+    request = _request('POST', '/complaints')
+    _send(context, request._replace(body=bytes(size)))
+
+
 @behave.given('a plain service that redirects')
 def redirecting_service(context):
     _raw(
--- a/src/godwitvalve/forwarding/channel.py
+++ b/src/godwitvalve/forwarding/channel.py
@@ -119,6 +119,8 @@
         # Received bytes that the parser didn't get yet.
         self._unparsed = bytearray()
         self._has_ended = False
+        # Whether it ended before all of the request was written.
+        self._is_request_cut = False
         self._is_in_head = True
         self._throttle = throttle
         self._overhead = overhead.ParsingOverhead()
@@ -182,6 +184,7 @@
         """Signal the end of input, which ends an answer without a length."""
         if self._is_busy and not self._is_lost:
             self._has_ended = True
+            self._is_request_cut = bool(self._unsent)
             self._wake()
         return False
 
@@ -424,6 +427,8 @@
                 self._parser.receive_data(bytes(self._unparsed[:size_bytes]))
                 del self._unparsed[:size_bytes]
             elif self._has_ended:
+                if self._is_request_cut:
+                    raise ChannelBroken('ended before the request')
                 self._has_ended = False
                 self._parser.receive_data(b'')
             else:
--- a/src/godwitvalve/parsing/connectors.py
+++ b/src/godwitvalve/parsing/connectors.py
@@ -1,4 +1,4 @@
-"""Connections of aiohttp's client that bound what comes before an answer."""
+"""Connections of aiohttp's client that check answers more strictly."""
 
 from __future__ import annotations
 
@@ -35,16 +35,19 @@
     """Ends a connection that sends interim answers without end.
 
     aiohttp skips them without limit, and each costs as much to parse as a
-    whole head.
+    whole head. It takes an answer without a length for complete if its
+    connection is reset.
     """
 
     _interim_answers = 0
     _awaits_head = False
+    _is_request_cut = False
 
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the answer to the next request."""
         self._interim_answers = 0
         self._awaits_head = True
+        self._is_request_cut = False
         super().set_response_params(**params)
 
     def data_received(self, data: bytes) -> None:
@@ -69,9 +72,28 @@
             self._awaits_head = False
         if self._interim_answers <= MAX_INTERIM_ANSWERS:
             super().feed_data(data, size)
-        elif self.transport is not None and not self.transport.is_closing():
+        else:
+            self._give_up(TooManyInterimAnswers())
+
+    def _give_up(self, error: aiohttp.ClientError) -> None:
+        if self.transport is not None and not self.transport.is_closing():
             self.transport.close()
-            self.set_exception(TooManyInterimAnswers())
+            self.set_exception(error)
+
+    def eof_received(self) -> None:
+        """Note whether the peer ends before it was sent the request."""
+        if self.transport is not None:
+            self._is_request_cut = bool(self.transport.get_write_buffer_size())
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the answer, with an error if it was broken off."""
+        payload = self._payload
+        is_broken_off = exc is not None or self._is_request_cut
+        if is_broken_off and payload is not None and not payload.is_eof():
+            payload.set_exception(
+                aiohttp.ClientPayloadError('answer was broken off')
+            )
+        super().connection_lost(exc)
 
 
 class _BoundedConnector(aiohttp.TCPConnector):
