Take an answer with an undefined status for damaged

MIXED, as seen on other systems: the caller of the own interface got an answer with the status 000 as one, also 020, 099, 600 and 999, which aiohttp's parser accepts. On the platform 600 and 999 were passed on; the parser there refuses those below 100. Such an answer is no answer in the protocol: what may be repeated is sent elsewhere, the outcome of all else is unknown.

Before: features/services, 5 of 7 new examples, and features/forwarding/broken_answers, 2 of 13 new examples, fail.

--- a/features/forwarding/broken_answers.feature
+++ b/features/forwarding/broken_answers.feature
@@ -126,3 +126,25 @@
       | stream         | reset | 4000000 |
       | stream         | close | 4000000 |
       | stream         | half  | 8000000 |
+
+  Scenario Outline: A status that HTTP does not define is no answer
+    # Guards against a caller that gets the status 000 of an endpoint in
+    # trouble, on its own or in an interim answer.
+    When the first endpoint answers a <kind> request with status "<status>"
+    Then its caller gets status <result>
+
+    Examples:
+      | kind           | status                     | result |
+      | non-repeatable | 000                        | 502    |
+      | non-repeatable | 099                        | 502    |
+      | non-repeatable | 20x                        | 502    |
+      | non-repeatable | 600                        | 502    |
+      | non-repeatable | 999                        | 502    |
+      | non-repeatable | 1000                       | 502    |
+      | non-repeatable | 000 in an interim answer   | 502    |
+      | repeatable     | 000                        | 200    |
+      | repeatable     | 999                        | 200    |
+      | stream         | 000                        | 200    |
+      | stream         | 600                        | 200    |
+      | stream         | 999                        | 200    |
+      | stream         | 000 in an interim answer   | 200    |
--- a/features/services/services.feature
+++ b/features/services/services.feature
@@ -152,3 +152,19 @@
       | reset | 8000000 |
       | close | 8000000 |
       | half  | 8000000 |
+
+  Scenario Outline: A status that HTTP does not define is no answer
+    # Guards against a caller that gets the status 000 of a service in trouble.
+    Given a plain service that answers with status "<status>"
+    When a POST to "/complaints" is sent with key "key-00001"
+    Then the service outcome is OUTCOME_UNKNOWN
+
+    Examples:
+      | status |
+      | 000    |
+      | 020    |
+      | 099    |
+      | 20x    |
+      | 600    |
+      | 999    |
+      | 1000   |
--- a/src/godwitvalve/parsing/connectors.py
+++ b/src/godwitvalve/parsing/connectors.py
@@ -20,6 +20,8 @@
 # interim answers, so that many connections can be ended in the same turn.
 HEAD_STEP_BYTES = 512
 _SWITCHING_PROTOCOLS = 101
+# aiohttp accepts all numbers of three digits.
+STATUSES = range(100, 600)
 # Bounds the chunks that are parsed before their reader is asked; aiohttp holds
 # one for each 16 bytes of it.
 READ_BUFFER_BYTES = 16 * 1024
@@ -31,6 +33,10 @@
     """Interim answers were sent instead of an answer."""
 
 
+class InvalidStatus(aiohttp.ClientError):
+    """The answer has a status that HTTP doesn't define."""
+
+
 class _ResponseHandler(client_proto.ResponseHandler):
     """Ends a connection that sends interim answers without end.
 
@@ -66,6 +72,9 @@
     ) -> None:
         """Handle the head of an answer."""
         code = data[0].code
+        if code not in STATUSES:
+            self._give_up(InvalidStatus(code))
+            return
         if 100 <= code < 200 and code != _SWITCHING_PROTOCOLS:
             self._interim_answers += 1
         else:
