Take an answer without a length for cut if its endpoint ended

The kernel ends the connections of a killed process in the ordinary way, which is also the end of an answer without a length or chunks. This is the class of fault of the crashing prompts: a state of a connection taken for that of the work at the other side. At the end of such an answer the endpoint is now connected to; the connection is held for 30 ms, as the listener of a process that exits may be closed last. Also check endpoints of successors that crash, which left no evidence.

--- a/features/doubles/hasty_endpoint.py
+++ b/features/doubles/hasty_endpoint.py
@@ -36,7 +36,12 @@
         self._server.close()
 
     async def _serve(self, reader, writer):
-        head = await reader.readuntil(b'\r\n\r\n')
+        try:
+            head = await reader.readuntil(b'\r\n\r\n')
+        except asyncio.IncompleteReadError:
+            # A connection that only checks whether it is accepted.
+            writer.close()
+            return
         writer.transport.pause_reading()
         found = re.search(rb'request-id: *(\S+)', head, re.IGNORECASE)
         writer.write(self._answer.replace(b'{id}', found[1] if found else b''))
--- a/features/doubles/scripted_endpoint.py
+++ b/features/doubles/scripted_endpoint.py
@@ -15,8 +15,9 @@
     """Answers each request by the next script, a list of actions.
 
     An action is bytes to send, a pause in seconds, ``close``, ``reset``,
-    ``die`` (a reset after which no connection is accepted), ``hang`` or
-    ``together``, which waits until a second script has come there.
+    ``die`` (a reset after which no connection is accepted), ``exit`` (the
+    same with an ordinary end of the connection), ``hang`` or ``together``,
+    which waits until a second script has come there.
     ``{id}`` in bytes stands for the id of the request.
     """
 
@@ -81,6 +82,9 @@
                     await writer.drain()
                 case 'close':
                     return False
+                case 'exit':
+                    self._server.close()
+                    return False
                 case 'reset' | 'die':
                     if action == 'die':
                         self._server.close()
--- a/features/forwarding/crashing_prompts.feature
+++ b/features/forwarding/crashing_prompts.feature
@@ -136,3 +136,44 @@
       | end                    |
       | failed OUTCOME_UNKNOWN |
     And the endpoints received these counts of requests: "1 1 0"
+
+  Scenario: Endpoints that crash before the head are evidence
+    # Guards against prompts that end one endpoint after the other and leave
+    # no evidence, as an endpoint that crashed had sent no head.
+    Given stream endpoints that play
+      | scripts                |
+      | die                    |
+      | die                    |
+      | die                    |
+      | die                    |
+      | head 1 end, head 2 end |
+    When 20 other prompts have come
+    And streams with these shared segments are made in turn
+      | segments |
+      | a b      |
+      | a c      |
+      | a d      |
+      | b        |
+    Then the streams end as
+      | end                        |
+      | failed OUTCOME_UNKNOWN     |
+      | failed OUTCOME_UNKNOWN     |
+      | refused PROMPT_QUARANTINED |
+      | complete                   |
+    And the endpoints received these counts of requests: "1 1 1 1 1"
+
+  Scenario: An answer of a few events is no proof if its endpoint ended
+    # Guards against taking the end of a killed endpoint's connection for the
+    # end of a sound answer.
+    Given stream endpoints that play
+      | scripts         |
+      | unframed 1 exit |
+      | unframed 2 exit |
+      | head 3 end      |
+    When streams with these shared segments are made in turn
+      | segments |
+      | a b      |
+    Then the streams end as
+      | end        |
+      | broken off |
+    And the endpoints received these counts of requests: "1 1 0"
--- a/features/forwarding/late_answers.feature
+++ b/features/forwarding/late_answers.feature
@@ -53,6 +53,20 @@
     When a non-repeatable call is made
     Then the outcome is unknown
 
+  Scenario: A plain answer without a length ends early with its endpoint
+    # Guards against half of an answer that looks like a success: the
+    # connections of a killed process end in the ordinary way.
+    Given endpoints that play "unframed exit" and "complete"
+    When a non-repeatable call is made
+    Then the outcome is unknown
+
+  Scenario: A stream without framing that ends with its endpoint goes on
+    # Guards against a stream that ends as complete in the middle, as its
+    # endpoint was killed between two events.
+    Given stream endpoints that play "unframed 1 2 exit" and "head 3 4 end"
+    When a stream is made
+    Then its caller gets the events 1 to 4 and the end
+
   Scenario: A whole stream without framing is not run a second time
     # Guards against running each such stream at a second endpoint, which
     # reads its prompt in vain.
@@ -95,4 +109,5 @@
     Examples:
       | script              |
       | unframed 1 crash    |
+      | unframed 1 exit     |
       | unframed 1 half end |
--- a/features/services/services.feature
+++ b/features/services/services.feature
@@ -153,6 +153,13 @@
       | close | 8000000 |
       | half  | 8000000 |
 
+  Scenario: An answer without a length ends early with its service
+    # Guards against half of an answer that looks like a success: the
+    # connections of a killed process end in the ordinary way.
+    Given a plain service that answers a part without a length and exits
+    When a POST to "/complaints" is sent with key "key-00001"
+    Then the service outcome is OUTCOME_UNKNOWN
+
   Scenario Outline: A status that HTTP does not define is no answer
     # Guards against a caller that gets the status 000 of a service in trouble.
     Given a plain service that answers with status "<status>"
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -49,6 +49,11 @@
         'close',
     ],
     'no content': [b'HTTP/1.1 204 No Content\r\nRequest-Id: {id}\r\n\r\n'],
+    'unframed exit': [
+        b'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n\r\na part',
+        0.02,
+        'exit',
+    ],
     'unframed reset': [
         b'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n\r\nall of',
         0.02,
@@ -139,8 +144,8 @@
                 actions.append(scripted_endpoint.STREAM_END)
             case 'crash':
                 actions += [0.02, 'reset']
-            case 'die':
-                actions += [0.02, 'die']
+            case 'die' | 'exit':
+                actions += [0.02, word]
             case 'hang' | 'together':
                 actions.append(word)
             case 'pause':
@@ -409,9 +414,18 @@
     )
 
 
+@behave.when('{count:d} other prompts have come')
+def other_prompts(context, count):
+    context.other_prompts = count
+
+
 @behave.when('streams with these shared segments are made in turn')
 def streams_with_segments(context):
     async def act(site):
+        for number in range(getattr(context, 'other_prompts', 0)):
+            site.context.quarantine.record_prompt(
+                forwarding_site.SERVICE, [f'other-{number}']
+            )
         return [
             await site.stream(
                 STREAM,
--- a/features/steps/services_steps.py
+++ b/features/steps/services_steps.py
@@ -15,6 +15,7 @@
 from features.doubles import processes
 from features.doubles import raw_endpoint
 from features.doubles import resending
+from features.doubles import scripted_endpoint
 from godwitvalve.outcomes import codes
 from godwitvalve.outcomes import outcome
 from godwitvalve.routing import endpoint
@@ -95,6 +96,16 @@
     _raw(context, line + b'Content-Length: 4\r\n\r\nfine')
 
 
+@behave.given('a plain service that answers a part without a length and exits')
+def exiting_service(context):
+    exiting = scripted_endpoint.ScriptedEndpoint(
+        [HEAD + b'\r\na part', 0.02, 'exit']
+    )
+    aio.run(context, exiting.start())
+    context.cleanups.append(lambda: aio.run(context, exiting.stop()))
+    _use_port(context, int(exiting.address.rpartition(':')[2]))
+
+
 @behave.given(
     'a plain service that answers a part without a length and ends by a {end}'
 )
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -287,11 +287,14 @@
         )
         self.on_placement_changed()
 
-    async def check_crash(
+    def check_crash(
         self, endpoint: endpoints.FleetEndpoint, suspect: crash_model.Suspect
-    ) -> None:
-        """Check an endpoint that broke off the answer to a suspect."""
-        await self.crash_checks.check(endpoint, suspect, self._record_crash)
+    ) -> asyncio.Future[None]:
+        """Check an endpoint that broke off the answer to a suspect.
+
+        :returns: done once a crash is recorded, if there was one.
+        """
+        return self.crash_checks.begin(endpoint, suspect, self._record_crash)
 
     def _record_crash(
         self,
--- a/src/godwitvalve/forwarding/crash_checks.py
+++ b/src/godwitvalve/forwarding/crash_checks.py
@@ -33,18 +33,18 @@
         self._checks: dict[str, asyncio.Task[None]] = {}
         self._second_looks: set[asyncio.Task[None]] = set()
 
-    async def check(
+    def begin(
         self,
         endpoint: endpoints.FleetEndpoint,
         suspect: crash_model.Suspect,
         record_crash: RecordCrash,
-    ) -> None:
-        """Check an endpoint that broke off the answer to a suspect.
-
-        Returns after the first look, whose result is recorded by then.
+    ) -> asyncio.Future[None]:
+        """Begin to check an endpoint that broke off the answer to a suspect.
 
         :param record_crash: called with a crashed endpoint, the suspects
             and the time, on the loop's clock.
+        :returns: done after the first look, whose result is recorded by
+            then. Its cancellation does not end the check.
         """
         name = endpoint.endpoint_id
         self._suspects.setdefault(name, []).append(suspect)
@@ -52,8 +52,8 @@
             self._checks[name] = asyncio.create_task(
                 self._look(endpoint, record_crash)
             )
-        # One caller that leaves does not end the check of the others.
-        await asyncio.shield(self._checks[name])
+        # The check of the others goes on if one caller leaves.
+        return asyncio.shield(self._checks[name])
 
     async def _look(
         self, endpoint: endpoints.FleetEndpoint, record_crash: RecordCrash
--- a/src/godwitvalve/forwarding/exchange.py
+++ b/src/godwitvalve/forwarding/exchange.py
@@ -13,6 +13,7 @@
 from godwitvalve.forwarding import channel as channels
 from godwitvalve.forwarding import message_buffer
 from godwitvalve.forwarding import pool as pools
+from godwitvalve.forwarding import probes
 from godwitvalve.platform import headers as wire
 from godwitvalve.services import headers as header_rules
 
@@ -195,13 +196,20 @@
     async def chunks(self) -> abc.AsyncIterator[bytes]:
         """Yield the body; a normal end means that it is complete.
 
+        The connections of a process that is killed end in the ordinary way,
+        which is also the end of an answer without a length or chunks.
+
         :raises ChannelBroken: if the answer ends early.
         """
         assert self._channel is not None and self.head is not None
         while chunk := await self._channel.read_data():
             yield chunk
-        self._is_done = True
         facts = self.head.facts
+        if not facts.is_framed and not await probes.outlives(
+            self.endpoint.address
+        ):
+            raise channels.ChannelBroken('ended with its endpoint')
+        self._is_done = True
         self._channel.finish(facts.idle_limit_s, facts.is_closing)
         self._pool.release(self.endpoint.endpoint_id, self._channel)
 
--- a/src/godwitvalve/forwarding/probes.py
+++ b/src/godwitvalve/forwarding/probes.py
@@ -8,6 +8,7 @@
 
 from godwitvalve.forwarding import channel as channels
 from godwitvalve.forwarding import message_memory
+from godwitvalve.forwarding import sockets
 from godwitvalve.parsing import throttle as throttles
 from godwitvalve.platform import headers as wire
 
@@ -22,14 +23,12 @@
 
 async def accepts_connections(address: str) -> bool:
     """Tell whether an endpoint accepts a connection."""
-    try:
-        channel = await channels.connect(
-            address, _probe_memory(), throttles.PROCESS
-        )
-    except channels.ConnectFailed:
-        return False
-    channel.close()
-    return True
+    return await sockets.accepts_connections(address, channels.CONNECT_LIMIT_S)
+
+
+async def outlives(address: str) -> bool:
+    """Tell whether an endpoint goes on that has just ended a connection."""
+    return await sockets.outlives(address, channels.CONNECT_LIMIT_S)
 
 
 async def read_identity(address: str, health_path: str) -> str:
--- a/src/godwitvalve/forwarding/sockets.py
+++ b/src/godwitvalve/forwarding/sockets.py
@@ -24,6 +24,9 @@
 # are alive at once that full garbage collections follow, each of which takes
 # 24 ms and more in an entry that knows 7,100 endpoints.
 STEP_BYTES = 4 * 1024
+# The kernel closes the sockets of a killed process one after the other, its
+# listener perhaps last, within some milliseconds.
+EXIT_S = 0.03
 # Linger on, for 0 s: closing drops unsent bytes and sends a reset.
 _LINGER_NONE = struct.pack('ii', 1, 0)
 
@@ -119,3 +122,44 @@
         sock.close()
         raise
     return sock
+
+
+async def accepts_connections(address: str, limit_s: float) -> bool:
+    """Tell whether a process accepts a connection.
+
+    :param address: ``IP:port``.
+    :param limit_s: time in seconds.
+    """
+    host, _, port = address.rpartition(':')
+    try:
+        sock = await connect(host, int(port), limit_s)
+    except OSError:
+        return False
+    sock.close()
+    return True
+
+
+async def outlives(address: str, limit_s: float) -> bool:
+    """Tell whether a process goes on that has just ended a connection.
+
+    A connection that its listener had accepted is reset as the listener is
+    closed, too. Processes with too many connections also reset new ones.
+
+    :param address: ``IP:port``.
+    :param limit_s: time for each connection in seconds.
+    """
+    host, _, port = address.rpartition(':')
+    try:
+        sock = await connect(host, int(port), limit_s)
+    except OSError:
+        return False
+    try:
+        async with asyncio.timeout(EXIT_S):
+            await asyncio.get_running_loop().sock_recv(sock, 1)
+    except TimeoutError:
+        return True
+    except OSError:
+        pass
+    finally:
+        sock.close()
+    return await accepts_connections(address, limit_s)
--- a/src/godwitvalve/forwarding/stream_attempt.py
+++ b/src/godwitvalve/forwarding/stream_attempt.py
@@ -115,6 +115,7 @@
             case _:
                 pass
         self._records.record_end(successor, end)
+        self._records.check_crash(successor, end)
         self._context.counters.count_retry(attempts.SILENT)
 
     def _send(self, attempt: attempts.StreamAttempt) -> attempts.Opening:
--- a/src/godwitvalve/forwarding/stream_records.py
+++ b/src/godwitvalve/forwarding/stream_records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from godwitvalve.forwarding import attempts
 from godwitvalve.forwarding import exchange as exchanges
 from godwitvalve.forwarding import stream_state
@@ -31,12 +33,14 @@
         self._routed = state.routed
         self._loop = state.loop
 
-    async def record_crash(
+    def check_crash(
         self, attempt: attempts.StreamAttempt, end: attempts.AttemptEnd
-    ) -> None:
+    ) -> asyncio.Future[None] | None:
         """Check an endpoint that may have crashed by the prompt.
 
         It may crash before it has sent the head of its answer.
+
+        :returns: done once a crash is recorded; None if there was none.
         """
         if (
             not isinstance(end, attempts.Interrupted)
@@ -44,11 +48,11 @@
             or not end.may_have_run
             or attempt.event_count >= MIN_SOUND_EVENTS
         ):
-            return
+            return None
         suspect = crash_model.Suspect(
             frozenset(self._state.segments), attempt.began_s, attempt.has_head
         )
-        await self._context.check_crash(attempt.endpoint, suspect)
+        return self._context.check_crash(attempt.endpoint, suspect)
 
     def _record_speed(self, attempt: attempts.StreamAttempt) -> None:
         """Record the speed of a complete stream that took one attempt."""
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -162,7 +162,8 @@
                 )
             end = await self._runner.run_attempt(attempt)
             self._records.record_end(attempt, end)
-            await self._records.record_crash(attempt, end)
+            if (check := self._records.check_crash(attempt, end)) is not None:
+                await check
             match end:
                 case attempts.Completed():
                     self._turn.complete()
--- a/src/godwitvalve/services/http.py
+++ b/src/godwitvalve/services/http.py
@@ -12,6 +12,7 @@
 
 from godwitvalve import clock as clock_model
 from godwitvalve.engine import port as engine_port
+from godwitvalve.forwarding import sockets
 from godwitvalve.outcomes import codes
 from godwitvalve.outcomes import outcome as outcome_model
 from godwitvalve.parsing import answers
@@ -136,6 +137,15 @@
                     codes.ResultCode.CONNECT_FAILED,
                     'answer ended after its head',
                 )
+            if not is_framed and not await sockets.outlives(
+                endpoint.address, CONNECT_LIMIT_S
+            ):
+                # The connections of a process that is killed end in the
+                # ordinary way, as such an answer does.
+                return attempt.fail(
+                    codes.ResultCode.CONNECT_FAILED,
+                    'answer ended with its endpoint',
+                )
             headers = tuple((k, v) for k, v in answer.headers.items())
             if not all(header_rules.may_be_sent(v) for _, v in headers):
                 return attempt.fail(
