Bound the cost and the content of evidence about prompts

What is reported is now chosen when the evidence changes, segments of a single crash are no candidates, and a crash keeps 128 suspects, those with the most evidence. Evidence that another entry states is bounded by what one crash can show; an entry of an older version states none.

--- a/features/quarantine/segments.feature
+++ b/features/quarantine/segments.feature
@@ -283,3 +283,18 @@
       | entry | at_s | endpoint | segments | stage |
       | 1     | 15.0 | e4       | z        | begun |
     Then entry 1 blocks "a" at 15.0 s
+
+  Scenario: A prompt is found among many that its endpoints took along
+    # Guards against losing the one that crashed a busy endpoint among the
+    # prompts that it took along.
+    Given two entries that each got 50 other prompts
+    And "common" is in 40 of the prompts of entry 1
+    When endpoints 1 to 4 crash with 40 waiting prompts with "common" and one with "a"
+    Then entry 1 blocks "a" at 20.0 s
+    And entry 1 admits "common" at 20.0 s
+
+  Scenario: Evidence that another entry states is bounded
+    # Guards against a damaged report that blocks sound prompts.
+    Given two entries
+    When entry 1 is told of a crash by "a" with evidence of 100000 hundredths
+    Then entry 1 admits "a" at 10.0 s
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -49,6 +49,46 @@
         context.entries[number - 1].record_prompt(SERVICE, names.split())
 
 
+@behave.given('"{name}" is in {count:d} of the prompts of entry {number:d}')
+def common_segment(context, name, count, number):
+    gets_prompts(context, number, count, name)
+
+
+@behave.when(
+    'endpoints 1 to {count:d} crash with {waiting:d} waiting prompts with '
+    '"{common}" and one with "{name}"'
+)
+def busy_endpoints_crash(context, count, waiting, common, name):
+    for number in range(count):
+        at_s = 10.0 + number
+        others = [
+            crashes.Suspect(
+                frozenset([common, f'{number}-{each}']), at_s - 0.5, False
+            )
+            for each in range(waiting)
+        ]
+        faulty = crashes.Suspect(
+            frozenset([name, f'own-{number}']), at_s - 0.5, False
+        )
+        entry = context.entries[0]
+        # Another entry reports its suspect after those of this one.
+        entry.record_crash(SERVICE, f'e{number}', others, at_s)
+        entry.record_crash(SERVICE, f'e{number}', [faulty], at_s)
+
+
+@behave.when(
+    'entry {number:d} is told of a crash by "{name}" with evidence of '
+    '{hundredths:d} hundredths'
+)
+def told_of_crash(context, number, name, hundredths):
+    crash = reports.CrashReport(
+        SERVICE, 'e1', (name,), 0, 500, True, (hundredths,)
+    )
+    context.entries[number - 1].merge(
+        reports.QuarantineReport([crash]), 10.0, 0.0
+    )
+
+
 @behave.when('these crashes are seen')
 def crashes_seen(context):
     for row in context.table:
--- a/src/godwitvalve/quarantine/crashes.py
+++ b/src/godwitvalve/quarantine/crashes.py
@@ -10,7 +10,7 @@
 # Entries know the time of the same crash from different connections. An
 # endpoint that starts again under its id takes longer than this to crash.
 SAME_CRASH_S = 1.0
-MAX_SUSPECTS = 32
+MAX_SUSPECTS = 128
 # Evidence of one crash in nats: how unlikely it is that one of the suspects
 # has the segment by chance. An endpoint that had sent the head of an answer
 # more likely crashed by that prompt than by one that waits.
@@ -45,6 +45,11 @@
     has_begun: bool
     evidence: abc.Mapping[str, float]
 
+    @property
+    def strongest(self) -> float:
+        """Return the evidence against the most suspicious segment."""
+        return max(self.evidence.values())
+
     def evidence_against(self, segment: str, is_alone: bool) -> float:
         """Return the evidence against a segment.
 
@@ -75,12 +80,23 @@
         return abs(self.at_s - at_s) < SAME_CRASH_S
 
     def add(self, segments: frozenset[str], suspicion: Suspicion) -> bool:
-        """Add a suspect; return whether it was unknown."""
-        if not segments or len(self.suspects) >= MAX_SUSPECTS:
+        """Add a suspect; return whether it was unknown.
+
+        Of too many, those with the most evidence against them are kept.
+        """
+        if not segments:
             return False
         known = self.suspects.get(segments)
         if known is not None and known.has_begun >= suspicion.has_begun:
             return False
+        if known is None and len(self.suspects) >= MAX_SUSPECTS:
+            weakest = min(
+                self.suspects, key=lambda each: self.suspects[each].strongest
+            )
+            if self.suspects[weakest].strongest >= suspicion.strongest:
+                return False
+            del self.suspects[weakest]
+            self.segments = {each for found in self.suspects for each in found}
         self.suspects[segments] = suspicion
         self.segments |= segments
         return True
@@ -90,6 +106,22 @@
         return [found for found in self.suspects if segment in found]
 
 
+def stated_evidence(
+    segments: abc.Iterable[str], hundredths: abc.Sequence[int]
+) -> dict[str, float]:
+    """Return the evidence that another entry states.
+
+    An entry of an older version states none, and knows only of crashes as
+    answers had begun.
+    """
+    return {
+        segment: min(hundredths[number] / 100, MAX_BEGUN_EVIDENCE)
+        if number < len(hundredths)
+        else MAX_BEGUN_EVIDENCE
+        for number, segment in enumerate(segments)
+    }
+
+
 class Shares(Protocol):
     """How common segments are among the prompts at an entry."""
 
--- a/src/godwitvalve/quarantine/segments.py
+++ b/src/godwitvalve/quarantine/segments.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import abc
-import itertools
+from typing import NamedTuple
 
 from godwitvalve.decoding import bounds
 from godwitvalve.quarantine import crashes as crash_model
@@ -24,6 +24,14 @@
 MAX_REPORTED_SEGMENTS = 12
 
 
+class _Reported(NamedTuple):
+    """A suspect that other entries are told of."""
+
+    crash: crash_model.Crash
+    segments: frozenset[str]
+    suspicion: crash_model.Suspicion
+
+
 class SegmentQuarantine:
     """Evidence about segments, and the prompts that it blocks.
 
@@ -48,6 +56,7 @@
         self._sound_s: dict[tuple[str, str], float] = {}
         self._blocks: dict[str, list[verdicts.Block]] = {}
         self._evidence: dict[tuple[str, str], float] = {}
+        self._reported: list[_Reported] = []
         self._trial_from_s: dict[tuple[str, frozenset[str]], float] = {}
 
     def record_prompt(self, service: str, segments: abc.Iterable[str]) -> None:
@@ -143,18 +152,25 @@
         """Decide anew which prompts are blocked."""
         self._blocks, self._evidence = {}, {}
         for service in {each.service for each in self._crashes}:
+            crashes = [
+                each for each in self._crashes if each.service == service
+            ]
+            suspected = {
+                segment for crash in crashes for segment in crash.segments
+            }
             blocks, evidence = verdicts.blocks(
-                (each for each in self._crashes if each.service == service),
+                crashes,
                 {
-                    segment: began_s
-                    for (name, segment), began_s in self._sound_s.items()
-                    if name == service
+                    segment: self._sound_s[service, segment]
+                    for segment in suspected
+                    if (service, segment) in self._sound_s
                 },
             )
             if blocks:
                 self._blocks[service] = blocks
             for segment, found in evidence.items():
                 self._evidence[service, segment] = found
+        self._reported = self._choose_reported()
 
     def _matching(
         self, service: str, segments: abc.Collection[str]
@@ -248,13 +264,7 @@
         suspicion = crash_model.Suspicion(
             at_s - crash.run_ms / 1000,
             crash.has_begun,
-            {
-                segment: evidence / 100
-                for segment, evidence in itertools.zip_longest(
-                    crash.segments, crash.evidence, fillvalue=0
-                )
-                if isinstance(segment, str)
-            },
+            crash_model.stated_evidence(crash.segments, crash.evidence),
         )
         return self._add(
             crash.service,
@@ -264,13 +274,28 @@
         )
 
     def report(self, now_s: float) -> reports.QuarantineReport:
-        """Return evidence for other entries.
+        """Return evidence for other entries."""
+        sound = {
+            (crash.service, segment): self._sound_s[crash.service, segment]
+            for crash, segments, _ in self._reported
+            for segment in segments
+            if (crash.service, segment) in self._sound_s
+        }
+        return reports.QuarantineReport(
+            [_crash_report(*each, now_s) for each in self._reported],
+            [
+                reports.SoundReport(*key, _duration_ms(began_s, now_s))
+                for key, began_s in sound.items()
+            ],
+        )
+
+    def _choose_reported(self) -> list[_Reported]:
+        """Return the suspects that a heartbeat has room for.
 
-        That of blocks comes first, then that against the most suspicious
+        Those of blocks come first, then those with the most suspicious
         segments, then the newest.
         """
-        chosen: dict[tuple[int, frozenset[str]], reports.CrashReport] = {}
-        sound: dict[tuple[str, str], float] = {}
+        chosen: dict[tuple[int, frozenset[str]], _Reported] = {}
         reported = 0
         for crash, segments in sorted(
             (
@@ -283,26 +308,14 @@
             notable = self._notable(crash.service, segments)
             key = (id(crash), notable)
             if (
-                key in chosen
-                or reported + len(notable) > MAX_REPORTED_SEGMENTS
+                key not in chosen
+                and reported + len(notable) <= MAX_REPORTED_SEGMENTS
             ):
-                continue
-            reported += len(notable)
-            chosen[key] = _crash_report(
-                crash, notable, crash.suspects[segments], now_s
-            )
-            for segment in notable:
-                if (crash.service, segment) in self._sound_s:
-                    sound[crash.service, segment] = self._sound_s[
-                        crash.service, segment
-                    ]
-        return reports.QuarantineReport(
-            list(chosen.values()),
-            [
-                reports.SoundReport(*key, _duration_ms(began_s, now_s))
-                for key, began_s in sound.items()
-            ],
-        )
+                reported += len(notable)
+                chosen[key] = _Reported(
+                    crash, notable, crash.suspects[segments]
+                )
+        return list(chosen.values())
 
     def _notable(
         self, service: str, segments: frozenset[str]
--- a/src/godwitvalve/quarantine/verdicts.py
+++ b/src/godwitvalve/quarantine/verdicts.py
@@ -118,10 +118,10 @@
     found: list[Block] = []
     while True:
         cases = [
-            _case(segment, unexplained, sound_s)
-            for segment in {
-                each for crash in unexplained for each in crash.segments
-            }
+            _case(segment, with_segment, sound_s)
+            for segment, with_segment in _by_segment(unexplained).items()
+            # One crash proves nothing; most segments were at one only.
+            if len(with_segment) > 1
         ]
         for case in cases:
             evidence.setdefault(case.segment, case.evidence)
@@ -144,18 +144,24 @@
     }
 
 
+def _by_segment(
+    crashes: abc.Iterable[crash_model.Crash],
+) -> dict[str, list[crash_model.Crash]]:
+    found: dict[str, list[crash_model.Crash]] = {}
+    for crash in crashes:
+        for segment in crash.segments:
+            found.setdefault(segment, []).append(crash)
+    return found
+
+
 def _case(
     segment: str,
-    crashes: abc.Iterable[crash_model.Crash],
+    with_segment: abc.Iterable[crash_model.Crash],
     sound_s: SoundTimes,
 ) -> _Case:
     is_unproved = segment not in sound_s
-    counted = [
-        crash
-        for crash in crashes
-        if segment in crash.segments
-        and crash.at_s > sound_s.get(segment, _NEVER_S)
-    ]
+    last_sound_s = sound_s.get(segment, _NEVER_S)
+    counted = [each for each in with_segment if each.at_s > last_sound_s]
     return _Case(
         segment,
         counted,
