Look at a held connection without a race, log blocked segments as lists

An event loop that was held up for 30 ms saw the limit and the reset of the held connection in the same turn, and took the endpoint for alive. The log of a crash named blocks as text of frozen sets.

--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -314,7 +314,12 @@
                 'endpoint_id': endpoint.endpoint_id,
                 'begun': _prompts(suspects, True),
                 'waiting': _prompts(suspects, False),
-                'blocks': self.quarantine.blocks().get(endpoint.service, []),
+                'blocked': [
+                    sorted(each.segments)
+                    for each in self.quarantine.blocks().get(
+                        endpoint.service, ()
+                    )
+                ],
             },
         )
         self.on_placement_changed()
--- a/src/godwitvalve/forwarding/crash_checks.py
+++ b/src/godwitvalve/forwarding/crash_checks.py
@@ -16,7 +16,6 @@
 
 _LOG = logs.get('forwarding')
 
-
 RecordCrash: TypeAlias = abc.Callable[
     [endpoints.FleetEndpoint, list[crash_model.Suspect], float], None
 ]
--- a/src/godwitvalve/forwarding/sockets.py
+++ b/src/godwitvalve/forwarding/sockets.py
@@ -154,9 +154,9 @@
     except OSError:
         return False
     try:
-        async with asyncio.timeout(EXIT_S):
-            await asyncio.get_running_loop().sock_recv(sock, 1)
-    except TimeoutError:
+        await asyncio.sleep(EXIT_S)
+        sock.recv(1)
+    except BlockingIOError:
         return True
     except OSError:
         pass
