Pass on no success without the endpoint's signature

Such an answer is no answer now: what may be repeated is sent elsewhere, all else has an unknown outcome.

The scripts of test endpoints that lacked the signature have it now; what they test is unchanged.

--- a/features/forwarding/broken_answers.feature
+++ b/features/forwarding/broken_answers.feature
@@ -148,3 +148,16 @@
       | stream         | 600                        | 200    |
       | stream         | 999                        | 200    |
       | stream         | 000 in an interim answer   | 200    |
+
+  Scenario Outline: A success without a signature is no answer
+    # Guards against a success that its caller can't count, as one byte of the
+    # header's name was spoilt.
+    When the first endpoint answers a <kind> request without its signature
+    Then its caller gets status <status>
+    And what it gets as a success is signed
+
+    Examples:
+      | kind           | status |
+      | non-repeatable | 502    |
+      | repeatable     | 200    |
+      | stream         | 200    |
--- a/features/steps/forwarding_broken_steps.py
+++ b/features/steps/forwarding_broken_steps.py
@@ -356,6 +356,19 @@
     )
 
 
+@behave.when(
+    'the first endpoint answers a {kind} request without its signature'
+)
+def without_signature(context, kind):
+    _answer_first(
+        context,
+        kind,
+        lambda sound: sound.replace(
+            b'Response-Signature', b'Response-Sicnature'
+        ),
+    )
+
+
 @behave.when(
     'the first endpoint answers a {kind} request with status "{status}"'
 )
@@ -419,3 +432,9 @@
 def caller_gets_status(context, status):
     found = context.caller_result
     assert found.status == status and found.is_complete, found
+
+
+@behave.then('what it gets as a success is signed')
+def success_is_signed(context):
+    found = context.caller_result
+    assert found.status != 200 or b'Response-Signature: s\r\n' in found.content
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -22,6 +22,9 @@
 SILENCE_S = 1.2
 # Less than the allowed gap between events.
 PAUSE_S = 0.1
+UNFRAMED_HEAD = (
+    b'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n\r\n'
+)
 CALL_SCRIPTS = {
     'complete': [COMPLETE],
     'reset': ['reset'],
@@ -40,22 +43,25 @@
     ],
     'complete and more': [COMPLETE, 0.05, b'HTTP/1.1 200 OK\r\n\r\n'],
     'unframed': [
-        b'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n\r\nall of',
+        UNFRAMED_HEAD + b'all of',
         b' it',
         'close',
     ],
     'unframed empty': [
-        b'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n\r\n',
+        UNFRAMED_HEAD,
         'close',
     ],
-    'no content': [b'HTTP/1.1 204 No Content\r\nRequest-Id: {id}\r\n\r\n'],
+    'no content': [
+        b'HTTP/1.1 204 No Content\r\nRequest-Id: {id}\r\n'
+        b'Response-Signature: s\r\n\r\n'
+    ],
     'unframed exit': [
-        b'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n\r\na part',
+        UNFRAMED_HEAD + b'a part',
         0.02,
         'exit',
     ],
     'unframed reset': [
-        b'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n\r\nall of',
+        UNFRAMED_HEAD + b'all of',
         0.02,
         'reset',
     ],
--- a/src/godwitvalve/forwarding/exchange.py
+++ b/src/godwitvalve/forwarding/exchange.py
@@ -152,6 +152,8 @@
         raise channels.ChannelBroken('answer to another request')
 
     def _accept(self, head: AnswerHead) -> AnswerHead:
+        if head.facts.is_unsigned_success:
+            raise channels.ChannelBroken('success without signature')
         self.head = head
         self._on_head(self.endpoint, head)
         return head
--- a/src/godwitvalve/platform/headers.py
+++ b/src/godwitvalve/platform/headers.py
@@ -149,6 +149,8 @@
     :param is_leaving: whether the endpoint states that it leaves.
     :param pause_s: seconds for which the endpoint wants no requests from this
         entry, or None if it states none.
+    :param is_unsigned_success: whether it is a success that callers can't
+        count, as it lacks the endpoint's signature.
     """
 
     request_id: str
@@ -162,6 +164,7 @@
     limit: statements.LimitStatement
     is_leaving: bool = False
     pause_s: float | None = None
+    is_unsigned_success: bool = False
 
 
 def _decode_headers(headers: RawHeaders) -> dict[str, str]:
@@ -372,4 +375,5 @@
         _read_limit(headers),
         _is_leaving(values),
         _read_pause_s(status, values.get('retry-after', '')),
+        200 <= status < 300 and not values.get('response-signature'),
     )
