--- a/features/quarantine/segments.feature
+++ b/features/quarantine/segments.feature
@@ -196,6 +196,7 @@
     When the fleet runs for 30 s with <seeds> seeds
     Then at most 3 crashing prompts reach endpoints later than 3 s after a fifth crash
     And at most 1 of 100 sound prompts is refused
+    And at most half of those that come later than 6 s after that crash
 
     Examples:
       | entries | endpoints | share | from_s | stage           | load | rate | seeds |
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -272,6 +272,12 @@
     assert 0 < sound and refused * 100 <= sound * count, context.results
 
 
+@behave.then('at most half of those that come later than 6 s after that crash')
+def half_of_late_refused(context):
+    for each in context.results:
+        assert each.late_refused_sound * 2 <= each.late_sound, each
+
+
 @behave.then('no sound prompt is refused')
 def no_sound_refused(context):
     assert all(each.sound for each in context.results)
