State the rule for statuses and the connection to an address once

The range of statuses that HTTP defines stood in the channel and in aiohttp's connections, and two functions of the sockets connected to an address in the same lines. Whether a single prompt is suspected was worked out twice for each segment, and each prompt built an empty list to bound the services that are counted. The summary of a failed scenario looked for a result code that does not exist. MIN_SHARE bounds a chance. Behaviour is unchanged.

--- a/features/steps/ingress_crashing_prompts_steps.py
+++ b/features/steps/ingress_crashing_prompts_steps.py
@@ -60,7 +60,8 @@
         line
         for name in context.entries
         for line in context.fleet.log(name)
-        if 'crashed' in line['message'] or line.get('code') == 'QUARANTINED'
+        if 'crashed' in line['message']
+        or line.get('code') == 'PROMPT_QUARANTINED'
     ]
     return {
         'crashes': len(context.endpoints.crashes_s),
--- a/src/godwitvalve/forwarding/channel.py
+++ b/src/godwitvalve/forwarding/channel.py
@@ -57,8 +57,6 @@
 # Reason of an answer that was given up for what it cost.
 COSTLY_ANSWER = 'costly answer'
 TOO_MANY_LINES = 'too many lines'
-# The parser accepts all numbers of three digits from 100 on.
-MAX_STATUS = 599
 
 
 class ChannelBroken(Exception):
@@ -342,7 +340,9 @@
             except asyncio.TimeoutError as error:
                 raise ChannelBroken('incomplete head') from error
             if isinstance(event, h11.Response):
-                if event.status_code > MAX_STATUS or not all(
+                if not header_rules.is_defined_status(
+                    event.status_code
+                ) or not all(
                     header_rules.may_be_sent(value.decode('latin-1'))
                     for _, value in event.headers
                 ):
--- a/src/godwitvalve/forwarding/sockets.py
+++ b/src/godwitvalve/forwarding/sockets.py
@@ -124,16 +124,26 @@
     return sock
 
 
-async def accepts_connections(address: str, limit_s: float) -> bool:
-    """Tell whether a process accepts a connection.
+async def _connect_to(address: str, limit_s: float) -> socket.socket | None:
+    """Return a socket that is connected to ``IP:port``; None if there is none.
 
-    :param address: ``IP:port``.
     :param limit_s: time in seconds.
     """
     host, _, port = address.rpartition(':')
     try:
-        sock = await connect(host, int(port), limit_s)
+        return await connect(host, int(port), limit_s)
     except OSError:
+        return None
+
+
+async def accepts_connections(address: str, limit_s: float) -> bool:
+    """Tell whether a process accepts a connection.
+
+    :param address: ``IP:port``.
+    :param limit_s: time in seconds.
+    """
+    sock = await _connect_to(address, limit_s)
+    if sock is None:
         return False
     sock.close()
     return True
@@ -148,10 +158,8 @@
     :param address: ``IP:port``.
     :param limit_s: time for each connection in seconds.
     """
-    host, _, port = address.rpartition(':')
-    try:
-        sock = await connect(host, int(port), limit_s)
-    except OSError:
+    sock = await _connect_to(address, limit_s)
+    if sock is None:
         return False
     try:
         await asyncio.sleep(EXIT_S)
--- a/src/godwitvalve/parsing/connectors.py
+++ b/src/godwitvalve/parsing/connectors.py
@@ -13,6 +13,7 @@
 from aiohttp import streams
 
 from godwitvalve.forwarding import sockets
+from godwitvalve.services import headers as header_rules
 
 # Sound peers send at most one before their answer.
 MAX_INTERIM_ANSWERS = 8
@@ -20,8 +21,6 @@
 # interim answers, so that many connections can be ended in the same turn.
 HEAD_STEP_BYTES = 512
 _SWITCHING_PROTOCOLS = 101
-# aiohttp accepts all numbers of three digits.
-STATUSES = range(100, 600)
 # Bounds the chunks that are parsed before their reader is asked; aiohttp holds
 # one for each 16 bytes of it.
 READ_BUFFER_BYTES = 16 * 1024
@@ -72,7 +71,7 @@
     ) -> None:
         """Handle the head of an answer."""
         code = data[0].code
-        if code not in STATUSES:
+        if not header_rules.is_defined_status(code):
             self._give_up(InvalidStatus(code))
             return
         if 100 <= code < 200 and code != _SWITCHING_PROTOCOLS:
--- a/src/godwitvalve/quarantine/crashes.py
+++ b/src/godwitvalve/quarantine/crashes.py
@@ -18,7 +18,7 @@
 MAX_BEGUN_EVIDENCE = 3.0
 MAX_WAITING_EVIDENCE = 2.0
 ALONE_FACTOR = 0.7
-MIN_SHARE = 1e-6
+MIN_CHANCE = 1e-6
 
 
 class Suspect(NamedTuple):
@@ -150,7 +150,7 @@
         company = begun if suspect.has_begun else len(suspects)
         share = shares.share(service, segment)
         by_chance = 1.0 - (1.0 - share) ** company
-        surprise = -math.log(max(by_chance, MIN_SHARE))
+        surprise = -math.log(max(by_chance, MIN_CHANCE))
         if suspect.has_begun:
             return min(BEGUN_FACTOR * surprise, MAX_BEGUN_EVIDENCE)
         return min(surprise, waiting_limit)
--- a/src/godwitvalve/quarantine/prompt_shares.py
+++ b/src/godwitvalve/quarantine/prompt_shares.py
@@ -4,7 +4,6 @@
 
 import collections
 from collections import abc
-import itertools
 
 # Prompts of a service that are counted.
 MAX_PROMPTS = 256
@@ -51,12 +50,8 @@
         """Count a prompt for a service."""
         window = self._windows.setdefault(service, _Window())
         window.add(frozenset(segments))
-        for each in list(
-            itertools.islice(
-                self._windows, max(len(self._windows) - MAX_SERVICES, 0)
-            )
-        ):
-            del self._windows[each]
+        if len(self._windows) > MAX_SERVICES:
+            del self._windows[next(iter(self._windows))]
 
     def share(self, service: str, segment: str) -> float:
         """Return the share of a service's prompts that have a segment."""
--- a/src/godwitvalve/quarantine/verdicts.py
+++ b/src/godwitvalve/quarantine/verdicts.py
@@ -53,12 +53,16 @@
 
 
 class _Case(NamedTuple):
-    """Crashes that speak against a segment, in the order of time."""
+    """Crashes that speak against a segment, in the order of time.
+
+    :param is_alone: whether a single prompt with it is suspected.
+    """
 
     segment: str
     crashes: list[crash_model.Crash]
     causes: list[_Cause]
     needed: float
+    is_alone: bool
 
     @property
     def evidence(self) -> float:
@@ -76,9 +80,8 @@
         A prompt that lost its endpoints to others has lost them by itself.
         A common segment has little evidence in each of many crashes.
         """
-        is_alone = len(_prompts_with(self.segment, self.crashes)) == 1
         mean = self.evidence / len(self.causes)
-        return not is_alone, self.evidence * mean, self.segment
+        return not self.is_alone, self.evidence * mean, self.segment
 
     def block(self, sound_s: SoundTimes) -> Block:
         """Return the block that follows.
@@ -162,24 +165,27 @@
     is_unproved = segment not in sound_s
     last_sound_s = sound_s.get(segment, _NEVER_S)
     counted = [each for each in with_segment if each.at_s > last_sound_s]
+    is_alone = len(_prompts_with(segment, counted)) == 1
     return _Case(
         segment,
         counted,
-        _causes(segment, counted, is_unproved),
+        _causes(segment, counted, is_unproved, is_alone),
         MIN_EVIDENCE if is_unproved else MIN_EVIDENCE_IF_SOUND,
+        is_alone,
     )
 
 
 def _causes(
     segment: str,
-    crashes: abc.Collection[crash_model.Crash],
+    crashes: abc.Iterable[crash_model.Crash],
     is_unproved: bool,
+    is_alone: bool,
 ) -> list[_Cause]:
     """Return the causes of crashes in the order of time.
 
     :param is_unproved: whether no answer has shown the segment to be sound.
+    :param is_alone: whether a single prompt with it is suspected.
     """
-    is_alone = len(_prompts_with(segment, crashes)) == 1
     first_sent_s = math.inf
     causes: list[_Cause] = []
     for crash in crashes:
--- a/src/godwitvalve/services/headers.py
+++ b/src/godwitvalve/services/headers.py
@@ -31,6 +31,14 @@
 Headers = tuple[tuple[str, str], ...]
 
 
+def is_defined_status(status: int) -> bool:
+    """Tell whether HTTP defines a status.
+
+    Parsers accept numbers of three digits that it does not define.
+    """
+    return 100 <= status < 600
+
+
 def may_be_cut(method: str, status: int, is_framed: bool) -> bool:
     """Tell whether an answer without a body may have been cut.
 
