--- a/review/12/case.py
+++ b/review/12/case.py
@@ -17,7 +17,9 @@
 async def play(site, has_trouble):
     link = standins.Link()
     await link.start()
-    model = standins.ReplicaProcess('i-model-1', 'model', '--events=100')
+    model = standins.ReplicaProcess(
+        site, 'i-model-1', 'model', '--events=100'
+    )
     try:
         return await play_with(site, has_trouble, link, model)
     finally:
--- a/review/lib3/standins.py
+++ b/review/lib3/standins.py
@@ -221,6 +221,8 @@
         self.events, self.gap_s = 40, 0.1
         # Whether streams come in chunks; otherwise they end with their channel.
         self.is_framed = True
+        # Time to read a prompt: for itself, and for each token.
+        self.first_s, self.token_s = 0.0, 0.0
         self.is_leaving = False
         self.record = record
         self.arrivals = []
@@ -290,7 +292,9 @@
 
     async def _write_events(self, request, writer):
         first = int(request.get('last-event-id') or 0) + 1
-        for number in range(first, self.events + 1):
+        # The sheets have five tokens in an event.
+        most = int(request.get('token-usage').split(',')[1]) // 5
+        for number in range(first, min(self.events, most) + 1):
             await asyncio.sleep(self.gap_s)
             event = b'id: %d\ndata: token\n\n' % number
             if self.is_framed:
@@ -299,6 +303,8 @@
             await writer.drain()
 
     async def _stream(self, request, writer, headers):
+        prompt_tokens = int(request.get('token-usage').split(',')[0])
+        await asyncio.sleep(self.first_s + prompt_tokens * self.token_s)
         headers['Content-Type'] = 'text/event-stream'
         if self.is_framed:
             headers['Transfer-Encoding'] = 'chunked'
@@ -468,6 +474,12 @@
         self.record(verdict)
         for entry in self.entries:
             entry.kill()
+        for path in self.temporary.glob('*.runs'):
+            for line in path.read_text().splitlines():
+                at_s, _, words = line.partition(' ')
+                at_s = float(at_s) - self.began_s
+                self._lines.append(f'{at_s:9.3f} {words}')
+        self._lines.sort(key=lambda line: float(line.split()[0]))
         (self._folder / 'record.txt').write_text('\n'.join(self._lines) + '\n')
         self._temporary.cleanup()
 
@@ -567,7 +579,7 @@
             for entry in site.entries:
                 path = site.temporary / f'{entry.name}.log'
                 if path.exists():
-                    site.record(path.read_text()[-600:])
+                    site.record(repr(path.read_text()[-600:]))
             return 2
         finally:
             print(verdict)
@@ -605,7 +617,7 @@
         self._socket = socket.socket()
         self._socket.setblocking(False)
         self._socket.bind(('127.0.0.1', 0))
-        self._socket.listen(0)
+        self._socket.listen(128)
         host, port = self._socket.getsockname()
         self.address = f'{host}:{port}'
         self._accepting = asyncio.create_task(self._accept())
@@ -613,6 +625,7 @@
     def cut(self):
         self._healed.clear()
         self._accepting.cancel()
+        self._socket.listen(0)
         for _ in range(4):
             filler = socket.socket()
             filler.setblocking(False)
@@ -623,6 +636,7 @@
         for filler in self._fillers:
             filler.close()
         self._fillers.clear()
+        self._socket.listen(128)
         self._healed.set()
         self._accepting = asyncio.create_task(self._accept())
 
@@ -664,10 +678,11 @@
 class ReplicaProcess:
     """A replica in a process of its own, for signals.
 
+    :param site: merges its runs into the record.
     :param options: further options of ``replica.py``.
     """
 
-    def __init__(self, replica_id, service, *options):
+    def __init__(self, site, replica_id, service, *options):
         self.replica_id, self.service = replica_id, service
         self.process = subprocess.Popen(
             [
@@ -675,6 +690,7 @@
                 str(pathlib.Path(__file__).with_name('replica.py')),
                 f'--id={replica_id}',
                 f'--service={service}',
+                f'--run-log={site.temporary / replica_id}.runs',
                 *options,
             ],
             stdout=subprocess.PIPE,
