--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,4 +1,4 @@
-"""A replica turns a machine away for longer than a minute."""
+"""A late heartbeat lists a replica again that is leaving."""
 
 import asyncio
 import pathlib
@@ -9,8 +9,9 @@
 sys.path.insert(0, str(FOLDER.parent / 'lib3'))
 import standins  # noqa: E402
 
-RETRY_AFTER_S = 80
-GRACE_S = 0.5
+DRAIN_S = 2.0
+# A call to the store without an answer is performed up to 6 s later.
+LATE_S = 3.0
 
 
 async def play(site, has_trouble):
@@ -31,59 +32,71 @@
     )
     for replica in replicas:
         await site.register(replica)
-    site.add_entries(1)
+    site.add_entries(2)
     await site.start_entries()
     await asyncio.sleep(1.0)
+    # By entry: when it first passed on that the replica leaves.
+    passed_on_s = {}
+    sent = {}
     tasks = set()
 
     async def look(number):
+        entry = site.entries[number % 2]
+        request_id = f'{number:08x}'
+        sent[request_id] = (time.monotonic(), entry.name)
         reply = await standins.call(
-            site.entries[0].address, 'GET', f'/look/{number}',
-            f'{number:08x}', limit_s=2.5,
+            entry.address, 'GET', f'/look/{number}', request_id, limit_s=2.5
         )
-        site.record('client got', f'{number:08x}', reply.status)
+        if reply.headers.get('server-leaving'):
+            passed_on_s.setdefault(entry.name, time.monotonic())
+            site.record(entry.name, 'passed on Server-Leaving', request_id)
 
     async def clients():
         number = 0
         while True:
             number += 1
             tasks.add(asyncio.create_task(look(number)))
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(0.02)
 
     running = asyncio.create_task(clients())
     await asyncio.sleep(2.0)
-    turned_away = []
-    full = replicas[0]
-
-    def turn_away(request):
-        if turned_away:
-            return None
-        turned_away.append(time.monotonic())
-        headers = {'Not-Executed': '1', 'Retry-After': str(RETRY_AFTER_S)}
-        site.record(full.replica_id, '503, Retry-After', RETRY_AFTER_S)
-        return standins.answer(503, full.headers(request) | headers)
-
+    leaving = replicas[0]
+    # The last heartbeat before it leaves; its answer is lost.
+    late_row = leaving.row()
+    leaving.is_leaving = True
+    site.record(leaving.replica_id, 'leaves')
+    await asyncio.sleep(0.5)
+    # It never reports that it drains: its entry is removed.
+    await site.unregister(leaving)
+    site.record('its entry is removed')
+    await asyncio.sleep(LATE_S - 0.5)
     if has_trouble:
-        full.special = turn_away
-    await asyncio.sleep(RETRY_AFTER_S + 3.0)
+        await site.store.put('servers', leaving.replica_id, late_row)
+        site.record('the store performs its last heartbeat')
+        # Three heartbeats later the entry is removed again.
+        await asyncio.sleep(standins.SILENCE_S)
+        await site.store.remove('servers', leaving.replica_id)
+        site.record('its entry is removed again')
+    else:
+        await asyncio.sleep(standins.SILENCE_S)
     running.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
-    if not has_trouble:
-        return ''
-    if not turned_away:
-        raise standins.CannotRun('the replica got no request to turn away')
-    too_soon = [
-        (at_s - turned_away[0], request_id)
-        for at_s, request_id in full.arrivals
-        if GRACE_S < at_s - turned_away[0] < RETRY_AFTER_S
+    if not passed_on_s:
+        raise standins.CannotRun('no answer said that the replica leaves')
+    late = [
+        request_id
+        for _, request_id in leaving.arrivals
+        if sent[request_id][1] in passed_on_s
+        and sent[request_id][0] > passed_on_s[sent[request_id][1]] + DRAIN_S
     ]
-    for after_s, request_id in too_soon:
-        site.record(f'{request_id} reached it {after_s:.2f} s after the 503')
-    if len(too_soon) > 2:
-        return (
-            f'{len(too_soon)} requests reached the replica before the end of '
-            'its Retry-After'
+    for request_id in late:
+        at_s, name = sent[request_id]
+        site.record(
+            'reached the leaving replica:', request_id, 'sent to', name,
+            f'{at_s - passed_on_s[name]:.2f} s after its Server-Leaving',
         )
+    if late:
+        return f'{len(late)} requests reached a leaving replica too late'
     return ''
 
 
--- a/review/lib3/standins.py
+++ b/review/lib3/standins.py
@@ -302,6 +302,11 @@
             writer.write(event)
             await writer.drain()
 
+    def head(self, headers):
+        lines = ['HTTP/1.1 200 OK']
+        lines += [f'{name}: {value}' for name, value in headers.items()]
+        return '\r\n'.join([*lines, '', '']).encode()
+
     async def _stream(self, request, writer, headers):
         prompt_tokens = int(request.get('token-usage').split(',')[0])
         await asyncio.sleep(self.first_s + prompt_tokens * self.token_s)
@@ -310,9 +315,7 @@
             headers['Transfer-Encoding'] = 'chunked'
         else:
             headers['Connection'] = 'close'
-        lines = ['HTTP/1.1 200 OK']
-        lines += [f'{name}: {value}' for name, value in headers.items()]
-        writer.write('\r\n'.join([*lines, '', '']).encode())
+        writer.write(self.head(headers))
         self.open_channels.add(writer)
         try:
             await self._write_events(request, writer)
