--- a/review/15/case.py
+++ b/review/15/case.py
@@ -10,13 +10,16 @@
 import standins  # noqa: E402
 
 DRAIN_S = 2.0
+# From the removal of its entry to its exit: drain_ms and a little longer.
+EXITS_AFTER_S = 2.7
 # A call to the store without an answer is performed up to 6 s later.
 LATE_S = 3.0
 
 
 async def play(site, has_trouble):
     replicas = [
-        standins.Replica(f'i-desk-{number}', 'desk', site.record)
+        # As long as the longest calls of the sheet.
+        standins.Replica(f'i-desk-{number}', 'desk', site.record, 0.2)
         for number in (1, 2, 3)
     ]
     for replica in replicas:
@@ -26,7 +29,7 @@
         'config',
         standins.configuration(
             3,
-            [standins.route('look', '/look/', 'idempotent', 'desk')],
+            [standins.route('file', '/file/', 'non_idempotent', 'desk')],
             [{'name': 'desk', 'health_path': '/healthz'}],
         ),
     )
@@ -38,15 +41,18 @@
     # By entry: when it first passed on that the replica leaves.
     passed_on_s = {}
     sent = {}
+    status = {}
     tasks = set()
 
-    async def look(number):
+    async def file(number):
         entry = site.entries[number % 2]
         request_id = f'{number:08x}'
         sent[request_id] = (time.monotonic(), entry.name)
         reply = await standins.call(
-            entry.address, 'GET', f'/look/{number}', request_id, limit_s=2.5
+            entry.address, 'POST', f'/file/{number}', request_id, (), b'x' * 600,
+            limit_s=2.5,
         )
+        status[request_id] = reply.status
         if reply.headers.get('server-leaving'):
             passed_on_s.setdefault(entry.name, time.monotonic())
             site.record(entry.name, 'passed on Server-Leaving', request_id)
@@ -55,7 +61,7 @@
         number = 0
         while True:
             number += 1
-            tasks.add(asyncio.create_task(look(number)))
+            tasks.add(asyncio.create_task(file(number)))
             await asyncio.sleep(0.02)
 
     running = asyncio.create_task(clients())
@@ -69,6 +75,9 @@
     # It never reports that it drains: its entry is removed.
     await site.unregister(leaving)
     site.record('its entry is removed')
+    exiting = asyncio.get_running_loop().call_later(
+        EXITS_AFTER_S, leaving.exit
+    )
     await asyncio.sleep(LATE_S - 0.5)
     if has_trouble:
         await site.store.put('servers', leaving.replica_id, late_row)
@@ -79,6 +88,7 @@
         site.record('its entry is removed again')
     else:
         await asyncio.sleep(standins.SILENCE_S)
+    exiting.cancel()
     running.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
     if not passed_on_s:
@@ -93,7 +103,8 @@
         at_s, name = sent[request_id]
         site.record(
             'reached the leaving replica:', request_id, 'sent to', name,
-            f'{at_s - passed_on_s[name]:.2f} s after its Server-Leaving',
+            f'{at_s - passed_on_s[name]:.2f} s after its Server-Leaving;',
+            'its client got', status.get(request_id),
         )
     if late:
         return f'{len(late)} requests reached a leaving replica too late'
--- a/review/lib3/standins.py
+++ b/review/lib3/standins.py
@@ -287,9 +287,19 @@
         headers['Response-Signature'] = f'sig-{self.replica_id}-{request_id}'
         if request.get('token-usage'):
             return await self._stream(request, writer, headers)
-        await asyncio.sleep(self.work_s)
+        self.open_channels.add(writer)
+        try:
+            await asyncio.sleep(self.work_s)
+        finally:
+            self.open_channels.discard(writer)
         return answer(200, headers, b'x' * 800)
 
+    def exit(self):
+        """End as a process that exits; what it works on is lost."""
+        self.server.close()
+        for writer in list(self.open_channels):
+            writer.transport.abort()
+
     async def _write_events(self, request, writer):
         first = int(request.get('last-event-id') or 0) + 1
         # The sheets have five tokens in an event.
