Take only answers as evidence that an endpoint lived

Callers got streams from an endpoint of another service: while the store was down, an endpoint was cut off and crashed behind the cut, and its last bytes arrived 2.4 s after its end, when the link was whole.

An answer shows that its endpoint lived when the request was sent; nothing else does. While the store is unavailable, the endpoints of own streams are asked for their id each 0.25 s. Only until the first of these probes can be answered, bytes count too if they came steadily, without a pause in which the network may have held them up. That bounds the age of the evidence whatever the network does to bytes, so that the address is still reserved.

Both examples of ingress/reused_addresses, "Bytes that a cut held up do not show that their endpoint lived", failed before.

--- a/features/doubles/forwarding_site.py
+++ b/features/doubles/forwarding_site.py
@@ -119,7 +119,7 @@
             counters.ForwardingCounters('test'),
             sessions.SessionTable(),
             speed.SpeedEstimates(),
-            lambda endpoint, last_seen_s: self.lost.append(endpoint),
+            lambda endpoint, steady_s: self.lost.append(endpoint),
             dict,
             lambda: None,
             rollout_registries.RolloutRegistry(
--- a/features/ingress/reused_addresses.feature
+++ b/features/ingress/reused_addresses.feature
@@ -21,3 +21,17 @@
       | frozen_s | reused_s |
       | 3.5      | 2.2      |
       | 5.0      | 3.0      |
+
+  Scenario Outline: Bytes that a cut held up do not show that their endpoint lived
+    # Guards against summaries that run at an endpoint of another service: a
+    # cut holds up the last events of an endpoint until the next one has its
+    # address, so that they arrive seconds after its end.
+    Given a fleet with 2 entries, 1 model endpoints and 1 plain endpoint
+    And all entries run summaries at "m0", whose link can be cut
+    When the store goes down, the link is cut, "m0" is killed <killed_s> s later, "p9" uses its address <reused_s> s after that, and the link is whole <whole_s> s after that
+    Then "p9" runs no summary before the store returns
+
+    Examples:
+      | killed_s | reused_s | whole_s |
+      | 0.3      | 2.1      | 0.4     |
+      | 0.1      | 2.1      | 0.1     |
--- a/features/steps/forwarding_policy_steps.py
+++ b/features/steps/forwarding_policy_steps.py
@@ -19,7 +19,7 @@
 
 
 def answered(status):
-    return exchange.Answered(exchange.AnswerHead(status, (), _FACTS), b'')
+    return exchange.Answered(exchange.AnswerHead(status, (), _FACTS, 0.0), b'')
 
 
 OUTCOMES = strategies.one_of(
--- a/features/steps/ingress_reused_addresses_steps.py
+++ b/features/steps/ingress_reused_addresses_steps.py
@@ -8,6 +8,7 @@
 import time
 
 import behave
+from features.doubles import cuttable_link
 from features.steps import ingress_steps
 from standins import local_site
 
@@ -44,24 +45,38 @@
         self.join()
 
 
-@behave.given('all entries run summaries')
-def run_summaries(context):
+def _run_summaries(context, endpoints):
     fleet = context.fleet
     load = _SummaryLoad([fleet.addresses[name] for name in context.entries])
     load.start()
     context.cleanups.append(load.stop)
     time.sleep(WARM_UP_S)
-    assert all(fleet.runs(name) for name in ('m0', 'm1'))
+    assert all(fleet.runs(name) for name in endpoints)
+
+
+@behave.given('all entries run summaries')
+def run_summaries(context):
+    _run_summaries(context, ('m0', 'm1'))
+
+
+@behave.given('all entries run summaries at "{name}", whose link can be cut')
+def run_summaries_over_link(context, name):
+    fleet = context.fleet
+    context.link = cuttable_link.CuttableLink(fleet.addresses[name])
+    context.link.start()
+    context.cleanups.append(context.link.stop)
+    fleet.register(name, 'model', 'fd-0', address=context.link.address)
+    _run_summaries(context, (name,))
 
 
 def _set_store(context, mode):
     context.fleet.post('store', '/standin/faults', {'mode': mode})
 
 
-def _start_unregistered(context, name, address):
+def _start_unregistered(context, name, address=':0'):
     """Start an endpoint at a given address; the store has no row of it."""
     port = address.rpartition(':')[2]
-    context.fleet.start_process(
+    return context.fleet.start_process(
         name,
         [
             'standins.fleet.replica',
@@ -114,6 +129,25 @@
     fleet.signal(entry, signal.SIGCONT)
 
 
+@behave.when(
+    'the store goes down, the link is cut, "{name}" is killed {killed_s:g} s '
+    'later, "{user}" uses its address {reused_s:g} s after that, and the link '
+    'is whole {whole_s:g} s after that'
+)
+def cut_while_reused(context, name, killed_s, user, reused_s, whole_s):
+    _set_store(context, 'busy')
+    time.sleep(STORE_DOWN_AFTER_S)
+    context.link.cut()
+    time.sleep(killed_s)
+    _crash(context, name)
+    reused_at_s = time.monotonic() + reused_s
+    user_address = _start_unregistered(context, user)
+    time.sleep(reused_at_s - time.monotonic())
+    context.link.target = user_address
+    time.sleep(whole_s)
+    context.link.heal()
+
+
 @behave.then('"{name}" runs no summary before the store returns')
 def runs_no_summary(context, name):
     time.sleep(WATCHED_S)
--- a/features/steps/ingress_slow_readers_steps.py
+++ b/features/steps/ingress_slow_readers_steps.py
@@ -38,7 +38,7 @@
         sink = answers.CallerStream(request, 'r', self._memory, lambda: False)
         self.sinks.append(sink)
         try:
-            await sink.start(exchanges.AnswerHead(200, [], None))
+            await sink.start(exchanges.AnswerHead(200, [], None, 0.0))
             for _ in range(self._size // len(EVENT)):
                 await sink.send(EVENT)
                 self.peak_bytes = max(
--- a/src/godwitvalve/forwarding/arrivals.py
+++ b/src/godwitvalve/forwarding/arrivals.py
@@ -1,4 +1,4 @@
-"""Bounds when bytes that are read now have arrived."""
+"""Bounds when bytes that are read now have arrived, and were sent."""
 
 from __future__ import annotations
 
@@ -11,6 +11,12 @@
 # The search for a restarted endpoint lasts under 2 s and is shortened by up to
 # two of these periods.
 POLL_PERIOD_S = 0.1
+# Bytes that arrive after a longer pause may have been held up for as long. The
+# pause includes the period above, and the time until a lost packet is sent
+# again.
+MAX_PAUSE_S = 0.3
+# A network that has held bytes up delivers them within this time.
+BACKLOG_S = 0.5
 
 
 class ArrivalBound:
@@ -48,3 +54,32 @@
 
 # Shared by all connections of the process.
 PROCESS = ArrivalBound()
+
+
+class SteadyArrivals:
+    """Arrivals on a connection that were not held up in the network.
+
+    Load pattern: a partition holds bytes up for seconds, while their sender
+    ends. They arrive together, after a pause. Bytes that come steadily were
+    sent at most ``MAX_PAUSE_S`` earlier, unless the network has become slower
+    little by little.
+
+    :ivar last_s: latest arrival that followed others without a pause, in
+        seconds since boot; 0 before the first one.
+    """
+
+    def __init__(self) -> None:
+        self.last_s = 0.0
+        self._arrived_s = -math.inf
+        self._steady_from_s = 0.0
+
+    def record(self, arrived_s: float) -> None:
+        """Record an arrival.
+
+        :param arrived_s: seconds since boot.
+        """
+        if arrived_s - self._arrived_s > MAX_PAUSE_S:
+            self._steady_from_s = arrived_s + BACKLOG_S
+        self._arrived_s = max(self._arrived_s, arrived_s)
+        if self._arrived_s >= self._steady_from_s:
+            self.last_s = self._arrived_s
--- a/src/godwitvalve/forwarding/attempts.py
+++ b/src/godwitvalve/forwarding/attempts.py
@@ -96,8 +96,8 @@
     :param progress_s: when the attempt began, got its head or passed on
         its last new event.
     :param last_check_s: time of the last connection check.
-    :param last_seen_s: when its endpoint lived for sure, in seconds since
-        boot; known once the attempt has ended.
+    :param steady_s: when bytes arrived last that the network did not hold
+        up, in seconds since boot; known once the attempt has ended.
     :param is_unreachable: whether that check failed.
     :param is_reachable: whether it succeeded since the last progress.
     :param is_declared_lost: whether the loss of its endpoint was recorded
@@ -120,9 +120,9 @@
     has_head: bool = False
     event_count: int = 0
     first_event_s: float = 0.0
-    last_seen_s: float = 0.0
     progress_s: float = 0.0
     last_check_s: float = 0.0
+    steady_s: float = 0.0
     is_unreachable: bool = False
     is_reachable: bool = False
     is_declared_lost: bool = False
@@ -260,7 +260,7 @@
     def close(self) -> None:
         """End the request unless its answer was read completely."""
         self.task.cancel()
-        self._attempt.last_seen_s = self.exchange.last_seen_s
+        self._attempt.steady_s = self.exchange.steady_s
         self.exchange.abandon()
         if self._attempt.observation:
             self._attempt.observation.close()
--- a/src/godwitvalve/forwarding/channel.py
+++ b/src/godwitvalve/forwarding/channel.py
@@ -80,8 +80,8 @@
     :param memory: counts the bytes of answers that are not complete, and of
         a body whose rest is written after the answer.
     :param throttle: shared by all messages that are costly to parse.
-    :ivar last_seen_s: latest time at which the endpoint lived for sure, in
-        seconds since boot; 0 before its first answer.
+    :ivar sent_s: when the last request was sent, in seconds since boot.
+    :ivar steady_arrivals: arrivals that the network did not hold up.
     """
 
     # Shared by all connections, as received bytes are copied at once.
@@ -93,8 +93,8 @@
         throttle: throttles.ParsingThrottle,
     ) -> None:
         self.request_count = 0
-        self.last_seen_s = 0.0
-        self._sent_s = 0.0
+        self.sent_s = 0.0
+        self.steady_arrivals = arrivals.SteadyArrivals()
         # Since when bytes may wait in the socket.
         self._unread_since_s = math.inf
         self._idle_until_s = 0.0
@@ -165,21 +165,17 @@
         self._wake()
 
     def _record_arrival(self, size_bytes: int) -> None:
-        """Record until when the sender of these bytes lived for sure.
+        """Record when these bytes arrived at the latest.
 
-        The bytes may have waited in the socket while the process was held up
-        or reading was paused. A read that fills the buffer may leave some.
+        They may have waited in the socket while the process was held up or
+        reading was paused. A read that fills the buffer may leave some.
         """
         arrived_s = min(arrivals.PROCESS.bound_s, self._unread_since_s)
-        self.last_seen_s = max(self.last_seen_s, arrived_s)
+        self.steady_arrivals.record(arrived_s)
         self._unread_since_s = (
             arrived_s if size_bytes == READ_BYTES else math.inf
         )
 
-    def record_answer(self) -> None:
-        """Record that the endpoint has answered the request on its way."""
-        self.last_seen_s = max(self.last_seen_s, self._sent_s)
-
     def eof_received(self) -> bool:
         """Signal the end of input, which ends an answer without a length."""
         if self._is_busy and not self._is_lost:
@@ -285,7 +281,7 @@
         self._is_in_head = True
         self._overhead = overhead.ParsingOverhead()
         head = self._encode(request, body)
-        self._sent_s = clock.since_boot_s()
+        self.sent_s = clock.since_boot_s()
         content = memoryview(body)
         # Written together, a short request takes one packet.
         self._keep_unsent(content[body_memory.SEND_BYTES :])
--- a/src/godwitvalve/forwarding/context.py
+++ b/src/godwitvalve/forwarding/context.py
@@ -19,6 +19,7 @@
 from godwitvalve.forwarding import counters as counter_model
 from godwitvalve.forwarding import crash_checks as crash_check_model
 from godwitvalve.forwarding import exchange as exchanges
+from godwitvalve.forwarding import liveness as liveness_model
 from godwitvalve.forwarding import policy
 from godwitvalve.forwarding import pool as pools
 from godwitvalve.forwarding import replies
@@ -56,7 +57,8 @@
     """Shared components of one entry instance.
 
     :param on_endpoint_lost: called with an endpoint whose connection was
-        lost, and when it lived for sure, in seconds since boot.
+        lost, and when bytes arrived on it last that the network did not hold
+        up, in seconds since boot.
     :param remote_placements: returns the placements of other entries.
     :param on_placement_changed: called when a stream of this entry begins
         or ends, or an endpoint is found to be lost or leaving.
@@ -105,6 +107,9 @@
     crash_checks: crash_check_model.CrashChecks = dataclasses.field(
         default_factory=crash_check_model.CrashChecks
     )
+    liveness: liveness_model.LivenessRecord = dataclasses.field(
+        default_factory=liveness_model.LivenessRecord
+    )
 
     @property
     def work_factors(self) -> endpoint_speed_model.WorkFactors:
@@ -250,6 +255,7 @@
         # Another endpoint answered at the address.
         if head.status == wire.MISDIRECTED:
             return
+        self.liveness.record_answer(endpoint, head.sent_s)
         now_s = asyncio.get_running_loop().time()
         self.limiter.observe(endpoint, head.facts.limit, now_s)
         if head.facts.pause_s is not None:
--- a/src/godwitvalve/forwarding/exchange.py
+++ b/src/godwitvalve/forwarding/exchange.py
@@ -42,11 +42,15 @@
 
 
 class AnswerHead(NamedTuple):
-    """Status and headers of an endpoint's answer."""
+    """Status and headers of an endpoint's answer.
+
+    :param sent_s: when its request was sent, in seconds since boot.
+    """
 
     status: int
     headers: wire.RawHeaders
     facts: wire.AnswerFacts
+    sent_s: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -105,12 +109,12 @@
         self._is_done = False
 
     @property
-    def last_seen_s(self) -> float:
-        """Return when the endpoint lived for sure, in seconds since boot.
+    def steady_s(self) -> float:
+        """Return when bytes arrived last that the network did not hold up.
 
-        :returns: 0 if it has not answered.
+        :returns: seconds since boot; 0 if none are known.
         """
-        return self._channel.last_seen_s if self._channel else 0.0
+        return self._channel.steady_arrivals.last_s if self._channel else 0.0
 
     async def open(
         self, request: CallerRequest, facts: wire.SendFacts
@@ -137,7 +141,6 @@
         for _ in range(MAX_ANSWERS_READ):
             head = await self._read_head(channel)
             if head.facts.request_id == request_id:
-                channel.record_answer()
                 return self._accept(head)
             if not head.facts.request_id:
                 # On a new connection, a decline can only be for this
@@ -164,7 +167,7 @@
         head = await channel.read_head()
         headers = head.headers.raw_items()
         facts = wire.read_answer(head.status_code, headers)
-        return AnswerHead(head.status_code, headers, facts)
+        return AnswerHead(head.status_code, headers, facts, channel.sent_s)
 
     async def _skip_body(self, channel: channels.EndpointChannel) -> None:
         skipped_bytes = 0
--- a/src/godwitvalve/forwarding/stream_records.py
+++ b/src/godwitvalve/forwarding/stream_records.py
@@ -179,7 +179,7 @@
                 self._record_interruption(attempt, end)
                 if attempt.has_events:
                     self._context.on_endpoint_lost(
-                        attempt.endpoint, attempt.last_seen_s
+                        attempt.endpoint, attempt.steady_s
                     )
             case exchanges.Declined(wire.MISDIRECTED):
                 self._context.mark_replaced(attempt.endpoint)
--- a/src/godwitvalve/forwarding/successors.py
+++ b/src/godwitvalve/forwarding/successors.py
@@ -31,6 +31,8 @@
     answers there within that time after the lost one lived for sure is
     therefore the restarted one.
 
+    :param last_seen_s: returns when an endpoint lived for sure, from when its
+        bytes arrived last without a pause.
     :param address_reuse_s: may be changed; searches under way use it, too.
     :param is_store_reachable: returns whether the store answers now.
     :param on_found: called with the endpoint that was found.
@@ -40,12 +42,14 @@
     def __init__(
         self,
         state: states.FleetState,
+        last_seen_s: abc.Callable[[endpoints.FleetEndpoint, float], float],
         address_reuse_s: float,
         is_store_reachable: abc.Callable[[], abc.Awaitable[bool]],
         on_found: abc.Callable[[endpoints.FleetEndpoint], None],
         clock_s: abc.Callable[[], float] = clock.since_boot_s,
     ) -> None:
         self._state = state
+        self._last_seen_s = last_seen_s
         self.address_reuse_s = address_reuse_s
         self._is_store_reachable = is_store_reachable
         self._on_found = on_found
@@ -53,15 +57,17 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
     def begin(
-        self, endpoint: endpoints.FleetEndpoint, last_seen_s: float
+        self, endpoint: endpoints.FleetEndpoint, steady_s: float
     ) -> None:
         """Start a search for the successor of an endpoint.
 
-        :param last_seen_s: when it lived for sure, in seconds since boot.
+        :param steady_s: when its bytes arrived last without a pause, in
+            seconds since boot.
         """
         endpoint_id = endpoint.endpoint_id
         if endpoint_id in self._tasks:
             return
+        last_seen_s = self._last_seen_s(endpoint, steady_s)
         task = asyncio.create_task(self._search(endpoint, last_seen_s))
         self._tasks[endpoint_id] = task
         task.add_done_callback(lambda _: self._tasks.pop(endpoint_id, None))
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -28,6 +28,7 @@
 from godwitvalve.forwarding import context as contexts
 from godwitvalve.forwarding import counters as counter_model
 from godwitvalve.forwarding import leaving_checks
+from godwitvalve.forwarding import liveness as liveness_model
 from godwitvalve.forwarding import message_memory
 from godwitvalve.forwarding import pool as pools
 from godwitvalve.forwarding import successors
@@ -121,8 +122,14 @@
             directory.LEAVING_PROPAGATION_S
             + directory.ADDRESS_VALIDITY_S * directory.MAX_CACHE_FACTOR
         )
+        liveness = liveness_model.LivenessRecord()
+        tracker = trackers.EndpointTracker()
+        self._liveness_probes = liveness_model.LivenessProbes(
+            self._state, tracker, liveness
+        )
         self._successors = successors.SuccessorSearch(
             self._state,
+            self._liveness_probes.last_seen_s,
             settings.address_reuse_s,
             self._probe_store,
             self._add_provisional,
@@ -138,7 +145,7 @@
             settings.failure_domain,
             self._state,
             pools.ChannelPool(self._message_memory, throttles.PROCESS),
-            trackers.EndpointTracker(),
+            tracker,
             retry_budget.RetryBudget(
                 earned_per_first_attempt=(
                     derived_settings.retries_per_request(settings)
@@ -161,6 +168,7 @@
             admission=admission_tables.AdmissionTables(
                 self._other_entries, self._work_factor, account_use
             ),
+            liveness=liveness,
         )
         self._permits = permit_nodes.PermitNode(
             membership.permit_port(settings), self._decide_permit
@@ -494,6 +502,7 @@
             ).run,
             'read configurations of peers': self._peer_sync.run,
             'bound arrivals': arrivals.PROCESS.run,
+            'probe endpoints in an outage': self._liveness_probes.run,
             'maintain': self._maintain,
             'synchronise roll-outs': rollout_writers.StatusWriter(
                 self._store,
