Bound the time of prompts by their size, and check refusals

The speed estimate was the time to the first event for each token: 100 ms for 16 tokens, so 50 s for 8,000. What it refused was not observed, so that nothing corrected it. Some 40 short prompts did the same without a restart.

The estimate now keeps the time of prompts by size. A prompt takes at least as long as a shorter one and at least its share of a longer one, so a refusal rests on a bound that holds for any fixed cost. The expectation for busy endpoints, used before a planned stop, is the opposite bound. If no stream with such a prompt was completed for 10 s, one that seems too late is sent to check the estimate, also where it came from another entry.

"A long prompt is sent after a short one" of forwarding/streams failed before with code 2009 and passes.

--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -164,6 +164,7 @@
       | no stated stride         | arrives    | complete            |
       | no stated pace           | arrives    | complete            |
       | no known speed           | arrives    | complete            |
+      | a report of far slower ones | arrives | complete            |
       | a new engine             | arrives    | complete            |
 
   Scenario Outline: All endpoints with room are offered while none is contended
--- a/features/forwarding/streams.feature
+++ b/features/forwarding/streams.feature
@@ -99,3 +99,11 @@
     When a stream is made
     Then the outcome of the stream is unknown
     And it took at most 400 ms
+
+  Scenario: A long prompt is sent after a short one
+    # Guards against an entry that refuses all long prompts after its restart,
+    # as the time of its first stream, a short one, is not spent on its tokens.
+    Given stream endpoints that take 0.1 s to their first of 12 events
+    When a stream of 16 prompt tokens is made
+    And a stream of 8000 prompt tokens is made
+    Then the callers of both get the events 1 to 12 and the end
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -12,6 +12,7 @@
 import behave
 from features.doubles import forwarding_site
 from features.doubles import scripted_endpoint
+from features.doubles import speeds as speed_doubles
 from features.models import overload_simulation
 from features.steps import forwarding_steps
 from features.steps import gossip_members_steps
@@ -27,7 +28,6 @@
 from godwitvalve.gossip import members
 from godwitvalve.placement import choose
 from godwitvalve.placement import prefixes
-from godwitvalve.placement import speed
 from godwitvalve.platform import configuration
 from godwitvalve.platform import headers
 
@@ -388,7 +388,7 @@
     limits = routes.CallerLimits(1 << 20)
     site.state.install(routes.Configuration(2, [], [facts], {}, limits, b''))
     full = {'e0': choose.Placements(16, 1, 0, 88_000, 8_000)}
-    if state == 'a free engine':
+    if state in ('a free engine', 'a report of far slower ones'):
         full = {}
     if state == 'a new engine':
         full = {'before-its-restart': full['e0']}
@@ -397,9 +397,12 @@
     )
     if state != 'no stated pace':
         site.context.paces.record_service(service)
-    if state != 'no known speed':
+    if state == 'a report of far slower ones':
+        slow = speed_doubles.estimate(500.0, 28.0, 0.1)
+        site.context.speeds.add_received(service, slow)
+    elif state != 'no known speed':
         site.context.speeds.observe(
-            service, speed.SpeedEstimate(0.125, 28.0, 0.1)
+            service, speed_doubles.observation(0.125, 28.0, 0.1)
         )
 
 
--- a/features/steps/explanation_steps.py
+++ b/features/steps/explanation_steps.py
@@ -15,6 +15,7 @@
 import behave
 from features.doubles import forwarding_site
 from features.doubles import ingress_site
+from features.doubles import speeds as speed_doubles
 from godwitvalve.endpoint_limits import messages
 from godwitvalve.endpoint_limits import statements
 from godwitvalve.endpoint_limits import view
@@ -182,7 +183,7 @@
     )
     site.context.paces.record_service(service)
     site.context.speeds.add_received(
-        service, speed.SpeedEstimate(0.125, 30.0, 0.125)
+        service, speed_doubles.estimate(0.125, 30.0, 0.125)
     )
     for number in range(count):
         stats = site.tracker.stats(f'e{number}')
@@ -292,7 +293,7 @@
 
 @behave.given('its streams take longer than the route')
 def step_slow(context):
-    slow = speed.SpeedEstimate(5.0, 900.0, 0.125)
+    slow = speed_doubles.estimate(5.0, 900.0, 0.125)
     speeds = speed.SpeedEstimates()
     speeds.add_received(forwarding_site.SERVICE, slow)
     its_context = dataclasses.replace(context.site.context, speeds=speeds)
--- a/features/steps/placement_speeds_steps.py
+++ b/features/steps/placement_speeds_steps.py
@@ -13,6 +13,7 @@
 from features.doubles import entry_settings
 from features.doubles import forwarding_site
 from features.doubles import scripted_endpoint
+from features.doubles import speeds as speed_doubles
 from features.models import pace_replay
 from godwitvalve.fleet import endpoints
 from godwitvalve.fleet import routes
@@ -366,7 +367,7 @@
     context.estimates = speed.SpeedEstimates()
     context.estimates.observe(
         SERVICE,
-        speed.SpeedEstimate(2000 / 8000, 6000 / 140, 0.14),
+        speed_doubles.observation(2000 / 8000, 6000 / 140, 0.14),
         context.work.long_term_speed(slow),
     )
 
--- a/features/steps/speed_steps.py
+++ b/features/steps/speed_steps.py
@@ -3,29 +3,51 @@
 from __future__ import annotations
 
 import behave
+from features.doubles import speeds as speed_doubles
+from godwitvalve.placement import prompt_times
 from godwitvalve.placement import speed
 
 MAX_OUTPUT = 1000
 EVENTS_PER_TOKEN = 0.14
 
 
+class _Clock:
+    def __init__(self):
+        self.now_s = 1000.0
+
+    def __call__(self):
+        return self.now_s
+
+
 @behave.given(
     'an estimate of {token_ms:g} ms a prompt token and '
     '{event_ms:g} ms an event'
 )
 def known_estimate(context, token_ms, event_ms):
-    context.speeds = speed.SpeedEstimates()
-    context.estimate = speed.SpeedEstimate(
+    context.clock = _Clock()
+    context.speeds = speed.SpeedEstimates(context.clock)
+    context.observed = speed_doubles.observation(
         token_ms, event_ms, EVENTS_PER_TOKEN
     )
-    context.speeds.observe('s', context.estimate)
+    context.speeds.observe('s', context.observed)
 
 
 @behave.given('an estimate of another entry only')
 def estimate_of_another(context):
-    context.speeds = speed.SpeedEstimates()
-    received = speed.SpeedEstimate(0.13, 30.0, EVENTS_PER_TOKEN)
-    context.speeds.add_received('s', received)
+    _receive(context, 0.13)
+
+
+def _receive(context, token_ms):
+    context.clock = _Clock()
+    context.speeds = speed.SpeedEstimates(context.clock)
+    context.speeds.add_received(
+        's', speed_doubles.estimate(token_ms, 30.0, EVENTS_PER_TOKEN)
+    )
+
+
+@behave.given('an estimate of another entry of {token_ms:g} ms a prompt token')
+def estimate_of_slow_one(context, token_ms):
+    _receive(context, token_ms)
 
 
 @behave.given('no estimate')
@@ -35,14 +57,64 @@
 
 @behave.when('{count:d} streams take {times:d} times as long')
 def slow_streams(context, count, times):
-    slow = context.estimate._replace(
-        prompt_token_ms=context.estimate.prompt_token_ms * times,
-        event_ms=context.estimate.event_ms * times,
+    prompt = context.observed.prompt
+    slow = context.observed._replace(
+        prompt=prompt._replace(first_event_ms=prompt.first_event_ms * times),
+        event_ms=context.observed.event_ms * times,
     )
     for _ in range(count):
         context.speeds.observe('s', slow)
 
 
+@behave.given(
+    'only a stream of {tokens:d} tokens that took {first_ms:g} ms to its '
+    'first event'
+)
+def only_stream(context, tokens, first_ms):
+    context.clock = _Clock()
+    context.speeds = speed.SpeedEstimates(context.clock)
+    streams_of_size(context, 1, tokens, first_ms)
+
+
+@behave.when(
+    '{count:d} streams of {tokens:d} tokens take {first_ms:g} ms to their '
+    'first event'
+)
+def streams_of_size(context, count, tokens, first_ms):
+    for _ in range(count):
+        context.speeds.observe(
+            's',
+            speed_doubles.observation(
+                first_ms / tokens, 30.0, EVENTS_PER_TOKEN, tokens
+            ),
+        )
+
+
+@behave.when('{span_s:g} s go by')
+def time_passes(context, span_s):
+    context.clock.now_s += span_s
+
+
+@behave.then(
+    'of {count:d} prompts of {tokens:d} tokens that seem too late {sent:d} '
+    'are sent'
+)
+@behave.then(
+    'of {count:d} prompts of {tokens:d} tokens that seem too late {sent:d} is '
+    'sent'
+)
+def trials_sent(context, count, tokens, sent):
+    found = [context.speeds.begin_trial('s', tokens) for _ in range(count)]
+    assert found == [each < sent for each in range(count)], found
+
+
+@behave.then('each token of a prompt of {tokens:d} counts as {token_ms:g} ms')
+def token_counts_as(context, tokens, token_ms):
+    prompts = context.speeds.all()['s'].prompts
+    found = prompt_times.token_ms(prompts, tokens)
+    assert round(found, 3) == token_ms, found
+
+
 def _can_finish(context, tokens, last_event, left_ms):
     return context.speeds.can_finish(
         's', tokens, MAX_OUTPUT, last_event, left_ms
--- a/src/godwitvalve/forwarding/counters.py
+++ b/src/godwitvalve/forwarding/counters.py
@@ -110,6 +110,11 @@
             'Times between events that the speed of an endpoint follows from.',
             labels,
         )
+        self._speed_trials = self._counter(
+            'godwitvalve_speed_trials_total',
+            'Streams that seemed too late and were sent to check the speed.',
+            labels,
+        )
         self._streams_by_speed = self._counter(
             'godwitvalve_stream_sends_by_speed_total',
             'Attempts of streams by the relative speed of their endpoint.',
@@ -220,6 +225,10 @@
         """Count an observation of the time between events."""
         self._speed_observations.inc({'service': service})
 
+    def count_speed_trial(self, service: str) -> None:
+        """Count a stream that was sent though it seemed too late."""
+        self._speed_trials.inc({'service': service})
+
     def count_stream_by_speed(self, service: str, speed: float) -> None:
         """Count an attempt of a stream at an endpoint of a speed."""
         kind = 'slow' if speed < SLOW_ENDPOINT else 'usual'
--- a/src/godwitvalve/forwarding/stream_records.py
+++ b/src/godwitvalve/forwarding/stream_records.py
@@ -8,6 +8,7 @@
 from godwitvalve.forwarding import exchange as exchanges
 from godwitvalve.forwarding import stream_state
 from godwitvalve.logs import setup as logs
+from godwitvalve.placement import prompt_times
 from godwitvalve.placement import speed as speed_model
 from godwitvalve.platform import headers as wire
 from godwitvalve.quarantine import crashes as crash_model
@@ -77,8 +78,8 @@
         events_s = self._loop.time() - attempt.first_event_s
         self._context.speeds.observe(
             self._routed.service,
-            speed_model.SpeedEstimate(
-                prompt_s * 1000 / read_tokens,
+            speed_model.SpeedObservation(
+                prompt_times.PromptTime(max(read_tokens, 1), prompt_s * 1000),
                 events_s * 1000 / (event_count - 1),
                 event_count / facts.max_output_tokens,
             ),
--- a/src/godwitvalve/forwarding/stream_state.py
+++ b/src/godwitvalve/forwarding/stream_state.py
@@ -15,6 +15,9 @@
 from godwitvalve.forwarding import in_flight
 from godwitvalve.forwarding import relocation as relocations
 from godwitvalve.forwarding import silence
+from godwitvalve.logs import setup as logs
+
+_LOG = logs.get('forwarding')
 
 
 class StreamState:
@@ -50,6 +53,7 @@
         self.is_started = False
         self.last_attempt: attempts.StreamAttempt | None = None
         self.relocation: relocations.Relocation | None = None
+        self._is_trial = False
 
     @property
     def may_have_run(self) -> bool:
@@ -59,6 +63,25 @@
             or (self.current_exchange and self.current_exchange.is_sent)
         )
 
+    def begin_trial(self) -> bool:
+        """Tell whether the stream is sent though it seems to be too late."""
+        facts = self.routed.request.facts
+        service = self.routed.service
+        if not self._is_trial and self.context.speeds.begin_trial(
+            service, facts.prompt_tokens
+        ):
+            self._is_trial = True
+            self.context.counters.count_speed_trial(service)
+            _LOG.info(
+                'Sending a stream that seems too late, to check the estimate.',
+                extra={
+                    'request_id': facts.request_id,
+                    'service': service,
+                    'prompt_tokens': facts.prompt_tokens,
+                },
+            )
+        return self._is_trial
+
     def is_admitted(self) -> bool:
         """Tell whether the quarantine lets the prompt be sent now."""
         return self.context.quarantine.admit(
--- a/src/godwitvalve/forwarding/stream_turns.py
+++ b/src/godwitvalve/forwarding/stream_turns.py
@@ -15,6 +15,7 @@
 from godwitvalve.logs import setup as logs
 from godwitvalve.outcomes import codes
 from godwitvalve.placement import choose
+from godwitvalve.placement import prompt_times
 
 _LOG = logs.get('forwarding')
 
@@ -157,6 +158,10 @@
                     if not self._is_resumed:
                         self._record_outcome(True)
                     return None
+                case decision.Refuse(decision.Reason.DEADLINE) if (
+                    self._state.begin_trial()
+                ):
+                    return None
                 case decision.Refuse() as refused:
                     self._mark_full()
                     self._record_outcome(False)
@@ -207,7 +212,7 @@
         now_s = self._state.loop.time()
         output_tokens = self._output_tokens()
         speed = room.Speed(
-            max(estimate.prompt_token_ms, 0.0),
+            prompt_times.token_ms(estimate.prompts, facts.prompt_tokens),
             max(estimate.event_ms, 0.0)
             * output_tokens
             / (engine.stride or 1)
--- a/src/godwitvalve/forwarding/streams.py
+++ b/src/godwitvalve/forwarding/streams.py
@@ -119,7 +119,10 @@
         self._context.quarantine.record_prompt(
             self._routed.service, self._state.segments
         )
-        if not can_meet_deadline(self._context, self._routed, self._state):
+        if (
+            not can_meet_deadline(self._context, self._routed, self._state)
+            and not self._state.begin_trial()
+        ):
             return replies.Refusal(
                 codes.ResultCode.DEADLINE_BEFORE_SEND,
                 policy.FULL_RETRY_AFTER_S,
--- a/src/godwitvalve/placement/speed.py
+++ b/src/godwitvalve/placement/speed.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections import abc
+import time
 from typing import NamedTuple
 
 from godwitvalve.decoding import bounds
+from godwitvalve.placement import prompt_times
 
 # Smoothing factor for slower observations; faster ones are used at once, so
 # that the estimate is that of a lightly loaded endpoint.
@@ -17,17 +20,33 @@
 # Smoothing factor for faster observations in the estimate of busy endpoints;
 # slower ones are used at once.
 FASTER_SHARE = 0.05
+# An estimate that refuses streams gets no observation of such ones. If it is
+# wrong, one of them in this period corrects it, and few are sent in vain.
+TRIAL_PERIOD_S = 10.0
+
+
+class SpeedObservation(NamedTuple):
+    """Speed of one complete stream.
+
+    :param prompt: time that its prompt took.
+    :param event_ms: time between events in milliseconds.
+    :param events_per_token: events per token of the output limit.
+    """
+
+    prompt: prompt_times.PromptTime
+    event_ms: float
+    events_per_token: float
 
 
 class SpeedEstimate(NamedTuple):
-    """Speed of the lightly loaded endpoints of one service.
+    """Speed of the endpoints of one service.
 
-    :param prompt_token_ms: processing time per prompt token in milliseconds.
+    :param prompts: times of prompts of different sizes.
     :param event_ms: time between events in milliseconds.
     :param events_per_token: events per token of the output limit.
     """
 
-    prompt_token_ms: bounds.Number
+    prompts: prompt_times.PromptTimes
     event_ms: bounds.Number
     events_per_token: bounds.Number
 
@@ -44,18 +63,33 @@
     return before + FASTER_SHARE * (observed - before)
 
 
+def _from_first(observed: SpeedObservation) -> SpeedEstimate:
+    return SpeedEstimate(
+        (observed.prompt,), observed.event_ms, observed.events_per_token
+    )
+
+
 class SpeedEstimates:
-    """Speed estimates by service, from completed streams."""
+    """Speed estimates by service, from completed streams.
+
+    :param clock_s: monotonic seconds.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, clock_s: abc.Callable[[], float] = time.monotonic
+    ) -> None:
+        self._clock_s = clock_s
         self._estimates: dict[str, SpeedEstimate] = {}
         # Those of busy endpoints, from the streams of this entry.
         self._busy: dict[str, SpeedEstimate] = {}
+        # When prompts of a size were observed last, by service and size.
+        self._observed_s: dict[str, dict[int, float]] = {}
+        self._trial_s: dict[str, float] = {}
 
     def observe(
         self,
         service: str,
-        observed: SpeedEstimate,
+        observed: SpeedObservation,
         relative_speed: float = 1.0,
     ) -> None:
         """Update the estimates from a stream that one endpoint completed.
@@ -63,18 +97,31 @@
         :param relative_speed: speed of the endpoint; the estimates are those
             of a usual one.
         """
-        busy = self._busy.get(service, observed)
-        self._busy[service] = SpeedEstimate(*map(_slowest, busy, observed))
+        size = prompt_times.size_class(observed.prompt.tokens)
+        self._observed_s.setdefault(service, {})[size] = self._clock_s()
+        busy = self._busy.get(service, _from_first(observed))
+        self._busy[service] = SpeedEstimate(
+            prompt_times.with_slow(
+                busy.prompts, observed.prompt, FASTER_SHARE
+            ),
+            _slowest(busy.event_ms, observed.event_ms),
+            _slowest(busy.events_per_token, observed.events_per_token),
+        )
+        prompt = observed.prompt
         observed = observed._replace(
-            prompt_token_ms=observed.prompt_token_ms * relative_speed,
+            prompt=prompt._replace(
+                first_event_ms=prompt.first_event_ms * relative_speed
+            ),
             event_ms=observed.event_ms * relative_speed,
         )
         before = self._estimates.get(service)
         if before is None:
-            self._estimates[service] = observed
+            self._estimates[service] = _from_first(observed)
             return
         self._estimates[service] = SpeedEstimate(
-            _smoothed(before.prompt_token_ms, observed.prompt_token_ms),
+            prompt_times.with_fast(
+                before.prompts, observed.prompt, SLOWER_SHARE
+            ),
             _smoothed(before.event_ms, observed.event_ms),
             before.events_per_token
             + SLOWER_SHARE
@@ -89,6 +136,16 @@
         """Return the estimates by service."""
         return dict(self._estimates)
 
+    def prompt_token_ms(self, service: str, prompt_tokens: int) -> float:
+        """Return the time for each token of a prompt in milliseconds.
+
+        :returns: 0 if no estimate is known.
+        """
+        estimate = self._estimates.get(service)
+        if estimate is None:
+            return 0.0
+        return prompt_times.token_ms(estimate.prompts, prompt_tokens)
+
     def can_finish(
         self,
         service: str,
@@ -118,11 +175,32 @@
             max_output_tokens * estimate.events_per_token * SHORT_OUTPUT_SHARE
         )
         needed_ms = (
-            prompt_tokens * estimate.prompt_token_ms
+            prompt_times.least_ms(estimate.prompts, prompt_tokens)
             + max(events - last_event, 0.0) * estimate.event_ms
         )
         return left_ms >= needed_ms * work_factor * NEEDED_SHARE
 
+    def begin_trial(self, service: str, prompt_tokens: int) -> bool:
+        """Tell whether a stream is sent though it seems to be too late.
+
+        Load pattern: the estimate comes from few streams, from streams of
+        another size, from endpoints in trouble or from another entry, and
+        refuses each stream that would correct it.
+
+        :returns: whether no stream with such a prompt was completed for a
+            while; at most once in ``TRIAL_PERIOD_S``.
+        """
+        oldest_s = self._clock_s() - TRIAL_PERIOD_S
+        least_size = prompt_times.size_class(prompt_tokens) - 1
+        if self._trial_s.get(service, oldest_s) > oldest_s or any(
+            observed_s > oldest_s
+            for size, observed_s in self._observed_s.get(service, {}).items()
+            if size >= least_size
+        ):
+            return False
+        self._trial_s[service] = self._clock_s()
+        return True
+
     def expected_s(
         self,
         service: str,
@@ -142,6 +220,6 @@
             return None
         events = max_output_tokens * busy.events_per_token
         return (
-            prompt_tokens * busy.prompt_token_ms
+            prompt_times.most_ms(busy.prompts, prompt_tokens)
             + max(events - last_event, 0.0) * busy.event_ms
         ) / 1000
