Keep that an endpoint leaves beyond the removal of its row

Its row was removed, and a heartbeat that the store did 3 s late listed the same start again. What an endpoint states was forgotten with its row, so that an older row won over a newer word.

The statement now outlives the row. The same holds for what an endpoint announced in its row or another entry reported, if the row is removed or an earlier one overwrites it, and for an answer that comes after the removal. It ends with a later start, or when a health probe finds the endpoint sound and not leaving, so that no sound endpoint is avoided for long. Rows of endpoints that left without a word, for example in a cut, count as before.

--- a/features/fleet/registry.feature
+++ b/features/fleet/registry.feature
@@ -209,3 +209,51 @@
     Then "a, c" are usable at 22.5 s
     When the store is restored at 23.0 s and lists "a, b, c"
     Then "a, c" are usable at 23.5 s
+
+  Scenario Outline: A late row does not bring an endpoint back that leaves
+    # Guards against calls that are lost with an endpoint: the store did the
+    # last write of its row after it had stated that it leaves.
+    Given a registry with the endpoints "a, b"
+    When "a" <leaves>
+    And the row of "a" <changes>
+    And the row of "a" is the one from before it left
+    Then "b" are usable at 2.0 s
+    And "none" are to be asked again at 3.0 s
+    And "a" are to be asked again at 13.0 s
+    When "a" is healthy and does not leave
+    Then "a, b" are usable at 13.1 s
+
+    Examples:
+      | leaves                                  | changes             |
+      | states in an answer that it leaves at 1.0 s | is removed at 1.5 s |
+      | is reported to leave                    | is removed at 1.5 s |
+      | announces that it leaves                | is removed at 1.5 s |
+      | announces that it leaves                | does not change     |
+
+  Scenario: An answer that comes after the removal of its endpoint counts
+    # Guards against forgetting what an endpoint stated as its row was gone.
+    Given a registry with the endpoints "a, b"
+    When the row of "a" is removed at 1.0 s
+    And the first start of "a" states in an answer that it leaves at 1.1 s
+    And the row of "a" is written again
+    Then "b" are usable at 2.0 s
+
+  Scenario Outline: A restarted endpoint is used although it left before
+    # Guards against avoiding an endpoint for what its earlier start stated.
+    Given a registry with the endpoints "a, b"
+    When "a" <leaves>
+    And the row of "a" is removed at 1.5 s
+    And the row of "a" has a later start
+    Then "a, b" are usable at 2.0 s
+
+    Examples:
+      | leaves                                  |
+      | states in an answer that it leaves at 1.0 s |
+      | announces that it leaves                |
+
+  Scenario: An endpoint whose row expired is used when it is back
+    # Guards against avoiding an endpoint that did not reach the store.
+    Given a registry with the endpoints "a, b"
+    When the row of "a" is removed at 1.0 s
+    And the row of "a" is written again
+    Then "a, b" are usable at 2.0 s
--- a/features/steps/fleet_registry_steps.py
+++ b/features/steps/fleet_registry_steps.py
@@ -88,6 +88,22 @@
     context.registry.remove(name, context.row_version, now_s)
 
 
+@behave.when('the row of "{name}" does not change')
+def row_unchanged(context, name):
+    pass
+
+
+@behave.when('"{name}" is reported to leave')
+def another_entry_reports(context, name):
+    start_ms = context.registry.get(name).started_wall_ms
+    assert context.registry.mark_leaving(name, start_ms)
+
+
+@behave.when('the row of "{name}" is the one from before it left')
+def earlier_row_written(context, name):
+    _write(context, endpoint(name))
+
+
 @behave.when('the row of "{name}" is written again')
 def row_written(context, name):
     _write(context, context.registry.get(name) or endpoint(name))
--- a/features/steps/ingress_stated_leaving_steps.py
+++ b/features/steps/ingress_stated_leaving_steps.py
@@ -9,6 +9,10 @@
 from features.steps import ingress_steps
 
 PAUSE_S = 0.01
+# Longer than several heartbeats of entries.
+LEAVING_LOAD_S = 0.7
+# A row is known to all entries within this time.
+KNOWN_AFTER_S = 0.7
 
 
 @behave.when('the store goes down, and "{name}" states that it leaves')
@@ -28,6 +32,52 @@
     context.fleet.unregister(name)
 
 
+def _state_leaving(context, name):
+    context.fleet.post(name, '/standin/leaving', {})
+
+
+def _remove_row(context, name):
+    context.fleet.unregister(name)
+
+
+def _announce_in_row(context, name):
+    context.fleet.register(name, 'desk', 'fd-0', state='draining')
+    # The heartbeats end with it, so that the late one is the last.
+    context.fleet.set_heartbeat(name, None)
+
+
+LEAVING_STEPS = {
+    'states that it leaves and removes its row': (
+        _state_leaving,
+        _remove_row,
+    ),
+    'announces in its row that it leaves': (_announce_in_row,),
+    'announces it in its row and removes that': (
+        _announce_in_row,
+        _remove_row,
+    ),
+}
+
+
+@behave.when('"{name}" {leaves}, while "{entry}" sends complaints')
+def leaves_under_load(context, name, leaves, entry):
+    context.request_ids = itertools.count()
+    context.leaving_name = name
+    sends_complaints(context, entry, LEAVING_LOAD_S)
+    for step in LEAVING_STEPS[leaves]:
+        step(context, name)
+        sends_complaints(context, entry, LEAVING_LOAD_S)
+
+
+@behave.when('its last heartbeat is done {late_s:g} s after that')
+def late_heartbeat(context, late_s):
+    time.sleep(late_s)
+    name = context.leaving_name
+    row = context.fleet.endpoint_row(name, 'desk', 'fd-0')
+    context.fleet.write_row('servers', name, row)
+    time.sleep(KNOWN_AFTER_S)
+
+
 @behave.when('"{entry}" sends complaints for {span_s:g} s')
 def sends_complaints(context, entry, span_s):
     context.began_s = time.monotonic()
--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -124,11 +124,14 @@
         endpoint_id = endpoint.endpoint_id
         if row_version < self._row_versions.get(endpoint_id, 0):
             return False
-        is_changed = self._endpoints.get(endpoint_id) != endpoint
+        before = self._endpoints.get(endpoint_id)
+        is_changed = before != endpoint
         if is_changed:
             self._replaced.pop(endpoint_id, None)
         self._row_versions[endpoint_id] = row_version
         self._endpoints[endpoint_id] = endpoint
+        if before and before.is_leaving and not endpoint.is_leaving:
+            self._stated_leaving.record_row(before)
         if not self._stated_leaving.includes(endpoint):
             self._stated_leaving.forget(endpoint_id)
         if endpoint.is_leaving:
@@ -305,8 +308,8 @@
         :param now_s: monotonic seconds.
         :returns: whether the endpoint was usable until now.
         """
-        known = self._endpoints.get(endpoint.endpoint_id)
-        if known is None or known.started_wall_ms > endpoint.started_wall_ms:
+        known = self._endpoints.get(endpoint.endpoint_id, endpoint)
+        if known.started_wall_ms > endpoint.started_wall_ms:
             return False
         was_usable = self.is_usable(endpoint.endpoint_id)
         self._stated_leaving.record(known, now_s)
@@ -319,7 +322,7 @@
         """
         return [
             self._endpoints[endpoint_id]
-            for endpoint_id in self._stated_leaving.due(now_s)
+            for endpoint_id in self._stated_leaving.due(self._endpoints, now_s)
         ]
 
     def withdraw_leaving(self, endpoint: endpoints.FleetEndpoint) -> None:
@@ -354,6 +357,7 @@
             if endpoint is not None and not endpoint.is_leaving:
                 self._departed.pop(endpoint_id, None)
                 self._reported_leaving.pop(endpoint_id, None)
+                self._stated_leaving.forget_row(endpoint_id)
         self._not_relisted.clear()
 
     def _remember_departed(self, endpoint: endpoints.FleetEndpoint) -> None:
@@ -363,10 +367,12 @@
             self._departed.pop(next(iter(self._departed)))
 
     def _drop(self, endpoint_id: str) -> None:
-        if endpoint_id in self._endpoints:
-            self._remember_departed(self._endpoints[endpoint_id])
+        endpoint = self._endpoints.get(endpoint_id)
+        if endpoint is not None:
+            self._remember_departed(endpoint)
+            if self.state_of(endpoint_id) is EndpointState.LEAVING:
+                self._stated_leaving.record_row(endpoint)
         self._reported_leaving.pop(endpoint_id, None)
-        self._stated_leaving.forget(endpoint_id)
         self._replaced.pop(endpoint_id, None)
         self._restore_predecessors(endpoint_id)
         self._provisional.discard(endpoint_id)
