--- a/src/godwitvalve/forwarding/liveness.py
+++ b/src/godwitvalve/forwarding/liveness.py
@@ -21,7 +21,7 @@
 RETENTION_S = 10.0
 
 
-class _Incarnation(NamedTuple):
+class _EndpointAddress(NamedTuple):
     """Endpoint at an address; the address may have another one later."""
 
     endpoint_id: str
@@ -39,7 +39,7 @@
     """
 
     def __init__(self) -> None:
-        self._seen_s: dict[_Incarnation, float] = {}
+        self._seen_s: dict[_EndpointAddress, float] = {}
 
     def record_answer(
         self, endpoint: endpoints.FleetEndpoint, sent_s: float
@@ -48,12 +48,12 @@
 
         :param sent_s: when the request was sent.
         """
-        key = _Incarnation(endpoint.endpoint_id, endpoint.address)
+        key = _EndpointAddress(endpoint.endpoint_id, endpoint.address)
         self._seen_s[key] = max(self._seen_s.get(key, sent_s), sent_s)
 
     def last_seen_s(self, endpoint: endpoints.FleetEndpoint) -> float:
         """Return when an endpoint lived for sure; 0 if that is not known."""
-        key = _Incarnation(endpoint.endpoint_id, endpoint.address)
+        key = _EndpointAddress(endpoint.endpoint_id, endpoint.address)
         return self._seen_s.get(key, 0.0)
 
     def expire(self, now_s: float) -> None:
--- a/src/godwitvalve/placement/speed.py
+++ b/src/godwitvalve/placement/speed.py
@@ -136,16 +136,6 @@
         """Return the estimates by service."""
         return dict(self._estimates)
 
-    def prompt_token_ms(self, service: str, prompt_tokens: int) -> float:
-        """Return the time for each token of a prompt in milliseconds.
-
-        :returns: 0 if no estimate is known.
-        """
-        estimate = self._estimates.get(service)
-        if estimate is None:
-            return 0.0
-        return prompt_times.token_ms(estimate.prompts, prompt_tokens)
-
     def can_finish(
         self,
         service: str,
