Check refusals of long outputs although short ones complete

Streams with the same prompt and a short output confirmed the estimate, so that no stream with a long output was sent to check it. A stream of at least about half the prompt and half the output counts now. The last step of "An estimate that is confirmed is not checked" failed before.

--- a/features/placement/speed.feature
+++ b/features/placement/speed.feature
@@ -86,4 +86,5 @@
     Then of 5 prompts of 8000 tokens that seem too late 0 are sent
     When 11 s go by
     And 1 streams of 16 tokens take 100 ms to their first event
+    And 1 streams of 8000 tokens and an output of 100 take 1000 ms to their first event
     Then of 5 prompts of 8000 tokens that seem too late 1 is sent
--- a/features/steps/speed_steps.py
+++ b/features/steps/speed_steps.py
@@ -90,6 +90,18 @@
         )
 
 
+@behave.when(
+    '{count:d} streams of {tokens:d} tokens and an output of {output:d} take '
+    '{first_ms:g} ms to their first event'
+)
+def streams_of_output(context, count, tokens, output, first_ms):
+    for _ in range(count):
+        observed = speed_doubles.observation(
+            first_ms / tokens, 30.0, EVENTS_PER_TOKEN, tokens, output
+        )
+        context.speeds.observe('s', observed)
+
+
 @behave.when('{span_s:g} s go by')
 def time_passes(context, span_s):
     context.clock.now_s += span_s
@@ -104,7 +116,10 @@
     'sent'
 )
 def trials_sent(context, count, tokens, sent):
-    found = [context.speeds.begin_trial('s', tokens) for _ in range(count)]
+    found = [
+        context.speeds.begin_trial('s', tokens, MAX_OUTPUT)
+        for _ in range(count)
+    ]
     assert found == [each < sent for each in range(count)], found
 
 
--- a/src/godwitvalve/forwarding/stream_records.py
+++ b/src/godwitvalve/forwarding/stream_records.py
@@ -82,6 +82,7 @@
                 prompt_times.PromptTime(max(read_tokens, 1), prompt_s * 1000),
                 events_s * 1000 / (event_count - 1),
                 event_count / facts.max_output_tokens,
+                facts.max_output_tokens,
             ),
             self._context.work_factors.long_term_speed(attempt.endpoint),
         )
--- a/src/godwitvalve/forwarding/stream_state.py
+++ b/src/godwitvalve/forwarding/stream_state.py
@@ -68,7 +68,7 @@
         facts = self.routed.request.facts
         service = self.routed.service
         if not self._is_trial and self.context.speeds.begin_trial(
-            service, facts.prompt_tokens
+            service, facts.prompt_tokens, facts.max_output_tokens
         ):
             self._is_trial = True
             self.context.counters.count_speed_trial(service)
--- a/src/godwitvalve/placement/speed.py
+++ b/src/godwitvalve/placement/speed.py
@@ -31,11 +31,13 @@
     :param prompt: time that its prompt took.
     :param event_ms: time between events in milliseconds.
     :param events_per_token: events per token of the output limit.
+    :param max_output_tokens: that limit.
     """
 
     prompt: prompt_times.PromptTime
     event_ms: float
     events_per_token: float
+    max_output_tokens: int
 
 
 class SpeedEstimate(NamedTuple):
@@ -51,6 +53,20 @@
     events_per_token: bounds.Number
 
 
+class _Sizes(NamedTuple):
+    """Size classes of a stream's prompt and output."""
+
+    prompt: int
+    output: int
+
+
+def _sizes(prompt_tokens: float, max_output_tokens: int) -> _Sizes:
+    return _Sizes(
+        prompt_times.size_class(prompt_tokens),
+        prompt_times.size_class(max_output_tokens),
+    )
+
+
 def _smoothed(before: float, observed: float) -> float:
     if observed < before:
         return observed
@@ -82,8 +98,8 @@
         self._estimates: dict[str, SpeedEstimate] = {}
         # Those of busy endpoints, from the streams of this entry.
         self._busy: dict[str, SpeedEstimate] = {}
-        # When prompts of a size were observed last, by service and size.
-        self._observed_s: dict[str, dict[int, float]] = {}
+        # When streams were observed last, by service and sizes.
+        self._observed_s: dict[str, dict[_Sizes, float]] = {}
         self._trial_s: dict[str, float] = {}
 
     def observe(
@@ -97,8 +113,8 @@
         :param relative_speed: speed of the endpoint; the estimates are those
             of a usual one.
         """
-        size = prompt_times.size_class(observed.prompt.tokens)
-        self._observed_s.setdefault(service, {})[size] = self._clock_s()
+        sizes = _sizes(observed.prompt.tokens, observed.max_output_tokens)
+        self._observed_s.setdefault(service, {})[sizes] = self._clock_s()
         busy = self._busy.get(service, _from_first(observed))
         self._busy[service] = SpeedEstimate(
             prompt_times.with_slow(
@@ -170,22 +186,26 @@
         )
         return left_ms >= needed_ms * work_factor * NEEDED_SHARE
 
-    def begin_trial(self, service: str, prompt_tokens: int) -> bool:
+    def begin_trial(
+        self, service: str, prompt_tokens: int, max_output_tokens: int
+    ) -> bool:
         """Tell whether a stream is sent though it seems to be too late.
 
         Load pattern: the estimate comes from few streams, from streams of
         another size, from endpoints in trouble or from another entry, and
         refuses each stream that would correct it.
 
-        :returns: whether no stream with such a prompt was completed for a
-            while; at most once in ``TRIAL_PERIOD_S``.
+        :returns: whether no stream of about this size or more was completed
+            for a while; at most once in ``TRIAL_PERIOD_S``.
         """
         oldest_s = self._clock_s() - TRIAL_PERIOD_S
-        least_size = prompt_times.size_class(prompt_tokens) - 1
+        wanted = _sizes(prompt_tokens, max_output_tokens)
+        observed_s = self._observed_s.get(service, {})
         if self._trial_s.get(service, oldest_s) > oldest_s or any(
-            observed_s > oldest_s
-            for size, observed_s in self._observed_s.get(service, {}).items()
-            if size >= least_size
+            at_s > oldest_s
+            and sizes.prompt >= wanted.prompt - 1
+            and sizes.output >= wanted.output - 1
+            for sizes, at_s in observed_s.items()
         ):
             return False
         self._trial_s[service] = self._clock_s()
