Spare endpoints that ask for fewer requests from liveness probes

In an outage each entry asks the endpoints of its streams for their id four times a second. One that states a limit or asked for a pause is not asked, as such a probe costs it work like any other request. "Endpoints that ask for fewer requests are not probed" failed before.

--- a/features/forwarding/successors.feature
+++ b/features/forwarding/successors.feature
@@ -83,6 +83,12 @@
     When they are probed for 0.6 s while the store is down
     Then 1 to 4 and 0 probes arrive
 
+  Scenario: Endpoints that ask for fewer requests are not probed
+    # Guards against probes beyond what an endpoint in need takes.
+    Given an endpoint with a stream that asked for fewer requests and one without any
+    When they are probed for 0.6 s while the store is down
+    Then 0 and 0 probes arrive
+
   Scenario: Another endpoint's answer does not show that an endpoint lived
     # Guards against a search that lasts on: the next user of an address
     # answers 421 to a request for the one before it.
--- a/features/steps/forwarding_successors_steps.py
+++ b/features/steps/forwarding_successors_steps.py
@@ -219,8 +219,11 @@
 
 
 @contextlib.asynccontextmanager
-async def _probed(record, listed, is_store_down=True):
-    """Probe endpoints, of which the first one has a stream."""
+async def _probed(record, listed, is_store_down=True, unprobed=()):
+    """Probe endpoints, of which the first one has a stream.
+
+    :param unprobed: ids of those that ask for fewer requests.
+    """
     state = states.FleetState()
     state.registry.mark_store_available(-100.0)
     for each in listed:
@@ -229,7 +232,12 @@
         state.registry.mark_store_unavailable()
     running = tracker.EndpointTracker()
     running.stats(listed[0].endpoint_id).streams = 1
-    prober = liveness.LivenessProbes(state, running, record)
+    prober = liveness.LivenessProbes(
+        state,
+        running,
+        record,
+        lambda endpoint: endpoint.endpoint_id not in unprobed,
+    )
     tasks = [
         asyncio.create_task(each)
         for each in (prober.run(), arrivals.PROCESS.run())
@@ -364,14 +372,25 @@
 )
 def endpoint_with_probe_answer(context, answer_name):
     health = PROBE_ANSWERS[answer_name]
+    context.has_limit = False
     context.probed = [_SendingEndpoint(['hang'], health=health)]
 
 
 @behave.given('an endpoint with a stream and one without any')
 def endpoints_with_and_without(context):
+    context.has_limit = False
     context.probed = [_SendingEndpoint(['hang']) for _ in range(2)]
 
 
+@behave.given(
+    'an endpoint with a stream that asked for fewer requests and one without '
+    'any'
+)
+def limited_endpoint(context):
+    endpoints_with_and_without(context)
+    context.has_limit = True
+
+
 @behave.when('it is probed for {span_s:g} s while the store is {state}')
 @behave.when('they are probed for {span_s:g} s while the store {state}')
 def probe_for(context, span_s, state):
@@ -384,7 +403,8 @@
             _listed(each.address, f'e-{number}')
             for number, each in enumerate(context.probed, start=1)
         ]
-        async with _probed(record, listed, state != 'answers'):
+        unprobed = {'e-1'} if context.has_limit else ()
+        async with _probed(record, listed, state != 'answers', unprobed):
             await asyncio.sleep(span_s)
         context.seen_s = record.last_seen_s(listed[0])
         for each in context.probed:
--- a/src/godwitvalve/endpoint_limits/limiter.py
+++ b/src/godwitvalve/endpoint_limits/limiter.py
@@ -91,6 +91,15 @@
         self._granted: dict[str, demand.DemandMeter] = {}
         self._returns: dict[str, returns.ReturnSchedule] = {}
 
+    def is_unlimited(
+        self, endpoint: endpoints.FleetEndpoint, now_s: float
+    ) -> bool:
+        """Tell whether an endpoint neither states a limit nor pauses."""
+        return not (
+            self.pauses.is_paused(endpoint, now_s)
+            or self.table.requests_per_s(endpoint) is not None
+        )
+
     def observe(
         self,
         endpoint: endpoints.FleetEndpoint,
--- a/src/godwitvalve/forwarding/liveness.py
+++ b/src/godwitvalve/forwarding/liveness.py
@@ -77,6 +77,8 @@
     Endpoints that crash as the store goes down have not been probed. Until
     probes are answered, the steady arrival of bytes counts as well.
 
+    :param may_probe: returns whether an endpoint takes requests without a
+        limit now; others asked for fewer, of any kind.
     :param clock_s: seconds since boot.
     """
 
@@ -85,11 +87,13 @@
         state: states.FleetState,
         tracker: trackers.EndpointTracker,
         record: LivenessRecord,
+        may_probe: abc.Callable[[endpoints.FleetEndpoint], bool],
         clock_s: abc.Callable[[], float] = clock.since_boot_s,
     ) -> None:
         self._state = state
         self._tracker = tracker
         self._record = record
+        self._may_probe = may_probe
         self._clock_s = clock_s
         self._tasks: dict[str, asyncio.Task[None]] = {}
         # When the outage was noticed.
@@ -132,6 +136,7 @@
                 and endpoint.endpoint_id not in self._tasks
                 and self._record.last_seen_s(endpoint)
                 <= now_s - PROBE_PERIOD_S
+                and self._may_probe(endpoint)
             ):
                 self._begin(endpoint)
 
--- a/src/godwitvalve/ingress/process.py
+++ b/src/godwitvalve/ingress/process.py
@@ -125,7 +125,7 @@
         liveness = liveness_model.LivenessRecord()
         tracker = trackers.EndpointTracker()
         self._liveness_probes = liveness_model.LivenessProbes(
-            self._state, tracker, liveness
+            self._state, tracker, liveness, self._is_unlimited
         )
         self._successors = successors.SuccessorSearch(
             self._state,
@@ -242,6 +242,9 @@
         work = self._context.work_factors.at(endpoint.service, now_s)
         return work(endpoint) if work else 1.0
 
+    def _is_unlimited(self, endpoint: endpoint_model.FleetEndpoint) -> bool:
+        return self._context.limiter.is_unlimited(endpoint, time.monotonic())
+
     def _coordinators(self) -> limiters.Coordinators:
         """Return the serving entries, which issue permits for endpoints."""
         now_s = time.monotonic()
