Report only first-hand knowledge of leaving endpoints

What an earlier row or another entry had told of an endpoint that was listed again was reported to the other entries. Each would have avoided a sound endpoint for what the others reported, after it had found it sound itself, until its row changed. Two examples of "What earlier rows and other entries told is not reported" failed before.

--- a/features/fleet/registry.feature
+++ b/features/fleet/registry.feature
@@ -230,6 +230,22 @@
       | announces that it leaves                | is removed at 1.5 s |
       | announces that it leaves                | does not change     |
 
+  Scenario Outline: What earlier rows and other entries told is not reported
+    # Guards against entries that report a sound endpoint to each other without
+    # end, after each has found it sound.
+    Given a registry with the endpoints "a, b"
+    When "a" <leaves>
+    And the row of "a" is removed at 1.5 s
+    And the row of "a" is the one from before it left
+    Then "b" are usable at 2.0 s
+    And "<reported>" are reported as leaving
+
+    Examples:
+      | leaves                                      | reported |
+      | states in an answer that it leaves at 1.0 s | a        |
+      | is reported to leave                        | none     |
+      | announces that it leaves                    | none     |
+
   Scenario: An answer that comes after the removal of its endpoint counts
     # Guards against forgetting what an endpoint stated as its row was gone.
     Given a registry with the endpoints "a, b"
--- a/features/steps/fleet_registry_steps.py
+++ b/features/steps/fleet_registry_steps.py
@@ -149,7 +149,7 @@
 
 @behave.then('"{names}" are reported as leaving')
 def are_reported_leaving(context, names):
-    found = [name for name, _ in context.registry.leaving()]
+    found = [name for name, _ in context.registry.leaving()] or ['none']
     assert found == names.split(', '), found
 
 
--- a/src/godwitvalve/fleet/leaving.py
+++ b/src/godwitvalve/fleet/leaving.py
@@ -82,6 +82,13 @@
             stated.started_wall_ms, endpoint.started_wall_ms
         )
 
+    def includes_answer(self, endpoint: endpoints.FleetEndpoint) -> bool:
+        """Tell whether this incarnation stated it in an answer."""
+        return (
+            self.includes(endpoint)
+            and self._statements[endpoint.endpoint_id].is_in_answer
+        )
+
     def due(self, listed_ids: abc.Container[str], now_s: float) -> list[str]:
         """Return the ids to ask again now, each once in a period.
 
--- a/src/godwitvalve/fleet/registry.py
+++ b/src/godwitvalve/fleet/registry.py
@@ -334,13 +334,15 @@
         """Return id and start of the endpoints that announced it.
 
         They did so in their rows, or in answers to this entry. Those that
-        only a copy may list are not reported: the others would avoid a sound
-        one until its row changes.
+        earlier rows or other entries told, and those that only a copy may
+        list, are not reported: the others would avoid a sound one until its
+        row changes.
         """
         return [
             (endpoint.endpoint_id, endpoint.started_wall_ms)
             for endpoint in self._endpoints.values()
-            if endpoint.is_leaving or self._stated_leaving.includes(endpoint)
+            if endpoint.is_leaving
+            or self._stated_leaving.includes_answer(endpoint)
         ]
 
     def _is_relisted(self, endpoint: endpoints.FleetEndpoint) -> bool:
