Use the bounds of a prompt's time where an observation is learnt

What an observation says of another size is its bound: with_fast and with_slow computed it again. The steps for speed estimates begin in one place, and one step calls another instead of repeating it.

--- a/features/steps/ingress_stated_leaving_steps.py
+++ b/features/steps/ingress_stated_leaving_steps.py
@@ -18,7 +18,7 @@
 @behave.when('the store goes down, and "{name}" states that it leaves')
 def states_it(context, name):
     context.fleet.post('store', '/standin/faults', {'mode': 'busy'})
-    context.fleet.post(name, '/standin/leaving', {})
+    _state_leaving(context, name)
     context.left_s = time.monotonic()
     context.request_ids = itertools.count()
 
--- a/features/steps/speed_steps.py
+++ b/features/steps/speed_steps.py
@@ -24,22 +24,25 @@
     '{event_ms:g} ms an event'
 )
 def known_estimate(context, token_ms, event_ms):
-    context.clock = _Clock()
-    context.speeds = speed.SpeedEstimates(context.clock)
+    _without_estimate(context)
     context.observed = speed_doubles.observation(
         token_ms, event_ms, EVENTS_PER_TOKEN
     )
     context.speeds.observe('s', context.observed)
 
 
+def _without_estimate(context):
+    context.clock = _Clock()
+    context.speeds = speed.SpeedEstimates(context.clock)
+
+
 @behave.given('an estimate of another entry only')
 def estimate_of_another(context):
     _receive(context, 0.13)
 
 
 def _receive(context, token_ms):
-    context.clock = _Clock()
-    context.speeds = speed.SpeedEstimates(context.clock)
+    _without_estimate(context)
     context.speeds.add_received(
         's', speed_doubles.estimate(token_ms, 30.0, EVENTS_PER_TOKEN)
     )
@@ -52,7 +55,7 @@
 
 @behave.given('no estimate')
 def no_estimate(context):
-    context.speeds = speed.SpeedEstimates()
+    _without_estimate(context)
 
 
 @behave.when('{count:d} streams take {times:d} times as long')
@@ -71,8 +74,7 @@
     'first event'
 )
 def only_stream(context, tokens, first_ms):
-    context.clock = _Clock()
-    context.speeds = speed.SpeedEstimates(context.clock)
+    _without_estimate(context)
     streams_of_size(context, 1, tokens, first_ms)
 
 
@@ -81,13 +83,7 @@
     'first event'
 )
 def streams_of_size(context, count, tokens, first_ms):
-    for _ in range(count):
-        context.speeds.observe(
-            's',
-            speed_doubles.observation(
-                first_ms / tokens, 30.0, EVENTS_PER_TOKEN, tokens
-            ),
-        )
+    streams_of_output(context, count, tokens, MAX_OUTPUT, first_ms)
 
 
 @behave.when(
--- a/src/godwitvalve/placement/prompt_times.py
+++ b/src/godwitvalve/placement/prompt_times.py
@@ -86,9 +86,7 @@
     lowered = {
         size_class(each.tokens): each._replace(
             first_event_ms=min(
-                each.first_event_ms,
-                observed.first_event_ms
-                / min(observed.tokens / each.tokens, 1.0),
+                each.first_event_ms, most_ms((observed,), each.tokens)
             )
         )
         for each in known
@@ -108,9 +106,7 @@
     raised = {
         size_class(each.tokens): each._replace(
             first_event_ms=max(
-                each.first_event_ms,
-                observed.first_event_ms
-                / max(observed.tokens / each.tokens, 1.0),
+                each.first_event_ms, least_ms((observed,), each.tokens)
             )
         )
         for each in known
